Set down the design, the folders and the core types

Cause: nothing exists yet, and every later part builds on these words, ids, units, records, result codes, the plug-in kernel and the routing table. Conclusion: parts can be built against the fixed signatures.

--- /dev/null
+++ b/internal/domain/record/decode.go
@@ -0,0 +1,355 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+)
+
+// The known schema versions.
+const (
+	SchemaV1 = 1
+	SchemaV2 = 2
+)
+
+// Defaults of values that a record may leave out.
+const (
+	defaultColdLimit unit.Requests = 2
+	defaultLimit     unit.Requests = 64
+	defaultWeight    unit.Weight   = 1
+)
+
+// header has the fields of every record.
+type header struct {
+	Schema    int  `json:"schema"`
+	Withdrawn bool `json:"withdrawn,omitempty"`
+}
+
+// Decode decodes and checks a record.
+//
+// Errors carry code.BadRecord or code.UnknownSchema and name the path.
+func Decode(n Name, raw []byte) (*Record, error) {
+	var h header
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return nil, code.BadRecord.New("%s: not a JSON object: %s", n, err)
+	}
+	if h.Schema != SchemaV1 && h.Schema != SchemaV2 {
+		return nil, code.UnknownSchema.New("%s.schema: %d is not one of 1, 2", n, h.Schema)
+	}
+	r := &Record{Name: n, Schema: h.Schema, Withdrawn: h.Withdrawn}
+	if h.Withdrawn {
+		return r, nil
+	}
+	if err := r.decodeBody(raw); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Record) decodeBody(raw []byte) error {
+	switch r.Kind {
+	case DeploymentKind:
+		if r.Schema == SchemaV1 {
+			return r.decodeWire(raw, &deploymentV1{})
+		}
+		return r.decodeWire(raw, &deploymentV2{})
+	case OrganisationKind:
+		if r.Schema == SchemaV1 {
+			return r.decodeWire(raw, &organisationV1{})
+		}
+		return r.decodeWire(raw, &organisationV2{})
+	case ServiceKind:
+		if r.Schema == SchemaV1 {
+			return r.decodeWire(raw, &serviceV1{})
+		}
+		return r.decodeWire(raw, &serviceV2{})
+	default:
+		return code.BadRecord.New("%s: unknown kind", r.Name)
+	}
+}
+
+// wire is a record of one kind and schema.
+type wire interface {
+	// fill checks the fields and sets the record's domain type.
+	fill(r *Record) error
+}
+
+func (r *Record) decodeWire(raw []byte, w wire) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(w); err != nil {
+		return code.BadRecord.New("%s%s", r.Name, describe(err))
+	}
+	if err := w.fill(r); err != nil {
+		return code.BadRecord.New("%s.%s", r.Name, err)
+	}
+	return nil
+}
+
+func describe(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Sprintf(".%s: got a JSON %s, want %s", wrong.Field, wrong.Value, wrong.Type)
+	}
+	return ": " + strings.TrimPrefix(err.Error(), "json: ")
+}
+
+// deploymentFields are the fields that both schemas of a deployment share.
+type deploymentFields struct {
+	header
+	Model         ident.Model          `json:"model"`
+	Version       ident.Version        `json:"version"`
+	Adapters      []ident.Adapter      `json:"adapters,omitempty"`
+	Organisations []ident.Organisation `json:"organisations,omitempty"`
+	Size          int                  `json:"size"`
+	ColdLimit     unit.Requests        `json:"coldLimit,omitempty"`
+	Limit         unit.Requests        `json:"limit,omitempty"`
+}
+
+// deploymentV1 wants the same number of replicas in each data centre.
+type deploymentV1 struct {
+	deploymentFields
+	DataCentres []ident.DataCentre `json:"dataCentres"`
+	Replicas    int                `json:"replicas"`
+}
+
+// deploymentV2 gives the number for each data centre, and a priority.
+type deploymentV2 struct {
+	deploymentFields
+	Placements []Placement   `json:"placements"`
+	Priority   unit.Priority `json:"priority,omitempty"`
+}
+
+func (w *deploymentV1) fill(r *Record) error {
+	placements := make([]Placement, 0, len(w.DataCentres))
+	for _, d := range w.DataCentres {
+		placements = append(placements, Placement{d, w.Replicas})
+	}
+	return w.build(r, "dataCentres", placements, 0)
+}
+
+func (w *deploymentV2) fill(r *Record) error {
+	return w.build(r, "placements", w.Placements, w.Priority)
+}
+
+func (w *deploymentFields) build(r *Record, where string, placements []Placement, priority unit.Priority) error {
+	if err := w.check(); err != nil {
+		return err
+	}
+	if err := checkPlacements(where, placements); err != nil {
+		return err
+	}
+	r.Deployment = &Deployment{
+		Name:          ident.Deployment(r.Name.Name),
+		Model:         w.Model,
+		Version:       w.Version,
+		Adapters:      w.Adapters,
+		Organisations: w.Organisations,
+		Placements:    placements,
+		Size:          w.Size,
+		Priority:      priority,
+		ColdLimit:     orDefault(w.ColdLimit, defaultColdLimit),
+		Limit:         orDefault(w.Limit, defaultLimit),
+	}
+	return nil
+}
+
+func (w *deploymentFields) check() error {
+	if err := ident.CheckName(string(w.Model)); err != nil {
+		return fmt.Errorf("model: %w", err)
+	}
+	if err := ident.CheckName(string(w.Version)); err != nil {
+		return fmt.Errorf("version: %w", err)
+	}
+	for i, a := range w.Adapters {
+		if err := ident.CheckName(string(a)); err != nil {
+			return fmt.Errorf("adapters[%d]: %w", i, err)
+		}
+	}
+	const maxSize = 1024
+	if w.Size < 1 || w.Size > maxSize {
+		return fmt.Errorf("size: %d is not 1 to %d", w.Size, maxSize)
+	}
+	return checkLimits(w.Organisations, w.ColdLimit, w.Limit)
+}
+
+func checkLimits(organisations []ident.Organisation, coldLimit, limit unit.Requests) error {
+	if err := checkOrganisations(organisations); err != nil {
+		return err
+	}
+	if coldLimit < 0 {
+		return fmt.Errorf("coldLimit: %d is negative", coldLimit)
+	}
+	if limit < 0 {
+		return fmt.Errorf("limit: %d is negative", limit)
+	}
+	return nil
+}
+
+func checkPlacements(where string, placements []Placement) error {
+	if len(placements) == 0 {
+		return fmt.Errorf("%s: empty", where)
+	}
+	seen := make(map[ident.DataCentre]bool)
+	for i, p := range placements {
+		if err := ident.CheckName(string(p.DataCentre)); err != nil {
+			return fmt.Errorf("%s[%d]: %w", where, i, err)
+		}
+		if seen[p.DataCentre] {
+			return fmt.Errorf("%s[%d]: data centre %s is listed twice", where, i, p.DataCentre)
+		}
+		seen[p.DataCentre] = true
+		if p.Replicas < 0 {
+			return fmt.Errorf("%s[%d]: replicas %d is negative", where, i, p.Replicas)
+		}
+	}
+	return nil
+}
+
+func checkOrganisations(organisations []ident.Organisation) error {
+	for i, o := range organisations {
+		if err := ident.CheckName(string(o)); err != nil {
+			return fmt.Errorf("organisations[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func orDefault(v, fallback unit.Requests) unit.Requests {
+	if v == 0 {
+		return fallback
+	}
+	return v
+}
+
+// organisationFields are the fields that both schemas of an organisation share.
+type organisationFields struct {
+	header
+	Weight unit.Weight   `json:"weight,omitempty"`
+	Limit  unit.Requests `json:"limit,omitempty"`
+}
+
+// organisationV1 has one key.
+type organisationV1 struct {
+	organisationFields
+	Key string `json:"key"`
+}
+
+// organisationV2 has several keys, so that a key can be replaced without a gap.
+type organisationV2 struct {
+	organisationFields
+	Keys []string `json:"keys"`
+}
+
+func (w *organisationV1) fill(r *Record) error {
+	return w.build(r, []string{w.Key})
+}
+
+func (w *organisationV2) fill(r *Record) error {
+	return w.build(r, w.Keys)
+}
+
+func (w *organisationFields) build(r *Record, keys []string) error {
+	if len(keys) == 0 || slices.Contains(keys, "") {
+		return errors.New("keys: missing or empty")
+	}
+	if w.Weight < 0 {
+		return fmt.Errorf("weight: %v is negative", w.Weight)
+	}
+	if w.Limit < 0 {
+		return fmt.Errorf("limit: %d is negative", w.Limit)
+	}
+	weight := w.Weight
+	if weight == 0 {
+		weight = defaultWeight
+	}
+	r.Organisation = &Organisation{Name: ident.Organisation(r.Name.Name), Keys: keys, Weight: weight, Limit: w.Limit}
+	return nil
+}
+
+// serviceFields are the fields that both schemas of a service share.
+type serviceFields struct {
+	header
+	Prefix        string               `json:"prefix"`
+	Organisations []ident.Organisation `json:"organisations,omitempty"`
+	Limit         unit.Requests        `json:"limit,omitempty"`
+}
+
+// serviceV1 says which methods are served and which of them run at most once,
+// for every path.
+type serviceV1 struct {
+	serviceFields
+	Methods    []string `json:"methods"`
+	AtMostOnce []string `json:"atMostOnce,omitempty"`
+}
+
+// serviceV2 says it for each call.
+type serviceV2 struct {
+	serviceFields
+	Calls []Call `json:"calls"`
+}
+
+func (w *serviceV1) fill(r *Record) error {
+	for i, m := range w.AtMostOnce {
+		if !slices.Contains(w.Methods, m) {
+			return fmt.Errorf("atMostOnce[%d]: %s is not among the methods", i, m)
+		}
+	}
+	calls := make([]Call, 0, len(w.Methods))
+	for _, m := range w.Methods {
+		calls = append(calls, Call{Method: m, Path: "/*", AtMostOnce: slices.Contains(w.AtMostOnce, m)})
+	}
+	return w.build(r, "methods", calls)
+}
+
+func (w *serviceV2) fill(r *Record) error {
+	return w.build(r, "calls", w.Calls)
+}
+
+func (w *serviceFields) build(r *Record, where string, calls []Call) error {
+	if !strings.HasPrefix(w.Prefix, "/") || strings.HasSuffix(w.Prefix, "/") {
+		return fmt.Errorf("prefix: %q does not start with / or ends in /", w.Prefix)
+	}
+	if strings.HasPrefix(w.Prefix+"/", "/v1/") {
+		return fmt.Errorf("prefix: %q is taken by the model protocol", w.Prefix)
+	}
+	if len(calls) == 0 {
+		return fmt.Errorf("%s: empty", where)
+	}
+	for i, c := range calls {
+		if err := c.check(); err != nil {
+			return fmt.Errorf("%s[%d]: %w", where, i, err)
+		}
+	}
+	if err := checkLimits(w.Organisations, 0, w.Limit); err != nil {
+		return err
+	}
+	r.Service = &Service{
+		Name:          ident.Service(r.Name.Name),
+		Prefix:        w.Prefix,
+		Calls:         calls,
+		Organisations: w.Organisations,
+		Limit:         orDefault(w.Limit, defaultLimit),
+	}
+	return nil
+}
+
+func (c Call) check() error {
+	switch c.Method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+	default:
+		return fmt.Errorf("method: %q is not an HTTP method in capitals", c.Method)
+	}
+	if !strings.HasPrefix(c.Path, "/") {
+		return fmt.Errorf("path: %q does not start with /", c.Path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/domain/record/view.go
@@ -0,0 +1,137 @@
+package record
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"cuminbay/internal/domain/ident"
+)
+
+// View is an immutable index of the active records. Requests read it without
+// a lock.
+type View struct {
+	deployments   []*Deployment
+	byModel       map[ident.Model][]*Deployment
+	organisations map[ident.Organisation]*Organisation
+	byKey         map[string]*Organisation
+	services      []*Service
+}
+
+// NewView returns a view of the records. Withdrawn ones are left out.
+func NewView(records []*Record) *View {
+	v := &View{
+		byModel:       make(map[ident.Model][]*Deployment),
+		organisations: make(map[ident.Organisation]*Organisation),
+		byKey:         make(map[string]*Organisation),
+	}
+	for _, r := range records {
+		v.add(r)
+	}
+	sort.Slice(v.deployments, func(i, j int) bool { return v.deployments[i].Name < v.deployments[j].Name })
+	// The longest prefix comes first, so that the first match is the best.
+	sort.Slice(v.services, func(i, j int) bool {
+		a, b := v.services[i], v.services[j]
+		if len(a.Prefix) != len(b.Prefix) {
+			return len(a.Prefix) > len(b.Prefix)
+		}
+		return a.Name < b.Name
+	})
+	return v
+}
+
+func (v *View) add(r *Record) {
+	switch {
+	case r.Withdrawn:
+	case r.Deployment != nil:
+		d := r.Deployment
+		v.deployments = append(v.deployments, d)
+		v.byModel[d.Model] = append(v.byModel[d.Model], d)
+		for _, a := range d.Adapters {
+			name := ident.Model(a)
+			v.byModel[name] = append(v.byModel[name], d)
+		}
+	case r.Organisation != nil:
+		o := r.Organisation
+		v.organisations[o.Name] = o
+		for _, k := range o.Keys {
+			v.byKey[k] = o
+		}
+	case r.Service != nil:
+		v.services = append(v.services, r.Service)
+	}
+}
+
+// Deployments returns every deployment in order of name. The slice is shared
+// and must not be changed.
+func (v *View) Deployments() []*Deployment {
+	return v.deployments
+}
+
+// Services returns every service. The slice is shared and must not be changed.
+func (v *View) Services() []*Service {
+	return v.services
+}
+
+// OrganisationByKey returns the organisation with the bearer key, or nil.
+func (v *View) OrganisationByKey(key string) *Organisation {
+	return v.byKey[key]
+}
+
+// Organisation returns the organisation, or nil.
+func (v *View) Organisation(o ident.Organisation) *Organisation {
+	return v.organisations[o]
+}
+
+// Serves reports whether a deployment serves the model or adapter to the
+// organisation.
+func (v *View) Serves(m ident.Model, o ident.Organisation) bool {
+	for _, d := range v.byModel[m] {
+		if Allows(d.Organisations, o) {
+			return true
+		}
+	}
+	return false
+}
+
+// Deployment returns the deployment of that name, or nil.
+func (v *View) Deployment(name ident.Deployment) *Deployment {
+	i := sort.Search(len(v.deployments), func(i int) bool { return v.deployments[i].Name >= name })
+	if i < len(v.deployments) && v.deployments[i].Name == name {
+		return v.deployments[i]
+	}
+	return nil
+}
+
+// Models returns the models and adapters that serve the organisation, sorted.
+func (v *View) Models(o ident.Organisation) []ident.Model {
+	var models []ident.Model
+	for m := range v.byModel {
+		if v.Serves(m, o) {
+			models = append(models, m)
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
+// ServiceFor returns the service that the path belongs to and the path below
+// the service's prefix, or nil.
+func (v *View) ServiceFor(path string) (*Service, string) {
+	for _, s := range v.services {
+		rest, found := strings.CutPrefix(path, s.Prefix)
+		if found && (rest == "" || rest[0] == '/') {
+			if rest == "" {
+				rest = "/"
+			}
+			return s, rest
+		}
+	}
+	return nil, ""
+}
+
+// Allows reports whether an organisation is on the list; an empty list allows
+// all.
+func Allows(list []ident.Organisation, o ident.Organisation) bool {
+	return len(list) == 0 || slices.Contains(list, o)
+}
--- /dev/null
+++ b/internal/domain/roster/roster.go
@@ -0,0 +1,70 @@
+// Package roster holds the platform's list of instances. The list lags.
+package roster
+
+import (
+	"fmt"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+)
+
+// Role says what an instance runs.
+type Role string
+
+// The roles.
+const (
+	Daemon  Role = "daemon"
+	Engine  Role = "engine"
+	Service Role = "service"
+)
+
+// State says whether the platform is about to remove the instance.
+type State string
+
+// The states.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Instance is one entry of the list.
+type Instance struct {
+	ID         ident.Instance   `json:"instance"`
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Role       Role             `json:"role"`
+	State      State            `json:"state"`
+	// Address is the IP number and port of the role's protocol: the peer
+	// listener of a daemon, the HTTP listener of an engine or service.
+	Address string `json:"address"`
+	// Caller is a daemon's listener for callers.
+	Caller string `json:"caller,omitempty"`
+	// Service names the plain service of a Service instance.
+	Service ident.Service `json:"service,omitempty"`
+	// Domain and Accelerators are set for engines.
+	Domain       ident.Domain      `json:"domain,omitempty"`
+	Accelerators unit.Accelerators `json:"accelerators,omitempty"`
+}
+
+// Check reports what is wrong with an entry read from the platform.
+func (i *Instance) Check() error {
+	if err := ident.CheckName(string(i.ID)); err != nil {
+		return fmt.Errorf("instance: %w", err)
+	}
+	if err := ident.CheckName(string(i.DataCentre)); err != nil {
+		return fmt.Errorf("dataCentre of %s: %w", i.ID, err)
+	}
+	switch i.Role {
+	case Daemon, Engine, Service:
+	default:
+		return fmt.Errorf("role of %s: %q is not one of daemon, engine, service", i.ID, i.Role)
+	}
+	switch i.State {
+	case Live, Leaving:
+	default:
+		return fmt.Errorf("state of %s: %q is not one of live, leaving", i.ID, i.State)
+	}
+	if i.Address == "" {
+		return fmt.Errorf("address of %s: missing", i.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/domain/store/store.go
@@ -0,0 +1,56 @@
+// Package store holds the types of the platform's key-value service, which
+// keeps all that must last.
+package store
+
+import "cuminbay/internal/domain/unit"
+
+// Key is a key of the platform's key-value service.
+type Key string
+
+// The prefixes of the keys.
+const (
+	Records Key = "/cuminbay/records/"
+	Assign  Key = "/cuminbay/assign/"
+	Duty    Key = "/cuminbay/duty/"
+	Claims  Key = "/cuminbay/claims/"
+	Drains  Key = "/cuminbay/drains/"
+)
+
+// LeaseID identifies a lease of the platform; zero is none.
+type LeaseID int64
+
+// Entry is a key with its value. A Revision of zero stands for an absent key.
+type Entry struct {
+	Key      Key
+	Value    []byte
+	Revision unit.Revision
+	Lease    LeaseID
+}
+
+// Swap is a compare-and-swap of one key.
+type Swap struct {
+	Key Key
+	// Old is the revision that the key must have; zero, that it is absent.
+	Old   unit.Revision
+	Value []byte
+	// Lease, if not zero, removes the key when it lapses.
+	Lease LeaseID
+}
+
+// Result says how a Swap ended.
+type Result int
+
+// The results. Unknown means that the answer was lost and the write may or may
+// not take effect, also later; the caller settles it by reading back.
+const (
+	Unknown Result = iota
+	Done
+	Lost
+)
+
+// Change is a change of a key that a watch reports.
+type Change struct {
+	Entry
+	// Removed says that the key was deleted or its lease lapsed.
+	Removed bool
+}
--- /dev/null
+++ b/internal/domain/unit/unit.go
@@ -0,0 +1,29 @@
+// Package unit holds the named types of quantities and counters.
+package unit
+
+type (
+	// Tokens counts tokens of prompts and answers.
+	Tokens int64
+	// Bytes counts bytes.
+	Bytes int64
+	// Requests counts requests, in flight or in total.
+	Requests int64
+	// Revision is the platform's revision of a key: a later write to the
+	// platform has a higher one.
+	Revision int64
+	// Epoch numbers the assignments of a fabric domain. It is the fencing
+	// number of orders: an order with a lower one is out of date.
+	Epoch uint64
+	// Boot numbers the starts of a process; a later start has a higher one.
+	Boot uint64
+	// Sequence numbers the messages of one boot of a process.
+	Sequence uint64
+	// Rank is the position of an instance within its replica, from 0.
+	Rank int
+	// Accelerators counts accelerators.
+	Accelerators int
+	// Priority orders requests and deployments; a higher one goes first.
+	Priority int
+	// Weight is a share relative to other weights.
+	Weight float64
+)
--- /dev/null
+++ b/internal/kernel/logline/logline.go
@@ -0,0 +1,46 @@
+// Package logline makes the logger: one line of key=value pairs an event.
+package logline
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/kernel/clock"
+)
+
+// New returns a logger that writes one key=value line an event to w, stamped
+// by the clock. The level is one of zerolog's names: debug, info, warn, error.
+func New(w io.Writer, level string, clk clock.Clock) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	console := zerolog.ConsoleWriter{
+		Out:           w,
+		NoColor:       true,
+		PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+		FormatPrepare: quoteMessage,
+		FormatTimestamp: func(v any) string {
+			return "time=" + text(v)
+		},
+		FormatLevel: func(v any) string {
+			return "level=" + text(v)
+		},
+		FormatMessage: func(v any) string {
+			return "event=" + text(v)
+		},
+	}
+	stamp := zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+		e.Str(zerolog.TimestampFieldName, clk.Now().UTC().Format("2006-01-02T15:04:05.000000Z"))
+	})
+	return zerolog.New(console).Level(parsed).Hook(stamp), nil
+}
+
+func text(v any) string {
+	s, ok := v.(string)
+	if !ok {
+		return ""
+	}
+	return s
+}
--- /dev/null
+++ b/internal/kernel/plugin/deps.go
@@ -0,0 +1,87 @@
+package plugin
+
+import (
+	"fmt"
+	"reflect"
+	"sync"
+
+	"github.com/alitto/pond/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/kernel/timeline"
+)
+
+// Deps is passed to every plug-in. The fields don't change after the kernel
+// has been built.
+type Deps struct {
+	Settings *settings.Settings
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Metrics  *prometheus.Registry
+	Timeline *timeline.Recorder
+	// Pool runs short background tasks. A task that waits for long gets a
+	// goroutine of its own.
+	Pool pond.Pool
+
+	mu       sync.Mutex
+	provided []any
+}
+
+// Provide offers a value to the other plug-ins.
+func (d *Deps) Provide(v any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.provided = append(d.provided, v)
+}
+
+// Need sets the interface that target points to to the first provided value
+// that implements it. It is called from Start, when every plug-in is built.
+func (d *Deps) Need(target any) error {
+	found, want, err := d.find(target)
+	if err != nil {
+		return err
+	}
+	if len(found) == 0 {
+		return fmt.Errorf("plugin: no plug-in provides %s", want)
+	}
+	reflect.ValueOf(target).Elem().Set(reflect.ValueOf(found[0]))
+	return nil
+}
+
+// NeedAll appends every provided value that implements the slice's element
+// interface to the slice that target points to.
+func (d *Deps) NeedAll(target any) error {
+	slice := reflect.ValueOf(target)
+	if slice.Kind() != reflect.Pointer || slice.Elem().Kind() != reflect.Slice {
+		return fmt.Errorf("plugin: NeedAll wants a pointer to a slice of an interface, not %T", target)
+	}
+	element := reflect.New(slice.Elem().Type().Elem())
+	found, _, err := d.find(element.Interface())
+	if err != nil {
+		return err
+	}
+	for _, v := range found {
+		slice.Elem().Set(reflect.Append(slice.Elem(), reflect.ValueOf(v)))
+	}
+	return nil
+}
+
+func (d *Deps) find(target any) ([]any, reflect.Type, error) {
+	pointer := reflect.TypeOf(target)
+	if pointer == nil || pointer.Kind() != reflect.Pointer || pointer.Elem().Kind() != reflect.Interface {
+		return nil, nil, fmt.Errorf("plugin: Need wants a pointer to an interface, not %T", target)
+	}
+	want := pointer.Elem()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var found []any
+	for _, v := range d.provided {
+		if reflect.TypeOf(v).Implements(want) {
+			found = append(found, v)
+		}
+	}
+	return found, want, nil
+}
--- /dev/null
+++ b/internal/kernel/plugin/kernel.go
@@ -0,0 +1,61 @@
+package plugin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// Kernel holds the built plug-ins.
+type Kernel struct {
+	deps    *Deps
+	plugins []built
+	started int
+}
+
+type built struct {
+	name   string
+	plugin Plugin
+}
+
+// New builds every registered plug-in. Nothing runs before Start.
+func New(d *Deps) (*Kernel, error) {
+	k := &Kernel{deps: d}
+	for _, r := range registered() {
+		name := r.kind.String() + "/" + r.name
+		p, err := r.factory(d)
+		if err != nil {
+			return nil, fmt.Errorf("plugin %s: %w", name, err)
+		}
+		if p != nil {
+			k.plugins = append(k.plugins, built{name, p})
+		}
+	}
+	return k, nil
+}
+
+// Start starts the plug-ins in order. If one fails, those already started are
+// stopped again.
+func (k *Kernel) Start(ctx context.Context) error {
+	for _, b := range k.plugins {
+		if err := b.plugin.Start(ctx); err != nil {
+			return errors.Join(fmt.Errorf("start %s: %w", b.name, err), k.Stop(ctx))
+		}
+		k.started++
+		k.deps.Log.Debug().Str("plugin", b.name).Msg("plugin-started")
+	}
+	return nil
+}
+
+// Stop stops the started plug-ins in the reverse order and returns what went
+// wrong with any of them.
+func (k *Kernel) Stop(ctx context.Context) error {
+	var failures []error
+	for ; k.started > 0; k.started-- {
+		b := k.plugins[k.started-1]
+		if err := b.plugin.Stop(ctx); err != nil {
+			failures = append(failures, fmt.Errorf("stop %s: %w", b.name, err))
+		}
+	}
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/internal/kernel/plugin/loop.go
@@ -0,0 +1,74 @@
+package plugin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cuminbay/internal/kernel/clock"
+)
+
+// Loops runs background work of a plug-in. Plug-ins embed it to get Stop. The
+// zero value is ready.
+type Loops struct {
+	once   sync.Once
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+func (l *Loops) begin() {
+	l.once.Do(func() { l.ctx, l.cancel = context.WithCancel(context.Background()) })
+}
+
+// Go runs f until it returns. Its context ends when Stop is called.
+func (l *Loops) Go(f func(ctx context.Context)) {
+	l.begin()
+	l.group.Add(1)
+	go func() {
+		defer l.group.Done()
+		f(l.ctx)
+	}()
+}
+
+// Every runs f now and then once an interval, with jitter, until Stop.
+func (l *Loops) Every(clk clock.Clock, interval time.Duration, f func(ctx context.Context)) {
+	l.Go(func(ctx context.Context) {
+		for {
+			f(ctx)
+			if !Sleep(ctx, clk, clock.Jitter(interval)) {
+				return
+			}
+		}
+	})
+}
+
+// Stop ends the loops and waits for them within the context's time.
+func (l *Loops) Stop(ctx context.Context) error {
+	l.begin()
+	l.cancel()
+	done := make(chan struct{})
+	go func() {
+		l.group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Sleep waits for the duration and reports whether it passed before the
+// context ended.
+func Sleep(ctx context.Context, clk clock.Clock, d time.Duration) bool {
+	timer := clk.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/kernel/settings/check.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+)
+
+var checker = newChecker()
+
+// newChecker returns a validator that names fields by their JSON names and
+// knows the tags name, duration, listen and address.
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	tags := map[string]validator.Func{
+		"name":     func(f validator.FieldLevel) bool { return ident.CheckName(f.Field().String()) == nil },
+		"duration": isPositiveDuration,
+		"listen":   func(f validator.FieldLevel) bool { return isListen(f.Field().String()) },
+		"address":  func(f validator.FieldLevel) bool { return isAddress(f.Field().String()) },
+	}
+	for tag, f := range tags {
+		if err := v.RegisterValidation(tag, f); err != nil {
+			panic(err)
+		}
+	}
+	return v
+}
+
+func isPositiveDuration(f validator.FieldLevel) bool {
+	d, ok := f.Field().Interface().(Duration)
+	return ok && d.Duration > 0
+}
+
+// isListen accepts an IP number and port, as processes talk by IP numbers.
+func isListen(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+// isAddress accepts host:port or an http or https URL.
+func isAddress(s string) bool {
+	if u, err := url.Parse(s); err == nil && (u.Scheme == "http" || u.Scheme == "https") {
+		return u.Host != ""
+	}
+	_, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
+func decodeSection(name string, branch, target any) []string {
+	raw, err := json.Marshal(branch)
+	if err != nil {
+		return []string{name + ": " + err.Error()}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return []string{name + describe(err)}
+	}
+	return nil
+}
+
+func describe(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Sprintf(".%s: got a JSON %s, want %s", wrong.Field, wrong.Value, wrong.Type)
+	}
+	return ": " + strings.TrimPrefix(err.Error(), "json: ")
+}
+
+func check(name string, target any) []string {
+	err := checker.Struct(target)
+	if err == nil {
+		return nil
+	}
+	var invalid validator.ValidationErrors
+	if !errors.As(err, &invalid) {
+		return []string{name + ": " + err.Error()}
+	}
+	faults := make([]string, 0, len(invalid))
+	for _, f := range invalid {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		faults = append(faults, fmt.Sprintf("%s.%s: %v fails %q", name, path, f.Value(), rule(f)))
+	}
+	return faults
+}
+
+func rule(f validator.FieldError) string {
+	if f.Param() == "" {
+		return f.Tag()
+	}
+	return f.Tag() + "=" + f.Param()
+}
+
+// override sets the value at a dotted path. The value is JSON if it parses as
+// JSON and text otherwise.
+func override(tree map[string]any, assignment string) error {
+	path, value, found := strings.Cut(assignment, "=")
+	if !found {
+		return code.BadSettings.New("override %q: want path=value", assignment)
+	}
+	parts := strings.Split(path, ".")
+	for _, p := range parts[:len(parts)-1] {
+		branch, ok := tree[p].(map[string]any)
+		if !ok {
+			branch = make(map[string]any)
+			tree[p] = branch
+		}
+		tree = branch
+	}
+	var parsed any
+	if err := json.Unmarshal([]byte(value), &parsed); err != nil {
+		parsed = value
+	}
+	tree[parts[len(parts)-1]] = parsed
+	return nil
+}
+
+// position adds line and column to a JSON error.
+func position(raw []byte, err error) string {
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return err.Error()
+	}
+	before := raw[:min(int(syntax.Offset), len(raw))]
+	line := 1 + bytes.Count(before, []byte("\n"))
+	column := len(before) - 1 - bytes.LastIndexByte(before, '\n')
+	return fmt.Sprintf("line %d column %d: %s", line, column, err)
+}
--- /dev/null
+++ b/internal/kernel/settings/settings.go
@@ -0,0 +1,174 @@
+// Package settings reads the daemon's settings: one JSON file whose sections
+// belong to the plug-ins. Every fault is named by its path before anything
+// starts.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+)
+
+// Duration is a time.Duration written in JSON as text, such as "1.5s".
+type Duration struct {
+	time.Duration
+}
+
+// UnmarshalJSON accepts a text that time.ParseDuration accepts.
+func (d *Duration) UnmarshalJSON(raw []byte) error {
+	var s string
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return fmt.Errorf("duration %s is not a text such as \"1.5s\"", raw)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return fmt.Errorf("duration %q: want a form such as \"1.5s\"", s)
+	}
+	d.Duration = v
+	return nil
+}
+
+// MarshalJSON writes the duration as text.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(d.String())
+}
+
+// Of returns the setting for a duration.
+func Of(d time.Duration) Duration {
+	return Duration{d}
+}
+
+// Daemon is the section that the kernel itself reads.
+type Daemon struct {
+	// Instance and DataCentre say who and where the process is.
+	Instance   ident.Instance   `json:"instance" validate:"required,name"`
+	DataCentre ident.DataCentre `json:"dataCentre" validate:"required,name"`
+	Region     string           `json:"region" validate:"omitempty,name"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"logLevel" validate:"oneof=debug info warn error"`
+	// Events is the number of events of the time line kept in memory.
+	Events int `json:"events" validate:"min=16,max=1000000"`
+	// StopLimit bounds the wait for requests in flight at a planned stop.
+	StopLimit Duration `json:"stopLimit" validate:"duration"`
+	// Workers bounds the background tasks that run at once.
+	Workers int `json:"workers" validate:"min=1,max=4096"`
+}
+
+// Settings are the checked settings of a process.
+type Settings struct {
+	Daemon   Daemon
+	sections map[string]any
+}
+
+// registry holds the defaults of each plug-in's section.
+var registry struct {
+	mu       sync.Mutex
+	defaults map[string]func() any
+}
+
+// Register adds a section. defaults returns a pointer to a new struct with the
+// default values and validate tags. It is called from a plug-in's init.
+func Register(name string, defaults func() any) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if registry.defaults == nil {
+		registry.defaults = make(map[string]func() any)
+	}
+	if _, twice := registry.defaults[name]; twice {
+		panic(fmt.Sprintf("settings: section %q is registered twice", name))
+	}
+	registry.defaults[name] = defaults
+}
+
+// Section returns the section's pointer as its defaults function gave it.
+func (s *Settings) Section(name string) any {
+	return s.sections[name]
+}
+
+// Read reads the file and applies overrides of the form path=value, where the
+// path has dots, as in "openai.listen=127.0.0.1:80".
+//
+// Errors carry code.BadSettings and name every fault by its path.
+func Read(path string, overrides []string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, code.BadSettings.Wrap(err, "settings %s", path)
+	}
+	s, err := Parse(raw, overrides)
+	if err != nil {
+		return nil, code.BadSettings.Wrap(err, "settings %s", path)
+	}
+	return s, nil
+}
+
+// Parse is Read for the bytes of a file.
+func Parse(raw []byte, overrides []string) (*Settings, error) {
+	var tree map[string]any
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	if err := decoder.Decode(&tree); err != nil {
+		return nil, code.BadSettings.New("not a JSON object: %s", position(raw, err))
+	}
+	if decoder.More() {
+		return nil, code.BadSettings.New("more than one JSON value, at byte %d", decoder.InputOffset())
+	}
+	for _, o := range overrides {
+		if err := override(tree, o); err != nil {
+			return nil, err
+		}
+	}
+	return decode(tree)
+}
+
+func decode(tree map[string]any) (*Settings, error) {
+	s := &Settings{Daemon: defaultDaemon(), sections: sectionDefaults()}
+	var faults []string
+	for name, target := range s.targets() {
+		branch, present := tree[name]
+		delete(tree, name)
+		if present {
+			faults = append(faults, decodeSection(name, branch, target)...)
+		}
+		faults = append(faults, check(name, target)...)
+	}
+	for name := range tree {
+		faults = append(faults, name+": unknown section")
+	}
+	if len(faults) > 0 {
+		sort.Strings(faults)
+		return nil, code.BadSettings.New("%s", strings.Join(faults, "; "))
+	}
+	return s, nil
+}
+
+const daemonSection = "daemon"
+
+func (s *Settings) targets() map[string]any {
+	targets := map[string]any{daemonSection: &s.Daemon}
+	for name, target := range s.sections {
+		targets[name] = target
+	}
+	return targets
+}
+
+func defaultDaemon() Daemon {
+	return Daemon{LogLevel: "info", Events: 4096, StopLimit: Of(30 * time.Second), Workers: 64}
+}
+
+func sectionDefaults() map[string]any {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	sections := make(map[string]any, len(registry.defaults))
+	for name, defaults := range registry.defaults {
+		sections[name] = defaults()
+	}
+	return sections
+}
--- /dev/null
+++ b/internal/kernel/timeline/recorder.go
@@ -0,0 +1,116 @@
+package timeline
+
+import (
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/ident"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	Stamp    Stamp          `json:"stamp"`
+	Process  ident.Instance `json:"process"`
+	Name     string         `json:"name"`
+	Subject  string         `json:"subject,omitempty"`
+	Fields   []Field        `json:"fields,omitempty"`
+	Sequence uint64         `json:"sequence"`
+}
+
+// Field is a detail of an event.
+type Field struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Text returns the fields as key=value pairs.
+func (e Event) Text() string {
+	pairs := make([]string, 0, len(e.Fields))
+	for _, f := range e.Fields {
+		pairs = append(pairs, f.Key+"="+f.Value)
+	}
+	return strings.Join(pairs, " ")
+}
+
+// Recorder keeps the last events of a process in a ring and logs each one. It
+// is meant for changes of state, not for every request.
+type Recorder struct {
+	*Hybrid
+	process ident.Instance
+	log     zerolog.Logger
+
+	mu    sync.Mutex
+	ring  []Event
+	total uint64
+}
+
+// RecorderOptions are the parts of a Recorder.
+type RecorderOptions struct {
+	Hybrid  *Hybrid
+	Process ident.Instance
+	Log     zerolog.Logger
+	// Size is the number of events kept.
+	Size int
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder(o RecorderOptions) *Recorder {
+	return &Recorder{
+		Hybrid:  o.Hybrid,
+		process: o.Process,
+		log:     o.Log,
+		ring:    make([]Event, max(o.Size, 1)),
+	}
+}
+
+// Record adds an event. The pairs are alternating keys and values.
+func (r *Recorder) Record(name, subject string, pairs ...string) {
+	e := Event{Stamp: r.Now(), Process: r.process, Name: name, Subject: subject}
+	line := r.log.Info().Str("subject", subject)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		e.Fields = append(e.Fields, Field{Key: pairs[i], Value: pairs[i+1]})
+		line = line.Str(pairs[i], pairs[i+1])
+	}
+	line.Msg(name)
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.Sequence = r.total
+	r.ring[r.total%uint64(len(r.ring))] = e
+	r.total++
+}
+
+// Events returns the events kept, the oldest first.
+func (r *Recorder) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size := uint64(len(r.ring))
+	first := r.total - min(r.total, size)
+	events := make([]Event, 0, r.total-first)
+	for i := first; i < r.total; i++ {
+		events = append(events, r.ring[i%size])
+	}
+	return events
+}
+
+// Merge returns the events of several processes in one order.
+func Merge(lists ...[]Event) []Event {
+	var all []Event
+	for _, l := range lists {
+		all = append(all, l...)
+	}
+	sort.SliceStable(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		if a.Stamp != b.Stamp {
+			return a.Stamp < b.Stamp
+		}
+		if a.Process != b.Process {
+			return a.Process < b.Process
+		}
+		return a.Sequence < b.Sequence
+	})
+	return all
+}
--- /dev/null
+++ b/internal/route/table/load.go
@@ -0,0 +1,162 @@
+package table
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/unit"
+)
+
+// Load is what this daemon knows of an endpoint from its own requests. It is
+// atomic throughout and outlives the snapshots that point to it.
+type Load struct {
+	inFlight   atomic.Int64
+	limit      atomic.Int64
+	firstToken estimate
+	perToken   estimate
+	// granted is the number of requests that a cold endpoint may be given
+	// until grantedUntil, in nanoseconds since 1970 of the local clock.
+	granted      atomic.Int64
+	grantedUntil atomic.Int64
+	// slow counts first tokens in a row far above the estimate.
+	slow atomic.Int64
+	// suspect says that the endpoint behaves as if cold.
+	suspect atomic.Bool
+}
+
+// estimate is an exponentially weighted mean of durations in seconds.
+type estimate struct {
+	bits atomic.Uint64
+}
+
+// estimateShare is the weight of a new sample in an estimate.
+const estimateShare = 0.1
+
+func (e *estimate) add(d time.Duration) {
+	for {
+		old := e.bits.Load()
+		mean := math.Float64frombits(old)
+		if old == 0 {
+			mean = d.Seconds()
+		} else {
+			mean += estimateShare * (d.Seconds() - mean)
+		}
+		if e.bits.CompareAndSwap(old, math.Float64bits(mean)) {
+			return
+		}
+	}
+}
+
+func (e *estimate) value() time.Duration {
+	return time.Duration(math.Float64frombits(e.bits.Load()) * float64(time.Second))
+}
+
+// FirstToken returns the estimated time to the first token, zero if unknown.
+func (l *Load) FirstToken() time.Duration {
+	return l.firstToken.value()
+}
+
+// PerToken returns the estimated time between tokens, zero if unknown.
+func (l *Load) PerToken() time.Duration {
+	return l.perToken.value()
+}
+
+// InFlight returns the requests of this daemon in flight to the endpoint.
+func (l *Load) InFlight() unit.Requests {
+	return unit.Requests(l.inFlight.Load())
+}
+
+// SetLimit sets the adaptive limit of requests in flight; zero is no limit.
+func (l *Load) SetLimit(limit unit.Requests) {
+	l.limit.Store(int64(limit))
+}
+
+// Limit returns the adaptive limit of requests in flight, zero for none.
+func (l *Load) Limit() unit.Requests {
+	return unit.Requests(l.limit.Load())
+}
+
+// Grant allows the number of requests at once to the endpoint while it is
+// cold, until the given time.
+func (l *Load) Grant(n unit.Requests, until time.Time) {
+	// The number shrinks before the time moves, so that a reader between
+	// the two stores never combines an old number with a new time.
+	l.granted.Store(0)
+	l.grantedUntil.Store(until.UnixNano())
+	l.granted.Store(int64(n))
+}
+
+func (l *Load) grant(now time.Time) unit.Requests {
+	if now.UnixNano() >= l.grantedUntil.Load() {
+		return 0
+	}
+	return unit.Requests(l.granted.Load())
+}
+
+// Suspect reports whether the endpoint behaves as if it had turned cold.
+func (l *Load) Suspect() bool {
+	return l.suspect.Load()
+}
+
+// Clear ends the suspicion that the endpoint has turned cold.
+func (l *Load) Clear() {
+	l.slow.Store(0)
+	l.suspect.Store(false)
+}
+
+// Bounds of the rule by which a warm endpoint is taken for cold: this many
+// first tokens in a row, each later than this multiple of the estimate.
+const (
+	slowInARow  = 3
+	slowFactor  = 4
+	slowMinimum = 50 * time.Millisecond
+)
+
+// ObserveFirstToken records the time that a request waited for its first token.
+func (l *Load) ObserveFirstToken(d time.Duration) {
+	mean := l.FirstToken()
+	if mean > 0 && d > slowFactor*mean && d > slowMinimum {
+		if l.slow.Add(1) >= slowInARow {
+			l.suspect.Store(true)
+		}
+		return
+	}
+	l.Clear()
+	l.firstToken.add(d)
+}
+
+// ObserveToken records the time between two tokens.
+func (l *Load) ObserveToken(d time.Duration) {
+	l.perToken.add(d)
+}
+
+// Bound returns the number of requests that this daemon may have in flight to
+// the endpoint now.
+func (e *Endpoint) Bound(now time.Time) unit.Requests {
+	if e.Cold || e.Load.Suspect() {
+		return e.Load.grant(now)
+	}
+	if adaptive := e.Load.Limit(); adaptive > 0 {
+		return min(adaptive, e.Limit)
+	}
+	return e.Limit
+}
+
+// Acquire takes a place at the endpoint and reports whether there was one.
+func (e *Endpoint) Acquire(now time.Time) bool {
+	for {
+		n := e.Load.inFlight.Load()
+		if n >= int64(e.Bound(now)) {
+			return false
+		}
+		if e.Load.inFlight.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// Release gives back a place taken by Acquire.
+func (e *Endpoint) Release() {
+	e.Load.inFlight.Add(-1)
+}
--- /dev/null
+++ b/internal/route/table/publisher.go
@@ -0,0 +1,75 @@
+package table
+
+import (
+	"reflect"
+	"sync"
+	"sync/atomic"
+
+	"cuminbay/internal/domain/ident"
+)
+
+// Publisher holds the current table. Readers take it without a lock.
+type Publisher struct {
+	current atomic.Pointer[Table]
+
+	mu    sync.Mutex
+	loads map[ident.Endpoint]*Load
+}
+
+// NewPublisher returns a publisher of an empty table.
+func NewPublisher() *Publisher {
+	p := &Publisher{loads: make(map[ident.Endpoint]*Load)}
+	p.current.Store(New(0, nil))
+	return p
+}
+
+// Current returns the current table.
+func (p *Publisher) Current() *Table {
+	return p.current.Load()
+}
+
+// Publish replaces the table if the endpoints differ from the current ones,
+// and reports whether they did. It sets the Load of each endpoint; an endpoint
+// keeps its Load for as long as requests to it are in flight.
+func (p *Publisher) Publish(endpoints []Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.current.Load()
+	next := make([]*Endpoint, 0, len(endpoints))
+	same := len(endpoints) == len(old.endpoints)
+	for i := range endpoints {
+		e := endpoints[i]
+		e.Load = p.load(e.ID)
+		if before := old.byID[e.ID]; before != nil && reflect.DeepEqual(*before, e) {
+			next = append(next, before)
+			continue
+		}
+		same = false
+		next = append(next, &e)
+	}
+	if same {
+		return false
+	}
+	t := New(old.generation+1, next)
+	p.forget(t)
+	p.current.Store(t)
+	return true
+}
+
+func (p *Publisher) load(id ident.Endpoint) *Load {
+	l := p.loads[id]
+	if l == nil {
+		l = new(Load)
+		p.loads[id] = l
+	}
+	return l
+}
+
+// forget drops the loads of endpoints that are gone and idle.
+func (p *Publisher) forget(t *Table) {
+	for id, l := range p.loads {
+		if t.byID[id] == nil && l.InFlight() == 0 {
+			delete(p.loads, id)
+		}
+	}
+}
