Let plug-ins need concrete types; keep reported counts out of the table

Cause: reports change twice a second and would make a new table each time. Conclusion: a new table is made only when an endpoint itself changes.

--- a/internal/kernel/plugin/deps.go
+++ b/internal/kernel/plugin/deps.go
@@ -37,8 +37,9 @@
 	d.provided = append(d.provided, v)
 }
 
-// Need sets the interface that target points to to the first provided value
-// that implements it. It is called from Start, when every plug-in is built.
+// Need sets what target points to, an interface or a pointer, to the first
+// provided value that implements the interface or has the pointer's type. It is
+// called from Start, when every plug-in is built.
 func (d *Deps) Need(target any) error {
 	found, want, err := d.find(target)
 	if err != nil {
@@ -71,15 +72,18 @@
 
 func (d *Deps) find(target any) ([]any, reflect.Type, error) {
 	pointer := reflect.TypeOf(target)
-	if pointer == nil || pointer.Kind() != reflect.Pointer || pointer.Elem().Kind() != reflect.Interface {
-		return nil, nil, fmt.Errorf("plugin: Need wants a pointer to an interface, not %T", target)
+	if pointer == nil || pointer.Kind() != reflect.Pointer {
+		return nil, nil, fmt.Errorf("plugin: Need wants a pointer to an interface or to a pointer, not %T", target)
 	}
 	want := pointer.Elem()
+	if want.Kind() != reflect.Interface && want.Kind() != reflect.Pointer {
+		return nil, nil, fmt.Errorf("plugin: Need wants a pointer to an interface or to a pointer, not %T", target)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var found []any
 	for _, v := range d.provided {
-		if reflect.TypeOf(v).Implements(want) {
+		if reflect.TypeOf(v).AssignableTo(want) {
 			found = append(found, v)
 		}
 	}
--- a/internal/route/table/load.go
+++ b/internal/route/table/load.go
@@ -23,6 +23,27 @@
 	slow atomic.Int64
 	// suspect says that the endpoint behaves as if cold.
 	suspect atomic.Bool
+	// avoidUntil, in nanoseconds since 1970 of the local clock, ends the time
+	// in which the endpoint gets no requests after a failure.
+	avoidUntil atomic.Int64
+	// running and waiting are the endpoint's last reported counts.
+	running atomic.Int64
+	waiting atomic.Int64
+}
+
+func (l *Load) setReported(c Counts) {
+	l.running.Store(int64(c.Running))
+	l.waiting.Store(int64(c.Waiting))
+}
+
+// Reported returns the endpoint's last reported counts.
+func (l *Load) Reported() Counts {
+	return Counts{unit.Requests(l.running.Load()), unit.Requests(l.waiting.Load())}
+}
+
+// Avoid keeps requests away from the endpoint until the given time.
+func (l *Load) Avoid(until time.Time) {
+	l.avoidUntil.Store(until.UnixNano())
 }
 
 // estimate is an exponentially weighted mean of durations in seconds.
@@ -134,6 +155,9 @@
 // Bound returns the number of requests that this daemon may have in flight to
 // the endpoint now.
 func (e *Endpoint) Bound(now time.Time) unit.Requests {
+	if now.UnixNano() < e.Load.avoidUntil.Load() {
+		return 0
+	}
 	if e.Cold || e.Load.Suspect() {
 		return e.Load.grant(now)
 	}
--- /dev/null
+++ b/internal/route/table/plugin.go
@@ -0,0 +1,68 @@
+package table
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+func init() {
+	settings.Register("table", func() any {
+		return &Settings{Interval: settings.Of(100 * time.Millisecond)}
+	})
+	plugin.Register(plugin.Decision, "table", newPlugin)
+}
+
+// Settings are the settings of the table plug-in.
+type Settings struct {
+	// Interval is the time between two looks at the sources of endpoints.
+	Interval settings.Duration `json:"interval" validate:"duration"`
+}
+
+// source offers the endpoints that it knows to be in service.
+type source interface {
+	Endpoints() []Endpoint
+}
+
+// builder publishes the table from its sources.
+type builder struct {
+	plugin.Loops
+	deps      *plugin.Deps
+	settings  *Settings
+	publisher *Publisher
+	sources   []source
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	b := &builder{
+		deps:      d,
+		settings:  d.Settings.Section("table").(*Settings),
+		publisher: NewPublisher(),
+	}
+	d.Provide(b.publisher)
+	return b, nil
+}
+
+// Start begins to publish.
+func (b *builder) Start(context.Context) error {
+	if err := b.deps.NeedAll(&b.sources); err != nil {
+		return err
+	}
+	b.Every(b.deps.Clock, b.settings.Interval.Duration, func(context.Context) { b.publish() })
+	return nil
+}
+
+func (b *builder) publish() {
+	var endpoints []Endpoint
+	for _, s := range b.sources {
+		endpoints = append(endpoints, s.Endpoints()...)
+	}
+	if b.publisher.Publish(endpoints) {
+		t := b.publisher.Current()
+		b.deps.Timeline.Record("table-published", strconv.FormatUint(t.Generation(), 10),
+			"endpoints", strconv.Itoa(len(endpoints)))
+	}
+}
--- a/internal/route/table/publisher.go
+++ b/internal/route/table/publisher.go
@@ -40,6 +40,8 @@
 	for i := range endpoints {
 		e := endpoints[i]
 		e.Load = p.load(e.ID)
+		e.Load.setReported(e.Reported)
+		e.Reported = Counts{}
 		if before := old.byID[e.ID]; before != nil && reflect.DeepEqual(*before, e) {
 			next = append(next, before)
 			continue
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -44,13 +44,22 @@
 	Cold bool
 	// Limit bounds the requests at once from this daemon.
 	Limit unit.Requests
-	// Running and Waiting are the endpoint's own last reported counts.
-	Running unit.Requests
-	Waiting unit.Requests
+	// ColdLimit is the number of requests at once that the endpoint bears
+	// while it is cold, from all daemons together.
+	ColdLimit unit.Requests
+	// Reported has the endpoint's own last counts. A source sets it; Publish
+	// moves it into Load, so that new counts don't make a new table.
+	Reported Counts
 
 	Load *Load
 }
 
+// Counts are numbers of requests at an endpoint, from all daemons.
+type Counts struct {
+	Running unit.Requests
+	Waiting unit.Requests
+}
+
 // Table is an immutable set of endpoints. Its slices are shared and must not
 // be changed.
 type Table struct {
