--- /dev/null
+++ b/internal/caller/openai/frontend.go
@@ -0,0 +1,194 @@
+package openai
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/caller/httpcall"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/clock"
+)
+
+var errCallerGone = errors.New("the caller's connection ended before the answer began")
+
+// dispatcher runs requests.
+type dispatcher interface {
+	Dispatch(ctx context.Context, r *work.Request, s work.Sink) error
+}
+
+// drainer refuses new requests and waits for those in flight.
+type drainer interface {
+	Drain(ctx context.Context) unit.Requests
+}
+
+// records are the active records.
+type records interface {
+	View() *record.View
+	Ready() bool
+}
+
+// mount is a handler of paths that the OpenAI protocol leaves free.
+type mount interface {
+	Serves(path string) bool
+	Handle(ctx *fasthttp.RequestCtx)
+}
+
+// frontend answers callers.
+type frontend struct {
+	clock      clock.Clock
+	started    time.Time
+	records    records
+	dispatcher dispatcher
+	drainer    drainer
+	mounts     []mount
+	leaving    atomic.Bool
+}
+
+// handle answers one HTTP request.
+func (f *frontend) handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); path {
+	case "/v1/chat/completions":
+		f.generate(ctx, work.Chat)
+	case "/v1/completions":
+		f.generate(ctx, work.Completion)
+	case "/v1/models":
+		f.models(ctx)
+	case "/health":
+		f.health(ctx)
+	default:
+		f.other(ctx, path)
+	}
+}
+
+func (f *frontend) other(ctx *fasthttp.RequestCtx, path string) {
+	for _, m := range f.mounts {
+		if m.Serves(path) {
+			m.Handle(ctx)
+			return
+		}
+	}
+	httpcall.WriteError(ctx, code.UnknownPath.New("%s %s: no front end or service record serves it", ctx.Method(), path))
+}
+
+// health says whether the balancer should send requests here.
+func (f *frontend) health(ctx *fasthttp.RequestCtx) {
+	switch {
+	case f.leaving.Load():
+		httpcall.WriteError(ctx, code.Draining.New("daemon: it is stopping"))
+	case !f.records.Ready():
+		httpcall.WriteError(ctx, code.NotReady.New("daemon: no configuration has been heard yet"))
+	default:
+		ctx.SetBodyString("ok\n")
+	}
+}
+
+func (f *frontend) models(ctx *fasthttp.RequestCtx) {
+	organisation, err := httpcall.Organisation(ctx, f.records.View())
+	if err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	writeJSON(ctx, newModelList(f.records.View().Models(organisation.Name), f.started))
+}
+
+func (f *frontend) generate(ctx *fasthttp.RequestCtx, o work.Operation) {
+	if !ctx.IsPost() {
+		httpcall.WriteError(ctx, code.UnknownPath.New("%s %s: only POST is served", ctx.Method(), ctx.Path()))
+		return
+	}
+	if !f.records.Ready() {
+		httpcall.WriteError(ctx, code.NotReady.New("daemon: no configuration has been heard yet"))
+		return
+	}
+	r, b, err := parse(ctx, o)
+	if err == nil {
+		err = f.identify(ctx, r)
+	}
+	if err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	if r.Stream {
+		f.stream(ctx, r, b)
+		return
+	}
+	f.collect(ctx, r)
+}
+
+// collect answers a request that is not streamed.
+func (f *frontend) collect(ctx *fasthttp.RequestCtx, r *work.Request) {
+	c := &collector{shape: newShape(r)}
+	if err := f.dispatcher.Dispatch(context.Background(), r, c); err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	raw, err := c.body()
+	if err != nil {
+		httpcall.WriteError(ctx, code.Internal.Wrap(err, "answer of request %s", r.ID))
+		return
+	}
+	setHead(ctx, r, c.head)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
+
+// stream answers a streamed request. The dispatcher runs in a goroutine of its
+// own, as the status has to be known before fasthttp lets the body be written.
+// After that it writes to the response's buffer itself, without another hop.
+func (f *frontend) stream(ctx *fasthttp.RequestCtx, r *work.Request, b *body) {
+	started := make(chan work.Head, 1)
+	writer := make(chan *bufio.Writer, 1)
+	ended := make(chan error, 1)
+	s := &streamer{
+		shape:        newShape(r),
+		includeUsage: b.StreamOptions.IncludeUsage,
+		raw:          !r.Resumable,
+		started:      started,
+		writer:       writer,
+	}
+	go func() {
+		err := f.dispatcher.Dispatch(context.Background(), r, s)
+		if err != nil && s.w != nil {
+			// A caller that is gone can't be told.
+			_ = s.fail(err)
+		}
+		ended <- err
+	}()
+	select {
+	case head := <-started:
+		setHead(ctx, r, head)
+		ctx.SetContentType("text/event-stream")
+		ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+			writer <- w
+			<-ended
+		})
+	case err := <-ended:
+		httpcall.WriteError(ctx, err)
+	}
+}
+
+// setHead sets the fields by which a caller can refer to the answer.
+func setHead(ctx *fasthttp.RequestCtx, r *work.Request, h work.Head) {
+	ctx.Response.Header.Set("X-Request-Id", string(r.ID))
+	ctx.Response.Header.Set("X-Endpoint", string(h.Endpoint))
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		httpcall.WriteError(ctx, code.Internal.Wrap(err, "answer of %s", ctx.Path()))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
--- /dev/null
+++ b/internal/caller/openai/request.go
@@ -0,0 +1,123 @@
+// Package openai is the front end for callers of the OpenAI HTTP protocol.
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/caller/httpcall"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/domain/work"
+)
+
+// body has the fields of a request that routing depends on. Everything else
+// goes to the engine as it came.
+type body struct {
+	Model               ident.Model     `json:"model"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       streamOptions   `json:"stream_options"`
+	MaxTokens           unit.Tokens     `json:"max_tokens"`
+	MaxCompletionTokens unit.Tokens     `json:"max_completion_tokens"`
+	N                   int             `json:"n"`
+	BestOf              int             `json:"best_of"`
+	Echo                bool            `json:"echo"`
+	Tools               json.RawMessage `json:"tools"`
+	Functions           json.RawMessage `json:"functions"`
+	Logprobs            json.RawMessage `json:"logprobs"`
+	Audio               json.RawMessage `json:"audio"`
+	ResponseFormat      json.RawMessage `json:"response_format"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// bytesPerToken turns a prompt's length into an estimate of its tokens.
+const bytesPerToken = 4
+
+// parse decodes a request. The work.Request keeps a copy of the body, as the
+// answer may outlive fasthttp's buffers.
+//
+// Errors carry code.MalformedBody and name the field.
+func parse(ctx *fasthttp.RequestCtx, o work.Operation) (*work.Request, *body, error) {
+	raw := bytes.Clone(ctx.PostBody())
+	b := new(body)
+	if err := json.Unmarshal(raw, b); err != nil {
+		return nil, nil, code.MalformedBody.New("body: %s", err)
+	}
+	prompt, err := b.check(o)
+	if err != nil {
+		return nil, nil, err
+	}
+	r := &work.Request{
+		Operation:    o,
+		Model:        b.Model,
+		Body:         raw,
+		PromptTokens: unit.Tokens(len(prompt)/bytesPerToken + 1),
+		MaxTokens:    max(b.MaxTokens, b.MaxCompletionTokens),
+		Prefix:       work.HashPrefix(b.Model, prompt),
+		Resumable:    b.resumable(o),
+		Stream:       b.Stream,
+	}
+	return r, b, nil
+}
+
+// check reports a missing field and returns the prompt's bytes.
+func (b *body) check(o work.Operation) ([]byte, error) {
+	if b.Model == "" {
+		return nil, code.MalformedBody.New("body.model: missing")
+	}
+	if b.MaxTokens < 0 || b.MaxCompletionTokens < 0 {
+		return nil, code.MalformedBody.New("body.max_tokens: negative")
+	}
+	prompt, name := b.Messages, "messages"
+	if o == work.Completion {
+		prompt, name = b.Prompt, "prompt"
+	}
+	if len(prompt) == 0 || string(prompt) == "null" || string(prompt) == "[]" {
+		return nil, code.MalformedBody.New("body.%s: missing or empty", name)
+	}
+	if o == work.Chat && prompt[0] != '[' {
+		return nil, code.MalformedBody.New("body.messages: not an array")
+	}
+	return prompt, nil
+}
+
+// resumable reports whether the answer is plain text of one choice. Anything
+// else is passed through event by event and not resumed.
+func (b *body) resumable(o work.Operation) bool {
+	if b.N > 1 || b.BestOf > 1 || b.Echo {
+		return false
+	}
+	for _, raw := range []json.RawMessage{b.Tools, b.Functions, b.Audio, b.ResponseFormat} {
+		if len(raw) > 0 && string(raw) != "null" {
+			return false
+		}
+	}
+	if s := string(b.Logprobs); s != "" && s != "null" && s != "false" {
+		return false
+	}
+	// Only a single prompt that is a text can have text appended to it.
+	return o == work.Chat || b.Prompt[0] == '"'
+}
+
+// identify fills what the header says: organisation, key, deadline, priority.
+func (f *frontend) identify(ctx *fasthttp.RequestCtx, r *work.Request) error {
+	organisation, err := httpcall.Organisation(ctx, f.records.View())
+	if err != nil {
+		return err
+	}
+	r.Organisation = organisation.Name
+	if err := httpcall.Fill(ctx, r, f.clock.Now()); err != nil {
+		return err
+	}
+	r.AtMostOnce = r.Key != ""
+	r.Fingerprint = work.FingerprintOf(r.Organisation, []byte(r.Operation), r.Body)
+	return nil
+}
--- a/internal/domain/work/work.go
+++ b/internal/domain/work/work.go
@@ -147,3 +147,10 @@
 	}
 	return hashes
 }
+
+// Sent is the part of an answer that was already passed on, from which another
+// endpoint resumes. It is empty for a first attempt.
+type Sent struct {
+	Text   string
+	Tokens unit.Tokens
+}
--- /dev/null
+++ b/internal/endpoint/engine/body.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/domain/work"
+)
+
+// headerResume tells an engine how many bytes at the end of a completion's
+// prompt are the text of an earlier run.
+const headerResume = "X-Resume-Chars"
+
+// upstream returns the body to send to the engine. A resumable request is
+// always streamed, so that its text can be kept; the text already sent goes
+// along, and the limit of tokens shrinks by what was generated.
+//
+// Errors carry code.MalformedBody.
+func upstream(r *work.Request, sent work.Sent) ([]byte, error) {
+	if !r.Resumable {
+		return r.Body, nil
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return nil, code.MalformedBody.New("body: %s", err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	if sent.Text == "" {
+		return json.Marshal(fields)
+	}
+	if err := resume(fields, r.Operation, sent.Text); err != nil {
+		return nil, err
+	}
+	for _, name := range [...]string{"max_tokens", "max_completion_tokens"} {
+		shrink(fields, name, sent.Tokens)
+	}
+	return json.Marshal(fields)
+}
+
+func resume(fields map[string]json.RawMessage, o work.Operation, sent string) error {
+	if o == work.Completion {
+		var prompt string
+		if err := json.Unmarshal(fields["prompt"], &prompt); err != nil {
+			return code.MalformedBody.New("body.prompt: %s", err)
+		}
+		raw, err := json.Marshal(prompt + sent)
+		fields["prompt"] = raw
+		return err
+	}
+	var messages []json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+		return code.MalformedBody.New("body.messages: %s", err)
+	}
+	last, err := json.Marshal(map[string]string{"role": "assistant", "content": sent})
+	if err != nil {
+		return err
+	}
+	raw, err := json.Marshal(append(messages, last))
+	fields["messages"] = raw
+	fields["continue_final_message"] = json.RawMessage("true")
+	fields["add_generation_prompt"] = json.RawMessage("false")
+	return err
+}
+
+func shrink(fields map[string]json.RawMessage, name string, generated unit.Tokens) {
+	var limit int64
+	if json.Unmarshal(fields[name], &limit) != nil || limit == 0 {
+		return
+	}
+	fields[name] = strconv.AppendInt(nil, max(1, limit-int64(generated)), 10)
+}
--- /dev/null
+++ b/internal/endpoint/engine/client.go
@@ -0,0 +1,181 @@
+// Package engine speaks the model engines' protocol: the OpenAI HTTP protocol
+// for requests, and JSON reports and orders for control.
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/table"
+)
+
+// Settings are the settings of the engine protocol.
+type Settings struct {
+	// Paths of the engine's HTTP interface.
+	ChatPath       string `json:"chatPath" validate:"startswith=/"`
+	CompletionPath string `json:"completionPath" validate:"startswith=/"`
+	ReportPath     string `json:"reportPath" validate:"startswith=/"`
+	OrderPath      string `json:"orderPath" validate:"startswith=/"`
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout settings.Duration `json:"dialTimeout" validate:"duration"`
+	// Silence is the time without a byte after which an open connection
+	// counts as stalled.
+	Silence settings.Duration `json:"silence" validate:"duration"`
+	// Connections bounds the connections to one engine.
+	Connections int `json:"connections" validate:"min=1,max=65536"`
+	// MaxReport bounds the size of a report in bytes.
+	MaxReport int `json:"maxReport" validate:"min=1024"`
+}
+
+// defaults returns the default settings.
+func defaults() any {
+	return &Settings{
+		ChatPath:       "/v1/chat/completions",
+		CompletionPath: "/v1/completions",
+		ReportPath:     "/report",
+		OrderPath:      "/order",
+		DialTimeout:    settings.Of(500 * time.Millisecond),
+		Silence:        settings.Of(10 * time.Second),
+		Connections:    4096,
+		MaxReport:      1 << 20,
+	}
+}
+
+// Client reaches engines. It is safe for concurrent use.
+type Client struct {
+	settings Settings
+	clock    clock.Clock
+	// stream is for requests, control for reports and orders, so that a full
+	// set of streams doesn't keep reports from being read.
+	stream  *fasthttp.Client
+	control *fasthttp.Client
+}
+
+// New returns a client.
+func New(s Settings, clk clock.Clock) *Client {
+	c := &Client{settings: s, clock: clk}
+	c.stream = c.newHTTP(s.Connections, s.Silence.Duration)
+	c.stream.StreamResponseBody = true
+	const controlConnections = 8
+	c.control = c.newHTTP(controlConnections, s.DialTimeout.Duration)
+	c.control.MaxResponseBodySize = s.MaxReport
+	return c
+}
+
+func (c *Client) newHTTP(connections int, silence time.Duration) *fasthttp.Client {
+	return &fasthttp.Client{
+		NoDefaultUserAgentHeader: true,
+		MaxConnsPerHost:          connections,
+		// A request is repeated by the dispatcher or not at all.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := fasthttp.DialTimeout(address, c.settings.DialTimeout.Duration)
+			if err != nil {
+				return nil, &dialError{err}
+			}
+			return &silenceConn{Conn: conn, clock: c.clock, limit: silence}, nil
+		},
+	}
+}
+
+// dialError marks a failure before anything was sent.
+type dialError struct {
+	error
+}
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error {
+	return e.error
+}
+
+// silenceConn fails a read or write that makes no progress for the limit. The
+// deadline that the HTTP client sets, if any, bounds the whole answer.
+type silenceConn struct {
+	net.Conn
+	clock clock.Clock
+	limit time.Duration
+	until time.Time
+}
+
+// SetReadDeadline bounds all later reads.
+func (s *silenceConn) SetReadDeadline(t time.Time) error {
+	s.until = t
+	return nil
+}
+
+// Read reads with a fresh deadline.
+func (s *silenceConn) Read(b []byte) (int, error) {
+	deadline := s.clock.Now().Add(s.limit)
+	if !s.until.IsZero() && s.until.Before(deadline) {
+		deadline = s.until
+	}
+	if err := s.Conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return s.Conn.Read(b)
+}
+
+// Write writes with a fresh deadline.
+func (s *silenceConn) Write(b []byte) (int, error) {
+	if err := s.SetWriteDeadline(s.clock.Now().Add(s.limit)); err != nil {
+		return 0, err
+	}
+	return s.Conn.Write(b)
+}
+
+// Protocol names the protocol of the endpoints that the client reaches.
+func (c *Client) Protocol() table.Protocol {
+	return table.Engine
+}
+
+// Healthy reads a report over a new connection.
+//
+// Errors carry code.EndpointUnreachable or code.BadReport.
+func (c *Client) Healthy(ctx context.Context, address string) error {
+	fresh := c.newHTTP(1, c.settings.DialTimeout.Duration)
+	defer fresh.CloseIdleConnections()
+	fresh.MaxResponseBodySize = c.settings.MaxReport
+	_, err := c.report(ctx, fresh, address)
+	if err == nil {
+		// The endpoint answers, so the connection that failed had stalled.
+		// Others opened at the same time probably have too.
+		c.stream.CloseIdleConnections()
+		c.control.CloseIdleConnections()
+	}
+	return err
+}
+
+// failure gives an error of the HTTP client its code.
+func failure(err error, address string) error {
+	var dial *dialError
+	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return code.EndpointUnreachable.Wrap(err, "endpoint at %s: no connection", address)
+	}
+	return code.CutOff.Wrap(err, "endpoint at %s: connection ended before the answer did", address)
+}
+
+// path returns the engine's path for the operation.
+func (c *Client) path(o work.Operation) (string, error) {
+	switch o {
+	case work.Chat:
+		return c.settings.ChatPath, nil
+	case work.Completion:
+		return c.settings.CompletionPath, nil
+	default:
+		return "", code.Internal.New("engine: operation %q is not one of chat, completion", o)
+	}
+}
+
+func url(address, path string) string {
+	return fmt.Sprintf("http://%s%s", address, path)
+}
--- /dev/null
+++ b/internal/endpoint/engine/control.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/report"
+)
+
+// Report reads the report of the engine at the address.
+//
+// Errors carry code.EndpointUnreachable, CutOff or BadReport.
+func (c *Client) Report(ctx context.Context, address string) (*report.Report, error) {
+	return c.report(ctx, c.control, address)
+}
+
+func (c *Client) report(ctx context.Context, client *fasthttp.Client, address string) (*report.Report, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(url(address, c.settings.ReportPath))
+	if err := do(ctx, client, request, response); err != nil {
+		return nil, failure(err, address)
+	}
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return nil, code.BadReport.New("report from %s: status %d", address, status)
+	}
+	r := new(report.Report)
+	if err := json.Unmarshal(response.Body(), r); err != nil {
+		return nil, code.BadReport.Wrap(err, "report from %s", address)
+	}
+	if err := r.Check(); err != nil {
+		return nil, code.BadReport.Wrap(err, "report from %s", address)
+	}
+	return r, nil
+}
+
+// Order sends an order. An engine that obeys fencing refuses an old one.
+//
+// Errors carry code.EndpointUnreachable, CutOff or EndpointRejected.
+func (c *Client) Order(ctx context.Context, address string, o *report.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return code.Internal.Wrap(err, "order for %s", address)
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(url(address, c.settings.OrderPath))
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(body)
+	if err := do(ctx, c.control, request, response); err != nil {
+		return failure(err, address)
+	}
+	if status := response.StatusCode(); status >= fasthttp.StatusMultipleChoices {
+		return code.EndpointRejected.New("order for %s: status %d: %s", address, status, excerpt(response.Body()))
+	}
+	return nil
+}
+
+// do sends the request within the context's deadline.
+func do(ctx context.Context, client *fasthttp.Client, request *fasthttp.Request, response *fasthttp.Response) error {
+	if err := ctx.Err(); err != nil {
+		return &dialError{err}
+	}
+	if deadline, bounded := ctx.Deadline(); bounded {
+		return client.DoDeadline(request, response, deadline)
+	}
+	return client.Do(request, response)
+}
+
+// excerpt returns the start of a body for an error message.
+func excerpt(body []byte) string {
+	const limit = 200
+	if len(body) > limit {
+		return string(body[:limit]) + "..."
+	}
+	return string(body)
+}
--- /dev/null
+++ b/internal/endpoint/engine/plugin.go
@@ -0,0 +1,36 @@
+package engine
+
+import (
+	"context"
+
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+func init() {
+	settings.Register("engine", defaults)
+	plugin.Register(plugin.Endpoint, "engine", newPlugin)
+}
+
+// service runs the client as a plug-in.
+type service struct {
+	*Client
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	s := service{New(*d.Settings.Section("engine").(*Settings), d.Clock)}
+	d.Provide(s.Client)
+	return s, nil
+}
+
+// Start does nothing: connections are opened when they are needed.
+func (service) Start(context.Context) error {
+	return nil
+}
+
+// Stop closes the idle connections.
+func (s service) Stop(context.Context) error {
+	s.stream.CloseIdleConnections()
+	s.control.CloseIdleConnections()
+	return nil
+}
--- /dev/null
+++ b/internal/route/policy/plugin.go
@@ -0,0 +1,61 @@
+package policy
+
+import (
+	"context"
+	"time"
+
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+func init() {
+	settings.Register("policy", func() any {
+		return &Settings{
+			Name:         "estimate",
+			CacheEntries: 1 << 16,
+			LeastLimit:   1,
+			Target:       settings.Of(2 * time.Second),
+		}
+	})
+	plugin.Register(plugin.Policy, "estimate", newEstimate)
+	plugin.Register(plugin.Policy, "random2", newRandom2)
+}
+
+// Settings select and set the policy.
+type Settings struct {
+	// Name is the policy in use: estimate or random2.
+	Name string `json:"name" validate:"oneof=estimate random2"`
+	// CacheEntries bounds the prompt prefixes remembered.
+	CacheEntries int `json:"cacheEntries" validate:"min=1,max=16777216"`
+	// LeastLimit is the lowest adaptive limit of an endpoint.
+	LeastLimit unit.Requests `json:"leastLimit" validate:"min=1"`
+	// Target is the time to the first token above which limits fall.
+	Target settings.Duration `json:"target" validate:"duration"`
+}
+
+// passive is a plug-in without work in the background.
+type passive struct{}
+
+func (passive) Start(context.Context) error { return nil }
+func (passive) Stop(context.Context) error  { return nil }
+
+func newEstimate(d *plugin.Deps) (plugin.Plugin, error) {
+	s := d.Settings.Section("policy").(*Settings)
+	if s.Name != "estimate" {
+		return nil, nil
+	}
+	d.Provide(NewEstimate(EstimateOptions{
+		CacheEntries: s.CacheEntries,
+		Limits:       Limits{Least: s.LeastLimit, Target: s.Target.Duration},
+	}))
+	return passive{}, nil
+}
+
+func newRandom2(d *plugin.Deps) (plugin.Plugin, error) {
+	if d.Settings.Section("policy").(*Settings).Name != "random2" {
+		return nil, nil
+	}
+	d.Provide(Random2{})
+	return passive{}, nil
+}
--- /dev/null
+++ b/internal/route/policy/random2.go
@@ -0,0 +1,77 @@
+// Package policy holds the rules by which an endpoint is chosen for a request.
+// They are plug-ins; the setting policy.name selects one.
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/route/table"
+)
+
+// Random2 takes the less loaded of two random endpoints and leaves limits
+// fixed. It is the baseline that other policies are measured against.
+type Random2 struct{}
+
+// Pick returns the endpoint for the request, or nil if every endpoint that it
+// looked at is at its bound.
+func (Random2) Pick(now time.Time, endpoints []*table.Endpoint, _ *work.Request) *table.Endpoint {
+	first := random(endpoints)
+	second := random(endpoints)
+	if first == nil {
+		return nil
+	}
+	if free(second, now) > free(first, now) {
+		first = second
+	}
+	if free(first, now) > 0 {
+		return first
+	}
+	return scan(now, endpoints)
+}
+
+// FirstToken records the time to a first token and leaves the limit alone.
+func (Random2) FirstToken(e *table.Endpoint, _ *work.Request, d time.Duration) {
+	e.Load.ObserveFirstToken(d)
+}
+
+// Estimate returns the expected time to the first token, zero if unknown.
+func (Random2) Estimate(e *table.Endpoint, _ *work.Request) time.Duration {
+	return e.Load.FirstToken()
+}
+
+// Evicted does nothing, as Random2 ignores caches.
+func (Random2) Evicted(*table.Endpoint, work.PrefixHash) {}
+
+func random(endpoints []*table.Endpoint) *table.Endpoint {
+	if len(endpoints) == 0 {
+		return nil
+	}
+	return endpoints[rand.IntN(len(endpoints))]
+}
+
+// free returns the number of requests that the endpoint can still be given.
+func free(e *table.Endpoint, now time.Time) int64 {
+	return int64(e.Bound(now) - e.Load.InFlight())
+}
+
+// scanLimit bounds the endpoints that scan looks at, so that a decision stays
+// cheap when most of 12,000 endpoints are at their bound.
+const scanLimit = 64
+
+// scan returns the first endpoint with room from a random start, or nil.
+func scan(now time.Time, endpoints []*table.Endpoint) *table.Endpoint {
+	n := len(endpoints)
+	if n == 0 {
+		return nil
+	}
+	start := rand.IntN(n)
+	for i := range min(n, scanLimit) {
+		e := endpoints[(start+i)%n]
+		if free(e, now) > 0 {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/route/table/load.go
+++ b/internal/route/table/load.go
@@ -31,7 +31,8 @@
 	waiting atomic.Int64
 }
 
-func (l *Load) setReported(c Counts) {
+// SetReported records the endpoint's own counts.
+func (l *Load) SetReported(c Counts) {
 	l.running.Store(int64(c.Running))
 	l.waiting.Store(int64(c.Waiting))
 }
--- a/internal/route/table/publisher.go
+++ b/internal/route/table/publisher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
 )
 
 // Publisher holds the current table. Readers take it without a lock.
@@ -40,7 +41,7 @@
 	for i := range endpoints {
 		e := endpoints[i]
 		e.Load = p.load(e.ID)
-		e.Load.setReported(e.Reported)
+		e.Load.SetReported(e.Reported)
 		e.Reported = Counts{}
 		if before := old.byID[e.ID]; before != nil && reflect.DeepEqual(*before, e) {
 			next = append(next, before)
@@ -75,3 +76,14 @@
 		}
 	}
 }
+
+// Leaving returns the requests in flight to an endpoint that may no longer be
+// in the table.
+func (p *Publisher) Leaving(id ident.Endpoint) unit.Requests {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[id]; l != nil {
+		return l.InFlight()
+	}
+	return 0
+}
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -66,8 +66,18 @@
 	generation uint64
 	endpoints  []*Endpoint
 	byID       map[ident.Endpoint]*Endpoint
-	byModel    map[ident.Model][]*Endpoint
-	byService  map[ident.Service][]*Endpoint
+	// open has the endpoints that every organisation may use; granted, for an
+	// organisation that some endpoint of the model names, these and its own.
+	open      map[ident.Model][]*Endpoint
+	granted   map[grant][]*Endpoint
+	byService map[ident.Service][]*Endpoint
+	capacity  unit.Requests
+}
+
+// grant is an organisation's permission to use a model.
+type grant struct {
+	model        ident.Model
+	organisation ident.Organisation
 }
 
 // New returns a table of the endpoints.
@@ -76,22 +86,52 @@
 		generation: generation,
 		endpoints:  append([]*Endpoint(nil), endpoints...),
 		byID:       make(map[ident.Endpoint]*Endpoint, len(endpoints)),
-		byModel:    make(map[ident.Model][]*Endpoint),
+		open:       make(map[ident.Model][]*Endpoint),
+		granted:    make(map[grant][]*Endpoint),
 		byService:  make(map[ident.Service][]*Endpoint),
 	}
 	sort.Slice(t.endpoints, func(i, j int) bool { return t.endpoints[i].ID < t.endpoints[j].ID })
 	for _, e := range t.endpoints {
 		t.byID[e.ID] = e
+		if !e.Cold {
+			t.capacity += e.Limit
+		}
 		for _, m := range e.Models {
-			t.byModel[m] = append(t.byModel[m], e)
+			t.addModel(m, e)
 		}
 		if e.Service != "" {
 			t.byService[e.Service] = append(t.byService[e.Service], e)
 		}
 	}
+	t.openToGranted()
 	return t
 }
 
+func (t *Table) addModel(m ident.Model, e *Endpoint) {
+	if len(e.Organisations) == 0 {
+		t.open[m] = append(t.open[m], e)
+		return
+	}
+	for _, o := range e.Organisations {
+		g := grant{m, o}
+		t.granted[g] = append(t.granted[g], e)
+	}
+}
+
+// openToGranted adds the open endpoints to the lists of named organisations.
+func (t *Table) openToGranted() {
+	for g, own := range t.granted {
+		all := append(own, t.open[g.model]...)
+		sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+		t.granted[g] = all
+	}
+}
+
+// Capacity returns the sum of the limits of the endpoints that are not cold.
+func (t *Table) Capacity() unit.Requests {
+	return t.capacity
+}
+
 // Generation numbers the tables of a process.
 func (t *Table) Generation() uint64 {
 	return t.generation
@@ -107,9 +147,13 @@
 	return t.byID[id]
 }
 
-// Model returns the endpoints that serve the model or adapter.
-func (t *Table) Model(m ident.Model) []*Endpoint {
-	return t.byModel[m]
+// Model returns the endpoints that serve the model or adapter to the
+// organisation, in order of their ids.
+func (t *Table) Model(m ident.Model, o ident.Organisation) []*Endpoint {
+	if list, named := t.granted[grant{m, o}]; named {
+		return list
+	}
+	return t.open[m]
 }
 
 // Service returns the endpoints of the plain service.
--- /dev/null
+++ b/internal/serve/dispatch/run.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/route/admit"
+	"cuminbay/internal/route/table"
+)
+
+// maxAttempts bounds the endpoints that one request is sent to. A request that
+// crashes what runs it is refused as poison after two.
+const maxAttempts = 3
+
+// runRepeatable runs a request that may be sent again: to another endpoint if
+// it was not run, or if it may run twice and nothing was passed on yet; and
+// from where it broke off if its answer is plain text.
+func (d *Dispatcher) runRepeatable(ctx context.Context, r *work.Request, s work.Sink, place admit.Place) error {
+	p := &progress{sink: s, clock: d.Clock}
+	var failure error
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		if attempt > 0 && !d.mayRetry(ctx, r, p, failure) {
+			return p.outcome(failure)
+		}
+		e, err := d.acquire(ctx, r, place)
+		if err != nil {
+			return p.refused(failure, err)
+		}
+		failure = d.send(ctx, e, r, p)
+		d.release(e, r)
+		if failure == nil {
+			return nil
+		}
+		d.failed(ctx, e, r, p, failure)
+	}
+	return p.outcome(failure)
+}
+
+// mayRetry reports whether the request may be sent to another endpoint after
+// the failure.
+func (d *Dispatcher) mayRetry(ctx context.Context, r *work.Request, p *progress, failure error) bool {
+	if ctx.Err() != nil || p.callerGone {
+		return false
+	}
+	switch code.Of(failure) {
+	case code.EndpointUnreachable, code.Overloaded:
+	case code.CutOff, code.ForeignAnswer, code.EndpointFailed:
+		if !repeatable(r) || d.Suspects.Check(r.Fingerprint) != nil {
+			return false
+		}
+	default:
+		return false
+	}
+	if p.started && (!r.Resumable || p.resumed) {
+		return false
+	}
+	p.resumed = p.started
+	return d.budget.Spend()
+}
+
+// repeatable reports whether a second run does no harm: text generation and
+// the safe methods of plain services.
+func repeatable(r *work.Request) bool {
+	if r.Operation != work.Call {
+		return true
+	}
+	return r.Method == http.MethodGet || r.Method == http.MethodHead
+}
+
+// runOnce runs a request that must not run twice. The claim is recorded in the
+// platform before the request leaves, and nothing is sent again that may have
+// been sent. The caller's end does not cancel it: a cancelled call would leave
+// its outcome unknown.
+func (d *Dispatcher) runOnce(ctx context.Context, r *work.Request, s work.Sink, place admit.Place) error {
+	e, err := d.acquire(ctx, r, place)
+	if err != nil {
+		return err
+	}
+	ticket, err := d.Claims.Claim(ctx, r.Key, r.Organisation, r.Fingerprint)
+	if err != nil {
+		d.release(e, r)
+		return err
+	}
+	p := &progress{sink: s, clock: d.Clock}
+	ctx = context.WithoutCancel(ctx)
+	var failure error
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		if attempt > 0 {
+			if e, err = d.acquire(ctx, r, place); err != nil {
+				ticket.Release()
+				return err
+			}
+		}
+		if err := ticket.MaySend(); err != nil {
+			d.release(e, r)
+			return err
+		}
+		failure = d.send(ctx, e, r, p)
+		d.release(e, r)
+		if failure == nil {
+			ticket.Finish(code.Answered)
+			return nil
+		}
+		d.failed(ctx, e, r, p, failure)
+		if code.OutcomeOf(failure) != code.NotRun {
+			break
+		}
+	}
+	if code.OutcomeOf(failure) == code.NotRun {
+		ticket.Release()
+		return failure
+	}
+	if p.callerGone || code.Of(failure) == code.EndpointFailed {
+		ticket.Finish(code.Of(failure))
+		return failure
+	}
+	ticket.Finish(code.OutcomeUnknown)
+	return code.OutcomeUnknown.Wrap(failure, "request key %s", r.Key)
+}
+
+// send sends the request once, within its deadline.
+func (d *Dispatcher) send(ctx context.Context, e *table.Endpoint, r *work.Request, p *progress) error {
+	if !r.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = clockwork.WithDeadline(ctx, d.Clock, r.Deadline)
+		defer cancel()
+	}
+	s, known := d.Senders[e.Protocol]
+	if !known {
+		return code.Internal.New("endpoint %s: no plug-in speaks protocol %q", e.ID, e.Protocol)
+	}
+	p.begin()
+	err := s.Send(ctx, e, r, work.Sent{Text: p.sent.String(), Tokens: p.tokens}, p)
+	if err != nil {
+		return d.explain(ctx, r, p, err)
+	}
+	d.Telemetry.answered(r, p)
+	return nil
+}
+
+// explain gives the failure the code of its cause where that is not the
+// endpoint.
+func (d *Dispatcher) explain(ctx context.Context, r *work.Request, p *progress, err error) error {
+	switch {
+	case p.callerGone:
+		return code.CallerGone.Wrap(err, "request %s", r.ID)
+	case ctx.Err() == nil || code.OutcomeOf(err) == code.NotRun:
+		return err
+	case !r.Deadline.IsZero() && !d.Clock.Now().Before(r.Deadline):
+		return code.DeadlineExpired.Wrap(err, "request %s", r.ID)
+	default:
+		return code.CallerGone.Wrap(err, "request %s", r.ID)
+	}
+}
+
+// failed learns from a failure at an endpoint: what is unreachable gets nothing
+// for a while, and what died with the request in flight makes the request
+// suspect. An endpoint that answers on a new connection did not die; only the
+// open connection had stalled.
+func (d *Dispatcher) failed(ctx context.Context, e *table.Endpoint, r *work.Request, p *progress, failure error) {
+	d.Telemetry.attemptFailed(e, failure)
+	d.Log.Warn().Str("request", string(r.ID)).Str("endpoint", string(e.ID)).
+		Str("code", code.Of(failure).String()).Err(failure).Msg("attempt-failed")
+	switch code.Of(failure) {
+	case code.EndpointUnreachable:
+		e.Load.Avoid(d.Clock.Now().Add(d.Settings.Avoid.Duration))
+	case code.CutOff:
+		if p.callerGone {
+			return
+		}
+		checkCtx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), d.Clock, d.Settings.HealthTimeout.Duration)
+		defer cancel()
+		if err := d.Senders[e.Protocol].Healthy(checkCtx, e.Address); err != nil {
+			d.Suspects.Suspect(r.Fingerprint)
+			e.Load.Avoid(d.Clock.Now().Add(d.Settings.Avoid.Duration))
+		}
+	}
+}
