Add what the HTTP front ends share

Cause: the OpenAI and plain front ends need one form of errors, one rule for the organisation of a call and one reading of deadline, priority and key.

--- /dev/null
+++ b/internal/caller/httpcall/fault.go
@@ -0,0 +1,86 @@
+package httpcall
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+)
+
+// Fault is the OpenAI error object with the outcome added. Code is the number
+// and Type the name of the result code.
+type Fault struct {
+	Message string       `json:"message"`
+	Type    string       `json:"type"`
+	Code    code.Code    `json:"code"`
+	Outcome code.Outcome `json:"outcome"`
+}
+
+type faultBody struct {
+	Error Fault `json:"error"`
+}
+
+// FaultOf describes the error to a caller.
+func FaultOf(err error) Fault {
+	c := code.Of(err)
+	return Fault{
+		Message: err.Error(),
+		Type:    c.Spec().Name,
+		Code:    c,
+		Outcome: code.OutcomeOf(err),
+	}
+}
+
+// Encode returns the JSON body of the error, for a response or an event of a
+// stream.
+func Encode(err error) []byte {
+	body, encodeErr := json.Marshal(faultBody{FaultOf(err)})
+	if encodeErr != nil {
+		// A struct of strings and a number always encodes.
+		panic(encodeErr)
+	}
+	return body
+}
+
+// defaultRetry is the Retry-After of a refusal that may be repeated and states
+// no time of its own.
+const defaultRetry = time.Second
+
+// firstRetryable and lastRetryable bound the group of codes "not run, may be
+// sent again".
+const (
+	firstRetryable code.Code = 3000
+	lastRetryable  code.Code = 3999
+)
+
+// WriteError replaces the response by the error: the status of its code, the
+// body of Encode and, where a retry is worth while, Retry-After in whole
+// seconds.
+func WriteError(ctx *fasthttp.RequestCtx, err error) {
+	c := code.Of(err)
+	ctx.Response.Reset()
+	status := c.Spec().Status
+	if status == 0 {
+		status = fasthttp.StatusInternalServerError
+	}
+	ctx.Response.SetStatusCode(status)
+	ctx.Response.Header.SetContentType("application/json")
+	if after := retryAfter(err, c); after > 0 {
+		seconds := (after + time.Second - 1) / time.Second
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	ctx.Response.SetBody(Encode(err))
+}
+
+func retryAfter(err error, c code.Code) time.Duration {
+	if after := code.RetryAfter(err); after > 0 {
+		return after
+	}
+	if c >= firstRetryable && c <= lastRetryable {
+		return defaultRetry
+	}
+	return 0
+}
