--- /dev/null
+++ b/internal/command/cli/cli.go
@@ -0,0 +1,100 @@
+// Package cli holds the commands of the cuminbay program.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"cuminbay/internal/domain/code"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+	ExitRace     = 4
+	ExitNotFound = 5
+)
+
+// Streams are the outputs of a command.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// command is a subcommand. go-flags fills its fields and calls Execute.
+type command interface {
+	Execute(args []string) error
+}
+
+// entry describes a subcommand.
+type entry struct {
+	name    string
+	short   string
+	long    string
+	command command
+}
+
+// Run runs the program with the arguments after its name and returns the exit
+// code.
+func Run(args []string, s Streams) int {
+	parser := flags.NewNamedParser("cuminbay", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Serving for language models that span instances, and for the plain services beside them."
+	for _, e := range entries(s) {
+		if _, err := parser.AddCommand(e.name, e.short, e.long, e.command); err != nil {
+			return fail(s, err)
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return exit(s, err)
+}
+
+func entries(s Streams) []entry {
+	return []entry{
+		{"serve", "Run a daemon", "Runs a daemon until it gets SIGTERM or SIGINT, then stops in order.", &serveCommand{streams: s}},
+		{"check", "Check settings and records without starting", "Checks a settings file and, with --record, files with records.", &checkCommand{streams: s}},
+		{"version", "Print the version", "Prints the version of the program and of its formats.", &versionCommand{streams: s}},
+	}
+}
+
+// exit prints the error and returns its exit code.
+func exit(s Streams, err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return exitUsage(s, usage)
+	default:
+		return fail(s, err)
+	}
+}
+
+func exitUsage(s Streams, err *flags.Error) int {
+	if err.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(s.Out, err.Message)
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(s.Err, err.Message)
+	return ExitUsage
+}
+
+func fail(s Streams, err error) int {
+	c := code.Of(err)
+	_, _ = fmt.Fprintf(s.Err, "cuminbay: %s: %s\n", c, err)
+	switch c {
+	case code.BadSettings, code.BadRecord, code.UnknownSchema:
+		return ExitSettings
+	case code.RecordRace:
+		return ExitRace
+	case code.NoSuchRecord:
+		return ExitNotFound
+	default:
+		return ExitFailure
+	}
+}
--- /dev/null
+++ b/internal/command/cli/serve.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/logline"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/kernel/timeline"
+)
+
+// settingsFlags name the settings file.
+type settingsFlags struct {
+	File string   `short:"c" long:"settings" required:"true" value-name:"FILE" description:"the settings file"`
+	Set  []string `long:"set" value-name:"PATH=VALUE" description:"override a setting, as in openai.listen=127.0.0.1:80"`
+}
+
+type serveCommand struct {
+	settingsFlags
+	streams Streams
+}
+
+// startLimit bounds the start of the plug-ins.
+const startLimit = 30 * time.Second
+
+// Execute runs a daemon until it is told to stop.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Read(c.File, c.Set)
+	if err != nil {
+		return err
+	}
+	deps, err := newDeps(s, c.streams)
+	if err != nil {
+		return err
+	}
+	kernel, err := plugin.New(deps)
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	if err := start(kernel); err != nil {
+		return err
+	}
+	deps.Timeline.Record("daemon-started", string(s.Daemon.Instance), "dataCentre", string(s.Daemon.DataCentre))
+	received := <-stop
+	deps.Timeline.Record("daemon-stopping", string(s.Daemon.Instance), "signal", received.String())
+	ctx, cancel := context.WithTimeout(context.Background(), s.Daemon.StopLimit.Duration)
+	defer cancel()
+	err = kernel.Stop(ctx)
+	deps.Pool.StopAndWait()
+	deps.Timeline.Record("daemon-stopped", string(s.Daemon.Instance))
+	return err
+}
+
+func start(kernel *plugin.Kernel) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	return kernel.Start(ctx)
+}
+
+func newDeps(s *settings.Settings, streams Streams) (*plugin.Deps, error) {
+	clk := clock.Real()
+	log, err := logline.New(streams.Err, s.Daemon.LogLevel, clk)
+	if err != nil {
+		return nil, err
+	}
+	log = log.With().Str("process", string(s.Daemon.Instance)).Logger()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return &plugin.Deps{
+		Settings: s,
+		Clock:    clk,
+		Log:      log,
+		Metrics:  registry,
+		Timeline: timeline.NewRecorder(timeline.RecorderOptions{
+			Hybrid:  timeline.NewHybrid(clk),
+			Process: s.Daemon.Instance,
+			Log:     log,
+			Size:    s.Daemon.Events,
+		}),
+		Pool: pond.NewPool(s.Daemon.Workers),
+	}, nil
+}
