--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -2,6 +2,7 @@
 package code
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sort"
@@ -186,13 +187,23 @@
 	return errorx.Decorate(err, "outcome %s", outcome).WithProperty(outcomeKey, outcome)
 }
 
+// property finds a property also below errors that were wrapped by others than
+// errorx.
+func property(err error, key errorx.Property) (any, bool) {
+	var e *errorx.Error
+	if !errors.As(err, &e) {
+		return nil, false
+	}
+	return e.Property(key)
+}
+
 // Of returns the code that the error carries: Answered for nil and Internal
 // for an error without one.
 func Of(err error) Code {
 	if err == nil {
 		return Answered
 	}
-	if v, ok := errorx.ExtractProperty(err, codeKey); ok {
+	if v, ok := property(err, codeKey); ok {
 		if c, ok := v.(Code); ok {
 			return c
 		}
@@ -202,7 +213,7 @@
 
 // OutcomeOf returns the outcome that the error states.
 func OutcomeOf(err error) Outcome {
-	if v, ok := errorx.ExtractProperty(err, outcomeKey); ok {
+	if v, ok := property(err, outcomeKey); ok {
 		if o, ok := v.(Outcome); ok {
 			return o
 		}
@@ -212,7 +223,7 @@
 
 // RetryAfter returns the time after which a retry is worth while, or zero.
 func RetryAfter(err error) time.Duration {
-	if v, ok := errorx.ExtractProperty(err, retryKey); ok {
+	if v, ok := property(err, retryKey); ok {
 		if d, ok := v.(time.Duration); ok {
 			return d
 		}
--- /dev/null
+++ b/internal/domain/code/code_test.go
@@ -0,0 +1,86 @@
+package code_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/code"
+)
+
+// page returns docs/codes.md as the code says it should be.
+func page() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\n" +
+		"Every answer, refusal and failure has a numbered code. Errors carry it as `error.code`, its name as `error.type`, and say as `error.outcome` whether the request was run: `not-run`, `ran` or `unknown`. `not-run` is said only when it is known. An error may state another outcome than its code's usual one when more is known.\n\n" +
+		"The thousands digit gives the group: 1 answered; 2 not run, the request has to change; 3 not run, may be sent again; 4 ran; 5 unknown whether it ran; 6 operators' and internal errors.\n\n" +
+		"This page is compared with `internal/domain/code` by a test; `UPDATE=1 go test ./internal/domain/code` writes it.\n\n" +
+		"| code | name | HTTP status | outcome | meaning | what to do |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range code.All() {
+		status := "-"
+		if s.Status != 0 {
+			status = fmt.Sprint(s.Status)
+		}
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s | %s |\n", s.Code, s.Name, status, s.Outcome, s.Meaning, s.Action)
+	}
+	return b.String()
+}
+
+// TestPage guards against docs/codes.md and the code saying different things.
+func TestPage(t *testing.T) {
+	c := qt.New(t)
+	const path = "../../../docs/codes.md"
+	if os.Getenv("UPDATE") != "" {
+		c.Assert(os.WriteFile(path, []byte(page()), 0o644), qt.IsNil)
+	}
+	raw, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(raw), qt.Equals, page())
+}
+
+// TestGroups guards against a code whose outcome contradicts its group.
+func TestGroups(t *testing.T) {
+	outcomes := map[code.Code]code.Outcome{
+		1: code.Ran, 2: code.NotRun, 3: code.NotRun, 4: code.Ran, 5: code.Unknown,
+	}
+	for _, s := range code.All() {
+		t.Run(s.Name, func(t *testing.T) {
+			if want, fixed := outcomes[s.Code/1000]; fixed {
+				qt.Assert(t, s.Outcome, qt.Equals, want)
+			}
+		})
+	}
+}
+
+// TestOf guards against a code, outcome or retry time being lost when an error
+// is wrapped.
+func TestOf(t *testing.T) {
+	cause := errors.New("cause")
+	tests := map[string]struct {
+		err     error
+		code    code.Code
+		outcome code.Outcome
+		retry   time.Duration
+	}{
+		"nil":            {nil, code.Answered, code.Ran, 0},
+		"foreign":        {cause, code.Internal, code.Unknown, 0},
+		"plain":          {code.CutOff.New("x"), code.CutOff, code.Unknown, 0},
+		"wrapped":        {fmt.Errorf("y: %w", code.Draining.New("x")), code.Draining, code.NotRun, 0},
+		"recoded":        {code.OutcomeUnknown.Wrap(code.CutOff.New("x"), "y"), code.OutcomeUnknown, code.Unknown, 0},
+		"retry":          {code.WithRetryAfter(code.Overloaded.New("x"), time.Second), code.Overloaded, code.NotRun, time.Second},
+		"stated outcome": {code.WithOutcome(code.ForeignAnswer.New("x"), code.NotRun), code.ForeignAnswer, code.NotRun, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Assert(code.Of(test.err), qt.Equals, test.code)
+			c.Assert(code.OutcomeOf(test.err), qt.Equals, test.outcome)
+			c.Assert(code.RetryAfter(test.err), qt.Equals, test.retry)
+		})
+	}
+}
--- /dev/null
+++ b/internal/kernel/settings/settings_test.go
@@ -0,0 +1,67 @@
+package settings_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/kernel/settings"
+)
+
+type section struct {
+	Listen string            `json:"listen" validate:"listen"`
+	Wait   settings.Duration `json:"wait" validate:"duration"`
+	Size   int               `json:"size" validate:"min=1,max=10"`
+}
+
+func init() {
+	settings.Register("test", func() any {
+		return &section{Listen: "127.0.0.1:1", Wait: settings.Of(time.Second), Size: 5}
+	})
+}
+
+// TestParse guards against a wrong setting starting a daemon, and against
+// faults being reported one at a time or without their path.
+func TestParse(t *testing.T) {
+	const daemon = `"daemon":{"instance":"i1","dataCentre":"d1"}`
+	tests := map[string]struct {
+		raw      string
+		override []string
+		faults   []string
+	}{
+		"defaults":          {raw: `{` + daemon + `}`},
+		"override":          {raw: `{` + daemon + `}`, override: []string{"test.size=7", "test.wait=3s"}},
+		"not JSON":          {raw: "{\n\"daemon\" 1}", faults: []string{"line 2 column 10"}},
+		"missing names":     {raw: `{}`, faults: []string{"daemon.instance", "daemon.dataCentre"}},
+		"unknown section":   {raw: `{` + daemon + `,"tset":{}}`, faults: []string{"tset: unknown section"}},
+		"unknown field":     {raw: `{` + daemon + `,"test":{"sise":1}}`, faults: []string{`test: unknown field "sise"`}},
+		"wrong type":        {raw: `{` + daemon + `,"test":{"size":"1"}}`, faults: []string{"test.size: got a JSON string"}},
+		"several faults":    {raw: `{` + daemon + `,"test":{"listen":"here","size":11}}`, faults: []string{"test.listen", "test.size"}},
+		"negative duration": {raw: `{` + daemon + `,"test":{"wait":"-1s"}}`, faults: []string{"test.wait"}},
+		"duration number":   {raw: `{` + daemon + `,"test":{"wait":5}}`, faults: []string{`duration 5 is not a text`}},
+		"bad override":      {raw: `{` + daemon + `}`, override: []string{"test.size"}, faults: []string{`override "test.size"`}},
+		"two values":        {raw: `{` + daemon + `} {}`, faults: []string{"more than one JSON value"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s, err := settings.Parse([]byte(test.raw), test.override)
+			if test.faults == nil {
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(s.Daemon.Instance), qt.Equals, "i1")
+				if test.override != nil {
+					got := s.Section("test").(*section)
+					c.Assert(got.Size, qt.Equals, 7)
+					c.Assert(got.Wait.Duration, qt.Equals, 3*time.Second)
+				}
+				return
+			}
+			c.Assert(code.Of(err), qt.Equals, code.BadSettings)
+			for _, f := range test.faults {
+				c.Assert(err.Error(), qt.Contains, f)
+			}
+		})
+	}
+}
