--- /dev/null
+++ b/internal/fleet/service/plugin.go
@@ -0,0 +1,44 @@
+package service
+
+import (
+	"context"
+
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/route/table"
+)
+
+// duty runs the checks as a plug-in.
+type duty struct {
+	plugin.Loops
+	*Instances
+	deps *plugin.Deps
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	s := &duty{deps: d, Instances: New(Options{
+		Settings:   *d.Settings.Section("instances").(*Settings),
+		DataCentre: d.Settings.Daemon.DataCentre,
+	})}
+	d.Provide(s.Instances)
+	return s, nil
+}
+
+// Start begins to check.
+func (s *duty) Start(context.Context) error {
+	for _, need := range []any{&s.Roster, &s.Records, &s.Drains} {
+		if err := s.deps.Need(need); err != nil {
+			return err
+		}
+	}
+	var checkers []checker
+	if err := s.deps.NeedAll(&checkers); err != nil {
+		return err
+	}
+	for _, c := range checkers {
+		if c.Protocol() == table.Service {
+			s.Checker = c
+		}
+	}
+	s.Every(s.deps.Clock, s.Settings.Interval.Duration, s.Refresh)
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/service/service.go
@@ -0,0 +1,167 @@
+// Package service offers the instances of plain services as endpoints.
+package service
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/roster"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/table"
+)
+
+func init() {
+	settings.Register("instances", func() any {
+		return &Settings{Interval: settings.Of(time.Second), Timeout: settings.Of(500 * time.Millisecond), Failures: 2}
+	})
+	plugin.Register(plugin.Duty, "service", newPlugin)
+}
+
+// Settings are the settings of the checks of plain services.
+type Settings struct {
+	// Interval is the time between two health checks of an instance.
+	Interval settings.Duration `json:"interval" validate:"duration"`
+	// Timeout bounds a health check.
+	Timeout settings.Duration `json:"timeout" validate:"duration"`
+	// Failures in a row take an instance out.
+	Failures int `json:"failures" validate:"min=1,max=100"`
+}
+
+// lister has the platform's list of instances.
+type lister interface {
+	Instances() []roster.Instance
+}
+
+// viewer has the active records.
+type viewer interface {
+	View() *record.View
+}
+
+// drains knows what is out of service.
+type drains interface {
+	Out(ident.DataCentre) bool
+	OutInstance(ident.Instance) bool
+}
+
+// checker checks an instance over a new connection.
+type checker interface {
+	Protocol() table.Protocol
+	Healthy(ctx context.Context, address string) error
+}
+
+// Instances are the plain services' instances that are listed, healthy and not
+// out of service.
+type Instances struct {
+	Options
+	failures map[ident.Instance]int
+	current  atomic.Pointer[[]table.Endpoint]
+}
+
+// Options are the parts of Instances.
+type Options struct {
+	Settings   Settings
+	DataCentre ident.DataCentre
+	Roster     lister
+	Records    viewer
+	Drains     drains
+	Checker    checker
+}
+
+// New returns Instances that offer nothing before the first Refresh.
+func New(o Options) *Instances {
+	n := &Instances{Options: o, failures: make(map[ident.Instance]int)}
+	n.current.Store(&[]table.Endpoint{})
+	return n
+}
+
+// Endpoints returns the endpoints in service. Drains count at once, not at the
+// next check.
+func (n *Instances) Endpoints() []table.Endpoint {
+	var in []table.Endpoint
+	for _, e := range *n.current.Load() {
+		if !n.Drains.Out(e.DataCentre) && !n.Drains.OutInstance(ident.Instance(e.ID)) {
+			in = append(in, e)
+		}
+	}
+	return in
+}
+
+// Refresh reads the list and checks each instance. An instance of another data
+// centre is offered while the own data centre has none of its service.
+func (n *Instances) Refresh(ctx context.Context) {
+	var own, others []table.Endpoint
+	listed := make(map[ident.Instance]bool)
+	for _, i := range n.Roster.Instances() {
+		limit, known := n.limit(i)
+		if !known || i.State != roster.Live {
+			continue
+		}
+		listed[i.ID] = true
+		if !n.healthy(ctx, i) {
+			continue
+		}
+		e := table.Endpoint{
+			ID: ident.Endpoint(i.ID), Protocol: table.Service, DataCentre: i.DataCentre,
+			Address: i.Address, Service: i.Service, Limit: limit.Limit, Organisations: limit.Organisations,
+		}
+		if i.DataCentre == n.DataCentre {
+			own = append(own, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	n.forget(listed)
+	all := append(own, missing(own, others)...)
+	n.current.Store(&all)
+}
+
+// missing returns the endpoints of services that have none in own.
+func missing(own, others []table.Endpoint) []table.Endpoint {
+	served := make(map[ident.Service]bool)
+	for _, e := range own {
+		served[e.Service] = true
+	}
+	var rest []table.Endpoint
+	for _, e := range others {
+		if !served[e.Service] {
+			rest = append(rest, e)
+		}
+	}
+	return rest
+}
+
+// limit returns the record of the instance's service.
+func (n *Instances) limit(i roster.Instance) (*record.Service, bool) {
+	if i.Role != roster.Service {
+		return nil, false
+	}
+	for _, s := range n.Records.View().Services() {
+		if s.Name == i.Service {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+func (n *Instances) healthy(ctx context.Context, i roster.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.Settings.Timeout.Duration)
+	defer cancel()
+	if err := n.Checker.Healthy(ctx, i.Address); err != nil {
+		n.failures[i.ID]++
+	} else {
+		delete(n.failures, i.ID)
+	}
+	return n.failures[i.ID] < n.Settings.Failures
+}
+
+func (n *Instances) forget(listed map[ident.Instance]bool) {
+	for id := range n.failures {
+		if !listed[id] {
+			delete(n.failures, id)
+		}
+	}
+}
