--- /dev/null
+++ b/internal/standin/engine/options.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+)
+
+// Options configure an engine. A zero takes the default in brackets; a
+// negative duration, count or share stands for none.
+type Options struct {
+	Clock        clock.Clock       `no-flag:"true"`
+	Instance     ident.Instance    `long:"instance" required:"true" description:"instance id"`
+	DataCentre   ident.DataCentre  `long:"data-centre" description:"data centre of the instance"`
+	Domain       ident.Domain      `long:"domain" description:"fabric domain of the instance"`
+	Accelerators unit.Accelerators `long:"accelerators" description:"accelerators of the instance [2]"`
+	// IgnoreFencing obeys orders whatever their epoch.
+	IgnoreFencing bool `no-flag:"true"`
+
+	LoadTime     time.Duration `long:"load-time" description:"time to load after an order [300ms]"`
+	ColdTime     time.Duration `long:"cold-time" description:"time to stay cold after a load [1s]"`
+	ColdRequests int           `long:"cold-requests" description:"requests after which the engine is warm [8]"`
+	ColdLimit    int           `long:"cold-limit" description:"requests at once that a cold engine bears [2]"`
+	ColdFactor   float64       `long:"cold-factor" description:"how much slower a cold engine is [4]"`
+
+	Batch        int           `long:"batch" description:"requests that run at once [16]"`
+	Queue        int           `long:"queue" description:"requests that wait before more are refused [256]"`
+	FirstToken   time.Duration `long:"first-token" description:"time to the first token, without the prompt's blocks [10ms]"`
+	BlockTime    time.Duration `long:"block-time" description:"time of each block of the prompt that isn't cached [2ms]"`
+	TokenTime    time.Duration `long:"token-time" description:"time of a token in a batch of one [4ms]"`
+	BatchFactor  float64       `long:"batch-factor" description:"growth of the time of a token with each request of the batch [0.05]"`
+	AnswerTokens int           `long:"answer-tokens" description:"tokens of an answer [16 to 63, by the prompt]"`
+	CacheBlocks  int           `long:"cache-blocks" description:"blocks of the prefix cache [1024]"`
+
+	ReportLag time.Duration `long:"report-lag" description:"age of the load in reports [50ms]"`
+	EventLag  time.Duration `long:"event-lag" description:"age at which cache events show in reports [100ms]"`
+	EventDrop float64       `long:"event-drop" description:"share of cache events that are lost [0.1]"`
+	Seed      uint64        `long:"seed" description:"seed of the choice of lost cache events"`
+	Poll      time.Duration `long:"poll" description:"interval of polling the other members [100ms]"`
+	PollLimit time.Duration `long:"poll-limit" description:"time limit of a poll [300ms]"`
+	CrashTime time.Duration `long:"crash-time" description:"time the engine is down after a crash [500ms]"`
+}
+
+// withDefaults fills in the defaults. They keep demonstrations under a second.
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = clock.Real()
+	}
+	if o.Accelerators == 0 {
+		o.Accelerators = 2
+	}
+	durations := []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&o.LoadTime, 300 * time.Millisecond},
+		{&o.ColdTime, time.Second},
+		{&o.FirstToken, 10 * time.Millisecond},
+		{&o.BlockTime, 2 * time.Millisecond},
+		{&o.TokenTime, 4 * time.Millisecond},
+		{&o.ReportLag, 50 * time.Millisecond},
+		{&o.EventLag, 100 * time.Millisecond},
+		{&o.Poll, 100 * time.Millisecond},
+		{&o.PollLimit, 300 * time.Millisecond},
+		{&o.CrashTime, 500 * time.Millisecond},
+	}
+	for _, d := range durations {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+		*d.field = max(*d.field, 0)
+	}
+	counts := []struct {
+		field *int
+		value int
+	}{{&o.ColdRequests, 8}, {&o.ColdLimit, 2}, {&o.Batch, 16}, {&o.Queue, 256}, {&o.CacheBlocks, 1024}}
+	for _, n := range counts {
+		if *n.field == 0 {
+			*n.field = n.value
+		}
+		*n.field = max(*n.field, 0)
+	}
+	shares := []struct {
+		field *float64
+		value float64
+	}{{&o.ColdFactor, 4}, {&o.BatchFactor, 0.05}, {&o.EventDrop, 0.1}}
+	for _, s := range shares {
+		if *s.field == 0 {
+			*s.field = s.value
+		}
+		*s.field = max(*s.field, 0)
+	}
+	o.Batch = max(o.Batch, 1)
+	o.ColdFactor = max(o.ColdFactor, 1)
+	o.Poll = max(o.Poll, time.Millisecond)
+	return o
+}
+
+// Faults are the faults in effect. Setting them replaces all.
+type Faults struct {
+	// Pause stops everything, as a stopped process would.
+	Pause bool `json:"pause"`
+	// Silent stops the connections that are open now, and no others.
+	Silent bool `json:"silent"`
+	// TearAfter cuts a stream after this many tokens; zero cuts none.
+	TearAfter int `json:"tearAfter"`
+	// CrossAnswers names another replica in the headers of answers.
+	CrossAnswers bool `json:"crossAnswers"`
+	// ColdNow turns a warm engine cold.
+	ColdNow bool `json:"coldNow"`
+	// CrashOn crashes the engine when a prompt that has it starts to run.
+	CrashOn string `json:"crashOn"`
+	// Slow multiplies all times; zero stands for one.
+	Slow float64 `json:"slow"`
+}
--- /dev/null
+++ b/internal/standin/link/server.go
@@ -0,0 +1,185 @@
+package link
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/kernel/clock"
+)
+
+// maxBody leaves room for a value of 1 MiB in base64, and for one too large,
+// which the platform has to reject itself.
+const maxBody = 8 << 20
+
+// Server serves HTTP on one listener and knows its open connections.
+type Server struct {
+	handler fasthttp.RequestHandler
+
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+	conns    map[*Conn]struct{}
+}
+
+// NewServer returns a server for the handler.
+func NewServer(h fasthttp.RequestHandler) *Server {
+	return &Server{handler: h, conns: make(map[*Conn]struct{})}
+}
+
+// quiet drops the server's notes on connections that faults have cut.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Serve answers on the listener until Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listener = l
+	s.mu.Unlock()
+	server := fasthttp.Server{
+		Handler:            s.handler,
+		MaxRequestBodySize: maxBody,
+		NoDefaultDate:      true,
+		Logger:             quiet{},
+	}
+	return server.Serve(&listener{Listener: l, server: s})
+}
+
+// Close stops the listener and cuts every connection.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	l := s.listener
+	s.mu.Unlock()
+	var err error
+	if l != nil {
+		err = l.Close()
+	}
+	s.Cut()
+	return err
+}
+
+// Cut closes every open connection.
+func (s *Server) Cut() {
+	s.CutOthers(nil)
+}
+
+// CutOthers closes every open connection but the one given.
+func (s *Server) CutOthers(except *Conn) {
+	for _, c := range s.open() {
+		if c != except {
+			_ = c.Close()
+		}
+	}
+}
+
+// Silence stops every open connection from sending, but for the one given.
+func (s *Server) Silence(except *Conn) {
+	for _, c := range s.open() {
+		if c != except {
+			c.silent.Store(true)
+		}
+	}
+}
+
+func (s *Server) open() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conns := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (s *Server) forget(c *Conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: inner, server: l.server, gone: make(chan struct{})}
+	l.server.mu.Lock()
+	l.server.conns[c] = struct{}{}
+	closed := l.server.closed
+	l.server.mu.Unlock()
+	if closed {
+		_ = c.Close()
+	}
+	return c, nil
+}
+
+// Of returns the connection of a request.
+func Of(ctx *fasthttp.RequestCtx) *Conn {
+	c, ok := ctx.Conn().(*Conn)
+	if !ok {
+		// The handler runs under a server other than Server: there is no
+		// notice of a close, and faults act on this request alone.
+		return &Conn{Conn: ctx.Conn(), server: NewServer(nil), gone: make(chan struct{})}
+	}
+	return c
+}
+
+// Hold waits for the duration and reports whether it passed before the
+// connection was closed.
+func Hold(clk clock.Clock, c *Conn, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := clk.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-c.Gone():
+		return false
+	}
+}
+
+// Decode reads the body of a request into v. An empty body leaves v as it is.
+func Decode(ctx *fasthttp.RequestCtx, v any) error {
+	if len(ctx.PostBody()) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		return fmt.Errorf("body of %s: %w", ctx.Path(), err)
+	}
+	return nil
+}
+
+// Answer writes v as JSON.
+func Answer(ctx *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status, body = fasthttp.StatusInternalServerError, []byte(`{"error":{"message":"answer can't be encoded"}}`)
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// Refuse writes an error object as OpenAI's protocol has it.
+func Refuse(ctx *fasthttp.RequestCtx, status int, format string, args ...any) {
+	Answer(ctx, status, map[string]any{
+		"error": map[string]any{"message": fmt.Sprintf(format, args...), "type": "standin", "code": status},
+	})
+}
