Add the serving rule and the attestation of replicas

Cause: daemons need one view of which replicas are complete, without each of them reading every member.

Change: internal/fleet/replica has a Tracker that evaluates the members' reports, publishes attestations with boot and sequence, and exchanges them as the peer section replica. A digest carries a token that the delta returns, so that ages count from before the digest was sent.

--- a/internal/domain/report/report.go
+++ b/internal/domain/report/report.go
@@ -117,6 +117,9 @@
 	Version  ident.Version   `json:"version"`
 	Adapters []ident.Adapter `json:"adapters,omitempty"`
 	Members  []Member        `json:"members"`
+	// Leaving says that the replica gets no new work, since it will be taken
+	// apart as soon as it is idle.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Check reports what is wrong with an assignment, an instance that is in two
--- /dev/null
+++ b/internal/fleet/replica/attest.go
@@ -0,0 +1,228 @@
+package replica
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/report"
+	"cuminbay/internal/domain/unit"
+)
+
+// attestation is the newest that is known from one owner.
+type attestation struct {
+	boot     unit.Boot
+	sequence unit.Sequence
+	// changed is the sequence at which the states last changed.
+	changed unit.Sequence
+	// made is a time of the local clock that is not later than the time at
+	// which the owner evaluated the reports.
+	made   time.Time
+	states map[ident.Replica]State
+}
+
+// forgetAfter is the number of AttestStaleAfter after which the attestation of
+// a silent owner is dropped. It is kept for longer than it counts so that a
+// late copy of it is still recognised as old.
+const forgetAfter = 20
+
+// Publish evaluates the replicas that this daemon owns and attests them with a
+// new sequence.
+//
+// A replica that was just taken over is attested once every member has reported
+// or StaleAfter has passed, and one that was handed over for StaleAfter longer,
+// so that a move of the ownership does not interrupt the service. Two owners at
+// once do no harm, since both attest what the members reported.
+func (t *Tracker) Publish(owns func(ident.Replica) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.options.Clock.Now()
+	states := make(map[ident.Replica]State)
+	owned := make(map[ident.Replica]ownership)
+	for _, a := range t.assignments {
+		for i := range a.Replicas {
+			r := &a.Replicas[i]
+			o, ok := t.claim(r.ID, owns(r.ID), now)
+			if !ok {
+				continue
+			}
+			owned[r.ID] = o
+			s := t.evaluate(a.Domain, r, now)
+			if s.Serving || now.Sub(o.since) >= t.options.StaleAfter || t.heardAll(r) {
+				states[r.ID] = s
+			}
+		}
+	}
+	t.owned = owned
+	t.record(states, now)
+}
+
+func (t *Tracker) claim(id ident.Replica, owner bool, now time.Time) (ownership, bool) {
+	o, had := t.owned[id]
+	if owner {
+		if !had {
+			o.since = now
+		}
+		o.last = now
+		return o, true
+	}
+	return o, had && now.Sub(o.last) < t.options.StaleAfter
+}
+
+func (t *Tracker) heardAll(r *report.Replica) bool {
+	for _, m := range r.Members {
+		if _, ok := t.reports[m.Instance]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Tracker) record(states map[ident.Replica]State, now time.Time) {
+	own := t.owners[t.options.Self]
+	if own == nil || own.boot != t.options.Boot {
+		own = &attestation{boot: t.options.Boot}
+	}
+	next := &attestation{boot: own.boot, sequence: own.sequence + 1, changed: own.changed, made: now, states: own.states}
+	if next.sequence == 1 || !sameStates(own.states, states) {
+		next.changed, next.states = next.sequence, states
+	}
+	t.owners[t.options.Self] = next
+	for owner, a := range t.owners {
+		if now.Sub(a.made) > forgetAfter*t.options.AttestStaleAfter {
+			delete(t.owners, owner)
+		}
+	}
+}
+
+// sameStates reports whether peers need not be told of the difference. Small
+// changes of the counts are left out, since they change all the time and would
+// take most of the bytes of an exchange.
+func sameStates(a, b map[ident.Replica]State) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, s := range a {
+		u, ok := b[id]
+		if !ok || !closeTo(s.Running, u.Running) || !closeTo(s.Waiting, u.Waiting) {
+			return false
+		}
+		u.Running, u.Waiting = s.Running, s.Waiting
+		if !reflect.DeepEqual(s, u) {
+			return false
+		}
+	}
+	return true
+}
+
+// closeTo reports whether two counts differ by at most a quarter and agree on
+// being zero.
+func closeTo(a, b unit.Requests) bool {
+	const quarter = 4
+	return (a == 0) == (b == 0) && max(a-b, b-a)*quarter <= max(a, b)
+}
+
+// Attested returns the state of every replica as this daemon sees it, in order
+// of the ids.
+//
+// The rule when several daemons attest a replica: only attestations of the
+// highest epoch that was heard of count, from assignments, from attestations
+// and also from those that are stale, so an older epoch is never served. Of the
+// fresh ones the youngest decides, whatever it says. A "not serving" therefore
+// beats every older "serving", and one of a higher epoch beats all of a lower
+// one. An older "not serving" does not beat a younger "serving", since the
+// younger one rests on reports of every member that were fresh when it was made;
+// otherwise a former owner that lost its connection to a member could stop a
+// replica that serves.
+func (t *Tracker) Attested() []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.options.Clock.Now()
+	best := make(map[ident.Replica]State)
+	made := make(map[ident.Replica]time.Time)
+	for _, owner := range t.sortedOwners() {
+		a := t.owners[owner]
+		if now.Sub(a.made) >= t.options.AttestStaleAfter {
+			continue
+		}
+		for id, s := range a.states {
+			if s.Epoch != t.highest[id] || t.dropped(s) {
+				continue
+			}
+			if last, ok := made[id]; !ok || a.made.After(last) {
+				best[id], made[id] = s, a.made
+			}
+		}
+	}
+	t.complete(best)
+	all := make([]State, 0, len(best))
+	for _, s := range best {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b State) int { return cmp.Compare(a.Replica, b.Replica) })
+	return all
+}
+
+// complete adds the assigned replicas that nobody attests, and takes Leaving
+// from the assignment, which may be newer than the attestation.
+func (t *Tracker) complete(best map[ident.Replica]State) {
+	for _, a := range t.assignments {
+		for i := range a.Replicas {
+			r := &a.Replicas[i]
+			s, ok := best[r.ID]
+			if !ok {
+				s = describe(a.Domain, r)
+				s.Missing = []report.Missing{{Instance: r.Members[0].Instance, Reason: "no fresh attestation"}}
+			}
+			s.Leaving = s.Leaving || r.Leaving
+			if s.Epoch == r.Epoch {
+				s.Leaving = r.Leaving
+			}
+			best[r.ID] = s
+		}
+	}
+}
+
+// dropped reports whether the domain's assignment is newer than the state and
+// has the replica no more.
+func (t *Tracker) dropped(s State) bool {
+	a, ok := t.assignments[s.Domain]
+	if !ok || s.Epoch > a.Epoch {
+		return false
+	}
+	return !slices.ContainsFunc(a.Replicas, func(r report.Replica) bool {
+		return r.ID == s.Replica && r.Epoch == s.Epoch
+	})
+}
+
+func (t *Tracker) sortedOwners() []ident.Instance {
+	owners := make([]ident.Instance, 0, len(t.owners))
+	for o := range t.owners {
+		owners = append(owners, o)
+	}
+	slices.Sort(owners)
+	return owners
+}
+
+// Address is a member to probe.
+type Address = report.Member
+
+// Targets returns the members of the replicas that the function selects, in
+// order of their instances, and of those handed over a short time ago.
+func (t *Tracker) Targets(owns func(ident.Replica) bool) []Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.options.Clock.Now()
+	var targets []Address
+	for _, a := range t.assignments {
+		for _, r := range a.Replicas {
+			if _, ok := t.claim(r.ID, owns(r.ID), now); ok {
+				targets = append(targets, r.Members...)
+			}
+		}
+	}
+	slices.SortFunc(targets, func(a, b Address) int { return cmp.Compare(a.Instance, b.Instance) })
+	return targets
+}
--- /dev/null
+++ b/internal/fleet/replica/endpoints.go
@@ -0,0 +1,62 @@
+package replica
+
+import (
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/route/table"
+)
+
+// drains says what is out of service.
+type drains interface {
+	Out(dc ident.DataCentre) bool
+	OutInstance(i ident.Instance) bool
+}
+
+// Endpoints returns one endpoint for each replica that serves, is not leaving,
+// and has no member or data centre out of service. Deployments that the view
+// does not have give none, since nobody may use them.
+func Endpoints(dc ident.DataCentre, states []State, view *record.View, out drains) []table.Endpoint {
+	if view == nil || out.Out(dc) {
+		return nil
+	}
+	var endpoints []table.Endpoint
+	for i := range states {
+		s := &states[i]
+		d := view.Deployment(s.Deployment)
+		if d == nil || !s.Serving || s.Leaving || anyOut(s.Members, out) {
+			continue
+		}
+		endpoints = append(endpoints, endpoint(dc, s, d))
+	}
+	return endpoints
+}
+
+func endpoint(dc ident.DataCentre, s *State, d *record.Deployment) table.Endpoint {
+	e := table.Endpoint{
+		ID: ident.Endpoint(s.Replica), Protocol: table.Engine, DataCentre: dc, Address: s.Address,
+		Replica: s.Replica, Epoch: s.Epoch, Version: s.Version, Deployment: s.Deployment,
+		Models: []ident.Model{s.Model}, Organisations: d.Organisations,
+		Cold: s.Cold, Limit: limit(s, d), Running: s.Running, Waiting: s.Waiting,
+	}
+	for _, a := range s.Adapters {
+		e.Models = append(e.Models, ident.Model(a))
+	}
+	return e
+}
+
+func limit(s *State, d *record.Deployment) unit.Requests {
+	if s.Cold {
+		return d.ColdLimit
+	}
+	return d.Limit
+}
+
+func anyOut(members []ident.Instance, out drains) bool {
+	for _, m := range members {
+		if out.OutInstance(m) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/replica/exchange.go
@@ -0,0 +1,213 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/report"
+	"cuminbay/internal/domain/unit"
+)
+
+// token names a time of the daemon that made a digest. The peer returns it with
+// its delta, so that the ages in the delta are counted from before the digest
+// was sent: neither a stalled connection nor a pause of the reader can make an
+// attestation look younger than it is.
+type token struct {
+	Boot  unit.Boot     `json:"boot"`
+	Since time.Duration `json:"since"`
+}
+
+// known is what a daemon has from one owner.
+type known struct {
+	Boot     unit.Boot     `json:"boot"`
+	Sequence unit.Sequence `json:"sequence"`
+	Changed  unit.Sequence `json:"changed"`
+}
+
+type digest struct {
+	Token       token                       `json:"token"`
+	Owners      map[ident.Instance]known    `json:"owners,omitempty"`
+	Assignments map[ident.Domain]unit.Epoch `json:"assignments,omitempty"`
+}
+
+// heartbeat is an owner's attestation. States is nil if they are the ones of
+// the sequence Changed, which the peer has.
+type heartbeat struct {
+	Owner ident.Instance `json:"owner"`
+	known
+	Age    time.Duration `json:"age"`
+	States *[]State      `json:"states,omitempty"`
+}
+
+type delta struct {
+	Echo        token               `json:"echo"`
+	Heartbeats  []heartbeat         `json:"heartbeats,omitempty"`
+	Assignments []report.Assignment `json:"assignments,omitempty"`
+}
+
+// Section returns the name of the peer section.
+func (t *Tracker) Section() string { return "replica" }
+
+// Global returns false: replica states stay within their data centre.
+func (t *Tracker) Global() bool { return false }
+
+// Digest returns what is known of each owner and domain.
+func (t *Tracker) Digest() []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := digest{
+		Token:       token{Boot: t.options.Boot, Since: t.options.Clock.Since(t.start)},
+		Owners:      make(map[ident.Instance]known, len(t.owners)),
+		Assignments: make(map[ident.Domain]unit.Epoch, len(t.assignments)),
+	}
+	for owner, a := range t.owners {
+		d.Owners[owner] = a.known()
+	}
+	for domain, a := range t.assignments {
+		d.Assignments[domain] = a.Epoch
+	}
+	return encode(d)
+}
+
+func (a *attestation) known() known {
+	return known{Boot: a.boot, Sequence: a.sequence, Changed: a.changed}
+}
+
+// Delta returns what the sender of the digest lacks, or nil for nothing.
+func (t *Tracker) Delta(raw []byte) []byte {
+	var d digest
+	if len(raw) > 0 && json.Unmarshal(raw, &d) != nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := delta{Echo: d.Token}
+	now := t.options.Clock.Now()
+	for _, owner := range t.sortedOwners() {
+		a := t.owners[owner]
+		theirs := d.Owners[owner]
+		age := now.Sub(a.made)
+		if !newer(a.known(), theirs) || age >= t.options.AttestStaleAfter {
+			continue
+		}
+		h := heartbeat{Owner: owner, known: a.known(), Age: age}
+		if theirs.Boot != a.boot || theirs.Changed != a.changed {
+			states := make([]State, 0, len(a.states))
+			for _, s := range a.states {
+				states = append(states, s)
+			}
+			h.States = &states
+		}
+		out.Heartbeats = append(out.Heartbeats, h)
+	}
+	for domain, a := range t.assignments {
+		if a.Epoch > d.Assignments[domain] {
+			out.Assignments = append(out.Assignments, a)
+		}
+	}
+	if len(out.Heartbeats) == 0 && len(out.Assignments) == 0 {
+		return nil
+	}
+	return encode(out)
+}
+
+func newer(a, b known) bool {
+	if a.Boot != b.Boot {
+		return a.Boot > b.Boot
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Merge takes a delta. Heartbeats whose age can't be bounded, as they answer a
+// digest of an earlier boot of this daemon, are left out.
+//
+// Errors carry code.BadMessage.
+func (t *Tracker) Merge(from ident.Instance, raw []byte) error {
+	var d delta
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return code.BadMessage.Wrap(err, "section replica from %s", from)
+	}
+	for _, a := range d.Assignments {
+		if _, err := t.Assign(a); err != nil {
+			return code.BadMessage.Wrap(err, "section replica from %s", from)
+		}
+	}
+	if d.Echo.Boot != t.options.Boot {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.options.Clock.Now()
+	asked := t.start.Add(d.Echo.Since)
+	if asked.After(now) {
+		return code.BadMessage.New("section replica from %s: token of %s is in the future", from, d.Echo.Since)
+	}
+	for _, h := range d.Heartbeats {
+		if err := h.check(); err != nil {
+			return code.BadMessage.Wrap(err, "section replica from %s", from)
+		}
+		t.hear(h, asked.Add(-h.Age))
+	}
+	return nil
+}
+
+func (h *heartbeat) check() error {
+	if err := ident.CheckName(string(h.Owner)); err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	if h.Age < 0 || h.Changed > h.Sequence {
+		return fmt.Errorf("heartbeat of %s: age %s or changed %d is out of range", h.Owner, h.Age, h.Changed)
+	}
+	if h.States == nil {
+		return nil
+	}
+	for _, s := range *h.States {
+		if s.Replica == "" || s.Epoch == 0 || len(s.Members) == 0 {
+			return fmt.Errorf("heartbeat of %s: state of %q without epoch or members", h.Owner, s.Replica)
+		}
+	}
+	return nil
+}
+
+// hear takes a heartbeat if it is newer than what is known of the owner. One
+// without states is taken only if they are the known ones.
+func (t *Tracker) hear(h heartbeat, made time.Time) {
+	if h.Owner == t.options.Self {
+		return
+	}
+	old := t.owners[h.Owner]
+	if old != nil && !newer(h.known, old.known()) {
+		return
+	}
+	next := &attestation{boot: h.Boot, sequence: h.Sequence, changed: h.Changed, made: made}
+	switch {
+	case h.States != nil:
+		next.states = make(map[ident.Replica]State, len(*h.States))
+		for _, s := range *h.States {
+			next.states[s.Replica] = s
+			t.highest[s.Replica] = max(t.highest[s.Replica], s.Epoch)
+		}
+	case old != nil && old.boot == h.Boot && old.changed == h.Changed:
+		next.states = old.states
+	default:
+		return
+	}
+	// A later attestation was made after the earlier one.
+	if old != nil && old.boot == h.Boot && made.Before(old.made) {
+		next.made = old.made
+	}
+	t.owners[h.Owner] = next
+}
+
+// encode returns the JSON of a message of this package, whose types can't fail
+// to encode.
+func encode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/fleet/replica/settings.go
@@ -0,0 +1,36 @@
+package replica
+
+import (
+	"time"
+
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+// Settings is the section "replica".
+type Settings struct {
+	// ProbeInterval is the time between two reads of a member's report, and
+	// the limit of one read.
+	ProbeInterval settings.Duration `json:"probeInterval" validate:"duration"`
+	// StaleAfter is the age at which a report no longer counts.
+	StaleAfter settings.Duration `json:"staleAfter" validate:"duration"`
+	// AttestStaleAfter is the age at which an attestation no longer counts.
+	AttestStaleAfter settings.Duration `json:"attestStaleAfter" validate:"duration"`
+	// AssignInterval is the time between two reads of the assignments.
+	AssignInterval settings.Duration `json:"assignInterval" validate:"duration"`
+	// Probes bounds the members that are read at once.
+	Probes int `json:"probes" validate:"min=1,max=1024"`
+}
+
+func init() {
+	settings.Register(section, func() any {
+		return &Settings{
+			ProbeInterval:    settings.Of(500 * time.Millisecond),
+			StaleAfter:       settings.Of(2 * time.Second),
+			AttestStaleAfter: settings.Of(3 * time.Second),
+			AssignInterval:   settings.Of(time.Second),
+			Probes:           32,
+		}
+	})
+	plugin.Register(plugin.Duty, section, newPlugin)
+}
--- /dev/null
+++ b/internal/fleet/replica/tracker_test.go
@@ -0,0 +1,199 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/report"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/replica"
+)
+
+func newTracker(clk clockwork.Clock, self ident.Instance, boot unit.Boot) *replica.Tracker {
+	return replica.New(replica.Options{
+		Clock: clk, Self: self, DataCentre: "kirtipur", Boot: boot,
+		StaleAfter: 2 * time.Second, AttestStaleAfter: 3 * time.Second,
+	})
+}
+
+func place(id ident.Replica, epoch unit.Epoch, members ...ident.Instance) report.Replica {
+	r := report.Replica{ID: id, Deployment: "chat", Epoch: epoch, Model: "m", Version: "1"}
+	for _, m := range members {
+		r.Members = append(r.Members, report.Member{Instance: m, Address: string(m) + ":1"})
+	}
+	return r
+}
+
+func assignment(epoch unit.Epoch, replicas ...report.Replica) report.Assignment {
+	return report.Assignment{Domain: "rack", DataCentre: "kirtipur", Epoch: epoch, Replicas: replicas}
+}
+
+func reportOf(r report.Replica, rank int, boot unit.Boot, sequence unit.Sequence) *report.Report {
+	return &report.Report{
+		Instance: r.Members[rank].Instance, Boot: boot, Sequence: sequence, Ready: true,
+		Placement: report.Placement{
+			Replica: r.ID, Epoch: r.Epoch, Rank: unit.Rank(rank), Model: r.Model, Version: r.Version,
+		},
+	}
+}
+
+func always(ident.Replica) bool { return true }
+
+// exchange lets to learn what from knows.
+func exchange(c *qt.C, from, to *replica.Tracker) {
+	if d := from.Delta(to.Digest()); d != nil {
+		c.Assert(to.Merge("peer", d), qt.IsNil)
+	}
+}
+
+// TestServingRule guards against a replica that serves although a member
+// reports something else, or nothing that is fresh.
+func TestServingRule(t *testing.T) {
+	r := place("r", 5, "a", "b")
+	tests := map[string]struct {
+		change func(*report.Report)
+		age    time.Duration
+		reason string
+	}{
+		"complete":        {},
+		"other replica":   {change: func(p *report.Report) { p.Replica = "x" }, reason: "reports another replica"},
+		"idle":            {change: func(p *report.Report) { p.Placement = report.Placement{} }, reason: "reports another replica"},
+		"older epoch":     {change: func(p *report.Report) { p.Epoch = 4 }, reason: "reports another epoch"},
+		"rank":            {change: func(p *report.Report) { p.Rank = 0 }, reason: "reports another rank"},
+		"model":           {change: func(p *report.Report) { p.Model = "n" }, reason: "reports another model"},
+		"version":         {change: func(p *report.Report) { p.Version = "2" }, reason: "reports another model"},
+		"adapters":        {change: func(p *report.Report) { p.Adapters = []ident.Adapter{"z"} }, reason: "reports another model"},
+		"loading":         {change: func(p *report.Report) { p.Ready = false }, reason: "not ready"},
+		"just not stale":  {age: 2*time.Second - 1},
+		"stale":           {age: 2 * time.Second, reason: "stale report"},
+		"older than seen": {change: func(p *report.Report) { p.Boot, p.Replica = 0, "x" }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clockwork.NewFakeClock()
+			tr := newTracker(clk, "d1", 1)
+			_, err := tr.Assign(assignment(7, r))
+			c.Assert(err, qt.IsNil)
+			p := reportOf(r, 1, 1, 9)
+			asked := clk.Now()
+			if test.change != nil {
+				tr.Observe(reportOf(r, 1, 1, 8), asked)
+				test.change(p)
+			}
+			tr.Observe(p, asked)
+			clk.Advance(test.age)
+			tr.Observe(reportOf(r, 0, 1, 1), clk.Now())
+			tr.Publish(always)
+			s := tr.Attested()[0]
+			c.Assert(s.Serving, qt.Equals, test.reason == "")
+			if test.reason != "" {
+				clk.Advance(2 * time.Second)
+				tr.Observe(reportOf(r, 0, 1, 2), clk.Now())
+				if test.age == 0 {
+					again := *p
+					again.Sequence++
+					tr.Observe(&again, clk.Now())
+				}
+				tr.Publish(always)
+				c.Assert(tr.Attested()[0].Missing, qt.DeepEquals, []report.Missing{{Instance: "b", Reason: test.reason}})
+			}
+		})
+	}
+}
+
+// TestAttestationAge guards against a delta that was held up on its way, or
+// read late after a pause, being taken for fresh.
+func TestAttestationAge(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	r := place("r", 1, "a")
+	owner, other := newTracker(clk, "d1", 1), newTracker(clk, "d2", 1)
+	_, err := owner.Assign(assignment(1, r))
+	c.Assert(err, qt.IsNil)
+	owner.Observe(reportOf(r, 0, 1, 1), clk.Now())
+	owner.Publish(always)
+	delayed := owner.Delta(other.Digest())
+	exchange(c, owner, other)
+	c.Assert(other.Attested()[0].Serving, qt.IsTrue)
+	clk.Advance(3 * time.Second)
+	c.Assert(other.Merge("d1", delayed), qt.IsNil)
+	c.Assert(other.Attested()[0].Serving, qt.IsFalse)
+	restarted := newTracker(clk, "d2", 2)
+	c.Assert(restarted.Merge("d1", delayed), qt.IsNil)
+	c.Assert(restarted.Attested()[0].Serving, qt.IsFalse)
+}
+
+// TestDelta guards against states that are sent again although they have not
+// changed, which would exceed the bytes that the exchange may take.
+func TestDelta(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	r := place("r", 1, "a")
+	owner, other := newTracker(clk, "d1", 1), newTracker(clk, "d2", 1)
+	_, err := owner.Assign(assignment(1, r))
+	c.Assert(err, qt.IsNil)
+	for sequence := range 8 {
+		clk.Advance(500 * time.Millisecond)
+		owner.Observe(reportOf(r, 0, 1, unit.Sequence(sequence)), clk.Now())
+		owner.Publish(always)
+		d := owner.Delta(other.Digest())
+		if sequence > 0 {
+			c.Assert(string(d), qt.Not(qt.Contains), `"states"`)
+		}
+		c.Assert(other.Merge("d1", d), qt.IsNil)
+		c.Assert(other.Attested()[0].Serving, qt.IsTrue)
+	}
+	c.Assert(owner.Delta(other.Digest()), qt.IsNil)
+}
+
+type outage map[ident.Instance]bool
+
+func (o outage) Out(ident.DataCentre) bool         { return o["centre"] }
+func (o outage) OutInstance(i ident.Instance) bool { return o[i] }
+
+// TestEndpoints guards against new work for a replica that is leaving, out of
+// service in part, or without a record.
+func TestEndpoints(t *testing.T) {
+	d := &record.Deployment{Name: "chat", Limit: 8, ColdLimit: 2}
+	base := replica.State{
+		Replica: "r", Epoch: 1, Deployment: "chat", Model: "m", Adapters: []ident.Adapter{"z"},
+		Members: []ident.Instance{"a", "b"}, Serving: true,
+	}
+	tests := map[string]struct {
+		change func(*replica.State)
+		out    outage
+		limit  unit.Requests
+	}{
+		"warm":             {limit: 8},
+		"cold":             {change: func(s *replica.State) { s.Cold = true }, limit: 2},
+		"leaving":          {change: func(s *replica.State) { s.Leaving = true }},
+		"stopped":          {change: func(s *replica.State) { s.Serving = false }},
+		"no record":        {change: func(s *replica.State) { s.Deployment = "x" }},
+		"member out":       {out: outage{"b": true}},
+		"data centre out":  {out: outage{"centre": true}},
+		"other member out": {out: outage{"c": true}, limit: 8},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := base
+			if test.change != nil {
+				test.change(&s)
+			}
+			view := record.NewView([]*record.Record{{Deployment: d}})
+			got := replica.Endpoints("kirtipur", []replica.State{s}, view, test.out)
+			if test.limit == 0 {
+				c.Assert(got, qt.HasLen, 0)
+				return
+			}
+			c.Assert(got[0].Limit, qt.Equals, test.limit)
+			c.Assert(got[0].Models, qt.DeepEquals, []ident.Model{"m", "z"})
+		})
+	}
+}
