--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -114,8 +114,24 @@
 // one. It is deterministic, and once its assignment is written and obeyed it
 // returns no change.
 func Plan(in Input) Output {
+	p := newPlanner(&in)
+	p.leave()
+	p.repair()
+	p.form()
+	p.raise()
+	out := Output{Next: p.assignment(), Voluntary: p.voluntary, Reasons: p.reasons, Have: p.have()}
+	out.Orders = p.orders(out.Next)
+	return out
+}
+
+// Orders returns the orders for the current assignment alone.
+func Orders(in Input) []Order {
+	return newPlanner(&in).orders(nil)
+}
+
+func newPlanner(in *Input) *planner {
 	p := &planner{
-		Input:     &in,
+		Input:     in,
 		instances: make(map[ident.Instance]*Instance, len(in.Instances)),
 		wants:     make(map[ident.Deployment]*Want, len(in.Wants)),
 		fresh:     make(map[ident.Replica]bool),
@@ -134,13 +150,7 @@
 		p.next = append(p.next, r)
 	}
 	p.findSpares()
-	p.leave()
-	p.repair()
-	p.form()
-	p.raise()
-	out := Output{Next: p.assignment(), Voluntary: p.voluntary, Reasons: p.reasons, Have: p.have()}
-	out.Orders = p.orders(out.Next)
-	return out
+	return p
 }
 
 func (p *planner) because(r ident.Replica, reason string) {
--- a/internal/fleet/plan/round.go
+++ b/internal/fleet/plan/round.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cuminbay/internal/domain/ident"
-	"cuminbay/internal/domain/record"
 )
 
 // Round plans every domain of a data centre and returns the outputs by domain.
@@ -103,22 +102,13 @@
 // standing counts the replicas of a domain that stay as far as can be told
 // before it is planned. One that leaves to be formed again is counted.
 func standing(in *Input) map[ident.Deployment]int {
-	p := &planner{Input: in, instances: make(map[ident.Instance]*Instance, len(in.Instances))}
-	for i := range in.Instances {
-		p.instances[in.Instances[i].ID] = &in.Instances[i]
-	}
-	deployments := make(map[ident.Deployment]*record.Deployment, len(in.Wants))
-	for _, w := range in.Wants {
-		deployments[w.Deployment.Name] = w.Deployment
-	}
-	p.next = in.Current.Replicas
-	p.findSpares()
+	p := newPlanner(in)
 	count := make(map[ident.Deployment]int)
 	for i := range in.Current.Replicas {
 		r := &in.Current.Replicas[i]
 		dead := len(p.deadMembers(*r))
-		d := deployments[r.Deployment]
-		reform := dead > 0 || d != nil && outdated(r, d)
+		w := p.wants[r.Deployment]
+		reform := dead > 0 || w != nil && outdated(r, w.Deployment)
 		if (!r.Leaving || reform) && (in.Serving[r.ID] || dead <= len(p.spares)) {
 			count[r.Deployment]++
 		}
