--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -42,6 +42,9 @@
 
 	// Cold says that the endpoint bears only what it was granted.
 	Cold bool
+	// ColdLimit bounds the requests at once from all daemons of the data
+	// centre while the endpoint is cold; zero stands for the default.
+	ColdLimit unit.Requests
 	// Limit bounds the requests at once from this daemon.
 	Limit unit.Requests
 	// Running and Waiting are the endpoint's own last reported counts.
