--- /dev/null
+++ b/internal/fleet/cold/plugin.go
@@ -0,0 +1,253 @@
+package cold
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/table"
+)
+
+// Settings are the section "cold".
+type Settings struct {
+	// Interval is the time between two messages to an owner.
+	Interval settings.Duration `json:"interval" validate:"duration"`
+	// TTL is the time of a delegation.
+	TTL settings.Duration `json:"ttl" validate:"duration"`
+	// MaxHold is how long the requests of a silent daemon count as in
+	// flight. It should exceed the longest request.
+	MaxHold settings.Duration `json:"maxHold" validate:"duration"`
+	// Limit is the limit of cold endpoints that don't have their own.
+	Limit unit.Requests `json:"limit" validate:"min=1"`
+	// SuspectHold is how long an endpoint that reports itself warm is taken
+	// for cold because of slow first tokens.
+	SuspectHold settings.Duration `json:"suspectHold" validate:"duration"`
+}
+
+func defaults() any {
+	return &Settings{
+		Interval:    settings.Of(300 * time.Millisecond),
+		TTL:         settings.Of(2 * time.Second),
+		MaxHold:     settings.Of(time.Minute),
+		Limit:       2,
+		SuspectHold: settings.Of(10 * time.Second),
+	}
+}
+
+func init() {
+	settings.Register("cold", defaults)
+	plugin.Register(plugin.Duty, "cold", func(d *plugin.Deps) (plugin.Plugin, error) {
+		p := newPlugin(d.Settings.Section("cold").(*Settings), d.Clock)
+		p.deps, p.log = d, d.Log
+		d.Provide(p)
+		return p, nil
+	})
+}
+
+type members interface {
+	Self() ident.Instance
+	Owner(key string) ident.Instance
+	Known() int
+}
+
+type asker interface {
+	Ask(ctx context.Context, to ident.Instance, topic string, body []byte) ([]byte, error)
+}
+
+// demand is implemented by what knows how many requests wait for an endpoint.
+type demand interface {
+	Waiting(e ident.Endpoint) unit.Requests
+}
+
+const topic = "cold"
+
+// Plugin sends the asks of this daemon and answers those of others.
+type Plugin struct {
+	plugin.Loops
+	deps     *plugin.Deps
+	log      zerolog.Logger
+	clock    clock.Clock
+	settings *Settings
+	members  members
+	peers    asker
+	demand   demand
+	tables   *table.Publisher
+
+	mu          sync.Mutex
+	quota       *Quota
+	delegations *Delegations
+	busy        map[ident.Instance]bool
+	suspects    map[ident.Endpoint]time.Time
+}
+
+func newPlugin(s *Settings, clk clock.Clock) *Plugin {
+	now := clk.Now()
+	o := Options{Boot: uint64(now.UnixNano()), Start: now, TTL: s.TTL.Duration, MaxHold: s.MaxHold.Duration}
+	return &Plugin{
+		clock: clk, settings: s, quota: NewQuota(o), delegations: NewDelegations(o),
+		busy: make(map[ident.Instance]bool), suspects: make(map[ident.Endpoint]time.Time),
+	}
+}
+
+// publisher is satisfied by *table.Publisher.
+type publisher interface {
+	Current() *table.Table
+	Publish(endpoints []table.Endpoint) bool
+}
+
+// Start begins to ask for grants.
+func (p *Plugin) Start(context.Context) error {
+	var tables publisher
+	for _, need := range []any{&p.members, &p.peers, &tables} {
+		if err := p.deps.Need(need); err != nil {
+			return fmt.Errorf("cold: %w", err)
+		}
+	}
+	found, ok := tables.(*table.Publisher)
+	if !ok {
+		return fmt.Errorf("cold: the table is published by a %T", tables)
+	}
+	p.tables = found
+	if err := p.deps.Need(&p.demand); err != nil {
+		p.log.Debug().Msg("cold-demand-unknown")
+	}
+	p.Every(p.clock, p.settings.Interval.Duration, p.round)
+	return nil
+}
+
+// round asks each owner once for all its endpoints. An owner whose answer is
+// outstanding is left out, so that a slow one delays nobody else.
+func (p *Plugin) round(context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.quota.Forget(now, p.settings.MaxHold.Duration)
+	p.delegations.Forget(now)
+	for owner, asks := range p.asks(now) {
+		p.busy[owner] = true
+		p.Go(func(ctx context.Context) { p.ask(ctx, owner, asks) })
+	}
+}
+
+func (p *Plugin) asks(now time.Time) map[ident.Instance][]Ask {
+	asks := make(map[ident.Instance][]Ask)
+	for _, e := range p.tables.Current().Endpoints() {
+		if e.Protocol != table.Engine || !p.cold(e, now) {
+			continue
+		}
+		owner := p.members.Owner("replica/" + string(e.ID))
+		if owner == "" || p.busy[owner] {
+			continue
+		}
+		need := Need{
+			Endpoint: e.ID, Owner: owner, Limit: e.ColdLimit, Daemons: int64(max(p.members.Known(), 1)),
+			InFlight: e.Load.InFlight(),
+		}
+		if need.Limit <= 0 {
+			need.Limit = p.settings.Limit
+		}
+		need.Demand = need.Limit
+		if p.demand != nil {
+			need.Demand = need.InFlight + p.demand.Waiting(e.ID)
+		}
+		asks[owner] = append(asks[owner], p.quota.Ask(need, now))
+	}
+	return asks
+}
+
+// cold reports whether the endpoint takes granted requests only. Other daemons
+// may see a suspect endpoint as warm and delegate nothing for it. It would then
+// never get the request that could clear it, so the suspicion ends by itself.
+func (p *Plugin) cold(e *table.Endpoint, now time.Time) bool {
+	if e.Cold || !e.Load.Suspect() {
+		delete(p.suspects, e.ID)
+		return e.Cold
+	}
+	since, known := p.suspects[e.ID]
+	if !known {
+		p.suspects[e.ID] = now
+		return true
+	}
+	if now.Sub(since) > p.settings.SuspectHold.Duration {
+		delete(p.suspects, e.ID)
+		e.Load.Clear()
+		return false
+	}
+	return true
+}
+
+func (p *Plugin) ask(ctx context.Context, owner ident.Instance, asks []Ask) {
+	grants, err := p.send(ctx, owner, asks)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, owner)
+	if err != nil {
+		p.log.Debug().Err(err).Str("owner", string(owner)).Msg("cold-ask-failed")
+		return
+	}
+	current := p.tables.Current()
+	for _, g := range grants {
+		n, until, ok := p.quota.Accept(owner, g)
+		if e := current.Endpoint(g.Endpoint); ok && e != nil {
+			e.Load.Grant(n, until)
+		}
+	}
+}
+
+func (p *Plugin) send(ctx context.Context, owner ident.Instance, asks []Ask) ([]Grant, error) {
+	if owner == p.members.Self() {
+		return p.grants(owner, asks), nil
+	}
+	body, err := json.Marshal(asks)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := p.peers.Ask(ctx, owner, topic, body)
+	if err != nil {
+		return nil, err
+	}
+	var grants []Grant
+	if err := json.Unmarshal(answer, &grants); err != nil {
+		return nil, code.BadMessage.Wrap(err, "cold: answer of %s", owner)
+	}
+	return grants, nil
+}
+
+// Topic is the topic that daemons ask for grants with.
+func (p *Plugin) Topic() string { return topic }
+
+// Answer takes the delegations of another daemon and returns its grants.
+func (p *Plugin) Answer(_ context.Context, from ident.Instance, body []byte) ([]byte, error) {
+	var asks []Ask
+	if err := json.Unmarshal(body, &asks); err != nil {
+		return nil, code.BadMessage.Wrap(err, "cold: asks of %s", from)
+	}
+	for i := range asks {
+		if err := asks[i].Check(); err != nil {
+			return nil, code.BadMessage.Wrap(err, "cold: asks of %s", from)
+		}
+	}
+	return json.Marshal(p.grants(from, asks))
+}
+
+func (p *Plugin) grants(from ident.Instance, asks []Ask) []Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	grants := make([]Grant, 0, len(asks))
+	for _, a := range asks {
+		// The clock is read per ask: a time read before a pause would make
+		// the token and the grants too old, never too new.
+		grants = append(grants, p.delegations.Answer(from, a, p.clock.Now()))
+	}
+	return grants
+}
--- /dev/null
+++ b/internal/fleet/drain/drain.go
@@ -0,0 +1,234 @@
+// Package drain keeps what is out of service: a last-writer-wins mark per data
+// centre or instance.
+package drain
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/kernel/timeline"
+)
+
+// Kind says what a mark is about.
+type Kind string
+
+// The kinds.
+const (
+	DataCentre Kind = "datacentre"
+	Instance   Kind = "instance"
+)
+
+// Target is a data centre or an instance.
+type Target struct {
+	Kind Kind   `json:"kind"`
+	ID   string `json:"id"`
+}
+
+// String returns kind/id, which is also the end of the mark's platform key.
+func (t Target) String() string { return string(t.Kind) + "/" + t.ID }
+
+// Check reports what is wrong with a target.
+func (t Target) Check() error {
+	if t.Kind != DataCentre && t.Kind != Instance {
+		return fmt.Errorf("kind %q is not one of %s, %s", t.Kind, DataCentre, Instance)
+	}
+	if err := ident.CheckName(t.ID); err != nil {
+		return fmt.Errorf("id of %s: %w", t.Kind, err)
+	}
+	return nil
+}
+
+// Mark says whether a target is out of service. Of two marks of a target the
+// one with the higher stamp wins. Marks are never removed, since a lost one
+// would let an older one win.
+type Mark struct {
+	Target Target         `json:"target"`
+	Out    bool           `json:"out"`
+	Stamp  timeline.Stamp `json:"stamp"`
+	By     ident.Instance `json:"by"`
+}
+
+// Check reports what is wrong with a mark.
+func (m *Mark) Check() error {
+	if err := m.Target.Check(); err != nil {
+		return err
+	}
+	if m.Stamp == 0 {
+		return fmt.Errorf("mark of %s has no stamp", m.Target)
+	}
+	return nil
+}
+
+// Newer reports whether the mark wins over the other. Equal stamps of two
+// daemons are ordered by the daemon's name.
+func (m *Mark) Newer(other *Mark) bool {
+	if m.Stamp != other.Stamp {
+		return m.Stamp > other.Stamp
+	}
+	return m.By > other.By
+}
+
+// hybrid is the clock that stamps marks and refuses stamps far ahead.
+type hybrid interface {
+	Now() timeline.Stamp
+	Observe(s timeline.Stamp) error
+}
+
+type marks map[Target]Mark
+
+// Marks holds the marks. Reads take no lock.
+type Marks struct {
+	self    ident.Instance
+	hybrid  hybrid
+	mu      sync.Mutex
+	current atomic.Pointer[marks]
+}
+
+// Options are the parts of Marks.
+type Options struct {
+	Self   ident.Instance
+	Hybrid hybrid
+}
+
+// New returns an empty set of marks.
+func New(o Options) *Marks {
+	m := &Marks{self: o.Self, hybrid: o.Hybrid}
+	m.current.Store(&marks{})
+	return m
+}
+
+// Out reports whether the data centre is out of service.
+func (m *Marks) Out(d ident.DataCentre) bool {
+	return (*m.current.Load())[Target{DataCentre, string(d)}].Out
+}
+
+// OutInstance reports whether the instance is out of service.
+func (m *Marks) OutInstance(i ident.Instance) bool {
+	return (*m.current.Load())[Target{Instance, string(i)}].Out
+}
+
+// Marks returns all marks in order of their targets.
+func (m *Marks) Marks() []Mark {
+	current := *m.current.Load()
+	all := make([]Mark, 0, len(current))
+	for _, mark := range current {
+		all = append(all, mark)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Target.String() < all[j].Target.String() })
+	return all
+}
+
+// Get returns the mark of the target, if there is one.
+func (m *Marks) Get(t Target) (Mark, bool) {
+	mark, ok := (*m.current.Load())[t]
+	return mark, ok
+}
+
+// Put makes and applies a new mark.
+func (m *Marks) Put(t Target, out bool) (Mark, error) {
+	if err := t.Check(); err != nil {
+		return Mark{}, code.BadRecord.Wrap(err, "drain")
+	}
+	mark := Mark{Target: t, Out: out, Stamp: m.hybrid.Now(), By: m.self}
+	m.apply(mark)
+	return mark, nil
+}
+
+// Hear applies a mark from elsewhere and reports whether it was news. A mark
+// more than a minute ahead of the local clock is refused: it would win over
+// every later one.
+func (m *Marks) Hear(mark Mark) (bool, error) {
+	if err := mark.Check(); err != nil {
+		return false, code.BadMessage.Wrap(err, "drain")
+	}
+	if err := m.hybrid.Observe(mark.Stamp); err != nil {
+		return false, err
+	}
+	return m.apply(mark), nil
+}
+
+func (m *Marks) apply(mark Mark) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := *m.current.Load()
+	if before, ok := old[mark.Target]; ok && !mark.Newer(&before) {
+		return false
+	}
+	next := make(marks, len(old)+1)
+	for t, v := range old {
+		next[t] = v
+	}
+	next[mark.Target] = mark
+	m.current.Store(&next)
+	return true
+}
+
+// buckets bounds what is sent again after one mark has changed.
+const buckets = 16
+
+func bucket(t Target) uint64 { return xxhash.Sum64String(t.String()) % buckets }
+
+// Digest is one hash per bucket of targets; nil without marks.
+func (m *Marks) Digest() []byte {
+	current := *m.current.Load()
+	if len(current) == 0 {
+		return nil
+	}
+	var sums [buckets]uint64
+	for t, mark := range current {
+		var stamp [8]byte
+		binary.LittleEndian.PutUint64(stamp[:], uint64(mark.Stamp))
+		h := xxhash.New()
+		_, _ = h.WriteString(t.String())
+		_, _ = h.Write(stamp[:])
+		_, _ = h.WriteString(string(mark.By))
+		sums[bucket(t)] ^= h.Sum64()
+	}
+	var digest []byte
+	for _, s := range sums {
+		digest = binary.LittleEndian.AppendUint32(digest, uint32(s))
+	}
+	return digest
+}
+
+// Delta returns the marks of the buckets in which the digest differs.
+func (m *Marks) Delta(digest []byte) []byte {
+	own := m.Digest()
+	if own == nil {
+		return nil
+	}
+	const width = 4
+	var send []Mark
+	for _, mark := range m.Marks() {
+		at := bucket(mark.Target) * width
+		if len(digest) == len(own) && string(digest[at:at+width]) == string(own[at:at+width]) {
+			continue
+		}
+		send = append(send, mark)
+	}
+	if len(send) == 0 {
+		return nil
+	}
+	raw, err := json.Marshal(send)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// decode reads a delta.
+func decode(delta []byte) ([]Mark, error) {
+	var got []Mark
+	if err := json.Unmarshal(delta, &got); err != nil {
+		return nil, code.BadMessage.Wrap(err, "drain: delta")
+	}
+	return got, nil
+}
--- /dev/null
+++ b/internal/fleet/drain/plugin.go
@@ -0,0 +1,284 @@
+package drain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
+)
+
+func init() {
+	plugin.Register(plugin.Decision, "drain", func(d *plugin.Deps) (plugin.Plugin, error) {
+		self := d.Settings.Daemon.Instance
+		p := newPlugin(New(Options{Self: self, Hybrid: d.Timeline}), d.Clock)
+		p.deps, p.log, p.timeline = d, d.Log, d.Timeline
+		d.Provide(p)
+		d.Provide(&inflight{deps: d})
+		return p, nil
+	})
+}
+
+type members interface {
+	Self() ident.Instance
+	Owners(key string, n int) []ident.Instance
+}
+
+type platform interface {
+	List(ctx context.Context, prefix store.Key) ([]store.Entry, unit.Revision, error)
+	Swap(ctx context.Context, s store.Swap) (store.Entry, store.Result, error)
+}
+
+type events interface {
+	Record(name, subject string, pairs ...string)
+}
+
+// Times of the work in the background.
+const (
+	writeInterval = time.Second
+	readInterval  = 5 * time.Second
+	callTimeout   = 3 * time.Second
+	// readers is the number of daemons of a data centre that read the
+	// platform; the others hear from them.
+	readers = 2
+)
+
+// Plugin propagates the marks by peers and platform.
+type Plugin struct {
+	*Marks
+	plugin.Loops
+	deps     *plugin.Deps
+	log      zerolog.Logger
+	clock    clock.Clock
+	timeline events
+	members  members
+	platform platform
+
+	mu sync.Mutex
+	// unwritten are the targets whose mark the platform may lack.
+	unwritten map[Target]bool
+	wake      chan struct{}
+	read      bool
+}
+
+func newPlugin(m *Marks, clk clock.Clock) *Plugin {
+	return &Plugin{Marks: m, clock: clk, unwritten: make(map[Target]bool), wake: make(chan struct{}, 1)}
+}
+
+// Start begins to read and write the platform.
+func (p *Plugin) Start(context.Context) error {
+	if err := errors.Join(p.deps.Need(&p.members), p.deps.Need(&p.platform)); err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	p.Go(p.writeLoop)
+	p.Every(p.clock, readInterval, p.readOnce)
+	return nil
+}
+
+// Set takes the target out of service or returns it. It is in effect at this
+// daemon on return; peers and platform follow in the background.
+func (p *Plugin) Set(_ context.Context, t Target, out bool) error {
+	mark, err := p.Put(t, out)
+	if err != nil {
+		return err
+	}
+	p.timeline.Record("drain-set", t.String(), "out", strconv.FormatBool(out), "stamp", mark.Stamp.String())
+	p.enqueue(t)
+	return nil
+}
+
+// Section is the peer section's name.
+func (p *Plugin) Section() string { return "drain" }
+
+// Global says that the marks go to every data centre.
+func (p *Plugin) Global() bool { return true }
+
+// Merge applies the marks of a peer. A refused mark doesn't stop the others.
+func (p *Plugin) Merge(from ident.Instance, delta []byte) error {
+	got, err := decode(delta)
+	if err != nil {
+		return err
+	}
+	var failures []error
+	for _, mark := range got {
+		failures = append(failures, p.hear(mark, string(from)))
+	}
+	return errors.Join(failures...)
+}
+
+func (p *Plugin) hear(mark Mark, from string) error {
+	news, err := p.Hear(mark)
+	if news {
+		p.timeline.Record("drain-heard", mark.Target.String(), "out", strconv.FormatBool(mark.Out),
+			"stamp", mark.Stamp.String(), "by", string(mark.By), "from", from)
+	}
+	return err
+}
+
+func (p *Plugin) enqueue(t Target) {
+	p.mu.Lock()
+	p.unwritten[t] = true
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// writeLoop writes new marks at once and those that failed once an interval.
+func (p *Plugin) writeLoop(ctx context.Context) {
+	for {
+		timer := p.clock.NewTimer(clock.Jitter(writeInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-p.wake:
+		case <-timer.Chan():
+		}
+		timer.Stop()
+		p.mu.Lock()
+		targets := make([]Target, 0, len(p.unwritten))
+		for t := range p.unwritten {
+			targets = append(targets, t)
+		}
+		p.mu.Unlock()
+		for _, t := range targets {
+			p.write(ctx, t)
+		}
+	}
+}
+
+// write stores the current mark unless the platform has a newer one. The first
+// try takes the key to be absent; a lost swap returns the current entry.
+func (p *Plugin) write(ctx context.Context, t Target) {
+	mark, _ := p.Get(t)
+	raw, err := json.Marshal(mark)
+	if err != nil {
+		return
+	}
+	swap := store.Swap{Key: store.Drains + store.Key(t.String()), Value: raw}
+	const tries = 4
+	for range tries {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		entry, result, err := p.platform.Swap(limited, swap)
+		cancel()
+		switch result {
+		case store.Done:
+			p.written(mark)
+			return
+		case store.Lost:
+			if there, ok := p.stored(entry); ok && !mark.Newer(&there) {
+				p.written(mark)
+				return
+			}
+			swap.Old = entry.Revision
+		default:
+			p.log.Debug().Err(err).Str("target", t.String()).Msg("drain-write-unknown")
+			return
+		}
+	}
+}
+
+// written ends the writing of the mark's target unless there is a newer mark.
+func (p *Plugin) written(mark Mark) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if current, _ := p.Get(mark.Target); current == mark || !current.Newer(&mark) {
+		delete(p.unwritten, mark.Target)
+	}
+}
+
+// stored decodes and applies a mark of the platform.
+func (p *Plugin) stored(e store.Entry) (Mark, bool) {
+	var mark Mark
+	if err := json.Unmarshal(e.Value, &mark); err != nil {
+		p.log.Warn().Err(err).Str("key", string(e.Key)).Msg("drain-mark-malformed")
+		return Mark{}, false
+	}
+	if err := p.hear(mark, "platform"); err != nil {
+		p.log.Warn().Err(err).Str("key", string(e.Key)).Msg("drain-mark-refused")
+		return Mark{}, false
+	}
+	return mark, true
+}
+
+// readOnce reads the platform's marks, once after the start and then if this
+// daemon is one of the readers. The readers also write marks that the platform
+// lacks, since the daemon that set one may be gone.
+func (p *Plugin) readOnce(ctx context.Context) {
+	reader := slices.Contains(p.members.Owners("drain", readers), p.members.Self())
+	if p.read && !reader {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, _, err := p.platform.List(limited, store.Drains)
+	if err != nil {
+		p.log.Debug().Err(err).Msg("drain-read-failed")
+		return
+	}
+	p.read = true
+	there := make(map[Target]Mark, len(entries))
+	for _, e := range entries {
+		if mark, ok := p.stored(e); ok {
+			there[mark.Target] = mark
+		}
+	}
+	if !reader {
+		return
+	}
+	for _, mark := range p.Marks.Marks() {
+		if old, ok := there[mark.Target]; !ok || mark.Newer(&old) {
+			p.enqueue(mark.Target)
+		}
+	}
+}
+
+// InFlightQuestion is the body of a question of topic "inflight".
+type InFlightQuestion struct {
+	Endpoint ident.Endpoint `json:"endpoint"`
+}
+
+// InFlightAnswer is the number of requests in flight from one daemon.
+type InFlightAnswer struct {
+	Requests unit.Requests `json:"requests"`
+}
+
+type counter interface {
+	InFlightTo(e ident.Endpoint) unit.Requests
+}
+
+// inflight answers how many requests of this daemon an endpoint has, so that a
+// planned stop can wait for them.
+type inflight struct {
+	deps *plugin.Deps
+}
+
+// Topic is the topic's name.
+func (i *inflight) Topic() string { return "inflight" }
+
+// Answer returns the count as an InFlightAnswer.
+func (i *inflight) Answer(_ context.Context, from ident.Instance, body []byte) ([]byte, error) {
+	var q InFlightQuestion
+	if err := json.Unmarshal(body, &q); err != nil {
+		return nil, code.BadMessage.Wrap(err, "inflight: question of %s", from)
+	}
+	var requests counter
+	if err := i.deps.Need(&requests); err != nil {
+		return nil, code.Internal.Wrap(err, "inflight")
+	}
+	return json.Marshal(InFlightAnswer{Requests: requests.InFlightTo(q.Endpoint)})
+}
--- /dev/null
+++ b/internal/fleet/member/owner.go
@@ -0,0 +1,96 @@
+package member
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cuminbay/internal/domain/ident"
+)
+
+// Self returns this daemon.
+func (v *View) Self() ident.Instance { return v.options.Self.Instance }
+
+// believed returns the snapshot, or nil while the view is out of date: after
+// the start, and after a pause until the loop has run and somebody was heard.
+func (v *View) believed() *snapshot {
+	s := v.snapshot.Load()
+	now := v.options.Clock.Now()
+	if now.Sub(s.tick) > v.options.DeadAfter || now.Before(s.unknownUntil) {
+		return nil
+	}
+	return s
+}
+
+// Live returns the daemons of the own data centre that may have duties, this
+// one included; nil while the view is out of date. It must not be changed.
+func (v *View) Live() []ident.Instance {
+	s := v.believed()
+	if s == nil {
+		return nil
+	}
+	return s.live
+}
+
+// Known returns the number of daemons of the own data centre in the roster or
+// alive, this one included.
+func (v *View) Known() int { return v.snapshot.Load().known }
+
+// Peers returns the other daemons of all data centres, dead ones included. It
+// must not be changed.
+func (v *View) Peers() []Peer { return v.snapshot.Load().peers }
+
+// Owner returns the daemon that has the duty of that key; empty if there is
+// none or the view is out of date.
+func (v *View) Owner(key string) ident.Instance {
+	s := v.believed()
+	if s == nil {
+		return ""
+	}
+	hash := xxhash.Sum64String(key)
+	var owner ident.Instance
+	var best uint64
+	for i, id := range s.live {
+		if w := weight(hash, s.hashes[i]); owner == "" || w > best {
+			owner, best = id, w
+		}
+	}
+	return owner
+}
+
+// Owners returns up to n daemons for the key, its owner first.
+func (v *View) Owners(key string, n int) []ident.Instance {
+	s := v.believed()
+	if s == nil || n <= 0 {
+		return nil
+	}
+	hash := xxhash.Sum64String(key)
+	owners := make([]ident.Instance, 0, n+1)
+	weights := make([]uint64, 0, n+1)
+	for i, id := range s.live {
+		w := weight(hash, s.hashes[i])
+		at := len(weights)
+		for at > 0 && weights[at-1] < w {
+			at--
+		}
+		if at == n {
+			continue
+		}
+		owners = append(owners, "")
+		weights = append(weights, 0)
+		copy(owners[at+1:], owners[at:])
+		copy(weights[at+1:], weights[at:])
+		owners[at], weights[at] = id, w
+		if len(owners) > n {
+			owners, weights = owners[:n], weights[:n]
+		}
+	}
+	return owners
+}
+
+// weight mixes the hashes of key and daemon with the finaliser of splitmix64,
+// so that a key need be hashed only once.
+func weight(key, daemon uint64) uint64 {
+	x := key ^ daemon
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/fleet/member/plugin.go
@@ -0,0 +1,108 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/roster"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+// Seed is a daemon that the settings name, for the first contact.
+type Seed struct {
+	Instance   ident.Instance   `json:"instance" validate:"required,name"`
+	DataCentre ident.DataCentre `json:"dataCentre" validate:"required,name"`
+	Address    string           `json:"address" validate:"required,address"`
+}
+
+// Settings are the section "member".
+type Settings struct {
+	Seeds []Seed `json:"seeds" validate:"dive"`
+	// DeadAfter is the silence after which a daemon of the own data centre
+	// loses its duties.
+	DeadAfter settings.Duration `json:"deadAfter" validate:"duration"`
+	// FarDeadAfter is the same for daemons of other data centres, which are
+	// heard of less often.
+	FarDeadAfter settings.Duration `json:"farDeadAfter" validate:"duration"`
+	// Address and Caller are how others reach the peer listener and the
+	// listener for callers. If empty, the roster's entry is used.
+	Address string `json:"address" validate:"omitempty,address"`
+	Caller  string `json:"caller" validate:"omitempty,address"`
+}
+
+func defaults() any {
+	return &Settings{DeadAfter: settings.Of(3 * time.Second), FarDeadAfter: settings.Of(15 * time.Second)}
+}
+
+func init() {
+	settings.Register("member", defaults)
+	plugin.Register(plugin.Decision, "member", newPlugin)
+}
+
+type instances interface {
+	Instances() []roster.Instance
+}
+
+// Plugin keeps the view up to date.
+type Plugin struct {
+	*View
+	plugin.Loops
+	deps   *plugin.Deps
+	roster instances
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	s := d.Settings.Section("member").(*Settings)
+	p := &Plugin{deps: d}
+	p.View = New(Options{
+		Self: Entry{
+			Instance: d.Settings.Daemon.Instance, DataCentre: d.Settings.Daemon.DataCentre,
+			Address: s.Address, Caller: s.Caller, Boot: unit.Boot(d.Clock.Now().UnixNano()),
+		},
+		Clock: d.Clock, DeadAfter: s.DeadAfter.Duration, FarDeadAfter: s.FarDeadAfter.Duration,
+		Seeds: s.Seeds,
+	})
+	d.Provide(p)
+	return p, nil
+}
+
+// ticks is the number of runs of the loop in the time after which a silent
+// daemon counts as dead.
+const ticks = 12
+
+// Start begins to use the roster and to count heartbeats.
+func (p *Plugin) Start(context.Context) error {
+	if err := p.deps.Need(&p.roster); err != nil {
+		p.deps.Log.Info().Msg("member-without-roster")
+	} else {
+		p.useRoster(p.roster.Instances)
+	}
+	p.Every(p.deps.Clock, p.options.DeadAfter/ticks, func(context.Context) { p.Tick() })
+	return nil
+}
+
+// useRoster sets the source of the platform's list.
+func (v *View) useRoster(list func() []roster.Instance) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.options.Roster = list
+}
+
+// adopt takes this daemon's addresses from the roster if the settings don't
+// give them.
+func (v *View) adopt() {
+	for _, i := range v.roster() {
+		if i.ID != v.self.Instance {
+			continue
+		}
+		if v.self.Address == "" {
+			v.self.Address = i.Address
+		}
+		if v.self.Caller == "" {
+			v.self.Caller = i.Caller
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/member/section.go
@@ -0,0 +1,173 @@
+package member
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+)
+
+// A digest is: version byte; number of heartbeats; heartbeats of key and low
+// byte of the counter; keys wanted. It carries the heartbeats themselves, so
+// that the usual exchange needs no delta and no second call.
+const (
+	digestVersion = 1
+	keyBytes      = 4
+	beatBytes     = keyBytes + 1
+	// maxFar bounds the heartbeats of other data centres in one digest. They
+	// take turns: 780 daemons in about 3 s at 20 digests a second.
+	maxFar = 16
+	// maxWants bounds the entries asked for at once.
+	maxWants = 64
+)
+
+// Section is the peer section's name.
+func (v *View) Section() string { return "member" }
+
+// Global says that other data centres take part.
+func (v *View) Global() bool { return true }
+
+// Digest returns the fresh heartbeats and the keys of the entries wanted.
+func (v *View) Digest() []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.options.Clock.Now()
+	beats := appendBeat(nil, v.self.key(), v.self.Beat)
+	far := make([]*known, 0, len(v.entries))
+	for _, id := range v.sorted() {
+		k := v.entries[id]
+		// Heartbeats are passed on for half the limit only, so that they
+		// don't circulate long after a daemon's death.
+		if now.Sub(k.advanced) > v.limit(k)/2 {
+			continue
+		}
+		if k.DataCentre == v.self.DataCentre {
+			beats = appendBeat(beats, k.key, k.Beat)
+		} else {
+			far = append(far, k)
+		}
+	}
+	for range min(maxFar, len(far)) {
+		v.cursor++
+		k := far[v.cursor%len(far)]
+		beats = appendBeat(beats, k.key, k.Beat)
+	}
+	digest := binary.AppendUvarint([]byte{digestVersion}, uint64(len(beats)/beatBytes))
+	digest = append(digest, beats...)
+	wants := 0
+	for k := range v.wants {
+		if wants++; wants > maxWants {
+			break
+		}
+		digest = binary.LittleEndian.AppendUint32(digest, uint32(k))
+	}
+	return digest
+}
+
+// sorted returns the instances in order. With an order the cursor reaches all.
+func (v *View) sorted() []ident.Instance {
+	ids := make([]ident.Instance, 0, len(v.entries))
+	for _, p := range v.snapshot.Load().peers {
+		if v.entries[p.Instance] != nil {
+			ids = append(ids, p.Instance)
+		}
+	}
+	return ids
+}
+
+func appendBeat(b []byte, k key, beat uint64) []byte {
+	return append(binary.LittleEndian.AppendUint32(b, uint32(k)), byte(beat))
+}
+
+// Delta takes the heartbeats of the digest and returns the entries wanted.
+func (v *View) Delta(digest []byte) []byte {
+	beats, wants, ok := split(digest)
+	if !ok {
+		return nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.options.Clock.Now()
+	for ; len(beats) > 0; beats = beats[beatBytes:] {
+		v.beat(key(binary.LittleEndian.Uint32(beats)), beats[keyBytes], now)
+	}
+	var send []Entry
+	for ; len(wants) > 0; wants = wants[keyBytes:] {
+		switch k := key(binary.LittleEndian.Uint32(wants)); {
+		case k == v.self.key():
+			send = append(send, v.self)
+		case v.byKey[k] != nil:
+			send = append(send, v.byKey[k].Entry)
+		}
+	}
+	if len(send) == 0 {
+		return nil
+	}
+	raw, err := json.Marshal(send)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// split returns the heartbeats and the wanted keys of a digest.
+func split(digest []byte) (beats, wants []byte, ok bool) {
+	if len(digest) < 2 || digest[0] != digestVersion {
+		return nil, nil, false
+	}
+	n, size := binary.Uvarint(digest[1:])
+	rest := digest[1+max(size, 0):]
+	if size <= 0 || n > uint64(len(rest)/beatBytes) {
+		return nil, nil, false
+	}
+	beats, wants = rest[:n*beatBytes], rest[n*beatBytes:]
+	return beats, wants, len(wants)%keyBytes == 0 && len(wants) <= maxWants*keyBytes
+}
+
+// beat takes one heartbeat, of which the low byte is known. It counts as later
+// if it is ahead by less than half the byte's range.
+func (v *View) beat(k key, low byte, now time.Time) {
+	if k == v.self.key() {
+		return
+	}
+	e := v.byKey[k]
+	if e == nil {
+		if len(v.wants) < maxWants {
+			v.wants[k] = now
+		}
+		return
+	}
+	ahead := int8(low - byte(e.Beat))
+	if ahead <= 0 {
+		return
+	}
+	fresh := v.alive(e, now)
+	e.Beat += uint64(ahead)
+	e.heard, e.advanced = now, now
+	if !fresh {
+		v.publish(now)
+	}
+}
+
+// Merge takes entries from a peer. A malformed one doesn't stop the others.
+func (v *View) Merge(from ident.Instance, delta []byte) error {
+	var got []Entry
+	if err := json.Unmarshal(delta, &got); err != nil {
+		return code.BadMessage.Wrap(err, "member: delta of %s", from)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.options.Clock.Now()
+	var failures []error
+	for _, e := range got {
+		if err := e.Check(); err != nil {
+			failures = append(failures, code.BadMessage.Wrap(err, "member: delta of %s", from))
+			continue
+		}
+		v.learn(e, now)
+	}
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/internal/peer/twirp/client.go
@@ -0,0 +1,205 @@
+package twirp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+)
+
+// clients holds one client with its own connections per address, so that the
+// connections to a stalled daemon are closed without touching the others.
+type clients struct {
+	limit   int64
+	timeout time.Duration
+	mu      sync.Mutex
+	byPeer  map[string]*client
+}
+
+type client struct {
+	Peer
+	transport *http.Transport
+}
+
+func (c *clients) get(address string) *client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if found := c.byPeer[address]; found != nil {
+		return found
+	}
+	const idle, idleTimeout = 2, 30 * time.Second
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: c.timeout}).DialContext,
+		MaxIdleConns:        idle,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	url := address
+	if !strings.Contains(url, "://") {
+		url = "http://" + url
+	}
+	made := &client{
+		Peer:      NewPeerProtobufClient(url, &http.Client{Transport: &limited{transport, c.limit}}),
+		transport: transport,
+	}
+	if c.byPeer == nil {
+		c.byPeer = make(map[string]*client)
+	}
+	c.byPeer[address] = made
+	return made
+}
+
+// keep drops the clients of all other addresses.
+func (c *clients) keep(addresses map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, found := range c.byPeer {
+		if !addresses[a] {
+			found.transport.CloseIdleConnections()
+			delete(c.byPeer, a)
+		}
+	}
+}
+
+// limited bounds the size of answers.
+type limited struct {
+	next  http.RoundTripper
+	limit int64
+}
+
+// RoundTrip fails the reading of an answer that is longer than the limit.
+func (l *limited) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := l.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &limitedBody{ReadCloser: response.Body, left: l.limit}
+	return response, nil
+}
+
+type limitedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return 0, errors.New("answer is longer than the limit of a message")
+	}
+	return n, err
+}
+
+// call makes one call within the time limit. Kept connections can stall for
+// ever while new ones work, so a call that times out is followed by closing
+// the kept ones to that daemon.
+func (p *Plugin) call(ctx context.Context, address, name string, request proto.Message,
+	do func(context.Context, Peer) (proto.Message, error),
+) error {
+	limited, cancel := context.WithTimeout(ctx, p.settings.CallTimeout.Duration)
+	defer cancel()
+	c := p.clients.get(address)
+	p.metrics.sent.Add(float64(proto.Size(request)))
+	answer, err := do(limited, c)
+	if err != nil {
+		if ctx.Err() == nil {
+			p.metrics.failed.WithLabelValues(name).Inc()
+		}
+		if limited.Err() != nil {
+			c.transport.CloseIdleConnections()
+		}
+		return err
+	}
+	p.metrics.received.Add(float64(proto.Size(answer)))
+	return nil
+}
+
+// Ask puts a question to the plug-in of another daemon that answers the topic.
+// The error carries the code that the plug-in's error had there, or
+// code.EndpointUnreachable with outcome unknown if there was no answer.
+func (p *Plugin) Ask(ctx context.Context, to ident.Instance, topic string, body []byte) ([]byte, error) {
+	question := &Question{From: string(p.self), To: string(to), Topic: topic, Body: body}
+	if to == p.self {
+		answer, err := (&handler{p}).Ask(ctx, question)
+		if err != nil {
+			return nil, err
+		}
+		return result(to, topic, answer)
+	}
+	address := p.address(to)
+	if address == "" {
+		return nil, code.EndpointUnreachable.New("peer: no address of daemon %q is known", to)
+	}
+	var answer *Answer
+	err := p.call(ctx, address, "ask", question, func(ctx context.Context, c Peer) (proto.Message, error) {
+		var err error
+		answer, err = c.Ask(ctx, question)
+		return answer, err
+	})
+	if err != nil {
+		return nil, code.WithOutcome(code.EndpointUnreachable.Wrap(err, "peer: ask %s about %s", to, topic), code.Unknown)
+	}
+	p.contact.Heard(to)
+	return result(to, topic, answer)
+}
+
+func result(from ident.Instance, topic string, a *Answer) ([]byte, error) {
+	if a.GetCode() != 0 {
+		return nil, code.Code(a.GetCode()).New("peer: %s answered about %s: %s", from, topic, a.GetMessage())
+	}
+	return a.GetBody(), nil
+}
+
+func (p *Plugin) address(id ident.Instance) string {
+	for _, m := range p.members.Peers() {
+		if m.Instance == id {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// handler is the server's side.
+type handler struct {
+	p *Plugin
+}
+
+// Exchange answers the first or second call of an exchange.
+func (h *handler) Exchange(_ context.Context, e *Envelope) (*Envelope, error) {
+	h.p.metrics.received.Add(float64(proto.Size(e)))
+	answer := h.p.answer(e)
+	h.p.metrics.sent.Add(float64(proto.Size(answer)))
+	return answer, nil
+}
+
+// Ask passes the question to the topic's plug-in.
+func (h *handler) Ask(ctx context.Context, q *Question) (*Answer, error) {
+	h.p.metrics.received.Add(float64(proto.Size(q)))
+	a := new(Answer)
+	if to := q.GetTo(); to != "" && to != string(h.p.self) {
+		fill(a, code.BadMessage.New("question for %q reached %q", to, h.p.self))
+	} else if t := h.p.topics[q.GetTopic()]; t == nil {
+		fill(a, code.BadMessage.New("topic %q is not known", q.GetTopic()))
+	} else if body, err := t.Answer(ctx, ident.Instance(q.GetFrom()), q.GetBody()); err != nil {
+		fill(a, err)
+	} else {
+		a.Body = body
+	}
+	h.p.metrics.sent.Add(float64(proto.Size(a)))
+	return a, nil
+}
+
+func fill(a *Answer, err error) {
+	a.Code, a.Message = int32(code.Of(err)), fmt.Sprint(err)
+}
--- /dev/null
+++ b/internal/peer/twirp/exchange.go
@@ -0,0 +1,231 @@
+package twirp
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/fleet/member"
+	"cuminbay/internal/kernel/timeline"
+)
+
+// codec names the encoding of digests and deltas. A daemon answers an envelope
+// of another codec without sections.
+const codec = "section/1"
+
+// busy holds the daemons with an exchange in progress, so that a stalled one
+// has at most one call of this daemon outstanding.
+type busy struct {
+	mu    sync.Mutex
+	peers map[ident.Instance]bool
+}
+
+func (b *busy) begin(id ident.Instance) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.peers == nil {
+		b.peers = make(map[ident.Instance]bool)
+	}
+	if b.peers[id] {
+		return false
+	}
+	b.peers[id] = true
+	return true
+}
+
+func (b *busy) end(id ident.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.peers, id)
+}
+
+// round starts the exchanges of one interval.
+func (p *Plugin) round(context.Context) {
+	peers := p.members.Peers()
+	addresses := make(map[string]bool, len(peers))
+	for _, m := range peers {
+		addresses[m.Address] = true
+	}
+	p.clients.keep(addresses)
+	for _, m := range p.choose(peers) {
+		if !p.busy.begin(m.Instance) {
+			continue
+		}
+		p.Go(func(ctx context.Context) {
+			defer p.busy.end(m.Instance)
+			if err := p.exchange(ctx, m); err != nil {
+				p.deps.Log.Debug().Err(err).Str("peer", string(m.Instance)).Msg("peer-exchange-failed")
+			}
+		})
+	}
+}
+
+// choose returns random daemons of the own data centre and one of another; the
+// other data centres take turns. One place goes to a daemon that looks dead, if
+// there is one, so that the two sides of a partition find each other again.
+func (p *Plugin) choose(peers []member.Peer) []member.Peer {
+	var near, dead []member.Peer
+	far := make(map[ident.DataCentre][]member.Peer)
+	for _, m := range peers {
+		switch {
+		case m.Address == "" || m.Instance == p.self:
+		case m.DataCentre != p.dataCentre:
+			far[m.DataCentre] = append(far[m.DataCentre], m)
+		case m.Alive:
+			near = append(near, m)
+		default:
+			dead = append(dead, m)
+		}
+	}
+	shuffle(near)
+	shuffle(dead)
+	chosen := near
+	if places := p.settings.Fanout; len(near)+len(dead) > places {
+		chosen = near[:min(len(near), max(0, places-min(1, len(dead))))]
+		chosen = append(chosen, dead[:min(len(dead), places-len(chosen))]...)
+	} else {
+		chosen = append(chosen, dead...)
+	}
+	if len(far) == 0 {
+		return chosen
+	}
+	names := make([]string, 0, len(far))
+	for d := range far {
+		names = append(names, string(d))
+	}
+	sort.Strings(names)
+	if p.turn == 0 {
+		p.turn = rand.IntN(len(names))
+	}
+	p.turn++
+	return append(chosen, pick(far[ident.DataCentre(names[p.turn%len(names)])]))
+}
+
+// pick returns a random daemon, a live one nine times in ten if there is one.
+func pick(peers []member.Peer) member.Peer {
+	shuffle(peers)
+	const tenth = 10
+	if rand.IntN(tenth) > 0 {
+		for _, m := range peers {
+			if m.Alive {
+				return m
+			}
+		}
+	}
+	return peers[0]
+}
+
+func shuffle(peers []member.Peer) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+// exchange sends the digests, merges the answer, and sends what the other
+// daemon lacks.
+func (p *Plugin) exchange(ctx context.Context, m member.Peer) error {
+	first := p.envelope()
+	for _, name := range p.names {
+		if s := p.sections[name]; p.shares(s, m.DataCentre) {
+			first.Sections = append(first.Sections, &Section{Name: name, Digest: s.Digest()})
+		}
+	}
+	answer, err := p.send(ctx, m, first)
+	if err != nil {
+		return err
+	}
+	p.observe(answer)
+	if answer.GetFrom() != string(m.Instance) {
+		// The address has passed to another daemon, which must not keep
+		// the one before alive.
+		p.metrics.failed.WithLabelValues("exchange").Inc()
+		return fmt.Errorf("peer: %s answered at the address of %s", answer.GetFrom(), m.Instance)
+	}
+	push := p.envelope()
+	push.Push = true
+	for _, got := range answer.GetSections() {
+		s := p.sections[got.GetName()]
+		if s == nil || !p.shares(s, m.DataCentre) {
+			continue
+		}
+		p.merge(s, m.Instance, got.GetDelta())
+		if delta := s.Delta(got.GetDigest()); len(delta) > 0 {
+			push.Sections = append(push.Sections, &Section{Name: got.GetName(), Delta: delta})
+		}
+	}
+	p.contact.Heard(m.Instance)
+	if len(push.GetSections()) == 0 {
+		return nil
+	}
+	_, err = p.send(ctx, m, push)
+	return err
+}
+
+func (p *Plugin) send(ctx context.Context, m member.Peer, e *Envelope) (*Envelope, error) {
+	var answer *Envelope
+	err := p.call(ctx, m.Address, "exchange", e, func(ctx context.Context, c Peer) (proto.Message, error) {
+		var err error
+		answer, err = c.Exchange(ctx, e)
+		return answer, err
+	})
+	return answer, err
+}
+
+func (p *Plugin) envelope() *Envelope {
+	return &Envelope{
+		From: string(p.self), DataCentre: string(p.dataCentre), Stamp: uint64(p.hybrid.Now()), Codec: codec,
+	}
+}
+
+// shares reports whether the section is exchanged with that data centre.
+func (p *Plugin) shares(s section, with ident.DataCentre) bool {
+	return s.Global() || with == p.dataCentre
+}
+
+// answer merges the deltas received and returns the digests, and the deltas
+// that the sender lacks. Sections that this daemon doesn't know are ignored:
+// the sender may be of another version.
+func (p *Plugin) answer(e *Envelope) *Envelope {
+	answer := p.envelope()
+	p.observe(e)
+	if e.GetCodec() != codec {
+		return answer
+	}
+	from := ident.Instance(e.GetFrom())
+	for _, got := range e.GetSections() {
+		s := p.sections[got.GetName()]
+		if s == nil || !p.shares(s, ident.DataCentre(e.GetDataCentre())) {
+			continue
+		}
+		p.merge(s, from, got.GetDelta())
+		if !e.GetPush() {
+			answer.Sections = append(answer.Sections, &Section{
+				Name: got.GetName(), Delta: s.Delta(got.GetDigest()), Digest: s.Digest(),
+			})
+		}
+	}
+	p.contact.Heard(from)
+	return answer
+}
+
+// merge passes a delta on. A bad one is counted and skipped.
+func (p *Plugin) merge(s section, from ident.Instance, delta []byte) {
+	if len(delta) == 0 {
+		return
+	}
+	if err := s.Merge(from, delta); err != nil {
+		p.metrics.refused.WithLabelValues(s.Section()).Inc()
+		p.deps.Log.Warn().Err(err).Str("section", s.Section()).Str("from", string(from)).Msg("peer-delta-refused")
+	}
+}
+
+// observe moves the hybrid clock past the sender's.
+func (p *Plugin) observe(e *Envelope) {
+	if err := p.hybrid.Observe(timeline.Stamp(e.GetStamp())); err != nil {
+		p.metrics.refused.WithLabelValues("stamp").Inc()
+		p.deps.Log.Warn().Err(err).Str("from", e.GetFrom()).Msg("peer-stamp-refused")
+	}
+}
--- /dev/null
+++ b/internal/peer/twirp/plugin.go
@@ -0,0 +1,213 @@
+// Package twirp is the protocol between daemons: exchanges of sections and
+// questions by topic, over twirp.
+package twirp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/member"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/kernel/timeline"
+)
+
+// Settings are the section "peer".
+type Settings struct {
+	Listen   string            `json:"listen" validate:"listen"`
+	Interval settings.Duration `json:"interval" validate:"duration"`
+	// Fanout is the number of daemons of the own data centre that an
+	// exchange goes to at each interval.
+	Fanout      int               `json:"fanout" validate:"min=1,max=64"`
+	CallTimeout settings.Duration `json:"callTimeout" validate:"duration"`
+	// MaxMessage bounds a message in either direction.
+	MaxMessage unit.Bytes `json:"maxMessage" validate:"min=1024"`
+}
+
+func defaults() any {
+	return &Settings{
+		Listen: "127.0.0.1:7700", Interval: settings.Of(500 * time.Millisecond), Fanout: 4,
+		CallTimeout: settings.Of(time.Second), MaxMessage: 1 << 20,
+	}
+}
+
+func init() {
+	settings.Register("peer", defaults)
+	plugin.Register(plugin.Peer, "twirp", func(d *plugin.Deps) (plugin.Plugin, error) {
+		p, err := newPlugin(d, d.Settings.Section("peer").(*Settings))
+		if err != nil {
+			return nil, err
+		}
+		d.Provide(p)
+		return p, nil
+	})
+}
+
+type members interface {
+	Self() ident.Instance
+	Peers() []member.Peer
+}
+
+// contact is told of successful calls.
+type contact interface {
+	Heard(id ident.Instance)
+}
+
+// section is a part of the state that daemons exchange.
+type section interface {
+	Section() string
+	Global() bool
+	Digest() []byte
+	Delta(digest []byte) []byte
+	Merge(from ident.Instance, delta []byte) error
+}
+
+// topic answers questions of other daemons.
+type topic interface {
+	Topic() string
+	Answer(ctx context.Context, from ident.Instance, body []byte) ([]byte, error)
+}
+
+type hybrid interface {
+	Now() timeline.Stamp
+	Observe(s timeline.Stamp) error
+}
+
+// Plugin serves and calls peers.
+type Plugin struct {
+	plugin.Loops
+	deps       *plugin.Deps
+	settings   *Settings
+	self       ident.Instance
+	dataCentre ident.DataCentre
+	hybrid     hybrid
+	members    members
+	contact    contact
+	sections   map[string]section
+	names      []string
+	topics     map[string]topic
+	clients    clients
+	metrics    *metrics
+	server     *http.Server
+	listener   net.Listener
+	busy       busy
+	turn       int
+}
+
+func newPlugin(d *plugin.Deps, s *Settings) (*Plugin, error) {
+	p := &Plugin{
+		deps: d, settings: s, self: d.Settings.Daemon.Instance, dataCentre: d.Settings.Daemon.DataCentre,
+		hybrid: d.Timeline, sections: make(map[string]section), topics: make(map[string]topic),
+		metrics: newMetrics(),
+	}
+	p.clients.limit, p.clients.timeout = int64(s.MaxMessage), s.CallTimeout.Duration
+	if err := p.metrics.register(d.Metrics); err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	return p, nil
+}
+
+// Start finds sections and topics, listens, and begins to exchange.
+func (p *Plugin) Start(context.Context) error {
+	if err := errors.Join(p.deps.Need(&p.members), p.deps.Need(&p.contact), p.find()); err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	listener, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	p.listener = listener
+	const headerTimeout, idleTimeout, answerFactor = 5 * time.Second, time.Minute, 4
+	p.server = &http.Server{
+		Handler:           http.MaxBytesHandler(NewPeerServer(&handler{p}), int64(p.settings.MaxMessage)),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       answerFactor * p.settings.CallTimeout.Duration,
+		WriteTimeout:      answerFactor * p.settings.CallTimeout.Duration,
+		IdleTimeout:       idleTimeout,
+	}
+	p.Go(func(context.Context) {
+		if err := p.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.deps.Log.Error().Err(err).Str("listen", p.settings.Listen).Msg("peer-listener-failed")
+		}
+	})
+	p.Every(p.deps.Clock, p.settings.Interval.Duration, p.round)
+	return nil
+}
+
+// find sets the sections and topics that plug-ins provide.
+func (p *Plugin) find() error {
+	var sections []section
+	var topics []topic
+	if err := errors.Join(p.deps.NeedAll(&sections), p.deps.NeedAll(&topics)); err != nil {
+		return err
+	}
+	for _, s := range sections {
+		if p.sections[s.Section()] != nil {
+			return fmt.Errorf("section %q is provided twice", s.Section())
+		}
+		p.sections[s.Section()] = s
+		p.names = append(p.names, s.Section())
+	}
+	for _, t := range topics {
+		if p.topics[t.Topic()] != nil {
+			return fmt.Errorf("topic %q is provided twice", t.Topic())
+		}
+		p.topics[t.Topic()] = t
+	}
+	return nil
+}
+
+// Address returns the address listened on; empty before Start.
+func (p *Plugin) Address() string {
+	if p.listener == nil {
+		return ""
+	}
+	return p.listener.Addr().String()
+}
+
+// Stop ends the exchanges and the listener.
+func (p *Plugin) Stop(ctx context.Context) error {
+	var failure error
+	if p.server != nil {
+		failure = p.server.Shutdown(ctx)
+		if failure != nil {
+			failure = errors.Join(failure, p.server.Close())
+		}
+	}
+	failure = errors.Join(failure, p.Loops.Stop(ctx))
+	p.clients.keep(nil)
+	return failure
+}
+
+type metrics struct {
+	sent, received prometheus.Counter
+	failed         *prometheus.CounterVec
+	refused        *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	counter := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Namespace: "cuminbay", Subsystem: "peer", Name: name, Help: help}
+	}
+	return &metrics{
+		sent:     prometheus.NewCounter(counter("sent_bytes_total", "Bytes of messages sent to daemons, without headers.")),
+		received: prometheus.NewCounter(counter("received_bytes_total", "Bytes of messages received from daemons, without headers.")),
+		failed:   prometheus.NewCounterVec(counter("failed_total", "Calls to daemons that failed."), []string{"call"}),
+		refused:  prometheus.NewCounterVec(counter("refused_total", "Deltas and stamps that were refused."), []string{"section"}),
+	}
+}
+
+func (m *metrics) register(r *prometheus.Registry) error {
+	if r == nil {
+		return nil
+	}
+	return errors.Join(r.Register(m.sent), r.Register(m.received), r.Register(m.failed), r.Register(m.refused))
+}
