--- /dev/null
+++ b/internal/fleet/config/config.go
@@ -0,0 +1,206 @@
+// Package config keeps the operators' records that are in effect. It merges
+// them by revision from the platform and from peers.
+package config
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
+)
+
+// dutyKey places the watch among the daemons of a data centre.
+const dutyKey = "config"
+
+// watchers is the number of daemons of a data centre that watch the platform:
+// two, so that one may pause without a gap.
+const watchers = 2
+
+// checkInterval is the time between two looks at who has to watch.
+const checkInterval = time.Second
+
+// The delays after a watch has broken.
+const (
+	minRetry = 200 * time.Millisecond
+	maxRetry = 3 * time.Second
+)
+
+// members is the part of the view of daemons that this package uses.
+type members interface {
+	Self() ident.Instance
+	Owners(key string, n int) []ident.Instance
+}
+
+// Config is the plug-in. The embedded State is its peer section.
+type Config struct {
+	*State
+	plugin.Loops
+	clock    clock.Clock
+	log      zerolog.Logger
+	platform platform
+	members  members
+	deps     *plugin.Deps
+}
+
+// Options are the parts of a Config.
+type Options struct {
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Events   eventRecorder
+	Platform platform
+	Members  members
+}
+
+// New returns a Config that has heard nothing; Run keeps it up to date.
+func New(o Options) *Config {
+	return &Config{
+		State:    NewState(o.Clock, o.Events),
+		clock:    o.Clock,
+		log:      o.Log,
+		platform: o.Platform,
+		members:  o.Members,
+	}
+}
+
+func init() {
+	plugin.Register(plugin.Decision, "config", func(d *plugin.Deps) (plugin.Plugin, error) {
+		c := New(Options{Clock: d.Clock, Log: d.Log, Events: d.Timeline})
+		c.deps = d
+		if err := c.register(d.Metrics); err != nil {
+			return nil, err
+		}
+		d.Provide(c)
+		return c, nil
+	})
+}
+
+func (c *Config) register(r *prometheus.Registry) error {
+	revision := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cuminbay_config_revision",
+		Help: "Highest platform revision of the records known.",
+	}, func() float64 { return float64(c.Revision()) })
+	rejected := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cuminbay_config_rejected",
+		Help: "Records that are invalid and not in effect.",
+	}, func() float64 { return float64(len(c.Rejected())) })
+	if err := r.Register(revision); err != nil {
+		return err
+	}
+	return r.Register(rejected)
+}
+
+// Start begins to follow the platform.
+func (c *Config) Start(context.Context) error {
+	if err := c.deps.Need(&c.platform); err != nil {
+		return err
+	}
+	if err := c.deps.Need(&c.members); err != nil {
+		return err
+	}
+	c.Go(c.Run)
+	return nil
+}
+
+// Run watches the platform while this daemon is one of the two that have to,
+// and until the context ends. Another daemon lists the records only while it
+// is not ready.
+func (c *Config) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.watches() {
+			c.watchWhileOwner(ctx)
+			continue
+		}
+		if !c.Ready() {
+			if _, err := c.refresh(ctx); err != nil {
+				c.log.Warn().Err(err).Msg("config-list-failed")
+			}
+		}
+		plugin.Sleep(ctx, c.clock, clock.Jitter(checkInterval))
+	}
+}
+
+func (c *Config) watches() bool {
+	return slices.Contains(c.members.Owners(dutyKey, watchers), c.members.Self())
+}
+
+// watchWhileOwner follows the platform and returns once this daemon is no
+// owner any more.
+func (c *Config) watchWhileOwner(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.follow(ctx)
+	}()
+	for plugin.Sleep(ctx, c.clock, clock.Jitter(checkInterval)) && c.watches() {
+	}
+	cancel()
+	<-done
+}
+
+// follow lists and watches until the context ends. A broken watch is followed
+// by a new list, since changes may have been missed.
+func (c *Config) follow(ctx context.Context) {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = minRetry, maxRetry
+	for ctx.Err() == nil {
+		after, err := c.refresh(ctx)
+		if err == nil {
+			err = c.platform.Watch(ctx, store.Records, after, func(changes []store.Change, _ unit.Revision) {
+				if len(changes) > 0 {
+					delays.Reset()
+				}
+				c.change(changes)
+			})
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		reason := "ended"
+		if err != nil {
+			reason = err.Error()
+		}
+		c.events.Record("watch-broken", string(store.Records), "reason", reason)
+		plugin.Sleep(ctx, c.clock, delays.NextBackOff())
+	}
+}
+
+// refresh merges a list of the records and returns its revision. A record that
+// is missing from the list stays in effect: only a withdrawal ends it. A list
+// from behind is an error, since it says nothing about newer records.
+func (c *Config) refresh(ctx context.Context) (unit.Revision, error) {
+	known := c.Revision()
+	entries, revision, err := c.platform.List(ctx, store.Records)
+	if err != nil {
+		return 0, err
+	}
+	c.Apply(FromList, storedAll(entries))
+	if revision < known {
+		return 0, code.PlatformUnavailable.New("list %s: answered at revision %d, but a record of revision %d is known", store.Records, revision, known)
+	}
+	c.SetReady()
+	return revision, nil
+}
+
+// change merges what a watch reports. A deleted key is no withdrawal.
+func (c *Config) change(changes []store.Change) {
+	batch := make([]Stored, 0, len(changes))
+	for _, ch := range changes {
+		if ch.Removed {
+			c.log.Warn().Str("key", string(ch.Key)).Msg("record-key-deleted")
+			continue
+		}
+		batch = append(batch, storedOf(ch.Entry))
+	}
+	c.Apply(FromWatch, batch)
+}
--- /dev/null
+++ b/internal/fleet/config/digest.go
@@ -0,0 +1,214 @@
+package config
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/unit"
+)
+
+// The form of a digest: version, flags, highest revision, hash of all records,
+// and on request the hash of each bucket. The short form is 18 bytes, as a
+// daemon sends up to 16 a second; the long one would be 530 bytes.
+const (
+	digestVersion = 1
+	bucketCount   = 64
+	hashSize      = 8
+	shortDigest   = 2 + 2*hashSize
+	longDigest    = shortDigest + bucketCount*hashSize
+	flagReady     = 1
+)
+
+// detailedDigests is the number of digests with bucket hashes that follow a
+// request for them. One would do, but the digests of a round may go to other
+// peers than the one that asked.
+const detailedDigests = 8
+
+type digest struct {
+	ready   bool
+	highest unit.Revision
+	root    uint64
+	// buckets is nil in the short form.
+	buckets []uint64
+}
+
+// delta is the body that Delta returns and Merge reads.
+type delta struct {
+	Ready   bool     `json:"ready,omitempty"`
+	Detail  bool     `json:"detail,omitempty"`
+	Records []Stored `json:"records,omitempty"`
+}
+
+// Section names the part of the peer exchange.
+func (s *State) Section() string {
+	return "config"
+}
+
+// Global says that records go to other data centres too.
+func (s *State) Global() bool {
+	return true
+}
+
+// Digest returns what this daemon holds in a compact form.
+func (s *State) Digest() []byte {
+	detailed := s.detail.Load() > 0 && s.detail.Add(-1) >= 0
+	s.mu.Lock()
+	buckets := s.buckets
+	s.mu.Unlock()
+	var flags byte
+	if s.Ready() {
+		flags = flagReady
+	}
+	out := make([]byte, 0, longDigest)
+	out = append(out, digestVersion, flags)
+	out = binary.BigEndian.AppendUint64(out, uint64(s.Revision()))
+	out = binary.BigEndian.AppendUint64(out, rootOf(buckets))
+	if detailed {
+		for _, h := range buckets {
+			out = binary.BigEndian.AppendUint64(out, h)
+		}
+	}
+	return out
+}
+
+// Delta returns the records that the sender of the digest lacks, or nil. If
+// the sender's highest revision is lower, these are the newer ones. If it is
+// the same and the contents differ, they are those of the buckets that differ,
+// or a request for the hashes of the buckets. If it is higher, the sender
+// returns the newer ones in its turn, and what differs then is found by the
+// next exchange.
+func (s *State) Delta(raw []byte) []byte {
+	theirs, err := parseDigest(raw)
+	if err != nil {
+		return nil
+	}
+	d := s.compare(theirs)
+	d.Ready = s.Ready() && (!theirs.ready || len(d.Records) > 0)
+	if !d.Ready && !d.Detail && len(d.Records) == 0 {
+		return nil
+	}
+	out, err := json.Marshal(d)
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
+func (s *State) compare(theirs digest) delta {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if theirs.root == rootOf(s.buckets) {
+		return delta{}
+	}
+	highest := s.Revision()
+	switch {
+	case theirs.highest < highest:
+		return delta{Records: s.sinceLocked(theirs.highest)}
+	case theirs.highest > highest:
+		return delta{}
+	case theirs.buckets == nil:
+		return delta{Detail: true}
+	}
+	return delta{Records: s.differingLocked(theirs.buckets)}
+}
+
+func (s *State) sinceLocked(after unit.Revision) []Stored {
+	var records []Stored
+	for _, h := range s.records {
+		if h.newest() > after {
+			records = h.append(records)
+		}
+	}
+	return records
+}
+
+func (s *State) differingLocked(buckets []uint64) []Stored {
+	var records []Stored
+	for n, h := range s.records {
+		if b := bucketOf(n); buckets[b] != s.buckets[b] {
+			records = h.append(records)
+		}
+	}
+	return records
+}
+
+// append adds the active record and the rejected one after it, since a daemon
+// that hears only the rejected one would have none active.
+func (h *held) append(records []Stored) []Stored {
+	if h.active.Revision > 0 {
+		records = append(records, h.active)
+	}
+	if h.rejected.Revision > 0 {
+		records = append(records, h.rejected)
+	}
+	return records
+}
+
+// Merge applies a delta from a peer.
+//
+// Errors carry code.BadMessage.
+func (s *State) Merge(from ident.Instance, raw []byte) error {
+	var d delta
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return code.BadMessage.Wrap(err, "section config from %s", from)
+	}
+	for _, r := range d.Records {
+		if r.Revision <= 0 {
+			return code.BadMessage.New("section config from %s: %s has revision %d", from, r.Name, r.Revision)
+		}
+	}
+	if d.Detail {
+		s.detail.Store(detailedDigests)
+	}
+	s.Apply(FromPeer, d.Records)
+	if d.Ready {
+		s.SetReady()
+	}
+	return nil
+}
+
+func parseDigest(raw []byte) (digest, error) {
+	if len(raw) != shortDigest && len(raw) != longDigest || raw[0] != digestVersion {
+		return digest{}, code.BadMessage.New("section config: digest of %d bytes is not of version %d", len(raw), digestVersion)
+	}
+	d := digest{
+		ready:   raw[1]&flagReady != 0,
+		highest: unit.Revision(binary.BigEndian.Uint64(raw[2:])),
+		root:    binary.BigEndian.Uint64(raw[2+hashSize:]),
+	}
+	for at := shortDigest; at < len(raw); at += hashSize {
+		d.buckets = append(d.buckets, binary.BigEndian.Uint64(raw[at:]))
+	}
+	return d, nil
+}
+
+func rootOf(buckets [bucketCount]uint64) uint64 {
+	var raw [bucketCount * hashSize]byte
+	for i, h := range buckets {
+		binary.BigEndian.PutUint64(raw[i*hashSize:], h)
+	}
+	return xxhash.Sum64(raw[:])
+}
+
+func bucketOf(n record.Name) int {
+	return int(xxhash.Sum64String(n.String()) % bucketCount)
+}
+
+// hash covers the name and the revisions held. A bucket's hash is the
+// exclusive or of its records' hashes, so that a change costs one step.
+func (h *held) hash(n record.Name) uint64 {
+	if h.newest() == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(n.String() + " " + revisionText(h.active.Revision) + " " + revisionText(h.rejected.Revision))
+}
+
+func revisionText(r unit.Revision) string {
+	return strconv.FormatInt(int64(r), 10)
+}
--- /dev/null
+++ b/internal/fleet/config/state.go
@@ -0,0 +1,218 @@
+package config
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+)
+
+// Stored is a record as the platform holds it.
+type Stored struct {
+	record.Name
+	Revision unit.Revision `json:"revision"`
+	Raw      []byte        `json:"raw"`
+}
+
+// Rejection is a record that is not in effect because it is invalid. The
+// earlier one, if any, stays active.
+type Rejection struct {
+	record.Name
+	Revision unit.Revision `json:"revision"`
+	Reason   string        `json:"reason"`
+	// Time is when this daemon first saw the record.
+	Time time.Time `json:"time"`
+}
+
+// eventRecorder is the part of the timeline that this package uses.
+type eventRecorder interface {
+	Record(name, subject string, pairs ...string)
+}
+
+// Origin says where records were learnt from, for events.
+type Origin string
+
+// The origins.
+const (
+	FromList  Origin = "list"
+	FromWatch Origin = "watch"
+	FromPeer  Origin = "peer"
+	FromWrite Origin = "write"
+)
+
+// held is what is known about one record name.
+type held struct {
+	// active is the newest valid record; its revision is 0 if there is none.
+	active  Stored
+	decoded *record.Record
+	// rejected is the newest invalid record, if newer than active.
+	rejected  Stored
+	rejection *Rejection
+}
+
+func (h *held) newest() unit.Revision {
+	return max(h.active.Revision, h.rejected.Revision)
+}
+
+// State holds the records. For each name the highest revision wins, whatever
+// the order and source of arrival. Readers of the view take no lock.
+type State struct {
+	clock  clock.Clock
+	events eventRecorder
+
+	view     atomic.Pointer[record.View]
+	rejected atomic.Pointer[[]Rejection]
+	revision atomic.Int64
+	ready    atomic.Bool
+	// detail counts the digests that are still to be sent with the hashes
+	// of the buckets.
+	detail atomic.Int64
+
+	mu      sync.Mutex
+	records map[record.Name]*held
+	buckets [bucketCount]uint64
+}
+
+// NewState returns a state without records that is not ready.
+func NewState(clk clock.Clock, events eventRecorder) *State {
+	s := &State{clock: clk, events: events, records: make(map[record.Name]*held)}
+	s.publish()
+	return s
+}
+
+// View returns the active records. It is never nil.
+func (s *State) View() *record.View {
+	return s.view.Load()
+}
+
+// Rejected returns the rejected records in order of name. The slice is shared
+// and must not be changed.
+func (s *State) Rejected() []Rejection {
+	return *s.rejected.Load()
+}
+
+// Ready reports whether the platform or a ready peer has been heard.
+func (s *State) Ready() bool {
+	return s.ready.Load()
+}
+
+// SetReady says that the platform or a ready peer has been heard.
+func (s *State) SetReady() {
+	s.ready.Store(true)
+}
+
+// Revision returns the highest revision of any record known.
+func (s *State) Revision() unit.Revision {
+	return unit.Revision(s.revision.Load())
+}
+
+// Active returns the newest valid records in order of name, withdrawn ones
+// included.
+func (s *State) Active() []Stored {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var active []Stored
+	for _, h := range s.records {
+		if h.active.Revision > 0 {
+			active = append(active, h.active)
+		}
+	}
+	slices.SortFunc(active, func(a, b Stored) int { return compareNames(a.Name, b.Name) })
+	return active
+}
+
+// Apply merges records from any source. What is not newer than what is known
+// changes nothing.
+func (s *State) Apply(from Origin, batch []Stored) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for _, r := range batch {
+		if s.apply(from, r) {
+			changed = true
+		}
+	}
+	if changed {
+		s.publish()
+	}
+}
+
+func (s *State) apply(from Origin, r Stored) bool {
+	h := s.records[r.Name]
+	if h == nil {
+		h = new(held)
+	}
+	if r.Revision <= h.active.Revision || r.Revision == h.rejected.Revision {
+		return false
+	}
+	decoded, err := decode(r)
+	if err != nil && r.Revision < h.rejected.Revision {
+		return false
+	}
+	before := h.hash(r.Name)
+	if err != nil {
+		h.rejected = r
+		h.rejection = &Rejection{Name: r.Name, Revision: r.Revision, Reason: err.Error(), Time: s.clock.Now()}
+		s.events.Record("record-rejected", r.String(), "revision", revisionText(r.Revision), "from", string(from), "reason", err.Error())
+	} else {
+		h.active, h.decoded = r, decoded
+		if h.rejected.Revision < r.Revision {
+			h.rejected, h.rejection = Stored{}, nil
+		}
+		s.events.Record("record-active", r.String(), "revision", revisionText(r.Revision), "from", string(from))
+	}
+	s.records[r.Name] = h
+	s.buckets[bucketOf(r.Name)] ^= before ^ h.hash(r.Name)
+	s.revision.Store(max(s.revision.Load(), int64(r.Revision)))
+	return true
+}
+
+// decode checks the name as well, which may come from a key that someone wrote
+// by hand.
+func decode(r Stored) (*record.Record, error) {
+	if _, err := record.ParseName(r.String()); err != nil {
+		return nil, err
+	}
+	return record.Decode(r.Name, r.Raw)
+}
+
+func (s *State) publish() {
+	records := make([]*record.Record, 0, len(s.records))
+	rejected := []Rejection{}
+	for _, h := range s.records {
+		if h.decoded != nil {
+			records = append(records, h.decoded)
+		}
+		if h.rejection != nil {
+			rejected = append(rejected, *h.rejection)
+		}
+	}
+	// The view keeps the order within a model, so it must not depend on the
+	// order of the map.
+	slices.SortFunc(records, func(a, b *record.Record) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(rejected, func(a, b Rejection) int { return compareNames(a.Name, b.Name) })
+	s.view.Store(record.NewView(records))
+	s.rejected.Store(&rejected)
+}
+
+func compareNames(a, b record.Name) int {
+	return strings.Compare(a.String(), b.String())
+}
+
+// storedOf returns the platform's entry as a record. The name of a key that is
+// no record's is kept, so that it shows up as rejected.
+func storedOf(e store.Entry) Stored {
+	name, err := record.NameOf(e.Key)
+	if err != nil {
+		rest := strings.TrimPrefix(string(e.Key), string(store.Records))
+		kind, last, _ := strings.Cut(rest, "/")
+		name = record.Name{Kind: record.Kind(kind), Name: last}
+	}
+	return Stored{Name: name, Revision: e.Revision, Raw: e.Value}
+}
--- /dev/null
+++ b/internal/platform/etcd/client.go
@@ -0,0 +1,233 @@
+package etcd
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+)
+
+// Options are the parts of a Client.
+type Options struct {
+	// Addresses of the platform, as host:port or URL; at least one.
+	Addresses []string
+	Clock     clock.Clock
+	// Timeout bounds a call to one address.
+	Timeout time.Duration
+	// Idle bounds the silence of a watch.
+	Idle time.Duration
+	// MaxResponse bounds a response, and one message of a watch.
+	MaxResponse unit.Bytes
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	options Options
+	hosts   []*host
+	// preferred is the index of the address that answered last.
+	preferred atomic.Int64
+	// highest is the highest header revision seen in any answer.
+	highest atomic.Int64
+	stale   atomic.Int64
+}
+
+// New returns a client; no connection is opened before the first call.
+func New(o Options) *Client {
+	c := &Client{options: o}
+	for _, a := range o.Addresses {
+		c.hosts = append(c.hosts, newHost(a, o))
+	}
+	return c
+}
+
+// Highest returns the highest revision that any answer has carried. A List
+// with a lower revision was answered from behind.
+func (c *Client) Highest() unit.Revision {
+	return unit.Revision(c.highest.Load())
+}
+
+// Stale returns the number of answers that came from behind.
+func (c *Client) Stale() int64 {
+	return c.stale.Load()
+}
+
+func (c *Client) observe(r number) {
+	for {
+		seen := c.highest.Load()
+		if seen >= int64(r) || c.highest.CompareAndSwap(seen, int64(r)) {
+			return
+		}
+	}
+}
+
+// Get returns the entry of the key; an absent one has revision 0.
+//
+// Errors carry code.PlatformUnavailable. An answer from behind is an error,
+// since a read-back of a write would draw the wrong conclusion from it.
+func (c *Client) Get(ctx context.Context, k store.Key) (store.Entry, error) {
+	answer, behind, err := c.read(ctx, rangeRequest{Key: []byte(k)})
+	if err != nil {
+		return store.Entry{}, err
+	}
+	if behind {
+		return store.Entry{}, code.PlatformUnavailable.New("get %s: answered at revision %d, behind one seen before", k, answer.Header.Revision)
+	}
+	if len(answer.KVs) == 0 {
+		return store.Entry{Key: k}, nil
+	}
+	return answer.KVs[0].entry(), nil
+}
+
+// List returns the entries below the prefix and the revision that the answer
+// was given at. The revision is lower than Highest if every address answers
+// from behind; such a list must not replace anything newer.
+//
+// Errors carry code.PlatformUnavailable.
+func (c *Client) List(ctx context.Context, prefix store.Key) ([]store.Entry, unit.Revision, error) {
+	answer, _, err := c.read(ctx, rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+	if err != nil {
+		return nil, 0, err
+	}
+	entries := make([]store.Entry, 0, len(answer.KVs))
+	for _, kv := range answer.KVs {
+		entries = append(entries, kv.entry())
+	}
+	return entries, unit.Revision(answer.Header.Revision), nil
+}
+
+// read tries the addresses in turn until one answers that is not behind. It
+// returns the newest answer and whether that is behind. The comparison is with
+// the highest revision seen before the call: an answer that was overtaken by
+// another call's is not behind.
+func (c *Client) read(ctx context.Context, request rangeRequest) (*rangeResponse, bool, error) {
+	before := number(c.highest.Load())
+	var newest *rangeResponse
+	var failure error
+	first := int(c.preferred.Load())
+	for i := range c.hosts {
+		at := (first + i) % len(c.hosts)
+		answer := new(rangeResponse)
+		if err := c.hosts[at].call(ctx, pathRange, request, answer); err != nil {
+			failure = err
+			if ctx.Err() != nil {
+				break
+			}
+			continue
+		}
+		c.observe(answer.Header.Revision)
+		if answer.Header.Revision >= before {
+			c.preferred.Store(int64(at))
+			return answer, false, nil
+		}
+		c.stale.Add(1)
+		if newest == nil || answer.Header.Revision > newest.Header.Revision {
+			newest = answer
+		}
+	}
+	if newest != nil {
+		return newest, true, nil
+	}
+	return nil, false, failure
+}
+
+// try calls the addresses in turn while again allows it for the failure of the
+// last one. The next call begins at another address than one that failed.
+func (c *Client) try(ctx context.Context, path string, request, answer any, again func(error) bool) error {
+	var failure error
+	first := int(c.preferred.Load())
+	for i := range c.hosts {
+		at := (first + i) % len(c.hosts)
+		failure = c.hosts[at].call(ctx, path, request, answer)
+		if failure == nil || isRefusal(failure) || ctx.Err() != nil {
+			return failure
+		}
+		c.preferred.CompareAndSwap(int64(at), int64((at+1)%len(c.hosts)))
+		if !again(failure) {
+			return failure
+		}
+	}
+	return failure
+}
+
+// write calls one address. Only if it was certainly not reached is the next
+// one tried, since a write sent twice could take effect twice.
+func (c *Client) write(ctx context.Context, path string, request, answer any) error {
+	return c.try(ctx, path, request, answer, isUnsent)
+}
+
+// Swap writes the key if it has the old revision. Done returns the new entry
+// and Lost the current one.
+//
+// Errors come with store.Unknown and carry code.PlatformUnavailable. Their
+// outcome (code.OutcomeOf) is code.NotRun if the write certainly did not and
+// will not take effect, and code.Unknown otherwise.
+func (c *Client) Swap(ctx context.Context, s store.Swap) (store.Entry, store.Result, error) {
+	var answer txnResponse
+	if err := c.write(ctx, pathTxn, swapRequest(s), &answer); err != nil {
+		return store.Entry{}, store.Unknown, err
+	}
+	c.observe(answer.Header.Revision)
+	if answer.Succeeded {
+		return store.Entry{Key: s.Key, Value: s.Value, Revision: unit.Revision(answer.Header.Revision), Lease: s.Lease}, store.Done, nil
+	}
+	if len(answer.Responses) == 1 && answer.Responses[0].Range != nil {
+		if kvs := answer.Responses[0].Range.KVs; len(kvs) > 0 {
+			return kvs[0].entry(), store.Lost, nil
+		}
+	}
+	return store.Entry{Key: s.Key}, store.Lost, nil
+}
+
+// Grant returns a new lease. The time is rounded up to whole seconds.
+//
+// Errors carry code.PlatformUnavailable; a lease granted in a lost answer
+// lapses by itself.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	var answer leaseResponse
+	seconds := number(math.Ceil(ttl.Seconds()))
+	if err := c.write(ctx, pathGrant, leaseRequest{TTL: seconds}, &answer); err != nil {
+		return 0, err
+	}
+	if answer.ID == 0 {
+		return 0, code.PlatformUnavailable.New("grant: the answer names no lease")
+	}
+	return store.LeaseID(answer.ID), nil
+}
+
+// KeepAlive extends the lease and returns the time it has left; zero means
+// that it has lapsed. Keeping a lease twice does no harm, so every address is
+// tried.
+//
+// Errors carry code.PlatformUnavailable.
+func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
+	var answer keepAliveResponse
+	always := func(error) bool { return true }
+	err := c.try(ctx, pathKeepAlive, leaseRequest{ID: number(id)}, &answer, always)
+	if isNotFound(err) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if answer.Result == nil {
+		return 0, code.PlatformUnavailable.New("keep lease %d: the answer has no result", id)
+	}
+	return time.Duration(answer.Result.TTL) * time.Second, nil
+}
+
+// Revoke ends the lease and removes its keys. A lease that has lapsed already
+// is no error.
+//
+// Errors carry code.PlatformUnavailable.
+func (c *Client) Revoke(ctx context.Context, id store.LeaseID) error {
+	err := c.write(ctx, pathRevoke, leaseRequest{ID: number(id)}, &struct{}{})
+	if isNotFound(err) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/platform/etcd/message.go
@@ -0,0 +1,182 @@
+package etcd
+
+import (
+	"strconv"
+
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+)
+
+// number is an int64, which the protocol's JSON writes as text. A plain JSON
+// number is accepted too.
+type number int64
+
+// MarshalJSON writes the number as text.
+func (n number) MarshalJSON() ([]byte, error) {
+	return strconv.AppendQuote(nil, strconv.FormatInt(int64(n), 10)), nil
+}
+
+// UnmarshalJSON reads a number written as text or as a JSON number.
+func (n *number) UnmarshalJSON(raw []byte) error {
+	text := string(raw)
+	if len(raw) >= 2 && raw[0] == '"' {
+		text = string(raw[1 : len(raw)-1])
+	}
+	v, err := strconv.ParseInt(text, 10, 64)
+	*n = number(v)
+	return err
+}
+
+type header struct {
+	Revision number `json:"revision"`
+}
+
+type keyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision number `json:"mod_revision"`
+	Lease       number `json:"lease,omitempty"`
+}
+
+func (kv keyValue) entry() store.Entry {
+	return store.Entry{
+		Key:      store.Key(kv.Key),
+		Value:    kv.Value,
+		Revision: unit.Revision(kv.ModRevision),
+		Lease:    store.LeaseID(kv.Lease),
+	}
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeResponse struct {
+	Header header     `json:"header"`
+	KVs    []keyValue `json:"kvs"`
+}
+
+type compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision number `json:"mod_revision"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease number `json:"lease,omitempty"`
+}
+
+type operation struct {
+	Put   *putRequest   `json:"requestPut,omitempty"`
+	Range *rangeRequest `json:"requestRange,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []operation `json:"success"`
+	Failure []operation `json:"failure"`
+}
+
+type txnResponse struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+	Responses []struct {
+		Range *rangeResponse `json:"response_range"`
+	} `json:"responses"`
+}
+
+// swapRequest is a put of one key on condition of its revision. A key that is
+// absent has revision 0 in a comparison.
+func swapRequest(s store.Swap) txnRequest {
+	key := []byte(s.Key)
+	return txnRequest{
+		Compare: []compare{{Key: key, Target: "MOD", Result: "EQUAL", ModRevision: number(s.Old)}},
+		Success: []operation{{Put: &putRequest{Key: key, Value: s.Value, Lease: number(s.Lease)}}},
+		Failure: []operation{{Range: &rangeRequest{Key: key}}},
+	}
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchCreate struct {
+	Key            []byte `json:"key"`
+	RangeEnd       []byte `json:"range_end"`
+	StartRevision  number `json:"start_revision"`
+	ProgressNotify bool   `json:"progress_notify"`
+}
+
+type watchMessage struct {
+	Result *watchResult `json:"result"`
+	Error  *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+type watchResult struct {
+	Header          header `json:"header"`
+	Created         bool   `json:"created"`
+	Canceled        bool   `json:"canceled"`
+	CancelReason    string `json:"cancel_reason"`
+	CompactRevision number `json:"compact_revision"`
+	Events          []struct {
+		Type string   `json:"type"`
+		KV   keyValue `json:"kv"`
+	} `json:"events"`
+}
+
+func (r *watchResult) changes() []store.Change {
+	changes := make([]store.Change, 0, len(r.Events))
+	for _, e := range r.Events {
+		changes = append(changes, store.Change{Entry: e.KV.entry(), Removed: e.Type == "DELETE"})
+	}
+	return changes
+}
+
+// complete returns the revision up to which the watch has reported everything
+// with this message, or zero. The header of a message that creates a watch or
+// carries events may be ahead of the events that are still to come; that of a
+// progress notification is not.
+func (r *watchResult) complete() unit.Revision {
+	if n := len(r.Events); n > 0 {
+		return unit.Revision(r.Events[n-1].KV.ModRevision)
+	}
+	if r.Created {
+		return 0
+	}
+	return unit.Revision(r.Header.Revision)
+}
+
+type leaseRequest struct {
+	ID  number `json:"ID"`
+	TTL number `json:"TTL,omitempty"`
+}
+
+type leaseResponse struct {
+	Header header `json:"header"`
+	ID     number `json:"ID"`
+	TTL    number `json:"TTL"`
+}
+
+type keepAliveResponse struct {
+	Result *leaseResponse `json:"result"`
+}
+
+// prefixEnd returns the first key after all keys with the prefix. An empty
+// prefix, or one of 0xff bytes only, has no end, which the protocol writes as
+// a zero byte.
+func prefixEnd(prefix store.Key) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/platform/etcd/plugin.go
@@ -0,0 +1,77 @@
+// Package etcd speaks the etcd v3 JSON-over-HTTP protocol of the platform's
+// key-value service.
+package etcd
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+const section = "platform"
+
+// Settings are the section "platform".
+type Settings struct {
+	// Addresses of the platform; reads try them in turn.
+	Addresses []string `json:"addresses" validate:"min=1,dive,address"`
+	// Timeout bounds a call to one address.
+	Timeout settings.Duration `json:"timeout" validate:"duration"`
+	// WatchIdle bounds the silence of a watch. The platform has to send
+	// progress notifications more often than this.
+	WatchIdle settings.Duration `json:"watchIdle" validate:"duration"`
+	// MaxResponse bounds a response in bytes.
+	MaxResponse unit.Bytes `json:"maxResponse" validate:"min=1048576"`
+}
+
+// The default of WatchIdle is below the 12 s within which a change has to be
+// in effect; that of MaxResponse holds the 64 claim shards of 1 MB each, as
+// base64.
+const (
+	defaultTimeout     = 2 * time.Second
+	defaultWatchIdle   = 10 * time.Second
+	defaultMaxResponse = 96 << 20
+)
+
+func init() {
+	settings.Register(section, func() any {
+		return &Settings{
+			Addresses:   []string{"127.0.0.1:2379"},
+			Timeout:     settings.Of(defaultTimeout),
+			WatchIdle:   settings.Of(defaultWatchIdle),
+			MaxResponse: defaultMaxResponse,
+		}
+	})
+	plugin.Register(plugin.Platform, "etcd", build)
+}
+
+// platform is the plug-in. It has no background work.
+type platform struct{}
+
+func (platform) Start(context.Context) error { return nil }
+
+func (platform) Stop(context.Context) error { return nil }
+
+func build(d *plugin.Deps) (plugin.Plugin, error) {
+	s := d.Settings.Section(section).(*Settings)
+	c := New(Options{
+		Addresses:   s.Addresses,
+		Clock:       d.Clock,
+		Timeout:     s.Timeout.Duration,
+		Idle:        s.WatchIdle.Duration,
+		MaxResponse: s.MaxResponse,
+	})
+	stale := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "cuminbay_platform_stale_total",
+		Help: "Answers of the platform at a lower revision than one seen before.",
+	}, func() float64 { return float64(c.Stale()) })
+	if err := d.Metrics.Register(stale); err != nil {
+		return nil, err
+	}
+	d.Provide(c)
+	return platform{}, nil
+}
--- /dev/null
+++ b/internal/platform/etcd/watch.go
@@ -0,0 +1,168 @@
+package etcd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+)
+
+// Watch emits the changes below the prefix that are newer than the revision,
+// with the revision up to which they are complete; the first call, without
+// changes, says that the watch is open. It blocks until the context
+// ends, which is no error, or the watch breaks: the connection ended, the
+// platform cancelled it, or it was silent for longer than the idle limit.
+//
+// Errors carry code.PlatformUnavailable.
+func (c *Client) Watch(ctx context.Context, prefix store.Key, after unit.Revision, emit func([]store.Change, unit.Revision)) error {
+	request := watchRequest{watchCreate{
+		Key:            []byte(prefix),
+		RangeEnd:       prefixEnd(prefix),
+		StartRevision:  number(after + 1),
+		ProgressNotify: true,
+	}}
+	at := int(c.preferred.Load())
+	h := c.hosts[at]
+	err := c.follow(ctx, h, request, after, emit)
+	if ctx.Err() != nil {
+		return nil
+	}
+	// The next watch tries another address.
+	c.preferred.CompareAndSwap(int64(at), int64((at+1)%len(c.hosts)))
+	return code.PlatformUnavailable.Wrap(err, "watch %s at %s", prefix, h.address)
+}
+
+// follow reads messages in a goroutine of their own, so that silence and the
+// end of the context are noticed while a read blocks.
+func (c *Client) follow(ctx context.Context, h *host, request watchRequest, complete unit.Revision, emit func([]store.Change, unit.Revision)) error {
+	s := &stream{messages: make(chan *watchResult), done: make(chan struct{})}
+	var reader sync.WaitGroup
+	reader.Add(1)
+	go func() {
+		defer reader.Done()
+		s.failure = s.read(h, request, int64(c.options.MaxResponse))
+		close(s.messages)
+	}()
+	defer reader.Wait()
+	defer s.close()
+
+	idle := c.options.Clock.NewTimer(c.options.Idle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-idle.Chan():
+			return fmt.Errorf("silent for %s", c.options.Idle)
+		case m, open := <-s.messages:
+			if !open {
+				return s.failure
+			}
+			if m.Canceled {
+				return fmt.Errorf("cancelled by the platform: %s (compacted to %d)", m.CancelReason, m.CompactRevision)
+			}
+			idle.Reset(c.options.Idle)
+			c.observe(m.Header.Revision)
+			complete = max(complete, m.complete())
+			emit(m.changes(), complete)
+		}
+	}
+}
+
+// stream is one open watch with a connection of its own.
+type stream struct {
+	messages chan *watchResult
+	done     chan struct{}
+	// failure is set before messages is closed.
+	failure error
+
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+// close ends the connection, which makes a blocked read return.
+func (s *stream) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.done)
+	if s.conn != nil {
+		_ = s.conn.Close()
+	}
+}
+
+func (s *stream) keep(conn net.Conn) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.done:
+		_ = conn.Close()
+		return net.ErrClosed
+	default:
+		s.conn = conn
+		return nil
+	}
+}
+
+func (s *stream) read(h *host, request watchRequest, limit int64) error {
+	client := &fasthttp.HostClient{
+		Addr:               h.address,
+		IsTLS:              h.tls,
+		MaxConns:           1,
+		StreamResponseBody: true,
+		RetryIfErr:         func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := h.dial(address)
+			if err != nil {
+				return nil, err
+			}
+			return conn, s.keep(conn)
+		},
+	}
+	defer client.CloseIdleConnections()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := h.fill(req, pathWatch, request); err != nil {
+		return err
+	}
+	req.SetConnectionClose()
+	if err := client.Do(req, resp); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return newStatusError(resp.StatusCode(), nil)
+	}
+	return s.decode(resp.BodyStream(), limit)
+}
+
+func (s *stream) decode(body io.Reader, limit int64) error {
+	bounded := &io.LimitedReader{R: body}
+	decoder := json.NewDecoder(bounded)
+	for {
+		bounded.N = limit
+		var m watchMessage
+		if err := decoder.Decode(&m); err != nil {
+			return fmt.Errorf("stream ended: %w", err)
+		}
+		if m.Error != nil {
+			return errors.New(m.Error.Message)
+		}
+		if m.Result == nil {
+			return errors.New("message without a result")
+		}
+		select {
+		case s.messages <- m.Result:
+		case <-s.done:
+			return net.ErrClosed
+		}
+	}
+}
