Add at-most-once claims on platform shards

Cause: a request that may not run twice has to be claimed before it is sent, and the platform bears only several hundred writes a second.

--- /dev/null
+++ b/internal/serve/claim/plugin.go
@@ -0,0 +1,106 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+// Settings are the section "claim".
+type Settings struct {
+	// Shards has to be equal at all daemons and may be changed only while no
+	// claim is retained, as a key moves to another shard with it.
+	Shards uint64 `json:"shards" validate:"min=1,max=4096"`
+	// Retention is the time for which a key can't run again.
+	Retention settings.Duration `json:"retention" validate:"duration"`
+	// PauseLimit bounds the time from claim to send.
+	PauseLimit settings.Duration `json:"pauseLimit" validate:"duration"`
+	// MaxValue bounds a shard in bytes, below the platform's limit of 1 MB.
+	MaxValue int `json:"maxValue" validate:"min=1024,max=1000000"`
+	// WriteTimeout bounds the wait for a claim in the platform.
+	WriteTimeout settings.Duration `json:"writeTimeout" validate:"duration"`
+	// AskTimeout bounds the wait for the holder of a claim.
+	AskTimeout settings.Duration `json:"askTimeout" validate:"duration"`
+}
+
+const section = "claim"
+
+func init() {
+	settings.Register(section, func() any {
+		return &Settings{
+			Shards:       64,
+			Retention:    settings.Of(24 * time.Hour),
+			PauseLimit:   settings.Of(5 * time.Second),
+			MaxValue:     900_000,
+			WriteTimeout: settings.Of(time.Second),
+			AskTimeout:   settings.Of(time.Second),
+		}
+	})
+	plugin.Register(plugin.Decision, section, build)
+}
+
+type claimPlugin struct {
+	plugin.Loops
+	*Claims
+	deps *plugin.Deps
+}
+
+func build(d *plugin.Deps) (plugin.Plugin, error) {
+	s := d.Settings.Section(section).(*Settings)
+	if s.WriteTimeout.Duration >= s.PauseLimit.Duration {
+		return nil, code.BadSettings.New("claim.writeTimeout: %s is not below claim.pauseLimit %s", s.WriteTimeout, s.PauseLimit)
+	}
+	c := New(Options{
+		Self:         d.Settings.Daemon.Instance,
+		Clock:        d.Clock,
+		Rules:        Rules{Retention: s.Retention.Duration, MaxValue: s.MaxValue},
+		Shards:       s.Shards,
+		PauseLimit:   s.PauseLimit.Duration,
+		WriteTimeout: s.WriteTimeout.Duration,
+		AskTimeout:   s.AskTimeout.Duration,
+	})
+	d.Provide(c)
+	return &claimPlugin{Claims: c, deps: d}, nil
+}
+
+// Start implements plugin.Plugin.
+func (p *claimPlugin) Start(context.Context) error {
+	if err := p.deps.Need(&p.Platform); err != nil {
+		return err
+	}
+	if err := p.deps.Need(&p.Asker); err != nil {
+		return err
+	}
+	if err := p.register(); err != nil {
+		return err
+	}
+	p.Run(p.Go)
+	return nil
+}
+
+func (p *claimPlugin) register() error {
+	for name, value := range map[string]func() int64{
+		"cuminbay_claim_writes_total":    p.Writes,
+		"cuminbay_claim_confirmed_total": p.Confirmed,
+	} {
+		counter := prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Name: name, Help: "Platform writes begun for claims, and claims confirmed."},
+			func() float64 { return float64(value()) })
+		if err := p.deps.Metrics.Register(counter); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop implements plugin.Plugin. It writes what has ended to the platform
+// first.
+func (p *claimPlugin) Stop(ctx context.Context) error {
+	return errors.Join(p.Drain(ctx), p.Loops.Stop(ctx))
+}
