Add the operators' interface and commands; share types of marks and records

Cause: the operators' interface needs types of marks, peers and stored records, and plug-ins share domain types only.

--- /dev/null
+++ b/internal/caller/operator/operator.go
@@ -0,0 +1,247 @@
+// Package operator is the operators' HTTP interface of a daemon: status,
+// records, drains, the timeline and metrics.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/caller/httpcall"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/mark"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/report"
+	"cuminbay/internal/domain/roster"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/timeline"
+	"cuminbay/internal/route/table"
+)
+
+// configuration reads and writes records.
+type configuration interface {
+	Ready() bool
+	Revision() unit.Revision
+	Active() []record.Stored
+	Rejected() []record.Rejection
+	Write(ctx context.Context, n record.Name, old unit.Revision, raw []byte) (unit.Revision, error)
+	Get(ctx context.Context, n record.Name) (record.Stored, error)
+	List(ctx context.Context) ([]record.Stored, error)
+}
+
+// drains takes data centres and instances out of service and back.
+type drains interface {
+	Set(ctx context.Context, t mark.Target, out bool) error
+	Marks() []mark.Mark
+}
+
+// members knows the other daemons.
+type members interface {
+	Self() ident.Instance
+	Live() []ident.Instance
+	Peers() []roster.Peer
+}
+
+// replicas has the states that this daemon routes by.
+type replicas interface {
+	Attested() []report.State
+}
+
+// load counts this daemon's requests.
+type load interface {
+	InFlight() unit.Requests
+}
+
+// asker asks another daemon.
+type asker interface {
+	Ask(ctx context.Context, to ident.Instance, topic string, body []byte) ([]byte, error)
+}
+
+// Options are the parts of an Interface.
+type Options struct {
+	Clock      clock.Clock
+	DataCentre ident.DataCentre
+	Timeline   *timeline.Recorder
+	Tables     *table.Publisher
+	Records    configuration
+	Drains     drains
+	Members    members
+	Replicas   replicas
+	Load       load
+	Peers      asker
+	// AskTimeout bounds the question to another daemon.
+	AskTimeout time.Duration
+}
+
+// Interface answers operators.
+type Interface struct {
+	Options
+}
+
+// Status is what a daemon says of itself and of what it routes by.
+type Status struct {
+	Instance   ident.Instance     `json:"instance"`
+	DataCentre ident.DataCentre   `json:"dataCentre"`
+	Ready      bool               `json:"ready"`
+	InFlight   unit.Requests      `json:"inFlight"`
+	Revision   unit.Revision      `json:"revision"`
+	Rejected   []record.Rejection `json:"rejected"`
+	Daemons    []roster.Peer      `json:"daemons"`
+	Replicas   []report.State     `json:"replicas"`
+	Endpoints  []Endpoint         `json:"endpoints"`
+	Drains     []mark.Mark        `json:"drains"`
+}
+
+// Endpoint is an endpoint of the routing table with its load.
+type Endpoint struct {
+	ID         ident.Endpoint   `json:"endpoint"`
+	Protocol   table.Protocol   `json:"protocol"`
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Cold       bool             `json:"cold"`
+	InFlight   unit.Requests    `json:"inFlight"`
+	Bound      unit.Requests    `json:"bound"`
+	// FirstToken is the estimated time to the first token in seconds.
+	FirstToken float64 `json:"firstToken"`
+}
+
+// Status returns the daemon's status.
+func (i *Interface) Status() Status {
+	s := Status{
+		Instance:   i.Members.Self(),
+		DataCentre: i.DataCentre,
+		Ready:      i.Records.Ready(),
+		InFlight:   i.Load.InFlight(),
+		Revision:   i.Records.Revision(),
+		Rejected:   i.Records.Rejected(),
+		Daemons:    i.Members.Peers(),
+		Replicas:   i.Replicas.Attested(),
+		Drains:     i.Drains.Marks(),
+	}
+	now := i.Clock.Now()
+	for _, e := range i.Tables.Current().Endpoints() {
+		s.Endpoints = append(s.Endpoints, Endpoint{
+			ID: e.ID, Protocol: e.Protocol, DataCentre: e.DataCentre, Cold: e.Cold || e.Load.Suspect(),
+			InFlight: e.Load.InFlight(), Bound: e.Bound(now), FirstToken: e.Load.FirstToken().Seconds(),
+		})
+	}
+	return s
+}
+
+// Handler returns the handler of the operators' paths.
+func (i *Interface) Handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.GET("/health", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/status", func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, i.Status()) })
+	r.GET("/timeline", i.timeline)
+	r.GET("/records", i.listRecords)
+	r.GET("/records/{kind}/{name:*}", i.withName(i.getRecord))
+	r.PUT("/records/{kind}/{name:*}", i.withName(i.putRecord))
+	r.GET("/confirmations/{kind}/{name:*}", i.withName(i.confirmations))
+	r.PUT("/drain/{kind}/{id:*}", func(ctx *fasthttp.RequestCtx) { i.setDrain(ctx, true) })
+	r.DELETE("/drain/{kind}/{id:*}", func(ctx *fasthttp.RequestCtx) { i.setDrain(ctx, false) })
+	r.NotFound = func(ctx *fasthttp.RequestCtx) {
+		httpcall.WriteError(ctx, code.UnknownPath.New("%s %s: no such operators' path", ctx.Method(), ctx.Path()))
+	}
+	return r.Handler
+}
+
+type named func(ctx *fasthttp.RequestCtx, n record.Name)
+
+func (*Interface) withName(f named) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		n, err := record.ParseName(value(ctx, "kind") + "/" + value(ctx, "name"))
+		if err != nil {
+			httpcall.WriteError(ctx, err)
+			return
+		}
+		f(ctx, n)
+	}
+}
+
+func (i *Interface) listRecords(ctx *fasthttp.RequestCtx) {
+	list, err := i.Records.List(ctx)
+	if err != nil {
+		// The active records are an answer also while the platform is down.
+		ctx.Response.Header.Set("X-Source", "active")
+		writeJSON(ctx, i.Records.Active())
+		return
+	}
+	writeJSON(ctx, list)
+}
+
+func (i *Interface) getRecord(ctx *fasthttp.RequestCtx, n record.Name) {
+	r, err := i.Records.Get(ctx, n)
+	if err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	writeJSON(ctx, r)
+}
+
+// Written is the answer to a write of a record.
+type Written struct {
+	record.Name
+	Revision unit.Revision `json:"revision"`
+}
+
+func (i *Interface) putRecord(ctx *fasthttp.RequestCtx, n record.Name) {
+	old, err := revision(ctx)
+	if err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	written, err := i.Records.Write(ctx, n, old, ctx.PostBody())
+	if err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	i.Timeline.Record("record-written", n.String(), "revision", strconv.FormatInt(int64(written), 10))
+	writeJSON(ctx, Written{n, written})
+}
+
+// revision reads the revision that a write expects or a confirmation asks for.
+func revision(ctx *fasthttp.RequestCtx) (unit.Revision, error) {
+	raw := string(ctx.QueryArgs().Peek("revision"))
+	if raw == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseInt(raw, 10, 64)
+	if err != nil || v < 0 {
+		return 0, code.BadHeader.New("query revision: %q is not a number from 0", raw)
+	}
+	return unit.Revision(v), nil
+}
+
+func (i *Interface) setDrain(ctx *fasthttp.RequestCtx, out bool) {
+	t := mark.Target{Kind: mark.Kind(value(ctx, "kind")), ID: value(ctx, "id")}
+	if err := t.Check(); err != nil {
+		httpcall.WriteError(ctx, code.BadMessage.Wrap(err, "drain"))
+		return
+	}
+	if err := i.Drains.Set(ctx, t, out); err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	writeJSON(ctx, i.Drains.Marks())
+}
+
+func value(ctx *fasthttp.RequestCtx, name string) string {
+	s, _ := ctx.UserValue(name).(string)
+	return s
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		httpcall.WriteError(ctx, code.Internal.Wrap(err, "answer of %s", ctx.Path()))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/valyala/fasthttp"
 
 	"cuminbay/internal/domain/code"
 )
@@ -58,6 +59,11 @@
 	return []entry{
 		{"serve", "Run a daemon", "Runs a daemon until it gets SIGTERM or SIGINT, then stops in order.", &serveCommand{streams: s}},
 		{"check", "Check settings and records without starting", "Checks a settings file and, with --record, files with records.", &checkCommand{streams: s}},
+		{"record", "Read and write records", "Lists, shows, writes and withdraws operators' records.", newRecordCommand(s)},
+		{"drain", "Take a data centre or instance out of service", "Marks a data centre or an instance as out of service; it gets no new work.", &drainCommand{streams: s, method: fasthttp.MethodPut}},
+		{"restore", "Return a data centre or instance to service", "Marks a data centre or an instance as in service.", &drainCommand{streams: s, method: fasthttp.MethodDelete}},
+		{"status", "Print a daemon's status", "Prints what a daemon says of itself, its replicas and its endpoints.", &statusCommand{streams: s}},
+		{"timeline", "Print the events of all daemons", "Prints the events of all daemons in the order of a hybrid logical clock.", &timelineCommand{streams: s}},
 		{"version", "Print the version", "Prints the version of the program and of its formats.", &versionCommand{streams: s}},
 	}
 }
--- /dev/null
+++ b/internal/command/cli/drain.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/mark"
+)
+
+// targetArgument is what a drain is about.
+type targetArgument struct {
+	Target string `positional-arg-name:"KIND/ID" description:"datacentre/ID or instance/ID" required:"true"`
+}
+
+// drainCommand takes a data centre or an instance out of service, or back.
+type drainCommand struct {
+	operatorFlags
+	Args    targetArgument `positional-args:"true"`
+	streams Streams
+	method  string
+}
+
+// Execute sets the mark at a daemon, which tells the others.
+func (c *drainCommand) Execute([]string) error {
+	kind, id, found := strings.Cut(c.Args.Target, "/")
+	if !found {
+		return code.BadMessage.New("target %q: want datacentre/ID or instance/ID", c.Args.Target)
+	}
+	t := mark.Target{Kind: mark.Kind(kind), ID: id}
+	if err := t.Check(); err != nil {
+		return code.BadMessage.Wrap(err, "target %q", c.Args.Target)
+	}
+	var marks []mark.Mark
+	if err := c.call(c.method, "/drain/"+t.String(), nil, &marks); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.streams.printJSON(marks)
+	}
+	state := "in service"
+	if c.method == fasthttp.MethodPut {
+		state = "out of service"
+	}
+	c.streams.printf("%s is marked %s\n", t, state)
+	return nil
+}
--- /dev/null
+++ b/internal/command/cli/page.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	_ "embed" // The page's template is a file beside this one.
+	"hash/fnv"
+	"html/template"
+	"io"
+	"sort"
+	"time"
+
+	"cuminbay/internal/caller/operator"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/kernel/timeline"
+)
+
+//go:embed timeline.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("timeline").Parse(pageText))
+
+// page is what the template shows: a column for each process and a row for
+// each event.
+type page struct {
+	Processes []ident.Instance
+	Rows      []row
+	Silent    []operator.Silent
+	From, To  string
+}
+
+type row struct {
+	Time    string
+	Since   string
+	Hue     int
+	Event   timeline.Event
+	Details string
+}
+
+const pageTime = "2006-01-02 15:04:05.000"
+
+func writePage(w io.Writer, t operator.Timeline) error {
+	p := page{Silent: t.Silent, Processes: processes(t.Events)}
+	var last time.Time
+	for i, e := range t.Events {
+		at := e.Stamp.Time().UTC()
+		r := row{
+			Time: at.Format(pageTime), Event: e, Details: e.Text(), Hue: hue(e.Name),
+		}
+		if i == 0 {
+			p.From = r.Time
+		} else {
+			r.Since = "+" + at.Sub(last).String()
+		}
+		last = at
+		p.To = r.Time
+		p.Rows = append(p.Rows, r)
+	}
+	return pageTemplate.Execute(w, p)
+}
+
+func processes(events []timeline.Event) []ident.Instance {
+	seen := make(map[ident.Instance]bool)
+	var names []ident.Instance
+	for _, e := range events {
+		if !seen[e.Process] {
+			seen[e.Process] = true
+			names = append(names, e.Process)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// hue gives events of one name one colour.
+func hue(name string) int {
+	const degrees = 360
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return int(h.Sum32() % degrees)
+}
--- /dev/null
+++ b/internal/command/cli/record.go
@@ -0,0 +1,213 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/caller/operator"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
+)
+
+// recordCommand groups the commands on records.
+type recordCommand struct {
+	List     recordList     `command:"list" description:"List the records with their revisions"`
+	Show     recordShow     `command:"show" description:"Print a record"`
+	Write    recordWrite    `command:"write" description:"Write a record"`
+	Withdraw recordWithdraw `command:"withdraw" description:"Withdraw a record"`
+}
+
+// Execute is called by go-flags only for the subcommands.
+func (*recordCommand) Execute([]string) error {
+	return nil
+}
+
+func newRecordCommand(s Streams) *recordCommand {
+	c := new(recordCommand)
+	c.List.streams, c.Show.streams = s, s
+	c.Write.streams, c.Withdraw.streams = s, s
+	return c
+}
+
+type recordList struct {
+	operatorFlags
+	streams Streams
+}
+
+// Execute lists the records.
+func (c *recordList) Execute([]string) error {
+	var list []record.Stored
+	if err := c.call(fasthttp.MethodGet, "/records", nil, &list); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.streams.printJSON(list)
+	}
+	for _, r := range list {
+		c.streams.printf("%-40s revision %d\n", r.Name, r.Revision)
+	}
+	return nil
+}
+
+// nameArgument is the record that a command is about.
+type nameArgument struct {
+	Name string `positional-arg-name:"KIND/NAME" description:"the record, as in deployment/assistant" required:"true"`
+}
+
+type recordShow struct {
+	operatorFlags
+	Args    nameArgument `positional-args:"true"`
+	streams Streams
+}
+
+// Execute prints the record's JSON.
+func (c *recordShow) Execute([]string) error {
+	r, err := c.get(c.Args.Name)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.streams.printJSON(r)
+	}
+	c.streams.printf("%s\n", r.Raw)
+	return nil
+}
+
+func (f operatorFlags) get(name string) (record.Stored, error) {
+	var r record.Stored
+	n, err := record.ParseName(name)
+	if err != nil {
+		return r, err
+	}
+	err = f.call(fasthttp.MethodGet, "/records/"+n.String(), nil, &r)
+	return r, err
+}
+
+// writeFlags are shared by the commands that write.
+type writeFlags struct {
+	operatorFlags
+	Revision *int64        `long:"revision" description:"write only if the record has this revision, 0 for a new one (default: the current one)"`
+	Wait     time.Duration `long:"wait" description:"wait this long until every reachable daemon has it active"`
+}
+
+type recordWrite struct {
+	writeFlags
+	File    string       `short:"f" long:"file" default:"-" description:"the record's JSON, - for standard input"`
+	Args    nameArgument `positional-args:"true"`
+	streams Streams
+}
+
+// Execute writes the record.
+func (c *recordWrite) Execute([]string) error {
+	raw, err := readInput(c.File)
+	if err != nil {
+		return err
+	}
+	return c.write(c.streams, c.Args.Name, raw)
+}
+
+func readInput(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(path)
+}
+
+type recordWithdraw struct {
+	writeFlags
+	Args    nameArgument `positional-args:"true"`
+	streams Streams
+}
+
+// Execute withdraws the record. It stays as a tombstone, so that an older one
+// can't come back.
+func (c *recordWithdraw) Execute([]string) error {
+	return c.write(c.streams, c.Args.Name, fmt.Appendf(nil, `{"schema":%d,"withdrawn":true}`, record.SchemaV2))
+}
+
+func (f writeFlags) write(s Streams, name string, raw []byte) error {
+	n, err := record.ParseName(name)
+	if err != nil {
+		return err
+	}
+	if _, err := record.Decode(n, raw); err != nil {
+		return err
+	}
+	old, err := f.expected(n)
+	if err != nil {
+		return err
+	}
+	var written operator.Written
+	path := fmt.Sprintf("/records/%s?revision=%d", n, old)
+	if err := f.call(fasthttp.MethodPut, path, raw, &written); err != nil {
+		return err
+	}
+	if f.Wait > 0 {
+		if err := f.confirm(n, written.Revision); err != nil {
+			return err
+		}
+	}
+	if f.JSON {
+		return s.printJSON(written)
+	}
+	s.printf("%s written at revision %d\n", n, written.Revision)
+	return nil
+}
+
+// expected returns the revision that the record must have.
+func (f writeFlags) expected(n record.Name) (unit.Revision, error) {
+	if f.Revision != nil {
+		return unit.Revision(*f.Revision), nil
+	}
+	r, err := f.get(n.String())
+	if code.Of(err) == code.NoSuchRecord {
+		return 0, nil
+	}
+	return r.Revision, err
+}
+
+// confirm waits until every reachable daemon has the revision active. It names
+// those that have not confirmed when the time is over.
+func (f writeFlags) confirm(n record.Name, revision unit.Revision) error {
+	clk := clock.Real()
+	until := clk.Now().Add(f.Wait)
+	const interval = 100 * time.Millisecond
+	for {
+		var list []operator.Confirmation
+		path := fmt.Sprintf("/confirmations/%s?revision=%d", n, revision)
+		if err := f.call(fasthttp.MethodGet, path, nil, &list); err != nil {
+			return err
+		}
+		missing := unconfirmed(list)
+		if len(missing) == 0 {
+			return nil
+		}
+		if clk.Now().After(until) {
+			raw, err := json.Marshal(missing)
+			if err != nil {
+				return err
+			}
+			return code.NotReady.New("%s: revision %d is written but not confirmed by %s", n, revision, raw)
+		}
+		plugin.Sleep(context.Background(), clk, interval)
+	}
+}
+
+func unconfirmed(list []operator.Confirmation) []operator.Confirmation {
+	var missing []operator.Confirmation
+	for _, c := range list {
+		if !c.Active {
+			missing = append(missing, c)
+		}
+	}
+	return missing
+}
--- a/internal/fleet/config/state.go
+++ b/internal/fleet/config/state.go
@@ -5,7 +5,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"cuminbay/internal/domain/record"
 	"cuminbay/internal/domain/store"
@@ -13,22 +12,11 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-// Stored is a record as the platform holds it.
-type Stored struct {
-	record.Name
-	Revision unit.Revision `json:"revision"`
-	Raw      []byte        `json:"raw"`
-}
-
-// Rejection is a record that is not in effect because it is invalid. The
-// earlier one, if any, stays active.
-type Rejection struct {
-	record.Name
-	Revision unit.Revision `json:"revision"`
-	Reason   string        `json:"reason"`
-	// Time is when this daemon first saw the record.
-	Time time.Time `json:"time"`
-}
+// Stored and Rejection are the domain types of stored records.
+type (
+	Stored    = record.Stored
+	Rejection = record.Rejection
+)
 
 // eventRecorder is the part of the timeline that this package uses.
 type eventRecorder interface {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -19,19 +19,7 @@
 )
 
 // Peer is a daemon as others see it.
-type Peer struct {
-	Instance   ident.Instance
-	DataCentre ident.DataCentre
-	// Address is the peer listener, Caller the listener for callers; empty
-	// if unknown.
-	Address string
-	Caller  string
-	// Alive says that the daemon was heard of lately.
-	Alive bool
-	// Leaving says that the daemon or the roster announced its end. It
-	// still answers peers but gets no duties.
-	Leaving bool
-}
+type Peer = roster.Peer
 
 // Entry is what a daemon says of itself.
 type Entry struct {
--- a/internal/fleet/replica/endpoints.go
+++ b/internal/fleet/replica/endpoints.go
@@ -3,7 +3,6 @@
 import (
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/record"
-	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/route/table"
 )
 
@@ -37,7 +36,8 @@
 		ID: ident.Endpoint(s.Replica), Protocol: table.Engine, DataCentre: dc, Address: s.Address,
 		Replica: s.Replica, Epoch: s.Epoch, Version: s.Version, Deployment: s.Deployment,
 		Models: []ident.Model{s.Model}, Organisations: d.Organisations,
-		Cold: s.Cold, Limit: limit(s, d), Running: s.Running, Waiting: s.Waiting,
+		Cold: s.Cold, Limit: d.Limit, ColdLimit: d.ColdLimit,
+		Reported: table.Counts{Running: s.Running, Waiting: s.Waiting},
 	}
 	for _, a := range s.Adapters {
 		e.Models = append(e.Models, ident.Model(a))
@@ -45,13 +45,6 @@
 	return e
 }
 
-func limit(s *State, d *record.Deployment) unit.Requests {
-	if s.Cold {
-		return d.ColdLimit
-	}
-	return d.Limit
-}
-
 func anyOut(members []ident.Instance, out drains) bool {
 	for _, m := range members {
 		if out.OutInstance(m) {
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -26,7 +26,7 @@
 	}{
 		"alone it may fill the capacity":      {large: 1, offered: 200, wantLarge: 100},
 		"its own limit comes first":           {large: 1, limit: 5, offered: 200, wantLarge: 5},
-		"an equal weight leaves room unused":   {large: 1, small: 1, offered: 200, wantLarge: 80},
+		"an equal weight leaves room unused":  {large: 1, small: 1, offered: 200, wantLarge: 80},
 		"a larger weight has a larger share":  {large: 9, small: 1, offered: 200, wantLarge: 90},
 		"below the short mark nobody is held": {large: 1, small: 9, offered: 79, wantLarge: 79},
 	}
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -42,9 +42,6 @@
 
 	// Cold says that the endpoint bears only what it was granted.
 	Cold bool
-	// ColdLimit bounds the requests at once from all daemons of the data
-	// centre while the endpoint is cold; zero stands for the default.
-	ColdLimit unit.Requests
 	// Limit bounds the requests at once from this daemon.
 	Limit unit.Requests
 	// ColdLimit is the number of requests at once that the endpoint bears
--- a/internal/serve/claim/attempt.go
+++ b/internal/serve/claim/attempt.go
@@ -7,6 +7,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/domain/work"
 )
 
 // phase is what this process knows of one of its own attempts. It only moves
@@ -104,11 +105,7 @@
 // have been sent; a code whose outcome is not-run releases the claim instead.
 // Release says that the request was certainly not sent. After Finish or Release
 // the ticket is spent.
-type Ticket = interface {
-	MaySend() error
-	Finish(c code.Code)
-	Release()
-}
+type Ticket = work.Ticket
 
 // ticket implements Ticket for a confirmed attempt.
 type ticket struct {
