--- a/internal/fleet/drain/plugin.go
+++ b/internal/fleet/drain/plugin.go
@@ -115,7 +115,10 @@
 	for _, mark := range got {
 		failures = append(failures, p.hear(mark, string(from)))
 	}
-	return errors.Join(failures...)
+	if err := errors.Join(failures...); err != nil {
+		return code.BadMessage.Wrap(err, "drain: delta of %s", from)
+	}
+	return nil
 }
 
 func (p *Plugin) hear(mark Mark, from string) error {
@@ -149,18 +152,23 @@
 		case <-timer.Chan():
 		}
 		timer.Stop()
-		p.mu.Lock()
-		targets := make([]Target, 0, len(p.unwritten))
-		for t := range p.unwritten {
-			targets = append(targets, t)
-		}
-		p.mu.Unlock()
-		for _, t := range targets {
+		for _, t := range p.pending() {
 			p.write(ctx, t)
 		}
 	}
 }
 
+// pending returns the targets whose mark the platform may lack.
+func (p *Plugin) pending() []Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	targets := make([]Target, 0, len(p.unwritten))
+	for t := range p.unwritten {
+		targets = append(targets, t)
+	}
+	return targets
+}
+
 // write stores the current mark unless the platform has a newer one. The first
 // try takes the key to be absent; a lost swap returns the current entry.
 func (p *Plugin) write(ctx context.Context, t Target) {
--- /dev/null
+++ b/internal/fleet/member/member_test.go
@@ -0,0 +1,241 @@
+package member_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/roster"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/member"
+)
+
+const deadAfter = 3 * time.Second
+
+func newView(clk clockwork.Clock, name, dataCentre string, boot int) *member.View {
+	return member.New(member.Options{
+		Self: member.Entry{
+			Instance: ident.Instance(name), DataCentre: ident.DataCentre(dataCentre),
+			Address: name + ":7700", Boot: unit.Boot(boot),
+		},
+		Clock: clk, DeadAfter: deadAfter, FarDeadAfter: 15 * time.Second,
+	})
+}
+
+// exchange does what the peer plug-in does and returns the bytes of digests
+// and deltas.
+func exchange(a, b *member.View) int {
+	first := a.Digest()
+	forA, second := b.Delta(first), b.Digest()
+	if forA != nil {
+		_ = a.Merge(b.Self(), forA)
+	}
+	forB := a.Delta(second)
+	b.Heard(a.Self())
+	a.Heard(b.Self())
+	if forB != nil {
+		_ = b.Merge(a.Self(), forB)
+	}
+	return len(first) + len(second) + len(forA) + len(forB)
+}
+
+// group is a data centre of daemons, some dead, paused or apart.
+type group struct {
+	clock  *clockwork.FakeClock
+	views  []*member.View
+	up     []bool
+	paused []bool
+	side   []int
+	since  []time.Time
+	ticked []time.Time
+	boots  int
+}
+
+func newGroup(n int) *group {
+	g := &group{
+		clock: clockwork.NewFakeClock(), views: make([]*member.View, n), up: make([]bool, n), paused: make([]bool, n),
+		side: make([]int, n), since: make([]time.Time, n), ticked: make([]time.Time, n),
+	}
+	for i := range n {
+		g.boot(i)
+	}
+	return g
+}
+
+func (g *group) boot(i int) {
+	g.boots++
+	g.views[i] = newView(g.clock, name(i), "a", g.boots)
+	g.up[i], g.paused[i], g.since[i], g.ticked[i] = true, false, g.clock.Now(), g.clock.Now()
+}
+
+func name(i int) string { return fmt.Sprintf("d%d", i) }
+
+// step passes a quarter of a second, in which each daemon meets the next ones.
+func (g *group) step() {
+	g.clock.Advance(250 * time.Millisecond)
+	for i, v := range g.views {
+		if !g.up[i] || g.paused[i] {
+			continue
+		}
+		v.Tick()
+		g.ticked[i] = g.clock.Now()
+		for j := range g.views {
+			if j != i && g.up[j] && !g.paused[j] && g.side[i] == g.side[j] {
+				exchange(v, g.views[j])
+			}
+		}
+	}
+}
+
+// check fails if a daemon that has been silent for longer than the bound owns
+// anything, or one that was paused for longer than its silence allows believes
+// its view.
+func (g *group) check(t *rapid.T) {
+	// A heartbeat is passed on for half of deadAfter by each daemon that
+	// learned it; the daemon that hears it last keeps it for deadAfter.
+	bound := deadAfter + time.Duration(len(g.views))*deadAfter/2
+	now := g.clock.Now()
+	for i, v := range g.views {
+		if !g.up[i] {
+			continue
+		}
+		owners := v.Owners("replica/r1", len(g.views))
+		if now.Sub(g.ticked[i]) > deadAfter && len(owners) > 0 {
+			t.Fatalf("%s was paused for %s and believes in the owners %v", name(i), now.Sub(g.ticked[i]), owners)
+		}
+		for j := range g.views {
+			if !g.up[j] && now.Sub(g.since[j]) > bound && slices.Contains(owners, ident.Instance(name(j))) {
+				t.Fatalf("%s takes %s for an owner, dead for %s", name(i), name(j), now.Sub(g.since[j]))
+			}
+		}
+	}
+}
+
+// TestView guards against dead daemons that keep duties, paused ones that
+// believe themselves the owner of everything, and connected daemons that
+// disagree about owners.
+func TestView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "daemons")
+		g := newGroup(n)
+		daemon := rapid.IntRange(0, n-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"": g.check,
+			"steps": func(t *rapid.T) {
+				for range rapid.IntRange(1, 16).Draw(t, "steps") {
+					g.step()
+					g.check(t)
+				}
+			},
+			"kill": func(t *rapid.T) {
+				if i := daemon.Draw(t, "daemon"); g.up[i] {
+					g.up[i], g.since[i] = false, g.clock.Now()
+				}
+			},
+			"boot":   func(t *rapid.T) { g.boot(daemon.Draw(t, "daemon")) },
+			"pause":  func(t *rapid.T) { g.paused[daemon.Draw(t, "daemon")] = true },
+			"resume": func(t *rapid.T) { g.paused[daemon.Draw(t, "daemon")] = false },
+			"part":   func(t *rapid.T) { g.side[daemon.Draw(t, "daemon")] = rapid.IntRange(0, 1).Draw(t, "side") },
+		})
+		clear(g.paused)
+		clear(g.side)
+		for range 4 * n * int(deadAfter/time.Second) {
+			g.step()
+		}
+		var want []ident.Instance
+		for i := range g.views {
+			if g.up[i] {
+				want = append(want, ident.Instance(name(i)))
+			}
+		}
+		for i, v := range g.views {
+			if g.up[i] && !slices.Equal(v.Live(), want) {
+				t.Fatalf("%s sees %v, live are %v", name(i), v.Live(), want)
+			}
+			if g.up[i] && v.Owner("replica/r1") != g.views[slices.Index(g.up, true)].Owner("replica/r1") {
+				t.Fatalf("%s sees another owner", name(i))
+			}
+		}
+	})
+}
+
+// TestKnown guards against quotas that are too large because a daemon is not
+// counted, and against duties of daemons that are leaving.
+func TestKnown(t *testing.T) {
+	daemon := func(id string, state roster.State) roster.Instance {
+		return roster.Instance{ID: ident.Instance(id), DataCentre: "a", Role: roster.Daemon, State: state, Address: id + ":1"}
+	}
+	tests := map[string]struct {
+		roster []roster.Instance
+		leave  bool
+		known  int
+		live   []ident.Instance
+	}{
+		"alone":                            {known: 2, live: []ident.Instance{"d0", "d1"}},
+		"the roster counts, not for duty":  {roster: []roster.Instance{daemon("d7", roster.Live)}, known: 3, live: []ident.Instance{"d0", "d1"}},
+		"leaving by the roster":            {roster: []roster.Instance{daemon("d1", roster.Leaving)}, known: 2, live: []ident.Instance{"d0"}},
+		"leaving by its own word":          {leave: true, known: 2, live: []ident.Instance{"d0"}},
+		"itself leaving by the roster":     {roster: []roster.Instance{daemon("d0", roster.Leaving)}, known: 2, live: []ident.Instance{"d1"}},
+		"a daemon in both is counted once": {roster: []roster.Instance{daemon("d1", roster.Live)}, known: 2, live: []ident.Instance{"d0", "d1"}},
+	}
+	for label, test := range tests {
+		t.Run(label, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clockwork.NewFakeClock()
+			a := member.New(member.Options{
+				Self: member.Entry{Instance: "d0", DataCentre: "a", Boot: 1}, Clock: clk, DeadAfter: deadAfter,
+				FarDeadAfter: deadAfter, Roster: func() []roster.Instance { return test.roster },
+			})
+			b := newView(clk, "d1", "a", 1)
+			c.Assert(a.Owner("k"), qt.Equals, ident.Instance(""))
+			if test.leave {
+				b.Leave()
+			}
+			for range 4 {
+				clk.Advance(time.Second)
+				a.Tick()
+				b.Tick()
+				exchange(a, b)
+			}
+			c.Assert(a.Known(), qt.Equals, test.known)
+			c.Assert(a.Live(), qt.DeepEquals, test.live)
+		})
+	}
+}
+
+// BenchmarkExchange measures an exchange within a data centre in the steady
+// state, by the number of data centres of 60 daemons.
+func BenchmarkExchange(b *testing.B) {
+	for label, centres := range map[string]int{"60": 1, "840": 14} {
+		b.Run(label, func(b *testing.B) {
+			clk := clockwork.NewFakeClock()
+			views := []*member.View{newView(clk, "a-0", "a", 1), newView(clk, "a-1", "a", 1)}
+			var others []*member.View
+			for i := range centres {
+				for j := range 60 {
+					if i > 0 || j > 1 {
+						others = append(others, newView(clk, fmt.Sprintf("%c-%d", 'a'+i, j), string(rune('a'+i)), 1))
+					}
+				}
+			}
+			for range 3 {
+				for _, o := range others {
+					exchange(views[0], o)
+					exchange(views[1], o)
+				}
+				exchange(views[0], views[1])
+			}
+			bytes := 0
+			for b.Loop() {
+				bytes += exchange(views[0], views[1])
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
+		})
+	}
+}
--- a/internal/fleet/member/section.go
+++ b/internal/fleet/member/section.go
@@ -164,10 +164,13 @@
 	var failures []error
 	for _, e := range got {
 		if err := e.Check(); err != nil {
-			failures = append(failures, code.BadMessage.Wrap(err, "member: delta of %s", from))
+			failures = append(failures, err)
 			continue
 		}
 		v.learn(e, now)
 	}
-	return errors.Join(failures...)
+	if err := errors.Join(failures...); err != nil {
+		return code.BadMessage.Wrap(err, "member: delta of %s", from)
+	}
+	return nil
 }
