Provide the list of drain marks under a name of its own

Cause: the plug-in embeds *Marks, and the embedded field's name hid the method Marks, so the operators' interface found no provider and daemons did not start. Change: the method is List. Conclusion: the operators' interface starts.

--- a/internal/caller/operator/operator.go
+++ b/internal/caller/operator/operator.go
@@ -38,7 +38,7 @@
 // drains takes data centres and instances out of service and back.
 type drains interface {
 	Set(ctx context.Context, t mark.Target, out bool) error
-	Marks() []mark.Mark
+	List() []mark.Mark
 }
 
 // members knows the other daemons.
@@ -121,7 +121,7 @@
 		Rejected:   i.Records.Rejected(),
 		Daemons:    i.Members.Peers(),
 		Replicas:   i.Replicas.Attested(),
-		Drains:     i.Drains.Marks(),
+		Drains:     i.Drains.List(),
 	}
 	now := i.Clock.Now()
 	for _, e := range i.Tables.Current().Endpoints() {
@@ -228,7 +228,7 @@
 		httpcall.WriteError(ctx, err)
 		return
 	}
-	writeJSON(ctx, i.Drains.Marks())
+	writeJSON(ctx, i.Drains.List())
 }
 
 func value(ctx *fasthttp.RequestCtx, name string) string {
--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -62,8 +62,8 @@
 	return (*m.current.Load())[Target{Kind: mark.Instance, ID: string(i)}].Out
 }
 
-// Marks returns all marks in order of their targets.
-func (m *Marks) Marks() []Mark {
+// List returns all marks in order of their targets.
+func (m *Marks) List() []Mark {
 	current := *m.current.Load()
 	all := make([]Mark, 0, len(current))
 	for _, mark := range current {
@@ -154,7 +154,7 @@
 	}
 	const width = 4
 	var send []Mark
-	for _, mark := range m.Marks() {
+	for _, mark := range m.List() {
 		at := bucket(mark.Target) * width
 		if len(digest) == len(own) && string(digest[at:at+width]) == string(own[at:at+width]) {
 			continue
--- a/internal/fleet/drain/plugin.go
+++ b/internal/fleet/drain/plugin.go
@@ -248,7 +248,7 @@
 	if !reader {
 		return
 	}
-	for _, mark := range p.Marks.Marks() {
+	for _, mark := range p.Marks.List() {
 		if old, ok := there[mark.Target]; !ok || mark.Newer(&old) {
 			p.enqueue(mark.Target)
 		}
