--- a/internal/fleet/replica/attest.go
+++ b/internal/fleet/replica/attest.go
@@ -50,7 +50,7 @@
 			}
 			owned[r.ID] = o
 			s := t.evaluate(a.Domain, r, now)
-			if s.Serving || now.Sub(o.since) >= t.options.StaleAfter || t.heardAll(r) {
+			if s.Serving || now.Sub(o.since) >= t.options.StaleAfter || t.heardAll(r, now) {
 				states[r.ID] = s
 			}
 		}
@@ -71,9 +71,12 @@
 	return o, had && now.Sub(o.last) < t.options.StaleAfter
 }
 
-func (t *Tracker) heardAll(r *report.Replica) bool {
+// heardAll reports whether every member has a fresh report. Those from an earlier
+// ownership are stale and say nothing.
+func (t *Tracker) heardAll(r *report.Replica, now time.Time) bool {
 	for _, m := range r.Members {
-		if _, ok := t.reports[m.Instance]; !ok {
+		o, ok := t.reports[m.Instance]
+		if !ok || now.Sub(o.requested) >= t.options.StaleAfter {
 			return false
 		}
 	}
