--- a/internal/fleet/replica/attest.go
+++ b/internal/fleet/replica/attest.go
@@ -209,16 +209,13 @@
 	return owners
 }
 
-// Address is a member to probe.
-type Address = report.Member
-
 // Targets returns the members of the replicas that the function selects, in
 // order of their instances, and of those handed over a short time ago.
-func (t *Tracker) Targets(owns func(ident.Replica) bool) []Address {
+func (t *Tracker) Targets(owns func(ident.Replica) bool) []report.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Clock.Now()
-	var targets []Address
+	var targets []report.Member
 	for _, a := range t.assignments {
 		for _, r := range a.Replicas {
 			if _, ok := t.claim(r.ID, owns(r.ID), now); ok {
@@ -226,6 +223,6 @@
 			}
 		}
 	}
-	slices.SortFunc(targets, func(a, b Address) int { return cmp.Compare(a.Instance, b.Instance) })
+	slices.SortFunc(targets, func(a, b report.Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return targets
 }
--- a/internal/fleet/replica/duty.go
+++ b/internal/fleet/replica/duty.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -57,6 +58,10 @@
 	roster  instances
 	drains  drains
 
+	// started says that the interfaces above are set: plug-ins that start
+	// earlier may already ask for endpoints.
+	started atomic.Bool
+
 	// serving and last belong to the probing loop.
 	serving map[ident.Replica]bool
 	last    time.Time
@@ -107,6 +112,7 @@
 		}
 	}
 	u.pool = pond.NewPool(u.settings.Probes)
+	u.started.Store(true)
 	u.Every(u.deps.Clock, u.settings.AssignInterval.Duration, u.readAssignments)
 	u.Every(u.deps.Clock, u.settings.ProbeInterval.Duration, u.round)
 	return nil
@@ -123,7 +129,7 @@
 
 // Endpoints returns the endpoints of the data centre's serving replicas.
 func (u *duty) Endpoints() []table.Endpoint {
-	if u.records == nil || u.drains == nil {
+	if !u.started.Load() {
 		return nil
 	}
 	return Endpoints(u.options.DataCentre, u.Attested(), u.records.View(), u.drains)
--- a/internal/fleet/replica/tracker_test.go
+++ b/internal/fleet/replica/tracker_test.go
@@ -197,3 +197,53 @@
 		})
 	}
 }
+
+// TestOwners guards against the wrong choice between the attestations of two
+// daemons, and against states that belong to another sequence.
+func TestOwners(t *testing.T) {
+	old, next := place("r", 5, "a"), place("r", 6, "a")
+	type step struct {
+		owner    int
+		replica  report.Replica
+		alive    bool
+		withheld bool
+	}
+	tests := map[string]struct {
+		steps   []step
+		serving bool
+		epoch   unit.Epoch
+	}{
+		"younger serving beats older stopped":  {[]step{{0, old, false, false}, {1, old, true, false}}, true, 5},
+		"younger stopped beats older serving":  {[]step{{0, old, true, false}, {1, old, false, false}}, false, 5},
+		"higher epoch stopped beats the lower": {[]step{{0, next, false, false}, {1, old, true, false}}, false, 6},
+		"higher epoch serving beats the lower": {[]step{{1, next, true, false}, {0, old, false, false}}, true, 6},
+		"lost change of the states":            {[]step{{0, old, true, false}, {0, old, false, true}, {0, old, false, false}}, false, 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clockwork.NewFakeClock()
+			reader := newTracker(clk, "d2", 1)
+			owners := []*replica.Tracker{newTracker(clk, "d0", 1), newTracker(clk, "d1", 1)}
+			for i, s := range test.steps {
+				tr := owners[s.owner]
+				if _, err := tr.Assign(assignment(s.replica.Epoch, s.replica)); err != nil {
+					c.Fatal(err)
+				}
+				p := reportOf(s.replica, 0, 1, unit.Sequence(i+1))
+				p.Ready = s.alive
+				tr.Observe(p, clk.Now())
+				tr.Publish(always)
+				if !s.withheld {
+					// The attestations alone decide: the assignment is
+					// left to the last step.
+					exchange(c, tr, reader)
+				}
+				clk.Advance(100 * time.Millisecond)
+			}
+			s := reader.Attested()[0]
+			c.Assert(s.Serving, qt.Equals, test.serving)
+			c.Assert(s.Epoch, qt.Equals, test.epoch)
+		})
+	}
+}
