Keep a complete replica whose attestation is missing

Cause: while the ownership of a replica moves its attestation can be missing for a moment, and the planner took it for stopped, so that a surplus or outdated one was taken apart without leaving first. Reads that hang could also delay those of healthy instances until they counted as missing.

Change: a replica whose members all report their place to the planner counts as serving. The default number of reads at once is above the instances of a fabric domain. The stateful test checks that no serving replica changes before it is idle.

--- a/internal/fleet/plan/input.go
+++ b/internal/fleet/plan/input.go
@@ -70,6 +70,12 @@
 	return serving
 }
 
+// probeAge is the age up to which a report counts as the answer to the last
+// probe: one round and the time limit of a probe.
+func (u *duty) probeAge() time.Duration {
+	return 2 * u.settings.Interval.Duration
+}
+
 // wants returns the deployments with the replicas wanted in the data centre.
 func (u *duty) wants() []Want {
 	var wants []Want
@@ -91,6 +97,11 @@
 	for _, c := range current {
 		replicas = append(replicas, c.Replicas...)
 	}
+	for i := range replicas {
+		if r := &replicas[i]; u.sights.complete(r, now, u.probeAge()) {
+			serving[r.ID] = true
+		}
+	}
 	idle, limited := u.drainer.idle(replicas, u.sights, now)
 	for _, id := range limited {
 		u.overruns.Inc()
@@ -145,8 +156,7 @@
 		i := byID[id]
 		i.ID, i.Address = id, listed[id]
 		i.Out = i.Out || u.drains.OutInstance(id)
-		// A probe of the last round and its own time limit.
-		i.Missing = u.sights.missing(id, now, 2*u.settings.Interval.Duration)
+		i.Missing = u.sights.missing(id, now, u.probeAge())
 		i.Report = u.sights.seen[id].report
 		out[domain] = append(out[domain], i)
 	}
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -53,7 +53,7 @@
 	// Current is the assignment in the platform; Epoch 0 stands for none.
 	Current   report.Assignment
 	Instances []Instance
-	// Serving has the replicas that are attested to serve.
+	// Serving has the replicas that are attested to serve or were seen complete.
 	Serving map[ident.Replica]bool
 	// Idle has the leaving replicas with nothing in flight, and those whose
 	// time limit for that has passed.
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,6 +98,7 @@
 			o := outputs[w.in.Domain]
 			if o.Next != nil {
 				writes++
+				checkGraceful(t, w.in, o.Next)
 				if err := o.Next.Check(); err != nil {
 					t.Fatalf("%v", err)
 				}
@@ -116,6 +118,21 @@
 	return 0
 }
 
+// checkGraceful fails if a serving replica is changed before it is idle.
+func checkGraceful(t interface{ Fatalf(string, ...any) }, in plan.Input, next *report.Assignment) {
+	for _, r := range in.Current.Replicas {
+		if !in.Serving[r.ID] || r.Leaving {
+			continue
+		}
+		kept := slices.ContainsFunc(next.Replicas, func(s report.Replica) bool {
+			return s.ID == r.ID && s.Epoch == r.Epoch && slices.Equal(s.Members, r.Members) && s.Version == r.Version
+		})
+		if !kept {
+			t.Fatalf("serving replica %s is changed to %+v", r.ID, next.Replicas)
+		}
+	}
+}
+
 func round(worlds []*world, short map[ident.Deployment]time.Time) map[ident.Domain]plan.Output {
 	inputs := make([]plan.Input, 0, len(worlds))
 	for _, w := range worlds {
--- a/internal/fleet/plan/settings.go
+++ b/internal/fleet/plan/settings.go
@@ -25,8 +25,10 @@
 	Settle settings.Duration `json:"settle" validate:"duration"`
 	// DrainLimit bounds the wait for a leaving replica to become idle.
 	DrainLimit settings.Duration `json:"drainLimit" validate:"duration"`
-	// Probes bounds the instances that are read or ordered at once.
-	Probes int `json:"probes" validate:"min=1,max=1024"`
+	// Probes bounds the instances that are read or ordered at once. It should
+	// exceed the instances that may fail together, since reads that hang
+	// otherwise delay those of spare instances until they count as missing.
+	Probes int `json:"probes" validate:"min=1,max=4096"`
 }
 
 func init() {
@@ -39,7 +41,7 @@
 			LeaseTTL:    settings.Of(10 * time.Second),
 			Settle:      settings.Of(3 * time.Second),
 			DrainLimit:  settings.Of(30 * time.Second),
-			Probes:      32,
+			Probes:      256,
 		}
 	})
 	plugin.Register(plugin.Duty, section, newPlugin)
--- a/internal/fleet/plan/sight.go
+++ b/internal/fleet/plan/sight.go
@@ -60,6 +60,19 @@
 	return now.Sub(last)
 }
 
+// complete reports whether every member was seen within the interval in its
+// place and ready. A replica that lost its attestation for another reason, such
+// as a move of its ownership, is not taken for stopped.
+func (s *sights) complete(r *report.Replica, now time.Time, interval time.Duration) bool {
+	for rank, m := range r.Members {
+		at, ok := s.seen[m.Instance]
+		if !ok || now.Sub(at.at) > interval || !at.report.Ready || !samePlacement(at.report.Placement, placement(r, unit.Rank(rank))) {
+			return false
+		}
+	}
+	return true
+}
+
 // keep drops the instances that are not listed.
 func (s *sights) keep(listed map[ident.Instance]string) {
 	for i := range s.seen {
--- a/internal/fleet/replica/settings.go
+++ b/internal/fleet/replica/settings.go
@@ -18,8 +18,10 @@
 	AttestStaleAfter settings.Duration `json:"attestStaleAfter" validate:"duration"`
 	// AssignInterval is the time between two reads of the assignments.
 	AssignInterval settings.Duration `json:"assignInterval" validate:"duration"`
-	// Probes bounds the members that are read at once.
-	Probes int `json:"probes" validate:"min=1,max=1024"`
+	// Probes bounds the members that are read at once. It should exceed the
+	// members of the replicas that one daemon owns, since those of a failed
+	// fabric domain otherwise delay the reads of the others.
+	Probes int `json:"probes" validate:"min=1,max=4096"`
 }
 
 func init() {
@@ -29,7 +31,7 @@
 			StaleAfter:       settings.Of(2 * time.Second),
 			AttestStaleAfter: settings.Of(3 * time.Second),
 			AssignInterval:   settings.Of(time.Second),
-			Probes:           32,
+			Probes:           128,
 		}
 	})
 	plugin.Register(plugin.Duty, section, newPlugin)
