--- a/internal/fleet/replica/attest.go
+++ b/internal/fleet/replica/attest.go
@@ -50,7 +50,7 @@
 			}
 			owned[r.ID] = o
 			s := t.evaluate(a.Domain, r, now)
-			if s.Serving || now.Sub(o.since) >= t.options.StaleAfter || t.heardAll(r) {
+			if s.Serving || now.Sub(o.since) >= t.options.StaleAfter || t.heardAll(r, now) {
 				states[r.ID] = s
 			}
 		}
@@ -71,9 +71,12 @@
 	return o, had && now.Sub(o.last) < t.options.StaleAfter
 }
 
-func (t *Tracker) heardAll(r *report.Replica) bool {
+// heardAll reports whether every member has a fresh report. Those from an earlier
+// ownership are stale and say nothing.
+func (t *Tracker) heardAll(r *report.Replica, now time.Time) bool {
 	for _, m := range r.Members {
-		if _, ok := t.reports[m.Instance]; !ok {
+		o, ok := t.reports[m.Instance]
+		if !ok || now.Sub(o.requested) >= t.options.StaleAfter {
 			return false
 		}
 	}
@@ -206,16 +209,13 @@
 	return owners
 }
 
-// Address is a member to probe.
-type Address = report.Member
-
 // Targets returns the members of the replicas that the function selects, in
 // order of their instances, and of those handed over a short time ago.
-func (t *Tracker) Targets(owns func(ident.Replica) bool) []Address {
+func (t *Tracker) Targets(owns func(ident.Replica) bool) []report.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Clock.Now()
-	var targets []Address
+	var targets []report.Member
 	for _, a := range t.assignments {
 		for _, r := range a.Replicas {
 			if _, ok := t.claim(r.ID, owns(r.ID), now); ok {
@@ -223,6 +223,6 @@
 			}
 		}
 	}
-	slices.SortFunc(targets, func(a, b Address) int { return cmp.Compare(a.Instance, b.Instance) })
+	slices.SortFunc(targets, func(a, b report.Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	return targets
 }
