Leave the error type's name out of messages to people

Cause: every message began with "cuminbay.failure:", once for each wrapping. Change: code.Message strips it; the front ends and commands use it. The drain test names the kinds where they now live. Conclusion: messages start with what and where.

--- a/internal/caller/httpcall/fault.go
+++ b/internal/caller/httpcall/fault.go
@@ -27,7 +27,7 @@
 func FaultOf(err error) Fault {
 	c := code.Of(err)
 	return Fault{
-		Message: err.Error(),
+		Message: code.Message(err),
 		Type:    c.Spec().Name,
 		Code:    c,
 		Outcome: code.OutcomeOf(err),
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -92,7 +92,7 @@
 
 func fail(s Streams, err error) int {
 	c := code.Of(err)
-	_, _ = fmt.Fprintf(s.Err, "cuminbay: %s: %s\n", c, err)
+	_, _ = fmt.Fprintf(s.Err, "cuminbay: %s: %s\n", c, code.Message(err))
 	switch c {
 	case code.BadSettings, code.BadRecord, code.UnknownSchema:
 		return ExitSettings
--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -221,6 +222,12 @@
 	return Of(err).Spec().Outcome
 }
 
+// Message returns the error's text for people, without the name of the error
+// type that errorx puts before each part.
+func Message(err error) string {
+	return strings.ReplaceAll(err.Error(), failure.FullName()+": ", "")
+}
+
 // RetryAfter returns the time after which a retry is worth while, or zero.
 func RetryAfter(err error) time.Duration {
 	if v, ok := property(err, retryKey); ok {
--- a/internal/fleet/drain/drain_test.go
+++ b/internal/fleet/drain/drain_test.go
@@ -13,6 +13,7 @@
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/mark"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/timeline"
@@ -66,7 +67,7 @@
 	return p
 }
 
-var target = Target{DataCentre, "thimi"}
+var target = Target{Kind: mark.DataCentre, ID: "thimi"}
 
 // TestHighestStamp guards against marks that revert: whatever the source and
 // the order, the mark with the highest stamp is in effect everywhere.
@@ -131,7 +132,7 @@
 	c.Assert(a.Digest(), qt.IsNil)
 	c.Assert(a.Delta(nil), qt.IsNil)
 	c.Assert(a.Set(context.Background(), target, true), qt.IsNil)
-	c.Assert(a.Set(context.Background(), Target{Instance, "e1"}, true), qt.IsNil)
+	c.Assert(a.Set(context.Background(), Target{Kind: mark.Instance, ID: "e1"}, true), qt.IsNil)
 	c.Assert(a.Set(context.Background(), Target{"rack", "r"}, true), qt.ErrorMatches, ".*rack.*")
 	c.Assert(b.Merge("d1", a.Delta(b.Digest())), qt.IsNil)
 	c.Assert(b.Out("thimi") && b.OutInstance("e1"), qt.IsTrue)
