Keep the cause of a failed platform call visible

Cause: an error wrapped with a code hides its cause from errors.As, so a refused connection was not recognised: a write did not go on to the next address, and revoking a lapsed lease was an error. Reads also stated the outcome "unknown", which belongs to writes only.

Change: calls return a plain error; the code is added at the edge of the package, and only Swap states an outcome.

--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -132,7 +132,7 @@
 	if newest != nil {
 		return newest, true, nil
 	}
-	return nil, false, failure
+	return nil, false, coded(failure)
 }
 
 // try calls the addresses in turn while again allows it for the failure of the
@@ -169,7 +169,7 @@
 func (c *Client) Swap(ctx context.Context, s store.Swap) (store.Entry, store.Result, error) {
 	var answer txnResponse
 	if err := c.write(ctx, pathTxn, swapRequest(s), &answer); err != nil {
-		return store.Entry{}, store.Unknown, err
+		return store.Entry{}, store.Unknown, codedSwap(err)
 	}
 	c.observe(answer.Header.Revision)
 	if answer.Succeeded {
@@ -191,7 +191,7 @@
 	var answer leaseResponse
 	seconds := number(math.Ceil(ttl.Seconds()))
 	if err := c.write(ctx, pathGrant, leaseRequest{TTL: seconds}, &answer); err != nil {
-		return 0, err
+		return 0, coded(err)
 	}
 	if answer.ID == 0 {
 		return 0, code.PlatformUnavailable.New("grant: the answer names no lease")
@@ -212,7 +212,7 @@
 		return 0, nil
 	}
 	if err != nil {
-		return 0, err
+		return 0, coded(err)
 	}
 	if answer.Result == nil {
 		return 0, code.PlatformUnavailable.New("keep lease %d: the answer has no result", id)
@@ -229,5 +229,5 @@
 	if isNotFound(err) {
 		return nil
 	}
-	return err
+	return coded(err)
 }
--- a/internal/platform/etcd/host.go
+++ b/internal/platform/etcd/host.go
@@ -105,17 +105,40 @@
 	return errors.As(err, &status) && status.status == fasthttp.StatusNotFound
 }
 
-// call sends one request and decodes the answer.
-func (h *host) call(ctx context.Context, path string, request, answer any) error {
-	err := h.exchange(ctx, path, request, answer)
+// callError is the failure of a call to one address.
+type callError struct {
+	where string
+	cause error
+}
+
+func (e *callError) Error() string { return e.where + ": " + e.cause.Error() }
+
+func (e *callError) Unwrap() error { return e.cause }
+
+// coded returns the failure of a call as an error of this package's callers.
+// It is made last, since an error with a code hides its cause from errors.As.
+func coded(err error) error {
 	if err == nil {
 		return nil
 	}
-	failure := code.PlatformUnavailable.Wrap(err, "platform %s%s", h.address, path)
+	return code.PlatformUnavailable.Wrap(err, "platform")
+}
+
+// codedSwap is coded for a swap. It states the outcome, which is known only if
+// nothing was sent or the platform refused.
+func codedSwap(err error) error {
 	if isUnsent(err) || isRefusal(err) {
-		return failure
+		return coded(err)
 	}
-	return code.WithOutcome(failure, code.Unknown)
+	return code.WithOutcome(coded(err), code.Unknown)
+}
+
+// call sends one request and decodes the answer.
+func (h *host) call(ctx context.Context, path string, request, answer any) error {
+	if err := h.exchange(ctx, path, request, answer); err != nil {
+		return &callError{h.address + path, err}
+	}
+	return nil
 }
 
 func (h *host) exchange(ctx context.Context, path string, request, answer any) error {
