--- /dev/null
+++ b/internal/fleet/config/state_test.go
@@ -0,0 +1,203 @@
+package config_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/config"
+)
+
+// events counts events by name.
+type events map[string]int
+
+func (e events) Record(name, _ string, _ ...string) { e[name]++ }
+
+const (
+	valid     = `{"schema":2,"keys":["k"]}`
+	withdrawn = `{"schema":1,"withdrawn":true}`
+	invalid   = `{"schema":2,"keys":[]}`
+	future    = `{"schema":3}`
+)
+
+func organisation(i int) record.Name {
+	return record.Name{Kind: record.OrganisationKind, Name: fmt.Sprintf("org%d", i)}
+}
+
+// oracle is what one daemon has seen of one name.
+type oracle struct{ good, bad config.Stored }
+
+// model is a platform's history, and daemons that learn of it in any order.
+type model struct {
+	history []config.Stored
+	states  []*config.State
+	seen    []map[record.Name]*oracle
+}
+
+func newState() *config.State {
+	return config.NewState(clockwork.NewFakeClock(), events{})
+}
+
+func (m *model) learn(daemon int, records []config.Stored) {
+	for _, r := range records {
+		o := m.seen[daemon][r.Name]
+		if o == nil {
+			o = new(oracle)
+			m.seen[daemon][r.Name] = o
+		}
+		side := &o.good
+		if string(r.Raw) == invalid || string(r.Raw) == future {
+			side = &o.bad
+		}
+		if r.Revision > side.Revision {
+			*side = r
+		}
+	}
+}
+
+// held returns what a peer passes on: the newest good record, and the bad one
+// if it is newer.
+func (m *model) held(daemon int) []config.Stored {
+	var records []config.Stored
+	for _, o := range m.seen[daemon] {
+		if o.good.Revision > 0 {
+			records = append(records, o.good)
+		}
+		if o.bad.Revision > o.good.Revision {
+			records = append(records, o.bad)
+		}
+	}
+	return records
+}
+
+// exchange runs both directions until the two have nothing to tell each other.
+func (m *model) exchange(t *rapid.T, a, b int) {
+	both := append(m.held(a), m.held(b)...)
+	for round := 0; ; round++ {
+		toA := m.states[b].Delta(m.states[a].Digest())
+		toB := m.states[a].Delta(m.states[b].Digest())
+		if toA == nil && toB == nil {
+			break
+		}
+		if round > 5 {
+			t.Fatal("two daemons don't converge")
+		}
+		for s, d := range map[int][]byte{a: toA, b: toB} {
+			if d == nil {
+				continue
+			}
+			if err := m.states[s].Merge("peer", d); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	m.learn(a, both)
+	m.learn(b, both)
+}
+
+func (m *model) check(t *rapid.T) {
+	for i, s := range m.states {
+		want := map[record.Name]unit.Revision{}
+		rejected := map[record.Name]unit.Revision{}
+		for n, o := range m.seen[i] {
+			if o.good.Revision > 0 {
+				want[n] = o.good.Revision
+			}
+			if o.bad.Revision > o.good.Revision {
+				rejected[n] = o.bad.Revision
+			}
+			inView := s.View().Organisation(ident.Organisation(n.Name)) != nil
+			if inView != (string(o.good.Raw) == valid) {
+				t.Fatalf("daemon %d: %s in view: %v, newest good record %s", i, n, inView, o.good.Raw)
+			}
+		}
+		for _, a := range s.Active() {
+			if want[a.Name] != a.Revision {
+				t.Fatalf("daemon %d: %s active at %d, want %d", i, a.Name, a.Revision, want[a.Name])
+			}
+			delete(want, a.Name)
+		}
+		for _, r := range s.Rejected() {
+			if rejected[r.Name] != r.Revision || r.Reason == "" {
+				t.Fatalf("daemon %d: %s rejected at %d, want %d", i, r.Name, r.Revision, rejected[r.Name])
+			}
+			delete(rejected, r.Name)
+		}
+		if len(want)+len(rejected) > 0 {
+			t.Fatalf("daemon %d: missing %v, not rejected %v", i, want, rejected)
+		}
+	}
+}
+
+// TestMerge guards against an older record in the place of a newer one, an
+// invalid one in the place of a valid one, a withdrawn one that comes back, and
+// daemons that stay different after an exchange.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{}
+		for range 3 {
+			m.states = append(m.states, newState())
+			m.seen = append(m.seen, map[record.Name]*oracle{})
+		}
+		daemon := rapid.IntRange(0, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				raw := rapid.SampledFrom([]string{valid, valid, withdrawn, invalid, future}).Draw(t, "raw")
+				n := organisation(rapid.IntRange(0, 4).Draw(t, "name"))
+				m.history = append(m.history, config.Stored{Name: n, Revision: unit.Revision(len(m.history) + 1), Raw: []byte(raw)})
+			},
+			"watch": func(t *rapid.T) {
+				if len(m.history) == 0 {
+					return
+				}
+				i := daemon.Draw(t, "daemon")
+				some := rapid.SliceOfN(rapid.SampledFrom(m.history), 1, 4).Draw(t, "changes")
+				m.states[i].Apply(config.FromWatch, some)
+				m.learn(i, some)
+			},
+			"list from any revision": func(t *rapid.T) {
+				i := daemon.Draw(t, "daemon")
+				latest := map[record.Name]config.Stored{}
+				for _, r := range m.history[:rapid.IntRange(0, len(m.history)).Draw(t, "revision")] {
+					latest[r.Name] = r
+				}
+				var list []config.Stored
+				for _, r := range latest {
+					list = append(list, r)
+				}
+				m.states[i].Apply(config.FromList, list)
+				m.learn(i, list)
+			},
+			"exchange": func(t *rapid.T) {
+				a, b := daemon.Draw(t, "a"), daemon.Draw(t, "b")
+				if a != b {
+					m.exchange(t, a, b)
+				}
+			},
+			"restart": func(t *rapid.T) {
+				i := daemon.Draw(t, "daemon")
+				m.states[i], m.seen[i] = newState(), map[record.Name]*oracle{}
+			},
+			"": m.check,
+		})
+	})
+}
+
+// TestReady guards against a daemon that takes the silence of peers without
+// any configuration for a configuration without records.
+func TestReady(t *testing.T) {
+	c := qt.New(t)
+	a, b := newState(), newState()
+	c.Assert(b.Delta(a.Digest()), qt.IsNil)
+	b.SetReady()
+	c.Assert(a.Merge("b", b.Delta(a.Digest())), qt.IsNil)
+	c.Assert(a.Ready(), qt.IsTrue)
+	c.Assert(b.Delta(a.Digest()), qt.IsNil)
+	c.Assert(b.Delta([]byte("x")), qt.IsNil)
+}
--- /dev/null
+++ b/internal/platform/etcd/client_test.go
@@ -0,0 +1,293 @@
+package etcd_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/platform/etcd"
+)
+
+// fake is a platform of one key with faults to switch on.
+type fake struct {
+	address string
+
+	mu       sync.Mutex
+	value    []byte
+	revision int
+	status   int
+	// lose closes the connection after a request has taken effect.
+	lose  bool
+	calls atomic.Int64
+	// messages are sent on a watch; closing the channel ends the stream.
+	messages chan string
+}
+
+func newFake(c *qt.C, value string, revision int) *fake {
+	f := &fake{value: []byte(value), revision: revision, messages: make(chan string)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	f.address = listener.Addr().String()
+	// The worker pool's cleaner sleeps this long before it sees the shutdown.
+	server := &fasthttp.Server{Handler: f.handle, MaxIdleWorkerDuration: 10 * time.Millisecond}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	c.Cleanup(func() {
+		c.Check(server.Shutdown(), qt.IsNil)
+		c.Check(<-served, qt.IsNil)
+	})
+	return f
+}
+
+func (f *fake) handle(ctx *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls.Add(1)
+	if f.status != 0 {
+		ctx.Error("refused", f.status)
+		return
+	}
+	switch string(ctx.Path()) {
+	case "/v3/kv/range":
+		_, _ = fmt.Fprintf(ctx, `{"header":{"revision":"%d"},"kvs":%s}`, f.revision, f.kvs())
+	case "/v3/kv/txn":
+		f.txn(ctx)
+	case "/v3/lease/grant":
+		_, _ = fmt.Fprint(ctx, `{"header":{"revision":"1"},"ID":"77","TTL":"3"}`)
+	case "/v3/lease/keepalive":
+		_, _ = fmt.Fprint(ctx, `{"result":{"header":{"revision":"1"},"ID":"77"}}`)
+	case "/v3/lease/revoke":
+		ctx.Error(`{"code":5}`, fasthttp.StatusNotFound)
+	case "/v3/watch":
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+			for m := range f.messages {
+				_, _ = w.WriteString(m)
+				if w.Flush() != nil {
+					return
+				}
+			}
+		})
+	}
+	if f.lose {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	}
+}
+
+func (f *fake) kvs() string {
+	if f.value == nil {
+		return "[]"
+	}
+	raw, _ := json.Marshal(f.value)
+	return fmt.Sprintf(`[{"key":"aw==","mod_revision":"%d","value":%s}]`, f.revision, raw)
+}
+
+func (f *fake) txn(ctx *fasthttp.RequestCtx) {
+	var r struct {
+		Compare []struct {
+			Target, Result string
+			ModRevision    string `json:"mod_revision"`
+		}
+		Success []struct {
+			RequestPut struct{ Value []byte }
+		}
+		Failure []struct {
+			RequestRange struct{ Key []byte }
+		}
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil || r.Compare[0].Target != "MOD" || string(r.Failure[0].RequestRange.Key) != "k" {
+		ctx.Error("bad request", fasthttp.StatusBadRequest)
+		return
+	}
+	if r.Compare[0].ModRevision == fmt.Sprint(f.revision) {
+		f.revision, f.value = f.revision+1, r.Success[0].RequestPut.Value
+		_, _ = fmt.Fprintf(ctx, `{"header":{"revision":"%d"},"succeeded":true,"responses":[{"response_put":{}}]}`, f.revision)
+		return
+	}
+	_, _ = fmt.Fprintf(ctx, `{"header":{"revision":"%d"},"responses":[{"response_range":{"kvs":%s}}]}`, f.revision, f.kvs())
+}
+
+// unused returns an address that refuses connections.
+func unused(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(listener.Close(), qt.IsNil)
+	return listener.Addr().String()
+}
+
+func newClient(clk clock.Clock, addresses ...string) *etcd.Client {
+	return etcd.New(etcd.Options{Addresses: addresses, Clock: clk, Timeout: 2 * time.Second, Idle: 10 * time.Second, MaxResponse: 1 << 20})
+}
+
+// TestSwap guards against a write that is sent again although it may have taken
+// effect, and against a result that claims more than is known.
+func TestSwap(t *testing.T) {
+	tests := map[string]struct {
+		old     unit.Revision
+		status  int
+		lose    bool
+		refused bool
+		want    store.Result
+		outcome code.Outcome
+		entry   store.Entry
+		second  int64
+	}{
+		"done":                  {old: 5, want: store.Done, entry: store.Entry{Key: "k", Value: []byte("new"), Revision: 6}},
+		"lost":                  {old: 4, want: store.Lost, entry: store.Entry{Key: "k", Value: []byte("old"), Revision: 5}},
+		"lost answer":           {old: 5, lose: true, want: store.Unknown, outcome: code.Unknown},
+		"failure of the server": {old: 5, status: 503, want: store.Unknown, outcome: code.Unknown},
+		"refusal by the server": {old: 5, status: 400, want: store.Unknown, outcome: code.NotRun},
+		"first address refuses": {old: 5, refused: true, want: store.Done, entry: store.Entry{Key: "k", Value: []byte("new"), Revision: 6}, second: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			first, second := newFake(c, "old", 5), newFake(c, "old", 5)
+			first.status, first.lose = test.status, test.lose
+			address := first.address
+			if test.refused {
+				address = unused(c)
+			}
+			client := newClient(clock.Real(), address, second.address)
+			entry, result, err := client.Swap(context.Background(), store.Swap{Key: "k", Old: test.old, Value: []byte("new")})
+			c.Assert(result, qt.Equals, test.want)
+			c.Assert(entry, qt.DeepEquals, test.entry)
+			c.Assert(second.calls.Load(), qt.Equals, test.second)
+			if test.want == store.Unknown {
+				c.Assert(code.Of(err), qt.Equals, code.PlatformUnavailable)
+				c.Assert(code.OutcomeOf(err), qt.Equals, test.outcome)
+				c.Assert(first.calls.Load(), qt.Equals, int64(1))
+			}
+		})
+	}
+}
+
+// TestRead guards against an answer from behind that passes for a current one,
+// and against a platform of several addresses that fails with the first.
+func TestRead(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	first, second := newFake(c, "nine", 9), newFake(c, "seven", 7)
+	client := newClient(clock.Real(), unused(c), first.address, second.address)
+
+	entries, revision, err := client.List(ctx, "k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(revision, qt.Equals, unit.Revision(9))
+	c.Assert(entries, qt.DeepEquals, []store.Entry{{Key: "k", Value: []byte("nine"), Revision: 9}})
+
+	first.mu.Lock()
+	first.status = 503
+	first.mu.Unlock()
+	_, revision, err = client.List(ctx, "k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(revision, qt.Equals, unit.Revision(7))
+	c.Assert(client.Highest(), qt.Equals, unit.Revision(9))
+	_, err = client.Get(ctx, "k")
+	c.Assert(code.Of(err), qt.Equals, code.PlatformUnavailable)
+	c.Assert(client.Stale(), qt.Equals, int64(2))
+
+	second.mu.Lock()
+	second.revision, second.value = 12, nil
+	second.mu.Unlock()
+	entry, err := client.Get(ctx, "k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(entry, qt.DeepEquals, store.Entry{Key: "k"})
+}
+
+// TestLease guards against a lapsed lease that passes for a held one.
+func TestLease(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	client := newClient(clock.Real(), newFake(c, "", 1).address)
+	id, err := client.Grant(ctx, 2500*time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(id, qt.Equals, store.LeaseID(77))
+	left, err := client.KeepAlive(ctx, id)
+	c.Assert(err, qt.IsNil)
+	c.Assert(left, qt.Equals, time.Duration(0))
+	c.Assert(client.Revoke(ctx, id), qt.IsNil)
+}
+
+// TestWatch guards against a watch that breaks without a report, whether the
+// stream ends, is cancelled, or falls silent.
+func TestWatch(t *testing.T) {
+	put := `{"result":{"header":{"revision":"9"},"events":[{"kv":{"key":"aw==","value":"dg==","mod_revision":"7"}},{"type":"DELETE","kv":{"key":"aw==","mod_revision":"8"}}]}}`
+	tests := map[string]struct {
+		last string
+		end  func(f *fake, clk *clockwork.FakeClock, cancel func())
+		want string
+	}{
+		"stream ends": {end: func(f *fake, _ *clockwork.FakeClock, _ func()) { close(f.messages) }, want: ".*stream ended.*"},
+		"cancelled":   {last: `{"result":{"canceled":true,"compact_revision":"8"}}`, want: ".*compacted to 8.*"},
+		"error":       {last: `{"error":{"message":"no leader"}}`, want: ".*no leader.*"},
+		"not JSON":    {last: `<html>`, want: ".*invalid character.*"},
+		"silent":      {end: func(_ *fake, clk *clockwork.FakeClock, _ func()) { clk.Advance(10 * time.Second) }, want: ".*silent for 10s.*"},
+		"context":     {end: func(_ *fake, _ *clockwork.FakeClock, cancel func()) { cancel() }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			// Registered first, so that it runs after the fake has stopped.
+			leaks := goleak.IgnoreCurrent()
+			c.Cleanup(func() {
+				goleak.VerifyNone(t, leaks, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+			})
+			clk := clockwork.NewFakeClock()
+			f := newFake(c, "", 1)
+			client := newClient(clk, f.address)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			type emitted struct {
+				Changes  []store.Change
+				Revision unit.Revision
+			}
+			out, done := make(chan emitted), make(chan error, 1)
+			go func() {
+				done <- client.Watch(ctx, "k", 5, func(ch []store.Change, r unit.Revision) { out <- emitted{ch, r} })
+			}()
+			f.messages <- `{"result":{"header":{"revision":"9"},"created":true}}`
+			c.Assert(<-out, qt.DeepEquals, emitted{[]store.Change{}, 5})
+			// Together longer than the limit: a message has to start it anew.
+			clk.Advance(6 * time.Second)
+			f.messages <- put
+			c.Assert(<-out, qt.DeepEquals, emitted{[]store.Change{
+				{Entry: store.Entry{Key: "k", Value: []byte("v"), Revision: 7}},
+				{Entry: store.Entry{Key: "k", Revision: 8}, Removed: true},
+			}, 8})
+			clk.Advance(6 * time.Second)
+			f.messages <- `{"result":{"header":{"revision":"9"}}}`
+			c.Assert(<-out, qt.DeepEquals, emitted{[]store.Change{}, 9})
+			if test.last != "" {
+				f.messages <- test.last
+			}
+			if test.end != nil {
+				test.end(f, clk, cancel)
+			}
+			err := <-done
+			if name != "stream ends" {
+				close(f.messages)
+			}
+			if test.want == "" {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			c.Assert(err, qt.ErrorMatches, test.want)
+			c.Assert(code.Of(err), qt.Equals, code.PlatformUnavailable)
+		})
+	}
+}
