--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -106,6 +106,7 @@
 
 	mu      sync.Mutex
 	self    Entry
+	selfKey key
 	entries map[ident.Instance]*known
 	byKey   map[key]*known
 	// wants are keys of heartbeats whose entries this daemon lacks.
@@ -281,6 +282,7 @@
 		s.live = append(s.live, v.self.Instance)
 	}
 	inRoster := v.daemonsOfRoster()
+	v.selfKey = v.self.key()
 	for id, p := range peers {
 		if id == v.self.Instance {
 			continue
--- a/internal/fleet/member/section.go
+++ b/internal/fleet/member/section.go
@@ -35,7 +35,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.options.Clock.Now()
-	beats := appendBeat(nil, v.self.key(), v.self.Beat)
+	beats := appendBeat(nil, v.selfKey, v.self.Beat)
 	far := make([]*known, 0, len(v.entries))
 	for _, id := range v.sorted() {
 		k := v.entries[id]
@@ -97,7 +97,7 @@
 	var send []Entry
 	for ; len(wants) > 0; wants = wants[keyBytes:] {
 		switch k := key(binary.LittleEndian.Uint32(wants)); {
-		case k == v.self.key():
+		case k == v.selfKey:
 			send = append(send, v.self)
 		case v.byKey[k] != nil:
 			send = append(send, v.byKey[k].Entry)
@@ -130,7 +130,7 @@
 // beat takes one heartbeat, of which the low byte is known. It counts as later
 // if it is ahead by less than half the byte's range.
 func (v *View) beat(k key, low byte, now time.Time) {
-	if k == v.self.key() {
+	if k == v.selfKey {
 		return
 	}
 	e := v.byKey[k]
