--- a/internal/fleet/cold/delegations.go
+++ b/internal/fleet/cold/delegations.go
@@ -1,6 +1,7 @@
 package cold
 
 import (
+	"sort"
 	"time"
 
 	"cuminbay/internal/domain/ident"
@@ -127,11 +128,18 @@
 		}
 		daemons = max(daemons, x.count)
 	}
+	if daemons == 0 {
+		return 0, now
+	}
+	heard := p.heardAll(daemons)
 	var count int64
 	var until time.Time
 	for _, x := range p.daemons {
 		// A delegation about to end would make every grant that short.
-		if x.until.Sub(now) < d.options.TTL/shortest || !d.ripe(p, x, daemons, now) {
+		if x.until.Sub(now) < d.options.TTL/shortest {
+			continue
+		}
+		if x.since.After(heard) && now.Sub(x.since) <= longer(d.options.MaxHold) {
 			continue
 		}
 		count++
@@ -139,23 +147,21 @@
 			until = x.until
 		}
 	}
-	if daemons == 0 {
-		return 0, now
-	}
 	return unit.Requests(min(count, daemons) * int64(limit) / daemons), until
 }
 
-func (d *Delegations) ripe(p *pot, x *daemon, daemons int64, now time.Time) bool {
-	if now.Sub(x.since) > longer(d.options.MaxHold) {
-		return true
-	}
-	var told int64
-	for _, y := range p.daemons {
-		if !y.asked.Before(x.since) {
-			told++
-		}
+// heardAll returns the time after which the given number of daemons have told
+// what they hold; the zero time if there are not as many.
+func (p *pot) heardAll(daemons int64) time.Time {
+	asked := make([]time.Time, 0, len(p.daemons))
+	for _, x := range p.daemons {
+		asked = append(asked, x.asked)
+	}
+	if int64(len(asked)) < daemons {
+		return time.Time{}
 	}
-	return told >= daemons
+	sort.Slice(asked, func(i, j int) bool { return asked[i].After(asked[j]) })
+	return asked[daemons-1]
 }
 
 // turn returns what the daemon is granted of the total. The places go round:
--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -84,39 +84,39 @@
 
 type marks map[Target]Mark
 
-// Marks holds the marks. Reads take no lock.
-type Marks struct {
+// State holds the marks. Reads take no lock.
+type State struct {
 	self    ident.Instance
 	hybrid  hybrid
 	mu      sync.Mutex
 	current atomic.Pointer[marks]
 }
 
-// Options are the parts of Marks.
+// Options are the parts of State.
 type Options struct {
 	Self   ident.Instance
 	Hybrid hybrid
 }
 
 // New returns an empty set of marks.
-func New(o Options) *Marks {
-	m := &Marks{self: o.Self, hybrid: o.Hybrid}
+func New(o Options) *State {
+	m := &State{self: o.Self, hybrid: o.Hybrid}
 	m.current.Store(&marks{})
 	return m
 }
 
 // Out reports whether the data centre is out of service.
-func (m *Marks) Out(d ident.DataCentre) bool {
+func (m *State) Out(d ident.DataCentre) bool {
 	return (*m.current.Load())[Target{DataCentre, string(d)}].Out
 }
 
 // OutInstance reports whether the instance is out of service.
-func (m *Marks) OutInstance(i ident.Instance) bool {
+func (m *State) OutInstance(i ident.Instance) bool {
 	return (*m.current.Load())[Target{Instance, string(i)}].Out
 }
 
 // Marks returns all marks in order of their targets.
-func (m *Marks) Marks() []Mark {
+func (m *State) Marks() []Mark {
 	current := *m.current.Load()
 	all := make([]Mark, 0, len(current))
 	for _, mark := range current {
@@ -127,13 +127,13 @@
 }
 
 // Get returns the mark of the target, if there is one.
-func (m *Marks) Get(t Target) (Mark, bool) {
+func (m *State) Get(t Target) (Mark, bool) {
 	mark, ok := (*m.current.Load())[t]
 	return mark, ok
 }
 
 // Put makes and applies a new mark.
-func (m *Marks) Put(t Target, out bool) (Mark, error) {
+func (m *State) Put(t Target, out bool) (Mark, error) {
 	if err := t.Check(); err != nil {
 		return Mark{}, code.BadRecord.Wrap(err, "drain")
 	}
@@ -145,7 +145,7 @@
 // Hear applies a mark from elsewhere and reports whether it was news. A mark
 // more than a minute ahead of the local clock is refused: it would win over
 // every later one.
-func (m *Marks) Hear(mark Mark) (bool, error) {
+func (m *State) Hear(mark Mark) (bool, error) {
 	if err := mark.Check(); err != nil {
 		return false, code.BadMessage.Wrap(err, "drain")
 	}
@@ -155,7 +155,7 @@
 	return m.apply(mark), nil
 }
 
-func (m *Marks) apply(mark Mark) bool {
+func (m *State) apply(mark Mark) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := *m.current.Load()
@@ -177,7 +177,7 @@
 func bucket(t Target) uint64 { return xxhash.Sum64String(t.String()) % buckets }
 
 // Digest is one hash per bucket of targets; nil without marks.
-func (m *Marks) Digest() []byte {
+func (m *State) Digest() []byte {
 	current := *m.current.Load()
 	if len(current) == 0 {
 		return nil
@@ -200,7 +200,7 @@
 }
 
 // Delta returns the marks of the buckets in which the digest differs.
-func (m *Marks) Delta(digest []byte) []byte {
+func (m *State) Delta(digest []byte) []byte {
 	own := m.Digest()
 	if own == nil {
 		return nil
--- a/internal/fleet/drain/drain_test.go
+++ b/internal/fleet/drain/drain_test.go
@@ -18,6 +18,16 @@
 	"cuminbay/internal/kernel/timeline"
 )
 
+// The interfaces that other plug-ins look for.
+var _ interface {
+	Out(d ident.DataCentre) bool
+	OutInstance(i ident.Instance) bool
+	Set(ctx context.Context, t Target, out bool) error
+	Marks() []Mark
+	Digest() []byte
+	Delta(digest []byte) []byte
+} = (*Plugin)(nil)
+
 // fakePlatform is a map; lost says how many swaps take effect but lose their
 // answer.
 type fakePlatform struct {
@@ -142,5 +152,5 @@
 	c.Assert(delta[len(delta)-1].Out || len(delta) > 2, qt.IsFalse)
 	c.Assert(a.Merge("d2", b.Delta(a.Digest())), qt.IsNil)
 	c.Assert(a.Out("thimi"), qt.IsFalse)
-	c.Assert(a.Marks.Marks(), qt.DeepEquals, b.Marks.Marks())
+	c.Assert(a.Marks(), qt.DeepEquals, b.Marks())
 }
--- a/internal/fleet/drain/plugin.go
+++ b/internal/fleet/drain/plugin.go
@@ -57,7 +57,7 @@
 
 // Plugin propagates the marks by peers and platform.
 type Plugin struct {
-	*Marks
+	*State
 	plugin.Loops
 	deps     *plugin.Deps
 	log      zerolog.Logger
@@ -73,8 +73,8 @@
 	read      bool
 }
 
-func newPlugin(m *Marks, clk clock.Clock) *Plugin {
-	return &Plugin{Marks: m, clock: clk, unwritten: make(map[Target]bool), wake: make(chan struct{}, 1)}
+func newPlugin(m *State, clk clock.Clock) *Plugin {
+	return &Plugin{State: m, clock: clk, unwritten: make(map[Target]bool), wake: make(chan struct{}, 1)}
 }
 
 // Start begins to read and write the platform.
@@ -248,7 +248,7 @@
 	if !reader {
 		return
 	}
-	for _, mark := range p.Marks.Marks() {
+	for _, mark := range p.Marks() {
 		if old, ok := there[mark.Target]; !ok || mark.Newer(&old) {
 			p.enqueue(mark.Target)
 		}
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -16,6 +16,19 @@
 	"cuminbay/internal/fleet/member"
 )
 
+// The interfaces that other plug-ins look for.
+var _ interface {
+	Self() ident.Instance
+	Owner(key string) ident.Instance
+	Owners(key string, n int) []ident.Instance
+	Live() []ident.Instance
+	Known() int
+	Peers() []member.Peer
+	Heard(id ident.Instance)
+	Leave()
+	Digest() []byte
+} = (*member.Plugin)(nil)
+
 const deadAfter = 3 * time.Second
 
 func newView(clk clockwork.Clock, name, dataCentre string, boot int) *member.View {
--- a/internal/peer/twirp/twirp_test.go
+++ b/internal/peer/twirp/twirp_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -206,6 +208,55 @@
 	c.Assert(count(c, a, "failed_total") >= 2, qt.IsTrue)
 }
 
+// stalling is a daemon whose connections answer once and then stall.
+type stalling struct {
+	first sync.WaitGroup
+}
+
+type connection struct{}
+
+func (s *stalling) Exchange(context.Context, *Envelope) (*Envelope, error) {
+	return nil, errors.New("not expected")
+}
+
+func (s *stalling) Ask(ctx context.Context, _ *Question) (*Answer, error) {
+	if ctx.Value(connection{}).(*atomic.Int32).Add(1) > 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	s.first.Done()
+	s.first.Wait()
+	return &Answer{Body: []byte("new")}, nil
+}
+
+// TestStalledConnections guards against one stalled connection after another
+// being used while new ones work.
+func TestStalledConnections(t *testing.T) {
+	c := qt.New(t)
+	s := new(stalling)
+	server := httptest.NewUnstartedServer(NewPeerServer(s))
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connection{}, new(atomic.Int32))
+	}
+	server.Start()
+	c.Cleanup(server.Close)
+	members := &fakeMembers{peers: []member.Peer{{Instance: "b", DataCentre: "y", Address: server.Listener.Addr().String()}}}
+	a := start(c, "a", "x", members)
+	ask := func() error {
+		_, err := a.Ask(context.Background(), "b", "any", nil)
+		return err
+	}
+	// Both are kept, since neither is answered before the other has come.
+	s.first.Add(2)
+	second := make(chan error)
+	go func() { second <- ask() }()
+	c.Assert(ask(), qt.IsNil)
+	c.Assert(<-second, qt.IsNil)
+	s.first.Add(1)
+	c.Assert(ask(), qt.IsNotNil)
+	c.Assert(ask(), qt.IsNil)
+}
+
 // TestChoose guards against too many exchanges, none with other data centres,
 // and partitions that never heal since nobody tries the dead.
 func TestChoose(t *testing.T) {
