Measure the bytes of the replica section

Cause: the exchange between daemons has a budget of 10 KB/s a daemon.

Change: BenchmarkAttested builds the largest data centre, 60 daemons and 54 replicas of 16 instances, and reports the bytes of a digest and of a delta in which nothing but the sequences changed.

--- a/internal/fleet/replica/tracker_test.go
+++ b/internal/fleet/replica/tracker_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -247,3 +248,46 @@
 		})
 	}
 }
+
+// BenchmarkAttested is a daemon of the largest data centre: 54 replicas of 16
+// instances, attested by 60 daemons. It reports the bytes of the delta of one
+// interval in which nothing changed.
+func BenchmarkAttested(b *testing.B) {
+	c := qt.New(b)
+	clk := clockwork.NewFakeClock()
+	var replicas []report.Replica
+	for n := range 54 {
+		var members []ident.Instance
+		for k := range 16 {
+			members = append(members, ident.Instance(fmt.Sprintf("engine-%02d-%02d", n, k)))
+		}
+		replicas = append(replicas, place(ident.Replica(fmt.Sprintf("rack/chat/%d", n)), 1, members...))
+	}
+	reader, relay := newTracker(clk, "reader", 1), newTracker(clk, "relay", 1)
+	var owners []*replica.Tracker
+	for d := range 60 {
+		tr := newTracker(clk, ident.Instance(fmt.Sprintf("daemon-%02d", d)), 1)
+		_, err := tr.Assign(assignment(1, replicas...))
+		c.Assert(err, qt.IsNil)
+		owners = append(owners, tr)
+	}
+	bytes := 0
+	for sequence := range 2 {
+		for d, tr := range owners {
+			for rank := range 16 {
+				if d < 54 {
+					tr.Observe(reportOf(replicas[d], rank, 1, unit.Sequence(sequence+1)), clk.Now())
+				}
+			}
+			tr.Publish(func(r ident.Replica) bool { return d < 54 && r == replicas[d].ID })
+			exchange(c, tr, relay)
+		}
+		bytes = len(relay.Delta(reader.Digest()))
+		exchange(c, relay, reader)
+	}
+	for b.Loop() {
+		reader.Attested()
+	}
+	b.ReportMetric(float64(bytes), "delta-bytes")
+	b.ReportMetric(float64(len(reader.Digest())), "digest-bytes")
+}
