Pack the heartbeats of the replica section

Change: digests and attestations without new states carry the owners as 8-byte hashes of name and boot with varints, in place of JSON objects.

--- a/internal/fleet/replica/exchange.go
+++ b/internal/fleet/replica/exchange.go
@@ -28,22 +28,24 @@
 }
 
 type digest struct {
-	Token       token                       `json:"token"`
-	Owners      map[ident.Instance]known    `json:"owners,omitempty"`
+	Token token `json:"token"`
+	// Beats has what is known of each owner, packed without ages.
+	Beats       []byte                      `json:"beats,omitempty"`
 	Assignments map[ident.Domain]unit.Epoch `json:"assignments,omitempty"`
 }
 
-// heartbeat is an owner's attestation. States is nil if they are the ones of
-// the sequence Changed, which the peer has.
+// heartbeat is an owner's attestation with its states.
 type heartbeat struct {
 	Owner ident.Instance `json:"owner"`
 	known
 	Age    time.Duration `json:"age"`
-	States *[]State      `json:"states,omitempty"`
+	States []State       `json:"states"`
 }
 
 type delta struct {
-	Echo        token               `json:"echo"`
+	Echo token `json:"echo"`
+	// Beats has the attestations whose states the peer has, packed.
+	Beats       []byte              `json:"beats,omitempty"`
 	Heartbeats  []heartbeat         `json:"heartbeats,omitempty"`
 	Assignments []report.Assignment `json:"assignments,omitempty"`
 }
@@ -60,11 +62,10 @@
 	defer t.mu.Unlock()
 	d := digest{
 		Token:       token{Boot: t.options.Boot, Since: t.options.Clock.Since(t.start)},
-		Owners:      make(map[ident.Instance]known, len(t.owners)),
 		Assignments: make(map[ident.Domain]unit.Epoch, len(t.assignments)),
 	}
-	for owner, a := range t.owners {
-		d.Owners[owner] = a.known()
+	for _, owner := range t.sortedOwners() {
+		d.Beats = t.owners[owner].beat(owner, 0).append(d.Beats)
 	}
 	for domain, a := range t.assignments {
 		d.Assignments[domain] = a.Epoch
@@ -84,31 +85,35 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	theirs := make(map[uint64]beat)
+	if !eachBeat(d.Beats, func(b beat) { theirs[b.key] = b }) {
+		return nil
+	}
 	out := delta{Echo: d.Token}
 	now := t.options.Clock.Now()
 	for _, owner := range t.sortedOwners() {
 		a := t.owners[owner]
-		theirs := d.Owners[owner]
 		age := now.Sub(a.made)
-		if !newer(a.known(), theirs) || age >= t.options.AttestStaleAfter {
-			continue
-		}
-		h := heartbeat{Owner: owner, known: a.known(), Age: age}
-		if theirs.Boot != a.boot || theirs.Changed != a.changed {
-			states := make([]State, 0, len(a.states))
+		b := a.beat(owner, age)
+		peer, has := theirs[b.key]
+		switch {
+		case age >= t.options.AttestStaleAfter || has && peer.sequence >= a.sequence:
+		case has && peer.changed == a.changed:
+			out.Beats = b.append(out.Beats)
+		default:
+			h := heartbeat{Owner: owner, known: a.known(), Age: age, States: make([]State, 0, len(a.states))}
 			for _, s := range a.states {
-				states = append(states, s)
+				h.States = append(h.States, s)
 			}
-			h.States = &states
+			out.Heartbeats = append(out.Heartbeats, h)
 		}
-		out.Heartbeats = append(out.Heartbeats, h)
 	}
 	for domain, a := range t.assignments {
 		if a.Epoch > d.Assignments[domain] {
 			out.Assignments = append(out.Assignments, a)
 		}
 	}
-	if len(out.Heartbeats) == 0 && len(out.Assignments) == 0 {
+	if len(out.Beats) == 0 && len(out.Heartbeats) == 0 && len(out.Assignments) == 0 {
 		return nil
 	}
 	return encode(out)
@@ -145,6 +150,13 @@
 	if asked.After(now) {
 		return code.BadMessage.New("section replica from %s: token of %s is in the future", from, d.Echo.Since)
 	}
+	byKey := make(map[uint64]ident.Instance, len(t.owners))
+	for owner, a := range t.owners {
+		byKey[beatKey(owner, a.boot)] = owner
+	}
+	if !eachBeat(d.Beats, func(b beat) { t.hearBeat(byKey[b.key], b, asked.Add(-b.age)) }) {
+		return code.BadMessage.New("section replica from %s: beats are cut off or out of range", from)
+	}
 	for _, h := range d.Heartbeats {
 		if err := h.check(); err != nil {
 			return code.BadMessage.Wrap(err, "section replica from %s", from)
@@ -161,10 +173,7 @@
 	if h.Age < 0 || h.Changed > h.Sequence {
 		return fmt.Errorf("heartbeat of %s: age %s or changed %d is out of range", h.Owner, h.Age, h.Changed)
 	}
-	if h.States == nil {
-		return nil
-	}
-	for _, s := range *h.States {
+	for _, s := range h.States {
 		if s.Replica == "" || s.Epoch == 0 || len(s.Members) == 0 {
 			return fmt.Errorf("heartbeat of %s: state of %q without epoch or members", h.Owner, s.Replica)
 		}
@@ -172,34 +181,44 @@
 	return nil
 }
 
-// hear takes a heartbeat if it is newer than what is known of the owner. One
-// without states is taken only if they are the known ones.
+// hear takes a heartbeat if it is newer than what is known of the owner.
 func (t *Tracker) hear(h heartbeat, made time.Time) {
-	if h.Owner == t.options.Self {
-		return
+	next := &attestation{
+		boot: h.Boot, sequence: h.Sequence, changed: h.Changed, made: made,
+		states: make(map[ident.Replica]State, len(h.States)),
 	}
-	old := t.owners[h.Owner]
-	if old != nil && !newer(h.known, old.known()) {
-		return
+	for _, s := range h.States {
+		next.states[s.Replica] = s
 	}
-	next := &attestation{boot: h.Boot, sequence: h.Sequence, changed: h.Changed, made: made}
-	switch {
-	case h.States != nil:
-		next.states = make(map[ident.Replica]State, len(*h.States))
-		for _, s := range *h.States {
-			next.states[s.Replica] = s
+	if t.replace(h.Owner, next) {
+		for _, s := range h.States {
 			t.highest[s.Replica] = max(t.highest[s.Replica], s.Epoch)
 		}
-	case old != nil && old.boot == h.Boot && old.changed == h.Changed:
-		next.states = old.states
-	default:
+	}
+}
+
+// hearBeat takes a heartbeat whose states are the known ones.
+func (t *Tracker) hearBeat(owner ident.Instance, b beat, made time.Time) {
+	old := t.owners[owner]
+	if old == nil || old.changed != b.changed {
 		return
 	}
+	t.replace(owner, &attestation{boot: old.boot, sequence: b.sequence, changed: b.changed, made: made, states: old.states})
+}
+
+// replace sets the attestation of another owner if it is newer, and reports
+// whether it was.
+func (t *Tracker) replace(owner ident.Instance, next *attestation) bool {
+	old := t.owners[owner]
+	if owner == t.options.Self || old != nil && !newer(next.known(), old.known()) {
+		return false
+	}
 	// A later attestation was made after the earlier one.
-	if old != nil && old.boot == h.Boot && made.Before(old.made) {
+	if old != nil && old.boot == next.boot && next.made.Before(old.made) {
 		next.made = old.made
 	}
-	t.owners[h.Owner] = next
+	t.owners[owner] = next
+	return true
 }
 
 // encode returns the JSON of a message of this package, whose types can't fail
