--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -170,7 +170,8 @@
 		ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 			writer <- w
-			<-ended
+			// The caller has been told of an error in the stream itself.
+			_ = <-ended
 		})
 	case err := <-ended:
 		httpcall.WriteError(ctx, err)
--- a/internal/fleet/config/state.go
+++ b/internal/fleet/config/state.go
@@ -12,11 +12,11 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-// Stored and Rejection are the domain types of stored records.
-type (
-	Stored    = record.Stored
-	Rejection = record.Rejection
-)
+// Stored is a record as the platform holds it.
+type Stored = record.Stored
+
+// Rejection is a record that is not in effect because it is invalid.
+type Rejection = record.Rejection
 
 // eventRecorder is the part of the timeline that this package uses.
 type eventRecorder interface {
--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -17,11 +17,11 @@
 	"cuminbay/internal/kernel/timeline"
 )
 
-// Target and Mark are the domain types of marks.
-type (
-	Target = mark.Target
-	Mark   = mark.Mark
-)
+// Target is a data centre or an instance.
+type Target = mark.Target
+
+// Mark says whether a target is out of service.
+type Mark = mark.Mark
 
 // hybrid is the clock that stamps marks and refuses stamps far ahead.
 type hybrid interface {
@@ -154,7 +154,7 @@
 	}
 	const width = 4
 	var send []Mark
-	for _, mark := range m.List() {
+	for _, mark := range m.Marks() {
 		at := bucket(mark.Target) * width
 		if len(digest) == len(own) && string(digest[at:at+width]) == string(own[at:at+width]) {
 			continue
