Move the shared parts of OpenAI HTTP endpoints to endpoint/stream

Cause: a relay to another daemon needs the engine protocol's connections that fail on silence, its body of a resumed request and its reading of events. Change: these move to internal/endpoint/stream; the engine protocol uses them. An error event can be given a code of its own by the protocol. Conclusion: no change of behaviour for engines.

--- a/internal/endpoint/engine/client.go
+++ b/internal/endpoint/engine/client.go
@@ -4,15 +4,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/work"
+	"cuminbay/internal/endpoint/stream"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/route/table"
@@ -72,65 +71,9 @@
 }
 
 func (c *Client) newHTTP(connections int, silence time.Duration) *fasthttp.Client {
-	return &fasthttp.Client{
-		NoDefaultUserAgentHeader: true,
-		MaxConnsPerHost:          connections,
-		// A request is repeated by the dispatcher or not at all.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := fasthttp.DialTimeout(address, c.settings.DialTimeout.Duration)
-			if err != nil {
-				return nil, &dialError{err}
-			}
-			return &silenceConn{Conn: conn, clock: c.clock, limit: silence}, nil
-		},
-	}
-}
-
-// dialError marks a failure before anything was sent.
-type dialError struct {
-	error
-}
-
-// Unwrap returns the cause.
-func (e *dialError) Unwrap() error {
-	return e.error
-}
-
-// silenceConn fails a read or write that makes no progress for the limit. The
-// deadline that the HTTP client sets, if any, bounds the whole answer.
-type silenceConn struct {
-	net.Conn
-	clock clock.Clock
-	limit time.Duration
-	until time.Time
-}
-
-// SetReadDeadline bounds all later reads.
-func (s *silenceConn) SetReadDeadline(t time.Time) error {
-	s.until = t
-	return nil
-}
-
-// Read reads with a fresh deadline.
-func (s *silenceConn) Read(b []byte) (int, error) {
-	deadline := s.clock.Now().Add(s.limit)
-	if !s.until.IsZero() && s.until.Before(deadline) {
-		deadline = s.until
-	}
-	if err := s.Conn.SetReadDeadline(deadline); err != nil {
-		return 0, err
-	}
-	return s.Conn.Read(b)
-}
-
-// Write writes with a fresh deadline.
-func (s *silenceConn) Write(b []byte) (int, error) {
-	if err := s.SetWriteDeadline(s.clock.Now().Add(s.limit)); err != nil {
-		return 0, err
-	}
-	return s.Conn.Write(b)
+	return stream.NewClient(stream.ClientOptions{
+		Clock: c.clock, Connections: connections, DialTimeout: c.settings.DialTimeout.Duration, Silence: silence,
+	})
 }
 
 // Protocol names the protocol of the endpoints that the client reaches.
@@ -155,15 +98,6 @@
 	return err
 }
 
-// failure gives an error of the HTTP client its code.
-func failure(err error, address string) error {
-	var dial *dialError
-	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return code.EndpointUnreachable.Wrap(err, "endpoint at %s: no connection", address)
-	}
-	return code.CutOff.Wrap(err, "endpoint at %s: connection ended before the answer did", address)
-}
-
 // path returns the engine's path for the operation.
 func (c *Client) path(o work.Operation) (string, error) {
 	switch o {
--- a/internal/endpoint/engine/control.go
+++ b/internal/endpoint/engine/control.go
@@ -8,6 +8,7 @@
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/report"
+	"cuminbay/internal/endpoint/stream"
 )
 
 // Report reads the report of the engine at the address.
@@ -22,8 +23,8 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(url(address, c.settings.ReportPath))
-	if err := do(ctx, client, request, response); err != nil {
-		return nil, failure(err, address)
+	if err := stream.Do(ctx, client, request, response); err != nil {
+		return nil, stream.Failure(err, address)
 	}
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
 		return nil, code.BadReport.New("report from %s: status %d", address, status)
@@ -53,31 +54,11 @@
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
 	request.SetBodyRaw(body)
-	if err := do(ctx, c.control, request, response); err != nil {
-		return failure(err, address)
+	if err := stream.Do(ctx, c.control, request, response); err != nil {
+		return stream.Failure(err, address)
 	}
 	if status := response.StatusCode(); status >= fasthttp.StatusMultipleChoices {
-		return code.EndpointRejected.New("order for %s: status %d: %s", address, status, excerpt(response.Body()))
+		return code.EndpointRejected.New("order for %s: status %d: %s", address, status, stream.Excerpt(response.Body()))
 	}
 	return nil
 }
-
-// do sends the request within the context's deadline.
-func do(ctx context.Context, client *fasthttp.Client, request *fasthttp.Request, response *fasthttp.Response) error {
-	if err := ctx.Err(); err != nil {
-		return &dialError{err}
-	}
-	if deadline, bounded := ctx.Deadline(); bounded {
-		return client.DoDeadline(request, response, deadline)
-	}
-	return client.Do(request, response)
-}
-
-// excerpt returns the start of a body for an error message.
-func excerpt(body []byte) string {
-	const limit = 200
-	if len(body) > limit {
-		return string(body[:limit]) + "..."
-	}
-	return string(body)
-}
--- /dev/null
+++ b/internal/endpoint/engine/send.go
@@ -0,0 +1,106 @@
+package engine
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/endpoint/stream"
+	"cuminbay/internal/route/table"
+)
+
+// Headers by which a request names the replica that it is meant for and the
+// engine names the one that answers.
+const (
+	headerReplica  = "X-Replica"
+	headerEpoch    = "X-Epoch"
+	headerVersion  = "X-Version"
+	headerPriority = "X-Priority"
+	headerRequest  = "X-Request-Id"
+	// headerResume tells an engine how many bytes at the end of a
+	// completion's prompt are the text of an earlier run.
+	headerResume = "X-Resume-Chars"
+)
+
+// Send sends the request to the endpoint and passes its answer to the sink.
+//
+// Errors carry code.EndpointUnreachable, Overloaded, EndpointRejected,
+// EndpointFailed, ForeignAnswer, CutOff or MalformedBody, or are the sink's.
+func (c *Client) Send(ctx context.Context, e *table.Endpoint, r *work.Request, sent work.Sent, s work.Sink) error {
+	path, err := c.path(r.Operation)
+	if err != nil {
+		return err
+	}
+	body, err := stream.Body(r, sent)
+	if err != nil {
+		return err
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	c.address(request, e, r, path)
+	if sent.Text != "" && r.Operation == work.Completion {
+		request.Header.Set(headerResume, strconv.Itoa(len(sent.Text)))
+	}
+	request.SetBodyRaw(body)
+
+	if err := stream.Do(ctx, c.stream, request, response); err != nil {
+		return stream.Failure(err, e.Address)
+	}
+	// Closing a stream that was not read to its end closes the connection,
+	// which cancels the run at the engine.
+	defer func() { _ = response.CloseBodyStream() }()
+	if err := checkStatus(response, e); err != nil {
+		return err
+	}
+	if err := s.Start(work.Head{Endpoint: e.ID}); err != nil {
+		return err
+	}
+	return (&stream.Reader{Endpoint: e, Request: r, Sink: s}).Read(ctx, response)
+}
+
+// address sets the request's line and header.
+func (c *Client) address(request *fasthttp.Request, e *table.Endpoint, r *work.Request, path string) {
+	request.SetRequestURI(url(e.Address, path))
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(headerReplica, string(e.Replica))
+	request.Header.Set(headerEpoch, strconv.FormatUint(uint64(e.Epoch), 10))
+	request.Header.Set(headerVersion, string(e.Version))
+	request.Header.Set(headerPriority, strconv.Itoa(int(r.Priority)))
+	request.Header.Set(headerRequest, string(r.ID))
+}
+
+// checkStatus gives an answer that is not a run of the asked replica its code.
+func checkStatus(response *fasthttp.Response, e *table.Endpoint) error {
+	status := response.StatusCode()
+	switch {
+	case status == fasthttp.StatusConflict:
+		return code.WithOutcome(code.ForeignAnswer.New("endpoint %s: it is not replica %s at epoch %d", e.ID, e.Replica, e.Epoch), code.NotRun)
+	case status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable:
+		return code.Overloaded.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(stream.Head(response)))
+	case status >= fasthttp.StatusInternalServerError:
+		return code.EndpointFailed.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(stream.Head(response)))
+	case status != fasthttp.StatusOK:
+		return code.EndpointRejected.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(stream.Head(response)))
+	}
+	return checkEcho(response, e)
+}
+
+// checkEcho compares the replica that answers with the one that was asked. An
+// engine that echoes nothing is taken at its word; the reports decide then.
+func checkEcho(response *fasthttp.Response, e *table.Endpoint) error {
+	replica := string(response.Header.Peek(headerReplica))
+	epoch := string(response.Header.Peek(headerEpoch))
+	if replica == "" && epoch == "" {
+		return nil
+	}
+	if ident.Replica(replica) != e.Replica || epoch != strconv.FormatUint(uint64(e.Epoch), 10) {
+		return code.ForeignAnswer.New("endpoint %s: asked replica %s at epoch %d, got an answer of %q at %q", e.ID, e.Replica, e.Epoch, replica, epoch)
+	}
+	return nil
+}
--- a/internal/endpoint/engine/body.go
+++ b/internal/endpoint/stream/body.go
@@ -1,4 +1,4 @@
-package engine
+package stream
 
 import (
 	"encoding/json"
@@ -9,16 +9,12 @@
 	"cuminbay/internal/domain/work"
 )
 
-// headerResume tells an engine how many bytes at the end of a completion's
-// prompt are the text of an earlier run.
-const headerResume = "X-Resume-Chars"
-
-// upstream returns the body to send to the engine. A resumable request is
+// Body returns the body to send to an endpoint. A resumable request is
 // always streamed, so that its text can be kept; the text already sent goes
 // along, and the limit of tokens shrinks by what was generated.
 //
 // Errors carry code.MalformedBody.
-func upstream(r *work.Request, sent work.Sent) ([]byte, error) {
+func Body(r *work.Request, sent work.Sent) ([]byte, error) {
 	if !r.Resumable {
 		return r.Body, nil
 	}
--- /dev/null
+++ b/internal/endpoint/stream/events.go
@@ -0,0 +1,141 @@
+package stream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/route/table"
+)
+
+// Reader passes one answer to a sink.
+type Reader struct {
+	Endpoint *table.Endpoint
+	Request  *work.Request
+	Sink     work.Sink
+	// Fault gives an error event of the stream its code; nil stands for
+	// code.CutOff.
+	Fault func(event []byte) error
+}
+
+// Read passes the answer to the sink.
+//
+// Errors carry code.CutOff or that of Fault, or are the sink's.
+func (d *Reader) Read(ctx context.Context, response *fasthttp.Response) error {
+	body := response.BodyStream()
+	if body == nil {
+		body = bytes.NewReader(response.Body())
+	}
+	if !d.Request.Stream && !d.Request.Resumable {
+		return d.whole(body)
+	}
+	return d.events(ctx, body)
+}
+
+// whole passes on an answer that is not streamed.
+func (d *Reader) whole(body io.Reader) error {
+	raw, err := io.ReadAll(body)
+	if err != nil {
+		return Failure(err, d.Endpoint.Address)
+	}
+	if !json.Valid(raw) {
+		return code.CutOff.New("endpoint %s: its answer ended after %d bytes that are not whole JSON", d.Endpoint.ID, len(raw))
+	}
+	if err := d.Sink.Piece(work.Piece{Raw: raw}); err != nil {
+		return err
+	}
+	return d.Sink.End(work.End{})
+}
+
+// chunk is an event of a streamed answer.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Text   string `json:"text"`
+		Finish string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		Prompt    unit.Tokens `json:"prompt_tokens"`
+		Generated unit.Tokens `json:"completion_tokens"`
+		Details   struct {
+			Cached unit.Tokens `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+// maxEvent bounds one event of a stream.
+const maxEvent = 1 << 20
+
+// events passes on a stream of server-sent events. Only the end marker
+// ends it; a stream that closes without one was cut off.
+func (d *Reader) events(ctx context.Context, body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxEvent)
+	var end work.End
+	for lines.Scan() {
+		if err := ctx.Err(); err != nil {
+			return Failure(err, d.Endpoint.Address)
+		}
+		data, found := bytes.CutPrefix(lines.Bytes(), dataPrefix)
+		if !found {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneMarker) {
+			return d.Sink.End(end)
+		}
+		if err := d.event(data, &end); err != nil {
+			return err
+		}
+	}
+	err := lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return Failure(err, d.Endpoint.Address)
+}
+
+func (d *Reader) event(data []byte, end *work.End) error {
+	var ch chunk
+	if err := json.Unmarshal(data, &ch); err != nil {
+		return code.CutOff.Wrap(err, "endpoint %s: malformed event in its stream", d.Endpoint.ID)
+	}
+	if len(ch.Error) > 0 {
+		if d.Fault != nil {
+			return d.Fault(data)
+		}
+		return code.CutOff.New("endpoint %s: error in its stream: %s", d.Endpoint.ID, Excerpt(ch.Error))
+	}
+	if u := ch.Usage; u != nil {
+		end.Usage = work.Usage{Prompt: u.Prompt, Generated: u.Generated, Cached: u.Details.Cached}
+	}
+	if !d.Request.Resumable {
+		return d.Sink.Piece(work.Piece{Raw: bytes.Clone(data), Tokens: 1})
+	}
+	for _, choice := range ch.Choices {
+		if choice.Finish != "" {
+			end.Finish = choice.Finish
+		}
+		if text := choice.Delta.Content + choice.Text; text != "" {
+			if err := d.Sink.Piece(work.Piece{Text: text, Tokens: 1}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
