Add the relay protocol and keep relays apart in the table

Cause: requests that reach a daemon whose data centre has no room have to be answered by another data centre. Change: endpoint/relay sends a request to another daemon's listener for callers with the caller's own credential, the remaining deadline and the priority; the refusal of that daemon keeps its code and outcome. The table lists relays apart from local endpoints, and local engines share a part of their limits that is in use. The front ends fill Request.Credential and Request.Relayed. A conversation that ends in an unfinished answer is no longer resumable, as a second unfinished answer would be appended to it.

--- a/internal/caller/httpcall/fill.go
+++ b/internal/caller/httpcall/fill.go
@@ -24,6 +24,9 @@
 	PriorityHeader     = "X-Priority"
 	KeyHeader          = "Idempotency-Key"
 	OrganisationHeader = "OpenAI-Organization"
+	// RelayedHeader names the daemon that relays a request. It gives no
+	// rights: such a request is only not relayed again.
+	RelayedHeader = "X-Relayed-From"
 )
 
 const (
@@ -66,14 +69,16 @@
 	return o, nil
 }
 
-// Fill sets the request's id, time of receipt, deadline, priority and
-// idempotency key from the call's header.
+// Fill sets the request's id, time of receipt, deadline, priority, credential,
+// relay mark and idempotency key from the call's header.
 //
 // Errors carry code.BadHeader and name the field.
 func Fill(ctx *fasthttp.RequestCtx, r *work.Request, now time.Time) error {
 	header := &ctx.Request.Header
 	r.ID = newID()
 	r.Received = now
+	r.Credential = string(header.Peek(fasthttp.HeaderAuthorization))
+	r.Relayed = len(header.Peek(RelayedHeader)) > 0
 	if raw := header.Peek(DeadlineHeader); len(raw) > 0 {
 		after, err := parseDeadline(string(raw))
 		if err != nil {
--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -32,6 +32,7 @@
 	Logprobs            json.RawMessage `json:"logprobs"`
 	Audio               json.RawMessage `json:"audio"`
 	ResponseFormat      json.RawMessage `json:"response_format"`
+	Continue            bool            `json:"continue_final_message"`
 }
 
 type streamOptions struct {
@@ -92,7 +93,9 @@
 // resumable reports whether the answer is plain text of one choice. Anything
 // else is passed through event by event and not resumed.
 func (b *body) resumable(o work.Operation) bool {
-	if b.N > 1 || b.BestOf > 1 || b.Echo {
+	// A conversation that already ends in an unfinished answer, such as a
+	// relayed resumption, can't have a second one appended.
+	if b.N > 1 || b.BestOf > 1 || b.Echo || b.Continue {
 		return false
 	}
 	for _, raw := range []json.RawMessage{b.Tools, b.Functions, b.Audio, b.ResponseFormat} {
--- a/internal/domain/work/work.go
+++ b/internal/domain/work/work.go
@@ -59,6 +59,10 @@
 	AtMostOnce  bool
 	Key         ident.RequestKey
 	Fingerprint ident.Fingerprint
+	// Credential is the caller's Authorization field, unchanged. A relay
+	// passes it on, so that daemons need no trust of their own. It must not
+	// be logged.
+	Credential string
 	// Relayed marks a request that came from a daemon of another data
 	// centre. It is not relayed again.
 	Relayed bool
--- /dev/null
+++ b/internal/endpoint/relay/relay.go
@@ -0,0 +1,231 @@
+// Package relay sends requests to daemons of other data centres, by the OpenAI
+// HTTP protocol of their listeners for callers. The caller's own credential
+// goes along, so that daemons need no trust in each other.
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/endpoint/stream"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/table"
+)
+
+// The header fields of a relayed request. The front end of the other daemon
+// reads them as those of any caller.
+const (
+	headerFrom         = "X-Relayed-From"
+	headerOrganisation = "OpenAI-Organization"
+	headerPriority     = "X-Priority"
+	headerDeadline     = "X-Deadline-Ms"
+	headerRequest      = "X-Request-Id"
+	headerEndpoint     = "X-Endpoint"
+)
+
+// Paths of a daemon's listener for callers.
+const (
+	chatPath       = "/v1/chat/completions"
+	completionPath = "/v1/completions"
+	healthPath     = "/health"
+)
+
+// Settings are the settings of relays.
+type Settings struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout settings.Duration `json:"dialTimeout" validate:"duration"`
+	// Silence is the time without a byte after which an open connection
+	// counts as stalled. It has to exceed that of the engine protocol, so
+	// that the other daemon can first try another engine.
+	Silence settings.Duration `json:"silence" validate:"duration"`
+	// Connections bounds the connections to one daemon.
+	Connections int `json:"connections" validate:"min=1,max=65536"`
+}
+
+func defaults() any {
+	return &Settings{
+		DialTimeout: settings.Of(500 * time.Millisecond),
+		Silence:     settings.Of(15 * time.Second),
+		Connections: 4096,
+	}
+}
+
+// Options are the parts of a Client.
+type Options struct {
+	Settings Settings
+	Clock    clock.Clock
+	// Self is named to the other daemon.
+	Self ident.Instance
+}
+
+// Client reaches daemons of other data centres. It is safe for concurrent use.
+type Client struct {
+	Options
+	stream *fasthttp.Client
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	c := &Client{Options: o}
+	c.stream = c.newHTTP(o.Settings.Connections, o.Settings.Silence.Duration)
+	c.stream.StreamResponseBody = true
+	return c
+}
+
+func (c *Client) newHTTP(connections int, silence time.Duration) *fasthttp.Client {
+	return stream.NewClient(stream.ClientOptions{
+		Clock: c.Clock, Connections: connections, DialTimeout: c.Settings.DialTimeout.Duration, Silence: silence,
+	})
+}
+
+// Protocol names the protocol of the endpoints that the client reaches.
+func (c *Client) Protocol() table.Protocol {
+	return table.Relay
+}
+
+// Healthy reads the daemon's health over a new connection.
+//
+// Errors carry code.EndpointUnreachable, CutOff or Draining.
+func (c *Client) Healthy(ctx context.Context, address string) error {
+	fresh := c.newHTTP(1, c.Settings.DialTimeout.Duration)
+	defer fresh.CloseIdleConnections()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + healthPath)
+	if err := stream.Do(ctx, fresh, request, response); err != nil {
+		return stream.Failure(err, address)
+	}
+	// The daemon answers, so the connection that failed had stalled. Others
+	// opened at the same time probably have too.
+	c.stream.CloseIdleConnections()
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return code.Draining.New("daemon at %s: status %d", address, status)
+	}
+	return nil
+}
+
+// Send relays the request and passes the answer to the sink.
+//
+// Errors carry code.EndpointUnreachable, CutOff, MalformedBody or the code and
+// outcome that the other daemon gave, or are the sink's. What must not be
+// relayed is refused with code.Internal as not run.
+func (c *Client) Send(ctx context.Context, e *table.Endpoint, r *work.Request, sent work.Sent, s work.Sink) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	if err := c.fill(request, e, r, sent); err != nil {
+		return err
+	}
+	if err := stream.Do(ctx, c.stream, request, response); err != nil {
+		return stream.Failure(err, e.Address)
+	}
+	// Closing a stream that was not read to its end closes the connection,
+	// which ends the request at the other daemon.
+	defer func() { _ = response.CloseBodyStream() }()
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return refusal(stream.Head(response), status, e)
+	}
+	head := work.Head{Endpoint: e.ID}
+	if runner := response.Header.Peek(headerEndpoint); len(runner) > 0 {
+		head.Endpoint = ident.Endpoint(runner)
+	}
+	if err := s.Start(head); err != nil {
+		return err
+	}
+	reader := stream.Reader{Endpoint: e, Request: r, Sink: s, Fault: func(event []byte) error { return broken(event, e) }}
+	return reader.Read(ctx, response)
+}
+
+// fill sets the line, header and body of the relayed request.
+func (c *Client) fill(request *fasthttp.Request, e *table.Endpoint, r *work.Request, sent work.Sent) error {
+	path := chatPath
+	switch {
+	case r.AtMostOnce || r.Relayed:
+		return code.WithOutcome(code.Internal.New("relay: request %s must not be relayed", r.ID), code.NotRun)
+	case r.Operation == work.Completion:
+		path = completionPath
+	case r.Operation != work.Chat:
+		return code.WithOutcome(code.Internal.New("relay: operation %q is not one of chat, completion", r.Operation), code.NotRun)
+	}
+	body, err := stream.Body(r, sent)
+	if err != nil {
+		return err
+	}
+	request.SetRequestURI("http://" + e.Address + path)
+	header := &request.Header
+	header.SetMethod(fasthttp.MethodPost)
+	header.SetContentType("application/json")
+	header.Set(headerFrom, string(c.Self))
+	header.Set(headerRequest, string(r.ID))
+	header.Set(headerOrganisation, string(r.Organisation))
+	if r.Credential != "" {
+		header.Set(fasthttp.HeaderAuthorization, r.Credential)
+	}
+	if r.Priority != 0 {
+		header.Set(headerPriority, strconv.Itoa(int(r.Priority)))
+	}
+	if !r.Deadline.IsZero() {
+		left := r.Deadline.Sub(c.Clock.Now()).Milliseconds()
+		header.Set(headerDeadline, strconv.FormatInt(max(1, left), 10))
+	}
+	request.SetBodyRaw(body)
+	return nil
+}
+
+// fault is the error object of a daemon.
+type fault struct {
+	Error struct {
+		Message string       `json:"message"`
+		Code    code.Code    `json:"code"`
+		Outcome code.Outcome `json:"outcome"`
+	} `json:"error"`
+}
+
+// parse returns the daemon's error with its code and outcome, or nil if the
+// body is not an error object of a daemon.
+func parse(body []byte, e *table.Endpoint) error {
+	var f fault
+	if json.Unmarshal(body, &f) != nil {
+		return nil
+	}
+	c, outcome := f.Error.Code, f.Error.Outcome
+	if c == code.Answered || c.Spec().Code != c {
+		return nil
+	}
+	err := c.New("relayed to %s: %s", e.ID, f.Error.Message)
+	switch outcome {
+	case c.Spec().Outcome:
+		return err
+	case code.NotRun, code.Ran, code.Unknown:
+		return code.WithOutcome(err, outcome)
+	default:
+		return nil
+	}
+}
+
+// refusal returns the error of an answer that is not a run. Without a daemon's
+// error object it is not known whether the request ran.
+func refusal(body []byte, status int, e *table.Endpoint) error {
+	if err := parse(body, e); err != nil {
+		return err
+	}
+	return code.CutOff.New("relayed to %s: status %d: %s", e.ID, status, stream.Excerpt(body))
+}
+
+// broken returns the error of an event in a stream. What has begun can't be
+// called not run.
+func broken(event []byte, e *table.Endpoint) error {
+	if err := parse(event, e); err != nil && code.OutcomeOf(err) != code.NotRun {
+		return err
+	}
+	return code.CutOff.New("relayed to %s: error in its stream: %s", e.ID, stream.Excerpt(event))
+}
--- a/internal/route/table/load.go
+++ b/internal/route/table/load.go
@@ -29,6 +29,35 @@
 	// running and waiting are the endpoint's last reported counts.
 	running atomic.Int64
 	waiting atomic.Int64
+	// part, if set, is the part of the limit that is given now. The loads of
+	// all local engines share it.
+	part *Part
+}
+
+// Part is the part of the endpoints' limits that is in use, in thousandths. It
+// is below the whole while a data centre returns to service. The zero value is
+// the whole.
+type Part struct {
+	missing atomic.Int64
+}
+
+const wholePart = 1000
+
+// Set sets the part, from 0 to 1.
+func (p *Part) Set(part float64) {
+	p.missing.Store(wholePart - int64(math.Round(wholePart*min(max(part, 0), 1))))
+}
+
+// of returns the part of a limit, at least one request of it.
+func (p *Part) of(limit unit.Requests) unit.Requests {
+	if p == nil || limit <= 0 {
+		return limit
+	}
+	missing := p.missing.Load()
+	if missing == 0 {
+		return limit
+	}
+	return max(1, limit*unit.Requests(wholePart-missing)/wholePart)
 }
 
 // SetReported records the endpoint's own counts.
@@ -162,10 +191,11 @@
 	if e.Cold || e.Load.Suspect() {
 		return e.Load.grant(now)
 	}
+	limit := e.Limit
 	if adaptive := e.Load.Limit(); adaptive > 0 {
-		return min(adaptive, e.Limit)
+		limit = min(adaptive, limit)
 	}
-	return e.Limit
+	return e.Load.part.of(limit)
 }
 
 // Acquire takes a place at the endpoint and reports whether there was one.
--- a/internal/route/table/publisher.go
+++ b/internal/route/table/publisher.go
@@ -15,6 +15,7 @@
 
 	mu    sync.Mutex
 	loads map[ident.Endpoint]*Load
+	part  Part
 }
 
 // NewPublisher returns a publisher of an empty table.
@@ -41,6 +42,9 @@
 	for i := range endpoints {
 		e := endpoints[i]
 		e.Load = p.load(e.ID)
+		if e.Protocol == Engine && e.Load.part == nil {
+			e.Load.part = &p.part
+		}
 		e.Load.SetReported(e.Reported)
 		e.Reported = Counts{}
 		if before := old.byID[e.ID]; before != nil && reflect.DeepEqual(*before, e) {
@@ -59,6 +63,12 @@
 	return true
 }
 
+// LocalPart returns the part of the limits of local engines that is in use. It
+// applies to engines that are published later too.
+func (p *Publisher) LocalPart() *Part {
+	return &p.part
+}
+
 func (p *Publisher) load(id ident.Endpoint) *Load {
 	l := p.loads[id]
 	if l == nil {
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -66,14 +66,22 @@
 	generation uint64
 	endpoints  []*Endpoint
 	byID       map[ident.Endpoint]*Endpoint
-	// open has the endpoints that every organisation may use; granted, for an
-	// organisation that some endpoint of the model names, these and its own.
-	open      map[ident.Model][]*Endpoint
-	granted   map[grant][]*Endpoint
+	// local has the endpoints that run requests, relays the daemons of other
+	// data centres.
+	local     index
+	relays    index
 	byService map[ident.Service][]*Endpoint
 	capacity  unit.Requests
 }
 
+// index finds endpoints by model. open has those that every organisation may
+// use; granted, for an organisation that some endpoint of the model names,
+// these and its own.
+type index struct {
+	open    map[ident.Model][]*Endpoint
+	granted map[grant][]*Endpoint
+}
+
 // grant is an organisation's permission to use a model.
 type grant struct {
 	model        ident.Model
@@ -86,8 +94,8 @@
 		generation: generation,
 		endpoints:  append([]*Endpoint(nil), endpoints...),
 		byID:       make(map[ident.Endpoint]*Endpoint, len(endpoints)),
-		open:       make(map[ident.Model][]*Endpoint),
-		granted:    make(map[grant][]*Endpoint),
+		local:      newIndex(),
+		relays:     newIndex(),
 		byService:  make(map[ident.Service][]*Endpoint),
 	}
 	sort.Slice(t.endpoints, func(i, j int) bool { return t.endpoints[i].ID < t.endpoints[j].ID })
@@ -97,37 +105,58 @@
 			t.capacity += e.Limit
 		}
 		for _, m := range e.Models {
-			t.addModel(m, e)
+			t.index(e.Protocol).add(m, e)
 		}
 		if e.Service != "" {
 			t.byService[e.Service] = append(t.byService[e.Service], e)
 		}
 	}
-	t.openToGranted()
+	t.local.openToGranted()
+	t.relays.openToGranted()
 	return t
 }
 
-func (t *Table) addModel(m ident.Model, e *Endpoint) {
+func (t *Table) index(p Protocol) *index {
+	if p == Relay {
+		return &t.relays
+	}
+	return &t.local
+}
+
+func newIndex() index {
+	return index{open: make(map[ident.Model][]*Endpoint), granted: make(map[grant][]*Endpoint)}
+}
+
+func (x *index) add(m ident.Model, e *Endpoint) {
 	if len(e.Organisations) == 0 {
-		t.open[m] = append(t.open[m], e)
+		x.open[m] = append(x.open[m], e)
 		return
 	}
 	for _, o := range e.Organisations {
 		g := grant{m, o}
-		t.granted[g] = append(t.granted[g], e)
+		x.granted[g] = append(x.granted[g], e)
 	}
 }
 
 // openToGranted adds the open endpoints to the lists of named organisations.
-func (t *Table) openToGranted() {
-	for g, own := range t.granted {
-		all := append(own, t.open[g.model]...)
+func (x *index) openToGranted() {
+	for g, own := range x.granted {
+		all := append(own, x.open[g.model]...)
 		sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
-		t.granted[g] = all
+		x.granted[g] = all
 	}
 }
 
-// Capacity returns the sum of the limits of the endpoints that are not cold.
+func (x *index) find(m ident.Model, o ident.Organisation) []*Endpoint {
+	if list, named := x.granted[grant{m, o}]; named {
+		return list
+	}
+	return x.open[m]
+}
+
+// Capacity returns the sum of the limits of the endpoints that are not cold,
+// relays included: a daemon whose data centre is out of service still has the
+// room that others offer.
 func (t *Table) Capacity() unit.Requests {
 	return t.capacity
 }
@@ -148,12 +177,15 @@
 }
 
 // Model returns the endpoints that serve the model or adapter to the
-// organisation, in order of their ids.
+// organisation, in order of their ids. Relays are not among them.
 func (t *Table) Model(m ident.Model, o ident.Organisation) []*Endpoint {
-	if list, named := t.granted[grant{m, o}]; named {
-		return list
-	}
-	return t.open[m]
+	return t.local.find(m, o)
+}
+
+// Relays returns the daemons of other data centres that have room for the
+// model or adapter and the organisation, in order of their ids.
+func (t *Table) Relays(m ident.Model, o ident.Organisation) []*Endpoint {
+	return t.relays.find(m, o)
 }
 
 // Service returns the endpoints of the plain service.
