Dispatch to relays when no local endpoint has room

Also, Policy.FirstToken was never called, so that limits did not adapt and first tokens were not measured; the return of a data centre is paced by that measurement. Change: the dispatcher tries local endpoints, then relays, then waits for either. Refusals of relayed requests that were not run are tried elsewhere within the retry budget, and the daemon that refused gets none for a short time. A daemon that dies raises no suspicion against a relayed request. The first piece of a streamed or resumable answer is reported to the policy.

--- a/internal/serve/dispatch/dispatch.go
+++ b/internal/serve/dispatch/dispatch.go
@@ -150,6 +150,16 @@
 	return t.Model(r.Model, r.Organisation)
 }
 
+// relays returns the daemons of other data centres that may take the request. A
+// request that was relayed goes no further, and one that must not run twice
+// stays with the daemon that records its claim.
+func (d *Dispatcher) relays(r *work.Request) []*table.Endpoint {
+	if r.Relayed || r.AtMostOnce || r.Operation == work.Call {
+		return nil
+	}
+	return d.Tables.Current().Relays(r.Model, r.Organisation)
+}
+
 // line names what the request waits for.
 func line(r *work.Request) admit.Line {
 	if r.Operation == work.Call {
@@ -158,19 +168,20 @@
 	return admit.Line(r.Model)
 }
 
-// acquire returns an endpoint with a place taken at it. It waits in the queue
-// while every endpoint is at its bound.
+// acquire returns an endpoint with a place taken at it: a local one if one has
+// room, otherwise a relay. It waits in the queue while every endpoint is at its
+// bound.
 //
 // Errors carry code.NoReplica, ColdOnly, Overloaded or DeadlineTooShort; all
 // say that the request was not run.
 func (d *Dispatcher) acquire(ctx context.Context, r *work.Request, place admit.Place) (*table.Endpoint, error) {
 	var chosen *table.Endpoint
 	try := func() bool {
-		chosen = d.take(r)
+		chosen = d.choose(r)
 		return chosen != nil
 	}
 	if !try() {
-		if len(d.candidates(r)) == 0 {
+		if len(d.candidates(r)) == 0 && len(d.relays(r)) == 0 {
 			return nil, d.refusal(r)
 		}
 		until := d.Clock.Now().Add(d.Settings.QueueWait.Duration)
@@ -189,14 +200,23 @@
 	return chosen, nil
 }
 
-// take chooses an endpoint and takes a place at it, or returns nil.
-func (d *Dispatcher) take(r *work.Request) *table.Endpoint {
+// choose takes a place at a local endpoint or, if none has room, at a relay. It
+// returns nil if neither has room. It takes no lock and allocates nothing.
+func (d *Dispatcher) choose(r *work.Request) *table.Endpoint {
+	if e := d.take(d.candidates(r), r); e != nil {
+		return e
+	}
+	return d.take(d.relays(r), r)
+}
+
+// take chooses one of the endpoints and takes a place at it, or returns nil.
+func (d *Dispatcher) take(list []*table.Endpoint, r *work.Request) *table.Endpoint {
 	now := d.Clock.Now()
 	// Another request may take the place between choice and Acquire, so the
 	// choice is repeated a few times before the request queues.
 	const tries = 3
 	for range tries {
-		e := d.Policy.Pick(now, d.candidates(r), r)
+		e := d.Policy.Pick(now, list, r)
 		if e == nil {
 			return nil
 		}
@@ -215,6 +235,9 @@
 func (d *Dispatcher) refusal(r *work.Request) error {
 	list := d.candidates(r)
 	retry := d.Settings.RetryAfter.Duration
+	if len(list) == 0 && len(d.relays(r)) > 0 {
+		return code.WithRetryAfter(code.Overloaded.New("%s: none is in service in this data centre, and others have no room left", line(r)), retry)
+	}
 	if len(list) == 0 {
 		return code.WithRetryAfter(code.NoReplica.New("%s: no endpoint is in service", line(r)), retry)
 	}
--- a/internal/serve/dispatch/plugin.go
+++ b/internal/serve/dispatch/plugin.go
@@ -20,6 +20,7 @@
 			Recheck:       settings.Of(100 * time.Millisecond),
 			RetryAfter:    settings.Of(time.Second),
 			Avoid:         settings.Of(2 * time.Second),
+			RelayAvoid:    settings.Of(500 * time.Millisecond),
 			HealthTimeout: settings.Of(500 * time.Millisecond),
 		}
 	})
@@ -38,6 +39,9 @@
 	RetryAfter settings.Duration `json:"retryAfter" validate:"duration"`
 	// Avoid is the time for which an endpoint that failed gets nothing.
 	Avoid settings.Duration `json:"avoid" validate:"duration"`
+	// RelayAvoid is the time for which a daemon that refused a relayed
+	// request gets none, about that between two summaries.
+	RelayAvoid settings.Duration `json:"relayAvoid" validate:"duration"`
 	// HealthTimeout bounds the check of an endpoint after a cut-off answer.
 	HealthTimeout settings.Duration `json:"healthTimeout" validate:"duration"`
 }
--- a/internal/serve/dispatch/progress.go
+++ b/internal/serve/dispatch/progress.go
@@ -8,14 +8,18 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/domain/work"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/table"
 )
 
 // progress is the sink that an endpoint protocol writes to. It passes the
 // answer on to the caller's sink over all attempts, and keeps the text already
 // passed on, so that another replica can resume it.
 type progress struct {
-	sink  work.Sink
-	clock clock.Clock
+	sink     work.Sink
+	clock    clock.Clock
+	policy   picker
+	endpoint *table.Endpoint
+	request  *work.Request
 
 	started    bool
 	resumed    bool
@@ -30,7 +34,8 @@
 }
 
 // begin marks the start of an attempt.
-func (p *progress) begin() {
+func (p *progress) begin(e *table.Endpoint, r *work.Request) {
+	p.endpoint, p.request = e, r
 	p.begun = p.clock.Now()
 	p.last = time.Time{}
 	p.first = 0
@@ -51,6 +56,11 @@
 	now := p.clock.Now()
 	if p.last.IsZero() {
 		p.first = now.Sub(p.begun)
+		// Without a stream the first piece is the whole answer, which says
+		// nothing of the first token.
+		if p.request.Operation != work.Call && (p.request.Stream || p.request.Resumable) {
+			p.policy.FirstToken(p.endpoint, p.request, p.first)
+		}
 	} else {
 		p.gaps = append(p.gaps, now.Sub(p.last))
 	}
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -20,7 +20,7 @@
 // it was not run, or if it may run twice and nothing was passed on yet; and
 // from where it broke off if its answer is plain text.
 func (d *Dispatcher) runRepeatable(ctx context.Context, r *work.Request, s work.Sink, place admit.Place) error {
-	p := &progress{sink: s, clock: d.Clock}
+	p := &progress{sink: s, clock: d.Clock, policy: d.Policy}
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		if attempt > 0 && !d.mayRetry(ctx, r, p, failure) {
@@ -48,6 +48,13 @@
 	}
 	switch code.Of(failure) {
 	case code.EndpointUnreachable, code.Overloaded:
+	case code.NoReplica, code.ColdOnly, code.OverShare, code.Draining, code.NotReady,
+		code.DeadlineTooShort, code.UnknownModel, code.UnknownOrganisation:
+		// Another daemon refused a relayed request; the last two while it
+		// has not heard of a record that this daemon has.
+		if code.OutcomeOf(failure) != code.NotRun {
+			return false
+		}
 	case code.CutOff, code.ForeignAnswer, code.EndpointFailed:
 		if !repeatable(r) || d.Suspects.Check(r.Fingerprint) != nil {
 			return false
@@ -85,7 +92,7 @@
 		d.release(e, r)
 		return err
 	}
-	p := &progress{sink: s, clock: d.Clock}
+	p := &progress{sink: s, clock: d.Clock, policy: d.Policy}
 	ctx = context.WithoutCancel(ctx)
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
@@ -133,7 +140,7 @@
 	if !known {
 		return code.Internal.New("endpoint %s: no plug-in speaks protocol %q", e.ID, e.Protocol)
 	}
-	p.begin()
+	p.begin(e, r)
 	err := s.Send(ctx, e, r, work.Sent{Text: p.sent.String(), Tokens: p.tokens}, p)
 	if err != nil {
 		return d.explain(ctx, r, p, err)
@@ -168,6 +175,12 @@
 	switch code.Of(failure) {
 	case code.EndpointUnreachable:
 		e.Load.Avoid(d.Clock.Now().Add(d.Settings.Avoid.Duration))
+	case code.Overloaded, code.NoReplica, code.ColdOnly, code.Draining, code.NotReady:
+		// The summary that offered this daemon is out of date; the next
+		// attempt has to go elsewhere.
+		if e.Protocol == table.Relay {
+			e.Load.Avoid(d.Clock.Now().Add(d.Settings.RelayAvoid.Duration))
+		}
 	case code.CutOff:
 		if p.callerGone {
 			return
@@ -175,7 +188,10 @@
 		checkCtx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), d.Clock, d.Settings.HealthTimeout.Duration)
 		defer cancel()
 		if err := d.Senders[e.Protocol].Healthy(checkCtx, e.Address); err != nil {
-			d.Suspects.Suspect(r.Fingerprint)
+			// A daemon runs no request, so none can crash it.
+			if e.Protocol != table.Relay {
+				d.Suspects.Suspect(r.Fingerprint)
+			}
 			e.Load.Avoid(d.Clock.Now().Add(d.Settings.Avoid.Duration))
 		}
 	}
