--- /dev/null
+++ b/internal/fleet/remote/summary.go
@@ -0,0 +1,114 @@
+// Package remote knows how much room other data centres have, offers their
+// daemons as relays, and paces the return of the own data centre.
+package remote
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/route/table"
+)
+
+// Summary is what a data centre tells the others of itself.
+type Summary struct {
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	// Author, Boot and Sequence order the summaries of one daemon.
+	Author   ident.Instance `json:"author"`
+	Boot     unit.Boot      `json:"boot"`
+	Sequence unit.Sequence  `json:"sequence"`
+	// Age is the time since the summary was made, in nanoseconds.
+	Age time.Duration `json:"age"`
+	// Out says that the data centre is out of service.
+	Out   bool   `json:"out,omitempty"`
+	Rooms []Room `json:"rooms,omitempty"`
+}
+
+// Room is what is free at the warm replicas of a deployment. The deployment's
+// record, which every daemon has, gives the models and the organisations.
+type Room struct {
+	Deployment ident.Deployment `json:"deployment"`
+	Warm       int              `json:"warm"`
+	Free       unit.Requests    `json:"free"`
+}
+
+// Check reports what is wrong with a summary from a peer.
+func (s *Summary) Check() error {
+	if err := ident.CheckName(string(s.DataCentre)); err != nil {
+		return fmt.Errorf("summary: dataCentre: %w", err)
+	}
+	if err := ident.CheckName(string(s.Author)); err != nil {
+		return fmt.Errorf("summary of %s: author: %w", s.DataCentre, err)
+	}
+	if s.Age < 0 {
+		return fmt.Errorf("summary of %s: age %s is negative", s.DataCentre, s.Age)
+	}
+	for _, r := range s.Rooms {
+		if r.Free < 0 || r.Warm < 0 {
+			return fmt.Errorf("summary of %s: deployment %s: free %d or warm %d is negative", s.DataCentre, r.Deployment, r.Free, r.Warm)
+		}
+	}
+	return nil
+}
+
+// newer reports whether s was made after the other, of the same author.
+func (s *Summary) newer(boot unit.Boot, sequence unit.Sequence) bool {
+	if s.Boot != boot {
+		return s.Boot > boot
+	}
+	return s.Sequence > sequence
+}
+
+// maxBytes bounds a summary's encoding. Every daemon receives one summary of
+// each data centre in each interval, within 10 kB/s in all.
+const maxBytes = 768
+
+// Summarise returns the rooms of the data centre's warm engines, the largest
+// first. What does not fit in maxBytes is left out.
+func Summarise(t *table.Table, dc ident.DataCentre, now time.Time) []Room {
+	byName := make(map[ident.Deployment]*Room)
+	for _, e := range t.Endpoints() {
+		if e.Protocol != table.Engine || e.DataCentre != dc || e.Cold || e.Load.Suspect() {
+			continue
+		}
+		r := byName[e.Deployment]
+		if r == nil {
+			r = &Room{Deployment: e.Deployment}
+			byName[e.Deployment] = r
+		}
+		r.Warm++
+		// The engine's own counts include the requests of all daemons, but
+		// lag; the counts of this daemon don't.
+		reported := e.Load.Reported()
+		used := max(reported.Running+reported.Waiting, e.Load.InFlight())
+		r.Free += max(0, e.Bound(now)-used)
+	}
+	rooms := make([]Room, 0, len(byName))
+	for _, r := range byName {
+		rooms = append(rooms, *r)
+	}
+	sort.Slice(rooms, func(i, j int) bool {
+		if rooms[i].Free != rooms[j].Free {
+			return rooms[i].Free > rooms[j].Free
+		}
+		return rooms[i].Deployment < rooms[j].Deployment
+	})
+	return fit(rooms)
+}
+
+func fit(rooms []Room) []Room {
+	size := 0
+	for i := range rooms {
+		raw, err := json.Marshal(rooms[i])
+		if err != nil {
+			return rooms[:i]
+		}
+		if size += len(raw) + 1; size > maxBytes {
+			return rooms[:i]
+		}
+	}
+	return rooms
+}
