Test relays, summaries, offers and the ramp

Cause: the failures to guard against are work at a drained data centre, requests lost while others have room, more than their room sent, refusals that are not accurate, and a return all at once.

--- /dev/null
+++ b/internal/endpoint/relay/relay_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/table"
+)
+
+// sink keeps the answer.
+type sink struct {
+	head work.Head
+	text string
+	end  *work.End
+}
+
+func (s *sink) Start(h work.Head) error {
+	s.head = h
+	return nil
+}
+
+func (s *sink) Piece(p work.Piece) error {
+	s.text += p.Text + string(p.Raw)
+	return nil
+}
+
+func (s *sink) End(e work.End) error {
+	s.end = &e
+	return nil
+}
+
+func newClient(clk clock.Clock) *Client {
+	return New(Options{Settings: *defaults().(*Settings), Clock: clk, Self: "d1"})
+}
+
+// daemon serves the handler on loopback and returns its endpoint.
+func daemon(t *testing.T, handler fasthttp.RequestHandler) *table.Endpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := &fasthttp.Server{Handler: handler}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = server.Shutdown()
+		<-served
+	})
+	return &table.Endpoint{ID: "relay/d2/m", Protocol: table.Relay, Address: listener.Addr().String(), Load: new(table.Load)}
+}
+
+const refused = `{"error":{"message":"full","type":"overloaded","code":3002,"outcome":"not-run"}}`
+
+// TestAnswers guards against a cut-off or failed answer of another daemon being
+// taken for whole, and against a refusal losing or gaining "not run".
+func TestAnswers(t *testing.T) {
+	const piece = `data: {"choices":[{"delta":{"content":"hi"}}]}` + "\n\n"
+	tests := map[string]struct {
+		status  int
+		body    string
+		want    code.Code
+		outcome code.Outcome
+		text    string
+	}{
+		"whole": {
+			status: 200, want: code.Answered, outcome: code.Ran, text: "hi",
+			body: piece + `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n",
+		},
+		"without an end":             {status: 200, body: piece, want: code.CutOff, outcome: code.Unknown, text: "hi"},
+		"refused as not run":         {status: 429, body: refused, want: code.Overloaded, outcome: code.NotRun},
+		"refused with an outcome":    {status: 502, body: `{"error":{"message":"x","code":5005,"outcome":"not-run"}}`, want: code.ForeignAnswer, outcome: code.NotRun},
+		"failed":                     {status: 502, body: `{"error":{"message":"x","code":4002,"outcome":"ran"}}`, want: code.EndpointFailed, outcome: code.Ran},
+		"not a daemon's error":       {status: 503, body: "busy", want: code.CutOff, outcome: code.Unknown},
+		"an unknown outcome":         {status: 429, body: strings.Replace(refused, "not-run", "maybe", 1), want: code.CutOff, outcome: code.Unknown},
+		"an unknown code":            {status: 429, body: strings.Replace(refused, "3002", "3999", 1), want: code.CutOff, outcome: code.Unknown},
+		"error event":                {status: 200, body: piece + "event: error\ndata: " + `{"error":{"message":"x","code":4002,"outcome":"ran"}}` + "\n\n", want: code.EndpointFailed, outcome: code.Ran, text: "hi"},
+		"error event claims not run": {status: 200, body: piece + "event: error\ndata: " + refused + "\n\n", want: code.CutOff, outcome: code.Unknown, text: "hi"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			e := daemon(t, func(ctx *fasthttp.RequestCtx) {
+				ctx.SetStatusCode(test.status)
+				ctx.SetBodyString(test.body)
+			})
+			s := new(sink)
+			r := &work.Request{Operation: work.Chat, Resumable: true, Body: []byte(`{"messages":[]}`)}
+			err := newClient(clock.Real()).Send(context.Background(), e, r, work.Sent{}, s)
+			c.Assert(code.Of(err), qt.Equals, test.want, qt.Commentf("%v", err))
+			c.Assert(code.OutcomeOf(err), qt.Equals, test.outcome)
+			c.Assert(s.text, qt.Equals, test.text)
+			c.Assert(s.end != nil, qt.Equals, err == nil)
+		})
+	}
+}
+
+// TestRequest guards against a relayed request that loses the caller's
+// credential, deadline, priority or the text already passed on, and against
+// one that is sent although it must not be relayed.
+func TestRequest(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	client := newClient(clk)
+	e := &table.Endpoint{ID: "relay/d2/m", Address: "127.0.0.1:1"}
+	r := work.Request{
+		ID: "r1", Organisation: "bank", Operation: work.Completion, Resumable: true, Credential: "Bearer k1", Priority: -2,
+		Deadline: clk.Now().Add(1500 * time.Millisecond), Body: []byte(`{"prompt":"a","max_tokens":10}`),
+	}
+	var request fasthttp.Request
+	c.Assert(client.fill(&request, e, &r, work.Sent{Text: "b", Tokens: 4}), qt.IsNil)
+	for name, want := range map[string]string{
+		"X-Relayed-From": "d1", "OpenAI-Organization": "bank", "Authorization": "Bearer k1", "X-Priority": "-2", "X-Deadline-Ms": "1500",
+	} {
+		c.Check(string(request.Header.Peek(name)), qt.Equals, want, qt.Commentf(name))
+	}
+	c.Assert(string(request.Body()), qt.JSONEquals, map[string]any{
+		"prompt": "ab", "max_tokens": 6, "stream": true, "stream_options": map[string]any{"include_usage": true},
+	})
+	c.Assert(string(request.URI().Path()), qt.Equals, "/v1/completions")
+	for name, change := range map[string]func(*work.Request){
+		"relayed": func(r *work.Request) { r.Relayed = true }, "at most once": func(r *work.Request) { r.AtMostOnce = true },
+		"a call": func(r *work.Request) { r.Operation = work.Call },
+	} {
+		other := r
+		change(&other)
+		err := client.Send(context.Background(), e, &other, work.Sent{}, nil)
+		c.Check(code.Of(err), qt.Equals, code.Internal, qt.Commentf(name))
+		c.Check(code.OutcomeOf(err), qt.Equals, code.NotRun)
+	}
+	err := client.Send(context.Background(), e, &r, work.Sent{}, nil)
+	c.Assert(code.Of(err), qt.Equals, code.EndpointUnreachable)
+}
--- /dev/null
+++ b/internal/fleet/remote/remote_test.go
@@ -0,0 +1,187 @@
+package remote
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/roster"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/route/table"
+)
+
+const staleAfter = 5 * time.Second
+
+// TestSummaries guards against an older summary of a daemon replacing a newer
+// one, and against one that is still used 5 s after it was made.
+func TestSummaries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clk := clockwork.NewFakeClock()
+		m := NewSummaries(clk, staleAfter)
+		newest := make(map[ident.Instance]unit.Sequence)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				s := Summary{
+					DataCentre: "b", Author: ident.Instance(rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "author")),
+					Boot: 1, Sequence: unit.Sequence(rapid.IntRange(1, 20).Draw(t, "sequence")),
+					Age: time.Duration(rapid.IntRange(0, 6000).Draw(t, "age")) * time.Millisecond,
+				}
+				before := m.Current()
+				took := m.Put(s)
+				if took && s.Sequence <= newest[s.Author] {
+					t.Fatalf("took %+v after sequence %d", s, newest[s.Author])
+				}
+				if took && len(before) > 0 && before[0].Author != s.Author && s.Age >= before[0].Age {
+					t.Fatalf("%+v is not younger than %+v", s, before[0])
+				}
+				if took {
+					newest[s.Author] = s.Sequence
+				} else if s.Age < staleAfter && s.Sequence > newest[s.Author] && (len(before) == 0 || before[0].Author == s.Author) {
+					t.Fatalf("refused the news %+v", s)
+				}
+			},
+			"pass": func(t *rapid.T) {
+				clk.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "time")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				for _, s := range m.Current() {
+					if s.Age >= staleAfter {
+						t.Fatalf("%+v is too old", s)
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestExchange guards against summaries that a peer never hears of, against
+// sending those that it has, and against large ones.
+func TestExchange(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	a, b := NewSummaries(clk, staleAfter), NewSummaries(clk, staleAfter)
+	var rooms []Room
+	for i := range 100 {
+		rooms = append(rooms, Room{ident.Deployment(fmt.Sprintf("deployment-%d", i)), 12, 345})
+	}
+	first := Summary{DataCentre: "b", Author: "d1", Boot: 1, Sequence: 1, Rooms: fit(rooms)}
+	c.Assert(a.Put(first), qt.IsTrue)
+	delta := a.Delta(b.Digest())
+	c.Assert(len(delta) < 1000, qt.IsTrue)
+	clk.Advance(time.Second)
+	c.Assert(b.Merge("d1", a.Delta(nil)), qt.IsNil)
+	c.Assert(b.Current()[0].Age, qt.Equals, time.Second)
+	c.Assert(a.Delta(b.Digest()), qt.IsNil)
+	c.Assert(a.Put(Summary{DataCentre: "b", Author: "d1", Boot: 1, Sequence: 2}), qt.IsTrue)
+	c.Assert(b.Delta(a.Digest()), qt.IsNil)
+	c.Assert(a.Delta(b.Digest()), qt.IsNotNil)
+	raw, err := json.Marshal([]Summary{{DataCentre: "b", Author: "d1", Age: -1}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(b.Merge("d1", raw), qt.ErrorMatches, ".*negative.*")
+}
+
+type marks struct{ out ident.DataCentre }
+
+func (m marks) Out(d ident.DataCentre) bool     { return d == m.out }
+func (marks) OutInstance(i ident.Instance) bool { return i == "b9" }
+
+type noLoad struct{}
+
+func (noLoad) Leaving(ident.Endpoint) unit.Requests { return 0 }
+
+// TestOffers guards against more being offered to all senders than a data
+// centre has room for, and against offers of a data centre out of service.
+func TestOffers(t *testing.T) {
+	tests := map[string]struct {
+		free   unit.Requests
+		out    bool
+		marked ident.DataCentre
+		want   unit.Requests
+		relays int
+	}{
+		"divided among three senders":   {free: 24, want: 8, relays: 2},
+		"one request at least":          {free: 1, want: 1, relays: 1},
+		"no room":                       {free: 0},
+		"out by its own word":           {free: 24, out: true},
+		"out by a mark heard of before": {free: 24, marked: "b"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			peers := []roster.Peer{
+				{Instance: "a2", DataCentre: "a", Alive: true},
+				{Instance: "a3", DataCentre: "a"},
+				{Instance: "c1", DataCentre: "c", Alive: true},
+				{Instance: "b1", DataCentre: "b", Caller: "b1:80", Alive: true},
+				{Instance: "b2", DataCentre: "b", Caller: "b2:80", Alive: true},
+				{Instance: "b3", DataCentre: "b", Caller: "b3:80"},
+				{Instance: "b9", DataCentre: "b", Caller: "b9:80", Alive: true},
+			}
+			view := record.NewView([]*record.Record{{Deployment: &record.Deployment{Name: "d", Model: "m", Organisations: []ident.Organisation{"bank"}}}})
+			list := NewOffers("a1", "a", time.Second).Endpoints(Sight{
+				Summaries: []Summary{{DataCentre: "b", Out: test.out, Rooms: []Room{{"d", 1, test.free}, {"unknown", 1, 9}}}},
+				Peers:     peers, View: view, Drains: marks{test.marked}, Loads: noLoad{},
+			})
+			c.Assert(list, qt.HasLen, test.relays)
+			var sum unit.Requests
+			for _, e := range list {
+				sum += e.Limit
+				c.Check(e.Protocol == table.Relay && e.Organisations[0] == "bank" && e.Models[0] == "m", qt.IsTrue)
+			}
+			c.Assert(sum, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestRamp guards against a data centre that takes its whole share back at
+// once or while first tokens are late, and against a daemon's start or a short
+// gap being taken for a return.
+func TestRamp(t *testing.T) {
+	in := Observation{Present: true, FirstToken: 100 * time.Millisecond}
+	late := Observation{Present: true, FirstToken: 300 * time.Millisecond}
+	slow := Observation{Present: true, FirstToken: 3 * time.Second}
+	type phase struct {
+		seconds int
+		seen    Observation
+	}
+	out, gone := phase{3, Observation{Out: true}}, Observation{}
+	tests := map[string]struct {
+		phases []phase
+		want   float64
+	}{
+		"a start is no return":          {[]phase{{30, gone}, {1, in}}, 1},
+		"a gap of 3 s is no return":     {[]phase{{1, in}, {3, gone}, {1, in}}, 1},
+		"a gap of 9 s is one":           {[]phase{{1, in}, {9, gone}, {1, in}}, 0.1},
+		"out":                           {[]phase{{1, in}, out}, 0.1},
+		"half way":                      {[]phase{{1, in}, out, {11, in}}, 0.6},
+		"whole after the ramp":          {[]phase{{1, in}, out, {22, in}}, 1},
+		"waits while late":              {[]phase{{1, in}, out, {11, in}, {20, late}}, 0.6},
+		"goes on after":                 {[]phase{{1, in}, out, {11, in}, {20, late}, {3, in}}, 0.7},
+		"a load changed for good":       {[]phase{{1, in}, out, {90, late}}, 1},
+		"never while above the target":  {[]phase{{1, in}, out, {90, slow}}, 0.1},
+		"nothing known from before":     {[]phase{out, {22, late}}, 1},
+		"out again while it returns":    {[]phase{{1, in}, out, {11, in}, out, {1, in}}, 0.1},
+		"nobody present while it rises": {[]phase{{1, in}, out, {11, in}, {9, gone}}, 0.1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := NewRamp(RampOptions{Time: 18 * time.Second, Absence: 5 * time.Second, Target: 2 * time.Second})
+			now := time.Unix(1_000, 0)
+			for _, p := range test.phases {
+				for range p.seconds {
+					now = now.Add(time.Second)
+					r.Observe(now, p.seen)
+				}
+			}
+			c.Assert(r.Part(), qt.Equals, test.want)
+		})
+	}
+}
