--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -141,13 +141,18 @@
 	ctx.SetBody(raw)
 }
 
+// result is the end of a request that ran in a goroutine of its own.
+type result struct {
+	err error
+}
+
 // stream answers a streamed request. The dispatcher runs in a goroutine of its
 // own, as the status has to be known before fasthttp lets the body be written.
 // After that it writes to the response's buffer itself, without another hop.
 func (f *frontend) stream(ctx *fasthttp.RequestCtx, r *work.Request, b *body) {
 	started := make(chan work.Head, 1)
 	writer := make(chan *bufio.Writer, 1)
-	ended := make(chan error, 1)
+	ended := make(chan result, 1)
 	s := &streamer{
 		shape:        newShape(r),
 		includeUsage: b.StreamOptions.IncludeUsage,
@@ -161,7 +166,7 @@
 			// A caller that is gone can't be told.
 			_ = s.fail(err)
 		}
-		ended <- err
+		ended <- result{err}
 	}()
 	select {
 	case head := <-started:
@@ -170,11 +175,10 @@
 		ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 			writer <- w
-			// The caller has been told of an error in the stream itself.
-			_ = <-ended
+			<-ended
 		})
-	case err := <-ended:
-		httpcall.WriteError(ctx, err)
+	case r := <-ended:
+		httpcall.WriteError(ctx, r.err)
 	}
 }
 
