Write the settings page from the code and hold it against it

Cause: the sections belong to the plug-ins, so no page could list them by hand and stay right. Change: a test writes docs/settings.md from the registered sections, their defaults, rules and doc comments; a field without a comment fails it. Conclusion: every setting is described, and the page can't fall behind.

--- /dev/null
+++ b/cmd/cuminbay/settings_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sort"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/kernel/settings"
+)
+
+// TestSettingsPage guards against docs/settings.md and the registered sections
+// saying different things.
+func TestSettingsPage(t *testing.T) {
+	c := qt.New(t)
+	const path = "../../docs/settings.md"
+	want := settingsPage(c)
+	if os.Getenv("UPDATE") != "" {
+		c.Assert(os.WriteFile(path, []byte(want), 0o644), qt.IsNil)
+	}
+	raw, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(raw), qt.Equals, want)
+}
+
+func settingsPage(c *qt.C) string {
+	var b strings.Builder
+	b.WriteString("# Settings\n\n" +
+		"A daemon reads one JSON file, named by `--settings`. Its top level has a section for each plug-in and `daemon` for the kernel; a section or a field that is absent has its default. `--set path=value` overrides a field. `cuminbay check --settings FILE` checks a file: every fault is named by its path, and a daemon with a fault doesn't start. Durations are texts such as `\"1.5s\"`; a `duration` is above zero, a `listen` is an IP number and port, a `name` has letters, digits and `. _ : / -`.\n\n" +
+		"This page is compared with the code by a test; `UPDATE=1 go test ./cmd/cuminbay` writes it.\n")
+	sections := settings.Sections()
+	names := make([]string, 0, len(sections))
+	for name := range sections {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(&b, "\n## %s\n\n| field | default | rule | meaning |\n| --- | --- | --- | --- |\n", name)
+		section := reflect.ValueOf(sections[name]).Elem()
+		comments := fieldComments(c, section.Type())
+		for i := range section.NumField() {
+			f := section.Type().Field(i)
+			value, err := json.Marshal(section.Field(i).Interface())
+			c.Assert(err, qt.IsNil)
+			c.Check(comments[f.Name], qt.Not(qt.Equals), "", qt.Commentf("%s.%s has no doc comment", name, f.Name))
+			fmt.Fprintf(&b, "| `%s` | `%s` | %s | %s |\n", f.Tag.Get("json"), value, strings.ReplaceAll(f.Tag.Get("validate"), "|", "\\|"), comments[f.Name])
+		}
+	}
+	return b.String()
+}
+
+// fieldComments returns the doc comments of a struct type's fields on one line.
+// Several fields below one comment share it.
+func fieldComments(c *qt.C, typ reflect.Type) map[string]string {
+	comments := make(map[string]string)
+	directory := strings.Replace(typ.PkgPath(), "cuminbay/", "../../", 1)
+	files, err := filepath.Glob(directory + "/*.go")
+	c.Assert(err, qt.IsNil)
+	for _, file := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
+		c.Assert(err, qt.IsNil)
+		ast.Inspect(parsed, func(n ast.Node) bool {
+			spec, ok := n.(*ast.TypeSpec)
+			if !ok || spec.Name.Name != typ.Name() {
+				return true
+			}
+			for _, f := range spec.Type.(*ast.StructType).Fields.List {
+				for _, name := range f.Names {
+					comments[name.Name] = strings.ReplaceAll(strings.TrimSpace(f.Doc.Text()), "\n", " ")
+				}
+			}
+			return false
+		})
+	}
+	return comments
+}
--- a/internal/caller/openai/plugin.go
+++ b/internal/caller/openai/plugin.go
@@ -29,6 +29,7 @@
 
 // Settings are the settings of the front end.
 type Settings struct {
+	// Listen is the address for callers, behind the balancer.
 	Listen string `json:"listen" validate:"listen"`
 	// MaxBody bounds a request's body in bytes.
 	MaxBody int `json:"maxBody" validate:"min=1024,max=1073741824"`
--- a/internal/endpoint/engine/client.go
+++ b/internal/endpoint/engine/client.go
@@ -20,11 +20,14 @@
 
 // Settings are the settings of the engine protocol.
 type Settings struct {
-	// Paths of the engine's HTTP interface.
-	ChatPath       string `json:"chatPath" validate:"startswith=/"`
+	// ChatPath is the engine's path of chat completions.
+	ChatPath string `json:"chatPath" validate:"startswith=/"`
+	// CompletionPath is the engine's path of completions.
 	CompletionPath string `json:"completionPath" validate:"startswith=/"`
-	ReportPath     string `json:"reportPath" validate:"startswith=/"`
-	OrderPath      string `json:"orderPath" validate:"startswith=/"`
+	// ReportPath is the engine's path of reports.
+	ReportPath string `json:"reportPath" validate:"startswith=/"`
+	// OrderPath is the engine's path of orders.
+	OrderPath string `json:"orderPath" validate:"startswith=/"`
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout settings.Duration `json:"dialTimeout" validate:"duration"`
 	// Silence is the time without a byte after which an open connection
--- a/internal/fleet/member/plugin.go
+++ b/internal/fleet/member/plugin.go
@@ -20,6 +20,7 @@
 
 // Settings are the section "member".
 type Settings struct {
+	// Seeds are daemons to contact before the roster is known.
 	Seeds []Seed `json:"seeds" validate:"dive"`
 	// DeadAfter is the silence after which a daemon of the own data centre
 	// loses its duties.
@@ -27,10 +28,12 @@
 	// FarDeadAfter is the same for daemons of other data centres, which are
 	// heard of less often.
 	FarDeadAfter settings.Duration `json:"farDeadAfter" validate:"duration"`
-	// Address and Caller are how others reach the peer listener and the
-	// listener for callers. If empty, the roster's entry is used.
+	// Address is how others reach the peer listener. If empty, the roster's
+	// entry is used.
 	Address string `json:"address" validate:"omitempty,address"`
-	Caller  string `json:"caller" validate:"omitempty,address"`
+	// Caller is how others reach the listener for callers. If empty, the
+	// roster's entry is used.
+	Caller string `json:"caller" validate:"omitempty,address"`
 }
 
 func defaults() any {
--- a/internal/kernel/settings/settings.go
+++ b/internal/kernel/settings/settings.go
@@ -48,10 +48,12 @@
 
 // Daemon is the section that the kernel itself reads.
 type Daemon struct {
-	// Instance and DataCentre say who and where the process is.
-	Instance   ident.Instance   `json:"instance" validate:"required,name"`
+	// Instance is the instance that the process runs on.
+	Instance ident.Instance `json:"instance" validate:"required,name"`
+	// DataCentre is the data centre of the instance.
 	DataCentre ident.DataCentre `json:"dataCentre" validate:"required,name"`
-	Region     string           `json:"region" validate:"omitempty,name"`
+	// Region is the region of the data centre, for logs.
+	Region string `json:"region" validate:"omitempty,name"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel" validate:"oneof=debug info warn error"`
 	// Events is the number of events of the time line kept in memory.
@@ -172,3 +174,12 @@
 	}
 	return sections
 }
+
+// Sections returns the names of the registered sections, and the daemon's own,
+// each with a pointer to its default values.
+func Sections() map[string]any {
+	sections := sectionDefaults()
+	daemon := defaultDaemon()
+	sections[daemonSection] = &daemon
+	return sections
+}
--- a/internal/peer/twirp/plugin.go
+++ b/internal/peer/twirp/plugin.go
@@ -22,11 +22,14 @@
 
 // Settings are the section "peer".
 type Settings struct {
-	Listen   string            `json:"listen" validate:"listen"`
+	// Listen is the address for other daemons.
+	Listen string `json:"listen" validate:"listen"`
+	// Interval is the time between two rounds of exchanges.
 	Interval settings.Duration `json:"interval" validate:"duration"`
 	// Fanout is the number of daemons of the own data centre that an
 	// exchange goes to at each interval.
-	Fanout      int               `json:"fanout" validate:"min=1,max=64"`
+	Fanout int `json:"fanout" validate:"min=1,max=64"`
+	// CallTimeout bounds a call to another daemon.
 	CallTimeout settings.Duration `json:"callTimeout" validate:"duration"`
 	// MaxMessage bounds a message in either direction.
 	MaxMessage unit.Bytes `json:"maxMessage" validate:"min=1024"`
--- a/internal/platform/roster/roster.go
+++ b/internal/platform/roster/roster.go
@@ -27,9 +27,12 @@
 
 // Settings are the section "roster".
 type Settings struct {
-	URL      string            `json:"url" validate:"url"`
+	// URL of the platform's list of instances.
+	URL string `json:"url" validate:"url"`
+	// Interval is the time between two reads of the list.
 	Interval settings.Duration `json:"interval" validate:"duration"`
-	Timeout  settings.Duration `json:"timeout" validate:"duration"`
+	// Timeout bounds a read of the list.
+	Timeout settings.Duration `json:"timeout" validate:"duration"`
 }
 
 func init() {
