Refuse requests that crash endpoints

Cause: a caller repeats a request that crashes what runs it, through daemon after daemon. Change: suspicions counted for each observing daemon, merged by maximum, two refuse; read without a lock; they travel with the peers' exchange and end. Measured: not yet; tests with three daemons pass. Conclusion: a poison request crashes two endpoints at most, within the time the exchange takes.

--- /dev/null
+++ b/internal/serve/poison/plugin.go
@@ -0,0 +1,46 @@
+package poison
+
+import (
+	"context"
+	"time"
+
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+func init() {
+	settings.Register("poison", func() any {
+		return &Settings{Lifetime: settings.Of(10 * time.Minute), Limit: 4096}
+	})
+	plugin.Register(plugin.Decision, "poison", newPlugin)
+}
+
+// Settings are the settings of the poison plug-in.
+type Settings struct {
+	// Lifetime is the time that a suspicion lasts after its last crash.
+	Lifetime settings.Duration `json:"lifetime" validate:"duration"`
+	// Limit bounds the suspicions kept.
+	Limit int `json:"limit" validate:"min=1,max=1000000"`
+}
+
+// passive is the plug-in: requests and peers call it.
+type passive struct {
+	*Suspicions
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	s := d.Settings.Section("poison").(*Settings)
+	p := passive{New(Options{Clock: d.Clock, Self: d.Settings.Daemon.Instance, Lifetime: s.Lifetime.Duration, Limit: s.Limit})}
+	d.Provide(p.Suspicions)
+	return p, nil
+}
+
+// Start does nothing.
+func (passive) Start(context.Context) error {
+	return nil
+}
+
+// Stop does nothing.
+func (passive) Stop(context.Context) error {
+	return nil
+}
--- /dev/null
+++ b/internal/serve/poison/poison.go
@@ -0,0 +1,222 @@
+// Package poison remembers requests that crashed the endpoints that ran them,
+// so that a caller's repeat doesn't crash the next one.
+package poison
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/kernel/clock"
+)
+
+// threshold is the number of crashes at which a request is refused. One crash
+// may be a coincidence of the endpoint's own failure.
+const threshold = 2
+
+// suspicion is what one daemon has seen of one request.
+type suspicion struct {
+	count uint32
+	until time.Time
+}
+
+// observation identifies a suspicion: daemons count apart, so that merging by
+// maximum neither loses nor doubles a crash.
+type observation struct {
+	fingerprint ident.Fingerprint
+	observer    ident.Instance
+}
+
+// snapshot is immutable. totals has the sums that requests are checked by.
+type snapshot struct {
+	seen   map[observation]suspicion
+	totals map[ident.Fingerprint]total
+}
+
+// total is the sum of the suspicions of one request.
+type total struct {
+	count uint32
+	until time.Time
+}
+
+// Suspicions holds the suspicions of this daemon and of its peers. Check takes
+// no lock.
+type Suspicions struct {
+	Options
+	mu      sync.Mutex
+	current atomic.Pointer[snapshot]
+}
+
+// Options are the parts of Suspicions.
+type Options struct {
+	Clock clock.Clock
+	Self  ident.Instance
+	// Lifetime is the time that a suspicion lasts after its last crash.
+	Lifetime time.Duration
+	// Limit bounds the suspicions kept; those that end first are dropped.
+	Limit int
+}
+
+// New returns Suspicions without any.
+func New(o Options) *Suspicions {
+	s := &Suspicions{Options: o}
+	s.current.Store(new(snapshot))
+	return s
+}
+
+// Check refuses a request that has crashed too many endpoints.
+//
+// Errors carry code.PoisonRequest.
+func (s *Suspicions) Check(f ident.Fingerprint) error {
+	t, found := s.current.Load().totals[f]
+	if !found || t.count < threshold || !s.Clock.Now().Before(t.until) {
+		return nil
+	}
+	return code.PoisonRequest.New("request %016x: %d endpoints crashed while they ran it", uint64(f), t.count)
+}
+
+// Suspect records that an endpoint crashed while it ran the request.
+func (s *Suspicions) Suspect(f ident.Fingerprint) {
+	s.change(func(seen map[observation]suspicion, now time.Time) {
+		o := observation{f, s.Self}
+		seen[o] = suspicion{count: seen[o].count + 1, until: now.Add(s.Lifetime)}
+	})
+}
+
+// change copies the suspicions, drops what has ended, applies f and publishes.
+func (s *Suspicions) change(f func(seen map[observation]suspicion, now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	next := &snapshot{seen: make(map[observation]suspicion), totals: make(map[ident.Fingerprint]total)}
+	for o, v := range s.current.Load().seen {
+		if now.Before(v.until) {
+			next.seen[o] = v
+		}
+	}
+	f(next.seen, now)
+	s.bound(next.seen)
+	for o, v := range next.seen {
+		t := next.totals[o.fingerprint]
+		t.count += v.count
+		if v.until.After(t.until) {
+			t.until = v.until
+		}
+		next.totals[o.fingerprint] = t
+	}
+	s.current.Store(next)
+}
+
+// bound drops the suspicions that end first until no more than the limit are
+// left.
+func (s *Suspicions) bound(seen map[observation]suspicion) {
+	for len(seen) > s.Limit {
+		var first observation
+		var until time.Time
+		for o, v := range seen {
+			if until.IsZero() || v.until.Before(until) {
+				first, until = o, v.until
+			}
+		}
+		delete(seen, first)
+	}
+}
+
+// entry is a suspicion in the peers' section. Left is a duration, as clocks of
+// daemons may differ.
+type entry struct {
+	Fingerprint ident.Fingerprint `json:"f"`
+	Observer    ident.Instance    `json:"o"`
+	Count       uint32            `json:"n"`
+	Left        time.Duration     `json:"l"`
+}
+
+// Check reports what is wrong with an entry.
+func (e *entry) Check(lifetime time.Duration) error {
+	if err := ident.CheckName(string(e.Observer)); err != nil {
+		return err
+	}
+	if e.Left > lifetime {
+		return code.BadMessage.New("suspicion lasts %s, more than %s", e.Left, lifetime)
+	}
+	return nil
+}
+
+// Section names the section in the exchange between daemons.
+func (s *Suspicions) Section() string {
+	return "poison"
+}
+
+// Global says that the section goes to every data centre, as callers retry in
+// any of them.
+func (s *Suspicions) Global() bool {
+	return true
+}
+
+// Digest returns the counts that are known. There are few suspicions, so it is
+// small.
+func (s *Suspicions) Digest() []byte {
+	return s.encode(func(observation, suspicion) bool { return true })
+}
+
+// Delta returns the suspicions that the digest lacks.
+func (s *Suspicions) Delta(digest []byte) []byte {
+	theirs := make(map[observation]uint32)
+	for _, e := range decode(digest) {
+		theirs[observation{e.Fingerprint, e.Observer}] = e.Count
+	}
+	return s.encode(func(o observation, v suspicion) bool { return v.count > theirs[o] })
+}
+
+func (s *Suspicions) encode(wanted func(observation, suspicion) bool) []byte {
+	now := s.Clock.Now()
+	var entries []entry
+	for o, v := range s.current.Load().seen {
+		if left := v.until.Sub(now); left > 0 && wanted(o, v) {
+			entries = append(entries, entry{o.fingerprint, o.observer, v.count, left})
+		}
+	}
+	if entries == nil {
+		return nil
+	}
+	raw, err := json.Marshal(entries)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+func decode(raw []byte) []entry {
+	var entries []entry
+	if json.Unmarshal(raw, &entries) != nil {
+		return nil
+	}
+	return entries
+}
+
+// Merge takes a peer's suspicions; the higher count of an observer wins.
+//
+// Errors carry code.BadMessage.
+func (s *Suspicions) Merge(from ident.Instance, delta []byte) error {
+	var entries []entry
+	if err := json.Unmarshal(delta, &entries); err != nil {
+		return code.BadMessage.Wrap(err, "suspicions from %s", from)
+	}
+	for _, e := range entries {
+		if err := e.Check(s.Lifetime); err != nil {
+			return code.BadMessage.Wrap(err, "suspicions from %s", from)
+		}
+	}
+	s.change(func(seen map[observation]suspicion, now time.Time) {
+		for _, e := range entries {
+			o := observation{e.Fingerprint, e.Observer}
+			if e.Count > seen[o].count {
+				seen[o] = suspicion{count: e.Count, until: now.Add(e.Left)}
+			}
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/serve/poison/poison_test.go
@@ -0,0 +1,74 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/serve/poison"
+)
+
+func exchange(c *qt.C, from, to *poison.Suspicions) {
+	if delta := from.Delta(to.Digest()); delta != nil {
+		c.Assert(to.Merge("peer", delta), qt.IsNil)
+	}
+}
+
+// TestSpread guards against a request that crashes endpoints being run again by
+// each daemon in turn, and against one crash being counted twice.
+func TestSpread(t *testing.T) {
+	tests := map[string]struct {
+		crashes []int
+		after   time.Duration
+		refused bool
+	}{
+		"none":                     {},
+		"one crash":                {crashes: []int{0}},
+		"two at one daemon":        {crashes: []int{0, 0}, refused: true},
+		"one at each of two":       {crashes: []int{0, 1}, refused: true},
+		"forgotten after lifetime": {crashes: []int{0, 1}, after: time.Hour},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clockwork.NewFakeClock()
+			var daemons []*poison.Suspicions
+			for _, id := range []ident.Instance{"a", "b", "c"} {
+				daemons = append(daemons, poison.New(poison.Options{Clock: clk, Self: id, Lifetime: time.Hour, Limit: 10}))
+			}
+			for _, d := range test.crashes {
+				daemons[d].Suspect(7)
+			}
+			for range 3 {
+				exchange(c, daemons[0], daemons[1])
+				exchange(c, daemons[1], daemons[2])
+				exchange(c, daemons[2], daemons[0])
+			}
+			clk.Advance(test.after)
+			for _, d := range daemons {
+				err := d.Check(7)
+				c.Assert(code.Of(err) == code.PoisonRequest, qt.Equals, test.refused)
+				c.Assert(d.Check(8), qt.IsNil)
+			}
+		})
+	}
+}
+
+// TestLimit guards against suspicions growing without bound.
+func TestLimit(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	s := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Hour, Limit: 2})
+	for f := range ident.Fingerprint(5) {
+		s.Suspect(f)
+		s.Suspect(f)
+		clk.Advance(time.Second)
+	}
+	c.Assert(s.Check(0), qt.IsNil)
+	c.Assert(code.Of(s.Check(4)), qt.Equals, code.PoisonRequest)
+	c.Assert(code.Of(s.Merge("b", []byte("["))), qt.Equals, code.BadMessage)
+}
