--- a/cmd/cuminbay/plugins.go
+++ b/cmd/cuminbay/plugins.go
@@ -4,7 +4,10 @@
 import (
 	_ "cuminbay/internal/caller/openai"
 	_ "cuminbay/internal/caller/operator"
+	_ "cuminbay/internal/caller/plain"
 	_ "cuminbay/internal/endpoint/engine"
+	_ "cuminbay/internal/endpoint/relay"
+	_ "cuminbay/internal/endpoint/service"
 	_ "cuminbay/internal/fleet/cold"
 	_ "cuminbay/internal/fleet/config"
 	_ "cuminbay/internal/fleet/drain"
@@ -19,4 +22,5 @@
 	_ "cuminbay/internal/route/table"
 	_ "cuminbay/internal/serve/claim"
 	_ "cuminbay/internal/serve/dispatch"
+	_ "cuminbay/internal/serve/poison"
 )
