Make the tests of stalled connections and of silent daemons strict

Change: the client of the stall test makes no exchange; the silent daemon's case says when grants may begin; old answers are refused in TestDelegates.

--- a/internal/fleet/cold/cold_test.go
+++ b/internal/fleet/cold/cold_test.go
@@ -250,12 +250,15 @@
 		// largest number of requests granted at once.
 		want int
 		most unit.Requests
+		// notBefore is set where a silent daemon may have requests in flight
+		// that an owner before has granted.
+		notBefore time.Duration
 	}{
 		"alone has the whole limit":       {daemons: 1, limit: 2, talk: all, length: 5 * time.Second, want: 1, most: 2},
 		"everyone of three gets a turn":   {daemons: 3, limit: 2, talk: all, length: 20 * time.Second, want: 3, most: 2},
 		"everyone of sixty gets a turn":   {daemons: 60, limit: 2, talk: all, length: 3 * time.Minute, want: 60, most: 2},
 		"the owner changes":               {daemons: 3, limit: 2, talk: all, moveAt: 5 * time.Second, length: 20 * time.Second, want: 3, most: 2},
-		"one of three is silent for long": {daemons: 3, limit: 2, talk: func(i int) bool { return i < 2 }, length: 20 * time.Second, want: 2, most: 1},
+		"one of three is silent for long": {daemons: 3, limit: 2, talk: func(i int) bool { return i < 2 }, length: 20 * time.Second, want: 2, most: 1, notBefore: maxHold},
 		"one of three alone":              {daemons: 3, limit: 2, talk: func(i int) bool { return i < 1 }, length: 20 * time.Second, want: 0, most: 0},
 	}
 	for name, test := range tests {
@@ -281,6 +284,7 @@
 					}
 				}
 				most = max(most, w.total())
+				c.Assert(most == 0 || w.now >= test.notBefore, qt.IsTrue, qt.Commentf("granted at %s", w.now))
 				w.advance(300 * time.Millisecond)
 			}
 			c.Assert(len(had), qt.Equals, test.want)
--- a/internal/fleet/cold/quota_test.go
+++ b/internal/fleet/cold/quota_test.go
@@ -48,6 +48,8 @@
 				c.Assert(a.Delegates, qt.Equals, s.want, qt.Commentf("at %s to %s", s.at, s.owner))
 				_, _, ok := q.Accept(s.owner, cold.Grant{Endpoint: endpoint, Sequence: a.Sequence, Token: cold.Token{Boot: 9}})
 				c.Assert(ok, qt.IsTrue)
+				_, _, ok = q.Accept(s.owner, cold.Grant{Endpoint: endpoint, Sequence: a.Sequence - 1, Requests: 1})
+				c.Assert(ok, qt.IsFalse)
 			}
 		})
 	}
--- a/internal/peer/twirp/twirp_test.go
+++ b/internal/peer/twirp/twirp_test.go
@@ -90,6 +90,13 @@
 // start runs a plug-in whose loop makes its first round only; the clock stands
 // still.
 func start(c *qt.C, name, dataCentre string, members *fakeMembers, provided ...any) *Plugin {
+	p := build(c, name, dataCentre, members, provided...)
+	c.Assert(p.Start(context.Background()), qt.IsNil)
+	return p
+}
+
+// build returns a plug-in that is not started.
+func build(c *qt.C, name, dataCentre string, members *fakeMembers, provided ...any) *Plugin {
 	clk := clockwork.NewFakeClock()
 	d := &plugin.Deps{Settings: &settings.Settings{}, Clock: clk, Log: zerolog.Nop(), Metrics: prometheus.NewRegistry()}
 	d.Settings.Daemon.Instance, d.Settings.Daemon.DataCentre = ident.Instance(name), ident.DataCentre(dataCentre)
@@ -102,7 +109,6 @@
 	s.Listen, s.CallTimeout = "127.0.0.1:0", settings.Of(300*time.Millisecond)
 	p, err := newPlugin(d, s)
 	c.Assert(err, qt.IsNil)
-	c.Assert(p.Start(context.Background()), qt.IsNil)
 	c.Cleanup(func() { c.Check(p.Stop(context.Background()), qt.IsNil) })
 	return p
 }
@@ -241,7 +247,9 @@
 	server.Start()
 	c.Cleanup(server.Close)
 	members := &fakeMembers{peers: []member.Peer{{Instance: "b", DataCentre: "y", Address: server.Listener.Addr().String()}}}
-	a := start(c, "a", "x", members)
+	// Without Start no exchange opens a connection of its own.
+	a := build(c, "a", "x", members)
+	a.members, a.contact = members, members
 	ask := func() error {
 		_, err := a.Ask(context.Background(), "b", "any", nil)
 		return err
