--- a/internal/fleet/cold/quota_test.go
+++ b/internal/fleet/cold/quota_test.go
@@ -88,3 +88,17 @@
 		})
 	}
 }
+
+// TestHeld guards against a new owner that doesn't count a grant of the one
+// before which is still in force but not yet used.
+func TestHeld(t *testing.T) {
+	c := qt.New(t)
+	begin := time.Unix(1_000, 0)
+	q := cold.NewQuota(cold.Options{Boot: 1, Start: begin, TTL: ttl, MaxHold: maxHold})
+	need := cold.Need{Endpoint: endpoint, Owner: "a", Limit: 2, Daemons: 1}
+	a := q.Ask(need, begin)
+	q.Accept("a", cold.Grant{Endpoint: endpoint, Sequence: a.Sequence, Requests: 2, For: time.Second})
+	need.Owner = "b"
+	c.Assert(q.Ask(need, begin.Add(900*time.Millisecond)).Held, qt.Equals, unit.Requests(2))
+	c.Assert(q.Ask(need, begin.Add(time.Second)).Held, qt.Equals, unit.Requests(0))
+}
