Announce a planned stop before anything stops

Cause: nothing called the membership's Leave, so a stopping daemon kept its duties until it counted as dead, 3 s later. Change: the kernel calls Leave of each plug-in that has it, first of all. Conclusion: duties move at the next exchange, within the front end's delay.

--- a/internal/kernel/plugin/kernel.go
+++ b/internal/kernel/plugin/kernel.go
@@ -47,10 +47,21 @@
 	return nil
 }
 
-// Stop stops the started plug-ins in the reverse order and returns what went
-// wrong with any of them.
+// leaver is a plug-in that tells others of a planned stop before anything
+// stops, such as the view of the daemons.
+type leaver interface {
+	Leave()
+}
+
+// Stop announces the stop, then stops the started plug-ins in the reverse
+// order. It returns what went wrong with any of them.
 func (k *Kernel) Stop(ctx context.Context) error {
 	var failures []error
+	for _, b := range k.plugins[:k.started] {
+		if l, ok := b.plugin.(leaver); ok {
+			l.Leave()
+		}
+	}
 	for ; k.started > 0; k.started-- {
 		b := k.plugins[k.started-1]
 		if err := b.plugin.Stop(ctx); err != nil {
--- a/internal/kernel/plugin/plugin_test.go
+++ b/internal/kernel/plugin/plugin_test.go
@@ -61,6 +61,10 @@
 	return nil
 }
 
+func (r recorder) Leave() {
+	*r.notes = append(*r.notes, "leave "+r.name)
+}
+
 func (r recorder) Stop(context.Context) error {
 	*r.notes = append(*r.notes, "stop "+r.name)
 	return nil
@@ -84,14 +88,15 @@
 }
 
 // TestOrder guards against a front end taking requests before what it needs
-// has started, and against a failed start leaving plug-ins running.
+// has started, against a stop that is not announced before anything stops, and
+// against a failed start leaving plug-ins running.
 func TestOrder(t *testing.T) {
 	tests := map[string]struct {
 		fails bool
 		want  []string
 	}{
-		"in order and back":   {want: []string{"start store", "start front", "stop front", "stop store"}},
-		"undone if one fails": {fails: true, want: []string{"start store", "start front", "stop store"}},
+		"in order and back":   {want: []string{"start store", "start front", "leave store", "leave front", "stop front", "stop store"}},
+		"undone if one fails": {fails: true, want: []string{"start store", "start front", "leave store", "stop store"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
