Add the plain services' protocol and front end

Cause: plain services stand beside the models and share dispatch. Change: package endpoint/service, one connection a request; package caller/plain, mounted by another front end's server. Conclusion: first version, built but not yet tested.

--- /dev/null
+++ b/internal/caller/plain/plain.go
@@ -0,0 +1,169 @@
+// Package plain is the front end of plain services: it finds the service by
+// path and method and passes calls on.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/caller/httpcall"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
+)
+
+// Viewer gives the active records.
+type Viewer interface {
+	View() *record.View
+}
+
+// Dispatcher runs a request.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, r *work.Request, sink work.Sink) error
+}
+
+// Front decodes calls of plain services. An HTTP server of another front end
+// mounts it by Serves and Handle.
+type Front struct {
+	Clock      clock.Clock
+	Viewer     Viewer
+	Dispatcher Dispatcher
+}
+
+// Serves reports whether a service has the path.
+func (f *Front) Serves(path string) bool {
+	if f.Viewer == nil {
+		return false
+	}
+	s, _ := f.Viewer.View().ServiceFor(path)
+	return s != nil
+}
+
+// hopByHop are the fields that belong to one connection (RFC 9110, section
+// 7.6.1), and those that are set anew or must not reach a service.
+var hopByHop = []string{
+	"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
+	"te", "trailer", "transfer-encoding", "upgrade", "host", "content-length", "authorization",
+	"idempotency-key",
+}
+
+// Handle serves one call.
+func (f *Front) Handle(ctx *fasthttp.RequestCtx) {
+	r, err := f.decode(ctx)
+	if err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	sink := &sink{ctx: ctx}
+	if err := f.Dispatcher.Dispatch(ctx, r, sink); err != nil {
+		httpcall.WriteError(ctx, err)
+		return
+	}
+	ctx.Response.SetBodyRaw(sink.body.Bytes())
+}
+
+func (f *Front) decode(ctx *fasthttp.RequestCtx) (*work.Request, error) {
+	view := f.Viewer.View()
+	o, err := httpcall.Organisation(ctx, view)
+	if err != nil {
+		return nil, err
+	}
+	s, path := view.ServiceFor(string(ctx.Path()))
+	method := string(ctx.Method())
+	if s == nil || !record.Allows(s.Organisations, o.Name) {
+		return nil, code.UnknownPath.New("no service at %s for %s", ctx.Path(), o.Name)
+	}
+	call := slices.IndexFunc(s.Calls, func(c record.Call) bool { return c.Matches(method, path) })
+	if call < 0 {
+		return nil, code.UnknownPath.New("service %s has no call %s %s", s.Name, method, path)
+	}
+	r := &work.Request{Organisation: o.Name, Operation: work.Call, Service: s.Name, Method: method, Path: path, AtMostOnce: s.Calls[call].AtMostOnce}
+	if err := httpcall.Fill(ctx, r, f.Clock.Now()); err != nil {
+		return nil, err
+	}
+	// The key marks a call as at-most-once even if the record does not.
+	if r.AtMostOnce && r.Key == "" {
+		return nil, code.MissingKey.New("%s %s is an at-most-once call and needs Idempotency-Key", method, path)
+	}
+	r.AtMostOnce = r.Key != ""
+	if query := ctx.URI().QueryString(); len(query) > 0 {
+		r.Path += "?" + string(query)
+	}
+	r.Body = bytes.Clone(ctx.PostBody())
+	r.Header = fields(&ctx.Request.Header)
+	r.Fingerprint = work.FingerprintOf(o.Name, []byte(s.Name), []byte(method), []byte(r.Path), r.Body)
+	return r, nil
+}
+
+func fields(header *fasthttp.RequestHeader) []work.Field {
+	dropped := slices.Clone(hopByHop)
+	for _, name := range strings.Split(string(header.Peek("Connection")), ",") {
+		dropped = append(dropped, strings.ToLower(strings.TrimSpace(name)))
+	}
+	var kept []work.Field
+	for name, value := range header.All() {
+		if !slices.Contains(dropped, strings.ToLower(string(name))) {
+			kept = append(kept, work.Field{Name: string(name), Value: string(value)})
+		}
+	}
+	return kept
+}
+
+// sink collects an answer, so that one that is cut off can still be refused
+// with an accurate status.
+type sink struct {
+	ctx  *fasthttp.RequestCtx
+	body bytes.Buffer
+}
+
+// Start implements work.Sink.
+func (s *sink) Start(h work.Head) error {
+	if h.Status != 0 {
+		s.ctx.SetStatusCode(h.Status)
+	}
+	for _, f := range h.Header {
+		if !slices.Contains(hopByHop, strings.ToLower(f.Name)) {
+			s.ctx.Response.Header.Add(f.Name, f.Value)
+		}
+	}
+	return nil
+}
+
+// Piece implements work.Sink.
+func (s *sink) Piece(p work.Piece) error {
+	s.body.Write(p.Raw)
+	return nil
+}
+
+// End implements work.Sink.
+func (s *sink) End(work.End) error { return nil }
+
+func init() {
+	plugin.Register(plugin.Caller, "plain", build)
+}
+
+type plainPlugin struct {
+	plugin.Loops
+	*Front
+	deps *plugin.Deps
+}
+
+func build(d *plugin.Deps) (plugin.Plugin, error) {
+	f := &Front{Clock: d.Clock}
+	d.Provide(f)
+	return &plainPlugin{Front: f, deps: d}, nil
+}
+
+// Start implements plugin.Plugin.
+func (p *plainPlugin) Start(context.Context) error {
+	if err := p.deps.Need(&p.Viewer); err != nil {
+		return err
+	}
+	return p.deps.Need(&p.Dispatcher)
+}
--- /dev/null
+++ b/internal/endpoint/service/service.go
@@ -0,0 +1,185 @@
+// Package service sends requests to plain HTTP services.
+package service
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/table"
+)
+
+// Options are the parts of a Service.
+type Options struct {
+	Clock       clock.Clock
+	DialTimeout time.Duration
+	// Silence bounds the wait for each next byte of an answer.
+	Silence time.Duration
+	// MaxBody bounds an answer's body in bytes.
+	MaxBody int64
+	// HealthPath is asked by Healthy.
+	HealthPath string
+}
+
+// Service speaks HTTP to plain services. Every request has a connection of its
+// own: on a kept-alive one that the server is closing it can't be told whether
+// the request arrived.
+type Service struct {
+	Options
+}
+
+// New returns a Service.
+func New(o Options) *Service {
+	return &Service{Options: o}
+}
+
+// Protocol returns the protocol's name.
+func (s *Service) Protocol() table.Protocol { return table.Service }
+
+// watched is a connection that ends a read after the limit of silence.
+type watched struct {
+	net.Conn
+	clock   clock.Clock
+	silence time.Duration
+}
+
+// Read implements net.Conn.
+func (w *watched) Read(p []byte) (int, error) {
+	if err := w.SetReadDeadline(w.clock.Now().Add(w.silence)); err != nil {
+		return 0, err
+	}
+	return w.Conn.Read(p)
+}
+
+func (s *Service) dial(ctx context.Context, address string) (*watched, error) {
+	dialer := net.Dialer{Timeout: s.DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, code.EndpointUnreachable.Wrap(err, "service at %s", address)
+	}
+	return &watched{Conn: conn, clock: s.Clock, silence: s.Silence}, nil
+}
+
+// Send sends the request once and passes the answer to the sink as it comes.
+// Every status is an answer of the service.
+//
+// Errors carry code.EndpointUnreachable (nothing was sent) or code.CutOff.
+func (s *Service) Send(ctx context.Context, e *table.Endpoint, r *work.Request, _ string, sink work.Sink) error {
+	conn, err := s.dial(ctx, e.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	if err := s.write(conn, e.Address, r); err != nil {
+		return code.CutOff.Wrap(err, "service at %s: write the request", e.Address)
+	}
+	var answer fasthttp.Response
+	answer.StreamBody = true
+	answer.SkipBody = r.Method == fasthttp.MethodHead
+	if err := answer.ReadLimitBody(bufio.NewReader(conn), int(s.MaxBody)); err != nil {
+		return code.CutOff.Wrap(err, "service at %s: read the answer", e.Address)
+	}
+	if err := sink.Start(headOf(e, &answer)); err != nil {
+		return err
+	}
+	if err := s.copyBody(&answer, e.Address, sink); err != nil {
+		return err
+	}
+	return sink.End(work.End{})
+}
+
+func (s *Service) write(conn net.Conn, address string, r *work.Request) error {
+	var q fasthttp.Request
+	for _, f := range r.Header {
+		q.Header.Add(f.Name, f.Value)
+	}
+	q.Header.SetMethod(r.Method)
+	q.SetRequestURI(r.Path)
+	q.Header.SetHost(address)
+	if r.Key != "" {
+		q.Header.Set("Idempotency-Key", string(r.Key))
+	}
+	q.SetBodyRaw(r.Body)
+	q.SetConnectionClose()
+	if err := conn.SetWriteDeadline(s.Clock.Now().Add(s.Silence)); err != nil {
+		return err
+	}
+	w := bufio.NewWriter(conn)
+	if err := q.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func headOf(e *table.Endpoint, answer *fasthttp.Response) work.Head {
+	h := work.Head{Status: answer.StatusCode(), Endpoint: e.ID}
+	for name, value := range answer.Header.All() {
+		h.Header = append(h.Header, work.Field{Name: string(name), Value: string(value)})
+	}
+	return h
+}
+
+// copyBuffer is the size of the pieces that a body is passed on in.
+const copyBuffer = 16 << 10
+
+func (s *Service) copyBody(answer *fasthttp.Response, address string, sink work.Sink) error {
+	body := answer.BodyStream()
+	if body == nil {
+		if raw := answer.Body(); len(raw) > 0 {
+			return sink.Piece(work.Piece{Raw: raw})
+		}
+		return nil
+	}
+	var total int64
+	for {
+		buffer := make([]byte, copyBuffer)
+		n, err := body.Read(buffer)
+		total += int64(n)
+		if total > s.MaxBody {
+			return code.CutOff.New("service at %s: the answer is longer than %d bytes", address, s.MaxBody)
+		}
+		if n > 0 {
+			if failure := sink.Piece(work.Piece{Raw: buffer[:n]}); failure != nil {
+				return failure
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return code.CutOff.Wrap(err, "service at %s: read the answer's body", address)
+		}
+	}
+}
+
+// Healthy asks for the health path over a new connection.
+//
+// Errors carry code.EndpointUnreachable or code.CutOff; a status of 500 or
+// above carries code.EndpointFailed.
+func (s *Service) Healthy(ctx context.Context, address string) error {
+	var status statusSink
+	r := &work.Request{Method: fasthttp.MethodGet, Path: s.HealthPath}
+	if err := s.Send(ctx, &table.Endpoint{Address: address}, r, "", &status); err != nil {
+		return err
+	}
+	if status >= fasthttp.StatusInternalServerError {
+		return code.EndpointFailed.New("service at %s: health status %d", address, int(status))
+	}
+	return nil
+}
+
+// statusSink keeps the status of an answer.
+type statusSink int
+
+func (s *statusSink) Start(h work.Head) error { *s = statusSink(h.Status); return nil }
+func (*statusSink) Piece(work.Piece) error    { return nil }
+func (*statusSink) End(work.End) error        { return nil }
