Test claims by a state machine and the service protocol over loopback

Cause: clockwork's fake context blocks in Err, so that a cycle never ended in the tests; deadlines now come from the clock's AfterFunc. Change: a rapid state machine for claims, a table for the service protocol.

--- /dev/null
+++ b/internal/endpoint/service/service_test.go
@@ -0,0 +1,71 @@
+package service_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/endpoint/service"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/table"
+)
+
+type record struct {
+	status int
+	body   string
+	ended  bool
+}
+
+func (r *record) Start(h work.Head) error  { r.status = h.Status; return nil }
+func (r *record) Piece(p work.Piece) error { r.body += string(p.Raw); return nil }
+func (r *record) End(work.End) error       { r.ended = true; return nil }
+
+// TestSend guards against a cut-off answer being passed for a whole one or for
+// a request that was not sent, and against an answer of 503 becoming an error.
+func TestSend(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		want   code.Code
+		body   string
+	}{
+		"whole":            {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", want: code.Answered, body: "ok"},
+		"unavailable":      {answer: "HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno", want: code.Answered, body: "no"},
+		"chunked":          {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", want: code.Answered, body: "ok"},
+		"cut body":         {answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", want: code.CutOff},
+		"cut chunked body": {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", want: code.CutOff},
+		"no answer":        {want: code.CutOff},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte(test.answer))
+				_ = conn.Close()
+			}()
+			s := service.New(service.Options{Clock: clock.Real(), DialTimeout: time.Second, Silence: time.Second, MaxBody: 1 << 20})
+			var got record
+			e := &table.Endpoint{Address: l.Addr().String()}
+			r := &work.Request{Method: "POST", Path: "/pay", Body: []byte("x")}
+			err = s.Send(context.Background(), e, r, "", &got)
+			c.Assert(code.Of(err), qt.Equals, test.want, qt.Commentf("%v", err))
+			c.Assert(got.ended, qt.Equals, test.want == code.Answered)
+			if test.body != "" {
+				c.Assert(got.body, qt.Equals, test.body)
+			}
+			_ = l.Close()
+			c.Assert(code.Of(s.Send(context.Background(), e, r, "", &got)), qt.Equals, code.EndpointUnreachable)
+		})
+	}
+}
--- a/internal/serve/claim/claims.go
+++ b/internal/serve/claim/claims.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/store"
@@ -219,7 +217,7 @@
 	if err != nil {
 		return Reply{Progress: Unheard}
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, c.Clock, c.AskTimeout)
+	ctx, cancel := limit(ctx, c.Clock, c.AskTimeout)
 	defer cancel()
 	raw, err := c.Asker.Ask(ctx, old.Holder, topic, body)
 	if err != nil {
@@ -280,3 +278,14 @@
 	}
 	return time.UnixMilli(ms), true
 }
+
+// limit returns a context that ends after the duration. The one of clockwork
+// blocks in Err with a fake clock.
+func limit(ctx context.Context, clk clock.Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := clk.AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
--- a/internal/serve/claim/keeper.go
+++ b/internal/serve/claim/keeper.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/jonboulle/clockwork"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/store"
@@ -192,7 +191,7 @@
 	if len(k.live) == 0 && !k.remains() {
 		return nil
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, k.claims.Clock, k.claims.WriteTimeout)
+	ctx, cancel := limit(ctx, k.claims.Clock, k.claims.WriteTimeout)
 	defer cancel()
 	fresh := false
 	for {
--- /dev/null
+++ b/internal/serve/claim/machine_test.go
@@ -0,0 +1,267 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+)
+
+// call is one call of Claim, taken apart so that the test can put anything
+// between its steps.
+type call struct {
+	daemon  ident.Instance
+	key     string
+	attempt *attempt
+	ticket  Ticket
+	sent    bool
+	refused bool
+}
+
+// machine runs daemons against one platform. Its oracle is the list of sends.
+type machine struct {
+	clock    *clockwork.FakeClock
+	platform *fakePlatform
+	peers    *fakePeers
+	names    []ident.Instance
+	calls    []*call
+	sends    map[string][]time.Time
+	// uncertain are keys of which a daemon died or was cut off with a claim.
+	uncertain map[string]bool
+}
+
+var machineRules = Rules{Retention: time.Hour, MaxValue: 1024}
+
+func newMachine() *machine {
+	m := &machine{
+		clock:     clockwork.NewFakeClock(),
+		platform:  newFakePlatform(),
+		peers:     &fakePeers{live: make(map[ident.Instance]*Claims)},
+		names:     []ident.Instance{"a", "b", "c"},
+		sends:     make(map[string][]time.Time),
+		uncertain: make(map[string]bool),
+	}
+	for _, n := range m.names {
+		m.restart(n)
+	}
+	return m
+}
+
+func (m *machine) restart(n ident.Instance) {
+	m.peers.live[n] = New(Options{
+		Self: n, Clock: m.clock, Platform: m.platform, Asker: m.peers, Rules: machineRules,
+		Shards: 1, PauseLimit: 5 * time.Second, WriteTimeout: time.Second, AskTimeout: time.Second,
+	})
+	kept := m.calls[:0]
+	for _, c := range m.calls {
+		if c.daemon != n {
+			kept = append(kept, c)
+		} else if !c.refused {
+			m.uncertain[c.key] = true
+		}
+	}
+	m.calls = kept
+}
+
+func (m *machine) begin(t *rapid.T) {
+	n := rapid.SampledFrom(m.names).Draw(t, "daemon")
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	print := ident.Fingerprint(rapid.IntRange(1, 5).Draw(t, "fingerprint") / 5)
+	w := Want{Hash: HashOf("org", ident.RequestKey(key)), Fingerprint: print}
+	m.calls = append(m.calls, &call{daemon: n, key: key, attempt: m.peers.live[n].begin(w, 0)})
+}
+
+func (m *machine) cycle(t *rapid.T) {
+	faults := rapid.SliceOfN(rapid.IntRange(int(healthy), int(firstLanded)), 0, 4).Draw(t, "faults")
+	m.platform.faults = nil
+	for _, f := range faults {
+		m.platform.faults = append(m.platform.faults, fault(f))
+	}
+	n := rapid.SampledFrom(m.names).Draw(t, "daemon")
+	_ = m.peers.live[n].keepers[0].cycle(context.Background())
+	m.platform.faults = nil
+}
+
+// pick returns one of the calls that the condition holds for, or nil.
+func (m *machine) pick(t *rapid.T, fits func(*call) bool) *call {
+	var some []*call
+	for _, c := range m.calls {
+		if fits(c) {
+			some = append(some, c)
+		}
+	}
+	if len(some) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(some).Draw(t, "call")
+}
+
+// collect concludes a call that has its result.
+func (m *machine) collect(t *rapid.T) {
+	c := m.pick(t, func(c *call) bool { return c.ticket == nil && len(c.attempt.result) > 0 })
+	if c != nil {
+		m.conclude(t, c, <-c.attempt.result)
+	}
+}
+
+func (m *machine) conclude(t *rapid.T, c *call, r result) {
+	claims := m.peers.live[c.daemon]
+	next, err := claims.conclude(context.Background(), c.attempt, r)
+	switch {
+	case err != nil:
+		c.refused = true
+		m.drop(c)
+		if code.Of(err) == code.AlreadyRan && len(m.sends[c.key]) == 0 {
+			t.Fatalf("%s: refused as already run, never sent: %v", c.key, err)
+		}
+		if code.OutcomeOf(err) == code.NotRun && c.attempt.phase.Load() != abandoned {
+			t.Fatalf("%s: refused as not run but in phase %d", c.key, c.attempt.phase.Load())
+		}
+	case next != nil:
+		c.attempt = next
+	default:
+		c.ticket = &ticket{attempt: c.attempt, claims: claims}
+	}
+}
+
+func (m *machine) drop(gone *call) {
+	for i, c := range m.calls {
+		if c == gone {
+			m.calls = append(m.calls[:i], m.calls[i+1:]...)
+			return
+		}
+	}
+}
+
+// leave is a caller that runs out of time before the platform has answered.
+func (m *machine) leave(t *rapid.T) {
+	c := m.pick(t, func(c *call) bool { return c.ticket == nil })
+	if c != nil && c.attempt.abandon() {
+		c.refused = true
+		m.drop(c)
+	}
+}
+
+func (m *machine) send(t *rapid.T) {
+	c := m.pick(t, func(c *call) bool { return c.ticket != nil && !c.sent })
+	if c == nil {
+		return
+	}
+	if err := c.ticket.MaySend(); err != nil {
+		m.drop(c)
+		return
+	}
+	if rapid.Bool().Draw(t, "unreachable") {
+		c.ticket.Release()
+		m.drop(c)
+		return
+	}
+	c.sent = true
+	now := m.clock.Now()
+	for _, earlier := range m.sends[c.key] {
+		if now.Sub(earlier) <= machineRules.Retention {
+			t.Fatalf("%s: sent at %s and again at %s", c.key, earlier, now)
+		}
+	}
+	m.sends[c.key] = append(m.sends[c.key], now)
+}
+
+func (m *machine) finish(t *rapid.T) {
+	if c := m.pick(t, func(c *call) bool { return c.sent }); c != nil {
+		c.ticket.Finish(rapid.SampledFrom([]code.Code{code.Answered, code.CutOff}).Draw(t, "code"))
+		m.drop(c)
+	}
+}
+
+// heal lets everything come to rest: no faults, no delayed writes, no waiting
+// calls.
+func (m *machine) heal(t *rapid.T) {
+	m.peers.cut, m.platform.down, m.platform.faults = false, false, nil
+	for len(m.platform.late) > 0 {
+		m.platform.land()
+	}
+	for range 4 {
+		for _, n := range m.names {
+			k := m.peers.live[n].keepers[0]
+			for k.queue.Load() != nil || k.remains() {
+				if err := k.cycle(context.Background()); err != nil {
+					t.Fatalf("cycle on a healthy platform: %v", err)
+				}
+			}
+		}
+		for _, c := range append([]*call(nil), m.calls...) {
+			if c.ticket == nil && len(c.attempt.result) > 0 {
+				m.conclude(t, c, <-c.attempt.result)
+			}
+		}
+	}
+}
+
+// settled checks that, at rest, a claim in the state Sent belongs to a ticket
+// in use or to a process that has died, and that no memory is left behind.
+func (m *machine) settled(t *rapid.T) {
+	m.heal(t)
+	held := make(map[uint64]bool)
+	for _, c := range m.calls {
+		held[c.attempt.want.Nonce] = true
+	}
+	s, err := Decode(m.platform.entries["/cuminbay/claims/00"].Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"k1", "k2", "k3"} {
+		c, found := s.Find(HashOf("org", ident.RequestKey(key)))
+		if found && c.State == Sent && !held[c.Nonce] && !m.uncertain[key] {
+			t.Fatalf("%s: claim of %s stays sent although it was given up", key, c.Holder)
+		}
+	}
+	for n, c := range m.peers.live {
+		c.attempts.Range(func(nonce, _ any) bool {
+			if !held[nonce.(uint64)] {
+				t.Fatalf("%s remembers an attempt that has ended", n)
+			}
+			return true
+		})
+	}
+}
+
+// TestMachine guards against a second send of a key within the retention, a
+// refusal as not run of something that may have been sent, and claims that
+// stay behind after lost answers, delayed writes, outages, pauses and deaths.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"begin":   m.begin,
+			"cycle":   m.cycle,
+			"cycle2":  m.cycle,
+			"collect": m.collect,
+			"leave":   m.leave,
+			"send":    m.send,
+			"finish":  m.finish,
+			"land":    func(*rapid.T) { m.platform.land() },
+			"outage":  func(*rapid.T) { m.platform.down = !m.platform.down },
+			"cut":     func(*rapid.T) { m.peers.cut = !m.peers.cut },
+			"pause": func(t *rapid.T) {
+				m.clock.Advance(time.Duration(rapid.SampledFrom([]int{1, 6, 4000}).Draw(t, "seconds")) * time.Second)
+			},
+			"death":   func(t *rapid.T) { m.restart(rapid.SampledFrom(m.names).Draw(t, "daemon")) },
+			"settled": m.settled,
+		})
+	})
+}
+
+// ExampleRules_Apply shows two claims of one batch in one value.
+func ExampleRules_Apply() {
+	rules := Rules{Retention: time.Hour, MaxValue: 1000}
+	b := &Batch{Holder: "a", Wants: []Want{{Hash: HashOf("org", "k1"), Nonce: 1}, {Hash: HashOf("org", "k2"), Nonce: 2}}}
+	o := rules.Apply(&Shard{}, 0, b, time.Unix(0, 0))
+	fmt.Println(o.Write, o.Next.Len(), len(o.Next.Encode()))
+	// Output: true 2 91
+}
