--- a/internal/caller/httpcall/fill.go
+++ b/internal/caller/httpcall/fill.go
@@ -23,7 +23,7 @@
 	DeadlineHeader     = "X-Deadline-Ms"
 	PriorityHeader     = "X-Priority"
 	KeyHeader          = "Idempotency-Key"
-	OrganisationHeader = "OpenAI-Organization"
+	OrganisationHeader = "OpenAI-Organization" //nolint:misspell // the name in the OpenAI API
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // Organisation returns the organisation of the call: the owner of the bearer
 // key or, for a call without an Authorization field, the one that
-// OpenAI-Organization names. If both are present they have to agree.
+// OrganisationHeader names. If both are present they have to agree.
 //
 // Errors carry code.UnknownOrganisation.
 func Organisation(ctx *fasthttp.RequestCtx, v *record.View) (*record.Organisation, error) {
--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	if err := s.write(conn, e.Address, r); err != nil {
 		return code.CutOff.Wrap(err, "service at %s: write the request", e.Address)
