--- a/internal/caller/plain/plain.go
+++ b/internal/caller/plain/plain.go
@@ -1,9 +1,12 @@
-// Package plain is the front end for callers of plain services.
+// Package plain is the front end of plain services: it finds the service by
+// path and method and passes calls on.
 package plain
 
 import (
 	"bytes"
 	"context"
+	"slices"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
@@ -15,174 +18,152 @@
 	"cuminbay/internal/kernel/plugin"
 )
 
-func init() {
-	plugin.Register(plugin.Caller, "plain", newPlugin)
-}
-
-// dispatcher runs requests.
-type dispatcher interface {
-	Dispatch(ctx context.Context, r *work.Request, s work.Sink) error
-}
-
-// records are the active records.
-type records interface {
+// Viewer gives the active records.
+type Viewer interface {
 	View() *record.View
 }
 
-// Handler answers the paths of plain services. The OpenAI front end's listener
-// mounts it.
-type Handler struct {
-	Options
+// Dispatcher runs a request.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, r *work.Request, sink work.Sink) error
 }
 
-// Options are the parts of a Handler.
-type Options struct {
+// Front decodes calls of plain services. An HTTP server of another front end
+// mounts it by Serves and Handle.
+type Front struct {
 	Clock      clock.Clock
-	Records    records
-	Dispatcher dispatcher
+	Viewer     Viewer
+	Dispatcher Dispatcher
 }
 
-// New returns a handler.
-func New(o Options) *Handler {
-	return &Handler{o}
+// Serves reports whether a service has the path.
+func (f *Front) Serves(path string) bool {
+	if f.Viewer == nil {
+		return false
+	}
+	s, _ := f.Viewer.View().ServiceFor(path)
+	return s != nil
 }
 
-// Serves reports whether a service record covers the path.
-func (h *Handler) Serves(path string) bool {
-	s, _ := h.Records.View().ServiceFor(path)
-	return s != nil
+// hopByHop are the fields that belong to one connection (RFC 9110, section
+// 7.6.1), and those that are set anew or must not reach a service.
+var hopByHop = []string{
+	"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
+	"te", "trailer", "transfer-encoding", "upgrade", "host", "content-length", "authorization",
+	"idempotency-key",
 }
 
-// Handle answers a call.
-func (h *Handler) Handle(ctx *fasthttp.RequestCtx) {
-	r, err := h.decode(ctx)
+// Handle serves one call.
+func (f *Front) Handle(ctx *fasthttp.RequestCtx) {
+	r, err := f.decode(ctx)
 	if err != nil {
 		httpcall.WriteError(ctx, err)
 		return
 	}
-	a := new(answer)
-	if err := h.Dispatcher.Dispatch(context.Background(), r, a); err != nil {
+	sink := &sink{ctx: ctx}
+	if err := f.Dispatcher.Dispatch(ctx, r, sink); err != nil {
 		httpcall.WriteError(ctx, err)
 		return
 	}
-	a.write(ctx)
-	ctx.Response.Header.Set("X-Request-Id", string(r.ID))
+	ctx.Response.SetBodyRaw(sink.body.Bytes())
 }
 
-// decode turns the call into a request.
-//
-// Errors carry code.UnknownPath, UnknownOrganisation, MissingKey or BadHeader.
-func (h *Handler) decode(ctx *fasthttp.RequestCtx) (*work.Request, error) {
-	view := h.Records.View()
-	service, path := view.ServiceFor(string(ctx.Path()))
-	if service == nil {
-		return nil, code.UnknownPath.New("path %s: no service record serves it", ctx.Path())
-	}
-	method := string(ctx.Method())
-	call := find(service, method, path)
-	if call == nil {
-		return nil, code.UnknownPath.New("%s %s: service %s does not serve it", method, path, service.Name)
-	}
-	organisation, err := httpcall.Organisation(ctx, view)
+func (f *Front) decode(ctx *fasthttp.RequestCtx) (*work.Request, error) {
+	view := f.Viewer.View()
+	o, err := httpcall.Organisation(ctx, view)
 	if err != nil {
 		return nil, err
 	}
-	if !record.Allows(service.Organisations, organisation.Name) {
-		return nil, code.UnknownPath.New("%s %s: service %s does not serve organisation %s", method, path, service.Name, organisation.Name)
-	}
-	if query := ctx.QueryArgs().QueryString(); len(query) > 0 {
-		path += "?" + string(query)
+	s, path := view.ServiceFor(string(ctx.Path()))
+	method := string(ctx.Method())
+	if s == nil || !record.Allows(s.Organisations, o.Name) {
+		return nil, code.UnknownPath.New("no service at %s for %s", ctx.Path(), o.Name)
 	}
-	r := &work.Request{
-		Operation:    work.Call,
-		Organisation: organisation.Name,
-		Service:      service.Name,
-		Method:       method,
-		Path:         path,
-		Header:       forwarded(ctx),
-		Body:         bytes.Clone(ctx.PostBody()),
-		AtMostOnce:   call.AtMostOnce,
+	call := slices.IndexFunc(s.Calls, func(c record.Call) bool { return c.Matches(method, path) })
+	if call < 0 {
+		return nil, code.UnknownPath.New("service %s has no call %s %s", s.Name, method, path)
 	}
-	if err := httpcall.Fill(ctx, r, h.Clock.Now()); err != nil {
+	r := &work.Request{Organisation: o.Name, Operation: work.Call, Service: s.Name, Method: method, Path: path, AtMostOnce: s.Calls[call].AtMostOnce}
+	if err := httpcall.Fill(ctx, r, f.Clock.Now()); err != nil {
 		return nil, err
 	}
+	// The key marks a call as at-most-once even if the record does not.
 	if r.AtMostOnce && r.Key == "" {
-		return nil, code.MissingKey.New("%s %s: the call runs at most once and needs the header %s", method, path, httpcall.KeyHeader)
+		return nil, code.MissingKey.New("%s %s is an at-most-once call and needs Idempotency-Key", method, path)
 	}
-	r.Fingerprint = work.FingerprintOf(r.Organisation, []byte(method), []byte(path), r.Body)
+	r.AtMostOnce = r.Key != ""
+	if query := ctx.URI().QueryString(); len(query) > 0 {
+		r.Path += "?" + string(query)
+	}
+	r.Body = bytes.Clone(ctx.PostBody())
+	r.Header = fields(&ctx.Request.Header)
+	r.Fingerprint = work.FingerprintOf(o.Name, []byte(s.Name), []byte(method), []byte(r.Path), r.Body)
 	return r, nil
 }
 
-func find(s *record.Service, method, path string) *record.Call {
-	for i := range s.Calls {
-		if s.Calls[i].Matches(method, path) {
-			return &s.Calls[i]
+func fields(header *fasthttp.RequestHeader) []work.Field {
+	dropped := slices.Clone(hopByHop)
+	for _, name := range strings.Split(string(header.Peek("Connection")), ",") {
+		dropped = append(dropped, strings.ToLower(strings.TrimSpace(name)))
+	}
+	var kept []work.Field
+	for name, value := range header.All() {
+		if !slices.Contains(dropped, strings.ToLower(string(name))) {
+			kept = append(kept, work.Field{Name: string(name), Value: string(value)})
 		}
 	}
-	return nil
+	return kept
 }
 
-// dropped are the request fields that are not passed on: those of one
-// connection only, those that the daemon sets, and the caller's key to the
-// daemon.
-var dropped = map[string]bool{
-	fasthttp.HeaderConnection:         true,
-	fasthttp.HeaderKeepAlive:          true,
-	fasthttp.HeaderProxyAuthenticate:  true,
-	fasthttp.HeaderProxyAuthorization: true,
-	"Te":                              true,
-	fasthttp.HeaderTrailer:            true,
-	fasthttp.HeaderTransferEncoding:   true,
-	fasthttp.HeaderUpgrade:            true,
-	fasthttp.HeaderHost:               true,
-	fasthttp.HeaderContentLength:      true,
-	fasthttp.HeaderAuthorization:      true,
-	httpcall.KeyHeader:                true,
-	httpcall.DeadlineHeader:           true,
-	httpcall.PriorityHeader:           true,
+// sink collects an answer, so that one that is cut off can still be refused
+// with an accurate status.
+type sink struct {
+	ctx  *fasthttp.RequestCtx
+	body bytes.Buffer
 }
 
-func forwarded(ctx *fasthttp.RequestCtx) []work.Field {
-	var fields []work.Field
-	for name, value := range ctx.Request.Header.All() {
-		if !dropped[string(name)] {
-			fields = append(fields, work.Field{Name: string(name), Value: string(value)})
+// Start implements work.Sink.
+func (s *sink) Start(h work.Head) error {
+	if h.Status != 0 {
+		s.ctx.SetStatusCode(h.Status)
+	}
+	for _, f := range h.Header {
+		if !slices.Contains(hopByHop, strings.ToLower(f.Name)) {
+			s.ctx.Response.Header.Add(f.Name, f.Value)
 		}
 	}
-	return fields
+	return nil
 }
 
-// answer is the sink of a call. It keeps the whole answer, so that a broken one
-// becomes an error instead of a short answer.
-type answer struct {
-	head work.Head
-	body []byte
+// Piece implements work.Sink.
+func (s *sink) Piece(p work.Piece) error {
+	s.body.Write(p.Raw)
+	return nil
 }
 
-// Start keeps the head.
-func (a *answer) Start(h work.Head) error {
-	a.head = h
-	return nil
+// End implements work.Sink.
+func (s *sink) End(work.End) error { return nil }
+
+func init() {
+	plugin.Register(plugin.Caller, "plain", build)
 }
 
-// Piece keeps the piece.
-func (a *answer) Piece(p work.Piece) error {
-	a.body = append(a.body, p.Raw...)
-	return nil
+type plainPlugin struct {
+	plugin.Loops
+	*Front
+	deps *plugin.Deps
 }
 
-// End does nothing: Dispatch returns nil only after it.
-func (a *answer) End(work.End) error {
-	return nil
+func build(d *plugin.Deps) (plugin.Plugin, error) {
+	f := &Front{Clock: d.Clock}
+	d.Provide(f)
+	return &plainPlugin{Front: f, deps: d}, nil
 }
 
-func (a *answer) write(ctx *fasthttp.RequestCtx) {
-	for _, f := range a.head.Header {
-		ctx.Response.Header.Add(f.Name, f.Value)
-	}
-	if a.head.Status != 0 {
-		ctx.SetStatusCode(a.head.Status)
+// Start implements plugin.Plugin.
+func (p *plainPlugin) Start(context.Context) error {
+	if err := p.deps.Need(&p.Viewer); err != nil {
+		return err
 	}
-	ctx.Response.Header.Set("X-Endpoint", string(a.head.Endpoint))
-	ctx.SetBody(a.body)
+	return p.deps.Need(&p.Dispatcher)
 }
