Add tests over real processes on loopback

Cause: the promises were tested by package only, not by processes that are killed, paused and cut off. Conclusion: not run yet, as main still lacks plug-ins that a daemon needs.

--- /dev/null
+++ b/internal/proof/process/endpoint_test.go
@@ -0,0 +1,155 @@
+package process_test
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/standin/engine"
+)
+
+// TestPlannedStop guards against a planned stop that cuts streams off
+// (promise 9).
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := start(t, layout{centres: []string{"a"}, daemons: 2, engines: 4, replicas: 2})
+	leaving, other := s.daemons[0], s.daemons[1]
+	const n = 10
+	answers := make(chan error, n)
+	for i := range n {
+		go func() {
+			prompt := fmt.Sprintf("leaving %d", i)
+			a := leaving.chat(prompt)
+			answers <- a.whole(prompt)
+		}()
+	}
+	s.awaitInFlight(n, leaving)
+	s.signal(leaving.process, syscall.SIGTERM)
+	s.await(time.Second, "the health check fails", func() error {
+		if a := leaving.ask(http.MethodGet, "/health", ""); a.status == http.StatusOK {
+			return fmt.Errorf("status %d", a.status)
+		}
+		return nil
+	})
+	c.Assert(leaving.running(), qt.IsTrue, qt.Commentf("the daemon ended with streams in flight"))
+	elsewhere := other.chat("elsewhere")
+	c.Assert(elsewhere.whole("elsewhere"), qt.IsNil)
+	for range n {
+		c.Check(<-answers, qt.IsNil)
+	}
+	s.await(5*time.Second, "the daemon ends", func() error {
+		if leaving.running() {
+			return fmt.Errorf("%s still runs", leaving.name)
+		}
+		return nil
+	})
+	c.Assert(leaving.cmd.ProcessState.ExitCode(), qt.Equals, 0)
+}
+
+// TestSilentConnection guards against a stream that waits for ever on a stalled
+// connection, and against taking its replica out of service (promise 5).
+func TestSilentConnection(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := start(t, layout{centres: []string{"a"}, daemons: 2, engines: 2, replicas: 1})
+	status, err := s.daemons[0].status()
+	c.Assert(err, qt.IsNil)
+	leader := s.engines[string(status.Replicas[0].Members[0])]
+	const n = 4
+	type ended struct {
+		answer
+		fault error
+	}
+	answers := make(chan ended, n)
+	for i := range n {
+		go func() {
+			prompt := fmt.Sprintf("silent %d", i)
+			a := s.daemons[i%2].chat(prompt)
+			answers <- ended{a, a.accurate(prompt)}
+		}()
+	}
+	s.awaitInFlight(n, s.daemons...)
+	s.faults(leader, engine.Faults{Silent: true})
+	s.hold(silence+2*time.Second, "the replica stays in service", func() error {
+		for _, d := range s.daemons {
+			serving, err := d.serving()
+			if err == nil && len(serving) != 1 {
+				err = fmt.Errorf("%s routes to %v", d.name, serving)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	for range n {
+		a := <-answers
+		c.Check(a.fault, qt.IsNil)
+		// A resumed stream takes the rest of its second after the limit.
+		c.Check(a.took < silence+3*time.Second, qt.IsTrue, qt.Commentf("took %s", a.took))
+	}
+	for _, d := range s.daemons {
+		a := d.chat("after the silence")
+		c.Assert(a.whole("after the silence"), qt.IsNil)
+	}
+}
+
+// boots reads the boot numbers of the engines; a crash raises them.
+func (s *site) boots() (map[ident.Instance]unit.Boot, error) {
+	boots := make(map[ident.Instance]unit.Boot)
+	for name := range s.engines {
+		r, err := s.engineReport(id(name))
+		if err != nil {
+			return nil, err
+		}
+		boots[id(name)] = r.Boot
+	}
+	return boots, nil
+}
+
+// TestPoisonRequest guards against one request that crashes every replica
+// (promise 6: it is refused as not run only once it is not sent any more).
+func TestPoisonRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := start(t, layout{centres: []string{"a"}, daemons: 3, engines: 8, replicas: 4})
+	before, err := s.boots()
+	c.Assert(err, qt.IsNil)
+	for _, p := range s.engines {
+		s.faults(p, engine.Faults{CrashOn: "poison"})
+	}
+	first := s.daemons[0].chat("poison")
+	c.Assert(first.fault.Code, qt.Not(qt.Equals), code.Code(0))
+	s.await(5*time.Second, "the request is refused as poison", func() error {
+		if a := s.daemons[0].chat("poison"); a.fault.Code != code.PoisonRequest || a.fault.Outcome != code.NotRun {
+			return fmt.Errorf("%+v", a)
+		}
+		return nil
+	})
+	// Suspicions reach every daemon of the data centre in one or two exchanges.
+	<-clk.After(time.Second)
+	for _, d := range s.daemons {
+		a := d.chat("poison")
+		c.Check(a.fault.Code, qt.Equals, code.PoisonRequest, qt.Commentf("%s: %+v", d.name, a))
+	}
+	s.awaitServing(4, 0)
+	for _, d := range s.daemons {
+		a := d.chat("harmless")
+		c.Check(a.whole("harmless"), qt.IsNil)
+	}
+	after, err := s.boots()
+	c.Assert(err, qt.IsNil)
+	crashes := unit.Boot(0)
+	for i, boot := range after {
+		crashes += boot - before[i]
+	}
+	c.Assert(crashes <= 2, qt.IsTrue, qt.Commentf("%d crashes", crashes))
+}
--- /dev/null
+++ b/internal/proof/process/openai_test.go
@@ -0,0 +1,104 @@
+package process_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/standin/engine"
+)
+
+// TestOrdinaryClient guards against answers that a published client of the
+// OpenAI protocol can't read, and against refusals without their numbered code
+// (promises 5 and 6).
+func TestOrdinaryClient(t *testing.T) {
+	t.Parallel()
+	s := start(t, layout{centres: []string{"a"}, daemons: 2, engines: 2, replicas: 1})
+	ctx := context.Background()
+	newClient := func(key string) openai.Client {
+		return openai.NewClient(option.WithBaseURL("http://"+s.daemons[0].caller+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+	}
+	demo := newClient("demo-key")
+	chat := openai.ChatCompletionNewParams{Model: "assistant", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("tea")}}
+	prompt := openai.CompletionNewParams{Model: "assistant", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("tea")}}
+
+	t.Run("whole answers", func(t *testing.T) {
+		c := qt.New(t)
+		answer, err := demo.Chat.Completions.New(ctx, chat)
+		c.Assert(err, qt.IsNil)
+		c.Assert(answer.Choices[0].Message.Content, qt.Equals, fullText("tea"))
+		c.Assert(answer.Choices[0].FinishReason, qt.Equals, "stop")
+		c.Assert(answer.Usage.CompletionTokens, qt.Equals, int64(answerTokens))
+		completion, err := demo.Completions.New(ctx, prompt)
+		c.Assert(err, qt.IsNil)
+		c.Assert(completion.Choices[0].Text, qt.Equals, engine.Answer("tea", answerTokens))
+		models, err := demo.Models.List(ctx)
+		c.Assert(err, qt.IsNil)
+		c.Assert(models.Data, qt.HasLen, 1)
+		c.Assert(models.Data[0].ID, qt.Equals, "assistant")
+	})
+	t.Run("streams", func(t *testing.T) {
+		c := qt.New(t)
+		var text strings.Builder
+		stream := demo.Chat.Completions.NewStreaming(ctx, chat)
+		for stream.Next() {
+			for _, choice := range stream.Current().Choices {
+				text.WriteString(choice.Delta.Content)
+			}
+		}
+		c.Assert(stream.Err(), qt.IsNil)
+		c.Assert(text.String(), qt.Equals, fullText("tea"))
+		text.Reset()
+		completions := demo.Completions.NewStreaming(ctx, prompt)
+		for completions.Next() {
+			for _, choice := range completions.Current().Choices {
+				text.WriteString(choice.Text)
+			}
+		}
+		c.Assert(completions.Err(), qt.IsNil)
+		c.Assert(text.String(), qt.Equals, engine.Answer("tea", answerTokens))
+	})
+	t.Run("the client's errors", func(t *testing.T) {
+		c := qt.New(t)
+		other := chat
+		other.Model = "unheard-of"
+		_, err := demo.Chat.Completions.New(ctx, other)
+		var refusal *openai.Error
+		c.Assert(errors.As(err, &refusal), qt.IsTrue)
+		c.Assert(refusal.StatusCode, qt.Equals, http.StatusNotFound)
+		c.Assert(refusal.Code, qt.Equals, fmt.Sprint(int(code.UnknownModel)))
+		stranger := newClient("wrong-key")
+		_, err = stranger.Models.List(ctx)
+		c.Assert(errors.As(err, &refusal), qt.IsTrue)
+		c.Assert(refusal.StatusCode, qt.Equals, http.StatusUnauthorized)
+		c.Assert(refusal.Code, qt.Equals, fmt.Sprint(int(code.UnknownOrganisation)))
+	})
+	large := `{"model":"assistant","messages":[{"role":"user","content":"` + strings.Repeat("x", 80<<10) + `"}]}`
+	refusals := map[string]struct {
+		path, body string
+		code       code.Code
+	}{
+		"malformed JSON":   {"/v1/chat/completions", `{"model":`, code.MalformedBody},
+		"missing messages": {"/v1/chat/completions", `{"model":"assistant"}`, code.MalformedBody},
+		"oversized body":   {"/v1/chat/completions", large, code.BodyTooLarge},
+		"unknown path":     {"/v2/else", `{}`, code.UnknownPath},
+	}
+	for name, test := range refusals {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			a := s.daemons[1].ask(http.MethodPost, test.path, test.body)
+			c.Assert(a.err, qt.IsNil)
+			c.Assert(a.fault.Code, qt.Equals, test.code)
+			c.Assert(a.fault.Outcome, qt.Equals, code.NotRun)
+			c.Assert(a.status, qt.Equals, test.code.Spec().Status)
+		})
+	}
+}
