--- a/internal/proof/process/site_test.go
+++ b/internal/proof/process/site_test.go
@@ -138,7 +138,7 @@
 func tail(path string) string {
 	raw, _ := os.ReadFile(path)
 	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
-	const most = 25
+	const most = 12
 	return strings.Join(lines[max(len(lines)-most, 0):], "\n")
 }
 
