Keep a copy of a record's body that an operator writes

Cause: the daemon that took the write kept fasthttp's buffer as the record, which later requests overwrite. It passed the overwritten bytes on to peers: in TestRecords a restarted daemon rejected organisation/demo ("invalid character 'h' after top-level value") and answered its key with 2003 until the platform was back. Change: the operators' interface copies the body. Conclusion: TestRecords passes.

--- a/internal/caller/operator/operator.go
+++ b/internal/caller/operator/operator.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -196,7 +197,8 @@
 		httpcall.WriteError(ctx, err)
 		return
 	}
-	written, err := i.Records.Write(ctx, n, old, ctx.PostBody())
+	// The record is kept, while the buffer is used again for later requests.
+	written, err := i.Records.Write(ctx, n, old, bytes.Clone(ctx.PostBody()))
 	if err != nil {
 		httpcall.WriteError(ctx, err)
 		return
