Refuse the list of models while no configuration is known

Cause: a starting daemon answered /v1/models with 2003 unknown-organisation, which tells the caller to change the request, though only its own records were missing. Change: it answers 3009 not-ready, as it does for completions. Conclusion: TestRecords checks it at a daemon that restarts.

--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -92,6 +92,10 @@
 }
 
 func (f *frontend) models(ctx *fasthttp.RequestCtx) {
+	if !f.records.Ready() {
+		httpcall.WriteError(ctx, code.NotReady.New("daemon: no configuration has been heard yet"))
+		return
+	}
 	organisation, err := httpcall.Organisation(ctx, f.records.View())
 	if err != nil {
 		httpcall.WriteError(ctx, err)
