--- a/internal/proof/process/platform_test.go
+++ b/internal/proof/process/platform_test.go
@@ -190,6 +190,10 @@
 	<-restarted.ended
 	s.run(restarted.process)
 	s.await(within, "the restarted daemon hears the records from its peers", func() error {
+		a := restarted.ask(http.MethodGet, "/v1/models", "")
+		if a.fault.Code == code.UnknownOrganisation {
+			s.t.Fatalf("%s calls a key unknown before it has the records: %+v", restarted.name, a)
+		}
 		if err := restarted.models("demo-key"); err != nil {
 			return err
 		}
