Keep an earlier run in the outcome of a request

Cause: the outcome of a request was that of its last attempt. After an attempt that may have run (a crossed or broken answer before its first piece), a retry that was refused made the whole request "not run".

Change: progress keeps the last failure that may have run, and the caller is told that one when a later attempt was certainly not run or no endpoint is left.

Conclusion: a "not run" now covers every attempt of the request.

--- a/internal/serve/dispatch/progress.go
+++ b/internal/serve/dispatch/progress.go
@@ -20,8 +20,10 @@
 	started    bool
 	resumed    bool
 	callerGone bool
-	sent       strings.Builder
-	tokens     unit.Tokens
+	// mayRun is the last failure of an attempt that may have run.
+	mayRun error
+	sent   strings.Builder
+	tokens unit.Tokens
 
 	begun time.Time
 	first time.Duration
@@ -75,19 +77,32 @@
 	return err
 }
 
+// failed keeps the failure of an attempt.
+func (p *progress) failed(failure error) {
+	if code.OutcomeOf(failure) != code.NotRun {
+		p.mayRun = failure
+	}
+}
+
 // outcome returns the failure as the caller has to see it: after a part of the
-// answer was passed on, nothing may be called "not run".
+// answer was passed on, or after an attempt that may have run, nothing may be
+// called "not run".
 func (p *progress) outcome(failure error) error {
-	if p.started && code.OutcomeOf(failure) == code.NotRun {
+	switch {
+	case code.OutcomeOf(failure) != code.NotRun:
+		return failure
+	case p.started:
 		return code.CutOff.Wrap(failure, "the answer broke off after %d tokens and could not be resumed", p.tokens)
+	case p.mayRun != nil:
+		return p.mayRun
 	}
 	return failure
 }
 
 // refused returns what to tell the caller when no endpoint could be found for
-// another attempt: the earlier failure, if that one may have run.
+// another attempt: the earlier failure, if the request may have run.
 func (p *progress) refused(failure, refusal error) error {
-	if failure != nil && (p.started || code.OutcomeOf(failure) != code.NotRun) {
+	if p.started || p.mayRun != nil {
 		return p.outcome(failure)
 	}
 	return refusal
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -35,6 +35,7 @@
 		if failure == nil {
 			return nil
 		}
+		p.failed(failure)
 		d.failed(ctx, e, r, p, failure)
 	}
 	return p.outcome(failure)
