Test the dispatcher with a state machine over fakes

Cause: the decisions on the path of a request were proved only with processes and protocols around them.

Change: rapid drives a dispatcher whose senders, claims, suspicions, records and clock are fakes. Attempts answer, tear, cross, refuse, fail, crash or stall; endpoints leave, return, turn cold; callers leave; deadlines pass. The oracle compares what each caller got and was told with the runs that took place.

--- /dev/null
+++ b/internal/serve/dispatch/machine_test.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/table"
+)
+
+var replicas = []ident.Endpoint{"r0", "r1", "r2", "s0", "s1"}
+
+// bubbled hides the testing.T of a bubble from rapid, which would ask it for a
+// deadline; that is not allowed there.
+type bubbled struct{ rapid.TB }
+
+// checkInBubble runs a step machine within a synctest bubble, whose Wait is how
+// a step knows that every request waits for the next one. The bubble's clock
+// moves by a moment for each run, so that rapid's limit on the time of
+// shrinking still ends it.
+func checkInBubble(t *testing.T, check func(*rapid.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbled{t}, func(rt *rapid.T) {
+			<-clock.Real().After(20 * time.Millisecond)
+			check(rt)
+		})
+	})
+}
+
+// settle waits until nothing moves and reports the violations.
+func (w *world) settle(t *rapid.T) {
+	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.wrong) > 0 {
+		t.Fatalf("%s", w.wrong)
+	}
+	if most := 20 + len(w.exchange)/10; w.retries > most {
+		t.Fatalf("%d retries of %d requests, the budget is %d", w.retries, len(w.exchange), most)
+	}
+}
+
+// arrive lets a caller send a request of a random kind.
+func (w *world) arrive(t *rapid.T) {
+	n := len(w.exchange)
+	r := &work.Request{
+		ID: ident.Request(fmt.Sprint(n)), Received: w.clk.Now(), Operation: work.Chat, Model: "m",
+		Organisation: rapid.SampledFrom([]ident.Organisation{"o", "o", "p"}).Draw(t, "organisation"),
+		Fingerprint:  ident.Fingerprint(rapid.IntRange(0, 30).Draw(t, "fingerprint")),
+		Priority:     unit.Priority(rapid.IntRange(0, 1).Draw(t, "priority")),
+	}
+	if wait := rapid.SampledFrom([]time.Duration{0, 0, 300 * time.Millisecond, 3 * time.Second}).Draw(t, "deadline"); wait > 0 {
+		r.Deadline = w.clk.Now().Add(wait)
+	}
+	switch rapid.SampledFrom([]string{"text", "text", "choices", "get", "post", "once"}).Draw(t, "kind") {
+	case "text":
+		r.Resumable, r.Stream = true, true
+	case "choices":
+		r.Stream = true
+	case "get":
+		r.Operation, r.Service, r.Method = work.Call, "ledger", "GET"
+	case "post":
+		r.Operation, r.Service, r.Method = work.Call, "ledger", "POST"
+	case "once":
+		r.Operation, r.Service, r.Method, r.AtMostOnce = work.Call, "ledger", "POST", true
+		r.Key = ident.RequestKey(rapid.SampledFrom([]string{"k", "l", "fresh" + string(r.ID)}).Draw(t, "key"))
+	}
+	w.submit(r, rapid.IntRange(1, 5).Draw(t, "tokens"))
+}
+
+// behave lets one endpoint act on one of its requests.
+func (w *world) behave(t *rapid.T) {
+	if len(w.calls) == 0 {
+		t.Skip()
+	}
+	a := w.calls[rapid.IntRange(0, len(w.calls)-1).Draw(t, "attempt")]
+	id := a.endpoint.ID
+	c := command{ran: true, pieces: rapid.IntRange(0, 4).Draw(t, "pieces")}
+	switch rapid.SampledFrom([]string{"whole", "pieces", "torn", "crossed", "elsewhere", "overloaded", "unreachable", "rejected", "failed", "crash"}).Draw(t, "behaviour") {
+	case "whole":
+		c.whole = true
+	case "pieces":
+		c.more = true
+	case "torn":
+		c.headOnly, c.failure = true, code.CutOff.New("endpoint %s", id)
+	case "crash":
+		w.dead[id], c.failure = true, code.CutOff.New("endpoint %s", id)
+	case "crossed":
+		c.failure = code.ForeignAnswer.New("endpoint %s", id)
+	case "elsewhere":
+		c = notRun(a, code.WithOutcome(code.ForeignAnswer.New("endpoint %s", id), code.NotRun))
+	case "overloaded":
+		c = notRun(a, code.Overloaded.New("endpoint %s", id))
+	case "unreachable":
+		c = notRun(a, code.EndpointUnreachable.New("endpoint %s", id))
+	case "rejected":
+		c = notRun(a, code.EndpointRejected.New("endpoint %s", id))
+	case "failed":
+		c.pieces, c.failure = 0, code.EndpointFailed.New("endpoint %s", id)
+	}
+	a.command <- c
+}
+
+// notRun refuses a request whose answer has not begun. One that has begun is
+// cut off.
+func notRun(a *attempt, refusal error) command {
+	if a.started {
+		return command{ran: true, failure: code.CutOff.New("endpoint %s", a.endpoint.ID)}
+	}
+	return command{failure: refusal}
+}
+
+// change lets an endpoint leave, come back with a new epoch, turn cold or warm,
+// or be granted requests.
+func (w *world) change(t *rapid.T) {
+	id := rapid.SampledFrom(replicas).Draw(t, "endpoint")
+	e, in := w.specs[id]
+	switch action := rapid.SampledFrom([]string{"leave", "epoch", "cold", "grant", "revive"}).Draw(t, "change"); {
+	case action == "revive":
+		w.dead[id] = false
+	case !in:
+		w.join(id)
+	case action == "leave":
+		delete(w.specs, id)
+	case action == "epoch":
+		e.Epoch++
+		w.specs[id] = e
+	case action == "cold":
+		e.Cold = !e.Cold
+		w.specs[id] = e
+	case action == "grant":
+		w.grant(id, grant{unit.Requests(rapid.IntRange(0, 2).Draw(t, "granted")), w.clk.Now().Add(2 * time.Second)})
+	}
+	w.publish()
+}
+
+func (w *world) join(id ident.Endpoint) {
+	e := table.Endpoint{ID: id, Address: string(id), Protocol: table.Engine, Replica: ident.Replica(id), Epoch: 1, Models: []ident.Model{"m"}, Limit: 2}
+	if id[0] == 's' {
+		e.Protocol, e.Replica, e.Models, e.Service = table.Service, "", nil, "ledger"
+	}
+	w.specs[id] = e
+	// A Load that was forgotten has no grant any more.
+	delete(w.grants, id)
+	w.publish()
+	w.grant(id, grant{})
+}
+
+// finish drains the dispatcher and ends every request.
+func (w *world) finish(t *rapid.T) {
+	drained := make(chan unit.Requests, 1)
+	go func() { drained <- w.d.Drain(context.Background()) }()
+	w.settle(t)
+	late := w.submit(&work.Request{ID: "late", Organisation: "o", Operation: work.Chat, Model: "m"}, 1)
+	w.settle(t)
+	if code.Of(late.err) != code.Draining {
+		t.Fatalf("a request after the drain began got %v", late.err)
+	}
+	for w.d.InFlight() > 0 {
+		if len(drained) > 0 {
+			t.Fatalf("the drain ended with %d requests in flight", w.d.InFlight())
+		}
+		if len(w.calls) > 0 {
+			w.calls[0].command <- command{whole: true}
+		} else {
+			w.clk.Advance(100 * time.Millisecond)
+		}
+		w.settle(t)
+	}
+	w.clk.Advance(20 * time.Millisecond)
+	w.settle(t)
+	if len(drained) != 1 || <-drained != 0 {
+		t.Fatalf("the drain did not end with the last request")
+	}
+	for _, id := range replicas {
+		if n := w.d.InFlightTo(id); n != 0 {
+			t.Fatalf("endpoint %s: %d places are not given back", id, n)
+		}
+	}
+	for _, x := range w.exchange {
+		if !x.done {
+			t.Fatalf("request %s has not ended", x.request.ID)
+		}
+	}
+}
+
+// TestRequests guards against an answer that is not the request's own, a wrong
+// "not run", a second run, places beyond the bound of an endpoint or not given
+// back, and a drain that ends early or lets requests in.
+func TestRequests(t *testing.T) {
+	checkInBubble(t, func(rt *rapid.T) {
+		w := newWorld()
+		defer w.close()
+		for _, id := range replicas {
+			w.join(id)
+		}
+		// One run of the steps is too short for retries to run out.
+		for range 3 {
+			rt.Repeat(map[string]func(*rapid.T){
+				"arrive":  w.arrive,
+				"arrive2": w.arrive,
+				"behave":  w.behave,
+				"behave2": w.behave,
+				"change":  w.change,
+				"wait": func(t *rapid.T) {
+					w.clk.Advance(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				},
+				"expire": func(t *rapid.T) { w.expire = rapid.IntRange(0, 3).Draw(t, "expired") == 0 },
+				"gone":   w.gone,
+				"":       w.settle,
+			})
+		}
+		w.finish(rt)
+	})
+}
+
+// gone lets a caller leave, which the daemon notices now or with the next
+// write.
+func (w *world) gone(t *rapid.T) {
+	if len(w.exchange) == 0 {
+		t.Skip()
+	}
+	x := w.exchange[rapid.IntRange(0, len(w.exchange)-1).Draw(t, "request")]
+	x.left = true
+	if rapid.Bool().Draw(t, "noticed") {
+		x.cancel()
+	}
+}
+
+// close ends what a failed check has left.
+func (w *world) close() {
+	close(w.quit)
+	for _, x := range w.exchange {
+		x.cancel()
+	}
+	w.clk.Advance(time.Hour)
+	synctest.Wait()
+}
--- a/internal/serve/dispatch/telemetry.go
+++ b/internal/serve/dispatch/telemetry.go
@@ -68,7 +68,7 @@
 		return
 	}
 	t.tokens.Add(float64(p.tokens))
-	t.firstToken.Observe((p.begun.Add(p.first)).Sub(r.Received).Seconds())
+	t.firstToken.Observe(p.begun.Add(p.first).Sub(r.Received).Seconds())
 	for _, gap := range p.gaps {
 		t.betweens.Observe(gap.Seconds())
 	}
