Count repeats of at-most-once calls against the retry budget

Cause: runOnce repeated a call that was certainly not run up to twice without asking the retry budget, and did so even when the endpoint had rejected the request itself. While endpoints refuse, such calls tripled the load.

Change: mayRepeat decides as mayRetry does for other requests: only after a failure that is certainly not run and no rejection, and within the budget. The state machine starts with a random rest of the budget.

Before: TestRequests failed with "1 retries of 3 requests, the budget is 0".

Conclusion: the budget bounds the repeats of every kind of request.

--- a/internal/serve/dispatch/fake_test.go
+++ b/internal/serve/dispatch/fake_test.go
@@ -42,8 +42,8 @@
 	suspects map[ident.Fingerprint]int
 	dead     map[ident.Endpoint]bool
 	expire   bool
+	budget   int
 	retries  int
-	admitted int
 }
 
 type grant struct {
--- a/internal/serve/dispatch/machine_test.go
+++ b/internal/serve/dispatch/machine_test.go
@@ -44,7 +44,7 @@
 	if len(w.wrong) > 0 {
 		t.Fatalf("%s", w.wrong)
 	}
-	if most := 20 + len(w.exchange)/10; w.retries > most {
+	if most := w.budget + len(w.exchange)/10; w.retries > most {
 		t.Fatalf("%d retries of %d requests, the budget is %d", w.retries, len(w.exchange), most)
 	}
 }
@@ -158,7 +158,9 @@
 // finish drains the dispatcher and ends every request.
 func (w *world) finish(t *rapid.T) {
 	drained := make(chan unit.Requests, 1)
-	go func() { drained <- w.d.Drain(context.Background()) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { drained <- w.d.Drain(ctx) }()
 	w.settle(t)
 	late := w.submit(&work.Request{ID: "late", Organisation: "o", Operation: work.Chat, Model: "m"}, 1)
 	w.settle(t)
@@ -199,6 +201,10 @@
 func TestRequests(t *testing.T) {
 	checkInBubble(t, func(rt *rapid.T) {
 		w := newWorld()
+		w.budget = rapid.SampledFrom([]int{0, 1, 3, 20}).Draw(rt, "budget")
+		for range 20 - w.budget {
+			w.d.budget.Spend()
+		}
 		defer w.close()
 		for _, id := range replicas {
 			w.join(id)
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -91,6 +91,9 @@
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		if attempt > 0 {
+			if !d.mayRepeat(failure) {
+				break
+			}
 			if e, err = d.acquire(ctx, r, place); err != nil {
 				ticket.Release()
 				return err
@@ -107,9 +110,6 @@
 			return nil
 		}
 		d.failed(ctx, e, r, p, failure)
-		if code.OutcomeOf(failure) != code.NotRun {
-			break
-		}
 	}
 	if code.OutcomeOf(failure) == code.NotRun {
 		ticket.Release()
@@ -123,6 +123,16 @@
 	return code.OutcomeUnknown.Wrap(failure, "request key %s", r.Key)
 }
 
+// mayRepeat reports whether a request that must not run twice may be sent to
+// another endpoint after the failure: only if it was certainly not run, and
+// not if the request itself was rejected.
+func (d *Dispatcher) mayRepeat(failure error) bool {
+	if code.OutcomeOf(failure) != code.NotRun || code.Of(failure) == code.EndpointRejected {
+		return false
+	}
+	return d.budget.Spend()
+}
+
 // send sends the request once, within its deadline.
 func (d *Dispatcher) send(ctx context.Context, e *table.Endpoint, r *work.Request, p *progress) error {
 	if !r.Deadline.IsZero() {
