Take places only at endpoints of the current table

Cause: between the choice of an endpoint and Acquire the table can be replaced. The place was then taken at the old value: its Load may already be forgotten, so that a confirmation of "nothing in flight" before a stop order missed the request, or the endpoint may have turned cold and got a warm one's requests.

Change: take compares the endpoint with the current table after Acquire and chooses again if it differs. Publish stores the new table before it forgets idle Loads, so that either forget sees the place or the taker sees the new table.

Before: TestStaleChoice fails for left, returned and cold. After: it passes.

Conclusion: a place is always one that the current table's bound allows and that Leaving counts.

--- a/internal/route/table/publisher.go
+++ b/internal/route/table/publisher.go
@@ -54,8 +54,10 @@
 		return false
 	}
 	t := New(old.generation+1, next)
-	p.forget(t)
+	// Who takes a place looks at the current table after that. With this
+	// order either forget sees the place or the taker sees the new table.
 	p.current.Store(t)
+	p.forget(t)
 	return true
 }
 
--- a/internal/serve/dispatch/dispatch.go
+++ b/internal/serve/dispatch/dispatch.go
@@ -200,9 +200,15 @@
 		if e == nil {
 			return nil
 		}
-		if e.Acquire(now) {
+		if !e.Acquire(now) {
+			continue
+		}
+		// The endpoint may have left or turned cold since it was read from
+		// the table. A table published from now on counts the place.
+		if d.Tables.Current().Endpoint(e.ID) == e {
 			return e
 		}
+		e.Release()
 	}
 	return nil
 }
