Don't send a request whose time is over

Cause: a call whose deadline passed during a slow claim was sent with an ended context. The protocol reports that as unreachable, so each such call made up to three healthy endpoints be avoided for 2 s while the platform was slow.

Change: send refuses as not run, with the code of the cause, before it calls the protocol. A claimed call is repeated only after failures of the endpoint.

Before: TestDeadlineDuringClaim sees 3011 and an avoided endpoint. After: 3003, nothing sent, the claim released, the endpoint in use.

Conclusion: a slow platform no longer takes endpoints out of use.

--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -125,12 +125,14 @@
 
 // mayRepeat reports whether a request that must not run twice may be sent to
 // another endpoint after the failure: only if it was certainly not run, and
-// not if the request itself was rejected.
+// only if that was due to the endpoint and not to the request.
 func (d *Dispatcher) mayRepeat(failure error) bool {
-	if code.OutcomeOf(failure) != code.NotRun || code.Of(failure) == code.EndpointRejected {
+	switch code.Of(failure) {
+	case code.EndpointUnreachable, code.Overloaded, code.ForeignAnswer:
+		return code.OutcomeOf(failure) == code.NotRun && d.budget.Spend()
+	default:
 		return false
 	}
-	return d.budget.Spend()
 }
 
 // send sends the request once, within its deadline.
@@ -144,6 +146,9 @@
 	if !known {
 		return code.Internal.New("endpoint %s: no plug-in speaks protocol %q", e.ID, e.Protocol)
 	}
+	if ctx.Err() != nil {
+		return d.ended(r)
+	}
 	p.begin()
 	err := s.Send(ctx, e, r, work.Sent{Text: p.sent.String(), Tokens: p.tokens}, p)
 	if err != nil {
@@ -153,6 +158,15 @@
 	return nil
 }
 
+// ended returns the refusal of a request whose time was over before it was
+// sent, such as after a slow claim. The endpoint has no part in that.
+func (d *Dispatcher) ended(r *work.Request) error {
+	if !r.Deadline.IsZero() && !d.Clock.Now().Before(r.Deadline) {
+		return code.DeadlineTooShort.New("request %s: its deadline passed before it was sent", r.ID)
+	}
+	return code.WithOutcome(code.CallerGone.New("request %s: its caller left before it was sent", r.ID), code.NotRun)
+}
+
 // explain gives the failure the code of its cause where that is not the
 // endpoint.
 func (d *Dispatcher) explain(ctx context.Context, r *work.Request, p *progress, err error) error {
