Tell the policy how long first tokens take

Cause: nothing called Policy.FirstToken or Load.ObserveToken. Adaptive limits never moved, deadlines were never compared with an estimate, and a warm endpoint that turned cold without notice was never suspected.

Change: progress reports the first token when it arrives and each time between tokens, for streamed answers of models only.

--- a/internal/serve/dispatch/progress.go
+++ b/internal/serve/dispatch/progress.go
@@ -8,6 +8,7 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/domain/work"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/table"
 )
 
 // progress is the sink that an endpoint protocol writes to. It passes the
@@ -17,6 +18,10 @@
 	sink  work.Sink
 	clock clock.Clock
 
+	request  *work.Request
+	policy   picker
+	endpoint *table.Endpoint
+
 	started    bool
 	resumed    bool
 	callerGone bool
@@ -31,8 +36,9 @@
 	gaps  []time.Duration
 }
 
-// begin marks the start of an attempt.
-func (p *progress) begin() {
+// begin marks the start of an attempt at the endpoint.
+func (p *progress) begin(e *table.Endpoint) {
+	p.endpoint = e
 	p.begun = p.clock.Now()
 	p.last = time.Time{}
 	p.first = 0
@@ -53,8 +59,15 @@
 	now := p.clock.Now()
 	if p.last.IsZero() {
 		p.first = now.Sub(p.begun)
+		if p.streamed() {
+			p.policy.FirstToken(p.endpoint, p.request, p.first)
+		}
 	} else {
-		p.gaps = append(p.gaps, now.Sub(p.last))
+		gap := now.Sub(p.last)
+		p.gaps = append(p.gaps, gap)
+		if p.streamed() {
+			p.endpoint.Load.ObserveToken(gap)
+		}
 	}
 	p.last = now
 	p.tokens += piece.Tokens
@@ -62,6 +75,12 @@
 	return p.caller(p.sink.Piece(piece))
 }
 
+// streamed reports whether pieces are tokens. The single piece of a whole
+// answer comes with its last token, and a plain service has none.
+func (p *progress) streamed() bool {
+	return p.request.Operation != work.Call && (p.request.Stream || p.request.Resumable)
+}
+
 // End passes on the end, with the tokens of all attempts.
 func (p *progress) End(e work.End) error {
 	if p.resumed {
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -20,7 +20,7 @@
 // it was not run, or if it may run twice and nothing was passed on yet; and
 // from where it broke off if its answer is plain text.
 func (d *Dispatcher) runRepeatable(ctx context.Context, r *work.Request, s work.Sink, place admit.Place) error {
-	p := &progress{sink: s, clock: d.Clock}
+	p := &progress{sink: s, clock: d.Clock, request: r, policy: d.Policy}
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		if attempt > 0 && !d.mayRetry(ctx, r, p, failure) {
@@ -86,7 +86,7 @@
 		d.release(e, r)
 		return err
 	}
-	p := &progress{sink: s, clock: d.Clock}
+	p := &progress{sink: s, clock: d.Clock, request: r, policy: d.Policy}
 	ctx = context.WithoutCancel(ctx)
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
@@ -149,7 +149,7 @@
 	if ctx.Err() != nil {
 		return d.ended(r)
 	}
-	p.begin()
+	p.begin(e)
 	err := s.Send(ctx, e, r, work.Sent{Text: p.sent.String(), Tokens: p.tokens}, p)
 	if err != nil {
 		return d.explain(ctx, r, p, err)
