Test late choices, slow claims and first tokens at the dispatcher

Cause: each of these has shown a fault that needs a certain moment.

Change: one table test for each; the fakes of the state machine take their lock where a timer may run at the same time.

--- /dev/null
+++ b/internal/serve/dispatch/dispatch_test.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/work"
+	"cuminbay/internal/route/policy"
+	"cuminbay/internal/route/table"
+)
+
+// slowClaims takes longer than the deadline of a request.
+type slowClaims struct{ *world }
+
+func (s slowClaims) Claim(ctx context.Context, key ident.RequestKey, o ident.Organisation, f ident.Fingerprint) (work.Ticket, error) {
+	s.advance(2 * time.Millisecond)
+	return s.world.Claim(ctx, key, o, f)
+}
+
+// TestDeadlineDuringClaim guards against a slow platform making healthy
+// endpoints look unreachable: a call whose deadline passed during its claim was
+// "sent" with an ended context, and the endpoint was then avoided.
+func TestDeadlineDuringClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, w := qt.New(t), newWorld()
+		defer w.close()
+		w.join("s0")
+		w.d.Claims = slowClaims{w}
+		x := w.submit(&work.Request{
+			ID: "a", Organisation: "o", Operation: work.Call, Service: "ledger", Method: "POST",
+			AtMostOnce: true, Key: "k", Deadline: w.clk.Now().Add(time.Millisecond),
+		}, 1)
+		w.advance(3 * time.Millisecond)
+		synctest.Wait()
+		c.Assert(code.Of(x.err), qt.Equals, code.DeadlineTooShort)
+		c.Assert(x.sends, qt.Equals, 0)
+		c.Assert(w.keys["k"], qt.Equals, "released")
+		e := w.pub.Current().Endpoint("s0")
+		c.Assert(e.Bound(w.clk.Now()), qt.Equals, e.Limit)
+	})
+}
+
+// latePicker changes the table between the choice of an endpoint and Acquire.
+type latePicker struct {
+	policy.Random2
+	change func()
+}
+
+func (l *latePicker) Pick(now time.Time, list []*table.Endpoint, r *work.Request) *table.Endpoint {
+	e := l.Random2.Pick(now, list, r)
+	if change := l.change; change != nil {
+		l.change = nil
+		change()
+	}
+	return e
+}
+
+// TestStaleChoice guards against a place taken at an endpoint as it was in an
+// earlier table: its Load may be forgotten, so that a stop order would not wait
+// for the request, or it may have turned cold.
+func TestStaleChoice(t *testing.T) {
+	tests := map[string]struct {
+		change func(*world)
+		want   code.Code
+	}{
+		"left":     {change: func(w *world) { w.locked(func() { delete(w.specs, "r0") }); w.publish() }, want: code.NoReplica},
+		"returned": {change: func(w *world) { w.locked(func() { delete(w.specs, "r0") }); w.publish(); w.join("r0") }, want: code.Answered},
+		"cold": {change: func(w *world) {
+			e := w.specs["r0"]
+			e.Cold = true
+			w.set(e)
+			w.publish()
+		}, want: code.ColdOnly},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, w := qt.New(t), newWorld()
+				defer w.close()
+				w.join("r0")
+				w.d.Policy = &latePicker{change: func() { test.change(w) }}
+				x := w.submit(&work.Request{ID: "a", Organisation: "o", Operation: work.Chat, Model: "m"}, 1)
+				synctest.Wait()
+				if waiting := w.waiting(); len(waiting) > 0 {
+					c.Check(w.d.InFlightTo("r0") == 1, qt.IsTrue)
+					waiting[0].command <- command{whole: true}
+				}
+				w.advance(3 * time.Millisecond)
+				synctest.Wait()
+				c.Assert(code.Of(x.err), qt.Equals, test.want)
+				c.Assert(w.wrong, qt.HasLen, 0)
+			})
+		})
+	}
+}
+
+// TestFirstToken guards against a policy that is never told how long first
+// tokens take: limits then never adapt, and an endpoint that turned cold
+// without notice is never suspected.
+func TestFirstToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, w := qt.New(t), newWorld()
+		defer w.close()
+		w.join("r0")
+		load := w.pub.Current().Endpoint("r0").Load
+		for i, wait := range []time.Duration{20, 200, 200, 200} {
+			c.Assert(load.Suspect(), qt.IsFalse)
+			x := w.submit(&work.Request{ID: "a", Organisation: "o", Operation: work.Chat, Model: "m", Resumable: true, Stream: true}, 2)
+			synctest.Wait()
+			w.advance(wait * time.Millisecond)
+			w.waiting()[0].command <- command{pieces: 1, more: true}
+			w.advance(5 * time.Millisecond)
+			w.waiting()[0].command <- command{whole: true}
+			synctest.Wait()
+			c.Assert(x.err, qt.IsNil, qt.Commentf("request %d", i))
+		}
+		c.Assert(load.Suspect(), qt.IsTrue)
+		c.Assert(load.FirstToken(), qt.Equals, 20*time.Millisecond)
+		c.Assert(load.PerToken(), qt.Equals, 5*time.Millisecond)
+	})
+}
--- a/internal/serve/dispatch/fake_test.go
+++ b/internal/serve/dispatch/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -137,8 +138,26 @@
 	w.pub.Publish(list)
 }
 
+// locked changes what the fakes read in other goroutines.
+func (w *world) locked(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// waiting returns the attempts that wait for a command.
+func (w *world) waiting() []*attempt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.calls)
+}
+
+func (w *world) set(e table.Endpoint) {
+	w.locked(func() { w.specs[e.ID] = e })
+}
+
 func (w *world) grant(id ident.Endpoint, g grant) {
-	w.grants[id] = g
+	w.locked(func() { w.grants[id] = g })
 	if e := w.pub.Current().Endpoint(id); e != nil {
 		e.Load.Grant(g.n, g.until)
 	}
--- a/internal/serve/dispatch/machine_test.go
+++ b/internal/serve/dispatch/machine_test.go
@@ -73,13 +73,15 @@
 
 // behave lets one endpoint act on one of its requests.
 func (w *world) behave(t *rapid.T) {
-	if len(w.calls) == 0 {
+	waiting := w.waiting()
+	if len(waiting) == 0 {
 		t.Skip()
 	}
-	a := w.calls[rapid.IntRange(0, len(w.calls)-1).Draw(t, "attempt")]
+	a := waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "attempt")]
 	id := a.endpoint.ID
 	c := command{ran: true, pieces: rapid.IntRange(0, 4).Draw(t, "pieces")}
-	switch rapid.SampledFrom([]string{"whole", "pieces", "torn", "crossed", "elsewhere", "overloaded", "unreachable", "rejected", "failed", "crash"}).Draw(t, "behaviour") {
+	behaviour := rapid.SampledFrom([]string{"whole", "pieces", "torn", "crossed", "elsewhere", "overloaded", "unreachable", "rejected", "failed", "crash"}).Draw(t, "behaviour")
+	switch behaviour {
 	case "whole":
 		c.whole = true
 	case "pieces":
@@ -87,7 +89,7 @@
 	case "torn":
 		c.headOnly, c.failure = true, code.CutOff.New("endpoint %s", id)
 	case "crash":
-		w.dead[id], c.failure = true, code.CutOff.New("endpoint %s", id)
+		c.failure = code.CutOff.New("endpoint %s", id)
 	case "crossed":
 		c.failure = code.ForeignAnswer.New("endpoint %s", id)
 	case "elsewhere":
@@ -101,6 +103,7 @@
 	case "failed":
 		c.pieces, c.failure = 0, code.EndpointFailed.New("endpoint %s", id)
 	}
+	w.locked(func() { w.dead[id] = w.dead[id] || behaviour == "crash" })
 	a.command <- c
 }
 
@@ -120,17 +123,17 @@
 	e, in := w.specs[id]
 	switch action := rapid.SampledFrom([]string{"leave", "epoch", "cold", "grant", "revive"}).Draw(t, "change"); {
 	case action == "revive":
-		w.dead[id] = false
+		w.locked(func() { w.dead[id] = false })
 	case !in:
 		w.join(id)
 	case action == "leave":
-		delete(w.specs, id)
+		w.locked(func() { delete(w.specs, id) })
 	case action == "epoch":
 		e.Epoch++
-		w.specs[id] = e
+		w.set(e)
 	case action == "cold":
 		e.Cold = !e.Cold
-		w.specs[id] = e
+		w.set(e)
 	case action == "grant":
 		w.grant(id, grant{unit.Requests(rapid.IntRange(0, 2).Draw(t, "granted")), w.clk.Now().Add(2 * time.Millisecond)})
 	}
@@ -142,9 +145,7 @@
 	if id[0] == 's' {
 		e.Protocol, e.Replica, e.Models, e.Service = table.Service, "", nil, "ledger"
 	}
-	w.specs[id] = e
-	// A Load that was forgotten has no grant any more.
-	delete(w.grants, id)
+	w.set(e)
 	w.publish()
 	w.grant(id, grant{})
 }
@@ -165,8 +166,8 @@
 		if len(drained) > 0 {
 			t.Fatalf("the drain ended with %d requests in flight", w.d.InFlight())
 		}
-		if len(w.calls) > 0 {
-			w.calls[0].command <- command{whole: true}
+		if waiting := w.waiting(); len(waiting) > 0 {
+			waiting[0].command <- command{whole: true}
 		} else {
 			w.advance(100 * time.Microsecond)
 		}
@@ -214,9 +215,12 @@
 				"wait": func(t *rapid.T) {
 					w.advance(time.Duration(rapid.IntRange(1, 1500).Draw(t, "time")) * time.Microsecond)
 				},
-				"expire": func(t *rapid.T) { w.expire = rapid.IntRange(0, 3).Draw(t, "expired") == 0 },
-				"gone":   w.gone,
-				"":       w.settle,
+				"expire": func(t *rapid.T) {
+					expire := rapid.IntRange(0, 3).Draw(t, "expired") == 0
+					w.locked(func() { w.expire = expire })
+				},
+				"gone": w.gone,
+				"":     w.settle,
 			})
 		}
 		w.finish(rt)
@@ -230,7 +234,7 @@
 		t.Skip()
 	}
 	x := w.exchange[rapid.IntRange(0, len(w.exchange)-1).Draw(t, "request")]
-	x.left = true
+	w.locked(func() { x.left = true })
 	if rapid.Bool().Draw(t, "noticed") {
 		x.cancel()
 	}
