--- a/internal/serve/dispatch/progress.go
+++ b/internal/serve/dispatch/progress.go
@@ -17,15 +17,17 @@
 type progress struct {
 	sink     work.Sink
 	clock    clock.Clock
+	request  *work.Request
 	policy   picker
 	endpoint *table.Endpoint
-	request  *work.Request
 
 	started    bool
 	resumed    bool
 	callerGone bool
-	sent       strings.Builder
-	tokens     unit.Tokens
+	// mayRun is the last failure of an attempt that may have run.
+	mayRun error
+	sent   strings.Builder
+	tokens unit.Tokens
 
 	begun time.Time
 	first time.Duration
@@ -33,9 +35,9 @@
 	gaps  []time.Duration
 }
 
-// begin marks the start of an attempt.
-func (p *progress) begin(e *table.Endpoint, r *work.Request) {
-	p.endpoint, p.request = e, r
+// begin marks the start of an attempt at the endpoint.
+func (p *progress) begin(e *table.Endpoint) {
+	p.endpoint = e
 	p.begun = p.clock.Now()
 	p.last = time.Time{}
 	p.first = 0
@@ -56,13 +58,15 @@
 	now := p.clock.Now()
 	if p.last.IsZero() {
 		p.first = now.Sub(p.begun)
-		// Without a stream the first piece is the whole answer, which says
-		// nothing of the first token.
-		if p.request.Operation != work.Call && (p.request.Stream || p.request.Resumable) {
+		if p.streamed() {
 			p.policy.FirstToken(p.endpoint, p.request, p.first)
 		}
 	} else {
-		p.gaps = append(p.gaps, now.Sub(p.last))
+		gap := now.Sub(p.last)
+		p.gaps = append(p.gaps, gap)
+		if p.streamed() {
+			p.endpoint.Load.ObserveToken(gap)
+		}
 	}
 	p.last = now
 	p.tokens += piece.Tokens
@@ -70,6 +74,12 @@
 	return p.caller(p.sink.Piece(piece))
 }
 
+// streamed reports whether pieces are tokens. The single piece of a whole
+// answer comes with its last token, and a plain service has none.
+func (p *progress) streamed() bool {
+	return p.request.Operation != work.Call && (p.request.Stream || p.request.Resumable)
+}
+
 // End passes on the end, with the tokens of all attempts.
 func (p *progress) End(e work.End) error {
 	if p.resumed {
@@ -85,19 +95,32 @@
 	return err
 }
 
+// failed keeps the failure of an attempt.
+func (p *progress) failed(failure error) {
+	if code.OutcomeOf(failure) != code.NotRun {
+		p.mayRun = failure
+	}
+}
+
 // outcome returns the failure as the caller has to see it: after a part of the
-// answer was passed on, nothing may be called "not run".
+// answer was passed on, or after an attempt that may have run, nothing may be
+// called "not run".
 func (p *progress) outcome(failure error) error {
-	if p.started && code.OutcomeOf(failure) == code.NotRun {
+	switch {
+	case code.OutcomeOf(failure) != code.NotRun:
+		return failure
+	case p.started:
 		return code.CutOff.Wrap(failure, "the answer broke off after %d tokens and could not be resumed", p.tokens)
+	case p.mayRun != nil:
+		return p.mayRun
 	}
 	return failure
 }
 
 // refused returns what to tell the caller when no endpoint could be found for
-// another attempt: the earlier failure, if that one may have run.
+// another attempt: the earlier failure, if the request may have run.
 func (p *progress) refused(failure, refusal error) error {
-	if failure != nil && (p.started || code.OutcomeOf(failure) != code.NotRun) {
+	if p.started || p.mayRun != nil {
 		return p.outcome(failure)
 	}
 	return refusal
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -20,7 +20,7 @@
 // it was not run, or if it may run twice and nothing was passed on yet; and
 // from where it broke off if its answer is plain text.
 func (d *Dispatcher) runRepeatable(ctx context.Context, r *work.Request, s work.Sink, place admit.Place) error {
-	p := &progress{sink: s, clock: d.Clock, policy: d.Policy}
+	p := &progress{sink: s, clock: d.Clock, request: r, policy: d.Policy}
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		if attempt > 0 && !d.mayRetry(ctx, r, p, failure) {
@@ -35,6 +35,7 @@
 		if failure == nil {
 			return nil
 		}
+		p.failed(failure)
 		d.failed(ctx, e, r, p, failure)
 	}
 	return p.outcome(failure)
@@ -92,11 +93,14 @@
 		d.release(e, r)
 		return err
 	}
-	p := &progress{sink: s, clock: d.Clock, policy: d.Policy}
+	p := &progress{sink: s, clock: d.Clock, request: r, policy: d.Policy}
 	ctx = context.WithoutCancel(ctx)
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		if attempt > 0 {
+			if !d.mayRepeat(failure) {
+				break
+			}
 			if e, err = d.acquire(ctx, r, place); err != nil {
 				ticket.Release()
 				return err
@@ -113,9 +117,6 @@
 			return nil
 		}
 		d.failed(ctx, e, r, p, failure)
-		if code.OutcomeOf(failure) != code.NotRun {
-			break
-		}
 	}
 	if code.OutcomeOf(failure) == code.NotRun {
 		ticket.Release()
@@ -129,6 +130,18 @@
 	return code.OutcomeUnknown.Wrap(failure, "request key %s", r.Key)
 }
 
+// mayRepeat reports whether a request that must not run twice may be sent to
+// another endpoint after the failure: only if it was certainly not run, and
+// only if that was due to the endpoint and not to the request.
+func (d *Dispatcher) mayRepeat(failure error) bool {
+	switch code.Of(failure) {
+	case code.EndpointUnreachable, code.Overloaded, code.ForeignAnswer:
+		return code.OutcomeOf(failure) == code.NotRun && d.budget.Spend()
+	default:
+		return false
+	}
+}
+
 // send sends the request once, within its deadline.
 func (d *Dispatcher) send(ctx context.Context, e *table.Endpoint, r *work.Request, p *progress) error {
 	if !r.Deadline.IsZero() {
@@ -140,7 +153,10 @@
 	if !known {
 		return code.Internal.New("endpoint %s: no plug-in speaks protocol %q", e.ID, e.Protocol)
 	}
-	p.begin(e, r)
+	if ctx.Err() != nil {
+		return d.ended(r)
+	}
+	p.begin(e)
 	err := s.Send(ctx, e, r, work.Sent{Text: p.sent.String(), Tokens: p.tokens}, p)
 	if err != nil {
 		return d.explain(ctx, r, p, err)
@@ -149,6 +165,15 @@
 	return nil
 }
 
+// ended returns the refusal of a request whose time was over before it was
+// sent, such as after a slow claim. The endpoint has no part in that.
+func (d *Dispatcher) ended(r *work.Request) error {
+	if !r.Deadline.IsZero() && !d.Clock.Now().Before(r.Deadline) {
+		return code.DeadlineTooShort.New("request %s: its deadline passed before it was sent", r.ID)
+	}
+	return code.WithOutcome(code.CallerGone.New("request %s: its caller left before it was sent", r.ID), code.NotRun)
+}
+
 // explain gives the failure the code of its cause where that is not the
 // endpoint.
 func (d *Dispatcher) explain(ctx context.Context, r *work.Request, p *progress, err error) error {
