Add the model of the sites and the experiment tool

Cause: nothing measured the daemons under the traffic of the two users' sites. Change: internal/experiment/model generates sites and traffic by seed, load sends it open-loop, site runs the processes and injects faults, report turns the records into figures, trial has the named experiments; cmd/experiment and scripts/experiment run them.

--- /dev/null
+++ b/internal/experiment/load/balancer.go
@@ -0,0 +1,81 @@
+package load
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/kernel/clock"
+)
+
+const (
+	healthInterval = 250 * time.Millisecond
+	healthLimit    = 500 * time.Millisecond
+)
+
+// Balancer picks a daemon as the platform's load balancer would: each in turn
+// of those whose health check succeeded last.
+type Balancer struct {
+	clock   clock.Clock
+	http    fasthttp.Client
+	daemons []string
+	healthy []atomic.Bool
+	next    atomic.Uint64
+}
+
+// NewBalancer returns a balancer over the daemons' listeners for callers. All
+// count as healthy until they are checked.
+func NewBalancer(clk clock.Clock, daemons []string) *Balancer {
+	b := &Balancer{clock: clk, daemons: daemons, healthy: make([]atomic.Bool, len(daemons))}
+	b.http.RetryIfErr = func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+	for i := range b.healthy {
+		b.healthy[i].Store(true)
+	}
+	return b
+}
+
+// Run checks the daemons until the context ends.
+func (b *Balancer) Run(ctx context.Context) {
+	ticker := b.clock.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		for i := range b.daemons {
+			go b.check(i)
+		}
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Balancer) check(i int) {
+	status, _, err := b.http.GetTimeout(nil, "http://"+b.daemons[i]+"/health", healthLimit)
+	b.healthy[i].Store(err == nil && status == fasthttp.StatusOK)
+}
+
+// Pick returns a daemon other than the one to avoid, if there is another.
+func (b *Balancer) Pick(avoid string) string {
+	start := b.next.Add(1)
+	fallback := avoid
+	for i := range uint64(len(b.daemons)) {
+		n := (start + i) % uint64(len(b.daemons))
+		switch {
+		case b.daemons[n] == avoid:
+		case b.healthy[n].Load():
+			return b.daemons[n]
+		case fallback == "":
+			fallback = b.daemons[n]
+		}
+	}
+	return fallback
+}
+
+// Direct always picks one address, for load on an engine itself.
+type Direct string
+
+// Pick returns the address.
+func (d Direct) Pick(string) string { return string(d) }
--- /dev/null
+++ b/internal/experiment/load/dial.go
@@ -0,0 +1,13 @@
+package load
+
+import (
+	"errors"
+	"net"
+)
+
+type netConn = net.Conn
+
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/experiment/report/page.go
@@ -0,0 +1,228 @@
+package report
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"time"
+
+	"cuminbay/internal/experiment/site"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Parse(pageText))
+
+// pageRun is a run as the page shows it.
+type pageRun struct {
+	*Run
+	Charts []template.HTML
+	Rows   []pageRow
+}
+
+type pageRow struct {
+	Name   string
+	Values []string
+}
+
+type pageTable struct {
+	Table
+	Text   [][]string
+	Charts []template.HTML
+}
+
+// WriteHTML writes a page that needs nothing from elsewhere.
+func (r *Report) WriteHTML(w io.Writer) error {
+	view := struct {
+		*Report
+		Started string
+		Runs    []pageRun
+		Tables  []pageTable
+	}{Report: r, Started: r.Machine.Started.Format(time.RFC1123)}
+	for _, run := range r.Runs {
+		p := pageRun{Run: run, Charts: run.charts()}
+		for _, f := range rows() {
+			values := make([]string, len(run.Phases))
+			for i := range run.Phases {
+				values[i] = f.value(&run.Phases[i])
+			}
+			p.Rows = append(p.Rows, pageRow{f.name, values})
+		}
+		view.Runs = append(view.Runs, p)
+	}
+	for _, t := range r.Tables {
+		p := pageTable{Table: t}
+		for _, values := range t.Rows {
+			text := make([]string, len(values))
+			for i, v := range values {
+				text[i] = fmt.Sprintf("%.4g", v)
+			}
+			p.Text = append(p.Text, text)
+		}
+		if t.Chart {
+			p.Charts = t.charts()
+		}
+		view.Tables = append(view.Tables, p)
+	}
+	return page.Execute(w, view)
+}
+
+// draw returns the chart's SVG. Every text in it was escaped by the chart.
+func draw(c *chart) template.HTML {
+	return template.HTML(c.svg()) //nolint:gosec // see above
+}
+
+// charts draws each column over the first one.
+func (t *Table) charts() []template.HTML {
+	var list []template.HTML
+	for n, name := range t.Columns[1:] {
+		l := line{colour: n % colours}
+		for _, values := range t.Rows {
+			l.points = append(l.points, point{values[0], values[n+1]})
+		}
+		list = append(list, draw(&chart{title: name, x: t.Columns[0], lines: []line{l}}))
+	}
+	return list
+}
+
+// charts draws the run over time.
+func (r *Run) charts() []template.HTML {
+	list := []*chart{
+		{title: "Time to first token, ms, by the time of sending", logarith: true, lines: []line{
+			r.over("median", 0, func(b *Bin) float64 { return b.P50 }), r.over("p95", 3, func(b *Bin) float64 { return b.P95 }),
+		}},
+		r.distribution(),
+		{title: "Time between tokens, ms", lines: []line{r.over("p95", 1, func(b *Bin) float64 { return b.Between })}},
+		r.outcomes(),
+		r.serving(),
+		{title: "Tokens a second", lines: []line{
+			r.over("", 2, func(b *Bin) float64 { return float64(b.Tokens) / binWidth.Seconds() }),
+		}},
+		r.stranded(),
+		r.platform(),
+	}
+	var out []template.HTML
+	for _, c := range list {
+		if c.x == "" {
+			c.x = "seconds"
+			c.bands, c.marks = r.bands(), r.marks()
+		}
+		out = append(out, draw(c))
+	}
+	return out
+}
+
+func (r *Run) bands() []band {
+	var list []band
+	for i := range r.Phases {
+		p := &r.Phases[i]
+		list = append(list, band{p.Name, p.From, p.From + p.Seconds})
+	}
+	return list
+}
+
+func (r *Run) marks() []mark {
+	var list []mark
+	for _, e := range r.Events {
+		list = append(list, mark{e.At.Seconds(), e.Name})
+	}
+	return list
+}
+
+// over returns a figure of the bins over time.
+func (r *Run) over(name string, colour int, value func(b *Bin) float64) line {
+	l := line{name: name, colour: colour}
+	for i := range r.Series {
+		l.points = append(l.points, point{r.Series[i].At, value(&r.Series[i])})
+	}
+	return l
+}
+
+// outcomes stacks the results of the requests.
+func (r *Run) outcomes() *chart {
+	sums := []struct {
+		name   string
+		colour int
+		value  func(b *Bin) int
+	}{
+		{"failed", 5, func(b *Bin) int { return b.Answered + b.Refused + b.CutOff + b.Failed }},
+		{"cut off", 3, func(b *Bin) int { return b.Answered + b.Refused + b.CutOff }},
+		{"refused", 1, func(b *Bin) int { return b.Answered + b.Refused }},
+		{"answered", 2, func(b *Bin) int { return b.Answered }},
+	}
+	c := &chart{title: "Requests a second by result"}
+	for _, s := range sums {
+		l := r.over(s.name, s.colour, func(b *Bin) float64 { return float64(s.value(b)) / binWidth.Seconds() })
+		l.filled = true
+		c.lines = append(c.lines, l)
+	}
+	return c
+}
+
+// distribution shows the time to the first token by the share of requests that
+// had it at most that late.
+func (r *Run) distribution() *chart {
+	c := &chart{title: "Distribution of the time to first token, ms", x: "% of requests", logarith: true}
+	for i := range r.Phases {
+		l := line{name: r.Phases[i].Name, colour: i % colours}
+		for n, v := range r.Phases[i].distribution {
+			x := float64(2 * n)
+			switch n {
+			case 50:
+				x = 99
+			case 51:
+				x = 99.9
+			}
+			if v > 0 {
+				l.points = append(l.points, point{x, v})
+			}
+		}
+		c.lines = append(c.lines, l)
+	}
+	return c
+}
+
+// looked returns a figure of all data centres over time.
+func (r *Run) looked(name string, colour int, value func(c *site.Centre) int) line {
+	l := line{name: name, colour: colour}
+	for i := range r.Looks {
+		sum := 0
+		for j := range r.Looks[i].Centres {
+			sum += value(&r.Looks[i].Centres[j])
+		}
+		l.points = append(l.points, point{r.Looks[i].At.Seconds(), float64(sum)})
+	}
+	return l
+}
+
+func (r *Run) serving() *chart {
+	return &chart{title: "Replicas of all data centres", lines: []line{
+		r.looked("wanted", 4, func(c *site.Centre) int { return c.Wanted }),
+		r.looked("possible", 1, func(c *site.Centre) int { return c.Possible }),
+		r.looked("serving", 2, func(c *site.Centre) int { return c.Serving }),
+	}}
+}
+
+func (r *Run) stranded() *chart {
+	return &chart{title: "Live accelerators outside serving replicas", lines: []line{
+		r.looked("all", 4, func(c *site.Centre) int { return max(c.Stranded, 0) }),
+		r.looked("a wanted replica could use them", 3, func(c *site.Centre) int { return max(c.Stranded-c.Spare, 0) }),
+	}}
+}
+
+// platform shows the calls between two samples.
+func (r *Run) platform() *chart {
+	reads, writes := line{name: "reads", colour: 0}, line{name: "writes", colour: 3}
+	for i := 1; i < len(r.Samples); i++ {
+		a, b := &r.Samples[i-1], &r.Samples[i]
+		seconds := (b.At - a.At).Seconds()
+		if seconds <= 0 || b.Calls.Reads < a.Calls.Reads {
+			continue
+		}
+		reads.points = append(reads.points, point{b.At.Seconds(), float64(b.Calls.Reads-a.Calls.Reads) / seconds})
+		writes.points = append(writes.points, point{b.At.Seconds(), float64(b.Calls.Writes-a.Calls.Writes) / seconds})
+	}
+	return &chart{title: "Platform calls a second", lines: []line{reads, writes}}
+}
--- /dev/null
+++ b/internal/experiment/site/site.go
@@ -0,0 +1,241 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/experiment/model"
+	"cuminbay/internal/kernel/clock"
+)
+
+// Options say how a site is run.
+type Options struct {
+	Clock clock.Clock
+	// Binaries is the directory of the programs, Directory the one for
+	// settings and logs.
+	Binaries, Directory string
+	// Environment is added to that of the daemons.
+	Environment []string
+}
+
+// maxProcesses bounds the processes of a site.
+const maxProcesses = 60
+
+// Site is a running site.
+type Site struct {
+	Options
+	Model model.Site
+	*layout
+	http *caller
+
+	mu        sync.Mutex
+	order     []*process
+	processes map[ident.Instance]*process
+	out       map[ident.DataCentre]bool
+}
+
+const platformName ident.Instance = "platform"
+
+// Start starts the processes of a site, writes its records and waits until
+// every wanted replica serves.
+func Start(ctx context.Context, o Options, m model.Site) (*Site, error) {
+	if n := m.Processes(); n > maxProcesses {
+		return nil, fmt.Errorf("site %s: %d processes, more than %d", m.Name, n, maxProcesses)
+	}
+	l, err := newLayout(&m)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.write(o.Directory, &m); err != nil {
+		return nil, err
+	}
+	s := &Site{
+		Options: o, Model: m, layout: l, http: newCaller(),
+		processes: make(map[ident.Instance]*process), out: make(map[ident.DataCentre]bool),
+	}
+	s.arrange()
+	for _, p := range s.order {
+		if err := p.start(); err != nil {
+			s.Stop()
+			return nil, fmt.Errorf("%s: %w", p.name, err)
+		}
+	}
+	if err := s.prepare(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// arrange lists the processes in the order of their start.
+func (s *Site) arrange() {
+	standin := filepath.Join(s.Binaries, "standin")
+	add := func(id ident.Instance, args ...string) *process {
+		p := newProcess(s.Directory, string(id), args...)
+		s.order, s.processes[id] = append(s.order, p), p
+		return p
+	}
+	add(platformName, standin, "platform", "--listen", s.platform, "--roster", filepath.Join(s.Directory, "roster.json"))
+	for i := range s.engines {
+		e := &s.engines[i]
+		args := []string{
+			standin, "engine", "--listen", e.Address, "--instance", string(e.Instance),
+			"--data-centre", string(e.DataCentre), "--domain", string(e.Domain), "--answer-tokens", "1000",
+		}
+		add(e.Instance, append(args, engineFlags(&s.Model.Engine)...)...)
+	}
+	for i := range s.services {
+		add(s.services[i].ID, standin, "service", "--listen", s.services[i].Address)
+	}
+	for i := range s.daemons {
+		d := &s.daemons[i]
+		p := add(d.Instance, filepath.Join(s.Binaries, "cuminbay"), "serve", "--settings", d.file)
+		p.environment = s.Environment
+	}
+}
+
+func engineFlags(e *model.Engine) []string {
+	var flags []string
+	for _, f := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"load-time", e.LoadTime}, {"cold-time", e.ColdTime}, {"first-token", e.FirstToken},
+		{"block-time", e.BlockTime}, {"token-time", e.TokenTime},
+	} {
+		if f.value != 0 {
+			flags = append(flags, fmt.Sprintf("--%s=%s", f.name, f.value))
+		}
+	}
+	if e.CacheBlocks != 0 {
+		flags = append(flags, "--cache-blocks="+strconv.Itoa(e.CacheBlocks))
+	}
+	return flags
+}
+
+const (
+	pollInterval = 100 * time.Millisecond
+	startLimit   = 60 * time.Second
+)
+
+// prepare writes the records and waits for the replicas.
+func (s *Site) prepare(ctx context.Context) error {
+	for i := range s.daemons {
+		d := &s.daemons[i]
+		if err := s.await(ctx, string(d.Instance), func() error { return s.http.get("http://"+d.Operator+"/status", nil) }); err != nil {
+			return err
+		}
+	}
+	if err := s.writeRecords(ctx); err != nil {
+		return err
+	}
+	return s.await(ctx, "the replicas", s.complete)
+}
+
+// complete reports a data centre in which not every wanted replica serves.
+func (s *Site) complete() error {
+	for _, d := range s.daemons {
+		status, err := s.status(&d)
+		if err != nil {
+			return err
+		}
+		if got, want := status.serving(), s.Model.Wanted(); got < want || !status.Ready || status.cold() {
+			return fmt.Errorf("%s: %d of %d replicas serve, cold %v", d.Instance, got, want, status.cold())
+		}
+	}
+	return nil
+}
+
+// await tries until it succeeds.
+func (s *Site) await(ctx context.Context, what string, try func() error) error {
+	limit := s.Clock.Now().Add(startLimit)
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		if s.Clock.Now().After(limit) {
+			return fmt.Errorf("gave up waiting for %s, see %s: %w", what, s.Directory, err)
+		}
+		if err := s.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// Sleep waits for the duration or the end of the context.
+func (s *Site) Sleep(ctx context.Context, d time.Duration) error {
+	timer := s.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Callers returns the daemons' listeners for callers.
+func (s *Site) Callers() []string {
+	list := make([]string, len(s.daemons))
+	for i := range s.daemons {
+		list[i] = s.daemons[i].Caller
+	}
+	return list
+}
+
+// Engines returns the engines.
+func (s *Site) Engines() []Engine { return s.engines }
+
+// stopWait is the time that processes get to end by themselves.
+const stopWait = 3 * time.Second
+
+// Stop ends the daemons first and then the rest; what doesn't end in time is
+// killed.
+func (s *Site) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	daemons := s.order[len(s.order)-len(s.daemons):]
+	s.terminate(daemons)
+	s.terminate(s.order[:len(s.order)-len(s.daemons)])
+	s.http.close()
+}
+
+func (s *Site) terminate(list []*process) {
+	var errs []error
+	for _, p := range list {
+		if p.paused {
+			errs = append(errs, p.signal(syscall.SIGCONT))
+		}
+		errs = append(errs, p.signal(syscall.SIGTERM))
+	}
+	timer := s.Clock.NewTimer(stopWait)
+	defer timer.Stop()
+	late := false
+	for _, p := range list {
+		if !p.running() {
+			continue
+		}
+		if !late {
+			select {
+			case <-p.ended:
+			case <-timer.Chan():
+				late = true
+			}
+		}
+		errs = append(errs, p.kill())
+	}
+	// A process that ended by itself in between can't be signalled; there is
+	// nothing to do about it.
+	_ = errors.Join(errs...)
+}
+
+// Daemons returns the daemons.
+func (s *Site) Daemons() []Daemon { return s.daemons }
