--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -17,11 +17,11 @@
 	"cuminbay/internal/kernel/timeline"
 )
 
-// Target and Mark are the domain types of marks.
-type (
-	Target = mark.Target
-	Mark   = mark.Mark
-)
+// Target is a data centre or an instance.
+type Target = mark.Target
+
+// Mark says whether a target is out of service.
+type Mark = mark.Mark
 
 // hybrid is the clock that stamps marks and refuses stamps far ahead.
 type hybrid interface {
@@ -31,39 +31,39 @@
 
 type marks map[Target]Mark
 
-// Marks holds the marks. Reads take no lock.
-type Marks struct {
+// State holds the marks. Reads take no lock.
+type State struct {
 	self    ident.Instance
 	hybrid  hybrid
 	mu      sync.Mutex
 	current atomic.Pointer[marks]
 }
 
-// Options are the parts of Marks.
+// Options are the parts of State.
 type Options struct {
 	Self   ident.Instance
 	Hybrid hybrid
 }
 
 // New returns an empty set of marks.
-func New(o Options) *Marks {
-	m := &Marks{self: o.Self, hybrid: o.Hybrid}
+func New(o Options) *State {
+	m := &State{self: o.Self, hybrid: o.Hybrid}
 	m.current.Store(&marks{})
 	return m
 }
 
 // Out reports whether the data centre is out of service.
-func (m *Marks) Out(d ident.DataCentre) bool {
+func (m *State) Out(d ident.DataCentre) bool {
 	return (*m.current.Load())[Target{Kind: mark.DataCentre, ID: string(d)}].Out
 }
 
 // OutInstance reports whether the instance is out of service.
-func (m *Marks) OutInstance(i ident.Instance) bool {
+func (m *State) OutInstance(i ident.Instance) bool {
 	return (*m.current.Load())[Target{Kind: mark.Instance, ID: string(i)}].Out
 }
 
-// List returns all marks in order of their targets.
-func (m *Marks) List() []Mark {
+// Marks returns all marks in order of their targets.
+func (m *State) Marks() []Mark {
 	current := *m.current.Load()
 	all := make([]Mark, 0, len(current))
 	for _, mark := range current {
@@ -74,13 +74,13 @@
 }
 
 // Get returns the mark of the target, if there is one.
-func (m *Marks) Get(t Target) (Mark, bool) {
+func (m *State) Get(t Target) (Mark, bool) {
 	mark, ok := (*m.current.Load())[t]
 	return mark, ok
 }
 
 // Put makes and applies a new mark.
-func (m *Marks) Put(t Target, out bool) (Mark, error) {
+func (m *State) Put(t Target, out bool) (Mark, error) {
 	if err := t.Check(); err != nil {
 		return Mark{}, code.BadRecord.Wrap(err, "drain")
 	}
@@ -92,7 +92,7 @@
 // Hear applies a mark from elsewhere and reports whether it was news. A mark
 // more than a minute ahead of the local clock is refused: it would win over
 // every later one.
-func (m *Marks) Hear(mark Mark) (bool, error) {
+func (m *State) Hear(mark Mark) (bool, error) {
 	if err := mark.Check(); err != nil {
 		return false, code.BadMessage.Wrap(err, "drain")
 	}
@@ -102,7 +102,7 @@
 	return m.apply(mark), nil
 }
 
-func (m *Marks) apply(mark Mark) bool {
+func (m *State) apply(mark Mark) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := *m.current.Load()
@@ -124,7 +124,7 @@
 func bucket(t Target) uint64 { return xxhash.Sum64String(t.String()) % buckets }
 
 // Digest is one hash per bucket of targets; nil without marks.
-func (m *Marks) Digest() []byte {
+func (m *State) Digest() []byte {
 	current := *m.current.Load()
 	if len(current) == 0 {
 		return nil
@@ -147,14 +147,14 @@
 }
 
 // Delta returns the marks of the buckets in which the digest differs.
-func (m *Marks) Delta(digest []byte) []byte {
+func (m *State) Delta(digest []byte) []byte {
 	own := m.Digest()
 	if own == nil {
 		return nil
 	}
 	const width = 4
 	var send []Mark
-	for _, mark := range m.List() {
+	for _, mark := range m.Marks() {
 		at := bucket(mark.Target) * width
 		if len(digest) == len(own) && string(digest[at:at+width]) == string(own[at:at+width]) {
 			continue
