--- a/internal/experiment/site/site.go
+++ b/internal/experiment/site/site.go
@@ -161,6 +161,9 @@
 		if err == nil {
 			return nil
 		}
+		if name := s.ended(); name != "" {
+			return fmt.Errorf("%s ended while waiting for %s, see %s", name, what, s.Directory)
+		}
 		if s.Clock.Now().After(limit) {
 			return fmt.Errorf("gave up waiting for %s, see %s: %w", what, s.Directory, err)
 		}
@@ -170,6 +173,16 @@
 	}
 }
 
+// ended returns a process that ended by itself, if there is one.
+func (s *Site) ended() string {
+	for _, p := range s.order {
+		if !p.running() {
+			return p.name
+		}
+	}
+	return ""
+}
+
 // Sleep waits for the duration or the end of the context.
 func (s *Site) Sleep(ctx context.Context, d time.Duration) error {
 	timer := s.Clock.NewTimer(d)
