Hash prefixes of the prompt's text instead of its JSON

Cause: engines hash the text of messages, so hashes of the caller's JSON never matched an engine's cache events, and callers that format JSON differently shared no prefix. Change: the front end hashes role and content of each message.

--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -69,7 +69,7 @@
 	return r, b, nil
 }
 
-// check reports a missing field and returns the prompt's bytes.
+// check reports a missing field and returns the prompt's text.
 func (b *body) check(o work.Operation) ([]byte, error) {
 	if b.Model == "" {
 		return nil, code.MalformedBody.New("body.model: missing")
@@ -84,10 +84,42 @@
 	if len(prompt) == 0 || string(prompt) == "null" || string(prompt) == "[]" {
 		return nil, code.MalformedBody.New("body.%s: missing or empty", name)
 	}
-	if o == work.Chat && prompt[0] != '[' {
-		return nil, code.MalformedBody.New("body.messages: not an array")
+	if o == work.Chat {
+		return chatText(prompt)
 	}
-	return prompt, nil
+	return promptText(prompt), nil
+}
+
+// chatText returns the messages as an engine's prompt has them, each message as
+// its role and content on lines of their own. Prefixes that are hashed from it
+// are the same for callers who write the same JSON differently.
+//
+// Errors carry code.MalformedBody.
+func chatText(raw json.RawMessage) ([]byte, error) {
+	var messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(raw, &messages); err != nil {
+		return nil, code.MalformedBody.New("body.messages: %s", err)
+	}
+	text := make([]byte, 0, len(raw))
+	for _, m := range messages {
+		text = append(text, m.Role...)
+		text = append(text, '\n')
+		text = append(text, promptText(m.Content)...)
+		text = append(text, '\n')
+	}
+	return text, nil
+}
+
+// promptText returns the text of a JSON string, and anything else as it is.
+func promptText(raw json.RawMessage) []byte {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return []byte(s)
+	}
+	return raw
 }
 
 // resumable reports whether the answer is plain text of one choice. Anything
