Use an engine's connection again after a streamed answer

Cause: the reader of events stopped at the end marker, before the end of the chunked body, so the HTTP client closed the connection after every answer.

Change: after a whole answer the body is read to its end, for 20 ms at most.

Conclusion: a new connection is opened only after a stream that was given up.

--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -61,7 +62,27 @@
 	if err := s.Start(work.Head{Endpoint: e.ID}); err != nil {
 		return err
 	}
-	return read(ctx, response, e, r, s)
+	if err := read(ctx, response, e, r, s); err != nil {
+		return err
+	}
+	c.finish(response)
+	return nil
+}
+
+// finishWait bounds the wait for the end of a body whose answer is whole. The
+// end usually comes with the last event or right behind it.
+const finishWait = 20 * time.Millisecond
+
+// finish reads the body to its end, without which the connection can't be used
+// for another request.
+func (c *Client) finish(response *fasthttp.Response) {
+	body, streamed := response.BodyStream().(fasthttp.ReadCloserWithError)
+	if !streamed {
+		return
+	}
+	timer := c.clock.AfterFunc(finishWait, func() { _ = body.CloseWithError(context.DeadlineExceeded) })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, body)
 }
 
 // address sets the request's line and header.
