Accept events with a null error

Cause: an event with "error":null counted as an error, and its stream as cut off.

Change: null is no error.

Conclusion: engines that write every field of an event can be used.

--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -186,6 +186,7 @@
 var (
 	dataPrefix = []byte("data:")
 	doneMarker = []byte("[DONE]")
+	nullValue  = []byte("null")
 )
 
 // maxEvent bounds one event of a stream.
@@ -225,7 +226,7 @@
 	if err := json.Unmarshal(data, &ch); err != nil {
 		return code.CutOff.Wrap(err, "endpoint %s: malformed event in its stream", e.ID)
 	}
-	if len(ch.Error) > 0 {
+	if len(ch.Error) > 0 && !bytes.Equal(ch.Error, nullValue) {
 		return code.CutOff.New("endpoint %s: error in its stream: %s", e.ID, excerpt(ch.Error))
 	}
 	if u := ch.Usage; u != nil {
