End an answer that lost only its end at the token limit

Cause: a stream that broke after its last allowed token was resumed with a limit of one token, so the caller got a token more than it asked for.

Change: Send ends such an answer with finish "length" and sends nothing.

Before: TestResumeAtLimit got one more piece. After: none, and no connection.

Conclusion: an answer is not longer than its limit, as far as an event is one token; engines that put several tokens into an event are still miscounted.

--- a/internal/endpoint/engine/stream.go
+++ b/internal/endpoint/engine/stream.go
@@ -33,6 +33,11 @@
 // Errors carry code.EndpointUnreachable, Overloaded, EndpointRejected,
 // EndpointFailed, ForeignAnswer, CutOff or MalformedBody, or are the sink's.
 func (c *Client) Send(ctx context.Context, e *table.Endpoint, r *work.Request, sent work.Sent, s work.Sink) error {
+	if r.MaxTokens > 0 && sent.Tokens >= r.MaxTokens {
+		// Only the end of the answer was lost. An engine can't be asked
+		// for no tokens, and one more would be beyond the limit.
+		return s.End(work.End{Finish: "length"})
+	}
 	path, err := c.path(r.Operation)
 	if err != nil {
 		return err
