Replay traces of faults against the decision types

Change: internal/proof/trace replays JSON traces on the clock of a synctest bubble: assignments, reports, attestations, marks, records, requests and the behaviour of endpoints, with what each daemon must conclude.

Conclusion: a fault found later is added as a file of testdata.

--- /dev/null
+++ b/internal/proof/trace/trace_test.go
@@ -0,0 +1,258 @@
+// Package trace replays recorded faults against the decision types, without any
+// protocol. A trace is a file of testdata: events in order, each after a wait,
+// and what daemons must conclude in between.
+package trace
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/mark"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/report"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/config"
+	"cuminbay/internal/fleet/drain"
+	"cuminbay/internal/fleet/replica"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/timeline"
+	"cuminbay/internal/serve/poison"
+)
+
+// event is one line of a trace. Which fields it has depends on Do.
+type event struct {
+	Wait string         `json:"wait,omitempty"`
+	Do   string         `json:"do"`
+	Who  ident.Instance `json:"who,omitempty"`
+	From ident.Instance `json:"from,omitempty"`
+	// Part is the section of a message between daemons; Note names a message
+	// that is held up, or a request.
+	Part string `json:"part,omitempty"`
+	Note string `json:"note,omitempty"`
+
+	Assign *report.Assignment `json:"assign,omitempty"`
+	Report *report.Report     `json:"report,omitempty"`
+	Age    string             `json:"age,omitempty"`
+	Owns   []ident.Replica    `json:"owns,omitempty"`
+	Target mark.Target        `json:"target"`
+	Out    bool               `json:"out,omitempty"`
+
+	Name     string          `json:"name,omitempty"`
+	Revision unit.Revision   `json:"revision,omitempty"`
+	Value    json.RawMessage `json:"value,omitempty"`
+
+	Ends   []ident.Endpoint  `json:"ends,omitempty"`
+	Print  ident.Fingerprint `json:"print,omitempty"`
+	Tokens int               `json:"tokens,omitempty"`
+	Code   code.Code         `json:"code,omitempty"`
+	Want   []string          `json:"want,omitempty"`
+}
+
+// section is what daemons exchange.
+type section interface {
+	Digest() []byte
+	Delta(digest []byte) []byte
+	Merge(from ident.Instance, delta []byte) error
+}
+
+// marks reads the drain section as its plug-in does.
+type marks struct{ *drain.State }
+
+func (m marks) Merge(_ ident.Instance, raw []byte) error {
+	var list []mark.Mark
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return err
+	}
+	for _, k := range list {
+		if _, err := m.Hear(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// daemon has the decision types of one daemon.
+type daemon struct {
+	tracker  *replica.Tracker
+	config   *config.State
+	drain    marks
+	suspects *poison.Suspicions
+	requests *requests
+}
+
+func newDaemon(name ident.Instance, clk clock.Clock) *daemon {
+	hybrid := timeline.NewHybrid(clk)
+	d := &daemon{
+		tracker: replica.New(replica.Options{
+			Clock: clk, Self: name, DataCentre: "kirtipur", Boot: 1,
+			StaleAfter: 2 * time.Second, AttestStaleAfter: 3 * time.Second,
+		}),
+		config: config.NewState(clk, timeline.NewRecorder(timeline.RecorderOptions{Hybrid: hybrid, Log: zerolog.Nop()})),
+		drain:  marks{drain.New(drain.Options{Self: name, Hybrid: hybrid})},
+		suspects: poison.New(poison.Options{
+			Clock: clk, Self: name, Lifetime: 10 * time.Minute, Limit: 100,
+		}),
+	}
+	d.config.SetReady()
+	d.requests = newRequests(clk, d)
+	return d
+}
+
+func (d *daemon) section(name string) section {
+	return map[string]section{"replica": d.tracker, "config": d.config, "drain": d.drain, "poison": d.suspects}[name]
+}
+
+// replay is the state of a running trace.
+type replay struct {
+	*qt.C
+	clk     clock.Clock
+	daemons map[ident.Instance]*daemon
+	held    map[string][]byte
+}
+
+func (r *replay) daemon(name ident.Instance) *daemon {
+	if r.daemons[name] == nil {
+		r.daemons[name] = newDaemon(name, r.clk)
+	}
+	return r.daemons[name]
+}
+
+func (r *replay) step(e event) {
+	if e.Wait != "" {
+		<-r.clk.After(r.duration(e.Wait))
+	}
+	d := r.daemon(e.Who)
+	switch e.Do {
+	case "wait":
+	case "hear", "hold", "deliver":
+		r.exchange(d, e)
+	case "assign":
+		_, err := d.tracker.Assign(*e.Assign)
+		r.Assert(err, qt.IsNil)
+	case "report":
+		d.tracker.Observe(e.Report, r.clk.Now().Add(-r.duration(e.Age)))
+	case "publish":
+		d.tracker.Publish(func(id ident.Replica) bool { return slices.Contains(e.Owns, id) })
+	case "mark":
+		_, err := d.drain.Put(e.Target, e.Out)
+		r.Assert(err, qt.IsNil)
+	case "record":
+		name, err := record.ParseName(e.Name)
+		r.Assert(err, qt.IsNil)
+		d.config.Apply(config.Origin(e.Part), []record.Stored{{Name: name, Revision: e.Revision, Raw: e.Value}})
+	case "table":
+		d.requests.publish(e.Ends)
+	case "dead":
+		d.requests.dead = e.Ends
+	case "request":
+		d.requests.submit(e)
+	case "answer":
+		d.requests.answer(r.C, e)
+	default:
+		r.Assert(r.see(d, e), qt.DeepEquals, e.Want)
+	}
+	synctest.Wait()
+}
+
+// see returns what the daemon concludes.
+func (r *replay) see(d *daemon, e event) []string {
+	var got []string
+	switch e.Do {
+	case "serving":
+		for _, s := range d.tracker.Attested() {
+			if s.Serving {
+				got = append(got, fmt.Sprintf("%s@%d", s.Replica, s.Epoch))
+			}
+		}
+	case "out":
+		for _, k := range d.drain.Marks() {
+			if k.Out {
+				got = append(got, k.Target.ID)
+			}
+		}
+	case "models":
+		for _, x := range d.config.View().Deployments() {
+			got = append(got, string(x.Model)+"-"+string(x.Version))
+		}
+	case "result":
+		got = d.requests.result(r.C, e)
+	case "bound":
+		for _, x := range d.requests.tables.Current().Endpoints() {
+			got = append(got, fmt.Sprintf("%s %d", x.ID, x.Bound(r.clk.Now())))
+		}
+	default:
+		r.Fatalf("unknown event %q", e.Do)
+	}
+	return got
+}
+
+// exchange passes on what one daemon lacks, at once or in two events.
+func (r *replay) exchange(to *daemon, e event) {
+	delta := r.held[e.Note]
+	if e.Do != "deliver" {
+		delta = r.daemon(e.From).section(e.Part).Delta(to.section(e.Part).Digest())
+	}
+	if e.Do == "hold" {
+		r.Assert(delta, qt.IsNotNil)
+		r.held[e.Note] = delta
+		return
+	}
+	if delta != nil {
+		r.Assert(to.section(e.Part).Merge(e.From, delta), qt.IsNil)
+	}
+}
+
+func (r *replay) duration(s string) time.Duration {
+	if s == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(s)
+	r.Assert(err, qt.IsNil)
+	return d
+}
+
+// TestTraces guards against the return of the faults that the traces describe.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) >= 10, qt.IsTrue)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
+			raw, err := os.ReadFile(file)
+			qt.Assert(t, err, qt.IsNil)
+			var trace struct {
+				About  string  `json:"about"`
+				Events []event `json:"events"`
+			}
+			qt.Assert(t, json.Unmarshal(raw, &trace), qt.IsNil)
+			synctest.Test(t, func(t *testing.T) {
+				r := &replay{C: qt.New(t), clk: clock.Real(), daemons: make(map[ident.Instance]*daemon), held: make(map[string][]byte)}
+				defer r.close()
+				for i, e := range trace.Events {
+					t.Logf("event %d: %s %s", i, e.Do, e.Who)
+					r.step(e)
+				}
+			})
+		})
+	}
+}
+
+// close ends the requests that a failed trace has left.
+func (r *replay) close() {
+	for _, d := range r.daemons {
+		d.requests.close()
+	}
+	<-r.clk.After(time.Minute)
+}
