Let the dispatcher's test repeat a run by its seed

Cause: the policy of the test chose by the process's random numbers, so a failure of a seed could not be reproduced. The fake engine also went on from the tokens sent when the request was not resumable, which hid a restarted answer.

Change: the test's policy chooses by the request; the fake starts such an answer anew; a request may be resumed once.

Conclusion: a printed seed repeats its run.

--- a/internal/serve/dispatch/fake_test.go
+++ b/internal/serve/dispatch/fake_test.go
@@ -63,12 +63,25 @@
 	tokens  int
 	cancel  context.CancelFunc
 
-	sends, mayRun, whole int
-	got                  string
-	starts, ends         int
-	left                 bool
-	done                 bool
-	err                  error
+	sends, resumed, mayRun int
+	got                    string
+	starts, ends           int
+	left                   bool
+	done                   bool
+	err                    error
+}
+
+// steady chooses by the request alone, so that a seed repeats its run.
+type steady struct{ policy.Random2 }
+
+func (steady) Pick(now time.Time, list []*table.Endpoint, r *work.Request) *table.Endpoint {
+	for i := range list {
+		e := list[(i+len(r.ID)+int(r.ID[0]))%len(list)]
+		if e.Load.InFlight() < e.Bound(now) {
+			return e
+		}
+	}
+	return nil
 }
 
 // attempt is one call of a sender that waits for its commands.
@@ -103,7 +116,7 @@
 		dead: make(map[ident.Endpoint]bool),
 	}
 	w.d = New(Options{
-		Clock: w.clk, Log: zerolog.Nop(), Tables: w.pub, Records: w, Policy: policy.Random2{}, Claims: w, Suspects: w,
+		Clock: w.clk, Log: zerolog.Nop(), Tables: w.pub, Records: w, Policy: steady{}, Claims: w, Suspects: w,
 		Senders:   map[table.Protocol]sender{table.Engine: fakeSender{w, table.Engine}, table.Service: fakeSender{w, table.Service}},
 		Telemetry: NewTelemetry(prometheus.NewRegistry()),
 		Settings: Settings{
@@ -249,7 +262,10 @@
 	if ctx.Err() != nil {
 		return code.EndpointUnreachable.Wrap(ctx.Err(), "endpoint %s", e.ID)
 	}
-	a := &attempt{endpoint: e, sink: s, next: int(sent.Tokens), command: make(chan command)}
+	a := &attempt{endpoint: e, sink: s, command: make(chan command)}
+	if r.Resumable {
+		a.next = int(sent.Tokens)
+	}
 	f.w.begin(a, r, sent)
 	defer f.w.leave(a)
 	done := ctx.Done()
@@ -284,6 +300,11 @@
 	if x.sends++; x.sends > 1 {
 		w.retries++
 	}
+	if sent.Text != "" {
+		if x.resumed++; x.resumed > 1 {
+			w.fault("request %s: resumed %d times", r.ID, x.resumed)
+		}
+	}
 	if want := x.text(0, a.next); sent.Text != "" && sent.Text != want {
 		w.fault("request %s: resumed from %q, want %q", r.ID, sent.Text, want)
 	}
@@ -365,7 +386,6 @@
 	if !c.whole {
 		return true, c.failure
 	}
-	a.x.whole++
 	return true, a.sink.End(work.End{Finish: "stop"})
 }
 
