--- a/internal/serve/dispatch/progress.go
+++ b/internal/serve/dispatch/progress.go
@@ -17,9 +17,9 @@
 type progress struct {
 	sink     work.Sink
 	clock    clock.Clock
-	request  *work.Request
 	policy   picker
 	endpoint *table.Endpoint
+	request  *work.Request
 
 	started    bool
 	resumed    bool
@@ -35,9 +35,9 @@
 	gaps  []time.Duration
 }
 
-// begin marks the start of an attempt at the endpoint.
-func (p *progress) begin(e *table.Endpoint) {
-	p.endpoint = e
+// begin marks the start of an attempt.
+func (p *progress) begin(e *table.Endpoint, r *work.Request) {
+	p.endpoint, p.request = e, r
 	p.begun = p.clock.Now()
 	p.last = time.Time{}
 	p.first = 0
@@ -95,6 +95,11 @@
 	return err
 }
 
+// atLimit reports whether every token that the caller allowed was passed on.
+func (p *progress) atLimit(r *work.Request) bool {
+	return !p.callerGone && r.Resumable && r.MaxTokens > 0 && p.tokens >= r.MaxTokens
+}
+
 // failed keeps the failure of an attempt.
 func (p *progress) failed(failure error) {
 	if code.OutcomeOf(failure) != code.NotRun {
