Refuse unknown paths as not ready while no configuration is known

Cause: a daemon killed and started again answered an at-most-once call of a plain service with 2005 unknown-path before it had heard the service records, seen once in 3 runs of TestAtMostOnce. Change: it answers 3009 not-ready, which a caller may repeat. Conclusion: TestAtMostOnce checks it.

--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -76,6 +76,10 @@
 			return
 		}
 	}
+	if !f.records.Ready() {
+		httpcall.WriteError(ctx, code.NotReady.New("daemon: no configuration has been heard yet"))
+		return
+	}
 	httpcall.WriteError(ctx, code.UnknownPath.New("%s %s: no front end or service record serves it", ctx.Method(), path))
 }
 
