--- a/internal/proof/process/call_test.go
+++ b/internal/proof/process/call_test.go
@@ -152,8 +152,8 @@
 	if a.done && a.fault.Code == 0 && a.text == fullText(prompt) {
 		return nil
 	}
-	return fmt.Errorf("prompt %q: not whole: status %d, %d of %d bytes, done %t, fault %+v, error %v",
-		prompt, a.status, len(a.text), len(fullText(prompt)), a.done, a.fault, a.err)
+	return fmt.Errorf("prompt %q: not whole: status %d, %d of %d bytes, done %t, fault %+v, error %s",
+		prompt, a.status, len(a.text), len(fullText(prompt)), a.done, a.fault, fmt.Sprint(a.err))
 }
 
 // accurate reports whether the answer is neither whole nor ends in a numbered
--- a/internal/proof/process/once_test.go
+++ b/internal/proof/process/once_test.go
@@ -84,6 +84,7 @@
 		for _, a := range sent[k].all {
 			refused := a.err == nil && a.fault.Code != 0 && a.fault.Outcome == code.NotRun
 			notRun, answered = notRun && refused, answered || a.done
+			c.Check(a.fault.Code, qt.Not(qt.Equals), code.UnknownPath, qt.Commentf("of a daemon without its records"))
 			outcomes[fmt.Sprintf("%s error %t", a.fault.Type, a.err != nil)]++
 		}
 		c.Check(runs[key] <= 1, qt.IsTrue, qt.Commentf("%s ran %d times: %+v", key, runs[key], sent[k].all))
--- a/internal/proof/process/platform_test.go
+++ b/internal/proof/process/platform_test.go
@@ -69,7 +69,7 @@
 	exit, out := command("", "drain", "datacentre/b", "--at", s.daemons[0].operator)
 	c.Assert(exit, qt.Equals, 0, qt.Commentf("%s", out))
 	drained := func() error { return s.drained("b") }
-	s.await(5*time.Second, "every daemon knows of the drain", drained)
+	s.await(5*time.Second, "the drain is in effect at every daemon", drained)
 	before, err := s.engineRuns("b")
 	c.Assert(err, qt.IsNil)
 	var group sync.WaitGroup
@@ -99,7 +99,8 @@
 	s.hold(time.Second, "the drain stays", drained)
 }
 
-// drained reports whether every daemon has the data centre out of service.
+// drained reports whether every daemon has the data centre out of service and
+// routes nothing there.
 func (s *site) drained(centre string) error {
 	for _, d := range s.daemons {
 		status, err := d.status()
@@ -113,6 +114,11 @@
 		if !out {
 			return fmt.Errorf("%s: marks %v", d.name, status.Drains)
 		}
+		for _, e := range status.Endpoints {
+			if e.DataCentre == dc(centre) {
+				return fmt.Errorf("%s routes to %s", d.name, e.ID)
+			}
+		}
 	}
 	return nil
 }
--- a/internal/proof/process/site_test.go
+++ b/internal/proof/process/site_test.go
@@ -102,8 +102,11 @@
 	}
 	t.Cleanup(s.finish)
 	s.build(l)
+	began := clk.Now()
 	s.writeRecords(l)
+	t.Logf("records in effect after %s", clk.Since(began))
 	s.awaitServing(l.replicas, l.services)
+	t.Logf("all in service after %s", clk.Since(began))
 	return s
 }
 
