--- a/internal/endpoint/engine/send.go
+++ b/internal/endpoint/engine/send.go
@@ -60,7 +60,11 @@
 	if err := s.Start(work.Head{Endpoint: e.ID}); err != nil {
 		return err
 	}
-	return (&stream.Reader{Endpoint: e, Request: r, Sink: s}).Read(ctx, response)
+	if err := (&stream.Reader{Endpoint: e, Request: r, Sink: s}).Read(ctx, response); err != nil {
+		return err
+	}
+	stream.Finish(c.clock, response)
+	return nil
 }
 
 // address sets the request's line and header.
--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -130,3 +130,19 @@
 	body, _ := io.ReadAll(io.LimitReader(stream, limit))
 	return body
 }
+
+// finishWait bounds the wait for the end of a body whose answer is whole. The
+// end usually comes with the last event or right behind it.
+const finishWait = 20 * time.Millisecond
+
+// Finish reads the body of a whole answer to its end, without which the
+// connection can't be used for another request.
+func Finish(clk clock.Clock, response *fasthttp.Response) {
+	body, streamed := response.BodyStream().(fasthttp.ReadCloserWithError)
+	if !streamed {
+		return
+	}
+	timer := clk.AfterFunc(finishWait, func() { _ = body.CloseWithError(context.DeadlineExceeded) })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, body)
+}
--- a/internal/endpoint/stream/events.go
+++ b/internal/endpoint/stream/events.go
@@ -76,6 +76,7 @@
 var (
 	dataPrefix = []byte("data:")
 	doneMarker = []byte("[DONE]")
+	nullValue  = []byte("null")
 )
 
 // maxEvent bounds one event of a stream.
@@ -115,7 +116,7 @@
 	if err := json.Unmarshal(data, &ch); err != nil {
 		return code.CutOff.Wrap(err, "endpoint %s: malformed event in its stream", d.Endpoint.ID)
 	}
-	if len(ch.Error) > 0 {
+	if len(ch.Error) > 0 && !bytes.Equal(ch.Error, nullValue) {
 		if d.Fault != nil {
 			return d.Fault(data)
 		}
