--- a/internal/endpoint/relay/relay_test.go
+++ b/internal/endpoint/relay/relay_test.go
@@ -52,7 +52,7 @@
 	go func() { served <- server.Serve(listener) }()
 	t.Cleanup(func() {
 		_ = server.Shutdown()
-		<-served
+		qt.Check(t, <-served, qt.IsNil)
 	})
 	return &table.Endpoint{ID: "relay/d2/m", Protocol: table.Relay, Address: listener.Addr().String(), Load: new(table.Load)}
 }
