Offer other data centres' service instances as soon as the own are drained

Cause: instances of other data centres were chosen at the health check, once a second, and drains applied at every look at the table. For up to a second after a drain a data centre had no instance of its plain services, so calls were refused with 3001 or waited: their p95 was 1,003 ms. Ruled out: the relay of model requests; its requests were not among the refused. Change: the check keeps all healthy instances, the choice is made at each look.

--- a/internal/fleet/service/service.go
+++ b/internal/fleet/service/service.go
@@ -78,45 +78,21 @@
 	return n
 }
 
-// Endpoints returns the endpoints in service. Drains count at once, not at the
-// next check.
+// Endpoints returns the endpoints in service. An instance of another data
+// centre is offered while the own data centre has none of its service. Drains
+// count at once, not at the next check.
 func (n *Instances) Endpoints() []table.Endpoint {
-	var in []table.Endpoint
-	for _, e := range *n.current.Load() {
-		if !n.Drains.Out(e.DataCentre) && !n.Drains.OutInstance(ident.Instance(e.ID)) {
-			in = append(in, e)
-		}
-	}
-	return in
-}
-
-// Refresh reads the list and checks each instance. An instance of another data
-// centre is offered while the own data centre has none of its service.
-func (n *Instances) Refresh(ctx context.Context) {
 	var own, others []table.Endpoint
-	listed := make(map[ident.Instance]bool)
-	for _, i := range n.Roster.Instances() {
-		limit, known := n.limit(i)
-		if !known || i.State != roster.Live {
-			continue
-		}
-		listed[i.ID] = true
-		if !n.healthy(ctx, i) {
-			continue
-		}
-		e := table.Endpoint{
-			ID: ident.Endpoint(i.ID), Protocol: table.Service, DataCentre: i.DataCentre,
-			Address: i.Address, Service: i.Service, Limit: limit.Limit, Organisations: limit.Organisations,
-		}
-		if i.DataCentre == n.DataCentre {
+	for _, e := range *n.current.Load() {
+		switch {
+		case n.Drains.Out(e.DataCentre) || n.Drains.OutInstance(ident.Instance(e.ID)):
+		case e.DataCentre == n.DataCentre:
 			own = append(own, e)
-		} else {
+		default:
 			others = append(others, e)
 		}
 	}
-	n.forget(listed)
-	all := append(own, missing(own, others)...)
-	n.current.Store(&all)
+	return append(own, missing(own, others)...)
 }
 
 // missing returns the endpoints of services that have none in own.
@@ -134,8 +110,30 @@
 	return rest
 }
 
-// limit returns the record of the instance's service.
-func (n *Instances) limit(i roster.Instance) (*record.Service, bool) {
+// Refresh reads the list and checks each instance.
+func (n *Instances) Refresh(ctx context.Context) {
+	var healthy []table.Endpoint
+	listed := make(map[ident.Instance]bool)
+	for _, i := range n.Roster.Instances() {
+		service, known := n.record(i)
+		if !known || i.State != roster.Live {
+			continue
+		}
+		listed[i.ID] = true
+		if !n.healthy(ctx, i) {
+			continue
+		}
+		healthy = append(healthy, table.Endpoint{
+			ID: ident.Endpoint(i.ID), Protocol: table.Service, DataCentre: i.DataCentre,
+			Address: i.Address, Service: i.Service, Limit: service.Limit, Organisations: service.Organisations,
+		})
+	}
+	n.forget(listed)
+	n.current.Store(&healthy)
+}
+
+// record returns the record of the instance's service.
+func (n *Instances) record(i roster.Instance) (*record.Service, bool) {
 	if i.Role != roster.Service {
 		return nil, false
 	}
--- /dev/null
+++ b/internal/fleet/service/service_test.go
@@ -0,0 +1,85 @@
+package service_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/roster"
+	"cuminbay/internal/fleet/service"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/table"
+)
+
+// world is everything that Instances look at.
+type world struct {
+	list     []roster.Instance
+	unwell   map[string]bool
+	drained  ident.DataCentre
+	instance ident.Instance
+}
+
+func (w *world) Instances() []roster.Instance      { return w.list }
+func (w *world) Out(d ident.DataCentre) bool       { return d == w.drained }
+func (w *world) OutInstance(i ident.Instance) bool { return i == w.instance }
+func (w *world) Protocol() table.Protocol          { return table.Service }
+func (w *world) View() *record.View                { return view }
+func (w *world) Healthy(_ context.Context, a string) error {
+	if w.unwell[a] {
+		return errors.New("unwell")
+	}
+	return nil
+}
+
+var view = record.NewView([]*record.Record{{Service: &record.Service{Name: "ledger", Prefix: "/ledger", Limit: 4}}})
+
+// TestEndpoints guards against calls to an instance that is unwell, leaving or
+// out of service, and against refusing calls while another data centre has an
+// instance: before, a drained data centre refused them until the next check.
+func TestEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		change func(w *world)
+		want   []ident.Endpoint
+	}{
+		"own first":             {want: []ident.Endpoint{"a1"}},
+		"own unwell":            {change: func(w *world) { w.unwell["a1:1"] = true }, want: []ident.Endpoint{"b1", "b2"}},
+		"own leaving":           {change: func(w *world) { w.list[0].State = roster.Leaving }, want: []ident.Endpoint{"b1", "b2"}},
+		"own data centre out":   {change: func(w *world) { w.drained = "a" }, want: []ident.Endpoint{"b1", "b2"}},
+		"own instance out":      {change: func(w *world) { w.instance = "a1" }, want: []ident.Endpoint{"b1", "b2"}},
+		"other data centre out": {change: func(w *world) { w.drained = "b" }, want: []ident.Endpoint{"a1"}},
+		"no record":             {change: func(w *world) { w.list[0].Service = "orders" }, want: []ident.Endpoint{"b1", "b2"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := &world{unwell: make(map[string]bool)}
+			for _, id := range []ident.Instance{"a1", "b1", "b2"} {
+				w.list = append(w.list, roster.Instance{
+					ID: id, DataCentre: ident.DataCentre(id[:1]), Role: roster.Service,
+					State: roster.Live, Address: string(id) + ":1", Service: "ledger",
+				})
+			}
+			n := service.New(service.Options{
+				Settings: service.Settings{Failures: 1, Timeout: settings.Of(1)}, DataCentre: "a",
+				Roster: w, Records: w, Drains: w, Checker: w,
+			})
+			n.Refresh(context.Background())
+			if test.change != nil {
+				test.change(w)
+			}
+			if w.drained == "" && w.instance == "" {
+				// What is not a drain shows at the next check.
+				n.Refresh(context.Background())
+			}
+			var got []ident.Endpoint
+			for _, e := range n.Endpoints() {
+				got = append(got, e.ID)
+			}
+			c.Assert(got, qt.DeepEquals, test.want)
+		})
+	}
+}
