End the checks of process tests at their time

Cause: when a check took longer than the interval, both channels were ready and the choice between them was random, so TestPlatformDown took 10 to 29 s. Change: the end is compared with the clock.

--- a/internal/proof/process/site_test.go
+++ b/internal/proof/process/site_test.go
@@ -102,11 +102,8 @@
 	}
 	t.Cleanup(s.finish)
 	s.build(l)
-	began := clk.Now()
 	s.writeRecords(l)
-	t.Logf("records in effect after %s", clk.Since(began))
 	s.awaitServing(l.replicas, l.services)
-	t.Logf("all in service after %s", clk.Since(began))
 	return s
 }
 
@@ -270,34 +267,32 @@
 // await repeats the check until it succeeds or the time is over.
 func (s *site) await(within time.Duration, what string, check func() error) {
 	s.t.Helper()
-	over, ticker := clk.After(within), clk.NewTicker(25*time.Millisecond)
-	defer ticker.Stop()
-	for {
-		err := check()
-		if err == nil {
-			return
-		}
-		select {
-		case <-ticker.Chan():
-		case <-over:
-			s.t.Fatalf("not within %s: %s: %v", within, what, err)
-		}
+	var err error
+	if s.until(within, func() bool { err = check(); return err == nil }) {
+		return
 	}
+	s.t.Fatalf("not within %s: %s: %v", within, what, err)
 }
 
 // hold repeats the check for the time; it has to succeed each time.
 func (s *site) hold(during time.Duration, what string, check func() error) {
 	s.t.Helper()
-	over, ticker := clk.After(during), clk.NewTicker(25*time.Millisecond)
+	var err error
+	if s.until(during, func() bool { err = check(); return err != nil }) {
+		s.t.Fatalf("%s: %v", what, err)
+	}
+}
+
+// until repeats the check until it is true, and reports whether it was before
+// the time was over. A check that began in time counts.
+func (*site) until(over time.Duration, check func() bool) bool {
+	end, ticker := clk.Now().Add(over), clk.NewTicker(25*time.Millisecond)
 	defer ticker.Stop()
-	for {
-		if err := check(); err != nil {
-			s.t.Fatalf("%s: %v", what, err)
-		}
-		select {
-		case <-ticker.Chan():
-		case <-over:
-			return
+	for clk.Now().Before(end) {
+		if check() {
+			return true
 		}
+		<-ticker.Chan()
 	}
+	return false
 }
