--- a/internal/experiment/load/generate.go
+++ b/internal/experiment/load/generate.go
@@ -32,6 +32,8 @@
 	Whole bool `json:"whole"`
 	// Retries counts the caller's repetitions.
 	Retries int `json:"retries"`
+	// FirstCode is the result of the first attempt that was repeated.
+	FirstCode code.Code `json:"firstCode,omitempty"`
 	// Unsent says that the bound of requests in flight kept it from being sent.
 	Unsent bool `json:"unsent"`
 }
@@ -160,6 +162,9 @@
 		if r.Retries >= g.Retries || !repeatable(&a, q) {
 			return r
 		}
+		if r.Retries == 0 {
+			r.FirstCode = a.code
+		}
 		wait := retryWait
 		if a.retryAfter > 0 {
 			wait = min(a.retryAfter, longestWait)
--- /dev/null
+++ b/internal/experiment/model/model_test.go
@@ -0,0 +1,73 @@
+package model_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/experiment/model"
+)
+
+// TestPossible guards against downtime being counted that no planner could
+// avoid, or against it being missed.
+func TestPossible(t *testing.T) {
+	tests := map[string]struct {
+		site              model.Site
+		live              []int
+		replicas, engines int
+	}{
+		"all live":                  {site: model.Shrestha(), live: []int{5, 4}, replicas: 4, engines: 8},
+		"a spare is lost":           {site: model.Shrestha(), live: []int{4, 4}, replicas: 4, engines: 8},
+		"odd domains":               {site: model.Shrestha(), live: []int{3, 3}, replicas: 2, engines: 4},
+		"one domain dark":           {site: model.Shrestha(), live: []int{0, 4}, replicas: 2, engines: 4},
+		"the larger one goes first": {site: model.Revelado(), live: []int{5}, replicas: 1, engines: 4},
+		"two sizes":                 {site: model.Revelado(), live: []int{10}, replicas: 3, engines: 8},
+		"nothing live":              {site: model.Revelado(), live: []int{0}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			replicas, engines := test.site.Possible(test.live)
+			qt.Check(t, replicas, qt.Equals, test.replicas)
+			qt.Check(t, engines, qt.Equals, test.engines)
+		})
+	}
+}
+
+// TestRequests guards against traffic that differs between two runs of one
+// seed, and against bursts that change the mean rate.
+func TestRequests(t *testing.T) {
+	tests := map[string]struct {
+		burst, calls float64
+	}{
+		"even":   {burst: 1, calls: 0.1},
+		"bursts": {burst: 3, calls: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			site := model.Revelado()
+			traffic := model.Traffic{
+				Seed: 7, Rate: 50, Length: 200 * time.Second, CallShare: test.calls, Burst: test.burst,
+				MeanAnswer: 40, MeanPrompt: 100, MaxRequests: 100_000,
+			}
+			first, err := traffic.Requests(&site)
+			c.Assert(err, qt.IsNil)
+			second, err := traffic.Requests(&site)
+			c.Assert(err, qt.IsNil)
+			// The elements of DeepEquals' comparison would take minutes.
+			c.Assert(reflect.DeepEqual(first, second), qt.IsTrue)
+			c.Assert(len(first) > 8500 && len(first) < 11500, qt.IsTrue, qt.Commentf("%d requests", len(first)))
+			calls := 0
+			for i := range first {
+				c.Assert(i == 0 || first[i].At >= first[i-1].At, qt.IsTrue)
+				if first[i].Kind == model.Call {
+					calls++
+				}
+			}
+			share := float64(calls) / float64(len(first))
+			c.Assert(share >= test.calls*0.8 && share <= test.calls*1.2, qt.IsTrue, qt.Commentf("share %v", share))
+		})
+	}
+}
--- a/internal/experiment/report/report.go
+++ b/internal/experiment/report/report.go
@@ -74,6 +74,8 @@
 	Unsent   int `json:"unsent"`
 	// Codes counts the results other than answers, by code.
 	Codes map[string]int `json:"codes"`
+	// Repeated counts the results for which callers repeated a request.
+	Repeated map[string]int `json:"repeated"`
 
 	FirstToken Quantiles `json:"firstToken"`
 	Between    Quantiles `json:"between"`
@@ -135,7 +137,7 @@
 		Events: in.Events, Looks: in.Looks, Samples: in.Samples, Series: newSeries(in.Results, in.Traffic.Length),
 	}
 	for _, span := range in.Spans {
-		p := Phase{Name: span.Name, From: span.From.Seconds(), Seconds: (span.To - span.From).Seconds(), Codes: make(map[string]int)}
+		p := Phase{Name: span.Name, From: span.From.Seconds(), Seconds: (span.To - span.From).Seconds(), Codes: make(map[string]int), Repeated: make(map[string]int)}
 		p.addResults(in.Results, span)
 		p.addLooks(in.Looks, span)
 		p.addSamples(in.Samples, span)
@@ -225,6 +227,7 @@
 	}
 	if r.Retries > 0 {
 		p.Retried++
+		p.Repeated[codeName(r.FirstCode)]++
 	}
 	if !r.Whole && !r.Unsent {
 		p.Codes[codeName(r.Code)]++
--- a/internal/experiment/report/text.go
+++ b/internal/experiment/report/text.go
@@ -30,10 +30,10 @@
 	return fmt.Sprintf("%.1f / %.1f / %.1f", q.P50, q.P95, q.P99)
 }
 
-func codes(p *Phase) string {
-	names := slices.Sorted(maps.Keys(p.Codes))
+func codes(counts map[string]int) string {
+	names := slices.Sorted(maps.Keys(counts))
 	for i, n := range names {
-		names[i] = fmt.Sprintf("%s: %d", n, p.Codes[n])
+		names[i] = fmt.Sprintf("%s: %d", n, counts[n])
 	}
 	if len(names) == 0 {
 		return "-"
@@ -57,8 +57,9 @@
 		{"refused as not run", func(p *Phase) string { return share(p.Refused, p.Sent) }},
 		{"cut off", func(p *Phase) string { return share(p.CutOff, p.Sent) }},
 		{"failed otherwise", func(p *Phase) string { return share(p.Failed, p.Sent) }},
-		{"results by code", codes},
+		{"results by code", func(p *Phase) string { return codes(p.Codes) }},
 		{"repeated by the caller", func(p *Phase) string { return share(p.Retried, p.Sent) }},
+		{"repeated after", func(p *Phase) string { return codes(p.Repeated) }},
 		{"answers a second", func(p *Phase) string { return fmt.Sprintf("%.1f", p.Requests) }},
 		{"tokens a second", func(p *Phase) string { return fmt.Sprintf("%.0f", p.Tokens) }},
 		{"replica downtime, all / avoidable replica-s", func(p *Phase) string {
