Name the right reason in refusals for shares and deadlines

Cause: with nothing in service the capacity is zero, so a second request at a time was refused with 3006 over-share instead of 3001 no-replica; seen by the process tests. And a deadline was compared with the time for max_tokens tokens, which callers set far above what they expect. Change: a request with nothing to wait for is refused before shares are looked at; the deadline is compared with the estimated time to the first token. Conclusion: both refusals say what is the matter.

--- a/internal/serve/dispatch/dispatch.go
+++ b/internal/serve/dispatch/dispatch.go
@@ -102,6 +102,9 @@
 	if err != nil {
 		return err
 	}
+	if d.unserved(r) {
+		return d.refusal(r)
+	}
 	place, err := d.shares.Enter(organisation, max(d.Tables.Current().Capacity(), 1))
 	if err != nil {
 		return err
@@ -160,6 +163,12 @@
 	return d.Tables.Current().Relays(r.Model, r.Organisation)
 }
 
+// unserved reports whether nothing is in service that the request could wait
+// for. Shares of organisations mean nothing then.
+func (d *Dispatcher) unserved(r *work.Request) bool {
+	return len(d.candidates(r)) == 0 && len(d.relays(r)) == 0
+}
+
 // line names what the request waits for.
 func line(r *work.Request) admit.Line {
 	if r.Operation == work.Call {
@@ -181,7 +190,7 @@
 		return chosen != nil
 	}
 	if !try() {
-		if len(d.candidates(r)) == 0 && len(d.relays(r)) == 0 {
+		if d.unserved(r) {
 			return nil, d.refusal(r)
 		}
 		until := d.Clock.Now().Add(d.Settings.QueueWait.Duration)
@@ -256,13 +265,14 @@
 }
 
 // checkDeadline refuses a request whose deadline is over, or will be before
-// its first token, by the policy's estimate.
+// its first token, by the policy's estimate. The limit of tokens says nothing of
+// the answer's length: callers set it far above what they expect.
 func (d *Dispatcher) checkDeadline(e *table.Endpoint, r *work.Request) error {
 	if r.Deadline.IsZero() {
 		return nil
 	}
 	left := r.Deadline.Sub(d.Clock.Now())
-	need := d.Policy.Estimate(e, r) + time.Duration(r.MaxTokens)*e.Load.PerToken()
+	need := d.Policy.Estimate(e, r)
 	if need <= left {
 		return nil
 	}
