Compare endpoints by load and time between tokens, not by first tokens

Cause: the cost of an endpoint was its own mean time to the first token times its load. That mean is short where prompts are cached, so endpoints that already had the most prefixes drew all other requests too, and a running request added only 0.05 of a first token: batches filled up and the tails grew. Ruled out: the adaptive limits; they were at their maximum throughout. Change: the cost is 1 + 0.5 waiting + 0.1 running - 0.8 cached share, times the endpoint's time between tokens relative to the fastest candidate.

--- a/internal/route/policy/estimate.go
+++ b/internal/route/policy/estimate.go
@@ -8,9 +8,9 @@
 	"cuminbay/internal/route/table"
 )
 
-// Estimate takes the endpoint with the lowest estimated time to the first
-// token among the one or two that probably cache the prompt's prefix and two
-// random ones. So a cache hit never costs more waiting than it saves.
+// Estimate takes the endpoint with the lowest estimated cost among the one or
+// two that probably cache the prompt's prefix and two random ones. So a cache
+// hit never costs more waiting than it saves.
 type Estimate struct {
 	cache  *cacheIndex
 	limits Limits
@@ -28,21 +28,23 @@
 	return &Estimate{cache: newCacheIndex(o.CacheEntries), limits: o.Limits}
 }
 
-// Costs that the estimate assumes until it has measured the endpoint.
+// defaultFirstToken is assumed until an endpoint has been measured.
+const defaultFirstToken = 200 * time.Millisecond
+
+// The cost of an endpoint is counted in first tokens of an idle one.
 const (
-	defaultFirstToken = 200 * time.Millisecond
-	// waitingShare and runningShare are the parts of a first token's time
-	// that each waiting and each running request adds. An engine batches
-	// what runs, so that costs far less than what waits.
-	waitingShare = 0.5
-	runningShare = 0.05
-	// cachedShare is the part of a first token's time that a full cache hit
-	// saves.
-	cachedShare = 0.8
+	// waitingCost and runningCost are what each waiting and each running
+	// request adds. An engine batches what runs, so that costs far less than
+	// what waits; but a batch that fills up slows every request in it, so it
+	// must not cost too little either.
+	waitingCost = 0.5
+	runningCost = 0.1
+	// cachedSaving is what a full cache hit saves.
+	cachedSaving = 0.8
 )
 
-// Pick returns the endpoint with the lowest estimate, or nil if every endpoint
-// that it looked at is at its bound.
+// Pick returns the endpoint with the lowest cost, or nil if every endpoint that
+// it looked at is at its bound.
 func (p *Estimate) Pick(now time.Time, endpoints []*table.Endpoint, r *work.Request) *table.Endpoint {
 	var candidates [4]*table.Endpoint
 	n := p.cache.holders(candidates[:2], endpoints, r)
@@ -52,36 +54,58 @@
 			n++
 		}
 	}
+	best := p.cheapest(now, candidates[:n], r)
+	if best == nil {
+		best = scan(now, endpoints)
+	}
+	if best != nil {
+		p.cache.add(best, r)
+	}
+	return best
+}
+
+func (p *Estimate) cheapest(now time.Time, candidates []*table.Endpoint, r *work.Request) *table.Endpoint {
+	fastest := time.Duration(0)
+	for _, e := range candidates {
+		if t := e.Load.PerToken(); t > 0 && (fastest == 0 || t < fastest) {
+			fastest = t
+		}
+	}
 	var best *table.Endpoint
-	var lowest time.Duration
-	for _, e := range candidates[:n] {
+	var lowest float64
+	for _, e := range candidates {
 		if free(e, now) <= 0 {
 			continue
 		}
-		if cost := p.Estimate(e, r); best == nil || cost < lowest {
+		if cost := p.cost(e, r, fastest); best == nil || cost < lowest {
 			best, lowest = e, cost
 		}
 	}
-	if best == nil {
-		best = scan(now, endpoints)
-	}
-	if best != nil {
-		p.cache.add(best, r)
-	}
 	return best
 }
 
+// cost compares endpoints. A straggler is known by its time between tokens: the
+// time to the first token is short where prompts are cached, and would draw
+// every request to the endpoints that already have the most.
+func (p *Estimate) cost(e *table.Endpoint, r *work.Request, fastest time.Duration) float64 {
+	reported := e.Load.Reported()
+	running := float64(max(reported.Running, e.Load.InFlight()))
+	cost := 1 + waitingCost*float64(reported.Waiting) + runningCost*running
+	cost -= cachedSaving * p.cache.share(e, r)
+	if t := e.Load.PerToken(); t > 0 {
+		cost *= float64(t) / float64(fastest)
+	}
+	return cost
+}
+
 // Estimate returns the expected time to the first token.
-func (p *Estimate) Estimate(e *table.Endpoint, r *work.Request) time.Duration {
+func (p *Estimate) Estimate(e *table.Endpoint, _ *work.Request) time.Duration {
 	base := e.Load.FirstToken()
 	if base == 0 {
 		base = defaultFirstToken
 	}
-	reported := e.Load.Reported()
-	running := float64(max(reported.Running, e.Load.InFlight()))
-	cost := 1 + waitingShare*float64(reported.Waiting) + runningShare*running
-	cost -= cachedShare * p.cache.share(e, r)
-	return time.Duration(float64(base) * cost)
+	waiting := float64(e.Load.Reported().Waiting)
+	return time.Duration(float64(base) * (1 + waitingCost*waiting))
 }
 
 // FirstToken records the time to a first token and adapts the endpoint's limit.
