Give HTTP exchanges with engines control of their connections

Cause: fasthttp's client hides the connection while a read blocks, so a cancelled context was noticed at the next event only, and one limit of silence, 10 s, stood for the wait for the first token and for the time between tokens. Change: endpoint/stream has a small pool of connections; the end of a context closes the connection at once; after the first token a silence of 2 s (engine.tokenSilence) ends the stream; idle connections are dropped after 4 s and checked before reuse. Engine and relay use it.

--- a/internal/endpoint/engine/client.go
+++ b/internal/endpoint/engine/client.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/work"
 	"cuminbay/internal/endpoint/stream"
@@ -32,6 +30,10 @@
 	// Silence is the time without a byte after which an open connection
 	// counts as stalled.
 	Silence settings.Duration `json:"silence" validate:"duration"`
+	// TokenSilence is the same once the first token has come. The wait for
+	// that one may be long, as the request queues and its prompt is computed;
+	// tokens follow each other quickly.
+	TokenSilence settings.Duration `json:"tokenSilence" validate:"duration"`
 	// Connections bounds the connections to one engine.
 	Connections int `json:"connections" validate:"min=1,max=65536"`
 	// MaxReport bounds the size of a report in bytes.
@@ -47,6 +49,7 @@
 		OrderPath:      "/order",
 		DialTimeout:    settings.Of(500 * time.Millisecond),
 		Silence:        settings.Of(10 * time.Second),
+		TokenSilence:   settings.Of(2 * time.Second),
 		Connections:    4096,
 		MaxReport:      1 << 20,
 	}
@@ -58,24 +61,26 @@
 	clock    clock.Clock
 	// stream is for requests, control for reports and orders, so that a full
 	// set of streams doesn't keep reports from being read.
-	stream  *fasthttp.Client
-	control *fasthttp.Client
+	stream  *stream.Pool
+	control *stream.Pool
 }
 
 // New returns a client.
 func New(s Settings, clk clock.Clock) *Client {
 	c := &Client{settings: s, clock: clk}
-	c.stream = c.newHTTP(s.Connections, s.Silence.Duration)
-	c.stream.StreamResponseBody = true
+	c.stream = stream.NewPool(stream.PoolOptions{
+		Clock: clk, Connections: s.Connections, DialTimeout: s.DialTimeout.Duration,
+		Silence: s.Silence.Duration, TokenSilence: s.TokenSilence.Duration,
+	})
 	const controlConnections = 8
-	c.control = c.newHTTP(controlConnections, s.DialTimeout.Duration)
-	c.control.MaxResponseBodySize = s.MaxReport
+	c.control = c.newControl(controlConnections)
 	return c
 }
 
-func (c *Client) newHTTP(connections int, silence time.Duration) *fasthttp.Client {
-	return stream.NewClient(stream.ClientOptions{
-		Clock: c.clock, Connections: connections, DialTimeout: c.settings.DialTimeout.Duration, Silence: silence,
+func (c *Client) newControl(connections int) *stream.Pool {
+	limit := c.settings.DialTimeout.Duration
+	return stream.NewPool(stream.PoolOptions{
+		Clock: c.clock, Connections: connections, DialTimeout: limit, Silence: limit, MaxBody: c.settings.MaxReport,
 	})
 }
 
@@ -88,15 +93,14 @@
 //
 // Errors carry code.EndpointUnreachable or code.BadReport.
 func (c *Client) Healthy(ctx context.Context, address string) error {
-	fresh := c.newHTTP(1, c.settings.DialTimeout.Duration)
+	fresh := c.newControl(1)
 	defer fresh.CloseIdleConnections()
-	fresh.MaxResponseBodySize = c.settings.MaxReport
 	_, err := c.report(ctx, fresh, address)
 	if err == nil {
 		// The endpoint answers, so the connection that failed had stalled.
 		// Others opened at the same time probably have too.
-		c.stream.CloseIdleConnections()
-		c.control.CloseIdleConnections()
+		c.stream.CloseIdle(address)
+		c.control.CloseIdle(address)
 	}
 	return err
 }
--- a/internal/endpoint/engine/control.go
+++ b/internal/endpoint/engine/control.go
@@ -18,12 +18,12 @@
 	return c.report(ctx, c.control, address)
 }
 
-func (c *Client) report(ctx context.Context, client *fasthttp.Client, address string) (*report.Report, error) {
+func (c *Client) report(ctx context.Context, pool *stream.Pool, address string) (*report.Report, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(url(address, c.settings.ReportPath))
-	if err := stream.Do(ctx, client, request, response); err != nil {
+	if err := pool.Do(ctx, request, response); err != nil {
 		return nil, stream.Failure(err, address)
 	}
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
@@ -54,7 +54,7 @@
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
 	request.SetBodyRaw(body)
-	if err := stream.Do(ctx, c.control, request, response); err != nil {
+	if err := c.control.Do(ctx, request, response); err != nil {
 		return stream.Failure(err, address)
 	}
 	if status := response.StatusCode(); status >= fasthttp.StatusMultipleChoices {
--- a/internal/endpoint/engine/fault_test.go
+++ b/internal/endpoint/engine/fault_test.go
@@ -29,14 +29,17 @@
 // faulty is an engine that answers with given bytes.
 type faulty struct {
 	listener net.Listener
+	stop     chan struct{}
 	opened   atomic.Int64
-	// closed gets a value for each connection that the client has closed.
-	closed chan struct{}
-	group  sync.WaitGroup
+	// asked gets a value for each request, closed for each connection that the
+	// client or the engine has closed.
+	asked, closed chan struct{}
+	group         sync.WaitGroup
 }
 
 // script is an answer and what the engine does after it: close the connection,
-// keep it for the next request, or fall silent until the client closes it.
+// keep it for the next request, or fall silent until the client closes it. One
+// that is deaf reads no more than the head of a request.
 type script struct {
 	answer string
 	after  string
@@ -47,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &faulty{listener: listener, closed: make(chan struct{}, 1<<16)}
+	f := &faulty{listener: listener, stop: make(chan struct{}), asked: make(chan struct{}, 1<<16), closed: make(chan struct{}, 1<<16)}
 	f.group.Go(func() {
 		for {
 			conn, err := listener.Accept()
@@ -60,6 +63,7 @@
 	})
 	t.Cleanup(func() {
 		_ = listener.Close()
+		close(f.stop)
 		f.group.Wait()
 	})
 	return f
@@ -70,14 +74,22 @@
 	in := bufio.NewReader(conn)
 	for {
 		var request fasthttp.Request
+		if s.after == "deaf" && request.Header.Read(in) == nil {
+			f.asked <- struct{}{}
+			<-f.stop
+			return
+		}
 		if request.Read(in) != nil {
 			break
 		}
+		f.asked <- struct{}{}
 		if _, err := io.WriteString(conn, s.answer); err != nil {
 			break
 		}
 		switch s.after {
 		case "close":
+			_ = conn.Close()
+			f.closed <- struct{}{}
 			return
 		case "silent":
 			_, _ = io.Copy(io.Discard, in)
@@ -261,11 +273,7 @@
 	c.Assert(f.opened.Load(), qt.Equals, int64(1))
 }
 
-// TestMain guards against goroutines that outlive the requests. fasthttp keeps
-// cleaners of its own for some time.
+// TestMain guards against goroutines that outlive the requests.
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m,
-		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
-		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
-		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"))
+	goleak.VerifyTestMain(m)
 }
--- a/internal/endpoint/engine/send.go
+++ b/internal/endpoint/engine/send.go
@@ -48,22 +48,21 @@
 	}
 	request.SetBodyRaw(body)
 
-	if err := stream.Do(ctx, c.stream, request, response); err != nil {
+	x, err := c.stream.Open(ctx, request, response)
+	if err != nil {
 		return stream.Failure(err, e.Address)
 	}
-	// Closing a stream that was not read to its end closes the connection,
-	// which cancels the run at the engine.
-	defer func() { _ = response.CloseBodyStream() }()
-	if err := checkStatus(response, e); err != nil {
+	defer x.Close()
+	if err := checkStatus(x, e); err != nil {
 		return err
 	}
 	if err := s.Start(work.Head{Endpoint: e.ID}); err != nil {
 		return err
 	}
-	if err := (&stream.Reader{Endpoint: e, Request: r, Sink: s}).Read(ctx, response); err != nil {
+	if err := (&stream.Reader{Endpoint: e, Request: r, Sink: s}).Read(ctx, x); err != nil {
 		return err
 	}
-	stream.Finish(c.clock, response)
+	x.Finish()
 	return nil
 }
 
@@ -80,19 +79,19 @@
 }
 
 // checkStatus gives an answer that is not a run of the asked replica its code.
-func checkStatus(response *fasthttp.Response, e *table.Endpoint) error {
-	status := response.StatusCode()
+func checkStatus(x *stream.Exchange, e *table.Endpoint) error {
+	status := x.Response.StatusCode()
 	switch {
 	case status == fasthttp.StatusConflict:
 		return code.WithOutcome(code.ForeignAnswer.New("endpoint %s: it is not replica %s at epoch %d", e.ID, e.Replica, e.Epoch), code.NotRun)
 	case status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable:
-		return code.Overloaded.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(stream.Head(response)))
+		return code.Overloaded.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(x.Head()))
 	case status >= fasthttp.StatusInternalServerError:
-		return code.EndpointFailed.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(stream.Head(response)))
+		return code.EndpointFailed.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(x.Head()))
 	case status != fasthttp.StatusOK:
-		return code.EndpointRejected.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(stream.Head(response)))
+		return code.EndpointRejected.New("endpoint %s: status %d: %s", e.ID, status, stream.Excerpt(x.Head()))
 	}
-	return checkEcho(response, e)
+	return checkEcho(x.Response, e)
 }
 
 // checkEcho compares the replica that answers with the one that was asked. An
--- a/internal/endpoint/relay/relay.go
+++ b/internal/endpoint/relay/relay.go
@@ -46,15 +46,20 @@
 	// counts as stalled. It has to exceed that of the engine protocol, so
 	// that the other daemon can first try another engine.
 	Silence settings.Duration `json:"silence" validate:"duration"`
+	// TokenSilence is the same once the first token has come. It has to
+	// exceed that of the engine protocol by the time that the other daemon
+	// needs to resume the answer at another engine.
+	TokenSilence settings.Duration `json:"tokenSilence" validate:"duration"`
 	// Connections bounds the connections to one daemon.
 	Connections int `json:"connections" validate:"min=1,max=65536"`
 }
 
 func defaults() any {
 	return &Settings{
-		DialTimeout: settings.Of(500 * time.Millisecond),
-		Silence:     settings.Of(15 * time.Second),
-		Connections: 4096,
+		DialTimeout:  settings.Of(500 * time.Millisecond),
+		Silence:      settings.Of(15 * time.Second),
+		TokenSilence: settings.Of(6 * time.Second),
+		Connections:  4096,
 	}
 }
 
@@ -69,21 +74,17 @@
 // Client reaches daemons of other data centres. It is safe for concurrent use.
 type Client struct {
 	Options
-	stream *fasthttp.Client
+	stream *stream.Pool
 }
 
 // New returns a client.
 func New(o Options) *Client {
 	c := &Client{Options: o}
-	c.stream = c.newHTTP(o.Settings.Connections, o.Settings.Silence.Duration)
-	c.stream.StreamResponseBody = true
-	return c
-}
-
-func (c *Client) newHTTP(connections int, silence time.Duration) *fasthttp.Client {
-	return stream.NewClient(stream.ClientOptions{
-		Clock: c.Clock, Connections: connections, DialTimeout: c.Settings.DialTimeout.Duration, Silence: silence,
+	c.stream = stream.NewPool(stream.PoolOptions{
+		Clock: o.Clock, Connections: o.Settings.Connections, DialTimeout: o.Settings.DialTimeout.Duration,
+		Silence: o.Settings.Silence.Duration, TokenSilence: o.Settings.TokenSilence.Duration,
 	})
+	return c
 }
 
 // Protocol names the protocol of the endpoints that the client reaches.
@@ -95,18 +96,19 @@
 //
 // Errors carry code.EndpointUnreachable, CutOff or Draining.
 func (c *Client) Healthy(ctx context.Context, address string) error {
-	fresh := c.newHTTP(1, c.Settings.DialTimeout.Duration)
+	limit := c.Settings.DialTimeout.Duration
+	fresh := stream.NewPool(stream.PoolOptions{Clock: c.Clock, Connections: 1, DialTimeout: limit, Silence: limit})
 	defer fresh.CloseIdleConnections()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + address + healthPath)
-	if err := stream.Do(ctx, fresh, request, response); err != nil {
+	if err := fresh.Do(ctx, request, response); err != nil {
 		return stream.Failure(err, address)
 	}
 	// The daemon answers, so the connection that failed had stalled. Others
 	// opened at the same time probably have too.
-	c.stream.CloseIdleConnections()
+	c.stream.CloseIdle(address)
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
 		return code.Draining.New("daemon at %s: status %d", address, status)
 	}
@@ -125,14 +127,13 @@
 	if err := c.fill(request, e, r, sent); err != nil {
 		return err
 	}
-	if err := stream.Do(ctx, c.stream, request, response); err != nil {
+	x, err := c.stream.Open(ctx, request, response)
+	if err != nil {
 		return stream.Failure(err, e.Address)
 	}
-	// Closing a stream that was not read to its end closes the connection,
-	// which ends the request at the other daemon.
-	defer func() { _ = response.CloseBodyStream() }()
+	defer x.Close()
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
-		return refusal(stream.Head(response), status, e)
+		return refusal(x.Head(), status, e)
 	}
 	head := work.Head{Endpoint: e.ID}
 	if runner := response.Header.Peek(headerEndpoint); len(runner) > 0 {
@@ -142,7 +143,11 @@
 		return err
 	}
 	reader := stream.Reader{Endpoint: e, Request: r, Sink: s, Fault: func(event []byte) error { return broken(event, e) }}
-	return reader.Read(ctx, response)
+	if err := reader.Read(ctx, x); err != nil {
+		return err
+	}
+	x.Finish()
+	return nil
 }
 
 // fill sets the line, header and body of the relayed request.
--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -1,51 +1,19 @@
 // Package stream holds what the endpoint protocols based on OpenAI HTTP share:
-// connections that fail when they fall silent, the body of a resumed request,
-// and the reading of server-sent events.
+// connections that fail when they fall silent or their request is cancelled,
+// the body of a resumed request, and the reading of server-sent events.
 package stream
 
 import (
-	"context"
+	"bufio"
 	"errors"
-	"io"
 	"net"
+	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/kernel/clock"
 )
 
-// ClientOptions are the settings of an HTTP client.
-type ClientOptions struct {
-	Clock clock.Clock
-	// Connections bounds the connections to one address.
-	Connections int
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout time.Duration
-	// Silence is the time without a byte after which an open connection
-	// counts as stalled.
-	Silence time.Duration
-}
-
-// NewClient returns an HTTP client that sends each request once.
-func NewClient(o ClientOptions) *fasthttp.Client {
-	return &fasthttp.Client{
-		NoDefaultUserAgentHeader: true,
-		MaxConnsPerHost:          o.Connections,
-		// A request is repeated by the dispatcher or not at all.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := fasthttp.DialTimeout(address, o.DialTimeout)
-			if err != nil {
-				return nil, &dialError{err}
-			}
-			return &silenceConn{Conn: conn, clock: o.Clock, limit: o.Silence}, nil
-		},
-	}
-}
-
 // dialError marks a failure before anything was sent.
 type dialError struct {
 	error
@@ -56,61 +24,76 @@
 	return e.error
 }
 
-// silenceConn fails a read or write that makes no progress for the limit. The
-// deadline that the HTTP client sets, if any, bounds the whole answer.
-type silenceConn struct {
+// errNoFreeConnection says that an address has its limit of connections.
+var errNoFreeConnection = errors.New("no free connection")
+
+// conn is a connection whose reads and writes fail when they make no progress
+// for the limit. Only Close may be called by another goroutine than the one
+// that has taken the connection from the pool.
+type conn struct {
 	net.Conn
 	clock clock.Clock
+	// limit bounds each read and write.
 	limit time.Duration
-	until time.Time
-}
-
-// SetReadDeadline bounds all later reads.
-func (s *silenceConn) SetReadDeadline(t time.Time) error {
-	s.until = t
-	return nil
+	// until, if set, ends all reads.
+	until  time.Time
+	reader *bufio.Reader
+	// idleSince is the time at which the connection was put into the pool.
+	idleSince time.Time
 }
 
 // Read reads with a fresh deadline.
-func (s *silenceConn) Read(b []byte) (int, error) {
-	deadline := s.clock.Now().Add(s.limit)
-	if !s.until.IsZero() && s.until.Before(deadline) {
-		deadline = s.until
+func (c *conn) Read(b []byte) (int, error) {
+	deadline := c.clock.Now().Add(c.limit)
+	if !c.until.IsZero() && c.until.Before(deadline) {
+		deadline = c.until
 	}
-	if err := s.Conn.SetReadDeadline(deadline); err != nil {
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return s.Conn.Read(b)
+	return c.Conn.Read(b)
 }
 
 // Write writes with a fresh deadline.
-func (s *silenceConn) Write(b []byte) (int, error) {
-	if err := s.SetWriteDeadline(s.clock.Now().Add(s.limit)); err != nil {
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.clock.Now().Add(c.limit)); err != nil {
 		return 0, err
 	}
-	return s.Conn.Write(b)
+	return c.Conn.Write(b)
 }
 
-// Failure gives an error of the HTTP client its code.
+// quiet reports whether the connection is open and has nothing to read. What
+// arrives on an idle connection is its end or belongs to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+// Failure gives an error of an exchange its code.
 func Failure(err error, address string) error {
 	var dial *dialError
-	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.As(err, &dial) {
 		return code.EndpointUnreachable.Wrap(err, "endpoint at %s: no connection", address)
 	}
 	return code.CutOff.Wrap(err, "endpoint at %s: connection ended before the answer did", address)
 }
 
-// Do sends the request within the context's deadline.
-func Do(ctx context.Context, client *fasthttp.Client, request *fasthttp.Request, response *fasthttp.Response) error {
-	if err := ctx.Err(); err != nil {
-		return &dialError{err}
-	}
-	if deadline, bounded := ctx.Deadline(); bounded {
-		return client.DoDeadline(request, response, deadline)
-	}
-	return client.Do(request, response)
-}
-
 // Excerpt returns the start of a body for an error message.
 func Excerpt(body []byte) string {
 	const limit = 200
@@ -119,30 +102,3 @@
 	}
 	return string(body)
 }
-
-// Head returns the first bytes of a response's body, streamed or not.
-func Head(response *fasthttp.Response) []byte {
-	const limit = 4096
-	stream := response.BodyStream()
-	if stream == nil {
-		return response.Body()
-	}
-	body, _ := io.ReadAll(io.LimitReader(stream, limit))
-	return body
-}
-
-// finishWait bounds the wait for the end of a body whose answer is whole. The
-// end usually comes with the last event or right behind it.
-const finishWait = 20 * time.Millisecond
-
-// Finish reads the body of a whole answer to its end, without which the
-// connection can't be used for another request.
-func Finish(clk clock.Clock, response *fasthttp.Response) {
-	body, streamed := response.BodyStream().(fasthttp.ReadCloserWithError)
-	if !streamed {
-		return
-	}
-	timer := clk.AfterFunc(finishWait, func() { _ = body.CloseWithError(context.DeadlineExceeded) })
-	defer timer.Stop()
-	_, _ = io.Copy(io.Discard, body)
-}
--- a/internal/endpoint/stream/events.go
+++ b/internal/endpoint/stream/events.go
@@ -7,8 +7,6 @@
 	"encoding/json"
 	"io"
 
-	"github.com/valyala/fasthttp"
-
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/domain/work"
@@ -23,20 +21,19 @@
 	// Fault gives an error event of the stream its code; nil stands for
 	// code.CutOff.
 	Fault func(event []byte) error
+
+	exchange *Exchange
 }
 
 // Read passes the answer to the sink.
 //
 // Errors carry code.CutOff or that of Fault, or are the sink's.
-func (d *Reader) Read(ctx context.Context, response *fasthttp.Response) error {
-	body := response.BodyStream()
-	if body == nil {
-		body = bytes.NewReader(response.Body())
-	}
+func (d *Reader) Read(ctx context.Context, x *Exchange) error {
 	if !d.Request.Stream && !d.Request.Resumable {
-		return d.whole(body)
+		return d.whole(x)
 	}
-	return d.events(ctx, body)
+	d.exchange = x
+	return d.events(ctx, x)
 }
 
 // whole passes on an answer that is not streamed.
@@ -125,6 +122,7 @@
 	if u := ch.Usage; u != nil {
 		end.Usage = work.Usage{Prompt: u.Prompt, Generated: u.Generated, Cached: u.Details.Cached}
 	}
+	d.flowing(&ch)
 	if !d.Request.Resumable {
 		return d.Sink.Piece(work.Piece{Raw: bytes.Clone(data), Tokens: 1})
 	}
@@ -140,3 +138,18 @@
 	}
 	return nil
 }
+
+// flowing shortens the limit of silence once the event has a token. An event
+// without text, such as the one that names the role, may come before the prompt
+// was computed.
+func (d *Reader) flowing(ch *chunk) {
+	if d.exchange == nil {
+		return
+	}
+	for _, choice := range ch.Choices {
+		if choice.Delta.Content != "" || choice.Text != "" {
+			d.exchange.flowing()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/endpoint/stream/exchange.go
@@ -0,0 +1,134 @@
+package stream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// writers has the buffers of requests.
+var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
+// Exchange is a request that was sent, with its answer as it comes. It has to be
+// closed.
+type Exchange struct {
+	Response *fasthttp.Response
+
+	pool    *Pool
+	address string
+	conn    *conn
+	body    io.Reader
+	// ended says that the body was read to its end.
+	ended bool
+	// unwatch ends the wait for the end of the context, and reports whether
+	// that had not come.
+	unwatch func() bool
+}
+
+// Do sends the request and reads the whole answer. The end of the context ends
+// it at once.
+func (p *Pool) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+	x, err := p.send(ctx, request, response)
+	if err != nil {
+		return err
+	}
+	x.ended = true
+	x.Close()
+	return nil
+}
+
+// Open sends the request and reads the head of its answer. The end of the
+// context closes the connection, which ends a blocked read or write and cancels
+// the run at the endpoint.
+func (p *Pool) Open(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) (*Exchange, error) {
+	response.StreamBody = true
+	return p.send(ctx, request, response)
+}
+
+func (p *Pool) send(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) (*Exchange, error) {
+	address := string(request.URI().Host())
+	c, err := p.get(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	x := &Exchange{Response: response, pool: p, address: address, conn: c}
+	x.unwatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if err := x.talk(request); err != nil {
+		x.Close()
+		if cause := ctx.Err(); cause != nil {
+			err = errors.Join(cause, err)
+		}
+		return nil, err
+	}
+	return x, nil
+}
+
+func (x *Exchange) talk(request *fasthttp.Request) error {
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(x.conn)
+	defer w.Reset(nil)
+	if err := request.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if err := x.Response.ReadLimitBody(x.conn.reader, x.pool.MaxBody); err != nil {
+		return err
+	}
+	if x.body = x.Response.BodyStream(); x.body == nil {
+		x.body = bytes.NewReader(x.Response.Body())
+	}
+	return nil
+}
+
+// Read reads the answer's body.
+func (x *Exchange) Read(b []byte) (int, error) {
+	n, err := x.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		x.ended = true
+	}
+	return n, err
+}
+
+// flowing shortens the limit of silence after the first token.
+func (x *Exchange) flowing() {
+	x.conn.limit = x.pool.TokenSilence
+}
+
+// Head returns the first bytes of the answer's body.
+func (x *Exchange) Head() []byte {
+	const limit = 4096
+	body, _ := io.ReadAll(io.LimitReader(x, limit))
+	return body
+}
+
+// finishWait bounds the wait for the end of a body whose answer is whole. The
+// end usually comes with the last event or right behind it.
+const finishWait = 20 * time.Millisecond
+
+// Finish reads the body of a whole answer to its end, without which the
+// connection can't be used for another request.
+func (x *Exchange) Finish() {
+	x.conn.until = x.pool.Clock.Now().Add(finishWait)
+	_, _ = io.Copy(io.Discard, x)
+}
+
+// Close ends the exchange. The connection is kept if the answer was read to its
+// end, and otherwise closed, which cancels the run at the endpoint.
+func (x *Exchange) Close() {
+	live := x.unwatch()
+	_ = x.Response.CloseBodyStream()
+	if live && x.ended && !x.Response.ConnectionClose() && x.conn.reader.Buffered() == 0 {
+		x.pool.put(x.address, x.conn)
+		return
+	}
+	x.pool.discard(x.address, x.conn)
+}
--- /dev/null
+++ b/internal/endpoint/stream/pool.go
@@ -0,0 +1,205 @@
+package stream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cuminbay/internal/kernel/clock"
+)
+
+// idleLimit is the time after which an idle connection is closed. It is shorter
+// than the 5 s after which common servers of engines close theirs, since a
+// request sent on a connection that the server is closing has no known outcome.
+const idleLimit = 4 * time.Second
+
+// PoolOptions are the settings of a Pool.
+type PoolOptions struct {
+	Clock clock.Clock
+	// Connections bounds the connections to one address.
+	Connections int
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// Silence is the time without a byte after which an open connection
+	// counts as stalled.
+	Silence time.Duration
+	// TokenSilence is the same once the first token has come; zero stands
+	// for Silence.
+	TokenSilence time.Duration
+	// MaxBody bounds the answers of Do in bytes; zero is no limit.
+	MaxBody int
+}
+
+// Pool sends HTTP requests over connections that it keeps per address. It is
+// safe for concurrent use.
+//
+// A mutex guards the lists of connections. It is held for a map access and an
+// append, never during I/O; a lock-free stack per address would need one
+// allocation more for each request.
+type Pool struct {
+	PoolOptions
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	hosts map[string]*host
+	// sweeper closes idle connections; it is set while there are any.
+	sweeper clockwork.Timer
+}
+
+// host has the connections of an address. The one used last is reused first, so
+// that those not needed grow old.
+type host struct {
+	idle []*conn
+	open int
+}
+
+// NewPool returns a pool without connections.
+func NewPool(o PoolOptions) *Pool {
+	if o.TokenSilence == 0 {
+		o.TokenSilence = o.Silence
+	}
+	return &Pool{PoolOptions: o, dialer: net.Dialer{Timeout: o.DialTimeout}, hosts: make(map[string]*host)}
+}
+
+// get returns an idle connection that is still usable or opens one. Its errors
+// are a dialError.
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &dialError{err}
+	}
+	for {
+		c, err := p.take(address)
+		if err != nil {
+			return nil, &dialError{err}
+		}
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		if p.Clock.Since(c.idleSince) < idleLimit && c.quiet() {
+			c.limit, c.until = p.Silence, time.Time{}
+			return c, nil
+		}
+		p.discard(address, c)
+	}
+}
+
+// take returns an idle connection, or nil with the place for a new one.
+func (p *Pool) take(address string) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = new(host)
+		p.hosts[address] = h
+	}
+	if last := len(h.idle) - 1; last >= 0 {
+		c := h.idle[last]
+		h.idle[last] = nil
+		h.idle = h.idle[:last]
+		return c, nil
+	}
+	if h.open >= p.Connections {
+		return nil, errNoFreeConnection
+	}
+	h.open++
+	return nil, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	inner, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.forget(address, 1)
+		return nil, &dialError{err}
+	}
+	c := &conn{Conn: inner, clock: p.Clock, limit: p.Silence}
+	c.reader = bufio.NewReader(c)
+	return c, nil
+}
+
+// put keeps the connection for another request.
+func (p *Pool) put(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.idleSince = p.Clock.Now()
+	h := p.hosts[address]
+	h.idle = append(h.idle, c)
+	if p.sweeper == nil {
+		p.sweeper = p.Clock.AfterFunc(idleLimit, p.sweep)
+	}
+}
+
+// discard closes the connection.
+func (p *Pool) discard(address string, c *conn) {
+	_ = c.Close()
+	p.forget(address, 1)
+}
+
+// forget gives back the places of closed connections.
+func (p *Pool) forget(address string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h.open -= n; h.open == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+// sweep closes the connections that were idle for too long.
+func (p *Pool) sweep() {
+	oldest := p.Clock.Now().Add(-idleLimit)
+	p.drop(func(_ string, c *conn) bool { return !c.idleSince.After(oldest) })
+}
+
+// CloseIdle closes the idle connections to the address.
+func (p *Pool) CloseIdle(address string) {
+	p.drop(func(a string, _ *conn) bool { return a == address })
+}
+
+// CloseIdleConnections closes all idle connections.
+func (p *Pool) CloseIdleConnections() {
+	p.drop(func(string, *conn) bool { return true })
+}
+
+// drop closes the idle connections that the function selects, and sets the
+// sweeper if any are left.
+func (p *Pool) drop(selected func(address string, c *conn) bool) {
+	for _, c := range p.remove(selected) {
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) remove(selected func(address string, c *conn) bool) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var removed []*conn
+	left := 0
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if selected(address, c) {
+				removed = append(removed, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		h.open -= len(h.idle) - len(kept)
+		clear(h.idle[len(kept):])
+		h.idle = kept
+		left += len(kept)
+		if h.open == 0 {
+			delete(p.hosts, address)
+		}
+	}
+	if p.sweeper != nil {
+		p.sweeper.Stop()
+		p.sweeper = nil
+	}
+	if left > 0 {
+		p.sweeper = p.Clock.AfterFunc(idleLimit, p.sweep)
+	}
+	return removed
+}
