Resume requests that wait at a replica that has stopped

Cause: an attempt whose replica stopped before its first token waited for the limit of silence, 10 s; and a stalled connection counted as a crash, so two pauses of engines made the requests in flight poison. Change: an endpoint that leaves the table other than by a drain or a planned stop tells the attempts that wait for their first token, if they may be repeated; they are sent elsewhere. A limit of silence has its own code, 5007 stalled, and raises no suspicion.

--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -62,6 +62,7 @@
 	KeyInProgress   Code = 5004
 	ForeignAnswer   Code = 5005
 	DeadlineExpired Code = 5006
+	Stalled         Code = 5007
 
 	BadSettings   Code = 6001
 	BadRecord     Code = 6002
@@ -119,6 +120,7 @@
 	{KeyInProgress, "key-in-progress", http.StatusConflict, Unknown, "A request with this key is in flight or its holder can't be asked.", "Ask again later with the same key."},
 	{ForeignAnswer, "foreign-answer", http.StatusBadGateway, Unknown, "The answer came from another replica or epoch than asked and was discarded.", "Retry what may be repeated."},
 	{DeadlineExpired, "deadline-expired", http.StatusGatewayTimeout, Unknown, "The deadline passed after the request had been sent.", "Retry what may be repeated, with more time."},
+	{Stalled, "stalled", http.StatusBadGateway, Unknown, "The endpoint fell silent or stopped serving, and the answer could not be resumed.", "Retry what may be repeated."},
 
 	{BadSettings, "bad-settings", 0, NotRun, "The settings file is wrong.", "Correct each path that the message names."},
 	{BadRecord, "bad-record", http.StatusUnprocessableEntity, NotRun, "A record has a wrong value; the earlier one stays in force.", "Correct the path that the message names."},
--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -40,6 +41,9 @@
 	reader *bufio.Reader
 	// idleSince is the time at which the connection was put into the pool.
 	idleSince time.Time
+	// stalled says that the last read ran into the limit. fasthttp hides that
+	// in a part of its errors.
+	stalled bool
 }
 
 // Read reads with a fresh deadline.
@@ -51,7 +55,17 @@
 	if err := c.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.stalled = errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
+}
+
+// explain adds to an error of fasthttp that a read ran into the limit.
+func (c *conn) explain(err error) error {
+	if err == nil || !c.stalled {
+		return err
+	}
+	return errors.Join(os.ErrDeadlineExceeded, err)
 }
 
 // Write writes with a fresh deadline.
@@ -91,6 +105,10 @@
 	if errors.As(err, &dial) {
 		return code.EndpointUnreachable.Wrap(err, "endpoint at %s: no connection", address)
 	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return code.Stalled.Wrap(err, "endpoint at %s: silent before the answer's end", address)
+	}
 	return code.CutOff.Wrap(err, "endpoint at %s: connection ended before the answer did", address)
 }
 
--- a/internal/endpoint/stream/events.go
+++ b/internal/endpoint/stream/events.go
@@ -98,6 +98,10 @@
 			return d.Sink.End(end)
 		}
 		if err := d.event(data, &end); err != nil {
+			// The scanner gives the start of a line before a read's error.
+			if cause := lines.Err(); cause != nil {
+				return Failure(cause, d.Endpoint.Address)
+			}
 			return err
 		}
 	}
--- a/internal/endpoint/stream/exchange.go
+++ b/internal/endpoint/stream/exchange.go
@@ -61,6 +61,7 @@
 	x.unwatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := x.talk(request); err != nil {
 		x.Close()
+		err = c.explain(err)
 		if cause := ctx.Err(); cause != nil {
 			err = errors.Join(cause, err)
 		}
@@ -94,8 +95,9 @@
 	n, err := x.body.Read(b)
 	if errors.Is(err, io.EOF) {
 		x.ended = true
+		return n, err
 	}
-	return n, err
+	return n, x.conn.explain(err)
 }
 
 // flowing shortens the limit of silence after the first token.
--- a/internal/fleet/replica/duty.go
+++ b/internal/fleet/replica/duty.go
@@ -135,6 +135,12 @@
 	return Endpoints(u.options.DataCentre, u.Attested(), u.records.View(), u.drains)
 }
 
+// Planned reports whether a replica that is no longer offered was taken out as
+// planned.
+func (u *duty) Planned(e *table.Endpoint) bool {
+	return Planned(e, u.Attested(), u.drains)
+}
+
 func (u *duty) owns(r ident.Replica) bool {
 	return u.members.Owner("replica/"+string(r)) == u.self
 }
--- a/internal/fleet/replica/endpoints.go
+++ b/internal/fleet/replica/endpoints.go
@@ -31,6 +31,21 @@
 	return endpoints
 }
 
+// Planned reports whether a replica that is no longer offered was taken out as
+// planned: it is leaving, or a member or the data centre is out of service.
+func Planned(e *table.Endpoint, states []State, out drains) bool {
+	if out.Out(e.DataCentre) {
+		return true
+	}
+	for i := range states {
+		s := &states[i]
+		if s.Replica == e.Replica && s.Epoch == e.Epoch {
+			return s.Leaving || anyOut(s.Members, out)
+		}
+	}
+	return false
+}
+
 func endpoint(dc ident.DataCentre, s *State, d *record.Deployment) table.Endpoint {
 	e := table.Endpoint{
 		ID: ident.Endpoint(s.Replica), Protocol: table.Engine, DataCentre: dc, Address: s.Address,
--- a/internal/route/table/plugin.go
+++ b/internal/route/table/plugin.go
@@ -27,6 +27,12 @@
 	Endpoints() []Endpoint
 }
 
+// planner says whether an endpoint that is no longer offered was taken out as
+// planned. Requests in flight to it then end by themselves.
+type planner interface {
+	Planned(e *Endpoint) bool
+}
+
 // builder publishes the table from its sources.
 type builder struct {
 	plugin.Loops
@@ -34,6 +40,7 @@
 	settings  *Settings
 	publisher *Publisher
 	sources   []source
+	planners  []planner
 }
 
 func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
@@ -51,6 +58,9 @@
 	if err := b.deps.NeedAll(&b.sources); err != nil {
 		return err
 	}
+	if err := b.deps.NeedAll(&b.planners); err != nil {
+		return err
+	}
 	b.Every(b.deps.Clock, b.settings.Interval.Duration, func(context.Context) { b.publish() })
 	return nil
 }
@@ -60,9 +70,30 @@
 	for _, s := range b.sources {
 		endpoints = append(endpoints, s.Endpoints()...)
 	}
+	before := b.publisher.Current()
 	if b.publisher.Publish(endpoints) {
 		t := b.publisher.Current()
+		b.stopMissing(before, t)
 		b.deps.Timeline.Record("table-published", strconv.FormatUint(t.Generation(), 10),
 			"endpoints", strconv.Itoa(len(endpoints)))
 	}
 }
+
+// stopMissing tells the requests in flight to endpoints that have stopped.
+func (b *builder) stopMissing(before, after *Table) {
+	for _, e := range before.endpoints {
+		now := after.byID[e.ID]
+		if (now == nil || now.stop != e.stop) && e.Protocol == Engine && !b.planned(e) {
+			e.Stop()
+		}
+	}
+}
+
+func (b *builder) planned(e *Endpoint) bool {
+	for _, p := range b.planners {
+		if p.Planned(e) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/route/table/publisher.go
+++ b/internal/route/table/publisher.go
@@ -42,6 +42,7 @@
 	for i := range endpoints {
 		e := endpoints[i]
 		e.Load = p.load(e.ID)
+		e.stop = stopOf(old.byID[e.ID], &e)
 		if e.Protocol == Engine && e.Load.part == nil {
 			e.Load.part = &p.part
 		}
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -52,6 +52,7 @@
 	Reported Counts
 
 	Load *Load
+	stop *stop
 }
 
 // Counts are numbers of requests at an endpoint, from all daemons.
--- a/internal/serve/dispatch/progress.go
+++ b/internal/serve/dispatch/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"cuminbay/internal/domain/code"
@@ -29,6 +30,11 @@
 	sent   strings.Builder
 	tokens unit.Tokens
 
+	// flowing says that the attempt has got a piece of its answer; abandoned,
+	// that it was cancelled because its endpoint stopped before that.
+	flowing   atomic.Bool
+	abandoned atomic.Bool
+
 	begun time.Time
 	first time.Duration
 	last  time.Time
@@ -38,6 +44,8 @@
 // begin marks the start of an attempt.
 func (p *progress) begin(e *table.Endpoint, r *work.Request) {
 	p.endpoint, p.request = e, r
+	p.flowing.Store(false)
+	p.abandoned.Store(false)
 	p.begun = p.clock.Now()
 	p.last = time.Time{}
 	p.first = 0
@@ -56,6 +64,7 @@
 // Piece passes on a piece.
 func (p *progress) Piece(piece work.Piece) error {
 	now := p.clock.Now()
+	p.flowing.Store(true)
 	if p.last.IsZero() {
 		p.first = now.Sub(p.begun)
 		if p.streamed() {
@@ -88,6 +97,15 @@
 	return p.caller(p.sink.End(e))
 }
 
+// abandon cancels the attempt unless its answer has begun to flow. Silence after
+// that is noticed by the endpoint protocol.
+func (p *progress) abandon(cancel func()) {
+	if !p.flowing.Load() {
+		p.abandoned.Store(true)
+		cancel()
+	}
+}
+
 func (p *progress) caller(err error) error {
 	if err != nil {
 		p.callerGone = true
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -68,7 +68,7 @@
 		if code.OutcomeOf(failure) != code.NotRun {
 			return false
 		}
-	case code.CutOff, code.ForeignAnswer, code.EndpointFailed:
+	case code.CutOff, code.Stalled, code.ForeignAnswer, code.EndpointFailed:
 		if !repeatable(r) || d.Suspects.Check(r.Fingerprint) != nil {
 			return false
 		}
@@ -169,6 +169,12 @@
 		return d.ended(r)
 	}
 	p.begin(e, r)
+	if !r.AtMostOnce && repeatable(r) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer e.OnStop(func() { p.abandon(cancel) })()
+	}
 	err := s.Send(ctx, e, r, work.Sent{Text: p.sent.String(), Tokens: p.tokens}, p)
 	if err != nil {
 		return d.explain(ctx, r, p, err)
@@ -192,6 +198,8 @@
 	switch {
 	case p.callerGone:
 		return code.CallerGone.Wrap(err, "request %s", r.ID)
+	case p.abandoned.Load():
+		return code.Stalled.Wrap(err, "endpoint stopped serving before the first token")
 	case ctx.Err() == nil || code.OutcomeOf(err) == code.NotRun:
 		return err
 	case !r.Deadline.IsZero() && !d.Clock.Now().Before(r.Deadline):
@@ -219,17 +227,26 @@
 			e.Load.Avoid(d.Clock.Now().Add(d.Settings.RelayAvoid.Duration))
 		}
 	case code.CutOff:
-		if p.callerGone {
-			return
+		// A daemon runs no request, so none can crash it.
+		if !p.callerGone && !d.answers(ctx, e) && e.Protocol != table.Relay {
+			d.Suspects.Suspect(r.Fingerprint)
 		}
-		checkCtx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), d.Clock, d.Settings.HealthTimeout.Duration)
-		defer cancel()
-		if err := d.Senders[e.Protocol].Healthy(checkCtx, e.Address); err != nil {
-			// A daemon runs no request, so none can crash it.
-			if e.Protocol != table.Relay {
-				d.Suspects.Suspect(r.Fingerprint)
-			}
-			e.Load.Avoid(d.Clock.Now().Add(d.Settings.Avoid.Duration))
+	case code.Stalled:
+		// A paused or unreachable endpoint says nothing against the request.
+		if !p.callerGone && !p.abandoned.Load() {
+			d.answers(ctx, e)
 		}
 	}
 }
+
+// answers reports whether the endpoint answers on a new connection, and keeps
+// requests away from it for a while if not.
+func (d *Dispatcher) answers(ctx context.Context, e *table.Endpoint) bool {
+	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), d.Clock, d.Settings.HealthTimeout.Duration)
+	defer cancel()
+	if d.Senders[e.Protocol].Healthy(ctx, e.Address) == nil {
+		return true
+	}
+	e.Load.Avoid(d.Clock.Now().Add(d.Settings.Avoid.Duration))
+	return false
+}
