Bound the platform writes of claims

Cause: the writes of claims grew with the calls, to 271 a second at 97 calls/s and 2479 at 791 over 4 daemons, of the several hundred that the platform takes.

Change: a token bucket over all shards of a daemon (claim.writeRate 20, claim.writeBurst 4, so that 8 daemons begin at most 192 in any second). Keepers wait in order of arrival, repeated writes first, then claims, then ends; an end that waits becomes a claim's turn when a claim comes. What arrives meanwhile joins the write. A claim that waits for longer than the write timeout is refused as not run, as before. A write that turns out to be needless passes to the next keeper.

--- a/internal/serve/claim/claims.go
+++ b/internal/serve/claim/claims.go
@@ -52,12 +52,21 @@
 	// Both refusals are accurate, but say less than they could; nothing runs
 	// twice.
 	EndDelay time.Duration
+	// WriteRate bounds the platform writes a second of this process, repeated
+	// ones included, over all shards. WriteBurst is the number of writes that
+	// may be begun at once after a time of fewer; in any second there are at
+	// most WriteRate+WriteBurst. Claims that wait for a write share it with
+	// all others of their shard, and those that wait for longer than
+	// WriteTimeout are refused as not run.
+	WriteRate  float64
+	WriteBurst int
 }
 
 // Claims makes and answers for the claims of this process.
 type Claims struct {
 	Options
 	keepers  []*keeper
+	pace     *pacer
 	draining chan struct{}
 	drain    sync.Once
 	group    sync.WaitGroup
@@ -71,6 +80,7 @@
 // New returns Claims that do nothing before Run.
 func New(o Options) *Claims {
 	c := &Claims{Options: o, draining: make(chan struct{})}
+	c.pace = newPacer(o.Clock, o.WriteRate, o.WriteBurst)
 	for i := range o.Shards {
 		c.keepers = append(c.keepers, newKeeper(c, i))
 	}
--- a/internal/serve/claim/claims_test.go
+++ b/internal/serve/claim/claims_test.go
@@ -18,7 +18,7 @@
 		Self: "a", Clock: clock.Real(), Platform: p, Asker: &fakePeers{},
 		Rules:  Rules{Retention: 24 * time.Hour, MaxValue: 900_000},
 		Shards: 1, PauseLimit: 5 * time.Second, WriteTimeout: time.Second, AskTimeout: time.Second,
-		EndDelay: endDelay,
+		EndDelay: endDelay, WriteRate: 1000, WriteBurst: 1000,
 	})
 	c.Run(func(f func(context.Context)) { go f(tb.Context()) })
 	return c
--- a/internal/serve/claim/keeper.go
+++ b/internal/serve/claim/keeper.go
@@ -35,6 +35,8 @@
 	// due is when changes and fences are written without a claim to share
 	// the write with; zero if there are none.
 	due time.Time
+	// granted says that the pacer has granted a write that was not begun yet.
+	granted bool
 	// live are the attempts of the current cycle that wait for the platform.
 	live []*attempt
 }
@@ -236,10 +238,17 @@
 	if len(k.live) == 0 && (!k.remains() || k.delay() > 0) {
 		return nil
 	}
+	if !k.admit(ctx) {
+		return nil
+	}
+	defer k.refund()
 	ctx, cancel := limit(ctx, k.claims.Clock, k.claims.WriteTimeout)
 	defer cancel()
 	fresh := false
 	for {
+		if err := k.readmit(ctx); err != nil {
+			return k.fail(err)
+		}
 		if !k.known {
 			if err := k.read(ctx); err != nil {
 				return k.fail(err)
@@ -260,6 +269,65 @@
 	}
 }
 
+// admit waits for the pacer's permission to write. Claims that arrive meanwhile
+// join the write. It returns false if the context ends first.
+func (k *keeper) admit(ctx context.Context) bool {
+	pace := k.claims.pace
+	u := ending
+	if len(k.live) > 0 {
+		u = claiming
+	}
+	t := pace.enter(u)
+	for {
+		select {
+		case <-t.granted:
+			k.granted = true
+			k.take()
+			return true
+		case <-ctx.Done():
+			pace.leave(t)
+			return false
+		case <-k.wake:
+			k.take()
+			if len(k.live) > 0 {
+				pace.raise(t)
+			}
+		}
+	}
+}
+
+// readmit waits for the permission to write again in the same cycle. After a
+// wait the platform's value may have changed, so that it is read again.
+func (k *keeper) readmit(ctx context.Context) error {
+	if k.granted {
+		return nil
+	}
+	t := k.claims.pace.enter(repeated)
+	select {
+	case <-t.granted:
+		k.granted = true
+		return nil
+	default:
+	}
+	select {
+	case <-t.granted:
+		k.granted, k.known = true, false
+		k.take()
+		return nil
+	case <-ctx.Done():
+		k.claims.pace.leave(t)
+		return ctx.Err()
+	}
+}
+
+// refund returns the permission to write if the cycle did not use it.
+func (k *keeper) refund() {
+	if k.granted {
+		k.granted = false
+		k.claims.pace.refund()
+	}
+}
+
 func (k *keeper) fail(err error) error {
 	err = code.PlatformUnavailable.Wrap(err, "claim in %s", k.key)
 	k.known = false
@@ -302,6 +370,7 @@
 		return nil
 	}
 	raw := o.Next.Encode()
+	k.granted = false
 	k.claims.writes.Add(1)
 	entry, result, err := k.claims.Platform.Swap(ctx, store.Swap{Key: k.key, Old: k.revision, Value: raw})
 	switch result {
--- a/internal/serve/claim/machine_test.go
+++ b/internal/serve/claim/machine_test.go
@@ -78,6 +78,8 @@
 		Self: n, Clock: m.clock, Platform: m.platform, Asker: m.peers, Rules: machineRules,
 		Shards: 1, PauseLimit: 5 * time.Second, WriteTimeout: time.Second, AskTimeout: time.Second,
 		EndDelay: machineDelay,
+		// Cycles run on one thread here and must not wait for the pacer.
+		WriteRate: 1, WriteBurst: 1 << 30,
 	})
 	kept := m.calls[:0]
 	for _, c := range m.calls {
--- a/internal/serve/claim/plugin.go
+++ b/internal/serve/claim/plugin.go
@@ -29,6 +29,10 @@
 	AskTimeout settings.Duration `json:"askTimeout" validate:"duration"`
 	// EndDelay is how long the end of a claim waits for another claim to share a platform write with. If the daemon crashes in this time, the outcome reads as unknown.
 	EndDelay settings.Duration `json:"endDelay" validate:"duration"`
+	// WriteRate bounds the platform writes a second of this daemon for claims. With more calls more of them share a write.
+	WriteRate float64 `json:"writeRate" validate:"min=1,max=1000"`
+	// WriteBurst bounds the writes that are begun at once after a time of fewer writes.
+	WriteBurst int `json:"writeBurst" validate:"min=1,max=1000"`
 }
 
 const section = "claim"
@@ -43,6 +47,10 @@
 			WriteTimeout: settings.Of(time.Second),
 			AskTimeout:   settings.Of(time.Second),
 			EndDelay:     settings.Of(time.Second),
+			// 8 daemons begin at most 8*(20+4) = 192 writes in any second,
+			// of the several hundred that the platform takes in all.
+			WriteRate:  20,
+			WriteBurst: 4,
 		}
 	})
 	plugin.Register(plugin.Decision, section, build)
@@ -68,6 +76,8 @@
 		WriteTimeout: s.WriteTimeout.Duration,
 		AskTimeout:   s.AskTimeout.Duration,
 		EndDelay:     s.EndDelay.Duration,
+		WriteRate:    s.WriteRate,
+		WriteBurst:   s.WriteBurst,
 	})
 	d.Provide(c)
 	return &claimPlugin{Claims: c, deps: d}, nil
