Read a shard of claims before writing it

Cause: a daemon wrote on the value that it had last seen. With several daemons another one had mostly changed it since, so that two writes of three lost, and each took one of the bounded writes.

Change: a value that is older than 20 ms is read before it is written. The platform takes several times more reads than writes.

--- a/internal/serve/claim/keeper.go
+++ b/internal/serve/claim/keeper.go
@@ -28,6 +28,8 @@
 	known    bool
 	base     *Shard
 	revision unit.Revision
+	// shown is the time of that answer.
+	shown time.Time
 	// changes have ended but are not known to be so in the platform; fences
 	// were given up but may be or come there.
 	changes map[uint64]*attempt
@@ -53,6 +55,11 @@
 	lastBackoff  = time.Second
 )
 
+// freshBase is the age up to which a value is written without being read
+// again. Another daemon has most likely changed an older one, and a write that
+// loses costs the platform a write, of which it takes far fewer than reads.
+const freshBase = 20 * time.Millisecond
+
 func newKeeper(c *Claims, shard uint64) *keeper {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = firstBackoff, lastBackoff
@@ -245,6 +252,7 @@
 	ctx, cancel := limit(ctx, k.claims.Clock, k.claims.WriteTimeout)
 	defer cancel()
 	fresh := false
+	k.known = k.known && k.claims.Clock.Since(k.shown) < freshBase
 	for {
 		if err := k.readmit(ctx); err != nil {
 			return k.fail(err)
@@ -350,10 +358,14 @@
 		k.known = false
 		return err
 	}
-	k.base, k.revision, k.known = s, e.Revision, true
+	k.show(s, e.Revision)
 	return nil
 }
 
+func (k *keeper) show(s *Shard, r unit.Revision) {
+	k.base, k.revision, k.known, k.shown = s, r, true, k.claims.Clock.Now()
+}
+
 // round applies the batch to the current value and writes it if it changes.
 func (k *keeper) round(ctx context.Context, fresh *bool) error {
 	batch := k.batch()
@@ -375,7 +387,7 @@
 	entry, result, err := k.claims.Platform.Swap(ctx, store.Swap{Key: k.key, Old: k.revision, Value: raw})
 	switch result {
 	case store.Done:
-		k.base, k.revision = o.Next, entry.Revision
+		k.show(o.Next, entry.Revision)
 		k.settle(batch, &o)
 		return nil
 	case store.Lost:
