Use 32 shards of claims and wait up to 2 s for a write

Cause: with claim.writeRate 20 the turns of 64 shards take up to 3.2 s, more than the write timeout of 1 s, so that claims were refused at a rate that sharing writes could carry.

Change: 32 shards, whose turns take at most 1.6 s, and a write timeout of 2 s, which stays below the pause limit of 5 s. Both are settings; shards may change only while no claim is retained.

--- a/internal/serve/claim/plugin.go
+++ b/internal/serve/claim/plugin.go
@@ -29,7 +29,7 @@
 	AskTimeout settings.Duration `json:"askTimeout" validate:"duration"`
 	// EndDelay is how long the end of a claim waits for another claim to share a platform write with. If the daemon crashes in this time, the outcome reads as unknown.
 	EndDelay settings.Duration `json:"endDelay" validate:"duration"`
-	// WriteRate bounds the platform writes a second of this daemon for claims. With more calls more of them share a write.
+	// WriteRate bounds the platform writes a second of this daemon for claims. With more calls more of them share a write. A shard's turn comes after at most shards/writeRate seconds, which should be below writeTimeout.
 	WriteRate float64 `json:"writeRate" validate:"min=1,max=1000"`
 	// WriteBurst bounds the writes that are begun at once after a time of fewer writes.
 	WriteBurst int `json:"writeBurst" validate:"min=1,max=1000"`
@@ -40,11 +40,13 @@
 func init() {
 	settings.Register(section, func() any {
 		return &Settings{
-			Shards:       64,
+			// At 20 writes a second each of 32 shards has its turn within
+			// 1.6 s, below the write timeout.
+			Shards:       32,
 			Retention:    settings.Of(24 * time.Hour),
 			PauseLimit:   settings.Of(5 * time.Second),
 			MaxValue:     900_000,
-			WriteTimeout: settings.Of(time.Second),
+			WriteTimeout: settings.Of(2 * time.Second),
 			AskTimeout:   settings.Of(time.Second),
 			EndDelay:     settings.Of(time.Second),
 			// 8 daemons begin at most 8*(20+4) = 192 writes in any second,
--- a/internal/serve/claim/shard.go
+++ b/internal/serve/claim/shard.go
@@ -84,8 +84,8 @@
 // fingerprint 8, nonce 8, index of its holder 2, state 1, code 2, time 4.
 //
 // With the default limit of 900,000 bytes and 8 holders with names of 20 bytes
-// a shard holds (900,000-7-8*21)/41 = 21,946 claims, and 64 shards 1.4 million:
-// with a retention of 24 h that is a mean of 16 at-most-once calls a second
+// a shard holds (900,000-7-8*21)/41 = 21,946 claims, and 32 shards 0.7 million:
+// with a retention of 24 h that is a mean of 8 at-most-once calls a second
 // over the day. More calls need more shards, or a shorter retention.
 const (
 	formatVersion = 1
