Leave half of the claims' write burst to claims

Cause: ends that were due took every write as soon as the token bucket had one, so that a claim waited for the next token although claims alone were far below the bound.

Change: an end is written only while half of the burst stays in the bucket.

Conclusion: a claim waits for nothing while claims stay below the rate.

--- a/internal/serve/claim/pace.go
+++ b/internal/serve/claim/pace.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
 	"cuminbay/internal/kernel/clock"
@@ -33,8 +34,8 @@
 	mu      sync.Mutex
 	limiter *rate.Limiter
 	waiting [urgencies][]*turn
-	// armed says that a timer will grant the next turn.
-	armed bool
+	// timer grants the next turn.
+	timer clockwork.Timer
 }
 
 // turn is a keeper's place in the order of writes. Granted is closed when the
@@ -65,6 +66,7 @@
 	if t.urgency == ending && p.remove(t) {
 		t.urgency = claiming
 		p.waiting[claiming] = append(p.waiting[claiming], t)
+		p.grant()
 	}
 }
 
@@ -115,28 +117,40 @@
 	return true
 }
 
+// need returns the writes that have to be in the bucket for the next turn. An
+// end leaves half of the bucket to the claims, so that a claim need not wait
+// while the claims alone stay below the rate.
+func (p *pacer) need() int {
+	if len(p.waiting[repeated])+len(p.waiting[claiming]) > 0 {
+		return 1
+	}
+	return 1 + p.limiter.Burst()/2
+}
+
 // grant grants every turn that the limiter allows, and sets a timer for the
-// next one.
+// next one. The timer of an end is replaced when a claim comes, as that is due
+// earlier.
 func (p *pacer) grant() {
 	now := p.clock.Now()
-	for !p.empty() && p.limiter.AllowN(now, 1) {
+	for !p.empty() && p.limiter.TokensAt(now) >= float64(p.need()) && p.limiter.AllowN(now, 1) {
 		p.pass()
 	}
-	if p.empty() || p.armed {
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	if p.empty() {
 		return
 	}
-	next := p.limiter.ReserveN(now, 1)
+	next := p.limiter.ReserveN(now, p.need())
 	delay := next.DelayFrom(now)
 	next.CancelAt(now)
-	p.armed = true
 	// The limiter rounds, so that a timer of exactly its delay may come too
 	// early for a whole token.
-	p.clock.AfterFunc(max(delay, time.Millisecond), p.tick)
+	p.timer = p.clock.AfterFunc(max(delay, time.Millisecond), p.tick)
 }
 
 func (p *pacer) tick() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.armed = false
 	p.grant()
 }
--- a/internal/serve/claim/pace_test.go
+++ b/internal/serve/claim/pace_test.go
@@ -47,6 +47,12 @@
 			c.Assert(clk.BlockUntilContext(t.Context(), 1), qt.IsNil)
 			clk.Advance(101 * time.Millisecond)
 		}
+		if next == end {
+			// One write of two stays for claims.
+			c.Assert(clk.BlockUntilContext(t.Context(), 1), qt.IsNil)
+			c.Assert(granted(end), qt.IsFalse)
+			clk.Advance(101 * time.Millisecond)
+		}
 		<-next.granted
 	}
 }
