Keep claims that ended in 16 bytes

Cause: a claim took 41 bytes for the whole retention, so that a shard of 900,000 bytes held 21,946 claims: with 24 h and 32 shards a mean of 8 calls a second.

Change: a claim that ended more than claim.recent (10 min) ago keeps 96 bits of the key's hash, its code and the minute, rounded up. Claims that are sent stay whole for the retention, as their nonce and holder decide what may happen to them; an ended claim never changes, so that nothing is lost with its nonce. Its fingerprint is: after 10 min another request with the key is refused as 4001 or 5002 instead of 2007, with a text that says that only a 96-bit hash was compared. A key that was never claimed meets such a refusal with a chance of 56,000/2^96 = 7e-25 a call, for keys that nobody has made up to collide in xxhash. Values of version 1 are read; version 2 is written, which older daemons refuse as not run, so they have to be replaced before claims work everywhere.

Weighed and left: more shards make the turns of a shard longer under the bound on writes; a retention per service would need the service in each claim, and weakens the promise where it is shorter; less than 96 bits brings false refusals nearer and saves little.

--- a/internal/serve/claim/apply.go
+++ b/internal/serve/claim/apply.go
@@ -11,6 +11,10 @@
 type Rules struct {
 	// Retention is the time for which a claim is kept.
 	Retention time.Duration
+	// Recent is the time for which the claim of a request that ended is kept
+	// in full. Later its fingerprint is gone, so that another request with the
+	// key is refused as already run instead of as a reuse of the key.
+	Recent time.Duration
 	// MaxValue bounds the encoded size of a shard in bytes.
 	MaxValue int
 }
@@ -97,7 +101,7 @@
 // Apply returns what the batch makes of the shard of the given revision. The
 // shard itself is not changed.
 func (r Rules) Apply(s *Shard, revision unit.Revision, b *Batch, now time.Time) Outcome {
-	next := s.copyWithout(func(c *Claim) bool { return r.expired(c, now) }, len(b.Wants))
+	next := r.prune(s, now, len(b.Wants))
 	o := Outcome{
 		Next:     next,
 		Verdicts: make([]Verdict, len(b.Wants)),
@@ -177,6 +181,10 @@
 			return 0
 		}
 	}
+	if old, past := o.Next.findEnded(w.Hash); past {
+		o.Existing[i], o.Verdicts[i] = old, Exists
+		return 0
+	}
 	grows := 0
 	if !found {
 		grows = claimSize
--- a/internal/serve/claim/attempt.go
+++ b/internal/serve/claim/attempt.go
@@ -212,8 +212,16 @@
 	return refusalOf(r.Code, holder)
 }
 
-// refusalOf refuses a request whose key ended with the code.
+// refusalOf refuses a request whose key ended with the code. Without a holder
+// the claim was kept in the compact form.
 func refusalOf(c code.Code, holder ident.Instance) error {
+	if holder == "" {
+		const text = "an earlier request, whose key has the same 96-bit hash, ended with %s; its content was not kept for comparison"
+		if c.Spec().Outcome == code.Unknown {
+			return code.OutcomeUnknown.New(text, c)
+		}
+		return code.AlreadyRan.New(text, c)
+	}
 	if c.Spec().Outcome == code.Unknown {
 		return code.OutcomeUnknown.New("an earlier request with this key at %s ended with %s", holder, c)
 	}
--- a/internal/serve/claim/plugin.go
+++ b/internal/serve/claim/plugin.go
@@ -19,6 +19,8 @@
 	Shards uint64 `json:"shards" validate:"min=1,max=4096"`
 	// Retention is the time for which a key can't run again.
 	Retention settings.Duration `json:"retention" validate:"duration"`
+	// Recent is the time for which a request's content is compared with that of an earlier one with its key; afterwards the key is only known to have run.
+	Recent settings.Duration `json:"recent" validate:"duration"`
 	// PauseLimit bounds the time from claim to send.
 	PauseLimit settings.Duration `json:"pauseLimit" validate:"duration"`
 	// MaxValue bounds a shard in bytes, below the platform's limit of 1 MB.
@@ -44,6 +46,7 @@
 			// 1.6 s, below the write timeout.
 			Shards:       32,
 			Retention:    settings.Of(24 * time.Hour),
+			Recent:       settings.Of(10 * time.Minute),
 			PauseLimit:   settings.Of(5 * time.Second),
 			MaxValue:     900_000,
 			WriteTimeout: settings.Of(2 * time.Second),
@@ -72,7 +75,7 @@
 	c := New(Options{
 		Self:         d.Settings.Daemon.Instance,
 		Clock:        d.Clock,
-		Rules:        Rules{Retention: s.Retention.Duration, MaxValue: s.MaxValue},
+		Rules:        Rules{Retention: s.Retention.Duration, Recent: s.Recent.Duration, MaxValue: s.MaxValue},
 		Shards:       s.Shards,
 		PauseLimit:   s.PauseLimit.Duration,
 		WriteTimeout: s.WriteTimeout.Duration,
--- a/internal/serve/claim/shard.go
+++ b/internal/serve/claim/shard.go
@@ -73,23 +73,28 @@
 	Changed uint32
 }
 
-// Shard is the decoded value of one platform key: claims in order of hash.
+// Shard is the decoded value of one platform key: claims in order of hash, and
+// claims that ended longer ago.
 type Shard struct {
 	claims []Claim
+	ended  []ended
 }
 
 // The format of a shard's value, little-endian: version (1 byte), number of
 // holders (2), each holder as length (1) and name, number of claims (4), then
-// the claims in ascending order of hash. A claim takes 41 bytes: hash 16,
-// fingerprint 8, nonce 8, index of its holder 2, state 1, code 2, time 4.
+// the claims in ascending order of hash, base minute (4) and number (4) of ended
+// claims, then these in ascending order. A claim takes 41 bytes: hash 16,
+// fingerprint 8, nonce 8, index of its holder 2, state 1, code 2, time 4. An
+// ended claim takes 16. Version 1 had no ended claims and is still read.
 //
-// With the default limit of 900,000 bytes and 8 holders with names of 20 bytes
-// a shard holds (900,000-7-8*21)/41 = 21,946 claims, and 32 shards 0.7 million:
-// with a retention of 24 h that is a mean of 8 at-most-once calls a second
-// over the day. More calls need more shards, or a shorter retention.
+// With the default limit of 900,000 bytes, claims in full for 10 min and 24 h of
+// retention, a shard has room for a mean of 900,000/(610*41+86,400*16) = 0.64
+// at-most-once calls a second over the day, about 55,600 claims, and 32 shards
+// for 20. More calls need more shards, or a shorter retention.
 const (
-	formatVersion = 1
-	fixedSize     = 1 + 2 + 4
+	formatVersion = 2
+	firstVersion  = 1
+	fixedSize     = 1 + 2 + 4 + 4 + 4
 	claimSize     = 16 + 8 + 8 + 2 + 1 + 2 + 4
 	maxHolders    = 1<<16 - 1
 	maxHolderName = 1<<8 - 1
@@ -102,8 +107,9 @@
 	if len(raw) == 0 {
 		return &Shard{}, nil
 	}
-	if raw[0] != formatVersion {
-		return nil, code.BadMessage.New("shard of claims: version %d, want %d", raw[0], formatVersion)
+	version := raw[0]
+	if version != formatVersion && version != firstVersion {
+		return nil, code.BadMessage.New("shard of claims: version %d, want %d", version, formatVersion)
 	}
 	holders, rest, err := decodeHolders(raw[1:])
 	if err != nil {
@@ -115,7 +121,7 @@
 	}
 	count := int(binary.LittleEndian.Uint32(rest))
 	rest = rest[countSize:]
-	if len(rest) != count*claimSize {
+	if len(rest) < count*claimSize || version == firstVersion && len(rest) > count*claimSize {
 		return nil, code.BadMessage.New("shard of claims: %d bytes for %d claims, want %d", len(rest), count, count*claimSize)
 	}
 	s := &Shard{claims: make([]Claim, count)}
@@ -124,6 +130,11 @@
 			return nil, code.BadMessage.Wrap(err, "shard of claims: claim %d", i)
 		}
 	}
+	if version != firstVersion {
+		if err := s.decodeEnded(rest[count*claimSize:]); err != nil {
+			return nil, err
+		}
+	}
 	return s, s.Check()
 }
 
@@ -201,7 +212,7 @@
 		raw = le.AppendUint16(raw, uint16(c.Code))
 		raw = le.AppendUint32(raw, c.Changed)
 	}
-	return raw
+	return s.appendEnded(raw)
 }
 
 // holders returns the holders of the claims and the index of each.
@@ -219,7 +230,7 @@
 }
 
 func (s *Shard) size(holders []ident.Instance) int {
-	size := fixedSize + len(s.claims)*claimSize
+	size := fixedSize + len(s.claims)*claimSize + len(s.ended)*endedSize
 	for _, h := range holders {
 		size += 1 + len(h)
 	}
@@ -228,7 +239,7 @@
 
 // Len returns the number of claims.
 func (s *Shard) Len() int {
-	return len(s.claims)
+	return len(s.claims) + len(s.ended)
 }
 
 // find returns the place of the hash and whether a claim is there.
@@ -237,27 +248,16 @@
 	return i, i < len(s.claims) && s.claims[i].Hash == h
 }
 
-// Find returns the claim of the hash.
+// Find returns the claim of the hash. One that ended longer ago has no
+// fingerprint, nonce and holder.
 func (s *Shard) Find(h Hash) (Claim, bool) {
 	i, found := s.find(h)
 	if !found {
-		return Claim{}, false
+		return s.findEnded(h)
 	}
 	return s.claims[i], true
 }
 
-// copyWithout returns a copy that leaves out what has expired and has room for
-// more claims.
-func (s *Shard) copyWithout(expired func(*Claim) bool, room int) *Shard {
-	next := &Shard{claims: make([]Claim, 0, len(s.claims)+room)}
-	for i := range s.claims {
-		if !expired(&s.claims[i]) {
-			next.claims = append(next.claims, s.claims[i])
-		}
-	}
-	return next
-}
-
 // put adds the claim or replaces that of the same hash.
 func (s *Shard) put(c Claim) {
 	i, found := s.find(c.Hash)
