--- a/internal/serve/claim/claims.go
+++ b/internal/serve/claim/claims.go
@@ -43,12 +43,30 @@
 	// holder of a claim.
 	WriteTimeout time.Duration
 	AskTimeout   time.Duration
+	// EndDelay is the time for which the end of a claim (done or released)
+	// waits for a claim of its shard to share a write with. Until it is
+	// written the holder answers for the claim, whose state in the platform
+	// is Sent. If the holder crashes before, the claim stays Sent: a request
+	// that ended is then refused as of unknown outcome instead of as run, and
+	// the key of a request that was not sent stays claimed for the retention.
+	// Both refusals are accurate, but say less than they could; nothing runs
+	// twice.
+	EndDelay time.Duration
+	// WriteRate bounds the platform writes a second of this process, repeated
+	// ones included, over all shards. WriteBurst is the number of writes that
+	// may be begun at once after a time of fewer; in any second there are at
+	// most WriteRate+WriteBurst. Claims that wait for a write share it with
+	// all others of their shard, and those that wait for longer than
+	// WriteTimeout are refused as not run.
+	WriteRate  float64
+	WriteBurst int
 }
 
 // Claims makes and answers for the claims of this process.
 type Claims struct {
 	Options
 	keepers  []*keeper
+	pace     *pacer
 	draining chan struct{}
 	drain    sync.Once
 	group    sync.WaitGroup
@@ -62,6 +80,7 @@
 // New returns Claims that do nothing before Run.
 func New(o Options) *Claims {
 	c := &Claims{Options: o, draining: make(chan struct{})}
+	c.pace = newPacer(o.Clock, o.WriteRate, o.WriteBurst)
 	for i := range o.Shards {
 		c.keepers = append(c.keepers, newKeeper(c, i))
 	}
@@ -97,6 +116,16 @@
 	}
 }
 
+// stopping reports whether Drain was called.
+func (c *Claims) stopping() bool {
+	select {
+	case <-c.draining:
+		return true
+	default:
+		return false
+	}
+}
+
 // Writes returns the number of platform writes begun so far, Confirmed that of
 // claims confirmed.
 func (c *Claims) Writes() int64 { return c.writes.Load() }
--- a/internal/serve/claim/keeper.go
+++ b/internal/serve/claim/keeper.go
@@ -28,10 +28,17 @@
 	known    bool
 	base     *Shard
 	revision unit.Revision
+	// shown is the time of that answer.
+	shown time.Time
 	// changes have ended but are not known to be so in the platform; fences
 	// were given up but may be or come there.
 	changes map[uint64]*attempt
 	fences  map[uint64]*attempt
+	// due is when changes and fences are written without a claim to share
+	// the write with; zero if there are none.
+	due time.Time
+	// granted says that the pacer has granted a write that was not begun yet.
+	granted bool
 	// live are the attempts of the current cycle that wait for the platform.
 	live []*attempt
 }
@@ -48,6 +55,11 @@
 	lastBackoff  = time.Second
 )
 
+// freshBase is the age up to which a value is written without being read
+// again. Another daemon has most likely changed an older one, and a write that
+// loses costs the platform a write, of which it takes far fewer than reads.
+const freshBase = 20 * time.Millisecond
+
 func newKeeper(c *Claims, shard uint64) *keeper {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = firstBackoff, lastBackoff
@@ -108,6 +120,19 @@
 	return len(k.changes)+len(k.fences) > 0
 }
 
+// delay returns how long the ends that remain may still wait for a claim to
+// share a write with; zero if something has to be written now.
+func (k *keeper) delay() time.Duration {
+	now := k.claims.Clock.Now()
+	if k.due.IsZero() {
+		k.due = now.Add(k.claims.EndDelay)
+	}
+	if len(k.live) > 0 || k.claims.stopping() {
+		return 0
+	}
+	return max(0, k.due.Sub(now))
+}
+
 // run works until the context ends, or until Drain was called and nothing
 // remains.
 func (k *keeper) run(ctx context.Context) {
@@ -127,9 +152,23 @@
 	if err != nil {
 		return k.pause(ctx)
 	}
-	if k.remains() {
-		return ctx.Err() == nil
+	for {
+		k.take()
+		if len(k.live) == 0 && !k.remains() {
+			return k.idle(ctx)
+		}
+		delay := k.delay()
+		if delay == 0 {
+			return ctx.Err() == nil
+		}
+		if !k.rest(ctx, delay) {
+			return false
+		}
 	}
+}
+
+// idle waits for something to do.
+func (k *keeper) idle(ctx context.Context) bool {
 	select {
 	case <-k.wake:
 		return true
@@ -140,6 +179,20 @@
 	}
 }
 
+// rest waits until the delay is over or there may be more to do.
+func (k *keeper) rest(ctx context.Context, delay time.Duration) bool {
+	timer := k.claims.Clock.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-k.wake:
+	case <-timer.Chan():
+	case <-k.claims.draining:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // pause waits before the platform is tried again. Claims that arrive meanwhile
 // are refused at once.
 func (k *keeper) pause(ctx context.Context) bool {
@@ -184,17 +237,26 @@
 var errAgain = errors.New("another round")
 
 // cycle brings everything queued into the platform in as few writes as
-// possible, and tells each claim's caller the verdict. After an error the live
+// possible, and tells each claim's caller the verdict. Ends alone are written
+// once they are due. After an error the live
 // attempts have been refused, and changes and fences remain.
 func (k *keeper) cycle(ctx context.Context) error {
 	k.take()
-	if len(k.live) == 0 && !k.remains() {
+	if len(k.live) == 0 && (!k.remains() || k.delay() > 0) {
 		return nil
 	}
+	if !k.admit(ctx) {
+		return nil
+	}
+	defer k.refund()
 	ctx, cancel := limit(ctx, k.claims.Clock, k.claims.WriteTimeout)
 	defer cancel()
 	fresh := false
+	k.known = k.known && k.claims.Clock.Since(k.shown) < freshBase
 	for {
+		if err := k.readmit(ctx); err != nil {
+			return k.fail(err)
+		}
 		if !k.known {
 			if err := k.read(ctx); err != nil {
 				return k.fail(err)
@@ -215,6 +277,65 @@
 	}
 }
 
+// admit waits for the pacer's permission to write. Claims that arrive meanwhile
+// join the write. It returns false if the context ends first.
+func (k *keeper) admit(ctx context.Context) bool {
+	pace := k.claims.pace
+	u := ending
+	if len(k.live) > 0 {
+		u = claiming
+	}
+	t := pace.enter(u)
+	for {
+		select {
+		case <-t.granted:
+			k.granted = true
+			k.take()
+			return true
+		case <-ctx.Done():
+			pace.leave(t)
+			return false
+		case <-k.wake:
+			k.take()
+			if len(k.live) > 0 {
+				pace.raise(t)
+			}
+		}
+	}
+}
+
+// readmit waits for the permission to write again in the same cycle. After a
+// wait the platform's value may have changed, so that it is read again.
+func (k *keeper) readmit(ctx context.Context) error {
+	if k.granted {
+		return nil
+	}
+	t := k.claims.pace.enter(repeated)
+	select {
+	case <-t.granted:
+		k.granted = true
+		return nil
+	default:
+	}
+	select {
+	case <-t.granted:
+		k.granted, k.known = true, false
+		k.take()
+		return nil
+	case <-ctx.Done():
+		k.claims.pace.leave(t)
+		return ctx.Err()
+	}
+}
+
+// refund returns the permission to write if the cycle did not use it.
+func (k *keeper) refund() {
+	if k.granted {
+		k.granted = false
+		k.claims.pace.refund()
+	}
+}
+
 func (k *keeper) fail(err error) error {
 	err = code.PlatformUnavailable.Wrap(err, "claim in %s", k.key)
 	k.known = false
@@ -237,10 +358,14 @@
 		k.known = false
 		return err
 	}
-	k.base, k.revision, k.known = s, e.Revision, true
+	k.show(s, e.Revision)
 	return nil
 }
 
+func (k *keeper) show(s *Shard, r unit.Revision) {
+	k.base, k.revision, k.known, k.shown = s, r, true, k.claims.Clock.Now()
+}
+
 // round applies the batch to the current value and writes it if it changes.
 func (k *keeper) round(ctx context.Context, fresh *bool) error {
 	batch := k.batch()
@@ -257,11 +382,12 @@
 		return nil
 	}
 	raw := o.Next.Encode()
+	k.granted = false
 	k.claims.writes.Add(1)
 	entry, result, err := k.claims.Platform.Swap(ctx, store.Swap{Key: k.key, Old: k.revision, Value: raw})
 	switch result {
 	case store.Done:
-		k.base, k.revision = o.Next, entry.Revision
+		k.show(o.Next, entry.Revision)
 		k.settle(batch, &o)
 		return nil
 	case store.Lost:
@@ -320,6 +446,7 @@
 // settle tells the callers their verdicts once the outcome is in the platform,
 // and forgets what needs no more attention.
 func (k *keeper) settle(b *Batch, o *Outcome) {
+	k.due = time.Time{}
 	for _, c := range b.Changes {
 		k.forget(k.changes[c.Nonce])
 	}
--- a/internal/serve/claim/plugin.go
+++ b/internal/serve/claim/plugin.go
@@ -19,6 +19,8 @@
 	Shards uint64 `json:"shards" validate:"min=1,max=4096"`
 	// Retention is the time for which a key can't run again.
 	Retention settings.Duration `json:"retention" validate:"duration"`
+	// Recent is the time for which a request's content is compared with that of an earlier one with its key; afterwards the key is only known to have run.
+	Recent settings.Duration `json:"recent" validate:"duration"`
 	// PauseLimit bounds the time from claim to send.
 	PauseLimit settings.Duration `json:"pauseLimit" validate:"duration"`
 	// MaxValue bounds a shard in bytes, below the platform's limit of 1 MB.
@@ -27,6 +29,12 @@
 	WriteTimeout settings.Duration `json:"writeTimeout" validate:"duration"`
 	// AskTimeout bounds the wait for the holder of a claim.
 	AskTimeout settings.Duration `json:"askTimeout" validate:"duration"`
+	// EndDelay is how long the end of a claim waits for another claim to share a platform write with. If the daemon crashes in this time, the outcome reads as unknown.
+	EndDelay settings.Duration `json:"endDelay" validate:"duration"`
+	// WriteRate bounds the platform writes a second of this daemon for claims. With more calls more of them share a write. A shard's turn comes after at most shards/writeRate seconds, which should be below writeTimeout.
+	WriteRate float64 `json:"writeRate" validate:"min=1,max=1000"`
+	// WriteBurst bounds the writes that are begun at once after a time of fewer writes.
+	WriteBurst int `json:"writeBurst" validate:"min=1,max=1000"`
 }
 
 const section = "claim"
@@ -34,12 +42,20 @@
 func init() {
 	settings.Register(section, func() any {
 		return &Settings{
-			Shards:       64,
+			// At 20 writes a second each of 32 shards has its turn within
+			// 1.6 s, below the write timeout.
+			Shards:       32,
 			Retention:    settings.Of(24 * time.Hour),
+			Recent:       settings.Of(10 * time.Minute),
 			PauseLimit:   settings.Of(5 * time.Second),
 			MaxValue:     900_000,
-			WriteTimeout: settings.Of(time.Second),
+			WriteTimeout: settings.Of(2 * time.Second),
 			AskTimeout:   settings.Of(time.Second),
+			EndDelay:     settings.Of(time.Second),
+			// 8 daemons begin at most 8*(20+4) = 192 writes in any second,
+			// of the several hundred that the platform takes in all.
+			WriteRate:  20,
+			WriteBurst: 4,
 		}
 	})
 	plugin.Register(plugin.Decision, section, build)
@@ -59,11 +75,14 @@
 	c := New(Options{
 		Self:         d.Settings.Daemon.Instance,
 		Clock:        d.Clock,
-		Rules:        Rules{Retention: s.Retention.Duration, MaxValue: s.MaxValue},
+		Rules:        Rules{Retention: s.Retention.Duration, Recent: s.Recent.Duration, MaxValue: s.MaxValue},
 		Shards:       s.Shards,
 		PauseLimit:   s.PauseLimit.Duration,
 		WriteTimeout: s.WriteTimeout.Duration,
 		AskTimeout:   s.AskTimeout.Duration,
+		EndDelay:     s.EndDelay.Duration,
+		WriteRate:    s.WriteRate,
+		WriteBurst:   s.WriteBurst,
 	})
 	d.Provide(c)
 	return &claimPlugin{Claims: c, deps: d}, nil
