Measure the control cost by size

Cause: docs/CAPACITY.md needs slopes of bytes, processor time and heap, and only the sections member and replica had a figure, each at one size.

Change: benchmarks of each section's exchange in the quiet state and with one change, of the calls between daemons and the probes over loopback with bytes counted at the connection, of the roster, the table and the heap of each state. They are in one package, since they share the builders of states, except that of the calls, which needs the plug-in.

--- /dev/null
+++ b/internal/peer/twirp/wire_test.go
@@ -0,0 +1,90 @@
+package twirp
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/fleet/member"
+)
+
+// counting counts the bytes of the connections that a listener accepts.
+type counting struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *counting) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, &l.bytes}, err
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// fixed is a section with messages of fixed sizes.
+type fixed struct {
+	name          string
+	digest, delta []byte
+}
+
+func (f *fixed) Section() string     { return f.name }
+func (f *fixed) Global() bool        { return true }
+func (f *fixed) Digest() []byte      { return f.digest }
+func (f *fixed) Delta([]byte) []byte { return f.delta }
+
+// Merge takes anything.
+func (f *fixed) Merge(ident.Instance, []byte) error { return nil }
+
+// BenchmarkWire measures an exchange of six sections over loopback, both sides
+// together, with the bytes in both directions without those of TCP.
+func BenchmarkWire(b *testing.B) {
+	for name, size := range map[string]struct{ digest, delta int }{
+		"empty/calls=1": {}, "empty/calls=2": {0, 1}, "digests=1000/calls=1": {1000, 0}, "digests=1000/calls=2": {1000, 500},
+	} {
+		b.Run(name, func(b *testing.B) {
+			c := qt.New(b)
+			var sections []any
+			for _, n := range []string{"config", "drain", "poison", "remote", "replica"} {
+				sections = append(sections, &fixed{name: n})
+			}
+			sections = append(sections, &fixed{"member", make([]byte, size.digest), make([]byte, size.delta)})
+			m := new(fakeMembers)
+			x, y := build(c, "dc00-entry-00", "dc00", m, sections...), build(c, "dc00-entry-01", "dc00", m, sections...)
+			for _, p := range []*Plugin{x, y} {
+				p.members, p.contact = m, m
+				c.Assert(p.find(), qt.IsNil)
+			}
+			server := httptest.NewUnstartedServer(NewPeerServer(&handler{y}))
+			l := &counting{Listener: server.Listener}
+			server.Listener = l
+			server.Start()
+			defer server.Close()
+			peer := member.Peer{Instance: "dc00-entry-01", DataCentre: "dc00", Address: l.Addr().String()}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Assert(x.exchange(context.Background(), peer), qt.IsNil)
+			}
+			b.ReportMetric(float64(l.bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/capacity/exchange_test.go
@@ -0,0 +1,268 @@
+// Package capacity measures what docs/CAPACITY.md is worked out from: bytes,
+// processor time and heap of each role by the number of daemons, data centres,
+// replicas, records and marks.
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/mark"
+	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/report"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/config"
+	"cuminbay/internal/fleet/drain"
+	"cuminbay/internal/fleet/member"
+	"cuminbay/internal/fleet/remote"
+	"cuminbay/internal/fleet/replica"
+	"cuminbay/internal/kernel/timeline"
+	"cuminbay/internal/serve/poison"
+)
+
+// section is what daemons exchange.
+type section interface {
+	Digest() []byte
+	Delta(digest []byte) []byte
+}
+
+// cost measures an exchange of two daemons that neither merges, so that each
+// repetition has the same to send. It reports the bytes of both digests and of
+// both deltas.
+func cost(b *testing.B, x, y section) {
+	b.ReportAllocs()
+	digests, deltas := 0, 0
+	for b.Loop() {
+		dx, dy := x.Digest(), y.Digest()
+		digests = len(dx) + len(dy)
+		deltas = len(y.Delta(dx)) + len(x.Delta(dy))
+	}
+	b.ReportMetric(float64(digests), "digest-B")
+	b.ReportMetric(float64(deltas), "delta-B")
+}
+
+func views(centres, daemons int) []*member.View {
+	clk := clockwork.NewFakeClock()
+	var all []*member.View
+	for i := range centres * daemons {
+		id, dc := fmt.Sprintf("dc%02d-entry-%02d", i/daemons, i%daemons), fmt.Sprintf("dc%02d", i/daemons)
+		all = append(all, member.New(member.Options{
+			Self: member.Entry{
+				Instance: ident.Instance(id), DataCentre: ident.DataCentre(dc), Boot: unit.Boot(i + 1),
+				Address: fmt.Sprintf("10.%d.0.%d:7700", i/daemons, i%daemons), Caller: fmt.Sprintf("10.%d.0.%d:8080", i/daemons, i%daemons),
+			},
+			Clock: clk, DeadAfter: 3 * time.Second, FarDeadAfter: 15 * time.Second,
+		}))
+	}
+	for range 3 {
+		for _, v := range all {
+			for _, first := range all[:2] {
+				first.Delta(v.Digest())
+				_ = first.Merge("peer", v.Delta(first.Digest()))
+			}
+		}
+	}
+	return all[:2]
+}
+
+func BenchmarkMember(b *testing.B) {
+	for _, size := range [][2]int{{3, 3}, {1, 15}, {1, 60}, {7, 60}, {14, 60}} {
+		b.Run(fmt.Sprintf("centres=%d/daemons=%d", size[0], size[1]), func(b *testing.B) {
+			v := views(size[0], size[1])
+			cost(b, v[0], v[1])
+		})
+	}
+}
+
+func assignment(domain, replicas, members int) report.Assignment {
+	a := report.Assignment{Domain: ident.Domain(fmt.Sprintf("dc00-rack-%02d", domain)), DataCentre: "dc00", Epoch: 1}
+	for r := range replicas {
+		p := report.Replica{
+			ID: ident.Replica(fmt.Sprintf("%s/chat-large/%d", a.Domain, r)), Epoch: 1,
+			Deployment: "chat-large", Model: "chat-large", Version: "2026-01",
+		}
+		for m := range members {
+			id := ident.Instance(fmt.Sprintf("%s-server-%02d", a.Domain, r*members+m))
+			p.Members = append(p.Members, report.Member{Instance: id, Address: fmt.Sprintf("10.0.%d.%d:8000", domain, r*members+m)})
+		}
+		a.Replicas = append(a.Replicas, p)
+	}
+	return a
+}
+
+// sequences is so large that a sequence takes the bytes that it has after the
+// first hours of a daemon.
+const sequences = 20_000
+
+// trackers returns the state of two daemons, each of which has heard the newest
+// attestation of one half of the owners. Replica n has the owner n*7 modulo the
+// daemons, as rendezvous hashing leaves some without any.
+func trackers(daemons, replicas int) [2]*replica.Tracker {
+	clk := clockwork.NewFakeClock()
+	made := func(n int) *replica.Tracker {
+		return replica.New(replica.Options{
+			Clock: clk, Self: ident.Instance(fmt.Sprintf("dc00-entry-%02d", n)), DataCentre: "dc00",
+			Boot: unit.Boot(clk.Now().UnixMilli()), StaleAfter: 2 * time.Second, AttestStaleAfter: 3 * time.Second,
+		})
+	}
+	readers := [2]*replica.Tracker{made(1000), made(1001)}
+	for n := range daemons {
+		owner := made(n)
+		for range sequences {
+			owner.Publish(func(ident.Replica) bool { return false })
+		}
+		owned := make(map[ident.Replica]bool)
+		for d := 0; d*4 < replicas; d++ {
+			a := assignment(d, min(4, replicas-d*4), 16)
+			_, _ = owner.Assign(a)
+			for i, r := range a.Replicas {
+				k := d*4 + i
+				if owned[r.ID] = k*k*7%daemons == n; !owned[r.ID] {
+					continue
+				}
+				for rank, m := range r.Members {
+					owner.Observe(&report.Report{Instance: m.Instance, Boot: 1, Sequence: 1, Ready: true, Placement: report.Placement{
+						Replica: r.ID, Epoch: 1, Rank: unit.Rank(rank), Model: r.Model, Version: r.Version,
+					}}, clk.Now())
+				}
+			}
+		}
+		for range 2 {
+			owner.Publish(func(r ident.Replica) bool { return owned[r] })
+			for _, r := range readers {
+				_ = r.Merge("peer", owner.Delta(r.Digest()))
+			}
+		}
+		owner.Publish(func(r ident.Replica) bool { return owned[r] })
+		r := readers[n%2]
+		_ = r.Merge("peer", owner.Delta(r.Digest()))
+	}
+	return readers
+}
+
+func BenchmarkReplica(b *testing.B) {
+	for _, size := range [][2]int{{3, 16}, {15, 54}, {60, 1}, {60, 54}, {60, 108}} {
+		b.Run(fmt.Sprintf("daemons=%d/replicas=%d", size[0], size[1]), func(b *testing.B) {
+			t := trackers(size[0], size[1])
+			cost(b, t[0], t[1])
+		})
+	}
+}
+
+type events struct{}
+
+func (events) Record(string, string, ...string) {}
+
+func stored(i int, revision unit.Revision) config.Stored {
+	return config.Stored{
+		Name: record.Name{Kind: record.OrganisationKind, Name: fmt.Sprintf("organisation-%05d", i)}, Revision: revision,
+		Raw: fmt.Appendf(nil, `{"schema":2,"keys":["key-of-organisation-%05d"],"weight":1,"limit":100}`, i),
+	}
+}
+
+func records(n int) *config.State {
+	s := config.NewState(clockwork.NewFakeClock(), events{})
+	s.SetReady()
+	var all []config.Stored
+	for i := range n {
+		all = append(all, stored(i, unit.Revision(i+1)))
+	}
+	s.Apply(config.FromList, all)
+	return s
+}
+
+// BenchmarkConfig measures the exchange without a difference, with one change
+// under way, and the taking of one change.
+func BenchmarkConfig(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		x, y := records(n), records(n)
+		b.Run(fmt.Sprintf("records=%d/quiet", n), func(b *testing.B) { cost(b, x, y) })
+		revision := unit.Revision(n)
+		b.Run(fmt.Sprintf("records=%d/apply", n), func(b *testing.B) {
+			for b.Loop() {
+				revision++
+				x.Apply(config.FromPeer, []config.Stored{stored(1, revision)})
+			}
+		})
+		x.Apply(config.FromPeer, []config.Stored{stored(1, revision+1)})
+		b.Run(fmt.Sprintf("records=%d/change", n), func(b *testing.B) { cost(b, x, y) })
+	}
+}
+
+func marks(clk clockwork.Clock, n int) *drain.State {
+	s := drain.New(drain.Options{Self: "dc00-entry-00", Hybrid: timeline.NewHybrid(clk)})
+	for i := range n {
+		_, _ = s.Put(mark.Target{Kind: mark.Instance, ID: fmt.Sprintf("dc00-server-%03d", i)}, true)
+	}
+	return s
+}
+
+func BenchmarkDrain(b *testing.B) {
+	for _, n := range []int{0, 10, 100, 1000} {
+		clk := clockwork.NewFakeClock()
+		x, y := marks(clk, n), marks(clk, n)
+		b.Run(fmt.Sprintf("marks=%d/quiet", n), func(b *testing.B) { cost(b, x, y) })
+		_, _ = x.Put(mark.Target{Kind: mark.Instance, ID: "dc00-server-000"}, false)
+		b.Run(fmt.Sprintf("marks=%d/change", n), func(b *testing.B) { cost(b, x, y) })
+	}
+}
+
+func suspicions(n int) *poison.Suspicions {
+	s := poison.New(poison.Options{Clock: clockwork.NewFakeClock(), Self: "dc00-entry-00", Lifetime: 10 * time.Minute, Limit: 4096})
+	for i := range n {
+		s.Suspect(ident.Fingerprint(uint64(i+1) * 0x9e3779b97f4a7c15))
+	}
+	return s
+}
+
+func BenchmarkPoison(b *testing.B) {
+	for _, n := range []int{0, 10, 100, 1000} {
+		x, y := suspicions(n), suspicions(n)
+		b.Run(fmt.Sprintf("suspicions=%d/quiet", n), func(b *testing.B) { cost(b, x, y) })
+		x.Suspect(1)
+		b.Run(fmt.Sprintf("suspicions=%d/change", n), func(b *testing.B) { cost(b, x, y) })
+	}
+}
+
+// summaries has one summary of each data centre, with ten deployments. The
+// newest sequence of those below newer is one higher.
+func summaries(centres, newer int) *remote.Summaries {
+	m := remote.NewSummaries(clockwork.NewFakeClock(), 5*time.Second)
+	for i := range centres {
+		s := remote.Summary{
+			DataCentre: ident.DataCentre(fmt.Sprintf("dc%02d", i)), Author: ident.Instance(fmt.Sprintf("dc%02d-entry-07", i)),
+			Boot: 1_790_000_000_000_000_000, Sequence: sequences, Age: 700 * time.Millisecond,
+		}
+		for d := range 10 {
+			s.Rooms = append(s.Rooms, remote.Room{Deployment: ident.Deployment(fmt.Sprintf("deployment-%02d", d)), Warm: 5, Free: 320})
+		}
+		if i < newer {
+			s.Sequence++
+		}
+		m.Put(s)
+	}
+	return m
+}
+
+// BenchmarkRemote measures exchanges with nothing new and with one summary.
+func BenchmarkRemote(b *testing.B) {
+	for _, n := range []int{3, 14} {
+		for newer := range 2 {
+			b.Run(fmt.Sprintf("centres=%d/new=%d", n, newer), func(b *testing.B) { cost(b, summaries(n, newer), summaries(n, 0)) })
+		}
+	}
+}
+
+// BenchmarkAssignment reports the size of one domain's value in the platform.
+func BenchmarkAssignment(b *testing.B) {
+	a := assignment(0, 4, 16)
+	for b.Loop() {
+		raw, _ := json.Marshal(a)
+		b.ReportMetric(float64(len(raw)), "value-B")
+	}
+}
--- /dev/null
+++ b/internal/proof/capacity/state_test.go
@@ -0,0 +1,216 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/report"
+	instances "cuminbay/internal/domain/roster"
+	"cuminbay/internal/endpoint/engine"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/platform/roster"
+	"cuminbay/internal/route/table"
+)
+
+// heap reports the live bytes that made's value keeps.
+func heap(b *testing.B, made func() any) {
+	live := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := live()
+		kept := made()
+		after := live()
+		runtime.KeepAlive(kept)
+		b.ReportMetric(max(0, float64(after)-float64(before))/1000, "kB-heap")
+	}
+}
+
+func endpoints(n int) []table.Endpoint {
+	var all []table.Endpoint
+	for i := range n {
+		all = append(all, table.Endpoint{
+			ID: ident.Endpoint(fmt.Sprintf("dc00-rack-%02d/chat-large/%d", i/4, i)), Protocol: table.Engine, DataCentre: "dc00",
+			Address: "10.0.0.1:8000", Replica: ident.Replica(fmt.Sprint(i)), Epoch: 1, Version: "2026-01", Deployment: "chat-large",
+			Models: []ident.Model{"chat-large"}, Limit: 100, ColdLimit: 2,
+		})
+	}
+	return all
+}
+
+// BenchmarkHeap reports the live heap of each state by its size.
+func BenchmarkHeap(b *testing.B) {
+	for name, made := range map[string]func() any{
+		"member/daemons=9":       func() any { return views(3, 3)[0] },
+		"member/daemons=420":     func() any { return views(7, 60)[0] },
+		"member/daemons=840":     func() any { return views(14, 60)[0] },
+		"replica/replicas=16":    func() any { return trackers(3, 16)[0] },
+		"replica/replicas=54":    func() any { return trackers(60, 54)[0] },
+		"replica/replicas=108":   func() any { return trackers(60, 108)[0] },
+		"config/records=100":     func() any { return records(100) },
+		"config/records=1000":    func() any { return records(1000) },
+		"config/records=10000":   func() any { return records(10_000) },
+		"table/endpoints=54":     func() any { return published(54) },
+		"table/endpoints=840":    func() any { return published(840) },
+		"table/endpoints=8400":   func() any { return published(8400) },
+		"roster/instances=60":    func() any { return list(b, 60) },
+		"roster/instances=12840": func() any { return list(b, 12_840) },
+	} {
+		b.Run(name, func(b *testing.B) { heap(b, made) })
+	}
+}
+
+func published(n int) *table.Publisher {
+	p := table.NewPublisher()
+	p.Publish(endpoints(n))
+	return p
+}
+
+// BenchmarkTable measures the look at the endpoints when nothing changed, and
+// the rebuild after one has.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{54, 840, 8400} {
+		p, all := published(n), endpoints(n)
+		b.Run(fmt.Sprintf("endpoints=%d/same", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Publish(all)
+			}
+		})
+		b.Run(fmt.Sprintf("endpoints=%d/changed", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				all[0].Epoch++
+				p.Publish(all)
+			}
+		})
+	}
+}
+
+// BenchmarkAttested measures what the table asks of the attested states.
+func BenchmarkAttested(b *testing.B) {
+	for _, size := range [][2]int{{3, 16}, {60, 54}, {60, 108}} {
+		t := trackers(size[0], size[1])[0]
+		b.Run(fmt.Sprintf("daemons=%d/replicas=%d", size[0], size[1]), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Attested()
+			}
+		})
+	}
+}
+
+// wire counts the bytes of the connections that a listener accepts.
+type wire struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type counted struct {
+	net.Conn
+	wire *wire
+}
+
+func (w *wire) Accept() (net.Conn, error) {
+	c, err := w.Listener.Accept()
+	return counted{c, w}, err
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.wire.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.wire.bytes.Add(int64(n))
+	return n, err
+}
+
+// serve answers every request over loopback with the value's JSON.
+func serve(b testing.TB, value any) *wire {
+	body, _ := json.Marshal(value)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	w := &wire{Listener: listener}
+	s := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+		out.Header().Set("Content-Type", "application/json")
+		_, _ = out.Write(body)
+	}), ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(w) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return w
+}
+
+// BenchmarkProbe measures the read of one member's report, client and server
+// together, and reports the bytes in both directions without those of TCP.
+func BenchmarkProbe(b *testing.B) {
+	w := serve(b, report.Report{
+		Instance: "dc00-rack-00-server-00", Boot: 1_790_000_000_000, Sequence: sequences, Ready: true, Running: 12, Waiting: 3,
+		Placement: report.Placement{Replica: "dc00-rack-00/chat-large/0", Epoch: 12, Rank: 3, Model: "chat-large", Version: "2026-01"},
+	})
+	c := engine.New(engine.Settings{
+		ReportPath: "/report", DialTimeout: settings.Of(time.Second), Silence: settings.Of(time.Second), Connections: 1, MaxReport: 1 << 20,
+	}, clock.Real())
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Report(context.Background(), w.Addr().String()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(w.bytes.Load())/float64(b.N), "wire-B/op")
+}
+
+func list(b testing.TB, n int) *roster.List {
+	w := serve(b, roll(n))
+	l := roster.New(roster.Options{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), URL: "http://" + w.Addr().String(), Timeout: 10 * time.Second})
+	l.Refresh()
+	return l
+}
+
+func roll(n int) []instances.Instance {
+	var all []instances.Instance
+	for i := range n {
+		dc := fmt.Sprintf("dc%02d", i*14/n)
+		all = append(all, instances.Instance{
+			ID: ident.Instance(fmt.Sprintf("%s-server-%05d", dc, i)), DataCentre: ident.DataCentre(dc), Role: instances.Engine,
+			State: instances.Live, Address: "10.0.0.1:8000", Domain: ident.Domain(dc + "-rack-00"), Accelerators: 2,
+		})
+	}
+	return all
+}
+
+// BenchmarkRoster measures one read of an unchanged list, client and server
+// together.
+func BenchmarkRoster(b *testing.B) {
+	for _, n := range []int{60, 12_840} {
+		w := serve(b, roll(n))
+		l := roster.New(roster.Options{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), URL: "http://" + w.Addr().String(), Timeout: 10 * time.Second})
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			w.bytes.Store(0)
+			for b.Loop() {
+				l.Refresh()
+			}
+			b.ReportMetric(float64(w.bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
