Send hashes of suspicions, not their list, in digests

Change: a digest is 16 hashes of buckets, as in section drain, and a delta has the suspicions of the buckets that differ. A suspicion that one side has dropped a moment earlier is sent again until both have.

Conclusion: the quiet state no longer depends on the number of suspicions.

--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -3,11 +3,14 @@
 package poison
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/kernel/clock"
@@ -156,19 +159,43 @@
 	return true
 }
 
-// Digest returns the counts that are known. There are few suspicions, so it is
-// small.
+// buckets bounds what is sent again after one suspicion has changed.
+const buckets = 16
+
+// digestBytes is the size of a bucket's hash in a digest.
+const digestBytes = 4
+
+// Digest is one hash per bucket of requests; nil without suspicions. It names
+// none of them, as a digest is sent many times a second.
 func (s *Suspicions) Digest() []byte {
-	return s.encode(func(observation, suspicion) bool { return true })
+	now := s.Clock.Now()
+	var sums [buckets]uint64
+	empty := true
+	for o, v := range s.current.Load().seen {
+		if !now.Before(v.until) {
+			continue
+		}
+		empty = false
+		raw := binary.LittleEndian.AppendUint64([]byte(o.observer), uint64(o.fingerprint))
+		sums[o.fingerprint%buckets] ^= xxhash.Sum64(binary.LittleEndian.AppendUint32(raw, v.count))
+	}
+	if empty {
+		return nil
+	}
+	digest := make([]byte, 0, buckets*digestBytes)
+	for _, sum := range sums {
+		digest = binary.LittleEndian.AppendUint32(digest, uint32(sum))
+	}
+	return digest
 }
 
-// Delta returns the suspicions that the digest lacks.
+// Delta returns the suspicions of the buckets in which the digest differs.
 func (s *Suspicions) Delta(digest []byte) []byte {
-	theirs := make(map[observation]uint32)
-	for _, e := range decode(digest) {
-		theirs[observation{e.Fingerprint, e.Observer}] = e.Count
-	}
-	return s.encode(func(o observation, v suspicion) bool { return v.count > theirs[o] })
+	own := s.Digest()
+	return s.encode(func(o observation, _ suspicion) bool {
+		at := int(o.fingerprint%buckets) * digestBytes
+		return len(digest) != len(own) || string(digest[at:at+digestBytes]) != string(own[at:at+digestBytes])
+	})
 }
 
 func (s *Suspicions) encode(wanted func(observation, suspicion) bool) []byte {
@@ -189,14 +216,6 @@
 	return raw
 }
 
-func decode(raw []byte) []entry {
-	var entries []entry
-	if json.Unmarshal(raw, &entries) != nil {
-		return nil
-	}
-	return entries
-}
-
 // Merge takes a peer's suspicions; the higher count of an observer wins.
 //
 // Errors carry code.BadMessage.
