Shorten the field names of remote summaries

Cause: every daemon passes one summary of each data centre on in each second; 14 of 628 B are 8.8 kB/s received, most of it the names of the rooms' fields.

Change: one letter for each field in JSON, as in the entries of section member.

Conclusion: 14 summaries a second still take 6.3 kB/s each way at the least; a packed form or sending only what changed needs a wider change.

--- a/internal/fleet/remote/summary.go
+++ b/internal/fleet/remote/summary.go
@@ -13,26 +13,28 @@
 	"cuminbay/internal/route/table"
 )
 
-// Summary is what a data centre tells the others of itself.
+// Summary is what a data centre tells the others of itself. The names of its
+// fields in JSON are short, since every daemon passes one of each data centre on
+// in each interval.
 type Summary struct {
-	DataCentre ident.DataCentre `json:"dataCentre"`
+	DataCentre ident.DataCentre `json:"c"`
 	// Author, Boot and Sequence order the summaries of one daemon.
-	Author   ident.Instance `json:"author"`
-	Boot     unit.Boot      `json:"boot"`
-	Sequence unit.Sequence  `json:"sequence"`
+	Author   ident.Instance `json:"a"`
+	Boot     unit.Boot      `json:"b"`
+	Sequence unit.Sequence  `json:"s"`
 	// Age is the time since the summary was made, in nanoseconds.
-	Age time.Duration `json:"age"`
+	Age time.Duration `json:"g"`
 	// Out says that the data centre is out of service.
-	Out   bool   `json:"out,omitempty"`
-	Rooms []Room `json:"rooms,omitempty"`
+	Out   bool   `json:"o,omitempty"`
+	Rooms []Room `json:"r,omitempty"`
 }
 
 // Room is what is free at the warm replicas of a deployment. The deployment's
 // record, which every daemon has, gives the models and the organisations.
 type Room struct {
-	Deployment ident.Deployment `json:"deployment"`
-	Warm       int              `json:"warm"`
-	Free       unit.Requests    `json:"free"`
+	Deployment ident.Deployment `json:"d"`
+	Warm       int              `json:"w"`
+	Free       unit.Requests    `json:"f"`
 }
 
 // Check reports what is wrong with a summary from a peer.
