--- a/internal/fleet/replica/tracker_test.go
+++ b/internal/fleet/replica/tracker_test.go
@@ -264,6 +264,30 @@
 	}
 }
 
+// TestMalformed guards against messages of another version, or cut off ones, that
+// stop a daemon or are taken for ones that say nothing.
+func TestMalformed(t *testing.T) {
+	tests := map[string][]byte{
+		"empty":              {},
+		"JSON":               []byte(`{"token":{}}`),
+		"header cut off":     {2, 1, 1},
+		"beats beyond end":   {2, 1, 1, 200, 1, 0},
+		"beat cut off":       {2, 1, 0, 5, 1, 2, 3, 4, 1},
+		"changed after last": {2, 1, 0, 7, 1, 2, 3, 4, 1, 2, 0},
+		"rest is no JSON":    {2, 1, 0, 0, '['},
+	}
+	for name, raw := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tr := newTracker(clockwork.NewFakeClock(), "d0", 1)
+			_, err := tr.Assign(assignment(1, place("r", 1, "a")))
+			c.Assert(err, qt.IsNil)
+			c.Assert(tr.Merge("peer", raw), qt.IsNotNil)
+			c.Assert(tr.Delta(raw) == nil, qt.Equals, len(raw) > 0)
+		})
+	}
+}
+
 // BenchmarkAttested is a daemon of the largest data centre: 54 replicas of 16
 // instances, attested by 60 daemons. It reports the bytes of the delta of one
 // interval in which nothing changed.
