--- /dev/null
+++ b/internal/peer/twirp/spread_test.go
@@ -0,0 +1,108 @@
+package twirp
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/fleet/member"
+)
+
+// spread runs the exchange rule alone over a data centre of n daemons and
+// returns the greatest age of an attestation at any daemon: what choose selects
+// at each interval, both sides of an exchange keep the newer attestation of each
+// owner, and every owner makes a new one after each period. Rounds fall at random
+// times of the interval. The share lost of the exchanges fails.
+func spread(n, fanout int, interval, period time.Duration, lost float64) time.Duration {
+	const step, warm, end = 10 * time.Millisecond, 20 * time.Second, 3 * time.Minute
+	made := make([][]time.Duration, n)
+	next, renew := make([]time.Duration, n), make([]time.Duration, n)
+	plugins := make([]*Plugin, n)
+	var peers []member.Peer
+	for i := range n {
+		made[i] = make([]time.Duration, n)
+		next[i], renew[i] = rand.N(interval), rand.N(period)
+		s := defaults().(*Settings)
+		s.Fanout = fanout
+		id := ident.Instance(fmt.Sprint(i))
+		plugins[i] = &Plugin{self: id, dataCentre: "x", settings: s}
+		peers = append(peers, member.Peer{Instance: id, DataCentre: "x", Address: string(id), Alive: true})
+	}
+	var worst time.Duration
+	for now := time.Duration(0); now < end; now += step {
+		for i := range n {
+			if renew[i] <= now {
+				made[i][i], renew[i] = now, now+period
+			}
+			if next[i] > now {
+				continue
+			}
+			next[i] = now + interval - interval/10 + rand.N(interval/5)
+			for _, m := range plugins[i].choose(peers) {
+				if rand.Float64() < lost {
+					continue
+				}
+				var j int
+				_, _ = fmt.Sscan(m.Address, &j)
+				for owner := range n {
+					a, b := &made[i][owner], &made[j][owner]
+					if now > warm {
+						worst = max(worst, now-min(*a, *b))
+					}
+					*a = max(*a, *b)
+					*b = *a
+				}
+			}
+		}
+	}
+	return worst
+}
+
+// TestSpread guards against a fan-out so small that an attestation, made every
+// 500 ms, gets to 3 s, the age at which it no longer counts, at some daemon of a
+// data centre although no more than one exchange in ten is lost. A heartbeat is
+// seen up to a quarter of a second later than it is due (member.Tick), and a
+// daemon without one for 3 s counts as dead.
+func TestSpread(t *testing.T) {
+	const attestation, heartbeat = 500 * time.Millisecond, 775 * time.Millisecond
+	tests := map[string]struct {
+		daemons int
+		period  time.Duration
+		lost    float64
+	}{
+		"today":                 {3, attestation, 0.1},
+		"medium with loss":      {12, attestation, 0.1},
+		"large":                 {60, attestation, 0},
+		"large with loss":       {60, attestation, 0.1},
+		"heartbeats when large": {60, heartbeat, 0.1},
+	}
+	s := defaults().(*Settings)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worst := spread(test.daemons, s.Fanout, s.Interval.Duration, test.period, test.lost)
+			qt.Assert(t, worst < 3*time.Second, qt.IsTrue, qt.Commentf("%s", worst))
+		})
+	}
+}
+
+// BenchmarkSpread reports the greatest age by fan-out, interval and the period of
+// new attestations or heartbeats, in milliseconds.
+func BenchmarkSpread(b *testing.B) {
+	for _, fanout := range []int{1, 2, 3, 4} {
+		for _, times := range [][2]time.Duration{{500, 500}, {500, 775}, {500, 1275}, {750, 500}, {1000, 500}} {
+			for _, lost := range []float64{0, 0.1} {
+				b.Run(fmt.Sprintf("%dx%d/period=%d/lost=%g", fanout, times[0], times[1], lost), func(b *testing.B) {
+					var worst time.Duration
+					for b.Loop() {
+						worst = max(worst, spread(60, fanout, times[0]*time.Millisecond, times[1]*time.Millisecond, lost))
+					}
+					b.ReportMetric(worst.Seconds(), "s-greatest-age")
+				})
+			}
+		}
+	}
+}
