Replace private wording with the field's terms

Change: accepts, closed, down; code 4003 is caller-closed. No behaviour changes; expectations change only by the names.

--- a/internal/caller/openai/answer.go
+++ b/internal/caller/openai/answer.go
@@ -149,7 +149,7 @@
 	s.started <- h
 	w, open := <-s.writer
 	if !open {
-		return errCallerGone
+		return errCallerClosed
 	}
 	s.w = w
 	if s.raw || s.shape.operation == work.Completion {
--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -18,7 +18,7 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-var errCallerGone = errors.New("the caller's connection ended before the answer began")
+var errCallerClosed = errors.New("the caller's connection ended before the answer began")
 
 // dispatcher runs requests.
 type dispatcher interface {
@@ -171,7 +171,7 @@
 	go func() {
 		err := f.dispatcher.Dispatch(context.Background(), r, s)
 		if err != nil && s.w != nil {
-			// A caller that is gone can't be told.
+			// The caller may have closed the connection.
 			_ = s.fail(err)
 		}
 		ended <- result{err}
--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -54,7 +54,7 @@
 
 	AlreadyRan     Code = 4001
 	EndpointFailed Code = 4002
-	CallerGone     Code = 4003
+	CallerClosed   Code = 4003
 
 	CutOff          Code = 5001
 	OutcomeUnknown  Code = 5002
@@ -104,7 +104,7 @@
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, "This daemon or data centre takes no new work.", "Retry; the balancer will choose another daemon."},
 	{PlatformUnavailable, "platform-unavailable", http.StatusServiceUnavailable, NotRun, "The claim of an at-most-once call could not be recorded in the platform.", "Retry with the same key."},
 	{OverShare, "over-share", http.StatusTooManyRequests, NotRun, "The organisation is over its share while capacity is short.", "Retry after the given time."},
-	{ColdOnly, "cold-only", http.StatusServiceUnavailable, NotRun, "Only cold endpoints are in service and they bear no more now.", "Retry after the given time."},
+	{ColdOnly, "cold-only", http.StatusServiceUnavailable, NotRun, "Only cold endpoints are in service and they accept no more now.", "Retry after the given time."},
 	{ClaimsFull, "claims-full", http.StatusServiceUnavailable, NotRun, "The claim's shard is full of claims that may not be forgotten yet.", "Retry later; raise the number of shards."},
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, "The daemon has not yet heard the configuration from the platform or a peer.", "Retry; the balancer will choose another daemon."},
 	{ClaimExpired, "claim-expired", http.StatusServiceUnavailable, NotRun, "The daemon was paused between claim and send, and did not send.", "Retry with the same key."},
@@ -112,7 +112,7 @@
 
 	{AlreadyRan, "already-ran", http.StatusConflict, Ran, "The request with this key already ran; its answer is no longer held.", "Do not send it again; read the result from the service."},
 	{EndpointFailed, "endpoint-failed", http.StatusBadGateway, Ran, "The endpoint ran the request and answered with a failure.", "See the message; retry only what may be repeated."},
-	{CallerGone, "caller-gone", 499, Ran, "The caller closed the connection before the end of the answer.", "Nothing."},
+	{CallerClosed, "caller-closed", 499, Ran, "The caller closed the connection before the end of the answer.", "Nothing."},
 
 	{CutOff, "cut-off", http.StatusBadGateway, Unknown, "The endpoint died or fell silent before the end of the answer, and the answer could not be resumed.", "Retry what may be repeated."},
 	{OutcomeUnknown, "outcome-unknown", http.StatusBadGateway, Unknown, "An at-most-once call was sent and its end is not known.", "Do not send it again; ask the service."},
--- a/internal/domain/record/record.go
+++ b/internal/domain/record/record.go
@@ -93,7 +93,7 @@
 	Size int
 	// Priority decides which deployment yields when instances are short.
 	Priority unit.Priority
-	// ColdLimit is the number of requests that a cold replica bears at once.
+	// ColdLimit is the number of requests that a cold replica accepts at once.
 	ColdLimit unit.Requests
 	// Limit bounds the requests at once that a warm replica is given.
 	Limit unit.Requests
--- a/internal/domain/report/report.go
+++ b/internal/domain/report/report.go
@@ -19,7 +19,7 @@
 	Placement
 	// Ready says that the weights are loaded and the members connected.
 	Ready bool `json:"ready"`
-	// Cold says that the engine bears only a little for now.
+	// Cold says that the engine accepts only a little for now.
 	Cold    bool          `json:"cold"`
 	Running unit.Requests `json:"running"`
 	Waiting unit.Requests `json:"waiting"`
--- a/internal/endpoint/engine/send.go
+++ b/internal/endpoint/engine/send.go
@@ -95,7 +95,7 @@
 }
 
 // checkEcho compares the replica that answers with the one that was asked. An
-// engine that echoes nothing is taken at its word; the reports decide then.
+// engine that echoes nothing is trusted until its next report.
 func checkEcho(response *fasthttp.Response, e *table.Endpoint) error {
 	replica := string(response.Header.Peek(headerReplica))
 	epoch := string(response.Header.Peek(headerEpoch))
--- a/internal/experiment/model/model_test.go
+++ b/internal/experiment/model/model_test.go
@@ -21,7 +21,7 @@
 		"all live":                  {site: model.Shrestha(), live: []int{5, 4}, replicas: 4, engines: 8},
 		"a spare is lost":           {site: model.Shrestha(), live: []int{4, 4}, replicas: 4, engines: 8},
 		"odd domains":               {site: model.Shrestha(), live: []int{3, 3}, replicas: 2, engines: 4},
-		"one domain dark":           {site: model.Shrestha(), live: []int{0, 4}, replicas: 2, engines: 4},
+		"one domain down":           {site: model.Shrestha(), live: []int{0, 4}, replicas: 2, engines: 4},
 		"the larger one goes first": {site: model.Revelado(), live: []int{5}, replicas: 1, engines: 4},
 		"two sizes":                 {site: model.Revelado(), live: []int{10}, replicas: 3, engines: 8},
 		"nothing live":              {site: model.Revelado(), live: []int{0}},
--- a/internal/experiment/trial/faults.go
+++ b/internal/experiment/trial/faults.go
@@ -8,7 +8,7 @@
 	"cuminbay/internal/experiment/site"
 )
 
-// usualRate keeps the modelled sites at about 60% of what their replicas bear.
+// usualRate keeps the modelled sites at about 60% of what their replicas can serve.
 const usualRate = 100.0
 
 // callShare is the share of at-most-once calls in the usual traffic.
@@ -96,7 +96,7 @@
 			id := s.Daemons()[0].Instance
 			return string(id), site.Kill(id), site.Restart(id)
 		}},
-		{"fabric domain dark", func(s *site.Site) (string, func(*site.Site) error, func(*site.Site) error) {
+		{"fabric domain down", func(s *site.Site) (string, func(*site.Site) error, func(*site.Site) error) {
 			id := s.Engines()[0].Domain
 			return "domain " + string(id), site.Each(id, site.Kill), site.Each(id, site.Restart)
 		}},
--- a/internal/experiment/trial/trial.go
+++ b/internal/experiment/trial/trial.go
@@ -48,7 +48,7 @@
 	"overhead": {"latency that a daemon adds: the same engine is called directly and through one daemon, in turns", overhead},
 	"policies": {"selection policies random2 and estimate under the same load, seed and faults", policies},
 	"move":     {"a data centre leaves and returns under load", move},
-	"failures": {"an engine dies, another is paused, a daemon dies, a fabric domain goes dark, the platform is down", failures},
+	"failures": {"an engine dies, another is paused, a daemon dies, a fabric domain goes down, the platform is down", failures},
 	"slopes":   {"what an idle daemon uses by the number of daemons and of data centres", slopes},
 	"claims":   {"at-most-once calls and the platform writes that they need at rising load", claims},
 }
--- a/internal/fleet/cold/cold_test.go
+++ b/internal/fleet/cold/cold_test.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// total is the number of requests that the endpoint may have to bear.
+// total is the number of requests that the endpoint may have to serve.
 func (w *world) total() unit.Requests {
 	var total unit.Requests
 	for _, n := range w.nodes {
--- a/internal/fleet/cold/message.go
+++ b/internal/fleet/cold/message.go
@@ -1,4 +1,4 @@
-// Package cold divides the few requests that a cold endpoint bears among the
+// Package cold divides the few requests that a cold endpoint accepts among the
 // daemons of a data centre. Every daemon has an equal quota and delegates it
 // for a short time to the endpoint's owner, which grants whole requests.
 package cold
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -262,7 +262,7 @@
 }
 
 // TestLoads guards against more members loading at once than the weight store
-// can bear, and against a replica that is loaded in part.
+// can serve, and against a replica that is loaded in part.
 func TestLoads(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld("k", 8, want("a", 2, 3, 0), want("b", 1, 2, 0))
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -40,11 +40,11 @@
 	// Organisations that may use the endpoint; empty means all.
 	Organisations []ident.Organisation
 
-	// Cold says that the endpoint bears only what it was granted.
+	// Cold says that the endpoint accepts only what it was granted.
 	Cold bool
 	// Limit bounds the requests at once from this daemon.
 	Limit unit.Requests
-	// ColdLimit is the number of requests at once that the endpoint bears
+	// ColdLimit is the number of requests at once that the endpoint accepts
 	// while it is cold, from all daemons together.
 	ColdLimit unit.Requests
 	// Reported has the endpoint's own last counts. A source sets it; Publish
--- a/internal/serve/dispatch/progress.go
+++ b/internal/serve/dispatch/progress.go
@@ -22,9 +22,9 @@
 	endpoint *table.Endpoint
 	request  *work.Request
 
-	started    bool
-	resumed    bool
-	callerGone bool
+	started      bool
+	resumed      bool
+	callerClosed bool
 	// mayRun is the last failure of an attempt that may have run.
 	mayRun error
 	sent   strings.Builder
@@ -108,14 +108,14 @@
 
 func (p *progress) caller(err error) error {
 	if err != nil {
-		p.callerGone = true
+		p.callerClosed = true
 	}
 	return err
 }
 
 // atLimit reports whether every token that the caller allowed was passed on.
 func (p *progress) atLimit(r *work.Request) bool {
-	return !p.callerGone && r.Resumable && r.MaxTokens > 0 && p.tokens >= r.MaxTokens
+	return !p.callerClosed && r.Resumable && r.MaxTokens > 0 && p.tokens >= r.MaxTokens
 }
 
 // failed keeps the failure of an attempt.
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -56,7 +56,7 @@
 // mayRetry reports whether the request may be sent to another endpoint after
 // the failure.
 func (d *Dispatcher) mayRetry(ctx context.Context, r *work.Request, p *progress, failure error) bool {
-	if ctx.Err() != nil || p.callerGone {
+	if ctx.Err() != nil || p.callerClosed {
 		return false
 	}
 	switch code.Of(failure) {
@@ -134,7 +134,7 @@
 		ticket.Release()
 		return failure
 	}
-	if p.callerGone || code.Of(failure) == code.EndpointFailed {
+	if p.callerClosed || code.Of(failure) == code.EndpointFailed {
 		ticket.Finish(code.Of(failure))
 		return failure
 	}
@@ -189,15 +189,15 @@
 	if !r.Deadline.IsZero() && !d.Clock.Now().Before(r.Deadline) {
 		return code.DeadlineTooShort.New("request %s: its deadline passed before it was sent", r.ID)
 	}
-	return code.WithOutcome(code.CallerGone.New("request %s: its caller left before it was sent", r.ID), code.NotRun)
+	return code.WithOutcome(code.CallerClosed.New("request %s: its caller left before it was sent", r.ID), code.NotRun)
 }
 
 // explain gives the failure the code of its cause where that is not the
 // endpoint.
 func (d *Dispatcher) explain(ctx context.Context, r *work.Request, p *progress, err error) error {
 	switch {
-	case p.callerGone:
-		return code.CallerGone.Wrap(err, "request %s", r.ID)
+	case p.callerClosed:
+		return code.CallerClosed.Wrap(err, "request %s", r.ID)
 	case p.abandoned.Load():
 		return code.Stalled.Wrap(err, "endpoint stopped serving before the first token")
 	case ctx.Err() == nil || code.OutcomeOf(err) == code.NotRun:
@@ -205,7 +205,7 @@
 	case !r.Deadline.IsZero() && !d.Clock.Now().Before(r.Deadline):
 		return code.DeadlineExpired.Wrap(err, "request %s", r.ID)
 	default:
-		return code.CallerGone.Wrap(err, "request %s", r.ID)
+		return code.CallerClosed.Wrap(err, "request %s", r.ID)
 	}
 }
 
@@ -228,12 +228,12 @@
 		}
 	case code.CutOff:
 		// A daemon runs no request, so none can crash it.
-		if !p.callerGone && !d.answers(ctx, e) && e.Protocol != table.Relay {
+		if !p.callerClosed && !d.answers(ctx, e) && e.Protocol != table.Relay {
 			d.Suspects.Suspect(r.Fingerprint)
 		}
 	case code.Stalled:
 		// A paused or unreachable endpoint says nothing against the request.
-		if !p.callerGone && !p.abandoned.Load() {
+		if !p.callerClosed && !p.abandoned.Load() {
 			d.answers(ctx, e)
 		}
 	}
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -42,7 +42,7 @@
 )
 
 // admit takes a request into the batch or the queue. A cold engine that is
-// given more than it bears crashes.
+// given more than it accepts crashes.
 func (e *Engine) admit(r *run) admission {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -173,7 +173,7 @@
 	case <-timer.Chan():
 	case <-r.stopped:
 		return false
-	case <-r.conn.Gone():
+	case <-r.conn.Closed():
 		return false
 	}
 	if !e.gate.Wait(r.conn) {
--- a/internal/standin/engine/openai.go
+++ b/internal/standin/engine/openai.go
@@ -91,7 +91,7 @@
 	case <-x.stopped:
 		link.Refuse(ctx, fasthttp.StatusServiceUnavailable, "the replica stopped before the request ran")
 		return
-	case <-conn.Gone():
+	case <-conn.Closed():
 		e.release(x.run, false)
 		return
 	}
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -22,7 +22,7 @@
 	LoadTime     time.Duration `long:"load-time" description:"time to load after an order [300ms]"`
 	ColdTime     time.Duration `long:"cold-time" description:"time to stay cold after a load [1s]"`
 	ColdRequests int           `long:"cold-requests" description:"requests after which the engine is warm [8]"`
-	ColdLimit    int           `long:"cold-limit" description:"requests at once that a cold engine bears [2]"`
+	ColdLimit    int           `long:"cold-limit" description:"requests at once that a cold engine accepts [2]"`
 	ColdFactor   float64       `long:"cold-factor" description:"how much slower a cold engine is [4]"`
 
 	Batch        int           `long:"batch" description:"requests that run at once [16]"`
--- a/internal/standin/link/conn.go
+++ b/internal/standin/link/conn.go
@@ -15,7 +15,7 @@
 	server *Server
 	silent atomic.Bool
 	once   sync.Once
-	gone   chan struct{}
+	closed chan struct{}
 
 	mu sync.Mutex
 	// peeking is open while a goroutine reads one byte ahead.
@@ -25,16 +25,16 @@
 	err     error
 }
 
-// Gone returns a channel that closes when either side closes the connection.
+// Closed returns a channel that closes when either side closes the connection.
 // It reads one byte ahead, as TCP tells of a close only to a reader.
-func (c *Conn) Gone() <-chan struct{} {
+func (c *Conn) Closed() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.peeking == nil && !c.have && c.err == nil {
 		c.peeking = make(chan struct{})
 		go c.peek(c.peeking)
 	}
-	return c.gone
+	return c.closed
 }
 
 func (c *Conn) peek(done chan struct{}) {
@@ -48,7 +48,7 @@
 	c.peeking = nil
 	c.mu.Unlock()
 	if err != nil {
-		c.once.Do(func() { close(c.gone) })
+		c.once.Do(func() { close(c.closed) })
 	}
 	close(done)
 }
@@ -77,7 +77,7 @@
 
 // Close closes the connection.
 func (c *Conn) Close() error {
-	c.once.Do(func() { close(c.gone) })
+	c.once.Do(func() { close(c.closed) })
 	c.server.forget(c)
 	return c.Conn.Close()
 }
@@ -110,7 +110,7 @@
 // the connection was closed. A silent connection waits until it is closed.
 func (g *Gate) Wait(c *Conn) bool {
 	if c.Silent() {
-		<-c.Gone()
+		<-c.Closed()
 		return false
 	}
 	g.mu.Lock()
@@ -122,7 +122,7 @@
 	select {
 	case <-shut:
 		return true
-	case <-c.Gone():
+	case <-c.Closed():
 		return false
 	}
 }
--- a/internal/standin/link/server.go
+++ b/internal/standin/link/server.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: inner, server: l.server, gone: make(chan struct{})}
+	c := &Conn{Conn: inner, server: l.server, closed: make(chan struct{})}
 	l.server.mu.Lock()
 	l.server.conns[c] = struct{}{}
 	closed := l.server.closed
@@ -134,7 +134,7 @@
 	if !ok {
 		// The handler runs under a server other than Server: there is no
 		// notice of a close, and faults act on this request alone.
-		return &Conn{Conn: ctx.Conn(), server: NewServer(nil), gone: make(chan struct{})}
+		return &Conn{Conn: ctx.Conn(), server: NewServer(nil), closed: make(chan struct{})}
 	}
 	return c
 }
@@ -150,7 +150,7 @@
 	select {
 	case <-timer.Chan():
 		return true
-	case <-c.Gone():
+	case <-c.Closed():
 		return false
 	}
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -285,7 +285,7 @@
 		}
 		select {
 		case <-changed:
-		case <-conn.Gone():
+		case <-conn.Closed():
 			return
 		}
 	}
