Require the bearer key of an organisation

Cause: a call without a key was accounted to whatever organisation its OpenAI-Organization header named, so anybody who knew a name could use that organisation's models, share and at-most-once keys. Change: only the key names the organisation; the header has to agree. The test case that expected a name alone to do now expects a refusal, and a case with key and name was added.

--- a/internal/caller/httpcall/fill.go
+++ b/internal/caller/httpcall/fill.go
@@ -39,9 +39,9 @@
 	maxPriority = 1000
 )
 
-// Organisation returns the organisation of the call: the owner of the bearer
-// key or, for a call without an Authorization field, the one that
-// OpenAI-Organization names. If both are present they have to agree.
+// Organisation returns the organisation of the call, the owner of the bearer
+// key. If OpenAI-Organization is present it has to name the same one: a name is
+// no secret, so it gives no rights by itself.
 //
 // Errors carry code.UnknownOrganisation.
 func Organisation(ctx *fasthttp.RequestCtx, v *record.View) (*record.Organisation, error) {
@@ -49,10 +49,7 @@
 	name := ident.Organisation(header.Peek(OrganisationHeader))
 	authorization := string(header.Peek(fasthttp.HeaderAuthorization))
 	if authorization == "" {
-		if o := v.Organisation(name); name != "" && o != nil {
-			return o, nil
-		}
-		return nil, code.UnknownOrganisation.New("no Authorization: Bearer key and no known organisation in %s", OrganisationHeader)
+		return nil, code.UnknownOrganisation.New("header Authorization: missing, want the form Bearer <key>")
 	}
 	scheme, key, _ := strings.Cut(authorization, " ")
 	key = strings.TrimSpace(key)
--- a/internal/caller/httpcall/fill_test.go
+++ b/internal/caller/httpcall/fill_test.go
@@ -56,7 +56,8 @@
 		authorization, name, want string
 	}{
 		"key":                  {authorization: "Bearer k1", want: "bank"},
-		"name":                 {name: "shop", want: "shop"},
+		"name alone":           {name: "shop"},
+		"key and its name":     {authorization: "Bearer k2", name: "shop", want: "shop"},
 		"nothing":              {},
 		"unknown key":          {authorization: "Bearer k3", name: "shop"},
 		"basic authentication": {authorization: "Basic k1"},
