Pass a stream's events to the response without a hand-over of writers

Cause: the first event of a streamed answer woke four goroutines in turn: the handler, fasthttp's writer goroutine, the dispatcher that waited for its writer, and the server through fasthttp's pipe. Change: the dispatcher writes events into a bounded buffer that the response reads; a slow caller holds the dispatcher back at 256 KB, and one who closes the connection ends the request at its next event.

--- a/internal/caller/openai/answer.go
+++ b/internal/caller/openai/answer.go
@@ -1,7 +1,6 @@
 package openai
 
 import (
-	"bufio"
 	"encoding/json"
 	"strings"
 	"time"
@@ -132,26 +131,22 @@
 	return json.Marshal(c.shape.whole(c.text.String(), c.end.Finish, c.end.Usage))
 }
 
-// streamer is the sink of a streamed request. Start hands over to the response
-// writer, which gives back the buffer that the pieces are written to.
+// streamer is the sink of a streamed request. Start lets the response begin,
+// which then reads the events from the pipe.
 type streamer struct {
 	shape        shape
 	includeUsage bool
 	raw          bool
-	// writeLimit bounds the wait for the response writer.
-	started chan<- work.Head
-	writer  <-chan *bufio.Writer
-	w       *bufio.Writer
+	opened       chan<- opening
+	begun        bool
+	out          *pipe
+	line         []byte
 }
 
-// Start lets the response begin and waits for its writer.
+// Start lets the response begin.
 func (s *streamer) Start(h work.Head) error {
-	s.started <- h
-	w, open := <-s.writer
-	if !open {
-		return errCallerClosed
-	}
-	s.w = w
+	s.begun = true
+	s.opened <- opening{head: h}
 	if s.raw || s.shape.operation == work.Completion {
 		return nil
 	}
@@ -187,10 +182,8 @@
 // fail writes an error event. No end marker follows, so that the caller can't
 // take the answer for whole.
 func (s *streamer) fail(err error) error {
-	if _, err := s.w.WriteString("event: error\n"); err != nil {
-		return err
-	}
-	return s.data(httpcall.Encode(err))
+	s.line = append(s.line[:0], "event: error\n"...)
+	return s.send(httpcall.Encode(err))
 }
 
 func (s *streamer) event(o object) error {
@@ -202,12 +195,17 @@
 }
 
 func (s *streamer) data(raw []byte) error {
-	for _, part := range [...][]byte{[]byte("data: "), raw, []byte("\n\n")} {
-		if _, err := s.w.Write(part); err != nil {
-			return err
-		}
-	}
-	return s.w.Flush()
+	s.line = s.line[:0]
+	return s.send(raw)
+}
+
+// send writes the line that was begun with the data in one piece.
+func (s *streamer) send(raw []byte) error {
+	s.line = append(s.line, "data: "...)
+	s.line = append(s.line, raw...)
+	s.line = append(s.line, "\n\n"...)
+	_, err := s.out.Write(s.line)
+	return err
 }
 
 // modelList is the answer of /v1/models.
--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -1,7 +1,6 @@
 package openai
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,7 +17,7 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-var errCallerClosed = errors.New("the caller's connection ended before the answer began")
+var errCallerClosed = errors.New("the caller closed the connection")
 
 // dispatcher runs requests.
 type dispatcher interface {
@@ -149,45 +148,44 @@
 	ctx.SetBody(raw)
 }
 
-// result is the end of a request that ran in a goroutine of its own.
-type result struct {
-	err error
+// opening is the start of an answer, or the error of a request that ended
+// without one.
+type opening struct {
+	head work.Head
+	err  error
 }
 
 // stream answers a streamed request. The dispatcher runs in a goroutine of its
-// own, as the status has to be known before fasthttp lets the body be written.
-// After that it writes to the response's buffer itself, without another hop.
+// own, as the status has to be known before fasthttp reads the body.
 func (f *frontend) stream(ctx *fasthttp.RequestCtx, r *work.Request, b *body) {
-	started := make(chan work.Head, 1)
-	writer := make(chan *bufio.Writer, 1)
-	ended := make(chan result, 1)
+	opened := make(chan opening, 1)
 	s := &streamer{
 		shape:        newShape(r),
 		includeUsage: b.StreamOptions.IncludeUsage,
 		raw:          !r.Resumable,
-		started:      started,
-		writer:       writer,
+		opened:       opened,
+		out:          newPipe(),
 	}
 	go func() {
 		err := f.dispatcher.Dispatch(context.Background(), r, s)
-		if err != nil && s.w != nil {
+		switch {
+		case !s.begun:
+			opened <- opening{err: err}
+		case err != nil:
 			// The caller may have closed the connection.
 			_ = s.fail(err)
 		}
-		ended <- result{err}
+		s.out.end()
 	}()
-	select {
-	case head := <-started:
-		setHead(ctx, r, head)
-		ctx.SetContentType("text/event-stream")
-		ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
-		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-			writer <- w
-			<-ended
-		})
-	case r := <-ended:
-		httpcall.WriteError(ctx, r.err)
+	o := <-opened
+	if o.err != nil {
+		httpcall.WriteError(ctx, o.err)
+		return
 	}
+	setHead(ctx, r, o.head)
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	ctx.SetBodyStream(s.out, -1)
 }
 
 // setHead sets the fields by which a caller can refer to the answer.
--- /dev/null
+++ b/internal/caller/openai/pipe.go
@@ -0,0 +1,76 @@
+package openai
+
+import (
+	"io"
+	"sync"
+)
+
+// pipeLimit bounds what is kept for a caller that reads slowly. The dispatcher
+// waits then, and with it the engine.
+const pipeLimit = 256 << 10
+
+// pipe passes the events of a stream from the dispatcher to the response. Events
+// that come faster than the caller reads are read together.
+type pipe struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	events  []byte
+	ended   bool
+	closed  bool
+}
+
+func newPipe() *pipe {
+	p := new(pipe)
+	p.changed = sync.NewCond(&p.mu)
+	return p
+}
+
+// Write adds an event. It returns an error once the caller's connection has
+// been closed.
+func (p *pipe) Write(event []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.events) > pipeLimit && !p.closed {
+		p.changed.Wait()
+	}
+	if p.closed {
+		return 0, errCallerClosed
+	}
+	p.events = append(p.events, event...)
+	p.changed.Broadcast()
+	return len(event), nil
+}
+
+// end marks the stream as complete.
+func (p *pipe) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	p.changed.Broadcast()
+}
+
+// Read reads what has been written, and waits for it if there is nothing.
+func (p *pipe) Read(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.events) == 0 && !p.ended && !p.closed {
+		p.changed.Wait()
+	}
+	if len(p.events) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, p.events)
+	p.events = p.events[:copy(p.events, p.events[n:])]
+	p.changed.Broadcast()
+	return n, nil
+}
+
+// Close is called by the server when the response has been sent or the caller's
+// connection has failed.
+func (p *pipe) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.changed.Broadcast()
+	return nil
+}
--- /dev/null
+++ b/internal/caller/openai/pipe_test.go
@@ -0,0 +1,56 @@
+package openai
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPipe guards against events that are lost or reordered, against a slow
+// caller making the daemon keep a whole answer, and against a dispatcher that
+// waits for a caller who has closed the connection.
+func TestPipe(t *testing.T) {
+	large := strings.Repeat("x", pipeLimit+1)
+	tests := map[string]struct {
+		events  []string
+		closeAt int
+		want    error
+	}{
+		"in order":        {events: []string{"a", "bc", "", "d"}},
+		"a slow caller":   {events: []string{large, "a", large, "b"}},
+		"a closed caller": {events: []string{large, "a", "b"}, closeAt: 1, want: errCallerClosed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, p := qt.New(t), newPipe()
+				written := make(chan error, 1)
+				go func() {
+					var err error
+					for _, e := range test.events {
+						if _, werr := p.Write([]byte(e)); werr != nil {
+							err = werr
+						}
+					}
+					p.end()
+					written <- err
+				}()
+				synctest.Wait()
+				c.Assert(len(p.events) <= 2*pipeLimit, qt.IsTrue)
+				if test.closeAt > 0 {
+					c.Assert(p.Close(), qt.IsNil)
+					c.Assert(errors.Is(<-written, test.want), qt.IsTrue)
+					return
+				}
+				got, err := io.ReadAll(p)
+				c.Assert(err, qt.IsNil)
+				c.Assert(<-written, qt.IsNil)
+				c.Assert(string(got) == strings.Join(test.events, ""), qt.IsTrue)
+			})
+		})
+	}
+}
