Check service instances at once, on the kernel's pool

Cause: instances were checked one after the other, so one that hung for the limit of 500 ms delayed the look at all others; and the pool that the kernel gives to plug-ins was used by none. Change: health checks and questions to other daemons run on the pool. Conclusion: tests of the packages pass; the order of results is as before.

--- a/internal/caller/operator/gather.go
+++ b/internal/caller/operator/gather.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
@@ -57,16 +56,16 @@
 	defer cancel()
 	peers := i.Members.Peers()
 	replies := make([]reply, len(peers))
-	var group sync.WaitGroup
+	group := i.Pool.NewGroup()
 	for n, p := range peers {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		replies[n] = reply{from: p.Instance, err: code.Draining.New("daemon: it is stopping")}
+		group.Submit(func() {
 			answer, err := i.Peers.Ask(ctx, p.Instance, topic, body)
 			replies[n] = reply{p.Instance, answer, err}
-		}()
+		})
 	}
-	group.Wait()
+	// A stopped pool leaves the prepared replies.
+	_ = group.Wait()
 	return replies
 }
 
--- a/internal/caller/operator/operator.go
+++ b/internal/caller/operator/operator.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
@@ -76,6 +77,8 @@
 	Replicas   replicas
 	Load       load
 	Peers      asker
+	// Pool runs the questions to other daemons.
+	Pool pond.Pool
 	// AskTimeout bounds the question to another daemon.
 	AskTimeout time.Duration
 }
--- a/internal/caller/operator/plugin.go
+++ b/internal/caller/operator/plugin.go
@@ -43,6 +43,7 @@
 		Clock:      d.Clock,
 		DataCentre: d.Settings.Daemon.DataCentre,
 		Timeline:   d.Timeline,
+		Pool:       d.Pool,
 		AskTimeout: s.AskTimeout.Duration,
 	}}
 	d.Provide(timelineAnswer{i})
--- a/internal/fleet/service/plugin.go
+++ b/internal/fleet/service/plugin.go
@@ -18,6 +18,7 @@
 	s := &duty{deps: d, Instances: New(Options{
 		Settings:   *d.Settings.Section("instances").(*Settings),
 		DataCentre: d.Settings.Daemon.DataCentre,
+		Pool:       d.Pool,
 	})}
 	d.Provide(s.Instances)
 	return s, nil
--- a/internal/fleet/service/service.go
+++ b/internal/fleet/service/service.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/alitto/pond/v2"
+
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/record"
 	"cuminbay/internal/domain/roster"
@@ -69,6 +71,8 @@
 	Records    viewer
 	Drains     drains
 	Checker    checker
+	// Pool runs the checks.
+	Pool pond.Pool
 }
 
 // New returns Instances that offer nothing before the first Refresh.
@@ -110,26 +114,54 @@
 	return rest
 }
 
-// Refresh reads the list and checks each instance.
+// Refresh reads the list and checks each instance, all at once, so that one
+// that hangs delays no other.
 func (n *Instances) Refresh(ctx context.Context) {
+	listed := n.listed()
+	answers := n.check(ctx, listed)
+	failures := make(map[ident.Instance]int)
 	var healthy []table.Endpoint
-	listed := make(map[ident.Instance]bool)
+	for i, e := range listed {
+		id := ident.Instance(e.ID)
+		if !answers[i] {
+			failures[id] = n.failures[id] + 1
+		}
+		if failures[id] < n.Settings.Failures {
+			healthy = append(healthy, e)
+		}
+	}
+	n.failures = failures
+	n.current.Store(&healthy)
+}
+
+// listed returns the live instances of the services on record.
+func (n *Instances) listed() []table.Endpoint {
+	var listed []table.Endpoint
 	for _, i := range n.Roster.Instances() {
 		service, known := n.record(i)
 		if !known || i.State != roster.Live {
 			continue
 		}
-		listed[i.ID] = true
-		if !n.healthy(ctx, i) {
-			continue
-		}
-		healthy = append(healthy, table.Endpoint{
+		listed = append(listed, table.Endpoint{
 			ID: ident.Endpoint(i.ID), Protocol: table.Service, DataCentre: i.DataCentre,
 			Address: i.Address, Service: i.Service, Limit: service.Limit, Organisations: service.Organisations,
 		})
 	}
-	n.forget(listed)
-	n.current.Store(&healthy)
+	return listed
+}
+
+// check says for each endpoint whether it answered.
+func (n *Instances) check(ctx context.Context, endpoints []table.Endpoint) []bool {
+	ctx, cancel := context.WithTimeout(ctx, n.Settings.Timeout.Duration)
+	defer cancel()
+	answers := make([]bool, len(endpoints))
+	group := n.Pool.NewGroup()
+	for i, e := range endpoints {
+		group.Submit(func() { answers[i] = n.Checker.Healthy(ctx, e.Address) == nil })
+	}
+	// A stopped pool leaves the rest unchecked, at the end of the process.
+	_ = group.Wait()
+	return answers
 }
 
 // record returns the record of the instance's service.
@@ -144,22 +176,3 @@
 	}
 	return nil, false
 }
-
-func (n *Instances) healthy(ctx context.Context, i roster.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, n.Settings.Timeout.Duration)
-	defer cancel()
-	if err := n.Checker.Healthy(ctx, i.Address); err != nil {
-		n.failures[i.ID]++
-	} else {
-		delete(n.failures, i.ID)
-	}
-	return n.failures[i.ID] < n.Settings.Failures
-}
-
-func (n *Instances) forget(listed map[ident.Instance]bool) {
-	for id := range n.failures {
-		if !listed[id] {
-			delete(n.failures, id)
-		}
-	}
-}
--- a/internal/fleet/service/service_test.go
+++ b/internal/fleet/service/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"testing"
 
+	"github.com/alitto/pond/v2"
 	qt "github.com/frankban/quicktest"
 
 	"cuminbay/internal/domain/ident"
@@ -65,7 +66,7 @@
 			}
 			n := service.New(service.Options{
 				Settings: service.Settings{Failures: 1, Timeout: settings.Of(1)}, DataCentre: "a",
-				Roster: w, Records: w, Drains: w, Checker: w,
+				Roster: w, Records: w, Drains: w, Checker: w, Pool: pond.NewPool(4),
 			})
 			n.Refresh(context.Background())
 			if test.change != nil {
--- a/internal/serve/claim/attempt.go
+++ b/internal/serve/claim/attempt.go
@@ -95,9 +95,7 @@
 	return Change{c}, true
 }
 
-// Ticket is the right to send one claimed request. It is an alias of an
-// interface literal, so that a consumer can declare the same interface without
-// importing this package.
+// Ticket is the right to send one claimed request.
 //
 // MaySend is called right before each send and returns an error that carries
 // code.ClaimExpired if the process was paused for too long since the claim; the
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -214,7 +214,7 @@
 // suspect. An endpoint that answers on a new connection did not die; only the
 // open connection had stalled.
 func (d *Dispatcher) failed(ctx context.Context, e *table.Endpoint, r *work.Request, p *progress, failure error) {
-	d.Telemetry.attemptFailed(e, failure)
+	d.Telemetry.attemptFailed(failure)
 	d.Log.Warn().Str("request", string(r.ID)).Str("endpoint", string(e.ID)).
 		Str("code", code.Of(failure).String()).Err(failure).Msg("attempt-failed")
 	switch code.Of(failure) {
--- a/internal/serve/dispatch/telemetry.go
+++ b/internal/serve/dispatch/telemetry.go
@@ -8,7 +8,6 @@
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/work"
-	"cuminbay/internal/route/table"
 )
 
 // Telemetry has the metrics of requests. Counters are resolved at the start,
@@ -74,6 +73,6 @@
 	}
 }
 
-func (t *Telemetry) attemptFailed(_ *table.Endpoint, err error) {
+func (t *Telemetry) attemptFailed(err error) {
 	t.attempts[code.Of(err)].Inc()
 }
