Count requests by the outcome that was stated

Cause: the metric's outcome was the code's usual one, so a foreign answer that was refused before it ran counted as unknown. Change: counters are resolved for each code and outcome. Conclusion: the label agrees with what the caller is told.

--- a/internal/serve/dispatch/telemetry.go
+++ b/internal/serve/dispatch/telemetry.go
@@ -13,7 +13,7 @@
 // Telemetry has the metrics of requests. Counters are resolved at the start,
 // as a look-up by label takes a lock.
 type Telemetry struct {
-	requests   map[code.Code]prometheus.Counter
+	requests   map[result]prometheus.Counter
 	attempts   map[code.Code]prometheus.Counter
 	firstToken prometheus.Histogram
 	betweens   prometheus.Histogram
@@ -21,6 +21,13 @@
 	tokens     prometheus.Counter
 }
 
+// result is what a request ended with. An error may state another outcome than
+// its code's usual one.
+type result struct {
+	code    code.Code
+	outcome code.Outcome
+}
+
 // NewTelemetry registers the metrics.
 func NewTelemetry(registry prometheus.Registerer) *Telemetry {
 	requests := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -30,7 +37,7 @@
 		Name: "cuminbay_attempts_failed_total", Help: "Failed attempts at endpoints, by result code.",
 	}, []string{"code"})
 	t := &Telemetry{
-		requests: make(map[code.Code]prometheus.Counter),
+		requests: make(map[result]prometheus.Counter),
 		attempts: make(map[code.Code]prometheus.Counter),
 		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cuminbay_first_token_seconds", Help: "Time from receipt of a request to its first token.",
@@ -50,7 +57,9 @@
 	}
 	for _, s := range code.All() {
 		number := strconv.Itoa(int(s.Code))
-		t.requests[s.Code] = requests.WithLabelValues(number, string(s.Outcome))
+		for _, o := range []code.Outcome{code.NotRun, code.Ran, code.Unknown} {
+			t.requests[result{s.Code, o}] = requests.WithLabelValues(number, string(o))
+		}
 		t.attempts[s.Code] = attempts.WithLabelValues(number)
 	}
 	registry.MustRegister(requests, attempts, t.firstToken, t.betweens, t.duration, t.tokens)
@@ -58,7 +67,7 @@
 }
 
 func (t *Telemetry) finished(r *work.Request, err error, now time.Time) {
-	t.requests[code.Of(err)].Inc()
+	t.requests[result{code.Of(err), code.OutcomeOf(err)}].Inc()
 	t.duration.Observe(now.Sub(r.Received).Seconds())
 }
 
