--- a/internal/peer/twirp/exchange.go
+++ b/internal/peer/twirp/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sort"
 	"sync"
 
@@ -83,8 +82,8 @@
 			dead = append(dead, m)
 		}
 	}
-	shuffle(near)
-	shuffle(dead)
+	p.shuffle(near)
+	p.shuffle(dead)
 	chosen := near
 	if places := p.settings.Fanout; len(near)+len(dead) > places {
 		chosen = near[:min(len(near), places)]
@@ -101,17 +100,17 @@
 	}
 	sort.Strings(names)
 	if p.turn == 0 {
-		p.turn = rand.IntN(len(names))
+		p.turn = p.random.IntN(len(names))
 	}
 	p.turn++
-	return append(chosen, pick(far[ident.DataCentre(names[p.turn%len(names)])]))
+	return append(chosen, p.pick(far[ident.DataCentre(names[p.turn%len(names)])]))
 }
 
 // pick returns a random daemon, a live one nine times in ten if there is one.
-func pick(peers []member.Peer) member.Peer {
-	shuffle(peers)
+func (p *Plugin) pick(peers []member.Peer) member.Peer {
+	p.shuffle(peers)
 	const tenth = 10
-	if rand.IntN(tenth) > 0 {
+	if p.random.IntN(tenth) > 0 {
 		for _, m := range peers {
 			if m.Alive {
 				return m
@@ -121,8 +120,8 @@
 	return peers[0]
 }
 
-func shuffle(peers []member.Peer) {
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+func (p *Plugin) shuffle(peers []member.Peer) {
+	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 }
 
 // exchange sends the digests, merges the answer, and sends what the other
--- a/internal/peer/twirp/plugin.go
+++ b/internal/peer/twirp/plugin.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -105,11 +106,14 @@
 	listener   net.Listener
 	busy       busy
 	turn       int
+	// random chooses daemons; only the loop of exchanges uses it.
+	random *rand.Rand
 }
 
 func newPlugin(d *plugin.Deps, s *Settings) (*Plugin, error) {
 	p := &Plugin{
-		deps: d, settings: s, self: d.Settings.Daemon.Instance, dataCentre: d.Settings.Daemon.DataCentre,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		deps:   d, settings: s, self: d.Settings.Daemon.Instance, dataCentre: d.Settings.Daemon.DataCentre,
 		hybrid: d.Timeline, sections: make(map[string]section), topics: make(map[string]topic),
 		metrics: newMetrics(),
 	}
