Fail the health check of a daemon that hears nobody

Cause: a daemon cut off from all others and from the platform can't hear of a drain and had no rule for it; the balancer went on sending it requests. Ruled out: refusing requests outright, since the daemon may be the last one of a data centre that is cut off and has to serve what it can. Change: after 10 s without another daemon or the platform the health check fails; requests that arrive are served. Conclusion: the rule is stated and bounded; not tried over real processes.

--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"cuminbay/internal/caller/httpcall"
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/roster"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/domain/work"
 	"cuminbay/internal/kernel/clock"
@@ -35,6 +37,16 @@
 	Ready() bool
 }
 
+// members are the other daemons.
+type members interface {
+	Peers() []roster.Peer
+}
+
+// lister has the platform's list of instances.
+type lister interface {
+	Fresh() time.Duration
+}
+
 // mount is a handler of paths that the OpenAI protocol leaves free.
 type mount interface {
 	Serves(path string) bool
@@ -48,10 +60,26 @@
 	records    records
 	dispatcher dispatcher
 	drainer    drainer
+	members    members
+	roster     lister
 	mounts     []mount
 	leaving    atomic.Bool
 }
 
+// isolationLimit is the age of the list of instances at which a daemon that
+// hears no other one counts as isolated.
+const isolationLimit = 10 * time.Second
+
+// isolated reports whether the daemon can't have heard of drains and records
+// for a while: neither another daemon nor the platform reaches it. It goes on
+// serving what arrives, as it may be the last one of a data centre that is cut
+// off, but asks the balancer to prefer others.
+func (f *frontend) isolated() bool {
+	peers := f.members.Peers()
+	alive := slices.ContainsFunc(peers, func(p roster.Peer) bool { return p.Alive })
+	return len(peers) > 0 && !alive && f.roster.Fresh() > isolationLimit
+}
+
 // handle answers one HTTP request.
 func (f *frontend) handle(ctx *fasthttp.RequestCtx) {
 	switch path := string(ctx.Path()); path {
@@ -89,6 +117,8 @@
 		httpcall.WriteError(ctx, code.Draining.New("daemon: it is stopping"))
 	case !f.records.Ready():
 		httpcall.WriteError(ctx, code.NotReady.New("daemon: no configuration has been heard yet"))
+	case f.isolated():
+		httpcall.WriteError(ctx, code.NotReady.New("daemon: no other daemon and no platform has been heard for %s", isolationLimit))
 	default:
 		ctx.SetBodyString("ok\n")
 	}
