Carry the engine's role in orders and reports

Change: Role with its check; an engine in another role than the one ordered does not support its replica, and the planner repeats the order. Conclusion: a new case of the serving rule and the fleet's tests pass; the planner orders complete engines only.

--- a/internal/domain/report/report.go
+++ b/internal/domain/report/report.go
@@ -37,6 +37,27 @@
 	Model    ident.Model     `json:"model,omitempty"`
 	Version  ident.Version   `json:"version,omitempty"`
 	Adapters []ident.Adapter `json:"adapters,omitempty"`
+	Role     Role            `json:"role,omitempty"`
+}
+
+// Role is the part of a request that an engine runs.
+type Role string
+
+// The roles. The planner orders Complete only; an engine that reports another
+// role does not support its replica until it has obeyed.
+const (
+	Complete Role = ""
+	Prefill  Role = "prefill"
+	Decode   Role = "decode"
+)
+
+// Check reports an unknown role.
+func (r Role) Check() error {
+	switch r {
+	case Complete, Prefill, Decode:
+		return nil
+	}
+	return fmt.Errorf("role %q is not one of prefill, decode or empty", r)
 }
 
 // CacheEvent is a change of an engine's prefix cache.
@@ -56,6 +77,9 @@
 	if r.Replica != "" && r.Rank < 0 {
 		return fmt.Errorf("report of %s: rank %d is negative", r.Instance, r.Rank)
 	}
+	if err := r.Role.Check(); err != nil {
+		return fmt.Errorf("report of %s: %w", r.Instance, err)
+	}
 	return nil
 }
 
@@ -82,6 +106,9 @@
 
 // Check reports what is wrong with an order.
 func (o *Order) Check() error {
+	if err := o.Role.Check(); err != nil {
+		return fmt.Errorf("order for replica %s: %w", o.Replica, err)
+	}
 	if o.Replica == "" {
 		return nil
 	}
--- a/internal/fleet/replica/tracker.go
+++ b/internal/fleet/replica/tracker.go
@@ -207,6 +207,8 @@
 		return "reports another rank"
 	case p.Model != r.Model || p.Version != r.Version || !sameAdapters(p.Adapters, r.Adapters):
 		return "reports another model"
+	case p.Role != report.Complete:
+		return "reports another role"
 	case !p.Ready:
 		return "not ready"
 	}
--- a/internal/fleet/replica/tracker_test.go
+++ b/internal/fleet/replica/tracker_test.go
@@ -69,6 +69,7 @@
 		"model":           {change: func(p *report.Report) { p.Model = "n" }, reason: "reports another model"},
 		"version":         {change: func(p *report.Report) { p.Version = "2" }, reason: "reports another model"},
 		"adapters":        {change: func(p *report.Report) { p.Adapters = []ident.Adapter{"z"} }, reason: "reports another model"},
+		"role":            {change: func(p *report.Report) { p.Role = report.Prefill }, reason: "reports another role"},
 		"loading":         {change: func(p *report.Report) { p.Ready = false }, reason: "not ready"},
 		"just not stale":  {age: 2*time.Second - 1},
 		"stale":           {age: 2 * time.Second, reason: "stale report"},
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -39,7 +39,7 @@
 
 func samePlace(a, b *report.Order) bool {
 	return a.Replica == b.Replica && a.Epoch == b.Epoch && a.Rank == b.Rank && a.Model == b.Model &&
-		a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters) && slices.Equal(a.Members, b.Members)
+		a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters) && slices.Equal(a.Members, b.Members) && a.Role == b.Role
 }
 
 // reload starts to load the weights. The caller holds the lock.
