Don't say that a request ran when its caller left before the answer began

Cause: code 4003 caller-closed said "ran" also where no endpoint had begun to answer. Change: its outcome is unknown then. Conclusion: every outcome that is stated is known.

--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -204,8 +204,11 @@
 		return err
 	case !r.Deadline.IsZero() && !d.Clock.Now().Before(r.Deadline):
 		return code.DeadlineExpired.Wrap(err, "request %s", r.ID)
-	default:
+	case p.started:
 		return code.CallerClosed.Wrap(err, "request %s", r.ID)
+	default:
+		// Whether an endpoint began to run it can't be told.
+		return code.WithOutcome(code.CallerClosed.Wrap(err, "request %s", r.ID), code.Unknown)
 	}
 }
 
