Read a body that is too large before refusing it

Cause: the listener answered 413 and closed the connection while the caller was still writing; unread data made the system drop the answer, and the caller saw a broken pipe instead of code 2004. Ruled out: the limit itself and the client, which had no answer to read. Change: the rest of the body is read and dropped, up to 64 MiB or until the caller pauses for 200 ms, before the answer is written. Conclusion: a caller gets the code for bodies up to 64 MiB over the limit.

--- a/internal/caller/openai/plugin.go
+++ b/internal/caller/openai/plugin.go
@@ -93,12 +93,37 @@
 // protocolError answers a request that fasthttp could not read.
 func (s *service) protocolError(ctx *fasthttp.RequestCtx, err error) {
 	if err == fasthttp.ErrBodyTooLarge { //nolint:errorlint // fasthttp passes this value itself.
+		s.discard(ctx.Conn())
 		httpcall.WriteError(ctx, code.BodyTooLarge.New("body: larger than the limit of %d bytes", s.settings.MaxBody))
 		return
 	}
 	httpcall.WriteError(ctx, code.MalformedBody.Wrap(err, "HTTP request"))
 }
 
+// Bounds of what is read and dropped of a body that is too large.
+const (
+	discardLimit = 64 << 20
+	discardIdle  = 200 * time.Millisecond
+)
+
+// discard reads the rest of a body that is too large, until the caller pauses.
+// If the connection were closed with unread data, the caller's system would drop
+// the answer, and the caller would see a broken connection instead of the code.
+func (s *service) discard(conn net.Conn) {
+	const size = 64 << 10
+	buffer := make([]byte, size)
+	for total := 0; total < discardLimit; {
+		if conn.SetReadDeadline(s.clock.Now().Add(discardIdle)) != nil {
+			return
+		}
+		n, err := conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
+
 // Stop fails the health check first, so that the balancer looks elsewhere, then
 // refuses new requests, waits for those in flight and closes the listener.
 func (s *service) Stop(ctx context.Context) error {
