Share the writing of JSON answers between the front ends

Cause: the OpenAI and the operators' front ends each had the same writeJSON. Change: httpcall.WriteJSON stands for both; behaviour is as it was.

--- a/internal/caller/httpcall/fault.go
+++ b/internal/caller/httpcall/fault.go
@@ -84,3 +84,14 @@
 	}
 	return 0
 }
+
+// WriteJSON answers with the value as JSON.
+func WriteJSON(ctx *fasthttp.RequestCtx, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		WriteError(ctx, code.Internal.Wrap(err, "answer of %s", ctx.Path()))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"sync/atomic"
@@ -134,7 +133,7 @@
 		httpcall.WriteError(ctx, err)
 		return
 	}
-	writeJSON(ctx, newModelList(f.records.View().Models(organisation.Name), f.started))
+	httpcall.WriteJSON(ctx, newModelList(f.records.View().Models(organisation.Name), f.started))
 }
 
 func (f *frontend) generate(ctx *fasthttp.RequestCtx, o work.Operation) {
@@ -223,13 +222,3 @@
 	ctx.Response.Header.Set("X-Request-Id", string(r.ID))
 	ctx.Response.Header.Set("X-Endpoint", string(h.Endpoint))
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		httpcall.WriteError(ctx, code.Internal.Wrap(err, "answer of %s", ctx.Path()))
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(raw)
-}
--- a/internal/caller/operator/gather.go
+++ b/internal/caller/operator/gather.go
@@ -83,7 +83,7 @@
 		}
 	}
 	t.Events = timeline.Merge(lists...)
-	writeJSON(ctx, t)
+	httpcall.WriteJSON(ctx, t)
 }
 
 func (r reply) decode(v any) error {
@@ -110,7 +110,7 @@
 		c.Active = c.Reason == "" && c.Revision >= want
 		list = append(list, c)
 	}
-	writeJSON(ctx, list)
+	httpcall.WriteJSON(ctx, list)
 }
 
 // active returns the revision of the record that this daemon has active.
--- a/internal/caller/operator/operator.go
+++ b/internal/caller/operator/operator.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"strconv"
 	"time"
 
@@ -141,7 +140,7 @@
 func (i *Interface) Handler() fasthttp.RequestHandler {
 	r := router.New()
 	r.GET("/health", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
-	r.GET("/status", func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, i.Status()) })
+	r.GET("/status", func(ctx *fasthttp.RequestCtx) { httpcall.WriteJSON(ctx, i.Status()) })
 	r.GET("/timeline", i.timeline)
 	r.GET("/records", i.listRecords)
 	r.GET("/records/{kind}/{name:*}", i.withName(i.getRecord))
@@ -173,10 +172,10 @@
 	if err != nil {
 		// The active records are an answer also while the platform is down.
 		ctx.Response.Header.Set("X-Source", "active")
-		writeJSON(ctx, i.Records.Active())
+		httpcall.WriteJSON(ctx, i.Records.Active())
 		return
 	}
-	writeJSON(ctx, list)
+	httpcall.WriteJSON(ctx, list)
 }
 
 func (i *Interface) getRecord(ctx *fasthttp.RequestCtx, n record.Name) {
@@ -185,7 +184,7 @@
 		httpcall.WriteError(ctx, err)
 		return
 	}
-	writeJSON(ctx, r)
+	httpcall.WriteJSON(ctx, r)
 }
 
 // Written is the answer to a write of a record.
@@ -207,7 +206,7 @@
 		return
 	}
 	i.Timeline.Record("record-written", n.String(), "revision", strconv.FormatInt(int64(written), 10))
-	writeJSON(ctx, Written{n, written})
+	httpcall.WriteJSON(ctx, Written{n, written})
 }
 
 // revision reads the revision that a write expects or a confirmation asks for.
@@ -233,20 +232,10 @@
 		httpcall.WriteError(ctx, err)
 		return
 	}
-	writeJSON(ctx, i.Drains.Marks())
+	httpcall.WriteJSON(ctx, i.Drains.Marks())
 }
 
 func value(ctx *fasthttp.RequestCtx, name string) string {
 	s, _ := ctx.UserValue(name).(string)
 	return s
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		httpcall.WriteError(ctx, code.Internal.Wrap(err, "answer of %s", ctx.Path()))
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(raw)
-}
