--- /dev/null
+++ b/internal/caller/edge/writer.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cuminbay/internal/domain/call"
+)
+
+// Writer writes one answer. It is used by one goroutine.
+type Writer struct {
+	conn *conn
+	// head says that the answer has no body, old that the caller speaks
+	// HTTP/1.0, closes that the caller or the server wants to end the
+	// connection.
+	head, old, closes bool
+
+	buffer  []byte
+	started bool
+	chunked bool
+	ended   bool
+	aborted bool
+	last    bool
+}
+
+// writeTimeout bounds a write to a caller that doesn't read.
+const writeTimeout = 5 * time.Second
+
+// Unknown is the length of a body that is not known beforehand.
+const Unknown = -1
+
+// Start begins the answer. Nothing is sent before the first bytes of the body or
+// the end. Fields of the connection itself must not be among the fields.
+func (w *Writer) Start(status int, fields []call.Field, length int) {
+	w.started = true
+	w.closes = w.closes || w.conn.server.closing.Load()
+	bodiless := w.head || status == http.StatusNoContent || status == http.StatusNotModified
+	w.chunked = length == Unknown && !w.old && !bodiless
+	w.last = w.closes || w.old
+	b := append(w.buffer, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(status)...)
+	b = append(b, "\r\n"...)
+	for _, f := range fields {
+		b = appendField(b, f.Name, f.Value)
+	}
+	switch {
+	case w.chunked:
+		b = appendField(b, "Transfer-Encoding", "chunked")
+	case length >= 0 && status != http.StatusNoContent:
+		b = appendField(b, "Content-Length", strconv.Itoa(length))
+	}
+	if w.last {
+		b = appendField(b, "Connection", "close")
+	}
+	w.buffer = append(b, "\r\n"...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// Started reports whether Start was called.
+func (w *Writer) Started() bool {
+	return w.started
+}
+
+// Write sends a part of the body.
+func (w *Writer) Write(p []byte) error {
+	w.body(p)
+	return w.flush()
+}
+
+// End sends the last part of the body, which may be empty, and ends the answer.
+func (w *Writer) End(p []byte) error {
+	w.body(p)
+	if w.chunked {
+		w.buffer = append(w.buffer, "0\r\n\r\n"...)
+	}
+	w.ended = true
+	return w.flush()
+}
+
+func (w *Writer) body(p []byte) {
+	if len(p) == 0 || w.head {
+		return
+	}
+	if w.chunked {
+		w.buffer = strconv.AppendInt(w.buffer, int64(len(p)), 16)
+		w.buffer = append(w.buffer, "\r\n"...)
+	}
+	w.buffer = append(w.buffer, p...)
+	if w.chunked {
+		w.buffer = append(w.buffer, "\r\n"...)
+	}
+}
+
+func (w *Writer) flush() error {
+	if len(w.buffer) == 0 {
+		return nil
+	}
+	_ = w.conn.nc.SetWriteDeadline(w.conn.server.Clock.Now().Add(writeTimeout))
+	_, err := w.conn.nc.Write(w.buffer)
+	w.buffer = w.buffer[:0]
+	if err != nil {
+		w.Abort()
+	}
+	return err
+}
+
+// Abort ends the answer so that it doesn't look whole: the connection is reset.
+func (w *Writer) Abort() {
+	if w.aborted {
+		return
+	}
+	w.ended, w.aborted, w.last = true, true, true
+	if tcp, ok := w.conn.nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = w.conn.nc.Close()
+}
--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,7 +21,7 @@
 
 // settingsFlags name the settings file.
 type settingsFlags struct {
-	File string   `short:"c" long:"settings" required:"true" value-name:"FILE" description:"the settings file"`
+	File string   `short:"c" long:"settings" required:"true" env:"CUMINBAY_SETTINGS" value-name:"FILE" description:"the settings file"`
 	Set  []string `long:"set" value-name:"PATH=VALUE" description:"override a setting, as in openai.listen=127.0.0.1:80"`
 }
 
@@ -38,7 +39,10 @@
 	if err != nil {
 		return err
 	}
-	deps, err := newDeps(s, c.streams)
+	limitMemory(s.Daemon.Memory)
+	lines := logline.NewAsync(c.streams.Out)
+	defer lines.Close() //nolint:errcheck // it never fails
+	deps, err := newDeps(s, lines)
 	if err != nil {
 		return err
 	}
@@ -48,11 +52,13 @@
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	if err := start(kernel); err != nil {
 		return err
 	}
 	deps.Timeline.Record("daemon-started", string(s.Daemon.Instance), "dataCentre", string(s.Daemon.DataCentre))
-	received := <-stop
+	received := c.wait(deps, stop, reload)
 	deps.Timeline.Record("daemon-stopping", string(s.Daemon.Instance), "signal", received.String())
 	ctx, cancel := context.WithTimeout(context.Background(), s.Daemon.StopLimit.Duration)
 	defer cancel()
@@ -62,21 +68,51 @@
 	return err
 }
 
+// wait returns the signal that stops the daemon. A changed settings file is
+// checked and reported; what it changes takes effect with the next start.
+func (c *serveCommand) wait(deps *plugin.Deps, stop, reload <-chan os.Signal) os.Signal {
+	for {
+		select {
+		case received := <-stop:
+			return received
+		case <-reload:
+			if _, err := settings.Read(c.File, c.Set); err != nil {
+				deps.Log.Error().Err(err).Str("file", c.File).Msg("settings-rejected")
+				continue
+			}
+			deps.Log.Info().Str("file", c.File).Msg("settings-read")
+		}
+	}
+}
+
+// memoryPart is the part of the memory limit that the heap may grow to; the
+// rest is for stacks, buffers of the kernel and the program itself.
+const memoryPart = 0.6
+
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(float64(megabytes<<20) * memoryPart))
+	}
+}
+
 func start(kernel *plugin.Kernel) error {
 	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
 	return kernel.Start(ctx)
 }
 
-func newDeps(s *settings.Settings, streams Streams) (*plugin.Deps, error) {
+func newDeps(s *settings.Settings, lines *logline.Async) (*plugin.Deps, error) {
 	clk := clock.Real()
-	log, err := logline.New(streams.Err, s.Daemon.LogLevel, clk)
+	log, err := logline.New(lines, s.Daemon.LogLevel, clk)
 	if err != nil {
 		return nil, err
 	}
 	log = log.With().Str("process", string(s.Daemon.Instance)).Logger()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "cuminbay_log_lines_dropped_total", Help: "Log lines dropped because standard output was too slow.",
+	}, func() float64 { return float64(lines.Dropped()) }))
 	return &plugin.Deps{
 		Settings: s,
 		Clock:    clk,
--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -41,6 +41,12 @@
 	reader *bufio.Reader
 	// idleSince is the time at which the connection was put into the pool.
 	idleSince time.Time
+	// idleLimit is how long the connection may stay idle in the pool.
+	idleLimit time.Duration
+	// silent, if set, is asked after each interval without a byte whether to
+	// wait on; limit doesn't hold then.
+	silent   func(time.Duration) bool
+	interval time.Duration
 	// stalled says that the last read ran into the limit. fasthttp hides that
 	// in a part of its errors.
 	stalled bool
@@ -48,6 +54,9 @@
 
 // Read reads with a fresh deadline.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.silent != nil {
+		return c.readPatiently(b)
+	}
 	deadline := c.clock.Now().Add(c.limit)
 	if !c.until.IsZero() && c.until.Before(deadline) {
 		deadline = c.until
@@ -60,6 +69,26 @@
 	return n, err
 }
 
+// readPatiently reads until a byte comes or silent says to give up.
+func (c *conn) readPatiently(b []byte) (int, error) {
+	begun := c.clock.Now()
+	now := begun
+	for {
+		if err := c.SetReadDeadline(now.Add(c.interval)); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		now = c.clock.Now()
+		if !c.silent(now.Sub(begun)) {
+			c.stalled = true
+			return 0, err
+		}
+	}
+}
+
 // explain adds to an error of fasthttp that a read ran into the limit.
 func (c *conn) explain(err error) error {
 	if err == nil || !c.stalled {
--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -1,7 +1,6 @@
 package stream
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -30,6 +29,9 @@
 	// TokenSilence is the same once the first token has come; zero stands
 	// for Silence.
 	TokenSilence time.Duration
+	// KeepAlive probes idle connections at the level of TCP, so that one that
+	// has gone silent for good is noticed; the zero value leaves the defaults.
+	KeepAlive net.KeepAliveConfig
 	// MaxBody bounds the answers of Do in bytes; zero is no limit.
 	MaxBody int
 }
@@ -62,7 +64,7 @@
 	if o.TokenSilence == 0 {
 		o.TokenSilence = o.Silence
 	}
-	return &Pool{PoolOptions: o, dialer: net.Dialer{Timeout: o.DialTimeout}, hosts: make(map[string]*host)}
+	return &Pool{PoolOptions: o, dialer: net.Dialer{Timeout: o.DialTimeout, KeepAliveConfig: o.KeepAlive}, hosts: make(map[string]*host)}
 }
 
 // get returns an idle connection that is still usable or opens one. Its errors
@@ -79,7 +81,7 @@
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if p.Clock.Since(c.idleSince) < idleLimit && c.quiet() {
+		if p.Clock.Since(c.idleSince) < c.idleLimit && c.quiet() {
 			c.limit, c.until = p.Silence, time.Time{}
 			return c, nil
 		}
@@ -115,8 +117,8 @@
 		p.forget(address, 1)
 		return nil, &dialError{err}
 	}
-	c := &conn{Conn: inner, clock: p.Clock, limit: p.Silence}
-	c.reader = bufio.NewReader(c)
+	c := &conn{Conn: inner, clock: p.Clock, limit: p.Silence, idleLimit: idleLimit}
+	c.reader = newReader(c)
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/endpoint/stream/raw.go
@@ -0,0 +1,272 @@
+package stream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Message is a request whose bytes are sent as they are.
+type Message struct {
+	Address string
+	// Bytes hold the head and the body.
+	Bytes []byte
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Head says that the answer has no body whatever its head says.
+	Head bool
+	// Silent, if set, is asked each time that nothing came for Interval. It
+	// gets the length of the silence; false ends the exchange.
+	Silent   func(time.Duration) bool
+	Interval time.Duration
+	// Own reports whether an answer belongs to the request. A late answer to
+	// an earlier request on the connection is skipped.
+	Own func(*fasthttp.ResponseHeader) bool
+}
+
+// maxForeign bounds the answers to other requests that are skipped.
+const maxForeign = 2
+
+// errForeign says that a connection carries answers to other requests only.
+var errForeign = errors.New("answers to other requests")
+
+// Reply is the answer to a Message as it comes. It has to be closed.
+type Reply struct {
+	Header fasthttp.ResponseHeader
+
+	pool    *Pool
+	address string
+	conn    *conn
+	body    io.Reader
+	chunked bool
+	// ended says that the body was read to its end.
+	ended bool
+	// unsent is true while the request is being written.
+	unsent  atomic.Bool
+	unwatch func() bool
+}
+
+// Forward sends the message and reads the head of its answer. The end of the
+// context closes the connection, which cancels the run at the endpoint.
+func (p *Pool) Forward(ctx context.Context, m *Message) (*Reply, error) {
+	c, err := p.connect(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	r := &Reply{pool: p, address: m.Address, conn: c}
+	c.silent, c.interval = m.Silent, m.Interval
+	r.unwatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if err := r.exchange(m); err != nil {
+		r.Close()
+		err = c.explain(err)
+		if cause := ctx.Err(); cause != nil {
+			err = errors.Join(cause, err)
+		}
+		return nil, err
+	}
+	return r, nil
+}
+
+func (p *Pool) connect(ctx context.Context, m *Message) (*conn, error) {
+	if !m.Fresh {
+		return p.get(ctx, m.Address)
+	}
+	if err := p.reserve(m.Address); err != nil {
+		return nil, &dialError{err}
+	}
+	return p.dial(ctx, m.Address)
+}
+
+// reserve takes the place for a new connection.
+func (p *Pool) reserve(address string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = new(host)
+		p.hosts[address] = h
+	}
+	if h.open >= p.Connections {
+		return errNoFreeConnection
+	}
+	h.open++
+	return nil
+}
+
+// longMessage is the size above which a message is written while its answer is
+// read, since an endpoint may answer before it has read the body.
+const longMessage = 8 << 10
+
+func (r *Reply) exchange(m *Message) error {
+	if len(m.Bytes) <= longMessage {
+		if _, err := r.conn.Write(m.Bytes); err != nil {
+			return err
+		}
+	} else {
+		r.unsent.Store(true)
+		go func() {
+			if _, err := r.conn.Write(m.Bytes); err == nil {
+				r.unsent.Store(false)
+			}
+		}()
+	}
+	for range maxForeign + 1 {
+		if err := r.readHead(m); err != nil {
+			return err
+		}
+		if m.Own == nil || m.Own(&r.Header) {
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, r); err != nil {
+			return err
+		}
+		r.ended = false
+	}
+	return errForeign
+}
+
+func (r *Reply) readHead(m *Message) error {
+	r.Header.Reset()
+	for {
+		if err := r.Header.Read(r.conn.reader); err != nil {
+			return err
+		}
+		if code := r.Header.StatusCode(); code >= http.StatusOK || code == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	r.body, r.chunked = r.framing(m), false
+	if r.Header.ContentLength() == -1 && r.body != http.NoBody {
+		r.chunked = true
+		r.body = httputil.NewChunkedReader(r.conn.reader)
+	}
+	return nil
+}
+
+// framing returns the reader of a body that isn't chunked.
+func (r *Reply) framing(m *Message) io.Reader {
+	status := r.Header.StatusCode()
+	if m.Head || status == http.StatusNoContent || status == http.StatusNotModified {
+		return http.NoBody
+	}
+	switch length := r.Header.ContentLength(); {
+	case length == 0:
+		return http.NoBody
+	case length > 0:
+		return &fixedReader{reader: r.conn.reader, left: length}
+	default:
+		// The end of the connection ends the body.
+		r.Header.SetConnectionClose()
+		return r.conn.reader
+	}
+}
+
+// fixedReader reads a body of known length.
+type fixedReader struct {
+	reader io.Reader
+	left   int
+}
+
+// Read returns io.EOF only after the whole body.
+func (f *fixedReader) Read(b []byte) (int, error) {
+	if f.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := f.reader.Read(b[:min(len(b), f.left)])
+	f.left -= n
+	if errors.Is(err, io.EOF) && f.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Read reads the answer's body. It returns io.EOF only at the end of a whole
+// body; a body without a length is whole if its connection was not reset.
+func (r *Reply) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if !errors.Is(err, io.EOF) {
+		return n, r.conn.explain(err)
+	}
+	if r.chunked && !r.ended {
+		if terr := r.skipTrailer(); terr != nil {
+			return n, terr
+		}
+	}
+	r.ended = true
+	return n, io.EOF
+}
+
+// skipTrailer reads past the fields behind the last chunk.
+func (r *Reply) skipTrailer() error {
+	for {
+		line, err := r.conn.reader.ReadSlice('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return r.conn.explain(err)
+		}
+		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
+// Length returns the length that the head announces, or -1.
+func (r *Reply) Length() int {
+	if r.body == http.NoBody {
+		return 0
+	}
+	return max(r.Header.ContentLength(), -1)
+}
+
+// Close ends the exchange. The connection is kept if the answer was read to its
+// end, and otherwise closed, which cancels the run at the endpoint.
+func (r *Reply) Close() {
+	live := r.unwatch()
+	ended := r.ended || r.body == http.NoBody
+	r.conn.silent = nil
+	if live && ended && !r.unsent.Load() && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0 {
+		r.conn.idleLimit = keepAlive(r.Header.Peek("Keep-Alive"))
+		r.pool.put(r.address, r.conn)
+		return
+	}
+	r.pool.discard(r.address, r.conn)
+}
+
+// keepAliveMargin is the part of an announced idle time that is not used, since
+// the endpoint's timer started earlier.
+const keepAliveMargin = 4
+
+// keepAlive returns the idle time that a Keep-Alive field allows, or the
+// general limit.
+func keepAlive(field []byte) time.Duration {
+	for part := range strings.SplitSeq(string(field), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.ParseFloat(value, 64); err == nil && s > 0 {
+			d := time.Duration(s * float64(time.Second))
+			return min(d-d/keepAliveMargin, idleLimit)
+		}
+	}
+	return idleLimit
+}
+
+// newReader returns the reader of a connection.
+func newReader(c *conn) *bufio.Reader {
+	return bufio.NewReaderSize(c, readerSize)
+}
+
+// readerSize holds the head of an answer and the events that come together.
+const readerSize = 4096
--- /dev/null
+++ b/internal/fleet/catalog/load.go
@@ -0,0 +1,135 @@
+package catalog
+
+import (
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/unit"
+)
+
+// Load is what this daemon knows of a server from its own requests and from its
+// peers. It is atomic throughout.
+type Load struct {
+	inFlight atomic.Int64
+	// others is the number of requests that peers have in flight.
+	others atomic.Int64
+	// progress is the time of the last byte of any answer, in nanoseconds since
+	// 1970 of the local clock.
+	progress atomic.Int64
+	// avoidUntil ends the time in which the server gets no requests.
+	avoidUntil atomic.Int64
+	// failures counts failures in a row.
+	failures atomic.Int64
+	// answer is the mean time of a whole answer of a plain service, in
+	// nanoseconds.
+	answer atomic.Int64
+
+	// coldNext is the earliest time of the next request while the server is
+	// cold, in nanoseconds since 1970 of the local clock.
+	coldNext atomic.Int64
+}
+
+// Begin counts a request in flight.
+func (l *Load) Begin() {
+	l.inFlight.Add(1)
+}
+
+// End counts its end.
+func (l *Load) End() {
+	l.inFlight.Add(-1)
+}
+
+// InFlight returns this daemon's requests in flight.
+func (l *Load) InFlight() unit.Requests {
+	return unit.Requests(l.inFlight.Load())
+}
+
+// Total returns the requests in flight of all daemons, as far as known.
+func (l *Load) Total() unit.Requests {
+	return unit.Requests(l.inFlight.Load() + l.others.Load())
+}
+
+// SetOthers sets the requests in flight of the other daemons.
+func (l *Load) SetOthers(n unit.Requests) {
+	l.others.Store(int64(n))
+}
+
+// Progress records that bytes of an answer came.
+func (l *Load) Progress(now time.Time) {
+	l.progress.Store(now.UnixNano())
+}
+
+// LastProgress returns when bytes of any answer came last.
+func (l *Load) LastProgress() time.Time {
+	return time.Unix(0, l.progress.Load())
+}
+
+// Avoid keeps requests away until the given time, if that is later than known.
+func (l *Load) Avoid(until time.Time) {
+	for {
+		known := l.avoidUntil.Load()
+		if known >= until.UnixNano() || l.avoidUntil.CompareAndSwap(known, until.UnixNano()) {
+			return
+		}
+	}
+}
+
+// Avoided reports whether the server gets no requests now.
+func (l *Load) Avoided(now time.Time) bool {
+	return now.UnixNano() < l.avoidUntil.Load()
+}
+
+// The server is avoided for a time that doubles with each failure in a row.
+const (
+	firstAvoid   = 500 * time.Millisecond
+	longestAvoid = 8 * time.Second
+)
+
+// Failed records a failure, after which the server is avoided for a while. It
+// returns that time.
+func (l *Load) Failed(now time.Time) time.Duration {
+	n := l.failures.Add(1)
+	avoid := min(firstAvoid<<min(n-1, 4), longestAvoid)
+	l.Avoid(now.Add(avoid))
+	return avoid
+}
+
+// answerShare is the weight of a new answer in the mean, as a divisor.
+const answerShare = 8
+
+// Succeeded records a whole answer and the time that it took.
+func (l *Load) Succeeded(took time.Duration) {
+	l.failures.Store(0)
+	l.avoidUntil.Store(0)
+	mean := l.answer.Load()
+	if mean == 0 {
+		l.answer.Store(int64(took))
+		return
+	}
+	// A lost update between two answers at once does no harm to a mean.
+	l.answer.Store(mean + (int64(took)-mean)/answerShare)
+}
+
+// Answer returns the mean time of a whole answer, zero if none came.
+func (l *Load) Answer() time.Duration {
+	return time.Duration(l.answer.Load())
+}
+
+// Admit reports whether a request may be sent to a cold server now, with at
+// most perSecond requests in any second, and counts it. Spacing the requests
+// evenly bounds every second, wherever it begins.
+func (l *Load) Admit(now time.Time, perSecond float64) bool {
+	if perSecond <= 0 {
+		return false
+	}
+	interval := time.Duration(float64(time.Second) / perSecond)
+	for {
+		next, at := l.coldNext.Load(), now.UnixNano()
+		if at < next {
+			return false
+		}
+		if l.coldNext.CompareAndSwap(next, at+int64(interval)) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/catalog/routing.go
@@ -0,0 +1,57 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"cuminbay/internal/domain/site"
+)
+
+// routing indexes the routes and keys of one configuration.
+type routing struct {
+	// hosts has the routes of a host, longest prefix first.
+	hosts map[string][]*site.Route
+	keys  map[string]*site.Organisation
+}
+
+func newRouting(config *site.Config) *routing {
+	r := &routing{hosts: make(map[string][]*site.Route), keys: make(map[string]*site.Organisation)}
+	if config == nil {
+		return r
+	}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		host := strings.ToLower(route.Host)
+		r.hosts[host] = append(r.hosts[host], route)
+	}
+	for _, list := range r.hosts {
+		slices.SortStableFunc(list, func(a, b *site.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range config.Organisations {
+		o := &config.Organisations[i]
+		for _, key := range o.Keys {
+			r.keys[key] = o
+		}
+	}
+	return r
+}
+
+// Route returns the route of the host with the longest prefix that begins the
+// path, or nil. The host may carry a port.
+func (r *routing) Route(host, path string) *site.Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, route := range r.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Organisation returns the organisation that holds the key, or nil.
+func (r *routing) Organisation(key string) *site.Organisation {
+	return r.keys[key]
+}
--- /dev/null
+++ b/internal/fleet/catalog/snapshot.go
@@ -0,0 +1,152 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/site"
+	"cuminbay/internal/domain/unit"
+)
+
+// Snapshot is an immutable view. Its maps and slices must not be changed.
+type Snapshot struct {
+	*routing
+	// Config is nil until a configuration is known.
+	Config *site.Config
+	// Listed says that the whole list of servers has been read.
+	Listed  bool
+	Servers map[ident.Instance]*site.Server
+	// Out are the data centres that are out of service.
+	Out map[ident.DataCentre]bool
+
+	plain  map[ident.Service][]*Endpoint
+	models map[modelKey][]*Endpoint
+}
+
+type modelKey struct {
+	service ident.Service
+	model   ident.Model
+}
+
+// Endpoint is a target of requests: the head of a complete replica or a server
+// of a plain service. It does not change.
+type Endpoint struct {
+	*site.Server
+	// Replica, Epoch and Model are set for heads of replicas.
+	Replica ident.Replica
+	Epoch   unit.Epoch
+	Model   *site.Model
+	Engine  *site.Engine
+	// ColdRate bounds the requests a second from all daemons while the server
+	// is cold; zero is no bound.
+	ColdRate float64
+	Load     *Load
+}
+
+// Services returns the endpoints of a plain service.
+func (s *Snapshot) Plain(name ident.Service) []*Endpoint {
+	return s.plain[name]
+}
+
+// Model returns the heads of the replicas of the service that serve the model.
+func (s *Snapshot) Model(service ident.Service, m ident.Model) []*Endpoint {
+	return s.models[modelKey{service, m}]
+}
+
+// Endpoints calls f with every endpoint.
+func (s *Snapshot) Endpoints(f func(*Endpoint)) {
+	for _, list := range s.plain {
+		for _, e := range list {
+			f(e)
+		}
+	}
+	for _, list := range s.models {
+		for _, e := range list {
+			f(e)
+		}
+	}
+}
+
+// addEndpoints finds what may be routed to. A server that drains or whose data
+// centre is out of service is left out.
+func (s *Snapshot) addEndpoints(load func(*site.Server) *Load) {
+	if s.Config == nil {
+		return
+	}
+	replicas := s.Replicas()
+	for _, server := range s.Servers {
+		service := s.Config.Services[server.Service]
+		if service == nil || server.Draining || s.Out[server.DataCentre] {
+			continue
+		}
+		e := &Endpoint{Server: server, ColdRate: service.ColdRate, Load: load(server)}
+		if service.Engine == nil {
+			s.plain[service.Name] = append(s.plain[service.Name], e)
+			continue
+		}
+		m := server.Member
+		if m == nil || m.Rank != 0 || m.State != site.Open {
+			continue
+		}
+		model := service.Engine.Model(m.Model)
+		if model == nil || !replicas[ReplicaKey{m.Replica, m.Epoch}].Complete(model.Size) {
+			continue
+		}
+		e.Replica, e.Epoch, e.Model, e.Engine = m.Replica, m.Epoch, model, service.Engine
+		key := modelKey{service.Name, m.Model}
+		s.models[key] = append(s.models[key], e)
+	}
+	byID := func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) }
+	for _, list := range s.plain {
+		slices.SortFunc(list, byID)
+	}
+	for _, list := range s.models {
+		slices.SortFunc(list, byID)
+	}
+}
+
+// ReplicaKey names a replica at one epoch. The planner never uses an epoch
+// twice, so equal keys have equal member lists.
+type ReplicaKey struct {
+	Replica ident.Replica
+	Epoch   unit.Epoch
+}
+
+// Replica has the members that report one replica at one epoch.
+type Replica struct {
+	Members []*site.Server
+}
+
+// Complete reports whether every rank is there and has been ready.
+func (r *Replica) Complete(size int) bool {
+	if r == nil || len(r.Members) != size {
+		return false
+	}
+	ranks := make(map[unit.Rank]bool, size)
+	for _, s := range r.Members {
+		if s.Member.State == site.Joining {
+			return false
+		}
+		ranks[s.Member.Rank] = true
+	}
+	return len(ranks) == size
+}
+
+// Replicas returns the replicas that servers report.
+func (s *Snapshot) Replicas() map[ReplicaKey]*Replica {
+	replicas := make(map[ReplicaKey]*Replica)
+	for _, server := range s.Servers {
+		if server.Member == nil {
+			continue
+		}
+		key := ReplicaKey{server.Member.Replica, server.Member.Epoch}
+		r := replicas[key]
+		if r == nil {
+			r = new(Replica)
+			replicas[key] = r
+		}
+		r.Members = append(r.Members, server)
+	}
+	return replicas
+}
--- /dev/null
+++ b/internal/fleet/formation/repair.go
@@ -0,0 +1,241 @@
+package formation
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/site"
+)
+
+// spares returns the usable servers of the domain that belong to no replica,
+// those that have the model's weights first.
+func (p *Planner) spares(service *site.Service, domain ident.Domain, model ident.Model) []*site.Server {
+	placed := make(map[ident.Instance]bool)
+	for _, r := range p.replicas {
+		for _, id := range r.members {
+			placed[id] = true
+		}
+	}
+	var list []*site.Server
+	for _, s := range p.view.Servers {
+		if s.Service == service.Name && s.Domain == domain && !placed[s.ID] && p.usable(s) && s.Member == nil {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *site.Server) int {
+		return cmp.Or(cmp.Compare(p.joinCost(a, model), p.joinCost(b, model)), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+// joinCost orders servers by how soon they can join a replica of the model.
+func (p *Planner) joinCost(s *site.Server, model ident.Model) int {
+	switch {
+	case s.HasStaged(model):
+		return 0
+	case p.loads.staging(s.ID) == model:
+		return 1
+	case len(s.Staged) == 0:
+		return 2
+	}
+	return 3
+}
+
+// repair makes replicas whole that have lost members. The one that needs the
+// fewest servers comes first.
+func (p *Planner) repair(service *site.Service) {
+	var broken []*replica
+	for _, r := range p.sorted(service) {
+		if r.phase == short {
+			r.members = slices.DeleteFunc(r.members, func(id ident.Instance) bool {
+				s := p.view.Servers[id]
+				return s == nil || !p.usable(s)
+			})
+			broken = append(broken, r)
+		}
+	}
+	slices.SortStableFunc(broken, func(a, b *replica) int {
+		return cmp.Compare(a.model.Size-len(a.members), b.model.Size-len(b.members))
+	})
+	for _, r := range broken {
+		p.fill(service, r)
+	}
+	p.release(service)
+}
+
+// fill gives a short replica the spare servers that it needs, if there are
+// enough.
+func (p *Planner) fill(service *site.Service, r *replica) {
+	need := r.model.Size - len(r.members)
+	spares := p.spares(service, r.domain, r.model.Name)
+	if len(spares) < need {
+		return
+	}
+	loading := 0
+	for _, s := range spares[:need] {
+		if !s.HasStaged(r.model.Name) {
+			loading++
+		}
+	}
+	if loading > 0 && !p.loads.room(loading) {
+		return
+	}
+	for _, s := range spares[:need] {
+		r.members = append(r.members, s.ID)
+	}
+	p.join(r, fmt.Sprintf("%d new members, %d of them load", need, loading))
+}
+
+// join begins a new epoch of the replica with its members.
+func (p *Planner) join(r *replica, why string) {
+	r.epoch = p.next()
+	r.enter(joining, p.now)
+	for _, id := range r.members {
+		if s := p.view.Servers[id]; s != nil && !s.HasStaged(r.model.Name) {
+			p.loads.add(id, r.model.Name, p.now.Add(r.model.LoadTime))
+		}
+	}
+	p.note("replica-joining", r, "%s: members %v", why, r.members)
+}
+
+// release gives up a short replica whose servers make another one of the domain
+// whole. Its members leave first: a server must not join another replica while
+// the head of its own may still serve.
+func (p *Planner) release(service *site.Service) {
+	byDomain := make(map[ident.Domain][]*replica)
+	for _, r := range p.sorted(service) {
+		if r.phase == short {
+			byDomain[r.domain] = append(byDomain[r.domain], r)
+		}
+	}
+	for domain, list := range byDomain {
+		slices.SortStableFunc(list, func(a, b *replica) int {
+			return cmp.Compare(a.model.Size-len(a.members), b.model.Size-len(b.members))
+		})
+		spare := len(p.spares(service, domain, ""))
+		for i := len(list) - 1; i > 0; i-- {
+			giver, taker := list[i], list[0]
+			if len(giver.members) == 0 || taker.model.Size-len(taker.members) <= spare+len(giver.members) {
+				p.note("replica-released", giver, "its %d members complete %s", len(giver.members), taker.name)
+				giver.enter(leaving, p.now)
+				break
+			}
+		}
+	}
+}
+
+// form makes new replicas of the servers that are left over.
+func (p *Planner) form(service *site.Service) {
+	for _, domain := range p.domains(service) {
+		for p.formOne(service, domain) {
+			continue
+		}
+	}
+}
+
+// domains returns the fabric domains of the service with their sizes in order
+// of their names.
+func (p *Planner) domains(service *site.Service) []ident.Domain {
+	var list []ident.Domain
+	for _, s := range p.view.Servers {
+		if s.Service == service.Name && s.Domain != "" && !slices.Contains(list, s.Domain) {
+			list = append(list, s.Domain)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// formOne makes the replica of which there are the fewest for its share, if the
+// domain has servers for it beyond those kept spare.
+func (p *Planner) formOne(service *site.Service, domain ident.Domain) bool {
+	if p.shortIn(domain) {
+		return false
+	}
+	spares := p.spares(service, domain, "")
+	keep := 0
+	if p.replicasIn(domain) > 0 {
+		keep = int(p.rules.SpareShare * float64(p.size(service, domain)))
+	}
+	for _, m := range p.byNeed(service) {
+		if len(spares) < m.Size+keep {
+			continue
+		}
+		chosen := p.spares(service, domain, m.Name)[:m.Size]
+		loading := 0
+		for _, s := range chosen {
+			if !s.HasStaged(m.Name) {
+				loading++
+			}
+		}
+		if loading > 0 && !p.loads.room(loading) {
+			return false
+		}
+		r := &replica{name: p.name(), service: service.Name, domain: domain, model: m, broken: p.now}
+		for _, s := range chosen {
+			r.members = append(r.members, s.ID)
+		}
+		p.replicas[r.name] = r
+		p.join(r, fmt.Sprintf("new in domain %s", domain))
+		return true
+	}
+	return false
+}
+
+// name returns a name that no other tenure gives.
+func (p *Planner) name() ident.Replica {
+	p.names++
+	return ident.Replica(fmt.Sprintf("r%d-%d", p.fence, p.names))
+}
+
+func (p *Planner) shortIn(domain ident.Domain) bool {
+	for _, r := range p.replicas {
+		if r.domain == domain && (r.phase == short || r.phase == leaving) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) replicasIn(domain ident.Domain) int {
+	n := 0
+	for _, r := range p.replicas {
+		if r.domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// size returns the number of the domain's servers.
+func (p *Planner) size(service *site.Service, domain ident.Domain) int {
+	n := 0
+	for _, s := range p.view.Servers {
+		if s.Service == service.Name && s.Domain == domain && p.usable(s) {
+			n++
+		}
+	}
+	return n
+}
+
+// byNeed returns the models, the one with the fewest replicas for its share of
+// the servers first.
+func (p *Planner) byNeed(service *site.Service) []*site.Model {
+	count := make(map[ident.Model]int)
+	for _, r := range p.replicas {
+		if r.service == service.Name && r.phase != short && r.phase != leaving {
+			count[r.model.Name]++
+		}
+	}
+	models := make([]*site.Model, len(service.Engine.Models))
+	for i := range service.Engine.Models {
+		models[i] = &service.Engine.Models[i]
+	}
+	filled := func(m *site.Model) float64 {
+		return float64(count[m.Name]*m.Size) / max(m.Share, 0.01)
+	}
+	slices.SortStableFunc(models, func(a, b *site.Model) int { return cmp.Compare(filled(a), filled(b)) })
+	return models
+}
--- a/internal/fleet/plan/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -1,4 +1,6 @@
-package plan
+// Package lease holds a key of the platform for as long as its lease is kept
+// alive, for duties that one daemon does at a time.
+package lease
 
 import (
 	"context"
@@ -6,11 +8,12 @@
 
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
 )
 
-// leases is the part of the platform that a lease needs.
-type leases interface {
+// Platform is the part of the platform that a lease needs.
+type Platform interface {
 	Get(ctx context.Context, key store.Key) (store.Entry, error)
 	Swap(ctx context.Context, s store.Swap) (store.Entry, store.Result, error)
 	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error)
@@ -21,7 +24,7 @@
 // Lease holds a key of the platform for as long as its lease is kept alive. It
 // is used by one goroutine.
 type Lease struct {
-	platform leases
+	platform Platform
 	clock    clock.Clock
 	key      store.Key
 	self     ident.Instance
@@ -30,14 +33,16 @@
 	id    store.LeaseID
 	held  bool
 	until time.Time
+	// fence is the revision at which the key was taken.
+	fence unit.Revision
 }
 
 // marginShare is the part of the time to live by which the holder gives up
 // before the platform does, for clocks of different speed and late timers.
 const marginShare = 5
 
-// NewLease returns a lease that is not held.
-func NewLease(platform leases, clk clock.Clock, key store.Key, self ident.Instance, ttl time.Duration) *Lease {
+// New returns a lease that is not held.
+func New(platform Platform, clk clock.Clock, key store.Key, self ident.Instance, ttl time.Duration) *Lease {
 	return &Lease{platform: platform, clock: clk, key: key, self: self, ttl: ttl}
 }
 
@@ -47,6 +52,12 @@
 	return l.held && l.clock.Now().Before(l.until)
 }
 
+// Fence returns the revision at which the key was taken. A later holder has a
+// higher one.
+func (l *Lease) Fence() unit.Revision {
+	return l.fence
+}
+
 // Tend acquires the key or keeps it alive.
 //
 // Errors are those of the platform. The lease may still be held after one.
@@ -65,6 +76,7 @@
 		if !l.held {
 			return l.drop(ctx)
 		}
+		l.fence = entry.Revision
 		return l.keep(ctx)
 	}
 	return l.acquire(ctx)
@@ -81,8 +93,8 @@
 	if err := l.keep(ctx); err != nil || l.id == 0 {
 		return err
 	}
-	_, result, err := l.platform.Swap(ctx, store.Swap{Key: l.key, Value: []byte(l.self), Lease: l.id})
-	l.held = result == store.Done
+	entry, result, err := l.platform.Swap(ctx, store.Swap{Key: l.key, Value: []byte(l.self), Lease: l.id})
+	l.held, l.fence = result == store.Done, entry.Revision
 	if result == store.Unknown {
 		return err
 	}
--- /dev/null
+++ b/internal/fleet/mirror/mirror.go
@@ -0,0 +1,260 @@
+// Package mirror keeps a copy of the platform's keys below a prefix and tells
+// followers of each change. It holds on to what it has while the platform is
+// away.
+package mirror
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
+)
+
+// Source is where the keys come from.
+type Source interface {
+	// List returns the keys and the revision from which Changes completes the
+	// list.
+	List(ctx context.Context, prefix store.Key) ([]store.Entry, unit.Revision, error)
+	// Changes waits for changes later than the revision. forgotten says that
+	// the source has dropped that history.
+	Changes(ctx context.Context, prefix store.Key, after unit.Revision) (changes []store.Change, complete unit.Revision, forgotten bool, err error)
+}
+
+// Follower is told of the keys below its prefix. It is called by one goroutine.
+type Follower interface {
+	Prefix() store.Key
+	// Follow applies changes. whole says that the whole list has been read.
+	Follow(changes []store.Change, whole bool)
+}
+
+// Options are the parts of a Mirror.
+type Options struct {
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	Source Source
+	// Lapsing is a prefix whose keys may have lapsed while the source was away
+	// and come back within Settle of its return. Until then their removal is
+	// not believed.
+	Lapsing store.Key
+	Settle  time.Duration
+}
+
+// Mirror is the copy.
+type Mirror struct {
+	plugin.Loops
+	Options
+	followers []Follower
+	connected atomic.Bool
+	revision  atomic.Int64
+
+	// telling is held while followers are told, so that they see changes in
+	// order and one at a time.
+	telling sync.Mutex
+
+	mu   sync.Mutex
+	keys map[store.Key]store.Entry
+	// lapsed has the removals that are not believed yet.
+	lapsed map[store.Key]time.Time
+	// settled is when removals are believed again after an outage.
+	settled time.Time
+}
+
+// New returns an empty mirror.
+func New(o Options) *Mirror {
+	return &Mirror{Options: o, keys: make(map[store.Key]store.Entry), lapsed: make(map[store.Key]time.Time)}
+}
+
+// Follow adds a follower. It is called before Run.
+func (m *Mirror) Follow(f Follower) {
+	m.followers = append(m.followers, f)
+}
+
+// Connected reports whether the source answered last.
+func (m *Mirror) Connected() bool {
+	return m.connected.Load()
+}
+
+// Revision returns the revision up to which the copy is complete.
+func (m *Mirror) Revision() unit.Revision {
+	return unit.Revision(m.revision.Load())
+}
+
+// Get returns the copy of the key; a Revision of zero says that it is absent.
+func (m *Mirror) Get(key store.Key) store.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.keys[key]
+}
+
+// Times between two calls to a source that fails, and for what a burst of
+// changes is gathered before the next call.
+const (
+	firstPause   = 50 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+	gather       = 20 * time.Millisecond
+)
+
+// Run follows the source until the context ends.
+func (m *Mirror) Run(ctx context.Context) {
+	m.Go(m.settle)
+	pause := firstPause
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			listed, err = m.read(ctx)
+		} else {
+			listed, err = m.list(ctx)
+		}
+		if err == nil {
+			pause = firstPause
+			plugin.Sleep(ctx, m.Clock, gather)
+			continue
+		}
+		m.lost(ctx, err)
+		plugin.Sleep(ctx, m.Clock, clock.Jitter(pause))
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (m *Mirror) lost(ctx context.Context, err error) {
+	if ctx.Err() == nil && m.connected.Swap(false) {
+		m.Log.Warn().Err(err).Int64("revision", m.revision.Load()).Msg("store-lost")
+	}
+}
+
+// regained notes that the source answers again after an outage.
+func (m *Mirror) regained() {
+	if m.connected.Swap(true) {
+		return
+	}
+	m.mu.Lock()
+	if len(m.keys) > 0 {
+		m.settled = m.Clock.Now().Add(m.Settle)
+	}
+	m.mu.Unlock()
+	m.Log.Info().Int64("revision", m.revision.Load()).Msg("store-regained")
+}
+
+// list reads everything and tells the followers of the differences.
+func (m *Mirror) list(ctx context.Context) (bool, error) {
+	entries, revision, err := m.Source.List(ctx, "")
+	if err != nil {
+		return false, err
+	}
+	m.regained()
+	m.mu.Lock()
+	listed := make(map[store.Key]bool, len(entries))
+	changes := make([]store.Change, 0, len(entries))
+	for _, e := range entries {
+		listed[e.Key] = true
+		if e.Revision > m.keys[e.Key].Revision {
+			changes = append(changes, store.Change{Entry: e})
+		}
+	}
+	for key := range m.keys {
+		if !listed[key] {
+			changes = append(changes, store.Change{Entry: store.Entry{Key: key, Revision: revision}, Removed: true})
+		}
+	}
+	m.mu.Unlock()
+	m.apply(changes, revision, true)
+	m.Log.Info().Int("keys", len(entries)).Int64("revision", int64(revision)).Msg("store-listed")
+	return true, nil
+}
+
+// read waits for changes. It returns false if the list has to be read anew.
+func (m *Mirror) read(ctx context.Context) (bool, error) {
+	changes, complete, forgotten, err := m.Source.Changes(ctx, "", m.Revision())
+	if err != nil {
+		return true, err
+	}
+	m.regained()
+	if forgotten {
+		m.Log.Info().Int64("revision", m.revision.Load()).Msg("store-history-lost")
+		return false, nil
+	}
+	m.apply(changes, complete, false)
+	return true, nil
+}
+
+// apply changes the copy and tells the followers.
+func (m *Mirror) apply(changes []store.Change, revision unit.Revision, whole bool) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	now := m.Clock.Now()
+	m.mu.Lock()
+	believed := changes[:0]
+	for _, change := range changes {
+		if change.Removed {
+			if now.Before(m.settled) && strings.HasPrefix(string(change.Key), string(m.Lapsing)) {
+				m.lapsed[change.Key] = m.settled
+				continue
+			}
+			delete(m.keys, change.Key)
+		} else {
+			m.keys[change.Key] = change.Entry
+		}
+		delete(m.lapsed, change.Key)
+		believed = append(believed, change)
+	}
+	m.revision.Store(max(m.revision.Load(), int64(revision)))
+	m.mu.Unlock()
+	m.tell(believed, whole)
+}
+
+// tell passes the changes on.
+func (m *Mirror) tell(changes []store.Change, whole bool) {
+	for _, f := range m.followers {
+		var own []store.Change
+		for _, change := range changes {
+			if strings.HasPrefix(string(change.Key), string(f.Prefix())) {
+				own = append(own, change)
+			}
+		}
+		if len(own) > 0 || whole {
+			f.Follow(own, whole)
+		}
+	}
+}
+
+// settle believes the removals that were put off and not undone.
+func (m *Mirror) settle(ctx context.Context) {
+	for plugin.Sleep(ctx, m.Clock, m.Settle/settleSteps) {
+		m.believeLapses()
+	}
+}
+
+func (m *Mirror) believeLapses() {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	now := m.Clock.Now()
+	m.mu.Lock()
+	var gone []store.Change
+	for key, at := range m.lapsed {
+		if now.Before(at) {
+			continue
+		}
+		delete(m.lapsed, key)
+		delete(m.keys, key)
+		gone = append(gone, store.Change{Entry: store.Entry{Key: key}, Removed: true})
+	}
+	m.mu.Unlock()
+	if len(gone) > 0 {
+		slices.SortFunc(gone, func(a, b store.Change) int { return strings.Compare(string(a.Key), string(b.Key)) })
+		m.Log.Info().Int("keys", len(gone)).Msg("store-lapses-believed")
+		m.tell(gone, false)
+	}
+}
+
+// settleSteps is how often lapses are looked at within Settle.
+const settleSteps = 10
--- /dev/null
+++ b/internal/fleet/mirror/plugin.go
@@ -0,0 +1,53 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+const section = "mirror"
+
+// Settings are the section "mirror".
+type Settings struct {
+	// Settle is the time after an outage of the platform's store for which a
+	// lapsed entry of a server isn't taken as gone, since it may come back.
+	Settle settings.Duration `json:"settle" validate:"duration"`
+	// Lapsing is the prefix of the keys that lapse with their writer.
+	Lapsing string `json:"lapsing" validate:"required"`
+}
+
+func init() {
+	settings.Register(section, func() any {
+		return &Settings{Settle: settings.Of(2200 * time.Millisecond), Lapsing: "servers/"}
+	})
+	plugin.RegisterFor("platform", plugin.Roster, "mirror", newPlugin)
+}
+
+// component is the plug-in.
+type component struct {
+	*Mirror
+	deps *plugin.Deps
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	s := d.Settings.Section(section).(*Settings)
+	m := New(Options{Clock: d.Clock, Log: d.Log, Lapsing: store.Key(s.Lapsing), Settle: s.Settle.Duration})
+	d.Provide(m)
+	return &component{m, d}, nil
+}
+
+// Start begins to follow the source.
+func (c *component) Start(context.Context) error {
+	if err := c.deps.Need(&c.Source); err != nil {
+		return err
+	}
+	if err := c.deps.NeedAll(&c.followers); err != nil {
+		return err
+	}
+	c.Go(c.Run)
+	return nil
+}
--- a/internal/fleet/plan/duty.go
+++ b/internal/fleet/plan/duty.go
@@ -17,6 +17,7 @@
 	"cuminbay/internal/domain/roster"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/lease"
 	"cuminbay/internal/kernel/plugin"
 )
 
@@ -59,7 +60,7 @@
 	centre   ident.DataCentre
 	pool     pond.Pool
 
-	platform leases
+	platform lease.Platform
 	lister   lister
 	engines  engines
 	members  members
@@ -68,7 +69,7 @@
 	replicas attester
 	drains   drains
 
-	lease *Lease
+	lease *lease.Lease
 	// held is the time since which the lease is held without a break.
 	held    time.Time
 	sights  *sights
@@ -113,7 +114,7 @@
 		}
 	}
 	u.pool = pond.NewPool(u.settings.Probes)
-	u.lease = NewLease(u.platform, u.deps.Clock, u.key(), u.self, u.settings.LeaseTTL.Duration)
+	u.lease = lease.New(u.platform, u.deps.Clock, u.key(), u.self, u.settings.LeaseTTL.Duration)
 	u.Every(u.deps.Clock, u.settings.Interval.Duration, u.round)
 	return nil
 }
--- a/internal/fleet/plan/duty_test.go
+++ b/internal/fleet/plan/duty_test.go
@@ -21,11 +21,12 @@
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/kernel/timeline"
+	"cuminbay/internal/standin/onekey"
 )
 
 // surroundings stand in for the other plug-ins. Engines obey every order.
 type surroundings struct {
-	platform
+	onekey.Platform
 	mu     sync.Mutex
 	value  store.Entry
 	lose   bool
@@ -35,14 +36,14 @@
 
 func (s *surroundings) Swap(ctx context.Context, w store.Swap) (store.Entry, store.Result, error) {
 	if w.Key != store.Assign+"rack" {
-		return s.platform.Swap(ctx, w)
+		return s.Platform.Swap(ctx, w)
 	}
 	if s.value.Revision != w.Old {
 		return s.value, store.Lost, nil
 	}
 	s.value = store.Entry{Key: w.Key, Value: w.Value, Revision: w.Old + 1}
 	if s.lose {
-		return store.Entry{}, store.Unknown, errDown
+		return store.Entry{}, store.Unknown, onekey.ErrDown
 	}
 	return s.value, store.Done, nil
 }
@@ -121,7 +122,7 @@
 				Settings: set, Clock: clk, Log: zerolog.Nop(), Metrics: prometheus.NewRegistry(),
 				Timeline: timeline.NewRecorder(timeline.RecorderOptions{Hybrid: timeline.NewHybrid(clk), Log: zerolog.Nop(), Size: 16}),
 			}
-			around := &surroundings{platform: platform{ttl: 10 * time.Second}, lose: test.lose, engine: map[string]*report.Report{}}
+			around := &surroundings{Platform: onekey.Platform{TTL: 10 * time.Second}, lose: test.lose, engine: map[string]*report.Report{}}
 			for _, i := range around.Instances() {
 				around.engine[i.Address] = &report.Report{Instance: i.ID, Boot: 1, Sequence: 1}
 			}
@@ -135,7 +136,7 @@
 			u.round(ctx)
 			c.Assert(around.value.Revision, qt.Equals, unit.Revision(0))
 			if test.lapse {
-				around.ttl = 0
+				around.TTL = 0
 			}
 			for range 8 {
 				clk.Advance(u.settings.Interval.Duration)
--- /dev/null
+++ b/internal/kernel/logline/async.go
@@ -0,0 +1,56 @@
+package logline
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// Async passes lines on to a writer from a goroutine of its own. When the writer
+// is too slow, lines are dropped and counted, so that logging never blocks.
+type Async struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// asyncLines bounds the lines that wait for the writer.
+const asyncLines = 1024
+
+// NewAsync returns a writer that passes lines on to w.
+func NewAsync(w io.Writer) *Async {
+	a := &Async{lines: make(chan []byte, asyncLines), closed: make(chan struct{})}
+	go a.run(w)
+	return a
+}
+
+func (a *Async) run(w io.Writer) {
+	defer close(a.closed)
+	for line := range a.lines {
+		// There is nowhere to report that the log can't be written.
+		_, _ = w.Write(line)
+	}
+}
+
+// Write takes a line. It never blocks and never fails.
+func (a *Async) Write(line []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), line...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (a *Async) Dropped() int64 {
+	return a.dropped.Load()
+}
+
+// Close passes on what waits. No line may be written after it.
+func (a *Async) Close() error {
+	a.once.Do(func() { close(a.lines) })
+	<-a.closed
+	return nil
+}
--- a/internal/kernel/plugin/deps.go
+++ b/internal/kernel/plugin/deps.go
@@ -30,6 +30,15 @@
 	provided []any
 }
 
+// adapter returns the adapter that the settings name, empty for the product's
+// own interface.
+func (d *Deps) adapter() string {
+	if d.Settings == nil {
+		return ""
+	}
+	return d.Settings.Daemon.Adapter
+}
+
 // Provide offers a value to the other plug-ins.
 func (d *Deps) Provide(v any) {
 	d.mu.Lock()
--- a/internal/kernel/plugin/kernel.go
+++ b/internal/kernel/plugin/kernel.go
@@ -18,10 +18,14 @@
 	plugin Plugin
 }
 
-// New builds every registered plug-in. Nothing runs before Start.
+// New builds every registered plug-in of the adapter that the settings name.
+// Nothing runs before Start.
 func New(d *Deps) (*Kernel, error) {
 	k := &Kernel{deps: d}
 	for _, r := range registered() {
+		if r.adapter != d.adapter() {
+			continue
+		}
 		name := r.kind.String() + "/" + r.name
 		p, err := r.factory(d)
 		if err != nil {
--- a/internal/kernel/plugin/plugin.go
+++ b/internal/kernel/plugin/plugin.go
@@ -55,6 +55,9 @@
 type Factory func(d *Deps) (Plugin, error)
 
 type registration struct {
+	// adapter names the adapter that the plug-in belongs to, empty for the
+	// product's own interface.
+	adapter string
 	kind    Kind
 	name    string
 	factory Factory
@@ -69,6 +72,12 @@
 // Register adds a plug-in. It is called from init of the plug-in's package and
 // panics on a name used twice, since that is a mistake of the program.
 func Register(kind Kind, name string, factory Factory) {
+	RegisterFor("", kind, name, factory)
+}
+
+// RegisterFor is Register for a plug-in that runs only with the adapter that the
+// settings name.
+func RegisterFor(adapter string, kind Kind, name string, factory Factory) {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
 	for _, r := range registry.items {
@@ -76,7 +85,7 @@
 			panic(fmt.Sprintf("plugin: %s %q is registered twice", kind, name))
 		}
 	}
-	registry.items = append(registry.items, registration{kind, name, factory})
+	registry.items = append(registry.items, registration{adapter, kind, name, factory})
 }
 
 // registered returns the registrations in building order.
--- a/internal/kernel/settings/settings.go
+++ b/internal/kernel/settings/settings.go
@@ -54,6 +54,12 @@
 	DataCentre ident.DataCentre `json:"dataCentre" validate:"required,name"`
 	// Region is the region of the data centre, for logs.
 	Region string `json:"region" validate:"omitempty,name"`
+	// Adapter names the adapter that takes the place of the product's own
+	// interface; empty is none.
+	Adapter string `json:"adapter" validate:"omitempty,oneof=platform"`
+	// Memory is the memory that the process may use, in megabytes; zero is
+	// no bound.
+	Memory int `json:"memory" validate:"min=0"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel" validate:"oneof=debug info warn error"`
 	// Events is the number of events of the time line kept in memory.
--- /dev/null
+++ b/internal/peer/gossip/gossip.go
@@ -0,0 +1,296 @@
+// Package gossip tells the other daemons, by datagrams, what this one has in
+// flight and which endpoints failed it. Nothing depends on a datagram's arrival.
+package gossip
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/kernel/clock"
+)
+
+// snapshots tells what is there to route to.
+type snapshots interface {
+	Current() *catalog.Snapshot
+}
+
+// listener is told of endpoints that failed another daemon.
+type listener interface {
+	Suspect(server ident.Instance, epoch unit.Epoch, from ident.Instance)
+}
+
+// Options are the parts of a Gossip.
+type Options struct {
+	Clock      clock.Clock
+	Log        zerolog.Logger
+	Self       ident.Instance
+	DataCentre ident.DataCentre
+	Boot       unit.Boot
+	Catalog    snapshots
+	// Interval is the time between two datagrams to the same daemon.
+	Interval time.Duration
+}
+
+// Gossip is this daemon's part of the exchange.
+type Gossip struct {
+	Options
+	conn net.PacketConn
+
+	mu        sync.Mutex
+	sequence  unit.Sequence
+	peers     map[ident.Instance]*peer
+	failures  map[endpoint]time.Time
+	listeners []listener
+}
+
+// peer is another daemon.
+type peer struct {
+	address  netip.AddrPort
+	listed   bool
+	boot     unit.Boot
+	sequence unit.Sequence
+	heard    time.Time
+	load     map[endpoint]unit.Requests
+	// told has the failures that were passed on to listeners already.
+	told map[endpoint]time.Time
+}
+
+// New returns a gossip that talks over the connection.
+func New(o Options, conn net.PacketConn) *Gossip {
+	return &Gossip{Options: o, conn: conn, peers: make(map[ident.Instance]*peer), failures: make(map[endpoint]time.Time)}
+}
+
+// Listen adds a listener. It is called before anything is received.
+func (g *Gossip) Listen(l listener) {
+	g.listeners = append(g.listeners, l)
+}
+
+// Times after which what was heard no longer counts.
+const (
+	loadAge    = 1500 * time.Millisecond
+	failureAge = time.Second
+	// countedAge is how long a silent daemon counts among those that share a
+	// bound, since it may only be cut off.
+	countedAge = 15 * time.Second
+)
+
+// Peers replaces the listed daemons and their addresses.
+func (g *Gossip) Peers(listed map[ident.Instance]netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	for id, address := range listed {
+		if id == g.Self {
+			continue
+		}
+		p := g.peers[id]
+		if p == nil {
+			p = &peer{heard: now, told: make(map[endpoint]time.Time)}
+			g.peers[id] = p
+		}
+		p.address, p.listed = address, true
+	}
+	for id, p := range g.peers {
+		if _, ok := listed[id]; !ok {
+			p.listed = false
+			if now.Sub(p.heard) > countedAge {
+				delete(g.peers, id)
+			}
+		}
+	}
+}
+
+// Daemons returns the number of daemons that may be at work, this one included.
+func (g *Gossip) Daemons() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n, now := 1, g.Clock.Now()
+	for _, p := range g.peers {
+		if p.listed || now.Sub(p.heard) < countedAge {
+			n++
+		}
+	}
+	return n
+}
+
+// Heard reports whether the daemon was heard of within the time.
+func (g *Gossip) Heard(id ident.Instance, within time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[id]
+	return id == g.Self || p != nil && g.Clock.Since(p.heard) < within
+}
+
+// Failed tells the other daemons and the listeners at once that an endpoint
+// failed.
+func (g *Gossip) Failed(e *catalog.Endpoint, _ code.Code) {
+	for _, l := range g.listeners {
+		l.Suspect(e.ID, e.Epoch, g.Self)
+	}
+	g.mu.Lock()
+	now := g.Clock.Now()
+	last, known := g.failures[nameOf(e)]
+	g.failures[nameOf(e)] = now
+	g.mu.Unlock()
+	if !known || now.Sub(last) > g.Interval {
+		g.Send()
+	}
+}
+
+func nameOf(e *catalog.Endpoint) endpoint {
+	return nameFor(e.ID, e.Epoch)
+}
+
+func nameFor(id ident.Instance, epoch unit.Epoch) endpoint {
+	return endpoint(string(id) + "@" + strconv.FormatUint(uint64(epoch), 10))
+}
+
+// Send sends a datagram to each daemon.
+func (g *Gossip) Send() {
+	raw, to := g.compose()
+	if raw == nil {
+		return
+	}
+	for _, address := range to {
+		// A datagram that can't be sent is like one that is lost.
+		_, _ = g.conn.WriteTo(raw, net.UDPAddrFromAddrPort(address))
+	}
+}
+
+func (g *Gossip) compose() ([]byte, []netip.AddrPort) {
+	m := message{From: g.Self, DataCentre: g.DataCentre, Boot: g.Boot, Load: make(map[endpoint]unit.Requests)}
+	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
+		if n := e.Load.InFlight(); n > 0 {
+			m.Load[nameOf(e)] = n
+		}
+	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	for e, at := range g.failures {
+		if now.Sub(at) > failureAge {
+			delete(g.failures, e)
+			continue
+		}
+		m.Failed = append(m.Failed, failure{Endpoint: e, Age: now.Sub(at).Milliseconds()})
+	}
+	var to []netip.AddrPort
+	for _, p := range g.peers {
+		if p.listed {
+			to = append(to, p.address)
+		}
+	}
+	if len(to) == 0 {
+		return nil, nil
+	}
+	g.sequence++
+	m.Sequence = g.sequence
+	raw, err := json.Marshal(m)
+	if err != nil {
+		g.Log.Error().Err(err).Msg("datagram-not-written")
+		return nil, nil
+	}
+	return raw, to
+}
+
+// Receive reads datagrams until the connection is closed.
+func (g *Gossip) Receive() {
+	const maxDatagram = 64 << 10
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.conn.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		m, err := decodeMessage(buffer[:n])
+		if err != nil {
+			g.Log.Debug().Err(err).Msg("datagram-rejected")
+			continue
+		}
+		g.learn(m)
+	}
+}
+
+// learn takes a datagram unless a later one was heard.
+func (g *Gossip) learn(m *message) {
+	var suspects []endpoint
+	g.mu.Lock()
+	p := g.peers[m.From]
+	if p == nil || m.Boot < p.boot || m.Boot == p.boot && m.Sequence <= p.sequence {
+		g.mu.Unlock()
+		return
+	}
+	now := g.Clock.Now()
+	p.boot, p.sequence, p.heard, p.load = m.Boot, m.Sequence, now, m.Load
+	for _, f := range m.Failed {
+		if now.Sub(p.told[f.Endpoint]) > failureAge {
+			p.told[f.Endpoint] = now
+			suspects = append(suspects, f.Endpoint)
+		}
+	}
+	for e, at := range p.told {
+		if now.Sub(at) > countedAge {
+			delete(p.told, e)
+		}
+	}
+	g.mu.Unlock()
+	g.suspect(suspects, m.From)
+}
+
+// suspect avoids what failed another daemon, for as long as this daemon has no
+// experience of its own, and tells the listeners.
+func (g *Gossip) suspect(names []endpoint, from ident.Instance) {
+	if len(names) == 0 {
+		return
+	}
+	named := make(map[endpoint]bool, len(names))
+	for _, n := range names {
+		named[n] = true
+	}
+	now := g.Clock.Now()
+	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
+		if !named[nameOf(e)] {
+			return
+		}
+		for _, l := range g.listeners {
+			l.Suspect(e.ID, e.Epoch, from)
+		}
+		if e.Replica != "" && now.Sub(e.Load.LastProgress()) > hearsaySilence {
+			e.Load.Avoid(now.Add(hearsayAvoid))
+		}
+	})
+}
+
+// A replica that fails another daemon is avoided too, unless it sent something
+// here lately.
+const (
+	hearsaySilence = 150 * time.Millisecond
+	hearsayAvoid   = 500 * time.Millisecond
+)
+
+// Count sets, for each endpoint, what the other daemons have in flight.
+func (g *Gossip) Count() {
+	total := make(map[endpoint]unit.Requests)
+	g.mu.Lock()
+	now := g.Clock.Now()
+	for _, p := range g.peers {
+		if now.Sub(p.heard) > loadAge {
+			continue
+		}
+		for e, n := range p.load {
+			total[e] += n
+		}
+	}
+	g.mu.Unlock()
+	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) { e.Load.SetOthers(total[nameOf(e)]) })
+}
--- /dev/null
+++ b/internal/peer/gossip/plugin.go
@@ -0,0 +1,191 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+)
+
+const section = "gossip"
+
+// Settings are the section "gossip".
+type Settings struct {
+	// Listen is the address for datagrams of other daemons.
+	Listen string `json:"listen" validate:"omitempty,listen"`
+	// Interval is the time between two datagrams to a daemon.
+	Interval settings.Duration `json:"interval" validate:"duration"`
+	// Lease is the time to live of this daemon's entry in the platform's
+	// store.
+	Lease settings.Duration `json:"lease" validate:"duration"`
+}
+
+func init() {
+	settings.Register(section, func() any {
+		return &Settings{Interval: settings.Of(250 * time.Millisecond), Lease: settings.Of(10 * time.Second)}
+	})
+	plugin.RegisterFor("platform", plugin.Peer, "gossip", newPlugin)
+}
+
+// keyDaemons is the prefix below which daemons register themselves.
+const keyDaemons store.Key = "cuminbay/daemons/"
+
+// platform is the part of the platform that the registration needs.
+type platform interface {
+	Swap(ctx context.Context, s store.Swap) (store.Entry, store.Result, error)
+	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error)
+	KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error)
+	Revoke(ctx context.Context, id store.LeaseID) error
+}
+
+// registration is a daemon's entry in the store.
+type registration struct {
+	Address string `json:"address"`
+}
+
+// component is the plug-in.
+type component struct {
+	plugin.Loops
+	*Gossip
+	deps     *plugin.Deps
+	settings *Settings
+	platform platform
+	listed   map[ident.Instance]netip.AddrPort
+	lease    store.LeaseID
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	s := d.Settings.Section(section).(*Settings)
+	c := &component{deps: d, settings: s, listed: make(map[ident.Instance]netip.AddrPort)}
+	c.Gossip = New(Options{
+		Clock: d.Clock, Log: d.Log, Self: d.Settings.Daemon.Instance, DataCentre: d.Settings.Daemon.DataCentre,
+		Boot: unit.Boot(d.Clock.Now().UnixMilli()), Interval: s.Interval.Duration,
+	}, nil)
+	d.Provide(c)
+	return c, nil
+}
+
+// Start opens the socket and registers the daemon.
+func (c *component) Start(ctx context.Context) error {
+	for _, target := range []any{&c.platform, &c.Catalog} {
+		if err := c.deps.Need(target); err != nil {
+			return err
+		}
+	}
+	if err := c.deps.NeedAll(&c.listeners); err != nil {
+		return err
+	}
+	var config net.ListenConfig
+	conn, err := config.ListenPacket(ctx, "udp4", c.settings.Listen)
+	if err != nil {
+		return code.BadSettings.Wrap(err, "gossip.listen")
+	}
+	c.conn = conn
+	go c.Receive()
+	c.Every(c.deps.Clock, c.settings.Interval.Duration, func(context.Context) {
+		c.Count()
+		c.Send()
+	})
+	c.Go(c.register)
+	return nil
+}
+
+// Stop ends the exchange and the registration.
+func (c *component) Stop(ctx context.Context) error {
+	err := c.Loops.Stop(ctx)
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+	if c.lease != 0 {
+		if failed := c.platform.Revoke(ctx, c.lease); failed != nil {
+			c.Log.Warn().Err(failed).Msg("registration-not-withdrawn")
+		}
+	}
+	return err
+}
+
+// registerPart is the part of the lease's time between two renewals.
+const registerPart = 4
+
+// register keeps the daemon's entry in the store. An entry that lapsed is
+// written anew.
+func (c *component) register(ctx context.Context) {
+	const retry = 300 * time.Millisecond
+	for {
+		pause := c.settings.Lease.Duration / registerPart
+		if err := c.keep(ctx); err != nil {
+			pause = retry
+			c.Log.Debug().Err(err).Msg("registration-failed")
+		}
+		if !plugin.Sleep(ctx, c.deps.Clock, clock.Jitter(pause)) {
+			return
+		}
+	}
+}
+
+func (c *component) keep(ctx context.Context) error {
+	if c.lease != 0 {
+		ttl, err := c.platform.KeepAlive(ctx, c.lease)
+		if err != nil || ttl > 0 {
+			return err
+		}
+		c.lease = 0
+	}
+	id, err := c.platform.Grant(ctx, c.settings.Lease.Duration)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(registration{Address: c.settings.Listen})
+	if err != nil {
+		return err
+	}
+	// The lease is part of the key, so that a write of an earlier life never
+	// stands in the way.
+	key := keyDaemons + store.Key(string(c.Self)+"/"+strconv.FormatInt(int64(id), 10))
+	if _, _, err := c.platform.Swap(ctx, store.Swap{Key: key, Value: value, Lease: id}); err != nil {
+		return err
+	}
+	c.lease = id
+	return nil
+}
+
+// Prefix returns the prefix of the daemons' entries.
+func (c *component) Prefix() store.Key {
+	return keyDaemons
+}
+
+// Follow learns the addresses of the daemons.
+func (c *component) Follow(changes []store.Change, _ bool) {
+	for _, change := range changes {
+		name, _, _ := strings.Cut(strings.TrimPrefix(string(change.Key), string(keyDaemons)), "/")
+		id := ident.Instance(name)
+		if change.Removed {
+			delete(c.listed, id)
+			continue
+		}
+		var r registration
+		if err := json.Unmarshal(change.Value, &r); err != nil {
+			c.Log.Warn().Err(err).Str("key", string(change.Key)).Msg("registration-rejected")
+			continue
+		}
+		address, err := netip.ParseAddrPort(r.Address)
+		if err != nil {
+			c.Log.Warn().Err(err).Str("key", string(change.Key)).Msg("registration-rejected")
+			continue
+		}
+		c.listed[id] = address
+	}
+	c.Peers(c.listed)
+	c.Log.Info().Int("daemons", len(c.listed)).Msg("daemons-listed")
+}
--- /dev/null
+++ b/internal/route/balance/balance.go
@@ -0,0 +1,111 @@
+// Package balance chooses the endpoint of a request and bounds the repeats that
+// all daemons send together.
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// fleet tells how many daemons share what all of them may do together.
+type fleet interface {
+	Daemons() int
+}
+
+// Options are the parts of a Balancer.
+type Options struct {
+	DataCentre ident.DataCentre
+	Fleet      fleet
+	// Away is what an endpoint of another data centre costs, as a share of
+	// its slots, since bytes between data centres are paid for.
+	Away float64
+	// Queue is the share of an endpoint's slots that may wait there.
+	Queue float64
+	// ColdPart is the part of a cold server's rate that is used.
+	ColdPart float64
+}
+
+// Balancer chooses endpoints. It takes no lock.
+type Balancer struct {
+	Options
+}
+
+// New returns a balancer.
+func New(o Options) *Balancer {
+	return &Balancer{Options: o}
+}
+
+// Pick returns the least loaded endpoint that has room and wasn't tried, or
+// nil. An endpoint that is avoided is taken only where every one is, since that
+// is more likely a fault on this side.
+func (b *Balancer) Pick(now time.Time, list []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+	if e := b.pick(now, list, tried, false); e != nil {
+		return e
+	}
+	for _, e := range list {
+		if !e.Load.Avoided(now) {
+			return nil
+		}
+	}
+	return b.pick(now, list, tried, true)
+}
+
+func (b *Balancer) pick(now time.Time, list []*catalog.Endpoint, tried []ident.Instance, avoided bool) *catalog.Endpoint {
+	for refused := []ident.Instance(nil); ; {
+		var best *catalog.Endpoint
+		var least float64
+		for _, e := range list {
+			if !avoided && e.Load.Avoided(now) || slices.Contains(tried, e.ID) || slices.Contains(refused, e.ID) {
+				continue
+			}
+			share, room := b.share(e)
+			if room && (best == nil || share < least) {
+				best, least = e, share
+			}
+		}
+		if best == nil || b.admit(now, best) {
+			return best
+		}
+		refused = append(refused, best.ID)
+	}
+}
+
+// tieBreak spreads the choices of daemons that see the same counts.
+const tieBreak = 0.04
+
+// share returns the part of the endpoint's slots that is taken, with what its
+// distance costs, and whether it has room.
+func (b *Balancer) share(e *catalog.Endpoint) (float64, bool) {
+	slots := float64(max(e.Slots, 1))
+	taken := float64(e.Load.Total()) / slots
+	room := taken < 1+b.Queue
+	if e.DataCentre != b.DataCentre {
+		taken += b.Away
+	}
+	return taken + tieBreak*rand.Float64(), room
+}
+
+// admit counts a request to a cold server against this daemon's part of what
+// the server bears.
+func (b *Balancer) admit(now time.Time, e *catalog.Endpoint) bool {
+	if e.ColdRate <= 0 || now.Sub(e.Heard) >= e.Cold {
+		return true
+	}
+	return e.Load.Admit(now, e.ColdRate*b.ColdPart/float64(max(b.Fleet.Daemons(), 1)))
+}
+
+// Free returns the free slots of the endpoints.
+func Free(now time.Time, list []*catalog.Endpoint) unit.Requests {
+	var free unit.Requests
+	for _, e := range list {
+		if !e.Load.Avoided(now) {
+			free += max(0, e.Slots-e.Load.Total())
+		}
+	}
+	return free
+}
--- /dev/null
+++ b/internal/serve/forward/events.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"bytes"
+	"strconv"
+
+	"cuminbay/internal/domain/call"
+	"cuminbay/internal/domain/code"
+)
+
+// events passes on the whole events of a stream and checks that their ids rise
+// by one, over all runs that the stream is joined from.
+type events struct {
+	// last is the id of the last event that was passed on.
+	last call.EventID
+	// begun says that an event with an id was passed on or is known to the
+	// caller, so that the next id is known.
+	begun bool
+	// buffer holds bytes that were read and not passed on.
+	buffer []byte
+}
+
+// take returns the bytes of the whole events in the buffer. The caller passes
+// them on and then calls drop.
+//
+// Errors carry code.ForeignAnswer: an event is missing.
+func (v *events) take() ([]byte, error) {
+	whole := 0
+	for {
+		n := eventLength(v.buffer[whole:])
+		if n == 0 {
+			return v.buffer[:whole], nil
+		}
+		id, numbered := eventID(v.buffer[whole : whole+n])
+		switch {
+		case !numbered:
+		case v.begun && id <= v.last:
+			// A repeat of what the caller has.
+			v.buffer = append(v.buffer[:whole], v.buffer[whole+n:]...)
+			continue
+		case v.begun && id != v.last+1:
+			return v.buffer[:whole], code.ForeignAnswer.New("event %d follows event %d", id, v.last)
+		default:
+			v.last, v.begun = id, true
+		}
+		whole += n
+	}
+}
+
+// drop removes the first n bytes, which were passed on.
+func (v *events) drop(n int) {
+	v.buffer = append(v.buffer[:0], v.buffer[n:]...)
+}
+
+// restart forgets the part of an event that a broken run left.
+func (v *events) restart() {
+	v.buffer = v.buffer[:0]
+}
+
+// eventLength returns the length of the first event with the empty line that
+// ends it, or zero if it isn't whole.
+func eventLength(b []byte) int {
+	for start := 0; ; {
+		i := bytes.IndexByte(b[start:], '\n')
+		if i < 0 {
+			return 0
+		}
+		line := b[start : start+i]
+		start += i + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return start
+		}
+	}
+}
+
+// eventID returns the number in the event's id field.
+func eventID(event []byte) (call.EventID, bool) {
+	for line := range bytes.Lines(event) {
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		return call.EventID(id), err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/serve/forward/forward.go
@@ -0,0 +1,288 @@
+// Package forward takes a caller's request to a server and its reply back, both
+// unchanged. It decides which servers are tried, what may be sent again, where a
+// broken stream goes on, and what the caller is told if nothing answers. It
+// knows no protocol.
+package forward
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/call"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/site"
+	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/kernel/clock"
+)
+
+type (
+	// snapshots tells what is there to route to.
+	snapshots interface {
+		Current() *catalog.Snapshot
+	}
+	// picker chooses endpoints.
+	picker interface {
+		Pick(now time.Time, list []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint
+	}
+	// repeats bounds what is sent again.
+	repeats interface {
+		Request()
+		Repeat() bool
+	}
+	// suspector knows the requests that crash servers.
+	suspector interface {
+		Check(ident.Fingerprint) error
+		Suspect(ident.Fingerprint)
+	}
+	// observer is told of endpoints that fail.
+	observer interface {
+		Failed(e *catalog.Endpoint, cause code.Code)
+	}
+)
+
+// Sender sends a request to a server. silent is asked during each silence of the
+// server whether to wait on.
+//
+// Errors carry code.EndpointUnreachable if nothing was sent, and otherwise
+// code.CutOff, code.Stalled or code.ForeignAnswer.
+type Sender interface {
+	Send(ctx context.Context, a *call.Attempt, silent func(time.Duration) bool) (Reply, error)
+}
+
+// Reply is a server's reply as it comes.
+type Reply interface {
+	Head() *call.Head
+	// Length is that of the body, or negative if it isn't known.
+	Length() int
+	// Read returns io.EOF only at the end of a whole body.
+	Read([]byte) (int, error)
+	// Close ends the exchange; a run that has not ended is cancelled.
+	Close()
+}
+
+// Sink takes the answer to the caller.
+type Sink interface {
+	Start(status int, fields []call.Field, length int)
+	Started() bool
+	Write([]byte) error
+	End([]byte) error
+	Abort()
+}
+
+// Options are the parts of a Forwarder.
+type Options struct {
+	Clock     clock.Clock
+	Log       zerolog.Logger
+	Catalog   snapshots
+	Picker    picker
+	Budget    repeats
+	Poison    suspector
+	Sender    Sender
+	Observer  observer
+	Telemetry *Telemetry
+}
+
+// Forwarder forwards requests.
+type Forwarder struct {
+	Options
+	stopping atomic.Bool
+}
+
+// New returns a forwarder.
+func New(o Options) *Forwarder {
+	return &Forwarder{Options: o}
+}
+
+// Forward answers the request. An error says how the answer failed; the caller
+// of Forward tells it to the sink if that has not been started.
+func (f *Forwarder) Forward(ctx context.Context, r *call.Request, s Sink) error {
+	x := &exchange{Forwarder: f, request: r, sink: s}
+	err := x.run(ctx)
+	f.Telemetry.finished(x, err, f.Clock.Now())
+	return err
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	*Forwarder
+	request      *call.Request
+	sink         Sink
+	route        *site.Route
+	service      ident.Service
+	organisation *site.Organisation
+	// until is when the caller or the route stops waiting.
+	until time.Time
+
+	tried []ident.Instance
+	// sends counts the attempts that reached a server and may count as run.
+	sends    int
+	attempts int
+	// mayRun is the last failure of an attempt that may have run.
+	mayRun error
+	first  time.Duration
+}
+
+func (x *exchange) run(ctx context.Context) error {
+	s := x.Catalog.Current()
+	if err := x.admit(s); err != nil {
+		return err
+	}
+	x.Budget.Request()
+	ctx, cancel := clockwork.WithDeadline(ctx, x.Clock, x.until)
+	defer cancel()
+	if x.route.Kind == site.Stream {
+		return x.runStream(ctx)
+	}
+	return x.runPlain(ctx)
+}
+
+// admit finds the route and checks the caller's key.
+func (x *exchange) admit(s *catalog.Snapshot) error {
+	r := x.request
+	if s.Config == nil {
+		return code.NotReady.New("daemon: no configuration has been heard yet")
+	}
+	x.route = s.Route(r.Host, r.Path)
+	if x.route == nil {
+		return code.UnknownPath.New("host %q, path %q: no route in version %d", r.Host, r.Path, s.Config.Version)
+	}
+	x.organisation = s.Organisation(r.Key)
+	if x.organisation == nil && !x.route.Public && len(s.Config.Organisations) > 0 {
+		return code.UnknownOrganisation.New("route %s: the key is in no organisation of version %d", x.route.Name, s.Config.Version)
+	}
+	if err := x.Poison.Check(r.Fingerprint); err != nil {
+		return err
+	}
+	x.service = x.target()
+	x.until = r.Received.Add(x.route.Timeout)
+	if !r.Deadline.IsZero() && r.Deadline.Before(x.until) {
+		x.until = r.Deadline
+	}
+	return nil
+}
+
+// target chooses the service by weight. Every attempt of a request goes to the
+// same one.
+func (x *exchange) target() ident.Service {
+	targets := x.route.Targets
+	if len(targets) == 1 {
+		return targets[0].Service
+	}
+	var total float64
+	for _, t := range targets {
+		total += float64(t.Weight)
+	}
+	const steps = 1 << 20
+	at := float64(xxhash.Sum64String(string(x.request.ID))%steps) / steps * total
+	for _, t := range targets {
+		if at -= float64(t.Weight); at < 0 {
+			return t.Service
+		}
+	}
+	return targets[len(targets)-1].Service
+}
+
+// endpoints returns where the request may go.
+func (x *exchange) endpoints() []*catalog.Endpoint {
+	s := x.Catalog.Current()
+	if s.Config == nil {
+		return nil
+	}
+	if service := s.Config.Services[x.service]; service != nil && service.Engine != nil {
+		return s.Model(x.service, x.request.Model)
+	}
+	return s.Plain(x.service)
+}
+
+// pick returns the endpoint of the next attempt.
+//
+// Errors carry code.NoReplica or code.Overloaded.
+func (x *exchange) pick() (*catalog.Endpoint, error) {
+	now := x.Clock.Now()
+	list := x.endpoints()
+	if e := x.Picker.Pick(now, list, x.tried); e != nil {
+		return e, nil
+	}
+	if len(list) == 0 {
+		return nil, x.refused(code.NoReplica.New("service %s, model %q: no endpoint is in service", x.service, x.request.Model))
+	}
+	return nil, x.refused(code.Overloaded.New("service %s, model %q: none of %d endpoints has room", x.service, x.request.Model, len(list)))
+}
+
+// Callers honour a wait of up to a third of the time that they have left.
+const (
+	retryPart    = 3
+	longestRetry = 900 * time.Millisecond
+)
+
+// refused adds to a refusal when it is worth coming back.
+func (x *exchange) refused(err error) error {
+	left := x.until.Sub(x.Clock.Now())
+	return code.WithRetryAfter(err, max(0, min(left/retryPart, longestRetry)))
+}
+
+// attempt returns the next send to the endpoint.
+func (x *exchange) attempt(e *catalog.Endpoint) *call.Attempt {
+	a := &call.Attempt{
+		Request: x.request, Server: e.ID, Address: e.Address,
+		Left: x.until.Sub(x.Clock.Now()), Fresh: !x.route.Repeatable(),
+	}
+	if x.organisation != nil {
+		a.Organisation = x.organisation.Name
+	}
+	x.attempts++
+	return a
+}
+
+// failed records the failure of an attempt.
+func (x *exchange) failed(ctx context.Context, e *catalog.Endpoint, err error) {
+	cause := code.Of(err)
+	if code.OutcomeOf(err) != code.NotRun {
+		x.mayRun = err
+		x.sends++
+	}
+	x.tried = append(x.tried, e.ID)
+	if ctx.Err() != nil {
+		return
+	}
+	avoided := time.Duration(0)
+	switch cause {
+	case code.EndpointUnreachable, code.CutOff, code.Stalled:
+		avoided = e.Load.Failed(x.Clock.Now())
+		x.Observer.Failed(e, cause)
+	}
+	x.Telemetry.retries.WithLabelValues(cause.Spec().Name).Inc()
+	x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
+		Str("replica", string(e.Replica)).Uint64("epoch", uint64(e.Epoch)).
+		Int("attempt", x.attempts).Int64("inflight", int64(e.Load.Total())).
+		Dur("avoided_ms", avoided).Str("cause", cause.Spec().Name).Str("detail", code.Message(err)).Msg("attempt-failed")
+}
+
+// ended returns why the context ended: the caller left or the time is over.
+func (x *exchange) ended(ctx context.Context) error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	if x.Clock.Now().Before(x.until) {
+		return code.CallerClosed.New("the caller left after %s", x.Clock.Since(x.request.Received))
+	}
+	if x.mayRun == nil && x.sends == 0 && x.attempts == 0 {
+		return code.DeadlineTooShort.New("the time was over before the request was sent")
+	}
+	return code.DeadlineExpired.New("no whole answer within %s", x.until.Sub(x.request.Received))
+}
+
+// outcome returns what to tell the caller after the last failure: nothing may be
+// called "not run" after an attempt that may have run.
+func (x *exchange) outcome(err error) error {
+	if x.mayRun != nil && code.OutcomeOf(err) == code.NotRun {
+		return x.mayRun
+	}
+	return err
+}
--- /dev/null
+++ b/internal/serve/forward/plain.go
@@ -0,0 +1,157 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"cuminbay/internal/domain/call"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/site"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// answer is a whole reply of a plain service.
+type answer struct {
+	head *call.Head
+	body []byte
+}
+
+// runPlain runs a request whose answer is passed on whole. An idempotent one is
+// sent again after a failure or an error status, within the route's attempts.
+func (x *exchange) runPlain(ctx context.Context) error {
+	var kept *answer
+	for {
+		e, err := x.pick()
+		if err != nil {
+			return x.conclude(kept, err)
+		}
+		reply, err := x.whole(ctx, e)
+		if err == nil {
+			kept = reply
+			if reply.head.Status < http.StatusInternalServerError || !x.mayRepeat() {
+				return x.conclude(kept, nil)
+			}
+			x.tried = append(x.tried, e.ID)
+			continue
+		}
+		x.failed(ctx, e, err)
+		if ended := x.ended(ctx); ended != nil {
+			return x.conclude(kept, ended)
+		}
+		if !x.mayGoOn(err) {
+			return x.conclude(kept, x.outcome(err))
+		}
+	}
+}
+
+// conclude passes on the reply that was kept, or returns the error if there is
+// none.
+func (x *exchange) conclude(kept *answer, err error) error {
+	if kept == nil || code.Of(err) == code.CallerClosed {
+		return err
+	}
+	x.first = x.Clock.Since(x.request.Received)
+	x.sink.Start(kept.head.Status, kept.head.Fields, len(kept.body))
+	if err := x.sink.End(kept.body); err != nil {
+		return code.CallerClosed.Wrap(err, "the answer could not be written")
+	}
+	return nil
+}
+
+// mayRepeat reports whether a request that has run may run once more.
+func (x *exchange) mayRepeat() bool {
+	x.sends++
+	return x.route.Kind == site.Safe && x.sends < x.route.Attempts && x.Budget.Repeat()
+}
+
+// mayGoOn reports whether the request may be sent to another endpoint after the
+// failure.
+func (x *exchange) mayGoOn(err error) bool {
+	switch {
+	case code.Of(err) == code.EndpointUnreachable:
+		// Nothing arrived anywhere, so this costs no budget.
+		return true
+	case code.OutcomeOf(err) == code.NotRun:
+		return len(x.tried) < x.route.Attempts && x.Budget.Repeat()
+	case !x.route.Repeatable() || x.sends >= x.route.Attempts:
+		return false
+	}
+	return x.Poison.Check(x.request.Fingerprint) == nil && x.Budget.Repeat()
+}
+
+// whole sends the request once and reads the whole reply.
+func (x *exchange) whole(ctx context.Context, e *catalog.Endpoint) (*answer, error) {
+	a := x.attempt(e)
+	begun := x.Clock.Now()
+	e.Load.Begin()
+	defer e.Load.End()
+	reply, err := x.Sender.Send(ctx, a, x.plainPatience(e, begun))
+	if err != nil {
+		return nil, err
+	}
+	defer reply.Close()
+	head := reply.Head()
+	if err := verdict(e, head); err != nil {
+		return nil, err
+	}
+	body, err := readWhole(reply)
+	if err != nil {
+		return nil, code.CutOff.Wrap(err, "endpoint %s: the answer broke off after %d bytes", e.ID, len(body))
+	}
+	e.Load.Succeeded(x.Clock.Since(begun))
+	return &answer{head, body}, nil
+}
+
+// Patience with a plain service: an idempotent request that may still be sent
+// elsewhere waits for a multiple of the usual time, within a part of the
+// objective.
+const (
+	plainSlowFactor = 4
+	plainShortest   = 60 * time.Millisecond
+)
+
+func (x *exchange) plainPatience(e *catalog.Endpoint, begun time.Time) func(time.Duration) bool {
+	if x.route.Kind != site.Safe || x.sends+1 >= x.route.Attempts {
+		return func(time.Duration) bool { return true }
+	}
+	limit := max(plainSlowFactor*e.Load.Answer(), plainShortest, x.route.Objective/2)
+	return func(time.Duration) bool { return x.Clock.Since(begun) < limit }
+}
+
+// verdict returns the error of a reply that says that the server did not run
+// the request.
+func verdict(e *catalog.Endpoint, head *call.Head) error {
+	switch head.Verdict {
+	case call.Refused:
+		return code.Overloaded.New("endpoint %s: answered %d without running the request", e.ID, head.Status)
+	case call.Elsewhere:
+		return code.WithOutcome(code.ForeignAnswer.New("endpoint %s: another server or replica answers at %s", e.ID, e.Address), code.NotRun)
+	}
+	return nil
+}
+
+// readWhole reads the body to its end.
+func readWhole(reply Reply) ([]byte, error) {
+	const usual = 2048
+	size := reply.Length()
+	if size < 0 {
+		size = usual
+	}
+	body := make([]byte, 0, size+1)
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := reply.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/forward/plugin.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/call"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/balance"
+	"cuminbay/internal/serve/poison"
+)
+
+const section = "forward"
+
+// Settings are the section "forward".
+type Settings struct {
+	// Ratio is the number of repeats for each request, and Slack the number
+	// above that, from all daemons together in Window.
+	Ratio float64 `json:"ratio" validate:"min=0"`
+	// Slack is the number of repeats that don't depend on the requests.
+	Slack float64 `json:"slack" validate:"min=0"`
+	// Window is the time in which repeats are counted.
+	Window settings.Duration `json:"window" validate:"duration"`
+	// Away is what an endpoint of another data centre costs, as a share of its
+	// slots.
+	Away float64 `json:"away" validate:"min=0"`
+	// Queue is the share of an endpoint's slots that may wait there.
+	Queue float64 `json:"queue" validate:"min=0"`
+	// Cold is the part of a cold server's rate that is used.
+	Cold float64 `json:"cold" validate:"min=0,max=1"`
+	// Suspicion is the time that a request is remembered that crashed servers.
+	Suspicion settings.Duration `json:"suspicion" validate:"duration"`
+	// Suspects bounds the requests that are remembered so.
+	Suspects int `json:"suspects" validate:"min=1"`
+}
+
+func init() {
+	settings.Register(section, func() any {
+		return &Settings{
+			Ratio: 0.2, Slack: 100, Window: settings.Of(10 * time.Second), Away: 0.3, Queue: 0.5, Cold: 0.9,
+			Suspicion: settings.Of(time.Minute), Suspects: 1024,
+		}
+	})
+	plugin.RegisterFor("platform", plugin.Decision, "forward", newPlugin)
+}
+
+// fleet tells how many daemons there are.
+type fleet interface {
+	Daemons() int
+}
+
+// component is the plug-in.
+type component struct {
+	*Forwarder
+	deps     *plugin.Deps
+	settings *Settings
+	seen     atomic.Bool
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	telemetry, err := NewTelemetry(d.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	c := &component{deps: d, settings: d.Settings.Section(section).(*Settings)}
+	c.Forwarder = New(Options{Clock: d.Clock, Log: d.Log, Telemetry: telemetry})
+	d.Provide(c)
+	return c, nil
+}
+
+// Start connects the parts.
+func (c *component) Start(context.Context) error {
+	var daemons fleet
+	for _, target := range []any{&c.Catalog, &c.Sender, &c.Observer, &daemons} {
+		if err := c.deps.Need(target); err != nil {
+			return err
+		}
+	}
+	s := c.settings
+	c.Picker = balance.New(balance.Options{
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Fleet: daemons, Away: s.Away, Queue: s.Queue, ColdPart: s.Cold,
+	})
+	c.Budget = balance.NewBudget(balance.BudgetOptions{
+		Clock: c.Clock, Fleet: daemons, Ratio: s.Ratio, Slack: s.Slack, Window: s.Window.Duration,
+	})
+	c.Poison = poison.New(poison.Options{
+		Clock: c.Clock, Self: c.deps.Settings.Daemon.Instance, Lifetime: s.Suspicion.Duration, Limit: s.Suspects,
+	})
+	return nil
+}
+
+// Stop does nothing: the callers' plug-in has ended all requests.
+func (c *component) Stop(context.Context) error {
+	return nil
+}
+
+// Forward answers the request.
+func (c *component) Forward(ctx context.Context, r *call.Request, s Sink) error {
+	if !c.seen.Load() {
+		c.seen.Store(true)
+	}
+	return c.Forwarder.Forward(ctx, r, s)
+}
+
+// Seen reports whether any request has come.
+func (c *component) Seen() bool {
+	return c.seen.Load()
+}
--- /dev/null
+++ b/internal/serve/forward/stream.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"cuminbay/internal/domain/call"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// buffers holds the buffers of events on their way.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, eventBuffer); return &b }}
+
+const eventBuffer = 2048
+
+// runStream runs a request whose answer is passed on event by event. A stream
+// that may be resumed goes on at another endpoint when its own fails.
+func (x *exchange) runStream(ctx context.Context) error {
+	b := buffers.Get().(*[]byte)
+	v := &events{last: x.request.LastEvent, begun: x.request.LastEvent > 0, buffer: (*b)[:0]}
+	defer func() {
+		*b = v.buffer[:0]
+		buffers.Put(b)
+	}()
+	for {
+		e, err := x.pick()
+		if err != nil {
+			return x.broken(x.outcome(err))
+		}
+		err = x.stream(ctx, e, v)
+		if err == nil {
+			return nil
+		}
+		x.failed(ctx, e, err)
+		if ended := x.ended(ctx); ended != nil {
+			return x.broken(ended)
+		}
+		if code.Of(err) == code.CallerClosed || !x.mayGoOn(err) {
+			return x.broken(x.outcome(err))
+		}
+		v.restart()
+	}
+}
+
+// broken ends an answer that was begun so that it doesn't look whole.
+func (x *exchange) broken(err error) error {
+	if !x.sink.Started() {
+		return err
+	}
+	x.sink.Abort()
+	if code.OutcomeOf(err) == code.NotRun {
+		return code.CutOff.Wrap(err, "the stream broke off and could not go on elsewhere")
+	}
+	return err
+}
+
+// stream sends the request once and passes its events on.
+func (x *exchange) stream(ctx context.Context, e *catalog.Endpoint, v *events) error {
+	a := x.attempt(e)
+	if v.begun {
+		a.Resume = v.last
+	}
+	e.Load.Begin()
+	defer e.Load.End()
+	p := &patience{exchange: x, endpoint: e, begun: x.Clock.Now()}
+	reply, err := x.Sender.Send(ctx, a, p.wait)
+	if err != nil {
+		return err
+	}
+	defer reply.Close()
+	head := reply.Head()
+	if err := verdict(e, head); err != nil {
+		return err
+	}
+	if head.Status != http.StatusOK {
+		return x.passFailure(e, reply)
+	}
+	if err := x.copyEvents(e, reply, v, p); err != nil {
+		return err
+	}
+	e.Load.Succeeded(x.Clock.Since(p.begun))
+	return nil
+}
+
+// passFailure passes on a reply that is no stream.
+func (x *exchange) passFailure(e *catalog.Endpoint, reply Reply) error {
+	head := reply.Head()
+	body, err := readWhole(reply)
+	if err != nil {
+		return code.CutOff.Wrap(err, "endpoint %s: the answer broke off after %d bytes", e.ID, len(body))
+	}
+	if x.sink.Started() || head.Status >= http.StatusInternalServerError && x.sends+1 < x.route.Attempts {
+		return code.CutOff.New("endpoint %s: answered %d", e.ID, head.Status)
+	}
+	return x.conclude(&answer{head, body}, nil)
+}
+
+func (x *exchange) copyEvents(e *catalog.Endpoint, reply Reply, v *events, p *patience) error {
+	for {
+		if len(v.buffer) == cap(v.buffer) {
+			v.buffer = append(v.buffer, 0)[:len(v.buffer)]
+		}
+		n, err := reply.Read(v.buffer[len(v.buffer):cap(v.buffer)])
+		v.buffer = v.buffer[:len(v.buffer)+n]
+		if n > 0 {
+			now := x.Clock.Now()
+			e.Load.Progress(now)
+			p.flowing = true
+		}
+		whole, broken := v.take()
+		if broken != nil {
+			return broken
+		}
+		if errors.Is(err, io.EOF) {
+			return x.endStream(reply, v)
+		}
+		if len(whole) > 0 {
+			x.start(reply.Head())
+			if err := x.sink.Write(whole); err != nil {
+				return code.CallerClosed.Wrap(err, "an event could not be written")
+			}
+			v.drop(len(whole))
+		}
+		if err != nil {
+			return code.CutOff.Wrap(err, "endpoint %s: the stream broke off after event %d", e.ID, v.last)
+		}
+	}
+}
+
+// start passes on the first run's head, once.
+func (x *exchange) start(head *call.Head) {
+	if x.sink.Started() {
+		return
+	}
+	x.first = x.Clock.Since(x.request.Received)
+	x.sink.Start(head.Status, head.Fields, -1)
+}
+
+func (x *exchange) endStream(reply Reply, v *events) error {
+	x.start(reply.Head())
+	if err := x.sink.End(v.buffer); err != nil {
+		return code.CallerClosed.Wrap(err, "the last event could not be written")
+	}
+	return nil
+}
+
+// patience decides how long a silent endpoint is waited for.
+type patience struct {
+	*exchange
+	endpoint *catalog.Endpoint
+	begun    time.Time
+	// flowing says that an event of this attempt has come.
+	flowing bool
+}
+
+// Bounds of silence. An endpoint passes all its streams on together, so the
+// silence of every stream for several passes is that of the endpoint. One stream
+// may wait for longer while others flow, as its prompt is read or memory is
+// short.
+const (
+	// SilenceInterval is the time between two looks at a silent endpoint.
+	SilenceInterval = 50 * time.Millisecond
+	// endpointSilence ends the wait when no stream of the endpoint flows.
+	endpointSilence = 250 * time.Millisecond
+	// firstSilence is the same for an endpoint that has nothing else to do
+	// than to begin.
+	firstSilence = 400 * time.Millisecond
+	// streamSilence ends the wait of one stream while others flow. Callers
+	// leave after 2 s.
+	streamSilence = 1500 * time.Millisecond
+)
+
+// wait reports whether to go on waiting after a silence.
+func (p *patience) wait(silence time.Duration) bool {
+	if !p.route.Repeatable() {
+		return true
+	}
+	if silence >= streamSilence {
+		return false
+	}
+	quiet := p.Clock.Since(p.endpoint.Load.LastProgress())
+	if p.flowing {
+		return min(silence, quiet) < endpointSilence
+	}
+	return min(silence, quiet) < firstSilence
+}
--- /dev/null
+++ b/internal/serve/forward/telemetry.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cuminbay/internal/domain/code"
+)
+
+// Telemetry counts requests and measures their times.
+type Telemetry struct {
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	whole    *prometheus.HistogramVec
+}
+
+// NewTelemetry returns telemetry that is registered.
+func NewTelemetry(registry prometheus.Registerer) (*Telemetry, error) {
+	buckets := []float64{.01, .02, .05, .1, .15, .2, .3, .4, .6, 1, 2, 4, 8}
+	t := &Telemetry{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminbay_forward_requests_total", Help: "Forwarded requests by kind of route and result code.",
+		}, []string{"kind", "code"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminbay_forward_attempts_failed_total", Help: "Failed attempts by cause.",
+		}, []string{"cause"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cuminbay_forward_first_seconds", Help: "Time to the first byte of an answer by kind of route.", Buckets: buckets,
+		}, []string{"kind"}),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cuminbay_forward_seconds", Help: "Time to the end of an answer by kind of route.", Buckets: buckets,
+		}, []string{"kind"}),
+	}
+	for _, c := range []prometheus.Collector{t.requests, t.retries, t.first, t.whole} {
+		if err := registry.Register(c); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+// finished counts a request and logs how it ended.
+func (t *Telemetry) finished(x *exchange, err error, now time.Time) {
+	kind, route := "none", ""
+	if x.route != nil {
+		kind, route = string(x.route.Kind), x.route.Name
+	}
+	c := code.Of(err)
+	took := now.Sub(x.request.Received)
+	t.requests.WithLabelValues(kind, c.Spec().Name).Inc()
+	if err == nil {
+		t.first.WithLabelValues(kind).Observe(x.first.Seconds())
+		t.whole.WithLabelValues(kind).Observe(took.Seconds())
+		if x.attempts <= 1 {
+			return
+		}
+	}
+	line := x.Log.Info().Str("request", string(x.request.ID)).Str("route", route).
+		Str("model", string(x.request.Model)).Int("attempts", x.attempts).Dur("took_ms", took).
+		Str("code", c.String()).Str("outcome", string(code.OutcomeOf(err)))
+	if err != nil {
+		line = line.Str("detail", code.Message(err))
+	}
+	line.Msg("request-ended")
+}
