Form replicas before weights are staged

Ruled out: the store's rate, which was not reached. Now staging waits until a domain has stopped growing, and an order that was begun is not repeated while it loads.

--- a/internal/fleet/formation/drive.go
+++ b/internal/fleet/formation/drive.go
@@ -136,6 +136,9 @@
 // what is most likely to break next.
 func (p *Planner) stage(service *site.Service) {
 	for _, domain := range p.domains(service) {
+		if p.growing(service, domain) {
+			continue
+		}
 		staged := make(map[ident.Model]int)
 		var empty []*site.Server
 		for _, s := range p.spares(service, domain, "") {
@@ -161,6 +164,17 @@
 	}
 }
 
+// growing reports whether the domain got a server a short time ago.
+func (p *Planner) growing(service *site.Service, domain ident.Domain) bool {
+	g, size := p.grown[domain], p.size(service, domain)
+	if size > g.size {
+		g.at = p.now
+	}
+	g.size = size
+	p.grown[domain] = g
+	return p.now.Sub(g.at) < p.rules.Gather
+}
+
 // wanted returns the model with the most members in the domain for each spare
 // server that has it.
 func (p *Planner) wanted(service *site.Service, domain ident.Domain, staged map[ident.Model]int) *site.Model {
--- a/internal/fleet/formation/duty.go
+++ b/internal/fleet/formation/duty.go
@@ -32,6 +32,9 @@
 	Retry settings.Duration `json:"retry" validate:"duration"`
 	// Spare is the part of a fabric domain's servers that is kept spare.
 	Spare float64 `json:"spare" validate:"min=0,max=1"`
+	// Gather is the time after a server appeared for which its fabric domain may
+	// grow further before weights are staged on spare servers.
+	Gather settings.Duration `json:"gather" validate:"duration"`
 	// Close bounds the wait for the requests of a replica with a draining
 	// member.
 	Close settings.Duration `json:"close" validate:"duration"`
@@ -82,6 +85,7 @@
 	mu       sync.Mutex
 	suspects map[suspect]time.Time
 	verdicts []verdict
+	results  []given
 
 	orders *prometheus.CounterVec
 }
@@ -98,11 +102,17 @@
 	alive  bool
 }
 
+// given is a server's answer to an order.
+type given struct {
+	command Command
+	result  site.OrderResult
+}
+
 func init() {
 	settings.Register(section, func() any {
 		return &Settings{
 			Lease: settings.Of(1500 * time.Millisecond), Interval: settings.Of(200 * time.Millisecond),
-			Retry: settings.Of(700 * time.Millisecond), Spare: 0.1, Close: settings.Of(3 * time.Second),
+			Retry: settings.Of(700 * time.Millisecond), Spare: 0.1, Gather: settings.Of(time.Second), Close: settings.Of(3 * time.Second),
 		}
 	})
 	plugin.RegisterFor("platform", plugin.Duty, "formation", newPlugin)
@@ -249,7 +259,7 @@
 }
 
 func (u *duty) rules() Rules {
-	return Rules{Retry: u.settings.Retry.Duration, SpareShare: u.settings.Spare, CloseLimit: u.settings.Close.Duration}
+	return Rules{Retry: u.settings.Retry.Duration, SpareShare: u.settings.Spare, Gather: u.settings.Gather.Duration, CloseLimit: u.settings.Close.Duration}
 }
 
 // wait returns when there may be something to plan.
@@ -289,12 +299,15 @@
 	}
 }
 
-// judge passes the results of probes to the planner.
+// judge passes the results of probes and orders to the planner.
 func (u *duty) judge(p *Planner) {
 	u.mu.Lock()
-	verdicts := u.verdicts
-	u.verdicts = nil
+	verdicts, results := u.verdicts, u.results
+	u.verdicts, u.results = nil, nil
 	u.mu.Unlock()
+	for _, g := range results {
+		p.Result(g.command, g.result)
+	}
 	for _, v := range verdicts {
 		if v.alive {
 			p.Alive(v.server.ID)
@@ -359,6 +372,9 @@
 	u.deps.Log.Info().Str("server", string(c.Server.ID)).Str("operation", string(c.Order.Operation)).
 		Str("replica", string(c.Order.Replica)).Uint64("epoch", uint64(c.Order.Epoch)).Str("model", string(c.Order.Model)).
 		Int64("fence", int64(c.Order.Fence)).Str("result", result.String()).Msg("order")
+	u.mu.Lock()
+	u.results = append(u.results, given{c, result})
+	u.mu.Unlock()
 	if result == site.Fenced {
 		u.fenced.Store(int64(c.Order.Fence))
 		u.tenure.CompareAndSwap(int64(c.Order.Fence), 0)
--- a/internal/fleet/formation/loads.go
+++ b/internal/fleet/formation/loads.go
@@ -51,10 +51,10 @@
 	}
 }
 
-// room reports whether n loads may begin. A replica that needs more than may run
-// at once begins when nothing else loads.
+// room reports whether n loads may begin. The members of a replica load
+// together, so that the last one may exceed what the store does at once.
 func (l *loads) room(n int) bool {
-	if l.atOnce > 0 && len(l.running) > 0 && len(l.running)+n > l.atOnce {
+	if l.atOnce > 0 && len(l.running) >= l.atOnce {
 		return false
 	}
 	return l.bootstrap || l.rate <= 0 || l.tokens >= min(float64(n), burst)
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -61,16 +61,23 @@
 	r.phase, r.since = p, now
 }
 
+// growth is the number of a domain's servers and the time of its last rise.
+type growth struct {
+	size int
+	at   time.Time
+}
+
 // death is a life of a server that didn't answer when it was last asked.
 type death struct {
 	born  unit.Boot
 	asked time.Time
 }
 
-// sent is the last order of a kind to a server.
+// sent is the last order of a kind to a server, which is not given again before
+// the time.
 type sent struct {
 	order site.Order
-	at    time.Time
+	again time.Time
 }
 
 // Rules are the planner's settings.
@@ -80,6 +87,9 @@
 	Retry time.Duration
 	// SpareShare is the part of a domain's servers that is kept spare.
 	SpareShare float64
+	// Gather is the time after a server appeared for which its domain may grow
+	// further, so that nothing is staged that a replica needs.
+	Gather time.Duration
 	// CloseLimit bounds the wait for the requests of a replica that closes.
 	CloseLimit time.Duration
 }
@@ -95,6 +105,8 @@
 	dead     map[ident.Instance]death
 	orders   map[ident.Instance]map[site.Operation]sent
 	loads    *loads
+	// grown is when a domain last got a server.
+	grown map[ident.Domain]growth
 	// Noted collects decisions for the log.
 	Noted []Note
 
@@ -123,6 +135,7 @@
 		dead:     make(map[ident.Instance]death),
 		orders:   make(map[ident.Instance]map[site.Operation]sent),
 		loads:    newLoads(now),
+		grown:    make(map[ident.Domain]growth),
 	}
 }
 
@@ -212,16 +225,30 @@
 	}
 	o.Fence = p.fence
 	last, given := p.orders[id][o.Operation]
-	if given && p.now.Sub(last.at) < p.rules.Retry && sameOrder(&last.order, &o) {
+	if given && p.now.Before(last.again) && sameOrder(&last.order, &o) {
 		return
 	}
 	if p.orders[id] == nil {
 		p.orders[id] = make(map[site.Operation]sent)
 	}
-	p.orders[id][o.Operation] = sent{o, p.now}
+	p.orders[id][o.Operation] = sent{o, p.now.Add(p.rules.Retry)}
 	p.commands = append(p.commands, Command{Server: s, Order: o})
 }
 
+// Result takes a server's answer. An order that was begun shows its effect when
+// it is done, a load only after the model's time.
+func (p *Planner) Result(c Command, result site.OrderResult) {
+	last, given := p.orders[c.Server.ID][c.Order.Operation]
+	if !given || !sameOrder(&last.order, &c.Order) {
+		return
+	}
+	l, loading := p.loads.running[c.Server.ID]
+	if loading && (result == site.Begun || result == site.Done) {
+		last.again = l.until
+		p.orders[c.Server.ID][c.Order.Operation] = last
+	}
+}
+
 func sameOrder(a, b *site.Order) bool {
 	return a.Replica == b.Replica && a.Epoch == b.Epoch && a.Model == b.Model && slices.Equal(a.Members, b.Members)
 }
