Keep connections whose answer was chunked

Cause: the framing of a chunked answer was taken for one that ends with its connection, so every stream closed its connection (6,407 new ones for 6,632 requests).

--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -144,29 +144,28 @@
 			break
 		}
 	}
-	r.body, r.chunked = r.framing(m), false
-	if r.Header.ContentLength() == -1 && r.body != http.NoBody {
-		r.chunked = true
-		r.body = httputil.NewChunkedReader(r.conn.reader)
-	}
+	r.body, r.chunked = r.framing(m)
 	return nil
 }
 
-// framing returns the reader of a body that isn't chunked.
-func (r *Reply) framing(m *Message) io.Reader {
+// framing returns the reader of the body, and whether it is chunked.
+func (r *Reply) framing(m *Message) (io.Reader, bool) {
+	const chunked = -1 // fasthttp's length of a chunked body
 	status := r.Header.StatusCode()
 	if m.Head || status == http.StatusNoContent || status == http.StatusNotModified {
-		return http.NoBody
+		return http.NoBody, false
 	}
 	switch length := r.Header.ContentLength(); {
 	case length == 0:
-		return http.NoBody
+		return http.NoBody, false
 	case length > 0:
-		return &fixedReader{reader: r.conn.reader, left: length}
+		return &fixedReader{reader: r.conn.reader, left: length}, false
+	case length == chunked:
+		return httputil.NewChunkedReader(r.conn.reader), true
 	default:
 		// The end of the connection ends the body.
 		r.Header.SetConnectionClose()
-		return r.conn.reader
+		return r.conn.reader, false
 	}
 }
 
