Fill replicas with staged servers only and wait longer at full servers

The log shows the cause that remains: twelve replicas and their spares need 77 s of loads, six at a time, and 53 s fit before the traffic; afterwards a load takes 12 to 16 s, so a broken replica waits for its spare.

--- a/internal/fleet/formation/drive.go
+++ b/internal/fleet/formation/drive.go
@@ -132,38 +132,81 @@
 	return false
 }
 
-// stage has weights loaded on the spare servers, so that each domain can replace
-// what is most likely to break next.
+// stage has weights loaded on the spare servers: first those that short replicas
+// wait for, then so that each domain can replace what is most likely to break
+// next.
 func (p *Planner) stage(service *site.Service) {
 	for _, domain := range p.domains(service) {
+		spares := p.spares(service, domain, "")
+		staged := p.staged(spares)
+		p.stageShort(domain, spares, staged)
 		if p.growing(service, domain) {
 			continue
 		}
-		staged := make(map[ident.Model]int)
-		var empty []*site.Server
-		for _, s := range p.spares(service, domain, "") {
-			switch model := p.loads.staging(s.ID); {
-			case len(s.Staged) > 0:
-				staged[s.Staged[0]]++
-			case model != "":
-				staged[model]++
-				p.order(s.ID, site.Order{Operation: site.Stage, Model: model})
-			default:
-				empty = append(empty, s)
+		for _, s := range spares {
+			if len(s.Staged) == 0 && p.loads.staging(s.ID) == "" {
+				p.load(s, p.wanted(service, domain, staged), staged)
 			}
 		}
-		for _, s := range empty {
-			m := p.wanted(service, domain, staged)
-			if m == nil || !p.loads.room(1) {
-				return
+	}
+}
+
+// staged counts the spare servers that have or load each model's weights, and
+// repeats orders that may have been lost.
+func (p *Planner) staged(spares []*site.Server) map[ident.Model]int {
+	count := make(map[ident.Model]int)
+	for _, s := range spares {
+		switch model := p.loads.staging(s.ID); {
+		case model != "":
+			count[model]++
+			p.order(s.ID, site.Order{Operation: site.Stage, Model: model})
+		case len(s.Staged) > 0:
+			count[s.Staged[0]]++
+		}
+	}
+	return count
+}
+
+// stageShort has the weights loaded that short replicas of the domain lack, also
+// in place of others.
+func (p *Planner) stageShort(domain ident.Domain, spares []*site.Server, staged map[ident.Model]int) {
+	missing := make(map[ident.Model]int)
+	for _, r := range p.replicas {
+		if r.domain == domain && r.phase == short {
+			missing[r.model.Name] += r.model.Size - len(r.members)
+		}
+	}
+	for _, r := range p.replicas {
+		m := r.model
+		if r.domain != domain || r.phase != short {
+			continue
+		}
+		for _, s := range spares {
+			if missing[m.Name] <= staged[m.Name] {
+				break
+			}
+			if p.loads.staging(s.ID) != "" || s.HasStaged(m.Name) || len(s.Staged) > 0 && staged[s.Staged[0]] <= missing[s.Staged[0]] {
+				continue
+			}
+			if len(s.Staged) > 0 {
+				staged[s.Staged[0]]--
 			}
-			staged[m.Name]++
-			p.loads.add(s.ID, m.Name, p.now.Add(m.LoadTime))
-			p.order(s.ID, site.Order{Operation: site.Stage, Model: m.Name})
+			p.load(s, m, staged)
 		}
 	}
 }
 
+// load orders a spare server to load the model's weights, if the weight store
+// has room.
+func (p *Planner) load(s *site.Server, m *site.Model, staged map[ident.Model]int) {
+	if m == nil || !p.loads.room(1) {
+		return
+	}
+	staged[m.Name]++
+	p.loads.add(s.ID, m.Name, p.now.Add(m.LoadTime))
+	p.order(s.ID, site.Order{Operation: site.Stage, Model: m.Name})
+}
+
 // growing reports whether the domain got a server a short time ago.
 func (p *Planner) growing(service *site.Service, domain ident.Domain) bool {
 	g, size := p.grown[domain], p.size(service, domain)
--- a/internal/fleet/formation/duty.go
+++ b/internal/fleet/formation/duty.go
@@ -112,7 +112,7 @@
 	settings.Register(section, func() any {
 		return &Settings{
 			Lease: settings.Of(1500 * time.Millisecond), Interval: settings.Of(200 * time.Millisecond),
-			Retry: settings.Of(700 * time.Millisecond), Spare: 0.1, Gather: settings.Of(time.Second), Close: settings.Of(3 * time.Second),
+			Retry: settings.Of(700 * time.Millisecond), Spare: 0.2, Gather: settings.Of(time.Second), Close: settings.Of(3 * time.Second),
 		}
 	})
 	plugin.RegisterFor("platform", plugin.Duty, "formation", newPlugin)
@@ -375,6 +375,9 @@
 	u.mu.Lock()
 	u.results = append(u.results, given{c, result})
 	u.mu.Unlock()
+	if result == site.Unanswered {
+		u.askAlive(ctx, c.Server)
+	}
 	if result == site.Fenced {
 		u.fenced.Store(int64(c.Order.Fence))
 		u.tenure.CompareAndSwap(int64(c.Order.Fence), 0)
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -66,26 +66,18 @@
 }
 
 // fill gives a short replica the spare servers that it needs, if there are
-// enough.
+// enough that have its weights. The others would hold it up for a load, while
+// its members may be of use elsewhere; they are staged first.
 func (p *Planner) fill(service *site.Service, r *replica) {
 	need := r.model.Size - len(r.members)
 	spares := p.spares(service, r.domain, r.model.Name)
-	if len(spares) < need {
-		return
-	}
-	loading := 0
-	for _, s := range spares[:need] {
-		if !s.HasStaged(r.model.Name) {
-			loading++
-		}
-	}
-	if loading > 0 && !p.loads.room(loading) {
+	if len(spares) < need || need > 0 && !spares[need-1].HasStaged(r.model.Name) {
 		return
 	}
 	for _, s := range spares[:need] {
 		r.members = append(r.members, s.ID)
 	}
-	p.join(r, fmt.Sprintf("%d new members, %d of them load", need, loading))
+	p.join(r, fmt.Sprintf("%d new members", need))
 }
 
 // join begins a new epoch of the replica with its members.
@@ -114,11 +106,9 @@
 		slices.SortStableFunc(list, func(a, b *replica) int {
 			return cmp.Compare(a.model.Size-len(a.members), b.model.Size-len(b.members))
 		})
-		spare := len(p.spares(service, domain, ""))
-		for i := len(list) - 1; i > 0; i-- {
-			giver, taker := list[i], list[0]
-			if len(giver.members) == 0 || taker.model.Size-len(taker.members) <= spare+len(giver.members) {
-				p.note("replica-released", giver, "its %d members complete %s", len(giver.members), taker.name)
+		for i, taker := range list {
+			if giver := p.giver(service, domain, taker, list[i+1:]); giver != nil {
+				p.note("replica-released", giver, "its %d members help %s", len(giver.members), taker.name)
 				giver.enter(leaving, p.now)
 				break
 			}
@@ -126,6 +116,24 @@
 	}
 }
 
+// giver returns the replica of the same model, with the fewest members, whose
+// members complete the taker together with the spare servers.
+func (p *Planner) giver(service *site.Service, domain ident.Domain, taker *replica, others []*replica) *replica {
+	spare := 0
+	for _, s := range p.spares(service, domain, taker.model.Name) {
+		if s.HasStaged(taker.model.Name) {
+			spare++
+		}
+	}
+	for i := len(others) - 1; i >= 0; i-- {
+		giver := others[i]
+		if giver.model.Name == taker.model.Name && taker.model.Size-len(taker.members) <= spare+len(giver.members) {
+			return giver
+		}
+	}
+	return nil
+}
+
 // form makes new replicas of the servers that are left over.
 func (p *Planner) form(service *site.Service) {
 	for _, domain := range p.domains(service) {
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -39,7 +39,7 @@
 func init() {
 	settings.Register(section, func() any {
 		return &Settings{
-			Ratio: 0.2, Slack: 100, Window: settings.Of(10 * time.Second), Away: 0.3, Queue: 0.5, Cold: 0.9,
+			Ratio: 0.2, Slack: 100, Window: settings.Of(10 * time.Second), Away: 0.3, Queue: 0.15, Cold: 0.9,
 			Suspicion: settings.Of(time.Minute), Suspects: 1024,
 		}
 	})
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -167,14 +167,39 @@
 	SilenceInterval = 50 * time.Millisecond
 	// endpointSilence ends the wait when no stream of the endpoint flows.
 	endpointSilence = 250 * time.Millisecond
-	// firstSilence is the same for an endpoint that has nothing else to do
-	// than to begin.
-	firstSilence = 400 * time.Millisecond
-	// streamSilence ends the wait of one stream while others flow. Callers
-	// leave after 2 s.
+	// firstSilence is the same before the first event, above the time that the
+	// prompt takes to be read.
+	firstSilence = 300 * time.Millisecond
+	// streamSilence ends the wait of one stream while others flow or wait for
+	// a slot. Callers leave after 2 s.
 	streamSilence = 1500 * time.Millisecond
 )
 
+// promptFactor is the multiple of the published time to read a prompt that is
+// waited for, since others' prompts are read too.
+const promptFactor = 4
+
+// firstWait returns how long the first event may take at an endpoint that sends
+// nothing. A request may wait for a slot at one that is nearly full, and what
+// others have there is known with a delay.
+func (p *patience) firstWait() time.Duration {
+	e := p.endpoint
+	if e.Load.Total() >= e.Slots*fullPart/fullWhole {
+		return streamSilence
+	}
+	if e.Engine == nil || e.Engine.ReadRate <= 0 {
+		return firstSilence
+	}
+	read := time.Duration(float64(p.request.Prompt) / e.Engine.ReadRate * e.Model.Pace * float64(time.Second))
+	return firstSilence + promptFactor*read
+}
+
+// fullPart of fullWhole slots in use make an endpoint nearly full.
+const (
+	fullPart  = 4
+	fullWhole = 5
+)
+
 // wait reports whether to go on waiting after a silence.
 func (p *patience) wait(silence time.Duration) bool {
 	if !p.route.Repeatable() {
@@ -187,5 +212,5 @@
 	if p.flowing {
 		return min(silence, quiet) < endpointSilence
 	}
-	return min(silence, quiet) < firstSilence
+	return min(silence, quiet) < p.firstWait()
 }
