--- a/internal/fleet/formation/drive.go
+++ b/internal/fleet/formation/drive.go
@@ -138,7 +138,7 @@
 func (p *Planner) stage(service *site.Service) {
 	for _, domain := range p.domains(service) {
 		spares := p.spares(service, domain, "")
-		staged := p.staged(spares)
+		staged := p.stagedSpares(spares)
 		p.stageShort(domain, spares, staged)
 		if p.growing(service, domain) {
 			continue
@@ -151,9 +151,9 @@
 	}
 }
 
-// staged counts the spare servers that have or load each model's weights, and
+// stagedSpares counts the spare servers that have or load each model's weights, and
 // repeats orders that may have been lost.
-func (p *Planner) staged(spares []*site.Server) map[ident.Model]int {
+func (p *Planner) stagedSpares(spares []*site.Server) map[ident.Model]int {
 	count := make(map[ident.Model]int)
 	for _, s := range spares {
 		switch model := p.loads.staging(s.ID); {
@@ -218,9 +218,12 @@
 	return p.now.Sub(g.at) < p.rules.Gather
 }
 
-// wanted returns the model with the most members in the domain for each spare
-// server that has it.
+// wanted returns the model that a spare server of the domain should have: the
+// domain's own, or the one with the most members there for each spare server.
 func (p *Planner) wanted(service *site.Service, domain ident.Domain, staged map[ident.Model]int) *site.Model {
+	if home := service.Engine.Model(p.home[domain]); home != nil {
+		return home
+	}
 	var best *site.Model
 	most := -1.0
 	for i := range service.Engine.Models {
--- a/internal/fleet/formation/duty.go
+++ b/internal/fleet/formation/duty.go
@@ -30,8 +30,6 @@
 	Interval settings.Duration `json:"interval" validate:"duration"`
 	// Retry is the time after which an order without effect is given again.
 	Retry settings.Duration `json:"retry" validate:"duration"`
-	// Spare is the part of a fabric domain's servers that is kept spare.
-	Spare float64 `json:"spare" validate:"min=0,max=1"`
 	// Gather is the time after a server appeared for which its fabric domain may
 	// grow further before weights are staged on spare servers.
 	Gather settings.Duration `json:"gather" validate:"duration"`
@@ -112,7 +110,7 @@
 	settings.Register(section, func() any {
 		return &Settings{
 			Lease: settings.Of(1500 * time.Millisecond), Interval: settings.Of(200 * time.Millisecond),
-			Retry: settings.Of(700 * time.Millisecond), Spare: 0.2, Gather: settings.Of(time.Second), Close: settings.Of(3 * time.Second),
+			Retry: settings.Of(700 * time.Millisecond), Gather: settings.Of(time.Second), Close: settings.Of(3 * time.Second),
 		}
 	})
 	plugin.RegisterFor("platform", plugin.Duty, "formation", newPlugin)
@@ -259,7 +257,7 @@
 }
 
 func (u *duty) rules() Rules {
-	return Rules{Retry: u.settings.Retry.Duration, SpareShare: u.settings.Spare, Gather: u.settings.Gather.Duration, CloseLimit: u.settings.Close.Duration}
+	return Rules{Retry: u.settings.Retry.Duration, Gather: u.settings.Gather.Duration, CloseLimit: u.settings.Close.Duration}
 }
 
 // wait returns when there may be something to plan.
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -85,8 +85,6 @@
 	// Retry is the time after which an order that showed no effect is given
 	// again.
 	Retry time.Duration
-	// SpareShare is the part of a domain's servers that is kept spare.
-	SpareShare float64
 	// Gather is the time after a server appeared for which its domain may grow
 	// further, so that nothing is staged that a replica needs.
 	Gather time.Duration
@@ -105,6 +103,8 @@
 	dead     map[ident.Instance]death
 	orders   map[ident.Instance]map[site.Operation]sent
 	loads    *loads
+	// home has the model of each fabric domain.
+	home map[ident.Domain]ident.Model
 	// grown is when a domain last got a server.
 	grown map[ident.Domain]growth
 	// Noted collects decisions for the log.
@@ -135,6 +135,7 @@
 		dead:     make(map[ident.Instance]death),
 		orders:   make(map[ident.Instance]map[site.Operation]sent),
 		loads:    newLoads(now),
+		home:     make(map[ident.Domain]ident.Model),
 		grown:    make(map[ident.Domain]growth),
 	}
 }
@@ -198,6 +199,7 @@
 			continue
 		}
 		p.loads.configure(service.Engine)
+		p.homes(service)
 		p.adopt(service)
 		p.check(service)
 		p.repair(service)
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -156,22 +156,17 @@
 	return list
 }
 
-// formOne makes the replica of which there are the fewest for its share, if the
-// domain has servers for it beyond those kept spare.
+// formOne makes a replica if the domain has servers for one.
 func (p *Planner) formOne(service *site.Service, domain ident.Domain) bool {
 	if p.shortIn(domain) {
 		return false
 	}
-	spares := p.spares(service, domain, "")
-	keep := 0
-	if p.replicasIn(domain) > 0 {
-		keep = int(p.rules.SpareShare * float64(p.size(service, domain)))
-	}
-	for _, m := range p.byNeed(service) {
-		if len(spares) < m.Size+keep {
+	for _, m := range p.choices(service, domain) {
+		spares := p.spares(service, domain, m.Name)
+		if len(spares) < m.Size {
 			continue
 		}
-		chosen := p.spares(service, domain, m.Name)[:m.Size]
+		chosen := spares[:m.Size]
 		loading := 0
 		for _, s := range chosen {
 			if !s.HasStaged(m.Name) {
@@ -207,16 +202,6 @@
 	return false
 }
 
-func (p *Planner) replicasIn(domain ident.Domain) int {
-	n := 0
-	for _, r := range p.replicas {
-		if r.domain == domain {
-			n++
-		}
-	}
-	return n
-}
-
 // size returns the number of the domain's servers.
 func (p *Planner) size(service *site.Service, domain ident.Domain) int {
 	n := 0
@@ -227,23 +212,3 @@
 	}
 	return n
 }
-
-// byNeed returns the models, the one with the fewest replicas for its share of
-// the servers first.
-func (p *Planner) byNeed(service *site.Service) []*site.Model {
-	count := make(map[ident.Model]int)
-	for _, r := range p.replicas {
-		if r.service == service.Name && r.phase != short && r.phase != leaving {
-			count[r.model.Name]++
-		}
-	}
-	models := make([]*site.Model, len(service.Engine.Models))
-	for i := range service.Engine.Models {
-		models[i] = &service.Engine.Models[i]
-	}
-	filled := func(m *site.Model) float64 {
-		return float64(count[m.Name]*m.Size) / max(m.Share, 0.01)
-	}
-	slices.SortStableFunc(models, func(a, b *site.Model) int { return cmp.Compare(filled(a), filled(b)) })
-	return models
-}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -110,7 +111,10 @@
 		if n > 0 {
 			now := x.Clock.Now()
 			e.Load.Progress(now)
-			p.flowing = true
+			if p.flowing {
+				e.Load.Gap(now.Sub(p.last))
+			}
+			p.flowing, p.last = true, now
 		}
 		whole, broken := v.take()
 		if broken != nil {
@@ -127,11 +131,19 @@
 			v.drop(len(whole))
 		}
 		if err != nil {
-			return code.CutOff.Wrap(err, "endpoint %s: the stream broke off after event %d", e.ID, v.last)
+			return brokeOff(err, e, v)
 		}
 	}
 }
 
+// brokeOff returns the error of a stream that ended before its end.
+func brokeOff(err error, e *catalog.Endpoint, v *events) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return code.Stalled.Wrap(err, "endpoint %s: silent after event %d", e.ID, v.last)
+	}
+	return code.CutOff.Wrap(err, "endpoint %s: the stream broke off after event %d", e.ID, v.last)
+}
+
 // start passes on the first run's head, once.
 func (x *exchange) start(head *call.Head) {
 	if x.sink.Started() {
@@ -156,6 +168,8 @@
 	begun    time.Time
 	// flowing says that an event of this attempt has come.
 	flowing bool
+	// last is when bytes came last.
+	last time.Time
 }
 
 // Bounds of silence. An endpoint passes all its streams on together, so the
@@ -165,13 +179,18 @@
 const (
 	// SilenceInterval is the time between two looks at a silent endpoint.
 	SilenceInterval = 50 * time.Millisecond
-	// endpointSilence ends the wait when no stream of the endpoint flows.
-	endpointSilence = 250 * time.Millisecond
-	// firstSilence is the same before the first event, above the time that the
-	// prompt takes to be read.
+	// leastSilence and mostSilence bound the wait when no stream of the endpoint
+	// flows; between them it follows the endpoint's usual gaps, which grow as
+	// it reads more prompts.
+	leastSilence = 200 * time.Millisecond
+	mostSilence  = 900 * time.Millisecond
+	// firstSilence bounds the wait for the first event at an idle endpoint,
+	// above the time that the prompt takes to be read, and loadSilence what is
+	// added at a full one.
 	firstSilence = 300 * time.Millisecond
-	// streamSilence ends the wait of one stream while others flow or wait for
-	// a slot. Callers leave after 2 s.
+	loadSilence  = 900 * time.Millisecond
+	// streamSilence ends the wait of one stream while others flow. Callers
+	// leave after 2 s.
 	streamSilence = 1500 * time.Millisecond
 )
 
@@ -180,25 +199,23 @@
 const promptFactor = 4
 
 // firstWait returns how long the first event may take at an endpoint that sends
-// nothing. A request may wait for a slot at one that is nearly full, and what
-// others have there is known with a delay.
+// nothing.
 func (p *patience) firstWait() time.Duration {
 	e := p.endpoint
-	if e.Load.Total() >= e.Slots*fullPart/fullWhole {
-		return streamSilence
-	}
+	taken := min(float64(e.Load.Total())/float64(e.Slots), 1)
+	wait := firstSilence + time.Duration(taken*float64(loadSilence))
 	if e.Engine == nil || e.Engine.ReadRate <= 0 {
-		return firstSilence
+		return wait
 	}
 	read := time.Duration(float64(p.request.Prompt) / e.Engine.ReadRate * e.Model.Pace * float64(time.Second))
-	return firstSilence + promptFactor*read
+	return wait + promptFactor*read
 }
 
-// fullPart of fullWhole slots in use make an endpoint nearly full.
-const (
-	fullPart  = 4
-	fullWhole = 5
-)
+// nextWait returns how long the next event may take at an endpoint that sends
+// nothing.
+func (p *patience) nextWait() time.Duration {
+	return min(max(p.endpoint.Load.LongGap(), leastSilence), mostSilence)
+}
 
 // wait reports whether to go on waiting after a silence.
 func (p *patience) wait(silence time.Duration) bool {
@@ -210,7 +227,7 @@
 	}
 	quiet := p.Clock.Since(p.endpoint.Load.LastProgress())
 	if p.flowing {
-		return min(silence, quiet) < endpointSilence
+		return min(silence, quiet) < p.nextWait()
 	}
 	return min(silence, quiet) < p.firstWait()
 }
