Judge silence by the longest published pass

Cause: passes that read many prompts were taken for stopped servers: 8 streams of one replica given up together at 2.16 s, before any fault, and the rest of the model's replicas overloaded by their repeats. Ruled out: the gossip, which told the others only afterwards. The engine's figures give the longest pass; only a longer silence is a fault.

--- a/internal/domain/site/config.go
+++ b/internal/domain/site/config.go
@@ -89,8 +89,10 @@
 	Step        time.Duration
 	PerSequence time.Duration
 	Stride      int
-	// ReadRate is the number of prompt tokens read a second.
+	// ReadRate is the number of prompt tokens read a second, and Chunk the most
+	// that are read in one step.
 	ReadRate float64
+	Chunk    unit.Tokens
 	// LoadsPerSecond and LoadsAtOnce bound the loads from the weight store.
 	LoadsPerSecond float64
 	LoadsAtOnce    int
@@ -113,6 +115,24 @@
 	WarmTime time.Duration
 }
 
+// LongestPass returns the longest time between two passes of a model's replica,
+// when all slots write and every step reads as much as it may.
+func (e *Engine) LongestPass(m *Model) time.Duration {
+	step := e.Step + time.Duration(e.Slots)*e.PerSequence
+	if e.ReadRate > 0 {
+		step += time.Duration(float64(e.Chunk) / e.ReadRate * float64(time.Second))
+	}
+	return time.Duration(float64(max(e.Stride, 1)) * float64(step) * m.Pace)
+}
+
+// ReadTime returns the time that a model's replica takes to read a prompt.
+func (e *Engine) ReadTime(m *Model, prompt unit.Tokens) time.Duration {
+	if e.ReadRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(prompt) / e.ReadRate * m.Pace * float64(time.Second))
+}
+
 // Model returns the model of that name, or nil.
 func (e *Engine) Model(name ident.Model) *Model {
 	for i := range e.Models {
--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -18,12 +18,9 @@
 	progress atomic.Int64
 	// avoidUntil ends the time in which the server gets no requests.
 	avoidUntil atomic.Int64
-	// failures counts failures in a row.
+	// failures counts failures in a row, and failed is the time of the last.
 	failures atomic.Int64
-	// gap is the mean time between two events of a stream, and spread its mean
-	// deviation, in nanoseconds.
-	gap    atomic.Int64
-	spread atomic.Int64
+	failed   atomic.Int64
 	// answer is the mean time of a whole answer of a plain service, in
 	// nanoseconds.
 	answer atomic.Int64
@@ -68,34 +65,6 @@
 	return time.Unix(0, l.progress.Load())
 }
 
-// Gap records the time between two events of a stream.
-func (l *Load) Gap(d time.Duration) {
-	mean := l.gap.Load()
-	if mean == 0 {
-		l.gap.Store(int64(d))
-		l.spread.Store(int64(d) / 2)
-		return
-	}
-	// As with the mean answer, a lost update does no harm.
-	off := int64(d) - mean
-	l.gap.Store(mean + off/answerShare)
-	l.spread.Store(l.spread.Load() + (max(off, -off)-l.spread.Load())/answerShare*2)
-}
-
-// spreads is the number of mean deviations by which a gap may exceed the mean
-// before it is a sign of a fault.
-const spreads = 6
-
-// LongGap returns the time between two events above which the server has
-// probably stopped, zero if no gap is known.
-func (l *Load) LongGap() time.Duration {
-	mean := l.gap.Load()
-	if mean == 0 {
-		return 0
-	}
-	return time.Duration(mean + spreads*l.spread.Load())
-}
-
 // Avoid keeps requests away until the given time, if that is later than known.
 func (l *Load) Avoid(until time.Time) {
 	for {
@@ -118,8 +87,12 @@
 )
 
 // Failed records a failure, after which the server is avoided for a while. It
-// returns that time.
+// returns that time. Requests that fail together count once.
 func (l *Load) Failed(now time.Time) time.Duration {
+	last := l.failed.Load()
+	if now.UnixNano()-last < int64(firstAvoid)/2 || !l.failed.CompareAndSwap(last, now.UnixNano()) {
+		return 0
+	}
 	n := l.failures.Add(1)
 	avoid := min(firstAvoid<<min(n-1, 4), longestAvoid)
 	l.Avoid(now.Add(avoid))
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -111,10 +111,7 @@
 		if n > 0 {
 			now := x.Clock.Now()
 			e.Load.Progress(now)
-			if p.flowing {
-				e.Load.Gap(now.Sub(p.last))
-			}
-			p.flowing, p.last = true, now
+			p.flowing = true
 		}
 		whole, broken := v.take()
 		if broken != nil {
@@ -168,8 +165,6 @@
 	begun    time.Time
 	// flowing says that an event of this attempt has come.
 	flowing bool
-	// last is when bytes came last.
-	last time.Time
 }
 
 // Bounds of silence. An endpoint passes all its streams on together, so the
@@ -179,42 +174,35 @@
 const (
 	// SilenceInterval is the time between two looks at a silent endpoint.
 	SilenceInterval = 50 * time.Millisecond
-	// leastSilence and mostSilence bound the wait when no stream of the endpoint
-	// flows; between them it follows the endpoint's usual gaps, which grow as
-	// it reads more prompts.
+	// leastSilence is the shortest silence that ends the wait when no stream of
+	// the endpoint flows.
 	leastSilence = 200 * time.Millisecond
-	mostSilence  = 900 * time.Millisecond
-	// firstSilence bounds the wait for the first event at an idle endpoint,
-	// above the time that the prompt takes to be read, and loadSilence what is
-	// added at a full one.
-	firstSilence = 300 * time.Millisecond
-	loadSilence  = 900 * time.Millisecond
-	// streamSilence ends the wait of one stream while others flow. Callers
-	// leave after 2 s.
+	// passSlack is what a pass may take above its published longest time.
+	passSlack = 60 * time.Millisecond
+	// streamSilence ends the wait of one stream while others flow or wait for
+	// a slot. Callers leave after 2 s.
 	streamSilence = 1500 * time.Millisecond
 )
 
-// promptFactor is the multiple of the published time to read a prompt that is
-// waited for, since others' prompts are read too.
-const promptFactor = 4
-
-// firstWait returns how long the first event may take at an endpoint that sends
+// nextWait returns how long the next event may take at an endpoint that sends
 // nothing.
-func (p *patience) firstWait() time.Duration {
+func (p *patience) nextWait() time.Duration {
 	e := p.endpoint
-	taken := min(float64(e.Load.Total())/float64(e.Slots), 1)
-	wait := firstSilence + time.Duration(taken*float64(loadSilence))
-	if e.Engine == nil || e.Engine.ReadRate <= 0 {
-		return wait
+	if e.Engine == nil {
+		return streamSilence
 	}
-	read := time.Duration(float64(p.request.Prompt) / e.Engine.ReadRate * e.Model.Pace * float64(time.Second))
-	return wait + promptFactor*read
+	return max(e.Engine.LongestPass(e.Model)+passSlack, leastSilence)
 }
 
-// nextWait returns how long the next event may take at an endpoint that sends
-// nothing.
-func (p *patience) nextWait() time.Duration {
-	return min(max(p.endpoint.Load.LongGap(), leastSilence), mostSilence)
+// firstWait returns how long the first event may take at an endpoint that sends
+// nothing: the pass at work and one that reads the prompt, and more if the
+// request may have to wait for a slot.
+func (p *patience) firstWait() time.Duration {
+	e := p.endpoint
+	if e.Engine == nil || e.Load.Total() >= e.Slots {
+		return streamSilence
+	}
+	return 2*p.nextWait() + e.Engine.ReadTime(e.Model, p.request.Prompt)
 }
 
 // wait reports whether to go on waiting after a silence.
