--- a/internal/fleet/formation/duty.go
+++ b/internal/fleet/formation/duty.go
@@ -56,6 +56,7 @@
 	mirror interface {
 		Get(key store.Key) store.Entry
 		Connected() bool
+		Act(acting bool)
 	}
 	traffic interface {
 		Seen() bool
@@ -202,6 +203,7 @@
 		u.tenure.Store(0)
 	}
 	if after := u.tenure.Load(); after != before {
+		u.mirror.Act(after != 0)
 		u.deps.Log.Info().Int64("fence", after).Int64("before", before).AnErr("error", err).Msg("planner-tenure")
 		u.nudge()
 	}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -54,6 +54,7 @@
 	Options
 	followers []Follower
 	connected atomic.Bool
+	acting    atomic.Bool
 	revision  atomic.Int64
 
 	// telling is held while followers are told, so that they see changes in
@@ -95,14 +96,28 @@
 	return m.keys[key]
 }
 
-// Times between two calls to a source that fails, and for what a burst of
-// changes is gathered before the next call.
+// Times between two calls to a source that fails, and for which a burst of
+// changes is gathered before the next call. A daemon that acts on changes
+// gathers for a shorter time.
 const (
 	firstPause   = 50 * time.Millisecond
 	longestPause = 500 * time.Millisecond
-	gather       = 20 * time.Millisecond
+	gather       = 200 * time.Millisecond
+	gatherActing = 20 * time.Millisecond
 )
 
+// Act says whether this daemon acts on changes, as the planner does.
+func (m *Mirror) Act(acting bool) {
+	m.acting.Store(acting)
+}
+
+func (m *Mirror) gatherTime() time.Duration {
+	if m.acting.Load() {
+		return gatherActing
+	}
+	return gather
+}
+
 // Run follows the source until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	m.Go(m.settle)
@@ -117,7 +132,7 @@
 		}
 		if err == nil {
 			pause = firstPause
-			plugin.Sleep(ctx, m.Clock, gather)
+			plugin.Sleep(ctx, m.Clock, m.gatherTime())
 			continue
 		}
 		m.lost(ctx, err)
