--- a/internal/fleet/formation/drive.go
+++ b/internal/fleet/formation/drive.go
@@ -217,26 +217,3 @@
 	p.grown[domain] = g
 	return p.now.Sub(g.at) < p.rules.Gather
 }
-
-// wanted returns the model that a spare server of the domain should have: the
-// domain's own, or the one with the most members there for each spare server.
-func (p *Planner) wanted(service *site.Service, domain ident.Domain, staged map[ident.Model]int) *site.Model {
-	if home := service.Engine.Model(p.home[domain]); home != nil {
-		return home
-	}
-	var best *site.Model
-	most := -1.0
-	for i := range service.Engine.Models {
-		m := &service.Engine.Models[i]
-		members := 0
-		for _, r := range p.replicas {
-			if r.domain == domain && r.model.Name == m.Name {
-				members += m.Size
-			}
-		}
-		if need := float64(members) / float64(1+staged[m.Name]); need > most {
-			best, most = m, need
-		}
-	}
-	return best
-}
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -103,8 +103,6 @@
 	dead     map[ident.Instance]death
 	orders   map[ident.Instance]map[site.Operation]sent
 	loads    *loads
-	// home has the model of each fabric domain.
-	home map[ident.Domain]ident.Model
 	// grown is when a domain last got a server.
 	grown map[ident.Domain]growth
 	// Noted collects decisions for the log.
@@ -135,7 +133,6 @@
 		dead:     make(map[ident.Instance]death),
 		orders:   make(map[ident.Instance]map[site.Operation]sent),
 		loads:    newLoads(now),
-		home:     make(map[ident.Domain]ident.Model),
 		grown:    make(map[ident.Domain]growth),
 	}
 }
@@ -199,7 +196,6 @@
 			continue
 		}
 		p.loads.configure(service.Engine)
-		p.homes(service)
 		p.adopt(service)
 		p.check(service)
 		p.repair(service)
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -134,15 +134,6 @@
 	return nil
 }
 
-// form makes new replicas of the servers that are left over.
-func (p *Planner) form(service *site.Service) {
-	for _, domain := range p.domains(service) {
-		for p.formOne(service, domain) {
-			continue
-		}
-	}
-}
-
 // domains returns the fabric domains of the service with their sizes in order
 // of their names.
 func (p *Planner) domains(service *site.Service) []ident.Domain {
@@ -156,37 +147,6 @@
 	return list
 }
 
-// formOne makes a replica if the domain has servers for one.
-func (p *Planner) formOne(service *site.Service, domain ident.Domain) bool {
-	if p.shortIn(domain) {
-		return false
-	}
-	for _, m := range p.choices(service, domain) {
-		spares := p.spares(service, domain, m.Name)
-		if len(spares) < m.Size {
-			continue
-		}
-		chosen := spares[:m.Size]
-		loading := 0
-		for _, s := range chosen {
-			if !s.HasStaged(m.Name) {
-				loading++
-			}
-		}
-		if loading > 0 && !p.loads.room(loading) {
-			return false
-		}
-		r := &replica{name: p.name(), service: service.Name, domain: domain, model: m, broken: p.now}
-		for _, s := range chosen {
-			r.members = append(r.members, s.ID)
-		}
-		p.replicas[r.name] = r
-		p.join(r, fmt.Sprintf("new in domain %s", domain))
-		return true
-	}
-	return false
-}
-
 // name returns a name that no other tenure gives.
 func (p *Planner) name() ident.Replica {
 	p.names++
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -24,7 +24,11 @@
 	// Away is what an endpoint of another data centre costs, as a share of
 	// its slots, since bytes between data centres are paid for.
 	Away float64
-	// Queue is the share of an endpoint's slots that may wait there.
+	// Fill is the part of a replica's slots that is used: what others send at
+	// the same time is known with a delay, and a request that waits for a slot
+	// is late.
+	Fill float64
+	// Queue is the share of a plain server's slots that may wait there.
 	Queue float64
 	// ColdPart is the part of a cold server's rate that is used.
 	ColdPart float64
@@ -83,7 +87,10 @@
 func (b *Balancer) share(e *catalog.Endpoint) (float64, bool) {
 	slots := float64(max(e.Slots, 1))
 	taken := float64(e.Load.Total()) / slots
-	room := taken < 1+b.Queue
+	room := taken < b.Fill
+	if e.Engine == nil {
+		room = taken < 1+b.Queue
+	}
 	if e.DataCentre != b.DataCentre {
 		taken += b.Away
 	}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -6,7 +6,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +16,12 @@
 	"cuminbay/internal/domain/call"
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/record"
 	"cuminbay/internal/domain/site"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/admit"
 )
 
 type (
@@ -91,12 +94,22 @@
 // Forwarder forwards requests.
 type Forwarder struct {
 	Options
-	stopping atomic.Bool
+	shares *admit.Shares
+	queue  *admit.Queue
 }
 
+// Bounds of the queue for places.
+const (
+	queueLimit   = 512
+	queueRecheck = 25 * time.Millisecond
+)
+
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o}
+	return &Forwarder{
+		Options: o, shares: admit.NewShares(),
+		queue: admit.NewQueue(admit.QueueOptions{Clock: o.Clock, Limit: queueLimit, Recheck: queueRecheck}),
+	}
 }
 
 // Forward answers the request. An error says how the answer failed; the caller
@@ -125,7 +138,17 @@
 	attempts int
 	// mayRun is the last failure of an attempt that may have run.
 	mayRun error
-	first  time.Duration
+	place  admit.Place
+
+	// For the log: the last endpoint with what was in flight there when it was
+	// chosen, the wait for a place, the time to the first byte and the longest
+	// pause between two events.
+	endpoint ident.Instance
+	inFlight unit.Requests
+	waited   time.Duration
+	first    time.Duration
+	pause    time.Duration
+	last     time.Time
 }
 
 func (x *exchange) run(ctx context.Context) error {
@@ -133,6 +156,10 @@
 	if err := x.admit(s); err != nil {
 		return err
 	}
+	if err := x.enter(); err != nil {
+		return err
+	}
+	defer x.place.Leave()
 	x.Budget.Request()
 	ctx, cancel := clockwork.WithDeadline(ctx, x.Clock, x.until)
 	defer cancel()
@@ -200,21 +227,72 @@
 	return s.Plain(x.service)
 }
 
+// The wait for a place: a new request waits for a part of its objective, above
+// which it is better to refuse, and a stream that broke off for as long as its
+// caller surely stays.
+const (
+	waitPart   = 3
+	resumeWait = time.Second
+)
+
 // pick returns the endpoint of the next attempt.
 //
 // Errors carry code.NoReplica or code.Overloaded.
-func (x *exchange) pick() (*catalog.Endpoint, error) {
-	now := x.Clock.Now()
-	list := x.endpoints()
-	if e := x.Picker.Pick(now, list, x.tried); e != nil {
-		return e, nil
+func (x *exchange) pick(ctx context.Context) (*catalog.Endpoint, error) {
+	var chosen *catalog.Endpoint
+	try := func() bool {
+		chosen = x.Picker.Pick(x.Clock.Now(), x.endpoints(), x.tried)
+		return chosen != nil
+	}
+	if try() {
+		return chosen, nil
+	}
+	until := x.request.Received.Add(x.route.Objective / waitPart)
+	if x.sink.Started() {
+		until = x.Clock.Now().Add(resumeWait)
+	}
+	if until.After(x.until) {
+		until = x.until
+	}
+	begun := x.Clock.Now()
+	x.queue.Wait(ctx, admit.Ticket{Line: x.line(), Priority: -x.priority(), Received: x.request.Received, Place: x.place, Until: until}, try)
+	x.waited += x.Clock.Since(begun)
+	if chosen != nil {
+		return chosen, nil
 	}
+	list := x.endpoints()
 	if len(list) == 0 {
 		return nil, x.refused(code.NoReplica.New("service %s, model %q: no endpoint is in service", x.service, x.request.Model))
 	}
 	return nil, x.refused(code.Overloaded.New("service %s, model %q: none of %d endpoints has room", x.service, x.request.Model, len(list)))
 }
 
+// line names what the request waits for.
+func (x *exchange) line() admit.Line {
+	return admit.Line(string(x.service) + " " + string(x.request.Model))
+}
+
+// priority returns the organisation's priority or that of the route; a lower one
+// goes first.
+func (x *exchange) priority() unit.Priority {
+	if x.organisation != nil && x.organisation.HasPriority {
+		return x.organisation.Priority
+	}
+	return x.route.Priority
+}
+
+// enter counts the request against its organisation, so that those with little
+// at work are first in the queue.
+func (x *exchange) enter() error {
+	o := record.Organisation{Weight: 1}
+	if x.organisation != nil {
+		o.Name = x.organisation.Name
+	}
+	var err error
+	x.place, err = x.shares.Enter(&o, math.MaxInt32)
+	return err
+}
+
 // Callers honour a wait of up to a third of the time that they have left.
 const (
 	retryPart    = 3
@@ -227,6 +305,15 @@
 	return code.WithRetryAfter(err, max(0, min(left/retryPart, longestRetry)))
 }
 
+// begin counts a request at the endpoint, and the returned function ends that.
+func (x *exchange) begin(e *catalog.Endpoint) func() {
+	e.Load.Begin()
+	return func() {
+		e.Load.End()
+		x.queue.Wake(x.line())
+	}
+}
+
 // attempt returns the next send to the endpoint.
 func (x *exchange) attempt(e *catalog.Endpoint) *call.Attempt {
 	a := &call.Attempt{
@@ -237,6 +324,7 @@
 		a.Organisation = x.organisation.Name
 	}
 	x.attempts++
+	x.endpoint, x.inFlight = e.ID, e.Load.Total()
 	return a
 }
 
--- a/internal/serve/forward/plain.go
+++ b/internal/serve/forward/plain.go
@@ -24,7 +24,7 @@
 func (x *exchange) runPlain(ctx context.Context) error {
 	var kept *answer
 	for {
-		e, err := x.pick()
+		e, err := x.pick(ctx)
 		if err != nil {
 			return x.conclude(kept, err)
 		}
@@ -86,8 +86,7 @@
 func (x *exchange) whole(ctx context.Context, e *catalog.Endpoint) (*answer, error) {
 	a := x.attempt(e)
 	begun := x.Clock.Now()
-	e.Load.Begin()
-	defer e.Load.End()
+	defer x.begin(e)()
 	reply, err := x.Sender.Send(ctx, a, x.plainPatience(e, begun))
 	if err != nil {
 		return nil, err
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -26,7 +26,9 @@
 	// Away is what an endpoint of another data centre costs, as a share of its
 	// slots.
 	Away float64 `json:"away" validate:"min=0"`
-	// Queue is the share of an endpoint's slots that may wait there.
+	// Fill is the part of a replica's slots that is used.
+	Fill float64 `json:"fill" validate:"gt=0"`
+	// Queue is the share of a plain server's slots that may wait there.
 	Queue float64 `json:"queue" validate:"min=0"`
 	// Cold is the part of a cold server's rate that is used.
 	Cold float64 `json:"cold" validate:"min=0,max=1"`
@@ -39,7 +41,7 @@
 func init() {
 	settings.Register(section, func() any {
 		return &Settings{
-			Ratio: 0.2, Slack: 100, Window: settings.Of(10 * time.Second), Away: 0.3, Queue: 0.15, Cold: 0.9,
+			Ratio: 0.2, Slack: 100, Window: settings.Of(10 * time.Second), Away: 0.3, Fill: 0.9, Queue: 1, Cold: 0.9,
 			Suspicion: settings.Of(time.Minute), Suspects: 1024,
 		}
 	})
@@ -80,7 +82,7 @@
 	}
 	s := c.settings
 	c.Picker = balance.New(balance.Options{
-		DataCentre: c.deps.Settings.Daemon.DataCentre, Fleet: daemons, Away: s.Away, Queue: s.Queue, ColdPart: s.Cold,
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Fleet: daemons, Away: s.Away, Fill: s.Fill, Queue: s.Queue, ColdPart: s.Cold,
 	})
 	c.Budget = balance.NewBudget(balance.BudgetOptions{
 		Clock: c.Clock, Fleet: daemons, Ratio: s.Ratio, Slack: s.Slack, Window: s.Window.Duration,
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -29,7 +29,7 @@
 		buffers.Put(b)
 	}()
 	for {
-		e, err := x.pick()
+		e, err := x.pick(ctx)
 		if err != nil {
 			return x.broken(x.outcome(err))
 		}
@@ -66,8 +66,7 @@
 	if v.begun {
 		a.Resume = v.last
 	}
-	e.Load.Begin()
-	defer e.Load.End()
+	defer x.begin(e)()
 	p := &patience{exchange: x, endpoint: e, begun: x.Clock.Now()}
 	reply, err := x.Sender.Send(ctx, a, p.wait)
 	if err != nil {
@@ -112,6 +111,10 @@
 			now := x.Clock.Now()
 			e.Load.Progress(now)
 			p.flowing = true
+			if !x.last.IsZero() {
+				x.pause = max(x.pause, now.Sub(x.last))
+			}
+			x.last = now
 		}
 		whole, broken := v.take()
 		if broken != nil {
--- a/internal/serve/forward/telemetry.go
+++ b/internal/serve/forward/telemetry.go
@@ -53,12 +53,12 @@
 	if err == nil {
 		t.first.WithLabelValues(kind).Observe(x.first.Seconds())
 		t.whole.WithLabelValues(kind).Observe(took.Seconds())
-		if x.attempts <= 1 {
-			return
-		}
 	}
 	line := x.Log.Info().Str("request", string(x.request.ID)).Str("route", route).
-		Str("model", string(x.request.Model)).Int("attempts", x.attempts).Dur("took_ms", took).
+		Str("model", string(x.request.Model)).Int64("prompt", int64(x.request.Prompt)).
+		Str("endpoint", string(x.endpoint)).Int64("inflight", int64(x.inFlight)).Int("attempts", x.attempts).
+		Int64("waited_ms", x.waited.Milliseconds()).Int64("first_ms", x.first.Milliseconds()).
+		Int64("pause_ms", x.pause.Milliseconds()).Int64("took_ms", took.Milliseconds()).
 		Str("code", c.String()).Str("outcome", string(code.OutcomeOf(err)))
 	if err != nil {
 		line = line.Str("detail", code.Message(err))
