--- a/internal/fleet/formation/drive.go
+++ b/internal/fleet/formation/drive.go
@@ -207,6 +207,15 @@
 	p.order(s.ID, site.Order{Operation: site.Stage, Model: m.Name})
 }
 
+// anyGrowing reports whether any domain of the service is growing.
+func (p *Planner) anyGrowing(service *site.Service) bool {
+	growing := false
+	for _, domain := range p.domains(service) {
+		growing = p.growing(service, domain) || growing
+	}
+	return growing
+}
+
 // growing reports whether the domain got a server a short time ago.
 func (p *Planner) growing(service *site.Service, domain ident.Domain) bool {
 	g, size := p.grown[domain], p.size(service, domain)
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -10,8 +10,12 @@
 )
 
 // form makes new replicas of the servers that are left over. The model with the
-// fewest members for its share of the work comes first.
+// fewest members for its share of the work comes first. At the first start it
+// waits until the servers are listed, so that the domains are dealt out well.
 func (p *Planner) form(service *site.Service) {
+	if p.loads.bootstrap && p.anyGrowing(service) {
+		return
+	}
 	for p.formOne(service) {
 		continue
 	}
@@ -28,8 +32,8 @@
 	return false
 }
 
-// found makes a replica in the domain, unless too many weights are loaded
-// already.
+// found makes a replica in the domain, unless weights would have to be loaded
+// after the first start.
 func (p *Planner) found(service *site.Service, domain ident.Domain, m *site.Model) bool {
 	chosen := p.spares(service, domain, m.Name)[:m.Size]
 	loading := 0
@@ -38,7 +42,9 @@
 			loading++
 		}
 	}
-	if loading > 0 && !p.loads.room(loading) {
+	if loading > 0 && !p.loads.bootstrap {
+		// Servers are staged first, so that a replica that is whole again
+		// doesn't have to wait for the weight store.
 		return false
 	}
 	r := &replica{name: p.name(), service: service.Name, domain: domain, model: m, broken: p.now}
--- a/internal/fleet/formation/loads.go
+++ b/internal/fleet/formation/loads.go
@@ -15,7 +15,7 @@
 	tokens  float64
 	updated time.Time
 	now     time.Time
-	// bootstrap says that loads cost little and don't count yet.
+	// bootstrap says that loads are quick and don't count yet, however many run.
 	bootstrap bool
 	running   map[ident.Instance]load
 }
@@ -54,10 +54,13 @@
 // room reports whether n loads may begin. The members of a replica load
 // together, so that the last one may exceed what the store does at once.
 func (l *loads) room(n int) bool {
+	if l.bootstrap {
+		return true
+	}
 	if l.atOnce > 0 && len(l.running) >= l.atOnce {
 		return false
 	}
-	return l.bootstrap || l.rate <= 0 || l.tokens >= min(float64(n), burst)
+	return l.rate <= 0 || l.tokens >= min(float64(n), burst)
 }
 
 func (l *loads) add(id ident.Instance, model ident.Model, until time.Time) {
