--- a/internal/kernel/clock/clock.go
+++ b/internal/kernel/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -27,3 +28,14 @@
 	}
 	return d + time.Duration(rand.Int64N(2*spread)-spread)
 }
+
+// WithDeadline returns a context that is cancelled at the given time of the
+// clock.
+func WithDeadline(parent context.Context, clk Clock, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	timer := clk.AfterFunc(deadline.Sub(clk.Now()), cancel)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/serve/forward/fake_test.go
@@ -0,0 +1,213 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/call"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/site"
+	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/balance"
+	"cuminbay/internal/serve/poison"
+)
+
+// run is how a fake server treats one request.
+type run struct {
+	// refused fails the send before anything is sent; cut fails it afterwards.
+	refused bool
+	cut     bool
+	status  int
+	verdict call.Verdict
+	body    string
+	// broken ends the body with an error, and silent with a long silence.
+	broken bool
+	silent time.Duration
+}
+
+// fakeSender plays the runs of each server in order and keeps the attempts.
+type fakeSender struct {
+	clock    *clockwork.FakeClock
+	runs     map[ident.Instance][]run
+	attempts []*call.Attempt
+}
+
+func (s *fakeSender) Send(ctx context.Context, a *call.Attempt, silent func(time.Duration) bool) (Reply, error) {
+	s.attempts = append(s.attempts, a)
+	list := s.runs[a.Server]
+	if len(list) == 0 {
+		return nil, code.EndpointUnreachable.New("server %s: no run left", a.Server)
+	}
+	r := list[0]
+	s.runs[a.Server] = list[1:]
+	switch {
+	case r.refused:
+		return nil, code.EndpointUnreachable.New("server %s: no connection", a.Server)
+	case r.cut:
+		return nil, code.CutOff.New("server %s: reset", a.Server)
+	}
+	if r.status == 0 {
+		r.status = 200
+	}
+	return &fakeReply{ctx: ctx, sender: s, run: r, silent: silent}, nil
+}
+
+type fakeReply struct {
+	ctx    context.Context
+	sender *fakeSender
+	run    run
+	silent func(time.Duration) bool
+	read   int
+}
+
+func (r *fakeReply) Head() *call.Head {
+	return &call.Head{Status: r.run.status, Verdict: r.run.verdict, Fields: []call.Field{{Name: "Server-Mark", Value: r.run.body}}}
+}
+
+func (r *fakeReply) Length() int { return -1 }
+
+func (r *fakeReply) Read(b []byte) (int, error) {
+	if r.read < len(r.run.body) {
+		n := copy(b, r.run.body[r.read:])
+		r.read += n
+		return n, nil
+	}
+	for waited := time.Duration(0); r.run.silent > 0 && waited < r.run.silent; {
+		r.sender.clock.Advance(SilenceInterval)
+		if waited += SilenceInterval; !r.silent(waited) {
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	if r.run.broken {
+		return 0, errors.New("connection reset")
+	}
+	return 0, io.EOF
+}
+
+func (r *fakeReply) Close() {}
+
+// fakeSink is a caller.
+type fakeSink struct {
+	status  int
+	fields  []call.Field
+	body    []byte
+	ended   bool
+	aborted bool
+	left    bool
+}
+
+func (s *fakeSink) Start(status int, fields []call.Field, _ int) { s.status, s.fields = status, fields }
+func (s *fakeSink) Started() bool                                { return s.status != 0 }
+func (s *fakeSink) Abort()                                       { s.aborted = true }
+
+func (s *fakeSink) Write(p []byte) error {
+	if s.left {
+		return io.ErrClosedPipe
+	}
+	s.body = append(s.body, p...)
+	return nil
+}
+
+func (s *fakeSink) End(p []byte) error {
+	s.ended = true
+	return s.Write(p)
+}
+
+// one is a fleet of one daemon.
+type one struct{}
+
+func (one) Daemons() int                        { return 1 }
+func (one) Failed(*catalog.Endpoint, code.Code) {}
+
+const (
+	testModel = ident.Model("m")
+	engines   = ident.Service("engines")
+	ledger    = ident.Service("ledger")
+)
+
+// testConfig has a route of each kind.
+func testConfig() *site.Config {
+	route := func(kind site.Kind, prefix string, service ident.Service, attempts int) site.Route {
+		return site.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: 4 * time.Second, Objective: 300 * time.Millisecond,
+			Targets: []site.Target{{Service: service, Weight: 1}}, Attempts: attempts, Resumable: kind == site.Stream,
+		}
+	}
+	once := route(site.Stream, "/once/", engines, 2)
+	once.Resumable = false
+	open := route(site.Safe, "/open/", ledger, 2)
+	open.Public = true
+	return &site.Config{
+		Version: 3,
+		Routes: []site.Route{
+			route(site.Safe, "/safe/", ledger, 2), route(site.Unsafe, "/unsafe/", ledger, 1),
+			route(site.Stream, "/stream/", engines, 2), once, open,
+		},
+		Services: map[ident.Service]*site.Service{
+			ledger: {Name: ledger},
+			engines: {Name: engines, Engine: &site.Engine{
+				Slots: 8, Step: 6 * time.Millisecond, Stride: 7, ReadRate: 50_000, Chunk: 2048,
+				Models: []site.Model{{Name: testModel, Size: 1, Share: 1, Pace: 1}},
+			}},
+		},
+		Organisations: []site.Organisation{{Name: "o", Keys: []string{"k"}}},
+	}
+}
+
+// testServers are two of each service.
+func testServers() []*site.Server {
+	server := func(id ident.Instance, s ident.Service) *site.Server {
+		v := &site.Server{ID: id, Service: s, Address: string(id), DataCentre: "z", Slots: 8}
+		if s == engines {
+			v.Member = &site.Membership{Replica: ident.Replica(id), Epoch: 1, Model: testModel, State: site.Open}
+		}
+		return v
+	}
+	return []*site.Server{server("a", ledger), server("b", ledger), server("x", engines), server("y", engines)}
+}
+
+// newForwarder returns a forwarder before the servers, the first of which in the
+// order of their names is always tried first.
+func newForwarder(sender *fakeSender) *Forwarder {
+	clk := sender.clock
+	cat := catalog.New(clk)
+	cat.Apply(catalog.Update{Config: testConfig(), Servers: testServers(), Listed: true})
+	telemetry, err := NewTelemetry(prometheus.NewRegistry())
+	if err != nil {
+		panic(err)
+	}
+	return New(Options{
+		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: first{}, Sender: sender, Observer: one{}, Telemetry: telemetry,
+		Budget: balance.NewBudget(balance.BudgetOptions{Clock: clk, Fleet: one{}, Ratio: 1, Slack: 100, Window: 10 * time.Second}),
+		Poison: poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
+	})
+}
+
+// first picks the first endpoint that was not tried.
+type first struct{}
+
+func (first) Pick(_ time.Time, list []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+	for _, e := range list {
+		seen := false
+		for _, id := range tried {
+			seen = seen || id == e.ID
+		}
+		if !seen {
+			return e
+		}
+	}
+	return nil
+}
+
+// emptyCatalog knows nothing yet.
+type emptyCatalog struct{}
+
+func (emptyCatalog) Current() *catalog.Snapshot { return catalog.New(clockwork.NewFakeClock()).Current() }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"cuminbay/internal/domain/call"
@@ -161,7 +160,7 @@
 	}
 	defer x.place.Leave()
 	x.Budget.Request()
-	ctx, cancel := clockwork.WithDeadline(ctx, x.Clock, x.until)
+	ctx, cancel := clock.WithDeadline(ctx, x.Clock, x.until)
 	defer cancel()
 	if x.route.Kind == site.Stream {
 		return x.runStream(ctx)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -120,7 +120,7 @@
 		if broken != nil {
 			return broken
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && len(whole) == len(v.buffer) {
 			return x.endStream(reply, v)
 		}
 		if len(whole) > 0 {
