--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -57,6 +57,10 @@
 	acting    atomic.Bool
 	revision  atomic.Int64
 
+	// listed and pause belong to Run.
+	listed bool
+	pause  time.Duration
+
 	// telling is held while followers are told, so that they see changes in
 	// order and one at a time.
 	telling sync.Mutex
@@ -71,7 +75,7 @@
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{Options: o, keys: make(map[store.Key]store.Entry), lapsed: make(map[store.Key]time.Time)}
+	return &Mirror{Options: o, pause: firstPause, keys: make(map[store.Key]store.Entry), lapsed: make(map[store.Key]time.Time)}
 }
 
 // Follow adds a follower. It is called before Run.
@@ -120,27 +124,32 @@
 
 // Run follows the source until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
-	m.Go(m.settle)
-	pause := firstPause
-	listed := false
 	for ctx.Err() == nil {
-		var err error
-		if listed {
-			listed, err = m.read(ctx)
-		} else {
-			listed, err = m.list(ctx)
-		}
-		if err == nil {
-			pause = firstPause
-			plugin.Sleep(ctx, m.Clock, m.gatherTime())
-			continue
-		}
-		m.lost(ctx, err)
-		plugin.Sleep(ctx, m.Clock, clock.Jitter(pause))
-		pause = min(2*pause, longestPause)
+		plugin.Sleep(ctx, m.Clock, m.step(ctx))
 	}
 }
 
+// step makes one call to the source and returns the time to the next.
+func (m *Mirror) step(ctx context.Context) time.Duration {
+	var err error
+	if m.listed {
+		m.listed, err = m.read(ctx)
+	} else {
+		m.listed, err = m.list(ctx)
+	}
+	if err == nil {
+		m.pause = firstPause
+		return m.gatherTime()
+	}
+	// A watch that was cut may have missed changes before, and a new one from
+	// the same revision may not hear of them.
+	m.listed = false
+	m.lost(ctx, err)
+	pause := m.pause
+	m.pause = min(2*m.pause, longestPause)
+	return clock.Jitter(pause)
+}
+
 func (m *Mirror) lost(ctx context.Context, err error) {
 	if ctx.Err() == nil && m.connected.Swap(false) {
 		m.Log.Warn().Err(err).Int64("revision", m.revision.Load()).Msg("store-lost")
@@ -212,6 +221,9 @@
 	for _, change := range changes {
 		if change.Removed {
 			if now.Before(m.settled) && strings.HasPrefix(string(change.Key), string(m.Lapsing)) {
+				if len(m.lapsed) == 0 {
+					m.Clock.AfterFunc(m.settled.Sub(now), m.believeLapses)
+				}
 				m.lapsed[change.Key] = m.settled
 				continue
 			}
@@ -242,13 +254,7 @@
 	}
 }
 
-// settle believes the removals that were put off and not undone.
-func (m *Mirror) settle(ctx context.Context) {
-	for plugin.Sleep(ctx, m.Clock, m.Settle/settleSteps) {
-		m.believeLapses()
-	}
-}
-
+// believeLapses believes the removals that were put off and not undone.
 func (m *Mirror) believeLapses() {
 	m.telling.Lock()
 	defer m.telling.Unlock()
@@ -257,6 +263,8 @@
 	var gone []store.Change
 	for key, at := range m.lapsed {
 		if now.Before(at) {
+			// The platform was away once more meanwhile.
+			m.Clock.AfterFunc(at.Sub(now), m.believeLapses)
 			continue
 		}
 		delete(m.lapsed, key)
@@ -270,6 +278,3 @@
 		m.tell(gone, false)
 	}
 }
-
-// settleSteps is how often lapses are looked at within Settle.
-const settleSteps = 10
--- /dev/null
+++ b/internal/fleet/mirror/mirror_test.go
@@ -0,0 +1,149 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+)
+
+// answer is what the source says to one call.
+type answer struct {
+	list      []store.Entry
+	changes   []store.Change
+	revision  unit.Revision
+	forgotten bool
+	down      bool
+}
+
+// source plays its answers in order and records the calls.
+type source struct {
+	answers []answer
+	calls   []string
+	cancel  context.CancelFunc
+}
+
+var errDown = errors.New("down")
+
+func (s *source) next(call string) (answer, error) {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		s.cancel()
+		return answer{}, context.Canceled
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	if a.down {
+		return a, errDown
+	}
+	return a, nil
+}
+
+func (s *source) List(context.Context, store.Key) ([]store.Entry, unit.Revision, error) {
+	a, err := s.next("list")
+	return a.list, a.revision, err
+}
+
+func (s *source) Changes(context.Context, store.Key, unit.Revision) ([]store.Change, unit.Revision, bool, error) {
+	a, err := s.next("changes")
+	return a.changes, a.revision, a.forgotten, err
+}
+
+// follower records what it is told.
+type follower struct {
+	keys  map[store.Key]string
+	whole bool
+}
+
+func (f *follower) Prefix() store.Key { return "servers/" }
+
+func (f *follower) Follow(changes []store.Change, whole bool) {
+	f.whole = f.whole || whole
+	for _, c := range changes {
+		if c.Removed {
+			delete(f.keys, c.Key)
+			continue
+		}
+		f.keys[c.Key] = string(c.Value)
+	}
+}
+
+func entry(key, value string, revision unit.Revision) store.Entry {
+	return store.Entry{Key: store.Key(key), Value: []byte(value), Revision: revision}
+}
+
+// TestMirror guards against changes that are missed when a watch is cut or the
+// history is dropped, against an older value after a newer one, and against
+// servers that are taken for gone because their entries lapsed while the
+// platform was away.
+func TestMirror(t *testing.T) {
+	a1, b2 := entry("servers/a", "1", 1), entry("servers/b", "2", 2)
+	list := answer{list: []store.Entry{a1, b2, entry("op/config", "c", 2)}, revision: 2}
+	put := func(e store.Entry) answer {
+		return answer{changes: []store.Change{{Entry: e}}, revision: e.Revision}
+	}
+	removed := func(key string, r unit.Revision) answer {
+		return answer{changes: []store.Change{{Entry: store.Entry{Key: store.Key(key), Revision: r}, Removed: true}}, revision: r}
+	}
+	tests := map[string]struct {
+		answers []answer
+		after   time.Duration
+		keys    map[store.Key]string
+		calls   []string
+	}{
+		"listed": {
+			answers: []answer{list}, keys: map[store.Key]string{"servers/a": "1", "servers/b": "2"}, calls: []string{"list", "changes"},
+		},
+		"changed and removed": {
+			answers: []answer{list, put(entry("servers/a", "3", 3)), removed("servers/b", 4)},
+			keys:    map[store.Key]string{"servers/a": "3"}, calls: []string{"list", "changes", "changes", "changes"},
+		},
+		"history dropped": {
+			answers: []answer{list, {forgotten: true}, {list: []store.Entry{entry("servers/a", "9", 9)}, revision: 9}},
+			keys:    map[store.Key]string{"servers/a": "9"}, calls: []string{"list", "changes", "list", "changes"},
+		},
+		"watch cut": {
+			answers: []answer{list, {down: true}, {list: []store.Entry{entry("servers/a", "9", 9), b2}, revision: 9}},
+			keys:    map[store.Key]string{"servers/a": "9", "servers/b": "2"}, calls: []string{"list", "changes", "list", "changes"},
+		},
+		"lapsed in an outage": {
+			answers: []answer{list, {down: true}, {list: []store.Entry{a1}, revision: 9}},
+			keys:    map[store.Key]string{"servers/a": "1", "servers/b": "2"}, calls: []string{"list", "changes", "list", "changes"},
+		},
+		"lapsed in an outage and not back": {
+			answers: []answer{list, {down: true}, {list: []store.Entry{a1}, revision: 9}}, after: 3 * time.Second,
+			keys: map[store.Key]string{"servers/a": "1"}, calls: []string{"list", "changes", "list", "changes"},
+		},
+		"lapsed in an outage and back": {
+			answers: []answer{list, {down: true}, {list: []store.Entry{a1}, revision: 9}, put(entry("servers/b", "10", 10))}, after: 3 * time.Second,
+			keys: map[store.Key]string{"servers/a": "1", "servers/b": "10"}, calls: []string{"list", "changes", "list", "changes", "changes"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			clk := clockwork.NewFakeClock()
+			s := &source{answers: test.answers, cancel: cancel}
+			f := &follower{keys: make(map[store.Key]string)}
+			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: s, Lapsing: "servers/", Settle: 2 * time.Second})
+			m.Follow(f)
+			for ctx.Err() == nil {
+				m.step(ctx)
+			}
+			clk.Advance(test.after)
+			m.believeLapses()
+			c.Check(f.keys, qt.DeepEquals, test.keys)
+			c.Check(s.calls, qt.DeepEquals, test.calls)
+			c.Check(f.whole, qt.IsTrue)
+		})
+	}
+}
