--- a/cmd/cuminbay/plugins.go
+++ b/cmd/cuminbay/plugins.go
@@ -19,6 +19,7 @@
 	_ "cuminbay/internal/fleet/remote"
 	_ "cuminbay/internal/fleet/replica"
 	_ "cuminbay/internal/fleet/service"
+	_ "cuminbay/internal/peer/feed"
 	_ "cuminbay/internal/peer/gossip"
 	_ "cuminbay/internal/peer/twirp"
 	_ "cuminbay/internal/platform/etcd"
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -56,6 +56,9 @@
 	connected atomic.Bool
 	acting    atomic.Bool
 	revision  atomic.Int64
+	// fresh is when the platform last confirmed the copy, in nanoseconds since
+	// 1970 of the local clock.
+	fresh atomic.Int64
 
 	// listed and pause belong to Run.
 	listed bool
@@ -66,7 +69,10 @@
 	telling sync.Mutex
 
 	mu   sync.Mutex
-	keys map[store.Key]store.Entry
+	keys    map[store.Key]store.Entry
+	history history
+	// changed is closed and replaced when the copy changes.
+	changed chan struct{}
 	// lapsed has the removals that are not believed yet.
 	lapsed map[store.Key]time.Time
 	// settled is when removals are believed again after an outage.
@@ -75,7 +81,7 @@
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{Options: o, pause: firstPause, keys: make(map[store.Key]store.Entry), lapsed: make(map[store.Key]time.Time)}
+	return &Mirror{Options: o, pause: firstPause, keys: make(map[store.Key]store.Entry), changed: make(chan struct{}), lapsed: make(map[store.Key]time.Time)}
 }
 
 // Follow adds a follower. It is called before Run.
@@ -113,6 +119,18 @@
 // Act says whether this daemon acts on changes, as the planner does.
 func (m *Mirror) Act(acting bool) {
 	m.acting.Store(acting)
+	if u, ok := m.Source.(*Upstream); ok {
+		u.Act(acting)
+	}
+}
+
+// confirmed notes that the copy is up to date.
+func (m *Mirror) confirmed() {
+	fresh := m.Clock.Now()
+	if u, ok := m.Source.(*Upstream); ok {
+		fresh = u.Fresh()
+	}
+	m.fresh.Store(fresh.UnixNano())
 }
 
 func (m *Mirror) gatherTime() time.Duration {
@@ -192,6 +210,7 @@
 	}
 	m.mu.Unlock()
 	m.apply(changes, revision, true)
+	m.confirmed()
 	m.Log.Info().Int("keys", len(entries)).Int64("revision", int64(revision)).Msg("store-listed")
 	return true, nil
 }
@@ -208,6 +227,7 @@
 		return false, nil
 	}
 	m.apply(changes, complete, false)
+	m.confirmed()
 	return true, nil
 }
 
@@ -235,6 +255,15 @@
 		believed = append(believed, change)
 	}
 	m.revision.Store(max(m.revision.Load(), int64(revision)))
+	if whole {
+		m.history.restart(m.Revision())
+	} else {
+		m.history.add(believed)
+	}
+	if whole || len(believed) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
 	m.mu.Unlock()
 	m.tell(believed, whole)
 }
@@ -269,7 +298,11 @@
 		}
 		delete(m.lapsed, key)
 		delete(m.keys, key)
-		gone = append(gone, store.Change{Entry: store.Entry{Key: key}, Removed: true})
+		gone = append(gone, store.Change{Entry: store.Entry{Key: key, Revision: m.Revision()}, Removed: true})
+	}
+	// Those that follow this daemon read the list anew.
+	if len(gone) > 0 {
+		m.history.restart(m.Revision())
 	}
 	m.mu.Unlock()
 	if len(gone) > 0 {
--- a/internal/fleet/mirror/plugin.go
+++ b/internal/fleet/mirror/plugin.go
@@ -40,11 +40,15 @@
 	return &component{m, d}, nil
 }
 
-// Start begins to follow the source.
+// Start begins to follow the platform or another daemon.
 func (c *component) Start(context.Context) error {
-	if err := c.deps.Need(&c.Source); err != nil {
-		return err
+	u := &Upstream{Clock: c.Clock, Log: c.Log}
+	for _, target := range []any{&u.Platform, &u.Feed, &u.Tree} {
+		if err := c.deps.Need(target); err != nil {
+			return err
+		}
 	}
+	c.Source = u
 	if err := c.deps.NeedAll(&c.followers); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fleet/mirror/serve.go
@@ -0,0 +1,92 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+)
+
+// historyLimit bounds the changes kept for daemons that follow this one.
+const historyLimit = 1024
+
+// history has the latest changes in order of their revisions.
+type history struct {
+	changes []store.Change
+	// from is the revision after which the changes are complete.
+	from unit.Revision
+}
+
+func (h *history) add(changes []store.Change) {
+	h.changes = append(h.changes, changes...)
+	if over := len(h.changes) - historyLimit; over > 0 {
+		h.from = h.changes[over-1].Revision
+		h.changes = append(h.changes[:0], h.changes[over:]...)
+	}
+}
+
+// restart forgets the changes, after the list was read anew.
+func (h *history) restart(revision unit.Revision) {
+	h.changes, h.from = h.changes[:0], revision
+}
+
+// since returns the changes later than the revision, and false if they are not
+// complete.
+func (h *history) since(after unit.Revision) ([]store.Change, bool) {
+	if after < h.from {
+		return nil, false
+	}
+	i := len(h.changes)
+	for i > 0 && h.changes[i-1].Revision > after {
+		i--
+	}
+	return append([]store.Change(nil), h.changes[i:]...), true
+}
+
+// Age returns the time since the platform last confirmed the copy, directly or
+// through the daemons that are followed.
+func (m *Mirror) Age() time.Duration {
+	return m.Clock.Now().Sub(time.Unix(0, m.fresh.Load()))
+}
+
+// All returns the copy and its revision for a daemon that follows this one.
+//
+// Errors carry code.NotReady.
+func (m *Mirror) All() ([]store.Entry, unit.Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.revision.Load() == 0 {
+		return nil, 0, code.NotReady.New("mirror: nothing has been listed yet")
+	}
+	entries := make([]store.Entry, 0, len(m.keys))
+	for _, e := range m.keys {
+		entries = append(entries, e)
+	}
+	return entries, m.Revision(), nil
+}
+
+// Since waits for changes later than the revision, for a daemon that follows
+// this one.
+func (m *Mirror) Since(ctx context.Context, after unit.Revision, wait time.Duration) (changes []store.Change, complete unit.Revision, forgotten bool) {
+	timer := m.Clock.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		changed := m.changed
+		found, known := m.history.since(after)
+		complete = m.Revision()
+		m.mu.Unlock()
+		if !known || len(found) > 0 {
+			return found, complete, !known
+		}
+		select {
+		case <-changed:
+		case <-timer.Chan():
+			return nil, max(complete, after), false
+		case <-ctx.Done():
+			return nil, max(complete, after), false
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/feed/feed.go
@@ -0,0 +1,188 @@
+// Package feed passes the copy of the platform's keys from daemon to daemon, so
+// that few daemons call the platform, and those that it turns away still hear of
+// changes.
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/mirror"
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/peer/twirp"
+)
+
+// topic is the subject of the question that daemons ask each other.
+const topic = "changes"
+
+// ask is the body of a question.
+type ask struct {
+	// After is the revision that the asker has; List asks for everything.
+	After unit.Revision `json:"after"`
+	List  bool          `json:"list,omitempty"`
+	// Wait is how long to wait for a change, in milliseconds.
+	Wait int64 `json:"wait"`
+}
+
+// told is the body of an answer.
+type told struct {
+	Entries   []store.Entry  `json:"entries,omitempty"`
+	Changes   []store.Change `json:"changes,omitempty"`
+	Revision  unit.Revision  `json:"revision"`
+	Forgotten bool           `json:"forgotten,omitempty"`
+	// Age is the time since the platform confirmed the copy, in milliseconds.
+	Age int64 `json:"age"`
+}
+
+// copies is the copy of this daemon.
+type copies interface {
+	All() ([]store.Entry, unit.Revision, error)
+	Since(ctx context.Context, after unit.Revision, wait time.Duration) ([]store.Change, unit.Revision, bool)
+	Age() time.Duration
+}
+
+// server answers the daemons that follow this one.
+type server struct {
+	self   ident.Instance
+	copies copies
+}
+
+// longestWait bounds the wait that a question may ask for.
+const longestWait = 10 * time.Second
+
+// Ask answers a question. Errors travel in the answer.
+func (s *server) Ask(ctx context.Context, q *twirp.Question) (*twirp.Answer, error) {
+	body, err := s.answer(ctx, q)
+	if err != nil {
+		return &twirp.Answer{Code: int32(code.Of(err)), Message: code.Message(err)}, nil
+	}
+	return &twirp.Answer{Body: body}, nil
+}
+
+func (s *server) answer(ctx context.Context, q *twirp.Question) ([]byte, error) {
+	var a ask
+	if err := json.Unmarshal(q.GetBody(), &a); err != nil {
+		return nil, code.BadMessage.Wrap(err, "question of %s", q.GetFrom())
+	}
+	if q.GetTopic() != topic || q.GetTo() != string(s.self) {
+		return nil, code.BadMessage.New("question of %s to %s on %q", q.GetFrom(), q.GetTo(), q.GetTopic())
+	}
+	var t told
+	if a.List {
+		entries, revision, err := s.copies.All()
+		if err != nil {
+			return nil, err
+		}
+		t.Entries, t.Revision = entries, revision
+	} else {
+		wait := min(time.Duration(a.Wait)*time.Millisecond, longestWait)
+		t.Changes, t.Revision, t.Forgotten = s.copies.Since(ctx, a.After, wait)
+	}
+	t.Age = s.copies.Age().Milliseconds()
+	return json.Marshal(t)
+}
+
+// Exchange is part of the protocol and not used here.
+func (s *server) Exchange(context.Context, *twirp.Envelope) (*twirp.Envelope, error) {
+	return nil, code.BadMessage.New("this daemon exchanges no sections")
+}
+
+// client asks other daemons.
+type client struct {
+	self  ident.Instance
+	clock clock.Clock
+
+	mu    sync.Mutex
+	peers map[string]*link
+}
+
+// link is the connection to one daemon.
+type link struct {
+	twirp.Peer
+	transport *http.Transport
+}
+
+// Times of a question. One without an answer closes its connection, which may
+// have gone silent for good.
+const (
+	waitForChange = 2 * time.Second
+	answerTime    = 700 * time.Millisecond
+	dialTime      = 500 * time.Millisecond
+)
+
+func newClient(self ident.Instance, clk clock.Clock) *client {
+	return &client{self: self, clock: clk, peers: make(map[string]*link)}
+}
+
+// maxLinks bounds the daemons whose connections are kept.
+const maxLinks = 8
+
+func (c *client) link(address string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.peers[address]; l != nil {
+		return l
+	}
+	if len(c.peers) >= maxLinks {
+		for other, l := range c.peers {
+			l.transport.CloseIdleConnections()
+			delete(c.peers, other)
+		}
+	}
+	transport := &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTime}).DialContext,
+		DisableCompression: true,
+	}
+	l := &link{twirp.NewPeerProtobufClient("http://"+address, &http.Client{Transport: transport}), transport}
+	c.peers[address] = l
+	return l
+}
+
+func (c *client) call(ctx context.Context, p mirror.Peer, a ask) (*told, error) {
+	ctx, cancel := clock.WithDeadline(ctx, c.clock, c.clock.Now().Add(time.Duration(a.Wait)*time.Millisecond+answerTime))
+	defer cancel()
+	body, err := json.Marshal(a)
+	if err != nil {
+		return nil, code.Internal.Wrap(err, "question to %s", p.Instance)
+	}
+	l := c.link(p.Address)
+	answer, err := l.Ask(ctx, &twirp.Question{From: string(c.self), To: string(p.Instance), Topic: topic, Body: body})
+	if err != nil {
+		l.transport.CloseIdleConnections()
+		return nil, code.PlatformUnavailable.Wrap(err, "daemon %s at %s", p.Instance, p.Address)
+	}
+	if answer.GetCode() != 0 {
+		return nil, code.PlatformUnavailable.New("daemon %s at %s: %s", p.Instance, p.Address, answer.GetMessage())
+	}
+	t := new(told)
+	if err := json.Unmarshal(answer.GetBody(), t); err != nil {
+		return nil, code.BadMessage.Wrap(err, "daemon %s at %s", p.Instance, p.Address)
+	}
+	return t, nil
+}
+
+// List reads the daemon's whole copy.
+func (c *client) List(ctx context.Context, p mirror.Peer) ([]store.Entry, unit.Revision, time.Duration, error) {
+	t, err := c.call(ctx, p, ask{List: true})
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	return t.Entries, t.Revision, time.Duration(t.Age) * time.Millisecond, nil
+}
+
+// Changes waits for changes of the daemon's copy.
+func (c *client) Changes(ctx context.Context, p mirror.Peer, after unit.Revision) (changes []store.Change, complete unit.Revision, forgotten bool, age time.Duration, err error) {
+	t, err := c.call(ctx, p, ask{After: after, Wait: waitForChange.Milliseconds()})
+	if err != nil {
+		return nil, 0, false, 0, err
+	}
+	return t.Changes, t.Revision, t.Forgotten, time.Duration(t.Age) * time.Millisecond, nil
+}
--- /dev/null
+++ b/internal/peer/feed/plugin.go
@@ -0,0 +1,79 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/fleet/mirror"
+	"cuminbay/internal/kernel/plugin"
+	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/peer/twirp"
+)
+
+const section = "feed"
+
+// Settings are the section "feed".
+type Settings struct {
+	// Listen is the address for daemons that follow this one.
+	Listen string `json:"listen" validate:"omitempty,listen"`
+}
+
+func init() {
+	settings.Register(section, func() any { return new(Settings) })
+	plugin.RegisterFor("platform", plugin.Peer, "feed", newPlugin)
+}
+
+// component is the plug-in.
+type component struct {
+	plugin.Loops
+	deps     *plugin.Deps
+	settings *Settings
+	server   *server
+	http     *http.Server
+}
+
+func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
+	self := d.Settings.Daemon.Instance
+	d.Provide(newClient(self, d.Clock))
+	return &component{deps: d, settings: d.Settings.Section(section).(*Settings), server: &server{self: self}}, nil
+}
+
+// Start opens the listener.
+func (c *component) Start(ctx context.Context) error {
+	var m *mirror.Mirror
+	if err := c.deps.Need(&m); err != nil {
+		return err
+	}
+	c.server.copies = m
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", c.settings.Listen)
+	if err != nil {
+		return code.BadSettings.Wrap(err, "feed.listen")
+	}
+	const headerTimeout, idleTimeout = 2 * time.Second, 30 * time.Second
+	c.http = &http.Server{
+		Handler: twirp.NewPeerServer(c.server), ReadHeaderTimeout: headerTimeout,
+		WriteTimeout: longestWait + headerTimeout, IdleTimeout: idleTimeout,
+	}
+	c.Go(func(context.Context) {
+		if err := c.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			c.deps.Log.Error().Err(err).Str("listen", c.settings.Listen).Msg("feed-listener-failed")
+		}
+	})
+	return nil
+}
+
+// Stop closes the listener and the connections: those that follow this daemon
+// choose another.
+func (c *component) Stop(ctx context.Context) error {
+	if c.http != nil {
+		if err := c.http.Close(); err != nil {
+			c.deps.Log.Warn().Err(err).Msg("feed-listener-not-closed")
+		}
+	}
+	return c.Loops.Stop(ctx)
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -56,6 +56,8 @@
 // peer is another daemon.
 type peer struct {
 	address  netip.AddrPort
+	feed     string
+	centre   ident.DataCentre
 	listed   bool
 	boot     unit.Boot
 	sequence unit.Sequence
@@ -84,12 +86,20 @@
 	countedAge = 15 * time.Second
 )
 
-// Peers replaces the listed daemons and their addresses.
-func (g *Gossip) Peers(listed map[ident.Instance]netip.AddrPort) {
+// Listing is a daemon as the platform lists it.
+type Listing struct {
+	// Address is for datagrams, Feed for those that follow the daemon.
+	Address    netip.AddrPort
+	Feed       string
+	DataCentre ident.DataCentre
+}
+
+// Peers replaces the listed daemons.
+func (g *Gossip) Peers(listed map[ident.Instance]Listing) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	for id, address := range listed {
+	for id, l := range listed {
 		if id == g.Self {
 			continue
 		}
@@ -98,7 +108,7 @@
 			p = &peer{heard: now, told: make(map[endpoint]time.Time)}
 			g.peers[id] = p
 		}
-		p.address, p.listed = address, true
+		p.address, p.feed, p.centre, p.listed = l.Address, l.Feed, l.DataCentre, true
 	}
 	for id, p := range g.peers {
 		if _, ok := listed[id]; !ok {
@@ -123,14 +133,6 @@
 	return n
 }
 
-// Heard reports whether the daemon was heard of within the time.
-func (g *Gossip) Heard(id ident.Instance, within time.Duration) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p := g.peers[id]
-	return id == g.Self || p != nil && g.Clock.Since(p.heard) < within
-}
-
 // Failed tells the other daemons and the listeners at once that an endpoint
 // failed.
 func (g *Gossip) Failed(e *catalog.Endpoint, _ code.Code) {
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -24,6 +24,8 @@
 type Settings struct {
 	// Listen is the address for datagrams of other daemons.
 	Listen string `json:"listen" validate:"omitempty,listen"`
+	// Feed is the address at which other daemons follow this one.
+	Feed string `json:"feed" validate:"omitempty,listen"`
 	// Interval is the time between two datagrams to a daemon.
 	Interval settings.Duration `json:"interval" validate:"duration"`
 	// Lease is the time to live of this daemon's entry in the platform's
@@ -51,7 +53,9 @@
 
 // registration is a daemon's entry in the store.
 type registration struct {
-	Address string `json:"address"`
+	Address    string           `json:"address"`
+	Feed       string           `json:"feed"`
+	DataCentre ident.DataCentre `json:"centre"`
 }
 
 // component is the plug-in.
@@ -61,13 +65,13 @@
 	deps     *plugin.Deps
 	settings *Settings
 	platform platform
-	listed   map[ident.Instance]netip.AddrPort
+	listed   map[ident.Instance]Listing
 	lease    store.LeaseID
 }
 
 func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
 	s := d.Settings.Section(section).(*Settings)
-	c := &component{deps: d, settings: s, listed: make(map[ident.Instance]netip.AddrPort)}
+	c := &component{deps: d, settings: s, listed: make(map[ident.Instance]Listing)}
 	c.Gossip = New(Options{
 		Clock: d.Clock, Log: d.Log, Self: d.Settings.Daemon.Instance, DataCentre: d.Settings.Daemon.DataCentre,
 		Boot: unit.Boot(d.Clock.Now().UnixMilli()), Interval: s.Interval.Duration,
@@ -146,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(registration{Address: c.settings.Listen})
+	value, err := json.Marshal(registration{Address: c.settings.Listen, Feed: c.settings.Feed, DataCentre: c.DataCentre})
 	if err != nil {
 		return err
 	}
@@ -184,7 +188,7 @@
 			c.Log.Warn().Err(err).Str("key", string(change.Key)).Msg("registration-rejected")
 			continue
 		}
-		c.listed[id] = address
+		c.listed[id] = Listing{Address: address, Feed: r.Feed, DataCentre: r.DataCentre}
 	}
 	c.Peers(c.listed)
 	c.Log.Info().Int("daemons", len(c.listed)).Msg("daemons-listed")
