--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -121,19 +122,23 @@
 }
 
 // Admit reports whether a request may be sent to a cold server now, with at
-// most perSecond requests in any second, and counts it. Spacing the requests
-// evenly bounds every second, wherever it begins.
+// most perSecond requests a second, and counts it. Requests are spaced evenly,
+// which bounds every second, wherever it begins. The first one waits for a
+// random part of the interval, as all daemons learn of a cold server together.
 func (l *Load) Admit(now time.Time, perSecond float64) bool {
 	if perSecond <= 0 {
 		return false
 	}
-	interval := time.Duration(float64(time.Second) / perSecond)
+	interval := int64(float64(time.Second) / perSecond)
 	for {
 		next, at := l.coldNext.Load(), now.UnixNano()
-		if at < next {
+		switch {
+		case at < next:
 			return false
-		}
-		if l.coldNext.CompareAndSwap(next, at+int64(interval)) {
+		case at > next+interval:
+			l.coldNext.CompareAndSwap(next, at+rand.Int64N(interval))
+			return false
+		case l.coldNext.CompareAndSwap(next, next+interval):
 			return true
 		}
 	}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -68,7 +68,7 @@
 	// order and one at a time.
 	telling sync.Mutex
 
-	mu   sync.Mutex
+	mu      sync.Mutex
 	keys    map[store.Key]store.Entry
 	history history
 	// changed is closed and replaced when the copy changes.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strconv"
@@ -47,6 +48,7 @@
 	conn net.PacketConn
 
 	mu        sync.Mutex
+	random    *rand.Rand
 	sequence  unit.Sequence
 	peers     map[ident.Instance]*peer
 	failures  map[endpoint]time.Time
@@ -69,7 +71,10 @@
 
 // New returns a gossip that talks over the connection.
 func New(o Options, conn net.PacketConn) *Gossip {
-	return &Gossip{Options: o, conn: conn, peers: make(map[ident.Instance]*peer), failures: make(map[endpoint]time.Time)}
+	return &Gossip{
+		Options: o, conn: conn, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		peers: make(map[ident.Instance]*peer), failures: make(map[endpoint]time.Time),
+	}
 }
 
 // Listen adds a listener. It is called before anything is received.
@@ -143,10 +148,22 @@
 	now := g.Clock.Now()
 	last, known := g.failures[nameOf(e)]
 	g.failures[nameOf(e)] = now
+	heard := g.told(nameOf(e), now)
 	g.mu.Unlock()
-	if !known || now.Sub(last) > g.Interval {
-		g.Send()
+	if !heard && (!known || now.Sub(last) > g.Interval) {
+		g.send(true)
+	}
+}
+
+// told reports whether another daemon has said a short time ago that the
+// endpoint failed, and so has told everybody.
+func (g *Gossip) told(e endpoint, now time.Time) bool {
+	for _, p := range g.peers {
+		if at, ok := p.told[e]; ok && now.Sub(at) < failureAge {
+			return true
+		}
 	}
+	return false
 }
 
 func nameOf(e *catalog.Endpoint) endpoint {
@@ -157,9 +174,13 @@
 	return endpoint(string(id) + "@" + strconv.FormatUint(uint64(epoch), 10))
 }
 
-// Send sends a datagram to each daemon.
+// Send sends a datagram to some daemons.
 func (g *Gossip) Send() {
-	raw, to := g.compose()
+	g.send(false)
+}
+
+func (g *Gossip) send(everybody bool) {
+	raw, to := g.compose(everybody)
 	if raw == nil {
 		return
 	}
@@ -169,7 +190,36 @@
 	}
 }
 
-func (g *Gossip) compose() ([]byte, []netip.AddrPort) {
+// Daemons that a datagram goes to at each interval: so many of the own data
+// centre, whose endpoints are shared most, and so many of others.
+const (
+	nearFanout = 7
+	farFanout  = 5
+)
+
+// choose returns where the next datagram goes.
+func (g *Gossip) choose(everybody bool) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for _, p := range g.peers {
+		switch {
+		case !p.listed:
+		case p.centre == g.DataCentre:
+			near = append(near, p.address)
+		default:
+			far = append(far, p.address)
+		}
+	}
+	if everybody {
+		return append(near, far...)
+	}
+	shuffle := func(list []netip.AddrPort, most int) []netip.AddrPort {
+		g.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		return list[:min(most, len(list))]
+	}
+	return append(shuffle(near, nearFanout), shuffle(far, farFanout)...)
+}
+
+func (g *Gossip) compose(everybody bool) ([]byte, []netip.AddrPort) {
 	m := message{From: g.Self, DataCentre: g.DataCentre, Boot: g.Boot, Load: make(map[endpoint]unit.Requests)}
 	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
 		if n := e.Load.InFlight(); n > 0 {
@@ -186,12 +236,7 @@
 		}
 		m.Failed = append(m.Failed, failure{Endpoint: e, Age: now.Sub(at).Milliseconds()})
 	}
-	var to []netip.AddrPort
-	for _, p := range g.peers {
-		if p.listed {
-			to = append(to, p.address)
-		}
-	}
+	to := g.choose(everybody)
 	if len(to) == 0 {
 		return nil, nil
 	}
@@ -280,19 +325,43 @@
 	hearsayAvoid   = 500 * time.Millisecond
 )
 
-// Count sets, for each endpoint, what the other daemons have in flight.
+// Count sets, for each endpoint, what the other daemons have in flight. Those
+// that were not heard lately are taken to have as much as the others of their
+// data centre.
 func (g *Gossip) Count() {
-	total := make(map[endpoint]unit.Requests)
+	type sum struct {
+		load   map[endpoint]unit.Requests
+		heard  int
+		listed int
+	}
+	centres := make(map[ident.DataCentre]*sum)
 	g.mu.Lock()
 	now := g.Clock.Now()
 	for _, p := range g.peers {
+		c := centres[p.centre]
+		if c == nil {
+			c = &sum{load: make(map[endpoint]unit.Requests)}
+			centres[p.centre] = c
+		}
+		if p.listed {
+			c.listed++
+		}
 		if now.Sub(p.heard) > loadAge {
 			continue
 		}
+		c.heard++
 		for e, n := range p.load {
-			total[e] += n
+			c.load[e] += n
 		}
 	}
 	g.mu.Unlock()
-	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) { e.Load.SetOthers(total[nameOf(e)]) })
+	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
+		total := 0.0
+		for _, c := range centres {
+			if c.heard > 0 {
+				total += float64(c.load[nameOf(e)]) * float64(max(c.listed, c.heard)) / float64(c.heard)
+			}
+		}
+		e.Load.SetOthers(unit.Requests(total + 0.5))
+	})
 }
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -210,4 +210,6 @@
 // emptyCatalog knows nothing yet.
 type emptyCatalog struct{}
 
-func (emptyCatalog) Current() *catalog.Snapshot { return catalog.New(clockwork.NewFakeClock()).Current() }
+func (emptyCatalog) Current() *catalog.Snapshot {
+	return catalog.New(clockwork.NewFakeClock()).Current()
+}
