--- /dev/null
+++ b/internal/endpoint/stream/raw_test.go
@@ -0,0 +1,236 @@
+package stream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/kernel/clock"
+)
+
+// script answers each connection with the same bytes, once a request line has
+// come, and then closes or resets it, or leaves it open.
+type script struct {
+	answer string
+	end    string
+	// connections counts the connections; requests gets a line for each.
+	connections chan net.Conn
+}
+
+func (s *script) listen(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	s.connections = make(chan net.Conn, 16)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections <- conn
+			go s.serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (s *script) serve(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := reader.ReadString('\n'); err != nil {
+			return
+		}
+		for line := "-"; strings.TrimSpace(line) != ""; {
+			var err error
+			if line, err = reader.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(conn, s.answer)
+		switch s.end {
+		case "close":
+			_ = conn.Close()
+			return
+		case "reset":
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+func rawPool() *Pool {
+	return NewPool(PoolOptions{Clock: clock.Real(), Connections: 4, DialTimeout: time.Second, Silence: 2 * time.Second})
+}
+
+func rawMessage(address string) *Message {
+	return &Message{
+		Address: address, Bytes: []byte("GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: own\r\n\r\n"),
+		Own: func(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Request-Id")) == "own" },
+	}
+}
+
+// TestForward guards against a part of an answer that is taken for the whole, an
+// answer to another request that is passed on, and a connection that is used
+// again though more may come on it.
+func TestForward(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nRequest-Id: own\r\n"
+	tests := map[string]struct {
+		answer string
+		end    string
+		body   string
+		broken bool
+		kept   bool
+	}{
+		"a length":                    {answer: own + "Content-Length: 3\r\n\r\nabc", body: "abc", kept: true},
+		"no body":                     {answer: own + "Content-Length: 0\r\n\r\n", kept: true},
+		"chunks":                      {answer: own + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", body: "abc", kept: true},
+		"chunks with a trailer":       {answer: own + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nSum: 1\r\n\r\n", body: "abc", kept: true},
+		"an end that closes":          {answer: own + "\r\nabc", end: "close", body: "abc"},
+		"an end that resets":          {answer: own + "\r\nabc", end: "reset", broken: true},
+		"a length that is cut":        {answer: own + "Content-Length: 5\r\n\r\nabc", end: "close", body: "abc", broken: true},
+		"chunks that are cut":         {answer: own + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", end: "close", body: "abc", broken: true},
+		"the last chunk is cut":       {answer: own + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", end: "close", body: "abc", broken: true},
+		"a server that closes":        {answer: own + "Connection: close\r\nContent-Length: 1\r\n\r\na", body: "a"},
+		"a late answer before":        {answer: "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nxx" + own + "Content-Length: 1\r\n\r\na", body: "a", kept: true},
+		"an extra answer behind":      {answer: own + "Content-Length: 1\r\n\r\na" + "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nxx", body: "a"},
+		"a first answer to be waited": {answer: "HTTP/1.1 100 Continue\r\n\r\n" + own + "Content-Length: 1\r\n\r\na", body: "a", kept: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &script{answer: test.answer, end: test.end}
+			address := s.listen(c)
+			p := rawPool()
+			defer p.CloseIdleConnections()
+			r, err := p.Forward(context.Background(), rawMessage(address))
+			if test.end == "reset" && err != nil {
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			body, err := io.ReadAll(r)
+			if test.end != "reset" {
+				c.Check(string(body), qt.Equals, test.body)
+			}
+			c.Check(err != nil, qt.Equals, test.broken, qt.Commentf("%v", err))
+			r.Close()
+			p.mu.Lock()
+			h := p.hosts[address]
+			c.Check(h != nil && len(h.idle) == 1, qt.Equals, test.kept)
+			p.mu.Unlock()
+		})
+	}
+}
+
+// TestNoAnswer guards against bytes that are no answer, and answers to others
+// only, being taken for an answer.
+func TestNoAnswer(t *testing.T) {
+	tests := map[string]string{
+		"no protocol":  "nonsense\r\n\r\n",
+		"nothing":      "",
+		"others only":  strings.Repeat("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n", 3),
+		"a part of it": "HTTP/1.1 200 OK\r\nRequest-Id: own\r\n",
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &script{answer: answer, end: "close"}
+			_, err := rawPool().Forward(context.Background(), rawMessage(s.listen(c)))
+			c.Check(err, qt.IsNotNil)
+		})
+	}
+}
+
+// TestSilence guards against a silent server that is waited for without an end.
+func TestSilence(t *testing.T) {
+	c := qt.New(t)
+	s := &script{answer: "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n"}
+	m := rawMessage(s.listen(c))
+	asked := 0
+	m.Interval = 10 * time.Millisecond
+	m.Silent = func(d time.Duration) bool {
+		asked++
+		return d < 35*time.Millisecond
+	}
+	r, err := rawPool().Forward(context.Background(), m)
+	c.Assert(err, qt.IsNil)
+	defer r.Close()
+	_, err = io.ReadAll(r)
+	c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue)
+	c.Check(asked >= 3, qt.IsTrue)
+}
+
+// TestLongMessage guards against a daemon that blocks on a body which its server
+// doesn't read, though the answer is there.
+func TestLongMessage(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close() //nolint:errcheck // the end of the test
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 16))
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nRequest-Id: own\r\nContent-Length: 0\r\n\r\n")
+	}()
+	m := rawMessage(l.Addr().String())
+	m.Bytes = append(m.Bytes, make([]byte, 16<<20)...)
+	p := rawPool()
+	r, err := p.Forward(context.Background(), m)
+	c.Assert(err, qt.IsNil)
+	c.Check(r.Header.StatusCode(), qt.Equals, 413)
+	r.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.Check(p.hosts[m.Address], qt.IsNil)
+}
+
+// TestFresh guards against a request that must not run twice going out on a
+// connection that its server may be closing.
+func TestFresh(t *testing.T) {
+	c := qt.New(t)
+	s := &script{answer: "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nContent-Length: 0\r\n\r\n"}
+	p := rawPool()
+	defer p.CloseIdleConnections()
+	m := rawMessage(s.listen(c))
+	for i, fresh := range []bool{false, false, true} {
+		m.Fresh = fresh
+		r, err := p.Forward(context.Background(), m)
+		c.Assert(err, qt.IsNil)
+		r.Close()
+		c.Check(len(s.connections), qt.Equals, 1+i/2)
+	}
+}
+
+// TestKeepAlive guards against the use of a connection that its server is about
+// to close.
+func TestKeepAlive(t *testing.T) {
+	tests := map[string]struct {
+		field string
+		want  time.Duration
+	}{
+		"none":             {"", idleLimit},
+		"a time":           {"timeout=2", 1500 * time.Millisecond},
+		"among others":     {"max=5, timeout=1", 750 * time.Millisecond},
+		"a long time":      {"timeout=60", idleLimit},
+		"not a number":     {"timeout=soon", idleLimit},
+		"zero is no bound": {"timeout=0", idleLimit},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Check(keepAlive([]byte(test.field)), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/fleet/catalog/snapshot.go
+++ b/internal/fleet/catalog/snapshot.go
@@ -44,7 +44,7 @@
 	Load     *Load
 }
 
-// Services returns the endpoints of a plain service.
+// Plain returns the endpoints of a plain service.
 func (s *Snapshot) Plain(name ident.Service) []*Endpoint {
 	return s.plain[name]
 }
--- a/internal/route/balance/budget.go
+++ b/internal/route/balance/budget.go
@@ -24,12 +24,13 @@
 	BudgetOptions
 
 	mu       sync.Mutex
-	slots    [budgetSlots]budgetSlot
+	slots    [budgetSlots + 1]budgetSlot
 	requests int
 	repeats  int
 }
 
-// budgetSlots is the number of parts of a window that are counted apart.
+// budgetSlots is the number of parts of a window that are counted apart. One more
+// is counted, as the current one is not over: so no window is seen too short.
 const budgetSlots = 10
 
 type budgetSlot struct {
@@ -73,13 +74,13 @@
 func (b *Budget) slot() *budgetSlot {
 	number := b.Clock.Now().UnixNano() / int64(b.Window/budgetSlots)
 	for i := range b.slots {
-		if s := &b.slots[i]; s.number <= number-budgetSlots && s.number != 0 {
+		if s := &b.slots[i]; s.number < number-budgetSlots && s.number != 0 {
 			b.requests -= s.requests
 			b.repeats -= s.repeats
 			*s = budgetSlot{}
 		}
 	}
-	s := &b.slots[number%budgetSlots]
+	s := &b.slots[number%(budgetSlots+1)]
 	s.number = number
 	return s
 }
