--- a/internal/fleet/formation/adopt.go
+++ b/internal/fleet/formation/adopt.go
@@ -50,6 +50,7 @@
 		r.enter(short, p.now)
 	}
 	p.replicas[name] = r
+	p.placed = nil
 	p.note("replica-adopted", r, "members %v", r.members)
 }
 
--- a/internal/fleet/formation/drive.go
+++ b/internal/fleet/formation/drive.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"cuminbay/internal/domain/ident"
@@ -42,7 +43,7 @@
 				p.order(id, site.Order{Operation: site.Leave, Replica: m.Replica, Epoch: m.Epoch})
 				continue
 			}
-			p.order(id, site.Order{Operation: site.Join, Replica: r.name, Epoch: r.epoch, Model: r.model.Name, Members: r.members})
+			p.order(id, site.Order{Operation: site.Join, Replica: r.name, Epoch: r.epoch, Model: r.model.Name, Members: slices.Clone(r.members)})
 		case m.State == site.Ready, m.State == site.Open:
 			ready++
 		}
@@ -104,6 +105,7 @@
 	}
 	if left == 0 {
 		delete(p.replicas, r.name)
+		p.placed = nil
 	}
 }
 
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -52,6 +52,7 @@
 		r.members = append(r.members, s.ID)
 	}
 	p.replicas[r.name] = r
+	p.placed = nil
 	p.join(r, fmt.Sprintf("new in domain %s", domain))
 	return true
 }
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -111,6 +111,16 @@
 	now      time.Time
 	view     *catalog.Snapshot
 	commands []Command
+	// domain has the servers of each fabric domain in order of their ids.
+	domain map[domainKey][]*site.Server
+	// placed has the members of replicas; nil says that it has to be built.
+	placed map[ident.Instance]bool
+}
+
+// domainKey names a fabric domain of a service.
+type domainKey struct {
+	service ident.Service
+	domain  ident.Domain
 }
 
 // Note is a decision.
@@ -186,6 +196,7 @@
 			delete(p.dead, id)
 		}
 	}
+	p.index()
 	for id, l := range p.loads.running {
 		if s := view.Servers[id]; s == nil || s.HasStaged(l.model) {
 			p.loads.done(id)
@@ -206,6 +217,35 @@
 	return p.commands
 }
 
+// index sorts the servers into their fabric domains.
+func (p *Planner) index() {
+	p.placed = nil
+	p.domain = make(map[domainKey][]*site.Server)
+	for _, s := range p.view.Servers {
+		if s.Domain != "" {
+			key := domainKey{s.Service, s.Domain}
+			p.domain[key] = append(p.domain[key], s)
+		}
+	}
+	for _, list := range p.domain {
+		slices.SortFunc(list, func(a, b *site.Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// isPlaced reports whether the server is a member of a replica. What changes
+// members sets placed to nil.
+func (p *Planner) isPlaced(id ident.Instance) bool {
+	if p.placed == nil {
+		p.placed = make(map[ident.Instance]bool)
+		for _, r := range p.replicas {
+			for _, member := range r.members {
+				p.placed[member] = true
+			}
+		}
+	}
+	return p.placed[id]
+}
+
 func (p *Planner) note(event string, r *replica, format string, args ...any) {
 	p.Noted = append(p.Noted, Note{Event: event, Replica: r.name, Epoch: r.epoch, Detail: fmt.Sprintf(format, args...)})
 }
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -12,15 +12,9 @@
 // spares returns the usable servers of the domain that belong to no replica,
 // those that have the model's weights first.
 func (p *Planner) spares(service *site.Service, domain ident.Domain, model ident.Model) []*site.Server {
-	placed := make(map[ident.Instance]bool)
-	for _, r := range p.replicas {
-		for _, id := range r.members {
-			placed[id] = true
-		}
-	}
 	var list []*site.Server
-	for _, s := range p.view.Servers {
-		if s.Service == service.Name && s.Domain == domain && !placed[s.ID] && p.usable(s) && s.Member == nil {
+	for _, s := range p.domain[domainKey{service.Name, domain}] {
+		if s.Member == nil && p.usable(s) && !p.isPlaced(s.ID) {
 			list = append(list, s)
 		}
 	}
@@ -53,6 +47,7 @@
 				s := p.view.Servers[id]
 				return s == nil || !p.usable(s)
 			})
+			p.placed = nil
 			broken = append(broken, r)
 		}
 	}
@@ -77,6 +72,7 @@
 	for _, s := range spares[:need] {
 		r.members = append(r.members, s.ID)
 	}
+	p.placed = nil
 	p.join(r, fmt.Sprintf("%d new members", need))
 }
 
@@ -138,9 +134,9 @@
 // of their names.
 func (p *Planner) domains(service *site.Service) []ident.Domain {
 	var list []ident.Domain
-	for _, s := range p.view.Servers {
-		if s.Service == service.Name && s.Domain != "" && !slices.Contains(list, s.Domain) {
-			list = append(list, s.Domain)
+	for key := range p.domain {
+		if key.service == service.Name {
+			list = append(list, key.domain)
 		}
 	}
 	slices.Sort(list)
@@ -165,8 +161,8 @@
 // size returns the number of the domain's servers.
 func (p *Planner) size(service *site.Service, domain ident.Domain) int {
 	n := 0
-	for _, s := range p.view.Servers {
-		if s.Service == service.Name && s.Domain == domain && p.usable(s) {
+	for _, s := range p.domain[domainKey{service.Name, domain}] {
+		if p.usable(s) {
 			n++
 		}
 	}
