Take no list from an older copy; follow only daemons with fresh ones

A daemon whose parent had lost the store followed it for 4.5 s; and one that listed a copy older than its own kept its own revision, so the changes between were never read: a server that left at 14.607 s got requests 3.1 s later. Ruled out: the store's watch, whose changes the other data centres had in 0.2 s.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
@@ -63,6 +65,10 @@
 	// listed and pause belong to Run.
 	listed bool
 	pause  time.Duration
+	// heard is the highest revision that another daemon has, and interrupt ends
+	// the call at work.
+	heard     atomic.Int64
+	interrupt atomic.Pointer[context.CancelFunc]
 
 	// telling is held while followers are told, so that they see changes in
 	// order and one at a time.
@@ -107,13 +113,14 @@
 }
 
 // Times between two calls to a source that fails, and for which a burst of
-// changes is gathered before the next call. A daemon that acts on changes
-// gathers for a shorter time.
+// changes is gathered before the next call to the platform, where each call is
+// paid for.
 const (
-	firstPause   = 50 * time.Millisecond
-	longestPause = 500 * time.Millisecond
-	gather       = 200 * time.Millisecond
-	gatherActing = 20 * time.Millisecond
+	firstPause    = 50 * time.Millisecond
+	longestPause  = 500 * time.Millisecond
+	gather        = 150 * time.Millisecond
+	gatherActing  = 20 * time.Millisecond
+	gatherThrough = 20 * time.Millisecond
 )
 
 // Act says whether this daemon acts on changes, as the planner does.
@@ -134,8 +141,12 @@
 }
 
 func (m *Mirror) gatherTime() time.Duration {
-	if m.acting.Load() {
+	u, ok := m.Source.(*Upstream)
+	switch {
+	case m.acting.Load():
 		return gatherActing
+	case ok && u.Through():
+		return gatherThrough
 	}
 	return gather
 }
@@ -149,6 +160,9 @@
 
 // step makes one call to the source and returns the time to the next.
 func (m *Mirror) step(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.interrupt.Store(&cancel)
 	var err error
 	if m.listed {
 		m.listed, err = m.read(ctx)
@@ -162,18 +176,57 @@
 	// A watch that was cut may have missed changes before, and a new one from
 	// the same revision may not hear of them.
 	m.listed = false
-	m.lost(ctx, err)
+	m.lost(err)
 	pause := m.pause
 	m.pause = min(2*m.pause, longestPause)
 	return clock.Jitter(pause)
 }
 
-func (m *Mirror) lost(ctx context.Context, err error) {
-	if ctx.Err() == nil && m.connected.Swap(false) {
+func (m *Mirror) lost(err error) {
+	if m.connected.Swap(false) {
 		m.Log.Warn().Err(err).Int64("revision", m.revision.Load()).Msg("store-lost")
 	}
 }
 
+// Heard takes the revision that another daemon has.
+func (m *Mirror) Heard(revision unit.Revision) {
+	for {
+		known := m.heard.Load()
+		if known >= int64(revision) || m.heard.CompareAndSwap(known, int64(revision)) {
+			return
+		}
+	}
+}
+
+// behindTime is how long another daemon may be ahead: changes are gathered and
+// pass several daemons.
+const behindTime = 700 * time.Millisecond
+
+// Watch notices that other daemons have later changes, since the source of this
+// one has gone silent or lost the platform. The call at work is ended, and
+// another source is chosen.
+func (m *Mirror) Watch(ctx context.Context) {
+	var behind int64
+	for plugin.Sleep(ctx, m.Clock, behindTime) {
+		own, heard := m.revision.Load(), m.heard.Load()
+		if behind == 0 || own >= behind {
+			behind = 0
+			if heard > own {
+				behind = heard
+			}
+			continue
+		}
+		m.Log.Info().Int64("revision", own).Int64("heard", heard).Msg("store-behind")
+		behind = 0
+		if u, ok := m.Source.(*Upstream); ok {
+			u.Leave()
+		}
+		if cancel := m.interrupt.Load(); cancel != nil {
+			(*cancel)()
+		}
+	}
+}
+
 // regained notes that the source answers again after an outage.
 func (m *Mirror) regained() {
 	if m.connected.Swap(true) {
@@ -193,6 +246,13 @@
 	if err != nil {
 		return false, err
 	}
+	if own := m.Revision(); revision < own {
+		// Another daemon's copy that is older than this one would undo changes.
+		if u, ok := m.Source.(*Upstream); ok {
+			u.Leave()
+		}
+		return false, code.PlatformUnavailable.New("list at revision %d, own copy at %d", revision, own)
+	}
 	m.regained()
 	m.mu.Lock()
 	listed := make(map[store.Key]bool, len(entries))
@@ -209,6 +269,11 @@
 		}
 	}
 	m.mu.Unlock()
+	// What changed since the last list or change, in order, so that those that
+	// follow this daemon need no list.
+	slices.SortFunc(changes, func(a, b store.Change) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	})
 	m.apply(changes, revision, true)
 	m.confirmed()
 	m.Log.Info().Int("keys", len(entries)).Int64("revision", int64(revision)).Msg("store-listed")
@@ -255,12 +320,11 @@
 		believed = append(believed, change)
 	}
 	m.revision.Store(max(m.revision.Load(), int64(revision)))
-	if whole {
-		m.history.restart(m.Revision())
-	} else {
-		m.history.add(believed)
+	if m.history.from == 0 {
+		m.history.from = m.Revision()
 	}
-	if whole || len(believed) > 0 {
+	m.history.add(believed)
+	if len(believed) > 0 {
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 )
@@ -113,6 +114,10 @@
 			answers: []answer{list, {down: true}, {list: []store.Entry{entry("servers/a", "9", 9), b2}, revision: 9}},
 			keys:    map[store.Key]string{"servers/a": "9", "servers/b": "2"}, calls: []string{"list", "changes", "list", "changes"},
 		},
+		"an older list is not taken": {
+			answers: []answer{list, {down: true}, {list: []store.Entry{a1}, revision: 1}, {list: []store.Entry{a1, b2}, revision: 3}},
+			keys:    map[store.Key]string{"servers/a": "1", "servers/b": "2"}, calls: []string{"list", "changes", "list", "list", "changes"},
+		},
 		"lapsed in an outage": {
 			answers: []answer{list, {down: true}, {list: []store.Entry{a1}, revision: 9}},
 			keys:    map[store.Key]string{"servers/a": "1", "servers/b": "2"}, calls: []string{"list", "changes", "list", "changes"},
@@ -147,3 +152,118 @@
 		})
 	}
 }
+
+// fakeFeed answers for daemons by their names.
+type fakeFeed struct {
+	ages  map[ident.Instance]time.Duration
+	calls []string
+}
+
+func (f *fakeFeed) List(_ context.Context, p Peer) ([]store.Entry, unit.Revision, time.Duration, error) {
+	f.calls = append(f.calls, string(p.Instance))
+	age, ok := f.ages[p.Instance]
+	if !ok {
+		return nil, 0, 0, errDown
+	}
+	return nil, 9, age, nil
+}
+
+func (f *fakeFeed) Changes(context.Context, Peer, unit.Revision) ([]store.Change, unit.Revision, bool, time.Duration, error) {
+	return nil, 9, false, 0, nil
+}
+
+// fakeTree has a parent, unless it is empty, and others.
+type fakeTree struct {
+	parent ident.Instance
+	others []Peer
+}
+
+func (f fakeTree) Parent() (Peer, bool) { return Peer{Instance: f.parent}, f.parent != "" }
+func (f fakeTree) Others() []Peer       { return f.others }
+
+// TestUpstream guards against a daemon that hears of no change, since it follows
+// a source that is down or has itself lost the platform.
+func TestUpstream(t *testing.T) {
+	platformUp := answer{revision: 9}
+	tests := map[string]struct {
+		tree     fakeTree
+		acting   bool
+		platform []answer
+		ages     map[ident.Instance]time.Duration
+		calls    []string
+		wanted   int
+	}{
+		"the root asks the platform":          {platform: []answer{platformUp}, wanted: 1},
+		"others ask their parent":             {tree: fakeTree{parent: "p"}, ages: map[ident.Instance]time.Duration{"p": time.Second}, calls: []string{"p"}},
+		"the planner asks the platform":       {tree: fakeTree{parent: "p"}, acting: true, platform: []answer{platformUp}, wanted: 1},
+		"a parent that is down":               {tree: fakeTree{parent: "p"}, platform: []answer{platformUp}, calls: []string{"p"}, wanted: 1},
+		"a parent that has lost the platform": {tree: fakeTree{parent: "p"}, ages: map[ident.Instance]time.Duration{"p": 9 * time.Second}, platform: []answer{platformUp}, calls: []string{"p"}, wanted: 1},
+		"no platform and no parent": {
+			tree: fakeTree{others: []Peer{{Instance: "q"}, {Instance: "r"}}}, platform: []answer{{down: true}},
+			ages: map[ident.Instance]time.Duration{"r": 0}, calls: []string{"q", "r"}, wanted: 1,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			platform := &source{answers: test.platform, cancel: func() {}}
+			feed := &fakeFeed{ages: test.ages}
+			u := &Upstream{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Platform: platform, Feed: feed, Tree: test.tree}
+			u.Act(test.acting)
+			err := errDown
+			for tries := 0; err != nil && tries < 4; tries++ {
+				_, _, err = u.List(context.Background(), "")
+			}
+			c.Check(err, qt.IsNil)
+			c.Check(feed.calls, qt.DeepEquals, test.calls)
+			c.Check(len(platform.calls), qt.Equals, test.wanted)
+		})
+	}
+}
+
+// TestSince guards against changes that a daemon which follows this one misses.
+func TestSince(t *testing.T) {
+	changes := func(revisions ...unit.Revision) []store.Change {
+		var list []store.Change
+		for _, r := range revisions {
+			list = append(list, store.Change{Entry: entry("k", "v", r)})
+		}
+		return list
+	}
+	tests := map[string]struct {
+		after unit.Revision
+		want  []store.Change
+		known bool
+	}{
+		"all":              {after: 10, want: changes(11, 13, 14), known: true},
+		"some":             {after: 12, want: changes(13, 14), known: true},
+		"none":             {after: 14, known: true},
+		"before the start": {after: 9},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := history{from: 10}
+			h.add(changes(11, 13, 14))
+			got, known := h.since(test.after)
+			c.Check(known, qt.Equals, test.known)
+			c.Check(got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestHistoryBound guards against a history that grows without end, and against
+// one that forgets changes and doesn't say so.
+func TestHistoryBound(t *testing.T) {
+	c := qt.New(t)
+	h := history{from: 1}
+	for r := range unit.Revision(2 * historyLimit) {
+		h.add([]store.Change{{Entry: entry("k", "v", r+2)}})
+	}
+	c.Check(len(h.changes), qt.Equals, historyLimit)
+	_, known := h.since(5)
+	c.Check(known, qt.IsFalse)
+	got, known := h.since(h.from)
+	c.Check(known, qt.IsTrue)
+	c.Check(got, qt.HasLen, historyLimit)
+}
--- a/internal/fleet/mirror/plugin.go
+++ b/internal/fleet/mirror/plugin.go
@@ -53,5 +53,6 @@
 		return err
 	}
 	c.Go(c.Run)
+	c.Go(c.Watch)
 	return nil
 }
--- a/internal/fleet/mirror/serve.go
+++ b/internal/fleet/mirror/serve.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// restart forgets the changes, after the list was read anew.
+// restart forgets the changes, after one that has no revision of its own.
 func (h *history) restart(revision unit.Revision) {
 	h.changes, h.from = h.changes[:0], revision
 }
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -46,19 +46,28 @@
 
 	mu     sync.Mutex
 	acting bool
-	// failed has the time until which a source is not tried, by daemon; the
-	// platform's is under the empty name.
-	failed map[ident.Instance]time.Time
+	// failed has what is known of failing sources, by daemon; the platform is
+	// under the empty name.
+	failed map[ident.Instance]trouble
 	// current is what is followed, and fresh when it was last confirmed.
 	current ident.Instance
 	fresh   time.Time
 }
 
+// trouble is a source that failed.
+type trouble struct {
+	inARow int
+	until  time.Time
+}
+
 // Times for which a source is left alone after it failed, and the age above
-// which a daemon's copy is of no use: it has lost the platform itself.
+// which a daemon's copy is of no use: it has lost the platform itself. The time
+// doubles, since a call to a platform that is silent takes as long as others
+// would need to tell of changes.
 const (
-	leaveAlone  = 1500 * time.Millisecond
-	longestAge  = 4500 * time.Millisecond
+	leaveAlone  = 1200 * time.Millisecond
+	leaveMost   = 3
+	longestAge  = 3 * time.Second
 	platformKey = ident.Instance("")
 )
 
@@ -75,7 +84,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Clock.Now()
-	usable := func(id ident.Instance) bool { return !now.Before(u.failed[id]) }
+	usable := func(id ident.Instance) bool { return !now.Before(u.failed[id].until) }
 	if hasParent && !u.acting && usable(parent.Instance) {
 		return parent, true
 	}
@@ -96,12 +105,10 @@
 	defer u.mu.Unlock()
 	now := u.Clock.Now()
 	if err != nil {
-		if u.failed == nil {
-			u.failed = make(map[ident.Instance]time.Time)
-		}
-		u.failed[id] = now.Add(clock.Jitter(leaveAlone))
+		u.leave(id)
 		return
 	}
+	delete(u.failed, id)
 	u.fresh = now.Add(-age)
 	if u.current != id {
 		u.current = id
@@ -109,6 +116,30 @@
 	}
 }
 
+// Through reports whether another daemon is followed.
+func (u *Upstream) Through() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.current != platformKey
+}
+
+// Leave keeps away from the current source for a while.
+func (u *Upstream) Leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leave(u.current)
+}
+
+func (u *Upstream) leave(id ident.Instance) {
+	if u.failed == nil {
+		u.failed = make(map[ident.Instance]trouble)
+	}
+	t := u.failed[id]
+	t.until = u.Clock.Now().Add(clock.Jitter(leaveAlone << min(t.inARow, leaveMost)))
+	t.inARow++
+	u.failed[id] = t
+}
+
 // Fresh returns when the platform last confirmed what was read.
 func (u *Upstream) Fresh() time.Time {
 	u.mu.Lock()
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -113,7 +113,7 @@
 // Times of a question. One without an answer closes its connection, which may
 // have gone silent for good.
 const (
-	waitForChange = 2 * time.Second
+	waitForChange = 1200 * time.Millisecond
 	answerTime    = 700 * time.Millisecond
 	dialTime      = 500 * time.Millisecond
 )
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -30,6 +30,13 @@
 	Suspect(server ident.Instance, epoch unit.Epoch, from ident.Instance)
 }
 
+// copies is the copy of the platform's keys.
+type copies interface {
+	Revision() unit.Revision
+	Heard(revision unit.Revision)
+	Age() time.Duration
+}
+
 // Options are the parts of a Gossip.
 type Options struct {
 	Clock      clock.Clock
@@ -38,6 +45,7 @@
 	DataCentre ident.DataCentre
 	Boot       unit.Boot
 	Catalog    snapshots
+	Copies     copies
 	// Interval is the time between two datagrams to the same daemon.
 	Interval time.Duration
 }
@@ -57,9 +65,11 @@
 
 // peer is another daemon.
 type peer struct {
-	address  netip.AddrPort
-	feed     string
-	centre   ident.DataCentre
+	address netip.AddrPort
+	feed    string
+	centre  ident.DataCentre
+	// age is that of its copy of the platform's keys.
+	age      time.Duration
 	listed   bool
 	boot     unit.Boot
 	sequence unit.Sequence
@@ -220,7 +230,7 @@
 }
 
 func (g *Gossip) compose(everybody bool) ([]byte, []netip.AddrPort) {
-	m := message{From: g.Self, DataCentre: g.DataCentre, Boot: g.Boot, Load: make(map[endpoint]unit.Requests)}
+	m := message{From: g.Self, DataCentre: g.DataCentre, Boot: g.Boot, Revision: g.Copies.Revision(), Age: g.Copies.Age().Milliseconds(), Load: make(map[endpoint]unit.Requests)}
 	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
 		if n := e.Load.InFlight(); n > 0 {
 			m.Load[nameOf(e)] = n
@@ -279,6 +289,7 @@
 	}
 	now := g.Clock.Now()
 	p.boot, p.sequence, p.heard, p.load = m.Boot, m.Sequence, now, m.Load
+	p.age = time.Duration(m.Age) * time.Millisecond
 	for _, f := range m.Failed {
 		if now.Sub(p.told[f.Endpoint]) > failureAge {
 			p.told[f.Endpoint] = now
@@ -291,6 +302,7 @@
 		}
 	}
 	g.mu.Unlock()
+	g.Copies.Heard(m.Revision)
 	g.suspect(suspects, m.From)
 }
 
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -14,6 +14,10 @@
 	DataCentre ident.DataCentre `json:"centre"`
 	Boot       unit.Boot        `json:"boot"`
 	Sequence   unit.Sequence    `json:"seq"`
+	// Revision is that of the sender's copy of the platform's keys.
+	Revision unit.Revision `json:"rev"`
+	// Age is the time since the platform confirmed that copy, in milliseconds.
+	Age int64 `json:"age"`
 	// Load has the sender's requests in flight by endpoint.
 	Load map[endpoint]unit.Requests `json:"load,omitempty"`
 	// Failed has the endpoints that failed lately.
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -82,7 +82,7 @@
 
 // Start opens the socket and registers the daemon.
 func (c *component) Start(ctx context.Context) error {
-	for _, target := range []any{&c.platform, &c.Catalog} {
+	for _, target := range []any{&c.platform, &c.Catalog, &c.Copies} {
 		if err := c.deps.Need(target); err != nil {
 			return err
 		}
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -12,22 +12,27 @@
 )
 
 // Shape of the tree in which daemons follow each other: the children of a daemon
-// and the time of silence after which one is left out.
+// and the time of silence after which one is left out. Of 25 daemons of a data
+// centre each hears another about once a second; one that is dead is noticed by
+// those that follow it.
 const (
 	children  = 8
-	liveAge   = 2 * time.Second
+	liveAge   = 6 * time.Second
 	maxOthers = 6
 )
 
-// ranked returns the live daemons of the data centre in an order that all of
-// them agree on.
-func (g *Gossip) ranked(centre ident.DataCentre, now time.Time) []ident.Instance {
+// freshAge is the age of a daemon's copy above which no other follows it.
+const freshAge = 2500 * time.Millisecond
+
+// ranked returns the live daemons of the data centre with fresh copies in an
+// order that all of them agree on.
+func (g *Gossip) ranked(now time.Time) []ident.Instance {
 	var list []ident.Instance
-	if centre == g.DataCentre {
+	if g.Copies.Age() < freshAge {
 		list = append(list, g.Self)
 	}
 	for id, p := range g.peers {
-		if p.listed && p.centre == centre && now.Sub(p.heard) < liveAge {
+		if p.listed && p.centre == g.DataCentre && now.Sub(p.heard) < liveAge && p.age < freshAge {
 			list = append(list, id)
 		}
 	}
@@ -42,12 +47,15 @@
 func (g *Gossip) Parent() (mirror.Peer, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	list := g.ranked(g.DataCentre, g.Clock.Now())
+	list := g.ranked(g.Clock.Now())
 	rank := slices.Index(list, g.Self)
-	if rank <= 0 {
-		return mirror.Peer{}, false
+	switch {
+	case rank > 0:
+		return g.peerOf(list[(rank-1)/children]), true
+	case rank < 0 && len(list) > 0:
+		return g.peerOf(list[len(list)-1]), true
 	}
-	return g.peerOf(list[(rank-1)/children]), true
+	return mirror.Peer{}, false
 }
 
 func (g *Gossip) peerOf(id ident.Instance) mirror.Peer {
@@ -63,7 +71,7 @@
 	var far, near []ident.Instance
 	for id, p := range g.peers {
 		switch {
-		case !p.listed || now.Sub(p.heard) >= liveAge:
+		case !p.listed || now.Sub(p.heard) >= liveAge || p.age >= freshAge:
 		case p.centre == g.DataCentre:
 			near = append(near, id)
 		default:
