--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -48,6 +48,9 @@
 	// not believed.
 	Lapsing store.Key
 	Settle  time.Duration
+	// Outage is the shortest time without the source in which entries may
+	// lapse.
+	Outage time.Duration
 }
 
 // Mirror is the copy.
@@ -232,11 +235,11 @@
 	if m.connected.Swap(true) {
 		return
 	}
-	m.mu.Lock()
-	if len(m.keys) > 0 {
+	if m.fresh.Load() != 0 && m.Age() >= m.Outage {
+		m.mu.Lock()
 		m.settled = m.Clock.Now().Add(m.Settle)
+		m.mu.Unlock()
 	}
-	m.mu.Unlock()
 	m.Log.Info().Int64("revision", m.revision.Load()).Msg("store-regained")
 }
 
@@ -296,35 +299,19 @@
 	return true, nil
 }
 
-// apply changes the copy and tells the followers.
+// apply changes the copy and tells the followers. Daemons that follow this one
+// get every change and put removals off by themselves.
 func (m *Mirror) apply(changes []store.Change, revision unit.Revision, whole bool) {
 	m.telling.Lock()
 	defer m.telling.Unlock()
-	now := m.Clock.Now()
 	m.mu.Lock()
-	believed := changes[:0]
-	for _, change := range changes {
-		if change.Removed {
-			if now.Before(m.settled) && strings.HasPrefix(string(change.Key), string(m.Lapsing)) {
-				if len(m.lapsed) == 0 {
-					m.Clock.AfterFunc(m.settled.Sub(now), m.believeLapses)
-				}
-				m.lapsed[change.Key] = m.settled
-				continue
-			}
-			delete(m.keys, change.Key)
-		} else {
-			m.keys[change.Key] = change.Entry
-		}
-		delete(m.lapsed, change.Key)
-		believed = append(believed, change)
-	}
+	passed, believed := m.sift(changes)
 	m.revision.Store(max(m.revision.Load(), int64(revision)))
 	if m.history.from == 0 {
 		m.history.from = m.Revision()
 	}
-	m.history.add(believed)
-	if len(believed) > 0 {
+	m.history.add(passed)
+	if len(passed) > 0 {
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
@@ -332,6 +319,36 @@
 	m.tell(believed, whole)
 }
 
+// sift applies changes to the copy. It returns those that are new, and of these
+// those that are believed: the others are removals that may be undone. The
+// caller holds the lock.
+func (m *Mirror) sift(changes []store.Change) (passed, believed []store.Change) {
+	now := m.Clock.Now()
+	for _, change := range changes {
+		if change.Revision < m.keys[change.Key].Revision {
+			// A list is no snapshot, so a change that it had already may
+			// come after it.
+			continue
+		}
+		passed = append(passed, change)
+		if change.Removed && now.Before(m.settled) && strings.HasPrefix(string(change.Key), string(m.Lapsing)) {
+			if len(m.lapsed) == 0 {
+				m.Clock.AfterFunc(m.settled.Sub(now), m.believeLapses)
+			}
+			m.lapsed[change.Key] = m.settled
+			continue
+		}
+		if change.Removed {
+			delete(m.keys, change.Key)
+		} else {
+			m.keys[change.Key] = change.Entry
+		}
+		delete(m.lapsed, change.Key)
+		believed = append(believed, change)
+	}
+	return passed, believed
+}
+
 // tell passes the changes on.
 func (m *Mirror) tell(changes []store.Change, whole bool) {
 	for _, f := range m.followers {
@@ -364,10 +381,6 @@
 		delete(m.keys, key)
 		gone = append(gone, store.Change{Entry: store.Entry{Key: key, Revision: m.Revision()}, Removed: true})
 	}
-	// Those that follow this daemon read the list anew.
-	if len(gone) > 0 {
-		m.history.restart(m.Revision())
-	}
 	m.mu.Unlock()
 	if len(gone) > 0 {
 		slices.SortFunc(gone, func(a, b store.Change) int { return strings.Compare(string(a.Key), string(b.Key)) })
--- a/internal/fleet/mirror/serve.go
+++ b/internal/fleet/mirror/serve.go
@@ -27,11 +27,6 @@
 	}
 }
 
-// restart forgets the changes, after one that has no revision of its own.
-func (h *history) restart(revision unit.Revision) {
-	h.changes, h.from = h.changes[:0], revision
-}
-
 // since returns the changes later than the revision, and false if they are not
 // complete.
 func (h *history) since(after unit.Revision) ([]store.Change, bool) {
@@ -61,8 +56,11 @@
 		return nil, 0, code.NotReady.New("mirror: nothing has been listed yet")
 	}
 	entries := make([]store.Entry, 0, len(m.keys))
-	for _, e := range m.keys {
-		entries = append(entries, e)
+	for key, e := range m.keys {
+		// One whose removal is put off is no longer in the source's list.
+		if _, lapsed := m.lapsed[key]; !lapsed {
+			entries = append(entries, e)
+		}
 	}
 	return entries, m.Revision(), nil
 }
