Play the whole path over real processes

The new test started three daemons before stand-ins of the store and of grouped servers, and failed first: the mirror asked the gossip for the tree before the gossip had started, and the daemon crashed. The parts are connected when the plug-ins are built now.

--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"strconv"
@@ -76,16 +77,18 @@
 		Clock: d.Clock, Log: d.Log, Self: d.Settings.Daemon.Instance, DataCentre: d.Settings.Daemon.DataCentre,
 		Boot: unit.Boot(d.Clock.Now().UnixMilli()), Interval: s.Interval.Duration,
 	}, nil)
+	// The mirror asks for the tree as soon as it starts, before this plug-in.
+	if err := errors.Join(d.Need(&c.Catalog), d.Need(&c.Copies)); err != nil {
+		return nil, err
+	}
 	d.Provide(c)
 	return c, nil
 }
 
 // Start opens the socket and registers the daemon.
 func (c *component) Start(ctx context.Context) error {
-	for _, target := range []any{&c.platform, &c.Catalog, &c.Copies} {
-		if err := c.deps.Need(target); err != nil {
-			return err
-		}
+	if err := c.deps.Need(&c.platform); err != nil {
+		return err
 	}
 	if err := c.deps.NeedAll(&c.listeners); err != nil {
 		return err
