--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -122,7 +122,7 @@
 			within: time.Second, large: 5, small: 7,
 		},
 		"a whole domain comes back": {
-			hurt: func(w *world, p *Planner) {
+			hurt: func(w *world, _ *Planner) {
 				for id, m := range w.machines {
 					if m.Domain == "d0" {
 						w.restart(id)
