--- a/internal/caller/edge/server.go
+++ b/internal/caller/edge/server.go
@@ -129,13 +129,6 @@
 	return s.active.Load()
 }
 
-// Connections returns the open connections.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
-
 // Drain makes every answer from now on announce the end of its connection.
 func (s *Server) Drain() {
 	s.closing.Store(true)
--- a/internal/domain/call/call.go
+++ b/internal/domain/call/call.go
@@ -78,6 +78,4 @@
 	Status  int
 	Fields  []Field
 	Verdict Verdict
-	// Cold is the time for which the server says that it stays cold.
-	Cold time.Duration
 }
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -174,16 +174,6 @@
 	return "", nil
 }
 
-// Serving returns the replicas that serve and all that the planner knows.
-func (p *Planner) Serving() (serving, all int) {
-	for _, r := range p.replicas {
-		if r.phase == inService {
-			serving++
-		}
-	}
-	return serving, len(p.replicas)
-}
-
 // Step returns the orders that bring the servers closer to whole replicas.
 func (p *Planner) Step(now time.Time, view *catalog.Snapshot, bootstrap bool) []Command {
 	p.now, p.view, p.commands = now, view, nil
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -22,8 +22,6 @@
 	Load map[endpoint]unit.Requests `json:"load,omitempty"`
 	// Failed has the endpoints that failed lately.
 	Failed []failure `json:"failed,omitempty"`
-	// Crashes has the requests that crashed a server lately.
-	Crashes []crash `json:"crashes,omitempty"`
 }
 
 // endpoint names a server's part in a replica, so that what is said of one
@@ -37,12 +35,6 @@
 	Age int64 `json:"age"`
 }
 
-// crash is a request that crashed servers, with the number that the sender saw.
-type crash struct {
-	Request ident.Fingerprint `json:"request"`
-	Count   uint32            `json:"count"`
-}
-
 // decodeMessage reads a datagram.
 //
 // Errors carry code.BadMessage.
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"cuminbay/internal/domain/ident"
-	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 )
 
@@ -105,14 +104,3 @@
 	}
 	return e.Load.Admit(now, e.ColdRate*b.ColdPart/float64(max(b.Fleet.Daemons(), 1)))
 }
-
-// Free returns the free slots of the endpoints.
-func Free(now time.Time, list []*catalog.Endpoint) unit.Requests {
-	var free unit.Requests
-	for _, e := range list {
-		if !e.Load.Avoided(now) {
-			free += max(0, e.Slots-e.Load.Total())
-		}
-	}
-	return free
-}
