Take a connection's place and write a header field in one piece of code each

Read-through of the change: Pool.reserve repeated the end of Pool.take, and the adapter repeated the edge's writing of header fields. Behaviour is as before.

--- a/internal/caller/edge/writer.go
+++ b/internal/caller/edge/writer.go
@@ -45,21 +45,22 @@
 	b = append(b, http.StatusText(status)...)
 	b = append(b, "\r\n"...)
 	for _, f := range fields {
-		b = appendField(b, f.Name, f.Value)
+		b = AppendField(b, f.Name, f.Value)
 	}
 	switch {
 	case w.chunked:
-		b = appendField(b, "Transfer-Encoding", "chunked")
+		b = AppendField(b, "Transfer-Encoding", "chunked")
 	case length >= 0 && status != http.StatusNoContent:
-		b = appendField(b, "Content-Length", strconv.Itoa(length))
+		b = AppendField(b, "Content-Length", strconv.Itoa(length))
 	}
 	if w.last {
-		b = appendField(b, "Connection", "close")
+		b = AppendField(b, "Connection", "close")
 	}
 	w.buffer = append(b, "\r\n"...)
 }
 
-func appendField(b []byte, name, value string) []byte {
+// AppendField appends a header field as it stands on the wire.
+func AppendField(b []byte, name, value string) []byte {
 	b = append(b, name...)
 	b = append(b, ": "...)
 	b = append(b, value...)
--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -93,22 +93,39 @@
 func (p *Pool) take(address string) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hosts[address]
-	if h == nil {
-		h = new(host)
-		p.hosts[address] = h
-	}
+	h := p.host(address)
 	if last := len(h.idle) - 1; last >= 0 {
 		c := h.idle[last]
 		h.idle[last] = nil
 		h.idle = h.idle[:last]
 		return c, nil
 	}
-	if h.open >= p.Connections {
-		return nil, errNoFreeConnection
+	return nil, h.reserve(p.Connections)
+}
+
+// reserve takes the place for a new connection.
+func (p *Pool) reserve(address string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.host(address).reserve(p.Connections)
+}
+
+// host returns the connections of an address. The caller holds the lock.
+func (p *Pool) host(address string) *host {
+	h := p.hosts[address]
+	if h == nil {
+		h = new(host)
+		p.hosts[address] = h
+	}
+	return h
+}
+
+func (h *host) reserve(limit int) error {
+	if h.open >= limit {
+		return errNoFreeConnection
 	}
 	h.open++
-	return nil, nil
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -86,22 +86,6 @@
 	return p.dial(ctx, m.Address)
 }
 
-// reserve takes the place for a new connection.
-func (p *Pool) reserve(address string) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.hosts[address]
-	if h == nil {
-		h = new(host)
-		p.hosts[address] = h
-	}
-	if h.open >= p.Connections {
-		return errNoFreeConnection
-	}
-	h.open++
-	return nil
-}
-
 // longMessage is the size above which a message is written while its answer is
 // read, since an endpoint may answer before it has read the body.
 const longMessage = 8 << 10
