--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -27,26 +27,15 @@
 		if !found {
 			continue
 		}
-		return p.found(service, domain, m)
+		p.found(service, domain, m)
+		return true
 	}
 	return false
 }
 
-// found makes a replica in the domain, unless weights would have to be loaded
-// after the first start.
-func (p *Planner) found(service *site.Service, domain ident.Domain, m *site.Model) bool {
+// found makes a replica in the domain.
+func (p *Planner) found(service *site.Service, domain ident.Domain, m *site.Model) {
 	chosen := p.spares(service, domain, m.Name)[:m.Size]
-	loading := 0
-	for _, s := range chosen {
-		if !s.HasStaged(m.Name) {
-			loading++
-		}
-	}
-	if loading > 0 && !p.loads.bootstrap {
-		// Servers are staged first, so that a replica that is whole again
-		// doesn't have to wait for the weight store.
-		return false
-	}
 	r := &replica{name: p.name(), service: service.Name, domain: domain, model: m, broken: p.now}
 	for _, s := range chosen {
 		r.members = append(r.members, s.ID)
@@ -54,7 +43,6 @@
 	p.replicas[r.name] = r
 	p.placed = nil
 	p.join(r, fmt.Sprintf("new in domain %s", domain))
-	return true
 }
 
 // leastShare stands for the share of a model that announces none.
@@ -88,8 +76,10 @@
 
 // place returns the domain for a new replica of the model: one that serves it
 // alone, else one that serves nothing. One that serves others is taken only for
-// the neediest model and once its domain has stopped growing. Among equals the
-// data centre with the fewest replicas of the model comes first.
+// the neediest model and once its domain has stopped growing. After the first
+// start, servers are staged before they are taken, so that a replica doesn't wait
+// for the weight store. Among equals the data centre with the fewest replicas of
+// the model comes first.
 func (p *Planner) place(service *site.Service, m *site.Model, neediest bool) (ident.Domain, bool) {
 	type candidate struct {
 		domain  ident.Domain
@@ -100,7 +90,7 @@
 	var list []candidate
 	for _, d := range p.domains(service) {
 		free := p.spares(service, d, m.Name)
-		if len(free) < m.Size || p.shortIn(d) {
+		if len(free) < m.Size || p.shortIn(d) || !p.loads.bootstrap && !free[m.Size-1].HasStaged(m.Name) {
 			continue
 		}
 		c := candidate{d, p.fitness(service, d, m.Name), p.near(free[0].DataCentre, m.Name), -len(free)}
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -158,6 +159,27 @@
 	}
 }
 
+// TestFormsElsewhere guards against servers that have the weights and stay spare,
+// since another domain would be the better place but has none with the weights.
+func TestFormsElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1, 3, site.Model{Name: "small", Size: 3, Share: 1, Pace: 1, LoadTime: loadTime, WarmTime: warmTime})
+	p := New(testRules(), 10, w.now)
+	for range 80 {
+		w.step(p, true)
+	}
+	c.Assert(w.serving(), qt.DeepEquals, map[ident.Model]int{"small": 1})
+	for i := range 3 {
+		w.add(fmt.Sprintf("d0-new%d", i), "d0")
+		w.add(fmt.Sprintf("d1-%02d", i), "d1").Staged = []ident.Model{"small"}
+	}
+	for range 60 {
+		w.step(p, false)
+	}
+	c.Check(w.serving(), qt.DeepEquals, map[ident.Model]int{"small": 2})
+	c.Check(w.broken, qt.HasLen, 0)
+}
+
 // TestTenure guards against a new planner that takes apart what serves, and
 // against an epoch that two tenures use.
 func TestTenure(t *testing.T) {
