--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -3,11 +3,9 @@
 package gossip
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -46,8 +44,6 @@
 	Boot       unit.Boot
 	Catalog    snapshots
 	Copies     copies
-	// Interval is the time between two datagrams to the same daemon.
-	Interval time.Duration
 }
 
 // Gossip is this daemon's part of the exchange.
@@ -61,6 +57,9 @@
 	peers     map[ident.Instance]*peer
 	failures  map[endpoint]time.Time
 	listeners []listener
+	// turns counts the intervals, and idle those without requests in flight.
+	turns int
+	idle  int
 }
 
 // peer is another daemon.
@@ -96,6 +95,9 @@
 const (
 	loadAge    = 1500 * time.Millisecond
 	failureAge = time.Second
+	// failureAgain is the time after which everybody is told again of an
+	// endpoint that goes on failing.
+	failureAgain = 250 * time.Millisecond
 	// countedAge is how long a silent daemon counts among those that share a
 	// bound, since it may only be cut off.
 	countedAge = 15 * time.Second
@@ -160,7 +162,7 @@
 	g.failures[nameOf(e)] = now
 	heard := g.told(nameOf(e), now)
 	g.mu.Unlock()
-	if !heard && (!known || now.Sub(last) > g.Interval) {
+	if !heard && (!known || now.Sub(last) > failureAgain) {
 		g.send(true)
 	}
 }
@@ -176,17 +178,25 @@
 	return false
 }
 
-func nameOf(e *catalog.Endpoint) endpoint {
-	return nameFor(e.ID, e.Epoch)
-}
-
-func nameFor(id ident.Instance, epoch unit.Epoch) endpoint {
-	return endpoint(string(id) + "@" + strconv.FormatUint(uint64(epoch), 10))
-}
+// idleEvery is the number of intervals between two datagrams of a daemon without
+// requests in flight: only its copy of the platform's keys is of interest then.
+const idleEvery = 6
 
-// Send sends a datagram to some daemons.
+// Send sends a datagram to some daemons. It is called once in each interval.
 func (g *Gossip) Send() {
-	g.send(false)
+	busy := false
+	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) { busy = busy || e.Load.InFlight() > 0 })
+	g.mu.Lock()
+	g.turns++
+	g.idle++
+	if busy {
+		g.idle = 0
+	}
+	skip := g.idle > 1 && g.idle%idleEvery != 0
+	g.mu.Unlock()
+	if !skip {
+		g.send(false)
+	}
 }
 
 func (g *Gossip) send(everybody bool) {
@@ -201,10 +211,12 @@
 }
 
 // Daemons that a datagram goes to at each interval: so many of the own data
-// centre, whose endpoints are shared most, and so many of others.
+// centre, whose endpoints are shared most, and so many of others at every second
+// interval, as bytes between data centres are dear.
 const (
 	nearFanout = 7
 	farFanout  = 5
+	farEvery   = 2
 )
 
 // choose returns where the next datagram goes.
@@ -226,11 +238,17 @@
 		g.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		return list[:min(most, len(list))]
 	}
+	if g.idle == 0 && g.turns%farEvery != 0 {
+		far = nil
+	}
 	return append(shuffle(near, nearFanout), shuffle(far, farFanout)...)
 }
 
 func (g *Gossip) compose(everybody bool) ([]byte, []netip.AddrPort) {
-	m := message{From: g.Self, DataCentre: g.DataCentre, Boot: g.Boot, Revision: g.Copies.Revision(), Age: g.Copies.Age().Milliseconds(), Load: make(map[endpoint]unit.Requests)}
+	m := message{
+		From: g.Self, Boot: g.Boot, Revision: g.Copies.Revision(), Age: g.Copies.Age(),
+		Load: make(map[endpoint]unit.Requests), Failed: make(map[endpoint]time.Duration),
+	}
 	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
 		if n := e.Load.InFlight(); n > 0 {
 			m.Load[nameOf(e)] = n
@@ -244,7 +262,7 @@
 			delete(g.failures, e)
 			continue
 		}
-		m.Failed = append(m.Failed, failure{Endpoint: e, Age: now.Sub(at).Milliseconds()})
+		m.Failed[e] = now.Sub(at)
 	}
 	to := g.choose(everybody)
 	if len(to) == 0 {
@@ -252,7 +270,7 @@
 	}
 	g.sequence++
 	m.Sequence = g.sequence
-	raw, err := json.Marshal(m)
+	raw, err := m.encode()
 	if err != nil {
 		g.Log.Error().Err(err).Msg("datagram-not-written")
 		return nil, nil
@@ -289,11 +307,11 @@
 	}
 	now := g.Clock.Now()
 	p.boot, p.sequence, p.heard, p.load = m.Boot, m.Sequence, now, m.Load
-	p.age = time.Duration(m.Age) * time.Millisecond
-	for _, f := range m.Failed {
-		if now.Sub(p.told[f.Endpoint]) > failureAge {
-			p.told[f.Endpoint] = now
-			suspects = append(suspects, f.Endpoint)
+	p.age = m.Age
+	for e := range m.Failed {
+		if now.Sub(p.told[e]) > failureAge {
+			p.told[e] = now
+			suspects = append(suspects, e)
 		}
 	}
 	for e, at := range p.told {
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
@@ -51,7 +52,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
 	own := &copy{revision: 5}
-	g := New(Options{Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Boot: 1, Catalog: cat, Copies: own, Interval: 250 * time.Millisecond}, conn)
+	g := New(Options{Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Boot: 1, Catalog: cat, Copies: own}, conn)
 	listed := map[ident.Instance]Listing{"a": {DataCentre: "z"}}
 	for id, centre := range peers {
 		listed[id] = Listing{Address: netip.MustParseAddrPort("127.0.0.1:9"), Feed: string(id) + ":1", DataCentre: centre}
@@ -68,7 +69,7 @@
 // because not every daemon was heard.
 func TestCount(t *testing.T) {
 	load := func(from ident.Instance, boot unit.Boot, seq unit.Sequence, n unit.Requests) *message {
-		return &message{From: from, Boot: boot, Sequence: seq, Load: map[endpoint]unit.Requests{"i@3": n}}
+		return &message{From: from, Boot: boot, Sequence: seq, Load: map[endpoint]unit.Requests{nameFor("i", 3): n}}
 	}
 	tests := map[string]struct {
 		heard []*message
@@ -82,8 +83,8 @@
 		"the later life":                 {heard: []*message{load("b", 2, 1, 3), load("b", 1, 9, 9), load("c", 1, 1, 0)}, want: 3},
 		"too old":                        {heard: []*message{load("b", 1, 1, 3)}, after: 2 * time.Second},
 		"a daemon that is not listed":    {heard: []*message{load("x", 1, 1, 3)}},
-		"another epoch of the replica":   {heard: []*message{{From: "b", Boot: 1, Sequence: 1, Load: map[endpoint]unit.Requests{"i@2": 5}}}},
-		"another replica's does nothing": {heard: []*message{{From: "b", Boot: 1, Sequence: 1, Load: map[endpoint]unit.Requests{"j@3": 5}}}},
+		"another epoch of the replica":   {heard: []*message{{From: "b", Boot: 1, Sequence: 1, Load: map[endpoint]unit.Requests{nameFor("i", 2): 5}}}},
+		"another replica's does nothing": {heard: []*message{{From: "b", Boot: 1, Sequence: 1, Load: map[endpoint]unit.Requests{nameFor("j", 3): 5}}}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -109,7 +110,7 @@
 	var told suspects
 	g.Listen(&told)
 	e := replica(g)
-	g.learn(&message{From: "b", Boot: 1, Sequence: 1, Revision: 8, Failed: []failure{{Endpoint: "i@3"}}})
+	g.learn(&message{From: "b", Boot: 1, Sequence: 1, Revision: 8, Failed: map[endpoint]time.Duration{nameFor("i", 3): 0}})
 	c.Check(own.heard, qt.Equals, unit.Revision(8))
 	c.Check(told, qt.HasLen, 1)
 	c.Check(e.Load.Avoided(clk.Now()), qt.IsTrue)
@@ -122,6 +123,51 @@
 	c.Check(g.sequence, qt.Equals, before+1)
 }
 
+// TestIdle guards against a daemon without requests that sends as often as one
+// with them, and against others that still count what it had.
+func TestIdle(t *testing.T) {
+	c := qt.New(t)
+	g, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
+	sent := func(turns int) unit.Sequence {
+		before := g.sequence
+		for range turns {
+			g.Send()
+		}
+		return g.sequence - before
+	}
+	load := replica(g).Load
+	load.Begin()
+	c.Check(sent(12), qt.Equals, unit.Sequence(12))
+	load.End()
+	c.Check(sent(1), qt.Equals, unit.Sequence(1), qt.Commentf("the end of the last request"))
+	c.Check(sent(12), qt.Equals, unit.Sequence(2))
+	load.Begin()
+	c.Check(sent(1), qt.Equals, unit.Sequence(1))
+}
+
+// TestIdleFar guards against a daemon without requests that is never heard in
+// other data centres, which its turns to send would not meet.
+func TestIdleFar(t *testing.T) {
+	for name, begin := range map[string]int{"idle from the first turn": 0, "idle from the second": 1} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			far, err := net.ListenPacket("udp4", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = far.Close() })
+			g, _, _ := newGossip(c, nil)
+			g.Peers(map[ident.Instance]Listing{"far": {Address: netip.MustParseAddrPort(far.LocalAddr().String()), DataCentre: "y"}})
+			g.turns, g.idle = begin, 1
+			for range 3 * idleEvery {
+				g.Send()
+			}
+			c.Assert(far.SetReadDeadline(clockwork.NewRealClock().Now().Add(time.Second)), qt.IsNil)
+			n, _, err := far.ReadFrom(make([]byte, 1024))
+			c.Check(err, qt.IsNil)
+			c.Check(n > 0, qt.IsTrue)
+		})
+	}
+}
+
 // TestTree guards against daemons that follow themselves in a circle, and those
 // that follow one without the platform.
 func TestTree(t *testing.T) {
@@ -138,7 +184,7 @@
 	}
 	for _, id := range order {
 		if id != "a" {
-			g.learn(&message{From: id, Boot: 1, Sequence: 1, Age: 9000})
+			g.learn(&message{From: id, Boot: 1, Sequence: 1, Age: 9 * time.Second})
 		}
 	}
 	_, has := g.Parent()
@@ -153,13 +199,37 @@
 	c.Check(g.Others()[0].Instance, qt.Equals, ident.Instance("far"))
 }
 
+// TestMessage guards against a field that is lost on the way.
+func TestMessage(t *testing.T) {
+	c := qt.New(t)
+	m := &message{
+		From: "b", Boot: 1_700_000_000_000, Sequence: 7, Revision: 9, Age: 40 * time.Millisecond,
+		Load:   map[endpoint]unit.Requests{nameFor("i", 3): 4, nameFor("j", 1): 1},
+		Failed: map[endpoint]time.Duration{nameFor("i", 2): 300 * time.Millisecond},
+	}
+	raw, err := m.encode()
+	c.Assert(err, qt.IsNil)
+	got, err := decodeMessage(raw)
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.DeepEquals, m)
+}
+
 // TestDecodeMessage guards against a datagram that stops the daemon.
 func TestDecodeMessage(t *testing.T) {
-	for name, raw := range map[string]string{
-		"not JSON": "?", "no sender": `{"seq":1}`, "a negative load": `{"from":"b","load":{"i@1":-1}}`, "a list": `[]`,
+	encoded := func(d *Datagram) []byte {
+		raw, err := proto.Marshal(d)
+		qt.New(t).Assert(err, qt.IsNil)
+		return raw
+	}
+	for name, raw := range map[string][]byte{
+		"not a datagram":        []byte("?"),
+		"no sender":             encoded(&Datagram{Sequence: 1}),
+		"a name with a space":   encoded(&Datagram{From: "b c"}),
+		"an endpoint too many":  encoded(&Datagram{From: "b", Endpoints: []uint32{1}}),
+		"a failure with no age": encoded(&Datagram{From: "b", Failed: []uint32{1}}),
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := decodeMessage([]byte(raw))
+			_, err := decodeMessage(raw)
 			qt.New(t).Check(code.Of(err), qt.Equals, code.BadMessage)
 		})
 	}
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -1,55 +1,96 @@
 package gossip
 
 import (
-	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
 )
 
 // message is what a daemon tells the others, in one datagram.
 type message struct {
-	From       ident.Instance   `json:"from"`
-	DataCentre ident.DataCentre `json:"centre"`
-	Boot       unit.Boot        `json:"boot"`
-	Sequence   unit.Sequence    `json:"seq"`
-	// Revision is that of the sender's copy of the platform's keys.
-	Revision unit.Revision `json:"rev"`
-	// Age is the time since the platform confirmed that copy, in milliseconds.
-	Age int64 `json:"age"`
+	From     ident.Instance
+	Boot     unit.Boot
+	Sequence unit.Sequence
+	// Revision is that of the sender's copy of the platform's keys, and Age the
+	// time since the platform confirmed it.
+	Revision unit.Revision
+	Age      time.Duration
 	// Load has the sender's requests in flight by endpoint.
-	Load map[endpoint]unit.Requests `json:"load,omitempty"`
-	// Failed has the endpoints that failed lately.
-	Failed []failure `json:"failed,omitempty"`
+	Load map[endpoint]unit.Requests
+	// Failed has the endpoints that failed lately, with the time since.
+	Failed map[endpoint]time.Duration
 }
 
 // endpoint names a server's part in a replica, so that what is said of one
-// epoch doesn't count for the next.
-type endpoint string
-
-// failure is an endpoint that failed.
-type failure struct {
-	Endpoint endpoint `json:"endpoint"`
-	// Age is the time since the failure in milliseconds.
-	Age int64 `json:"age"`
+// epoch doesn't count for the next. It is a hash, as names would make up most of
+// a datagram. Two endpoints with one hash share their load, which does no harm.
+type endpoint uint32
+
+func nameOf(e *catalog.Endpoint) endpoint {
+	return nameFor(e.ID, e.Epoch)
+}
+
+func nameFor(id ident.Instance, epoch unit.Epoch) endpoint {
+	const mix = 0x9e3779b97f4a7c15 // an odd number without a pattern in its bits
+	return endpoint((xxhash.Sum64String(string(id)) ^ uint64(epoch)*mix) >> 32)
+}
+
+func (m *message) encode() ([]byte, error) {
+	d := &Datagram{
+		From: string(m.From), Boot: uint64(m.Boot), Sequence: uint64(m.Sequence),
+		Revision: int64(m.Revision), Age: milliseconds(m.Age),
+	}
+	for e, n := range m.Load {
+		d.Endpoints = append(d.Endpoints, uint32(e))
+		d.Requests = append(d.Requests, uint32(n))
+	}
+	for e, age := range m.Failed {
+		d.Failed = append(d.Failed, uint32(e))
+		d.FailedAges = append(d.FailedAges, milliseconds(age))
+	}
+	return proto.Marshal(d)
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max(0, min(d, longestTold)).Milliseconds())
 }
 
+// longestTold bounds the ages in a datagram; what is older counts the same.
+const longestTold = time.Hour
+
 // decodeMessage reads a datagram.
 //
 // Errors carry code.BadMessage.
 func decodeMessage(raw []byte) (*message, error) {
-	m := new(message)
-	if err := json.Unmarshal(raw, m); err != nil {
+	d := new(Datagram)
+	if err := proto.Unmarshal(raw, d); err != nil {
 		return nil, code.BadMessage.Wrap(err, "datagram of %d bytes", len(raw))
 	}
-	if err := ident.CheckName(string(m.From)); err != nil {
+	if err := ident.CheckName(d.GetFrom()); err != nil {
 		return nil, code.BadMessage.Wrap(err, "from")
 	}
-	for e, n := range m.Load {
-		if n < 0 {
-			return nil, code.BadMessage.New("load of %s: %d is negative", e, n)
-		}
+	if len(d.GetEndpoints()) != len(d.GetRequests()) {
+		return nil, code.BadMessage.New("requests: %d for %d endpoints", len(d.GetRequests()), len(d.GetEndpoints()))
+	}
+	if len(d.GetFailed()) != len(d.GetFailedAges()) {
+		return nil, code.BadMessage.New("failed_ages: %d for %d endpoints", len(d.GetFailedAges()), len(d.GetFailed()))
+	}
+	m := &message{
+		From: ident.Instance(d.GetFrom()), Boot: unit.Boot(d.GetBoot()), Sequence: unit.Sequence(d.GetSequence()),
+		Revision: unit.Revision(d.GetRevision()), Age: time.Duration(d.GetAge()) * time.Millisecond,
+		Load: make(map[endpoint]unit.Requests, len(d.GetEndpoints())), Failed: make(map[endpoint]time.Duration, len(d.GetFailed())),
+	}
+	for i, e := range d.GetEndpoints() {
+		m.Load[endpoint(e)] += unit.Requests(d.GetRequests()[i])
+	}
+	for i, e := range d.GetFailed() {
+		m.Failed[endpoint(e)] = time.Duration(d.GetFailedAges()[i]) * time.Millisecond
 	}
 	return m, nil
 }
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -27,7 +27,8 @@
 	Listen string `json:"listen" validate:"omitempty,listen"`
 	// Feed is the address at which other daemons follow this one.
 	Feed string `json:"feed" validate:"omitempty,listen"`
-	// Interval is the time between two datagrams to a daemon.
+	// Interval is the time between two rounds of datagrams. Requests in flight
+	// that others don't know of yet crowd the endpoints that seem free.
 	Interval settings.Duration `json:"interval" validate:"duration"`
 	// Lease is the time to live of this daemon's entry in the platform's
 	// store.
@@ -36,7 +37,7 @@
 
 func init() {
 	settings.Register(section, func() any {
-		return &Settings{Interval: settings.Of(250 * time.Millisecond), Lease: settings.Of(10 * time.Second)}
+		return &Settings{Interval: settings.Of(40 * time.Millisecond), Lease: settings.Of(10 * time.Second)}
 	})
 	plugin.RegisterFor("platform", plugin.Peer, "gossip", newPlugin)
 }
@@ -75,7 +76,7 @@
 	c := &component{deps: d, settings: s, listed: make(map[ident.Instance]Listing)}
 	c.Gossip = New(Options{
 		Clock: d.Clock, Log: d.Log, Self: d.Settings.Daemon.Instance, DataCentre: d.Settings.Daemon.DataCentre,
-		Boot: unit.Boot(d.Clock.Now().UnixMilli()), Interval: s.Interval.Duration,
+		Boot: unit.Boot(d.Clock.Now().UnixMilli()),
 	}, nil)
 	// The mirror asks for the tree as soon as it starts, before this plug-in.
 	if err := errors.Join(d.Need(&c.Catalog), d.Need(&c.Copies)); err != nil {
