--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -41,7 +41,7 @@
 func init() {
 	settings.Register(section, func() any {
 		return &Settings{
-			Ratio: 0.2, Slack: 100, Window: settings.Of(10 * time.Second), Away: 0.3, Fill: 0.8, Queue: 1, Cold: 0.9,
+			Ratio: 0.2, Slack: 100, Window: settings.Of(10 * time.Second), Away: 0.3, Fill: 0.95, Queue: 1, Cold: 0.9,
 			Suspicion: settings.Of(time.Minute), Suspects: 1024,
 		}
 	})
