--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -355,7 +355,7 @@
 	hearsayAvoid   = 500 * time.Millisecond
 )
 
-// Count sets, for each endpoint, what the other daemons have in flight. Those
+// Count sets, for each endpoint, what the other daemons have in flight. Live ones
 // that were not heard lately are taken to have as much as the others of their
 // data centre.
 func (g *Gossip) Count() {
@@ -373,7 +373,7 @@
 			c = &sum{load: make(map[endpoint]unit.Requests)}
 			centres[p.centre] = c
 		}
-		if p.listed {
+		if p.listed && now.Sub(p.heard) < liveAge {
 			c.listed++
 		}
 		if now.Sub(p.heard) > loadAge {
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/site"
+	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 )
@@ -72,9 +73,11 @@
 		return &message{From: from, Boot: boot, Sequence: seq, Load: map[endpoint]unit.Requests{nameFor("i", 3): n}}
 	}
 	tests := map[string]struct {
-		heard []*message
-		after time.Duration
-		want  unit.Requests
+		// silent is the time for which nothing was heard of anybody.
+		silent time.Duration
+		heard  []*message
+		after  time.Duration
+		want   unit.Requests
 	}{
 		"nothing":                        {},
 		"two of two":                     {heard: []*message{load("b", 1, 1, 3), load("c", 1, 1, 4)}, want: 7},
@@ -82,6 +85,7 @@
 		"the later one":                  {heard: []*message{load("b", 1, 2, 3), load("b", 1, 1, 9), load("c", 1, 1, 0)}, want: 3},
 		"the later life":                 {heard: []*message{load("b", 2, 1, 3), load("b", 1, 9, 9), load("c", 1, 1, 0)}, want: 3},
 		"too old":                        {heard: []*message{load("b", 1, 1, 3)}, after: 2 * time.Second},
+		"one that has ended":             {heard: []*message{load("b", 1, 1, 3)}, silent: 7 * time.Second, want: 3},
 		"a daemon that is not listed":    {heard: []*message{load("x", 1, 1, 3)}},
 		"another epoch of the replica":   {heard: []*message{{From: "b", Boot: 1, Sequence: 1, Load: map[endpoint]unit.Requests{nameFor("i", 2): 5}}}},
 		"another replica's does nothing": {heard: []*message{{From: "b", Boot: 1, Sequence: 1, Load: map[endpoint]unit.Requests{nameFor("j", 3): 5}}}},
@@ -91,7 +95,7 @@
 			c := qt.New(t)
 			g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "c": "z"})
 			// A daemon that was just listed counts as heard, without load.
-			clk.Advance(2 * time.Second)
+			clk.Advance(2*time.Second + test.silent)
 			for _, m := range test.heard {
 				g.learn(m)
 			}
@@ -168,6 +172,52 @@
 	}
 }
 
+// TestRegistrations guards against a daemon that others stop talking to when the
+// entry of its earlier life lapses.
+func TestRegistrations(t *testing.T) {
+	entry := func(key, address string, revision unit.Revision) store.Change {
+		return store.Change{Entry: store.Entry{
+			Key: keyDaemons + store.Key(key), Revision: revision,
+			Value: []byte(`{"address":"` + address + `","feed":"f:1","centre":"z"}`),
+		}}
+	}
+	gone := func(key string, revision unit.Revision) store.Change {
+		return store.Change{Entry: store.Entry{Key: keyDaemons + store.Key(key), Revision: revision}, Removed: true}
+	}
+	tests := map[string]struct {
+		changes []store.Change
+		// want is the address of daemon "b", empty if it isn't listed.
+		want string
+		// lapsed says that the daemon has to write its own entry anew.
+		lapsed bool
+	}{
+		"one life":                      {changes: []store.Change{entry("b/1", "127.0.0.1:1", 1)}, want: "127.0.0.1:1"},
+		"one life that ended":           {changes: []store.Change{entry("b/1", "127.0.0.1:1", 1), gone("b/1", 2)}},
+		"an earlier life lapses":        {changes: []store.Change{entry("b/1", "127.0.0.1:1", 1), entry("b/2", "127.0.0.1:2", 2), gone("b/1", 3)}, want: "127.0.0.1:2"},
+		"an earlier life comes later":   {changes: []store.Change{entry("b/2", "127.0.0.1:2", 2), entry("b/1", "127.0.0.1:1", 1)}, want: "127.0.0.1:2"},
+		"both lives ended":              {changes: []store.Change{entry("b/1", "127.0.0.1:1", 1), entry("b/2", "127.0.0.1:2", 2), gone("b/1", 3), gone("b/2", 4)}},
+		"an entry that can't be read":   {changes: []store.Change{entry("b/1", "nowhere", 1)}},
+		"a bad entry of a later life":   {changes: []store.Change{entry("b/1", "127.0.0.1:1", 1), entry("b/2", "nowhere", 2)}, want: "127.0.0.1:1"},
+		"the own entry lapses":          {changes: []store.Change{entry("a/1", "127.0.0.1:1", 1), gone("a/1", 2)}, lapsed: true},
+		"an own earlier entry lapses":   {changes: []store.Change{entry("a/1", "127.0.0.1:1", 1), entry("a/2", "127.0.0.1:1", 2), gone("a/1", 3)}},
+		"another daemon's entry lapses": {changes: []store.Change{entry("b/1", "127.0.0.1:1", 1), entry("d/2", "127.0.0.1:2", 2), gone("d/2", 3)}, want: "127.0.0.1:1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			g, _, _ := newGossip(c, nil)
+			k := &component{Gossip: g, registered: make(map[store.Key]life), lapsed: make(chan struct{}, 1)}
+			k.Follow(test.changes, false)
+			got := ""
+			if p := g.peers["b"]; p != nil && p.listed {
+				got = p.address.String()
+			}
+			c.Check(got, qt.Equals, test.want)
+			c.Check(len(k.lapsed) == 1, qt.Equals, test.lapsed)
+		})
+	}
+}
+
 // TestTree guards against daemons that follow themselves in a circle, and those
 // that follow one without the platform.
 func TestTree(t *testing.T) {
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -37,7 +37,7 @@
 
 func init() {
 	settings.Register(section, func() any {
-		return &Settings{Interval: settings.Of(40 * time.Millisecond), Lease: settings.Of(10 * time.Second)}
+		return &Settings{Interval: settings.Of(40 * time.Millisecond), Lease: settings.Of(30 * time.Second)}
 	})
 	plugin.RegisterFor("platform", plugin.Peer, "gossip", newPlugin)
 }
@@ -67,13 +67,22 @@
 	deps     *plugin.Deps
 	settings *Settings
 	platform platform
-	listed   map[ident.Instance]Listing
-	lease    store.LeaseID
+	// registered has the entries of all daemons, by key.
+	registered map[store.Key]life
+	lease      store.LeaseID
+	// lapsed says that this daemon's own entry is gone.
+	lapsed chan struct{}
+}
+
+// life is the entry of one life of a daemon.
+type life struct {
+	Listing
+	revision unit.Revision
 }
 
 func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
 	s := d.Settings.Section(section).(*Settings)
-	c := &component{deps: d, settings: s, listed: make(map[ident.Instance]Listing)}
+	c := &component{deps: d, settings: s, registered: make(map[store.Key]life), lapsed: make(chan struct{}, 1)}
 	c.Gossip = New(Options{
 		Clock: d.Clock, Log: d.Log, Self: d.Settings.Daemon.Instance, DataCentre: d.Settings.Daemon.DataCentre,
 		Boot: unit.Boot(d.Clock.Now().UnixMilli()),
@@ -124,10 +133,10 @@
 }
 
 // registerPart is the part of the lease's time between two renewals.
-const registerPart = 4
+const registerPart = 3
 
-// register keeps the daemon's entry in the store. An entry that lapsed is
-// written anew.
+// register keeps the daemon's entry in the store. An entry that lapsed, as it
+// may while the store is away, is written anew as soon as that is noticed.
 func (c *component) register(ctx context.Context) {
 	const retry = 300 * time.Millisecond
 	for {
@@ -136,7 +145,14 @@
 			pause = retry
 			c.Log.Debug().Err(err).Msg("registration-failed")
 		}
-		if !plugin.Sleep(ctx, c.deps.Clock, clock.Jitter(pause)) {
+		timer := c.deps.Clock.NewTimer(clock.Jitter(pause))
+		select {
+		case <-timer.Chan():
+		case <-c.lapsed:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
@@ -173,27 +189,59 @@
 	return keyDaemons
 }
 
-// Follow learns the addresses of the daemons.
+// Follow learns the addresses of the daemons. The entry of an earlier life may
+// lapse after the next life has written its own.
 func (c *component) Follow(changes []store.Change, _ bool) {
+	own := false
 	for _, change := range changes {
-		name, _, _ := strings.Cut(strings.TrimPrefix(string(change.Key), string(keyDaemons)), "/")
-		id := ident.Instance(name)
 		if change.Removed {
-			delete(c.listed, id)
+			own = own || daemonOf(change.Key) == c.Self
+			delete(c.registered, change.Key)
 			continue
 		}
-		var r registration
-		if err := json.Unmarshal(change.Value, &r); err != nil {
-			c.Log.Warn().Err(err).Str("key", string(change.Key)).Msg("registration-rejected")
-			continue
-		}
-		address, err := netip.ParseAddrPort(r.Address)
+		listing, err := decodeRegistration(change.Value)
 		if err != nil {
 			c.Log.Warn().Err(err).Str("key", string(change.Key)).Msg("registration-rejected")
+			delete(c.registered, change.Key)
 			continue
 		}
-		c.listed[id] = Listing{Address: address, Feed: r.Feed, DataCentre: r.DataCentre}
+		c.registered[change.Key] = life{listing, change.Revision}
+	}
+	newest := make(map[ident.Instance]life)
+	listed := make(map[ident.Instance]Listing)
+	for key, l := range c.registered {
+		id := daemonOf(key)
+		if l.revision >= newest[id].revision {
+			newest[id], listed[id] = l, l.Listing
+		}
+	}
+	if _, found := listed[c.Self]; !found && own {
+		select {
+		case c.lapsed <- struct{}{}:
+		default:
+		}
+	}
+	c.Peers(listed)
+	c.Log.Info().Int("daemons", len(listed)).Msg("daemons-listed")
+}
+
+// daemonOf returns the daemon that wrote the entry.
+func daemonOf(key store.Key) ident.Instance {
+	name, _, _ := strings.Cut(strings.TrimPrefix(string(key), string(keyDaemons)), "/")
+	return ident.Instance(name)
+}
+
+// decodeRegistration reads a daemon's entry.
+//
+// Errors carry code.BadRecord.
+func decodeRegistration(raw []byte) (Listing, error) {
+	var r registration
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Listing{}, code.BadRecord.Wrap(err, "registration")
+	}
+	address, err := netip.ParseAddrPort(r.Address)
+	if err != nil {
+		return Listing{}, code.BadRecord.Wrap(err, "registration: address")
 	}
-	c.Peers(c.listed)
-	c.Log.Info().Int("daemons", len(c.listed)).Msg("daemons-listed")
+	return Listing{Address: address, Feed: r.Feed, DataCentre: r.DataCentre}, nil
 }
