--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -139,6 +139,21 @@
 	return c, nil
 }
 
+// Answers reports whether the address takes a new connection, which is kept for
+// a request.
+func (p *Pool) Answers(ctx context.Context, address string) bool {
+	if p.reserve(address) != nil {
+		// As many connections as allowed are open, so something answers.
+		return true
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.put(address, c)
+	return true
+}
+
 // put keeps the connection for another request.
 func (p *Pool) put(address string, c *conn) {
 	p.mu.Lock()
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -35,6 +35,12 @@
 	Age() time.Duration
 }
 
+// suspicions are the requests that crash endpoints.
+type suspicions interface {
+	Own(within time.Duration) map[ident.Fingerprint]uint32
+	Hear(from ident.Instance, counts map[ident.Fingerprint]uint32)
+}
+
 // Options are the parts of a Gossip.
 type Options struct {
 	Clock      clock.Clock
@@ -44,6 +50,7 @@
 	Boot       unit.Boot
 	Catalog    snapshots
 	Copies     copies
+	Suspicions suspicions
 }
 
 // Gossip is this daemon's part of the exchange.
@@ -98,6 +105,9 @@
 	// failureAgain is the time after which everybody is told again of an
 	// endpoint that goes on failing.
 	failureAgain = 250 * time.Millisecond
+	// crashAge is how long a crash is told. It bounds the daemons that never
+	// hear of it to few in a hundred.
+	crashAge = 3 * time.Second
 	// countedAge is how long a silent daemon counts among those that share a
 	// bound, since it may only be cut off.
 	countedAge = 15 * time.Second
@@ -248,6 +258,7 @@
 	m := message{
 		From: g.Self, Boot: g.Boot, Revision: g.Copies.Revision(), Age: g.Copies.Age(),
 		Load: make(map[endpoint]unit.Requests), Failed: make(map[endpoint]time.Duration),
+		Crashes: g.Suspicions.Own(crashAge),
 	}
 	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
 		if n := e.Load.InFlight(); n > 0 {
@@ -321,6 +332,9 @@
 	}
 	g.mu.Unlock()
 	g.Copies.Heard(m.Revision)
+	if len(m.Crashes) > 0 {
+		g.Suspicions.Hear(m.From, m.Crashes)
+	}
 	g.suspect(suspects, m.From)
 }
 
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -18,6 +18,7 @@
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/serve/poison"
 )
 
 // copy is a copy of the platform's keys with a revision and an age.
@@ -53,7 +54,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
 	own := &copy{revision: 5}
-	g := New(Options{Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Boot: 1, Catalog: cat, Copies: own}, conn)
+	suspicions := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Minute, Limit: 16})
+	g := New(Options{Suspicions: suspicions, Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Boot: 1, Catalog: cat, Copies: own}, conn)
 	listed := map[ident.Instance]Listing{"a": {DataCentre: "z"}}
 	for id, centre := range peers {
 		listed[id] = Listing{Address: netip.MustParseAddrPort("127.0.0.1:9"), Feed: string(id) + ":1", DataCentre: centre}
@@ -127,6 +129,33 @@
 	c.Check(g.sequence, qt.Equals, before+1)
 }
 
+// TestCrashes guards against a request that crashes endpoints and reaches more of
+// them through each daemon, and against one crash that is counted twice.
+func TestCrashes(t *testing.T) {
+	c := qt.New(t)
+	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "d": "z"})
+	g.Suspicions.(*poison.Suspicions).Suspect(7)
+	raw, _ := g.compose(false)
+	m, err := decodeMessage(raw)
+	c.Assert(err, qt.IsNil)
+	c.Check(m.Crashes, qt.DeepEquals, map[ident.Fingerprint]uint32{7: 1})
+	clk.Advance(crashAge + time.Second)
+	raw, _ = g.compose(false)
+	m, err = decodeMessage(raw)
+	c.Assert(err, qt.IsNil)
+	c.Check(m.Crashes, qt.HasLen, 0, qt.Commentf("everybody was told"))
+
+	check := func(f ident.Fingerprint) code.Code {
+		return code.Of(g.Suspicions.(*poison.Suspicions).Check(f))
+	}
+	g.learn(&message{From: "b", Boot: 1, Sequence: 1, Crashes: map[ident.Fingerprint]uint32{9: 1}})
+	g.learn(&message{From: "b", Boot: 1, Sequence: 2, Crashes: map[ident.Fingerprint]uint32{9: 1}})
+	c.Check(check(9), qt.Equals, code.Answered)
+	g.learn(&message{From: "d", Boot: 1, Sequence: 1, Crashes: map[ident.Fingerprint]uint32{9: 1}})
+	c.Check(check(9), qt.Equals, code.PoisonRequest)
+	c.Check(check(7), qt.Equals, code.Answered)
+}
+
 // TestIdle guards against a daemon without requests that sends as often as one
 // with them, and against others that still count what it had.
 func TestIdle(t *testing.T) {
@@ -254,8 +283,9 @@
 	c := qt.New(t)
 	m := &message{
 		From: "b", Boot: 1_700_000_000_000, Sequence: 7, Revision: 9, Age: 40 * time.Millisecond,
-		Load:   map[endpoint]unit.Requests{nameFor("i", 3): 4, nameFor("j", 1): 1},
-		Failed: map[endpoint]time.Duration{nameFor("i", 2): 300 * time.Millisecond},
+		Load:    map[endpoint]unit.Requests{nameFor("i", 3): 4, nameFor("j", 1): 1},
+		Failed:  map[endpoint]time.Duration{nameFor("i", 2): 300 * time.Millisecond},
+		Crashes: map[ident.Fingerprint]uint32{1 << 63: 2},
 	}
 	raw, err := m.encode()
 	c.Assert(err, qt.IsNil)
@@ -272,11 +302,12 @@
 		return raw
 	}
 	for name, raw := range map[string][]byte{
-		"not a datagram":        []byte("?"),
-		"no sender":             encoded(&Datagram{Sequence: 1}),
-		"a name with a space":   encoded(&Datagram{From: "b c"}),
-		"an endpoint too many":  encoded(&Datagram{From: "b", Endpoints: []uint32{1}}),
-		"a failure with no age": encoded(&Datagram{From: "b", Failed: []uint32{1}}),
+		"not a datagram":         []byte("?"),
+		"no sender":              encoded(&Datagram{Sequence: 1}),
+		"a name with a space":    encoded(&Datagram{From: "b c"}),
+		"an endpoint too many":   encoded(&Datagram{From: "b", Endpoints: []uint32{1}}),
+		"a failure with no age":  encoded(&Datagram{From: "b", Failed: []uint32{1}}),
+		"a crash with no number": encoded(&Datagram{From: "b", Crashing: []uint64{1}}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := decodeMessage(raw)
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -25,6 +25,9 @@
 	Load map[endpoint]unit.Requests
 	// Failed has the endpoints that failed lately, with the time since.
 	Failed map[endpoint]time.Duration
+	// Crashes has the endpoints that crashed at the sender lately, counted by the
+	// request that they ran.
+	Crashes map[ident.Fingerprint]uint32
 }
 
 // endpoint names a server's part in a replica, so that what is said of one
@@ -54,6 +57,10 @@
 		d.Failed = append(d.Failed, uint32(e))
 		d.FailedAges = append(d.FailedAges, milliseconds(age))
 	}
+	for f, n := range m.Crashes {
+		d.Crashing = append(d.Crashing, uint64(f))
+		d.Crashes = append(d.Crashes, n)
+	}
 	return proto.Marshal(d)
 }
 
@@ -81,6 +88,9 @@
 	if len(d.GetFailed()) != len(d.GetFailedAges()) {
 		return nil, code.BadMessage.New("failed_ages: %d for %d endpoints", len(d.GetFailedAges()), len(d.GetFailed()))
 	}
+	if len(d.GetCrashing()) != len(d.GetCrashes()) {
+		return nil, code.BadMessage.New("crashes: %d for %d requests", len(d.GetCrashes()), len(d.GetCrashing()))
+	}
 	m := &message{
 		From: ident.Instance(d.GetFrom()), Boot: unit.Boot(d.GetBoot()), Sequence: unit.Sequence(d.GetSequence()),
 		Revision: unit.Revision(d.GetRevision()), Age: time.Duration(d.GetAge()) * time.Millisecond,
@@ -92,5 +102,11 @@
 	for i, e := range d.GetFailed() {
 		m.Failed[endpoint(e)] = time.Duration(d.GetFailedAges()[i]) * time.Millisecond
 	}
+	if len(d.GetCrashing()) > 0 {
+		m.Crashes = make(map[ident.Fingerprint]uint32, len(d.GetCrashing()))
+	}
+	for i, f := range d.GetCrashing() {
+		m.Crashes[ident.Fingerprint(f)] = d.GetCrashes()[i]
+	}
 	return m, nil
 }
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -100,7 +100,7 @@
 	if err := c.deps.Need(&c.platform); err != nil {
 		return err
 	}
-	if err := c.deps.NeedAll(&c.listeners); err != nil {
+	if err := errors.Join(c.deps.Need(&c.Suspicions), c.deps.NeedAll(&c.listeners)); err != nil {
 		return err
 	}
 	var config net.ListenConfig
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -38,8 +38,12 @@
 	clock    *clockwork.FakeClock
 	runs     map[ident.Instance][]run
 	attempts []*call.Attempt
+	// crashes says that a server that breaks off is gone.
+	crashes bool
 }
 
+func (s *fakeSender) Answers(context.Context, string) bool { return !s.crashes }
+
 func (s *fakeSender) Send(ctx context.Context, a *call.Attempt, silent func(time.Duration) bool) (Reply, error) {
 	s.attempts = append(s.attempts, a)
 	list := s.runs[a.Server]
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -41,6 +41,7 @@
 	suspector interface {
 		Check(ident.Fingerprint) error
 		Suspect(ident.Fingerprint)
+		Proven(ident.Fingerprint)
 	}
 	// observer is told of endpoints that fail.
 	observer interface {
@@ -55,6 +56,8 @@
 // code.CutOff, code.Stalled or code.ForeignAnswer.
 type Sender interface {
 	Send(ctx context.Context, a *call.Attempt, silent func(time.Duration) bool) (Reply, error)
+	// Answers reports whether the server takes a new connection.
+	Answers(ctx context.Context, address string) bool
 }
 
 // Reply is a server's reply as it comes.
@@ -340,10 +343,13 @@
 	}
 	avoided := time.Duration(0)
 	switch cause {
-	case code.EndpointUnreachable, code.CutOff, code.Stalled:
+	case code.EndpointUnreachable, code.CutOff, code.Stalled, code.EndpointFailed:
 		avoided = e.Load.Failed(x.Clock.Now())
 		x.Observer.Failed(e, cause)
 	}
+	if cause == code.CutOff && x.crashed(ctx, e) {
+		x.Poison.Suspect(x.request.Fingerprint)
+	}
 	x.Telemetry.retries.WithLabelValues(cause.Spec().Name).Inc()
 	x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
 		Str("replica", string(e.Replica)).Uint64("epoch", uint64(e.Epoch)).
@@ -351,6 +357,17 @@
 		Dur("avoided_ms", avoided).Str("cause", cause.Spec().Name).Str("detail", code.Message(err)).Msg("attempt-failed")
 }
 
+// crashCheck bounds the wait for a connection to a server that broke off.
+const crashCheck = 100 * time.Millisecond
+
+// crashed reports whether the server that broke off an answer is gone: one that
+// takes a new connection has only lost or spoilt this answer.
+func (x *exchange) crashed(ctx context.Context, e *catalog.Endpoint) bool {
+	ctx, cancel := clock.WithDeadline(ctx, x.Clock, x.Clock.Now().Add(crashCheck))
+	defer cancel()
+	return !x.Sender.Answers(ctx, e.Address)
+}
+
 // ended returns why the context ended: the caller left or the time is over.
 func (x *exchange) ended(ctx context.Context) error {
 	if ctx.Err() == nil {
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -149,6 +149,62 @@
 	}
 }
 
+// TestPoison guards against a request that crashes one server after the other as
+// its caller repeats it, and against a refusal of one whose answers only broke
+// off.
+func TestPoison(t *testing.T) {
+	broken := func() map[ident.Instance][]run {
+		return map[ident.Instance][]run{
+			"a": {{cut: true}, {body: "done"}}, "b": {{body: "do", broken: true}},
+			"x": {{body: eventA, broken: true}, {body: eventA}}, "y": {{cut: true}},
+		}
+	}
+	tests := map[string]struct {
+		path    string
+		crashes bool
+		// ran says that an equal request has run before.
+		ran     bool
+		refused bool
+	}{
+		"safe, the servers crash":         {path: "/safe/1", crashes: true, refused: true},
+		"safe, the answers break off":     {path: "/safe/1"},
+		"safe, an equal one has run":      {path: "/safe/1", crashes: true, ran: true},
+		"a stream, an equal one has run":  {path: "/stream/1", crashes: true, ran: true},
+		"a stream, the servers crash":     {path: "/stream/1", crashes: true, refused: true},
+		"a stream, the answers break off": {path: "/stream/1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sender := &fakeSender{clock: clockwork.NewFakeClock(), runs: broken(), crashes: test.crashes}
+			f := newForwarder(sender)
+			forward := func(id ident.Request, fingerprint ident.Fingerprint) error {
+				return f.Forward(context.Background(), &call.Request{
+					ID: id, Method: "POST", Host: "h", Target: test.path, Path: test.path, Key: "k", Model: testModel,
+					Received: f.Clock.Now(), Fingerprint: fingerprint,
+				}, &fakeSink{})
+			}
+			if test.ran {
+				sender.runs = map[ident.Instance][]run{"a": {{body: "done"}}, "x": {{body: eventA}}}
+				c.Check(forward("r0", 7), qt.IsNil)
+				sender.runs, sender.attempts = broken(), nil
+			}
+			c.Check(code.Of(forward("r1", 7)), qt.Equals, code.CutOff)
+			sent := len(sender.attempts)
+			c.Check(sent, qt.Equals, 2)
+			err := forward("r2", 7)
+			if !test.refused {
+				c.Check(err, qt.IsNil)
+				return
+			}
+			c.Check(code.Of(err), qt.Equals, code.PoisonRequest)
+			c.Check(code.OutcomeOf(err), qt.Equals, code.NotRun)
+			c.Check(sender.attempts, qt.HasLen, sent)
+			c.Check(forward("r3", 8), qt.IsNil, qt.Commentf("another request"))
+		})
+	}
+}
+
 // TestNotReady guards against a daemon that answers 404 or 401 for what it does
 // not know yet.
 func TestNotReady(t *testing.T) {
--- a/internal/serve/forward/plain.go
+++ b/internal/serve/forward/plain.go
@@ -101,6 +101,7 @@
 		return nil, code.CutOff.Wrap(err, "endpoint %s: the answer broke off after %d bytes", e.ID, len(body))
 	}
 	e.Load.Succeeded(x.Clock.Since(begun))
+	x.Poison.Proven(x.request.Fingerprint)
 	return &answer{head, body}, nil
 }
 
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -67,8 +67,12 @@
 		return nil, err
 	}
 	c := &component{deps: d, settings: d.Settings.Section(section).(*Settings)}
-	c.Forwarder = New(Options{Clock: d.Clock, Log: d.Log, Telemetry: telemetry})
+	suspicions := poison.New(poison.Options{
+		Clock: d.Clock, Self: d.Settings.Daemon.Instance, Lifetime: c.settings.Suspicion.Duration, Limit: c.settings.Suspects,
+	})
+	c.Forwarder = New(Options{Clock: d.Clock, Log: d.Log, Telemetry: telemetry, Poison: suspicions})
 	d.Provide(c)
+	d.Provide(suspicions)
 	return c, nil
 }
 
@@ -87,9 +91,6 @@
 	c.Budget = balance.NewBudget(balance.BudgetOptions{
 		Clock: c.Clock, Fleet: daemons, Ratio: s.Ratio, Slack: s.Slack, Window: s.Window.Duration,
 	})
-	c.Poison = poison.New(poison.Options{
-		Clock: c.Clock, Self: c.deps.Settings.Daemon.Instance, Lifetime: s.Suspicion.Duration, Limit: s.Suspects,
-	})
 	return nil
 }
 
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -84,6 +84,7 @@
 		return err
 	}
 	e.Load.Succeeded(x.Clock.Since(p.begun))
+	x.Poison.Proven(x.request.Fingerprint)
 	return nil
 }
 
@@ -95,7 +96,7 @@
 		return code.CutOff.Wrap(err, "endpoint %s: the answer broke off after %d bytes", e.ID, len(body))
 	}
 	if x.sink.Started() || head.Status >= http.StatusInternalServerError && x.sends+1 < x.route.Attempts {
-		return code.CutOff.New("endpoint %s: answered %d", e.ID, head.Status)
+		return code.EndpointFailed.New("endpoint %s: answered %d", e.ID, head.Status)
 	}
 	return x.conclude(&answer{head, body}, nil)
 }
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -51,8 +51,13 @@
 	Options
 	mu      sync.Mutex
 	current atomic.Pointer[snapshot]
+	// proven has requests that ran to their end, each in the slot of its hash.
+	proven [provenSlots]atomic.Uint64
 }
 
+// provenSlots bounds the requests that are remembered to have run.
+const provenSlots = 1 << 12
+
 // Options are the parts of Suspicions.
 type Options struct {
 	Clock clock.Clock
@@ -75,12 +80,22 @@
 // Errors carry code.PoisonRequest.
 func (s *Suspicions) Check(f ident.Fingerprint) error {
 	t, found := s.current.Load().totals[f]
-	if !found || t.count < threshold || !s.Clock.Now().Before(t.until) {
+	if !found || t.count < threshold || s.isProven(f) || !s.Clock.Now().Before(t.until) {
 		return nil
 	}
 	return code.PoisonRequest.New("request %016x: %d endpoints crashed while they ran it", uint64(f), t.count)
 }
 
+// Proven records that the request ran to its end. Equal requests, as reads of one
+// thing are, are then no cause of a crash that several of them see.
+func (s *Suspicions) Proven(f ident.Fingerprint) {
+	s.proven[f%provenSlots].Store(uint64(f))
+}
+
+func (s *Suspicions) isProven(f ident.Fingerprint) bool {
+	return s.proven[f%provenSlots].Load() == uint64(f)
+}
+
 // Suspect records that an endpoint crashed while it ran the request.
 func (s *Suspicions) Suspect(f ident.Fingerprint) {
 	s.change(func(seen map[observation]suspicion, now time.Time) {
@@ -128,6 +143,42 @@
 	}
 }
 
+// Own returns the crashes that this daemon saw, by request, of those whose last
+// was within the time.
+func (s *Suspicions) Own(within time.Duration) map[ident.Fingerprint]uint32 {
+	since := s.Clock.Now().Add(s.Lifetime - within)
+	var counts map[ident.Fingerprint]uint32
+	for o, v := range s.current.Load().seen {
+		if o.observer != s.Self || v.until.Before(since) {
+			continue
+		}
+		if counts == nil {
+			counts = make(map[ident.Fingerprint]uint32)
+		}
+		counts[o.fingerprint] = v.count
+	}
+	return counts
+}
+
+// Hear takes the crashes that another daemon saw a short time ago.
+func (s *Suspicions) Hear(from ident.Instance, counts map[ident.Fingerprint]uint32) {
+	known := s.current.Load().seen
+	news := false
+	for f, n := range counts {
+		news = news || n > known[observation{f, from}].count
+	}
+	if !news {
+		return
+	}
+	s.change(func(seen map[observation]suspicion, now time.Time) {
+		for f, n := range counts {
+			if o := (observation{f, from}); n > seen[o].count {
+				seen[o] = suspicion{count: n, until: now.Add(s.Lifetime)}
+			}
+		}
+	})
+}
+
 // entry is a suspicion in the peers' section. Left is a duration, as clocks of
 // daemons may differ.
 type entry struct {
