--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -48,12 +48,12 @@
 // leastShare stands for the share of a model that announces none.
 const leastShare = 0.01
 
-// byNeed returns the models, the one with the fewest members of replicas for its
-// share first.
+// byNeed returns the models, the one with the fewest members of replicas in
+// service for its share first.
 func (p *Planner) byNeed(service *site.Service) []*site.Model {
 	members := make(map[ident.Model]int)
 	for _, r := range p.replicas {
-		if r.service == service.Name && r.phase != short && r.phase != leaving {
+		if r.service == service.Name && r.phase != short && r.phase != leaving && !p.isOut(service, r.domain) {
 			members[r.model.Name] += r.model.Size
 		}
 	}
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -180,6 +180,37 @@
 	c.Check(w.broken, qt.HasLen, 0)
 }
 
+// TestOut guards against loads of weights for a data centre that is out of
+// service, while one in service waits for them.
+func TestOut(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(2, 3, site.Model{Name: "small", Size: 3, Share: 1, Pace: 1, LoadTime: loadTime, WarmTime: warmTime})
+	p := New(testRules(), 10, w.now)
+	for range 80 {
+		w.step(p, true)
+	}
+	c.Assert(w.serving(), qt.DeepEquals, map[ident.Model]int{"small": 2})
+	w.out = "z0"
+	for i := range 6 {
+		w.add(fmt.Sprintf("d0-new%d", i), "d0")
+	}
+	for range 30 {
+		w.step(p, false)
+	}
+	w.add("d1-new", "d1")
+	for range 30 {
+		w.step(p, false)
+	}
+	for id, m := range w.machines {
+		c.Check(m.staging != "", qt.Equals, id == "d1-new", qt.Commentf("%s", id))
+	}
+	w.out = ""
+	for range 30 {
+		w.step(p, false)
+	}
+	c.Check(w.machines["d0-new0"].staging, qt.Equals, ident.Model("small"), qt.Commentf("back in service"))
+}
+
 // TestTenure guards against a new planner that takes apart what serves, and
 // against an epoch that two tenures use.
 func TestTenure(t *testing.T) {
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -158,6 +158,12 @@
 	return false
 }
 
+// isOut reports whether the domain's data centre is out of service.
+func (p *Planner) isOut(service *site.Service, domain ident.Domain) bool {
+	servers := p.domain[domainKey{service.Name, domain}]
+	return len(servers) > 0 && p.view.Out[servers[0].DataCentre]
+}
+
 // size returns the number of the domain's servers.
 func (p *Planner) size(service *site.Service, domain ident.Domain) int {
 	n := 0
--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -22,13 +22,17 @@
 const insurance = 2.5
 
 // stage has weights loaded on spare servers: those that short replicas wait for,
-// those that replicas of the domain may need next, and those for new replicas.
+// those that replicas of the domain may need next, and those for new replicas. A
+// data centre that is out of service gets none, as loads are few.
 func (p *Planner) stage(service *site.Service) {
 	if p.loads.bootstrap && p.anyGrowing(service) {
 		return
 	}
 	var wishes []wish
 	for _, domain := range p.domains(service) {
+		if p.isOut(service, domain) {
+			continue
+		}
 		wishes = append(wishes, p.wishes(service, domain)...)
 	}
 	slices.SortStableFunc(wishes, func(a, b wish) int { return cmp.Compare(a.missing, b.missing) })
--- a/internal/fleet/formation/world_test.go
+++ b/internal/fleet/formation/world_test.go
@@ -50,6 +50,8 @@
 	lists map[catalog.ReplicaKey][]ident.Instance
 	// broken collects broken rules.
 	broken []string
+	// out is a data centre that is out of service.
+	out ident.DataCentre
 	// late orders are carried out at their time.
 	late []lateOrder
 	// lose, if set, says how an order is treated.
@@ -99,6 +101,9 @@
 func (w *world) view() *catalog.Snapshot {
 	cat := catalog.New(nil)
 	u := catalog.Update{Config: w.config, Listed: true}
+	if w.out != "" {
+		u.Out = []ident.DataCentre{w.out}
+	}
 	for _, m := range w.machines {
 		s := m.Server
 		if m.Member != nil {
