--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -48,6 +48,10 @@
 	plugin.RegisterFor("platform", plugin.Decision, "forward", newPlugin)
 }
 
+// crashes is the number of crashes at which a request is refused. A whole fabric
+// domain may go down twice while a caller repeats an innocent one.
+const crashes = 3
+
 // fleet tells how many daemons there are.
 type fleet interface {
 	Daemons() int
@@ -69,6 +73,7 @@
 	c := &component{deps: d, settings: d.Settings.Section(section).(*Settings)}
 	suspicions := poison.New(poison.Options{
 		Clock: d.Clock, Self: d.Settings.Daemon.Instance, Lifetime: c.settings.Suspicion.Duration, Limit: c.settings.Suspects,
+		Threshold: crashes,
 	})
 	c.Forwarder = New(Options{Clock: d.Clock, Log: d.Log, Telemetry: telemetry, Poison: suspicions})
 	d.Provide(c)
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -16,9 +16,9 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-// threshold is the number of crashes at which a request is refused. One crash
-// may be a coincidence of the endpoint's own failure.
-const threshold = 2
+// defaultThreshold refuses a request after its second crash. One may be a
+// coincidence of the endpoint's own failure.
+const defaultThreshold = 2
 
 // suspicion is what one daemon has seen of one request.
 type suspicion struct {
@@ -66,10 +66,16 @@
 	Lifetime time.Duration
 	// Limit bounds the suspicions kept; those that end first are dropped.
 	Limit int
+	// Threshold is the number of crashes at which a request is refused; zero
+	// stands for two.
+	Threshold uint32
 }
 
 // New returns Suspicions without any.
 func New(o Options) *Suspicions {
+	if o.Threshold == 0 {
+		o.Threshold = defaultThreshold
+	}
 	s := &Suspicions{Options: o}
 	s.current.Store(new(snapshot))
 	return s
@@ -80,7 +86,7 @@
 // Errors carry code.PoisonRequest.
 func (s *Suspicions) Check(f ident.Fingerprint) error {
 	t, found := s.current.Load().totals[f]
-	if !found || t.count < threshold || s.isProven(f) || !s.Clock.Now().Before(t.until) {
+	if !found || t.count < s.Threshold || s.isProven(f) || !s.Clock.Now().Before(t.until) {
 		return nil
 	}
 	return code.PoisonRequest.New("request %016x: %d endpoints crashed while they ran it", uint64(f), t.count)
--- a/internal/serve/poison/poison_test.go
+++ b/internal/serve/poison/poison_test.go
@@ -58,6 +58,37 @@
 	}
 }
 
+// TestThreshold guards against a request that is refused a crash too early or too
+// late.
+func TestThreshold(t *testing.T) {
+	tests := map[string]struct {
+		threshold uint32
+		crashes   int
+		refused   bool
+	}{
+		"one of the usual two":   {crashes: 1},
+		"the usual two":          {crashes: 2, refused: true},
+		"two of three":           {threshold: 3, crashes: 2},
+		"three":                  {threshold: 3, crashes: 3, refused: true},
+		"three, told by another": {threshold: 3, crashes: -3, refused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := poison.New(poison.Options{Clock: clockwork.NewFakeClock(), Self: "a", Lifetime: time.Hour, Limit: 2, Threshold: test.threshold})
+			for range test.crashes {
+				s.Suspect(7)
+			}
+			if test.crashes < 0 {
+				s.Hear("b", map[ident.Fingerprint]uint32{7: uint32(-test.crashes)})
+			}
+			c.Check(code.Of(s.Check(7)) == code.PoisonRequest, qt.Equals, test.refused)
+			s.Proven(7)
+			c.Check(s.Check(7), qt.IsNil)
+		})
+	}
+}
+
 // TestLimit guards against suspicions growing without bound.
 func TestLimit(t *testing.T) {
 	c := qt.New(t)
