--- a/internal/caller/openai/plugin.go
+++ b/internal/caller/openai/plugin.go
@@ -57,10 +57,8 @@
 // Start opens the listener.
 func (s *service) Start(context.Context) error {
 	s.clock, s.started = s.deps.Clock, s.deps.Clock.Now()
-	for _, need := range []any{&s.records, &s.dispatcher, &s.drainer, &s.members, &s.roster} {
-		if err := s.deps.Need(need); err != nil {
-			return err
-		}
+	if err := s.deps.Need(&s.records, &s.dispatcher, &s.drainer, &s.members, &s.roster); err != nil {
+		return err
 	}
 	if err := s.deps.NeedAll(&s.mounts); err != nil {
 		return err
--- a/internal/caller/operator/plugin.go
+++ b/internal/caller/operator/plugin.go
@@ -53,10 +53,8 @@
 
 // Start opens the listener.
 func (s *service) Start(context.Context) error {
-	for _, need := range []any{&s.Tables, &s.Records, &s.Drains, &s.Members, &s.Replicas, &s.Load, &s.Peers} {
-		if err := s.deps.Need(need); err != nil {
-			return err
-		}
+	if err := s.deps.Need(&s.Tables, &s.Records, &s.Drains, &s.Members, &s.Replicas, &s.Load, &s.Peers); err != nil {
+		return err
 	}
 	listener, err := net.Listen("tcp", s.listen)
 	if err != nil {
--- a/internal/endpoint/engine/plugin.go
+++ b/internal/endpoint/engine/plugin.go
@@ -14,20 +14,16 @@
 
 // service runs the client as a plug-in.
 type service struct {
+	plugin.Passive
 	*Client
 }
 
 func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
-	s := service{New(*d.Settings.Section("engine").(*Settings), d.Clock)}
+	s := service{Client: New(*d.Settings.Section("engine").(*Settings), d.Clock)}
 	d.Provide(s.Client)
 	return s, nil
 }
 
-// Start does nothing: connections are opened when they are needed.
-func (service) Start(context.Context) error {
-	return nil
-}
-
 // Stop closes the idle connections.
 func (s service) Stop(context.Context) error {
 	s.stream.CloseIdleConnections()
--- a/internal/endpoint/relay/plugin.go
+++ b/internal/endpoint/relay/plugin.go
@@ -14,22 +14,18 @@
 
 // service runs the client as a plug-in.
 type service struct {
+	plugin.Passive
 	*Client
 }
 
 func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
-	s := service{New(Options{
+	s := service{Client: New(Options{
 		Settings: *d.Settings.Section("relay").(*Settings), Clock: d.Clock, Self: d.Settings.Daemon.Instance,
 	})}
 	d.Provide(s.Client)
 	return s, nil
 }
 
-// Start does nothing: connections are opened when they are needed.
-func (service) Start(context.Context) error {
-	return nil
-}
-
 // Stop closes the idle connections.
 func (s service) Stop(context.Context) error {
 	s.stream.CloseIdleConnections()
--- a/internal/fleet/cold/plugin.go
+++ b/internal/fleet/cold/plugin.go
@@ -108,10 +108,8 @@
 // Start begins to ask for grants.
 func (p *Plugin) Start(context.Context) error {
 	var tables publisher
-	for _, need := range []any{&p.members, &p.peers, &tables} {
-		if err := p.deps.Need(need); err != nil {
-			return fmt.Errorf("cold: %w", err)
-		}
+	if err := p.deps.Need(&p.members, &p.peers, &tables); err != nil {
+		return fmt.Errorf("cold: %w", err)
 	}
 	found, ok := tables.(*table.Publisher)
 	if !ok {
--- a/internal/fleet/formation/duty.go
+++ b/internal/fleet/formation/duty.go
@@ -131,10 +131,8 @@
 
 // Start begins to compete for the duty.
 func (u *duty) Start(context.Context) error {
-	for _, target := range []any{&u.platform, &u.catalog, &u.servers, &u.mirror, &u.traffic} {
-		if err := u.deps.Need(target); err != nil {
-			return err
-		}
+	if err := u.deps.Need(&u.platform, &u.catalog, &u.servers, &u.mirror, &u.traffic); err != nil {
+		return err
 	}
 	u.Go(u.tend)
 	u.Go(u.plan)
--- a/internal/fleet/mirror/plugin.go
+++ b/internal/fleet/mirror/plugin.go
@@ -46,10 +46,8 @@
 // Start begins to follow the platform or another daemon.
 func (c *component) Start(context.Context) error {
 	u := &Upstream{Clock: c.Clock, Log: c.Log}
-	for _, target := range []any{&u.Platform, &u.Feed, &u.Tree} {
-		if err := c.deps.Need(target); err != nil {
-			return err
-		}
+	if err := c.deps.Need(&u.Platform, &u.Feed, &u.Tree); err != nil {
+		return err
 	}
 	c.Source = u
 	if err := c.deps.NeedAll(&c.followers); err != nil {
--- a/internal/fleet/remote/plugin.go
+++ b/internal/fleet/remote/plugin.go
@@ -122,10 +122,8 @@
 
 // Start begins to summarise.
 func (u *duty) Start(context.Context) error {
-	for _, need := range []any{&u.members, &u.records, &u.drains, &u.tables} {
-		if err := u.deps.Need(need); err != nil {
-			return err
-		}
+	if err := u.deps.Need(&u.members, &u.records, &u.drains, &u.tables); err != nil {
+		return err
 	}
 	u.started.Store(true)
 	u.Every(u.deps.Clock, u.settings.Interval.Duration, func(context.Context) { u.summarise() })
--- a/internal/fleet/replica/duty.go
+++ b/internal/fleet/replica/duty.go
@@ -106,10 +106,8 @@
 
 // Start begins to read assignments and to probe.
 func (u *duty) Start(context.Context) error {
-	for _, target := range []any{&u.prober, &u.members, &u.lister, &u.records, &u.roster, &u.drains} {
-		if err := u.deps.Need(target); err != nil {
-			return err
-		}
+	if err := u.deps.Need(&u.prober, &u.members, &u.lister, &u.records, &u.roster, &u.drains); err != nil {
+		return err
 	}
 	u.pool = pond.NewPool(u.settings.Probes)
 	u.started.Store(true)
--- a/internal/fleet/service/plugin.go
+++ b/internal/fleet/service/plugin.go
@@ -26,10 +26,8 @@
 
 // Start begins to check.
 func (s *duty) Start(context.Context) error {
-	for _, need := range []any{&s.Roster, &s.Records, &s.Drains} {
-		if err := s.deps.Need(need); err != nil {
-			return err
-		}
+	if err := s.deps.Need(&s.Roster, &s.Records, &s.Drains); err != nil {
+		return err
 	}
 	var checkers []checker
 	if err := s.deps.NeedAll(&checkers); err != nil {
--- a/internal/kernel/plugin/deps.go
+++ b/internal/kernel/plugin/deps.go
@@ -46,18 +46,20 @@
 	d.provided = append(d.provided, v)
 }
 
-// Need sets what target points to, an interface or a pointer, to the first
+// Need sets what each target points to, an interface or a pointer, to the first
 // provided value that implements the interface or has the pointer's type. It is
 // called from Start, when every plug-in is built.
-func (d *Deps) Need(target any) error {
-	found, want, err := d.find(target)
-	if err != nil {
-		return err
-	}
-	if len(found) == 0 {
-		return fmt.Errorf("plugin: no plug-in provides %s", want)
+func (d *Deps) Need(targets ...any) error {
+	for _, target := range targets {
+		found, want, err := d.find(target)
+		if err != nil {
+			return err
+		}
+		if len(found) == 0 {
+			return fmt.Errorf("plugin: no plug-in provides %s", want)
+		}
+		reflect.ValueOf(target).Elem().Set(reflect.ValueOf(found[0]))
 	}
-	reflect.ValueOf(target).Elem().Set(reflect.ValueOf(found[0]))
 	return nil
 }
 
--- a/internal/kernel/plugin/plugin.go
+++ b/internal/kernel/plugin/plugin.go
@@ -50,6 +50,16 @@
 	Stop(ctx context.Context) error
 }
 
+// Passive is a plug-in without work of its own: others call what it provides.
+// Plug-ins embed it to get Start and Stop.
+type Passive struct{}
+
+// Start does nothing.
+func (Passive) Start(context.Context) error { return nil }
+
+// Stop does nothing.
+func (Passive) Stop(context.Context) error { return nil }
+
 // Factory builds a plug-in and provides what it offers to others. A nil
 // plug-in with a nil error means that the settings leave it out.
 type Factory func(d *Deps) (Plugin, error)
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 
-	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
@@ -160,34 +159,6 @@
 	return n
 }
 
-// Failed tells the other daemons and the listeners at once that an endpoint
-// failed.
-func (g *Gossip) Failed(e *catalog.Endpoint, _ code.Code) {
-	for _, l := range g.listeners {
-		l.Suspect(e.ID, e.Epoch, g.Self)
-	}
-	g.mu.Lock()
-	now := g.Clock.Now()
-	last, known := g.failures[nameOf(e)]
-	g.failures[nameOf(e)] = now
-	heard := g.told(nameOf(e), now)
-	g.mu.Unlock()
-	if !heard && (!known || now.Sub(last) > failureAgain) {
-		g.send(true)
-	}
-}
-
-// told reports whether another daemon has said a short time ago that the
-// endpoint failed, and so has told everybody.
-func (g *Gossip) told(e endpoint, now time.Time) bool {
-	for _, p := range g.peers {
-		if at, ok := p.told[e]; ok && now.Sub(at) < failureAge {
-			return true
-		}
-	}
-	return false
-}
-
 // idleEvery is the number of intervals between two datagrams of a daemon without
 // requests in flight: only its copy of the platform's keys is of interest then.
 const idleEvery = 6
@@ -337,75 +308,3 @@
 	}
 	g.suspect(suspects, m.From)
 }
-
-// suspect avoids what failed another daemon, for as long as this daemon has no
-// experience of its own, and tells the listeners.
-func (g *Gossip) suspect(names []endpoint, from ident.Instance) {
-	if len(names) == 0 {
-		return
-	}
-	named := make(map[endpoint]bool, len(names))
-	for _, n := range names {
-		named[n] = true
-	}
-	now := g.Clock.Now()
-	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
-		if !named[nameOf(e)] {
-			return
-		}
-		for _, l := range g.listeners {
-			l.Suspect(e.ID, e.Epoch, from)
-		}
-		if e.Replica != "" && now.Sub(e.Load.LastProgress()) > hearsaySilence {
-			e.Load.Avoid(now.Add(hearsayAvoid))
-		}
-	})
-}
-
-// A replica that fails another daemon is avoided too, unless it sent something
-// here lately.
-const (
-	hearsaySilence = 150 * time.Millisecond
-	hearsayAvoid   = 500 * time.Millisecond
-)
-
-// Count sets, for each endpoint, what the other daemons have in flight. Live ones
-// that were not heard lately are taken to have as much as the others of their
-// data centre.
-func (g *Gossip) Count() {
-	type sum struct {
-		load   map[endpoint]unit.Requests
-		heard  int
-		listed int
-	}
-	centres := make(map[ident.DataCentre]*sum)
-	g.mu.Lock()
-	now := g.Clock.Now()
-	for _, p := range g.peers {
-		c := centres[p.centre]
-		if c == nil {
-			c = &sum{load: make(map[endpoint]unit.Requests)}
-			centres[p.centre] = c
-		}
-		if p.listed && now.Sub(p.heard) < liveAge {
-			c.listed++
-		}
-		if now.Sub(p.heard) > loadAge {
-			continue
-		}
-		c.heard++
-		for e, n := range p.load {
-			c.load[e] += n
-		}
-	}
-	g.mu.Unlock()
-	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
-		total := 0.0
-		for _, c := range centres {
-			if c.heard > 0 {
-				total += float64(c.load[nameOf(e)]) * float64(max(c.listed, c.heard)) / float64(c.heard)
-			}
-		}
-		e.Load.SetOthers(unit.Requests(total + 0.5))
-	})
-}
--- a/internal/platform/etcd/plugin.go
+++ b/internal/platform/etcd/plugin.go
@@ -3,7 +3,6 @@
 package etcd
 
 import (
-	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -49,13 +48,6 @@
 	plugin.Register(plugin.Platform, "etcd", build)
 }
 
-// platform is the plug-in. It has no background work.
-type platform struct{}
-
-func (platform) Start(context.Context) error { return nil }
-
-func (platform) Stop(context.Context) error { return nil }
-
 func build(d *plugin.Deps) (plugin.Plugin, error) {
 	s := d.Settings.Section(section).(*Settings)
 	c := New(Options{
@@ -73,5 +65,5 @@
 		return nil, err
 	}
 	d.Provide(c)
-	return platform{}, nil
+	return plugin.Passive{}, nil
 }
--- a/internal/route/policy/plugin.go
+++ b/internal/route/policy/plugin.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"context"
 	"time"
 
 	"cuminbay/internal/domain/unit"
@@ -34,12 +33,6 @@
 	Target settings.Duration `json:"target" validate:"duration"`
 }
 
-// passive is a plug-in without work in the background.
-type passive struct{}
-
-func (passive) Start(context.Context) error { return nil }
-func (passive) Stop(context.Context) error  { return nil }
-
 func newEstimate(d *plugin.Deps) (plugin.Plugin, error) {
 	s := d.Settings.Section("policy").(*Settings)
 	if s.Name != "estimate" {
@@ -49,7 +42,7 @@
 		CacheEntries: s.CacheEntries,
 		Limits:       Limits{Least: s.LeastLimit, Target: s.Target.Duration},
 	}))
-	return passive{}, nil
+	return plugin.Passive{}, nil
 }
 
 func newRandom2(d *plugin.Deps) (plugin.Plugin, error) {
@@ -57,5 +50,5 @@
 		return nil, nil
 	}
 	d.Provide(Random2{})
-	return passive{}, nil
+	return plugin.Passive{}, nil
 }
--- a/internal/serve/dispatch/plugin.go
+++ b/internal/serve/dispatch/plugin.go
@@ -72,10 +72,8 @@
 
 // Start connects the dispatcher to the other plug-ins.
 func (s *service) Start(context.Context) error {
-	for _, need := range []any{&s.Tables, &s.Records, &s.Policy, &s.Claims, &s.Suspects} {
-		if err := s.deps.Need(need); err != nil {
-			return err
-		}
+	if err := s.deps.Need(&s.Tables, &s.Records, &s.Policy, &s.Claims, &s.Suspects); err != nil {
+		return err
 	}
 	var senders []sender
 	if err := s.deps.NeedAll(&senders); err != nil {
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -59,6 +59,7 @@
 
 // component is the plug-in.
 type component struct {
+	plugin.Passive
 	*Forwarder
 	deps     *plugin.Deps
 	settings *Settings
@@ -84,10 +85,8 @@
 // Start connects the parts.
 func (c *component) Start(context.Context) error {
 	var daemons fleet
-	for _, target := range []any{&c.Catalog, &c.Sender, &c.Observer, &daemons} {
-		if err := c.deps.Need(target); err != nil {
-			return err
-		}
+	if err := c.deps.Need(&c.Catalog, &c.Sender, &c.Observer, &daemons); err != nil {
+		return err
 	}
 	s := c.settings
 	c.Picker = balance.New(balance.Options{
@@ -99,11 +98,6 @@
 	return nil
 }
 
-// Stop does nothing: the callers' plug-in has ended all requests.
-func (c *component) Stop(context.Context) error {
-	return nil
-}
-
 // Forward answers the request.
 func (c *component) Forward(ctx context.Context, r *call.Request, s Sink) error {
 	if !c.seen.Load() {
--- a/internal/serve/poison/plugin.go
+++ b/internal/serve/poison/plugin.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"context"
 	"time"
 
 	"cuminbay/internal/kernel/plugin"
@@ -23,24 +22,15 @@
 	Limit int `json:"limit" validate:"min=1,max=1000000"`
 }
 
-// passive is the plug-in: requests and peers call it.
-type passive struct {
+// component is the plug-in: requests and peers call it.
+type component struct {
+	plugin.Passive
 	*Suspicions
 }
 
 func newPlugin(d *plugin.Deps) (plugin.Plugin, error) {
 	s := d.Settings.Section("poison").(*Settings)
-	p := passive{New(Options{Clock: d.Clock, Self: d.Settings.Daemon.Instance, Lifetime: s.Lifetime.Duration, Limit: s.Limit})}
+	p := component{Suspicions: New(Options{Clock: d.Clock, Self: d.Settings.Daemon.Instance, Lifetime: s.Lifetime.Duration, Limit: s.Limit})}
 	d.Provide(p.Suspicions)
 	return p, nil
 }
-
-// Start does nothing.
-func (passive) Start(context.Context) error {
-	return nil
-}
-
-// Stop does nothing.
-func (passive) Stop(context.Context) error {
-	return nil
-}
