--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -37,7 +37,7 @@
 // suspicions are the requests that crash endpoints.
 type suspicions interface {
 	Own(within time.Duration) map[ident.Fingerprint]uint32
-	Hear(from ident.Instance, counts map[ident.Fingerprint]uint32)
+	Hear(from ident.Instance, counts map[ident.Fingerprint]uint32) int
 }
 
 // Options are the parts of a Gossip.
@@ -304,7 +304,9 @@
 	g.mu.Unlock()
 	g.Copies.Heard(m.Revision)
 	if len(m.Crashes) > 0 {
-		g.Suspicions.Hear(m.From, m.Crashes)
+		if news := g.Suspicions.Hear(m.From, m.Crashes); news > 0 {
+			g.Log.Info().Str("from", string(m.From)).Int("requests", news).Msg("suspicions-heard")
+		}
 	}
 	g.suspect(suspects, m.From)
 }
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -166,15 +166,18 @@
 	return counts
 }
 
-// Hear takes the crashes that another daemon saw a short time ago.
-func (s *Suspicions) Hear(from ident.Instance, counts map[ident.Fingerprint]uint32) {
+// Hear takes the crashes that another daemon saw a short time ago. It returns the
+// number of requests of which that is news.
+func (s *Suspicions) Hear(from ident.Instance, counts map[ident.Fingerprint]uint32) int {
 	known := s.current.Load().seen
-	news := false
+	news := 0
 	for f, n := range counts {
-		news = news || n > known[observation{f, from}].count
+		if n > known[observation{f, from}].count {
+			news++
+		}
 	}
-	if !news {
-		return
+	if news == 0 {
+		return 0
 	}
 	s.change(func(seen map[observation]suspicion, now time.Time) {
 		for f, n := range counts {
@@ -183,6 +186,7 @@
 			}
 		}
 	})
+	return news
 }
 
 // entry is a suspicion in the peers' section. Left is a duration, as clocks of
