--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -38,6 +38,8 @@
 type suspicions interface {
 	Own(within time.Duration) map[ident.Fingerprint]uint32
 	Hear(from ident.Instance, counts map[ident.Fingerprint]uint32) int
+	Vouched(within time.Duration) []ident.Fingerprint
+	Proven(f ident.Fingerprint)
 }
 
 // Options are the parts of a Gossip.
@@ -229,7 +231,7 @@
 	m := message{
 		From: g.Self, Boot: g.Boot, Revision: g.Copies.Revision(), Age: g.Copies.Age(),
 		Load: make(map[endpoint]unit.Requests), Failed: make(map[endpoint]time.Duration),
-		Crashes: g.Suspicions.Own(crashAge),
+		Crashes: g.Suspicions.Own(crashAge), Proven: g.Suspicions.Vouched(crashAge),
 	}
 	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
 		if n := e.Load.InFlight(); n > 0 {
@@ -303,6 +305,9 @@
 	}
 	g.mu.Unlock()
 	g.Copies.Heard(m.Revision)
+	for _, f := range m.Proven {
+		g.Suspicions.Proven(f)
+	}
 	if len(m.Crashes) > 0 {
 		if news := g.Suspicions.Hear(m.From, m.Crashes); news > 0 {
 			g.Log.Info().Str("from", string(m.From)).Int("requests", news).Msg("suspicions-heard")
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -156,6 +156,33 @@
 	c.Check(check(7), qt.Equals, code.Answered)
 }
 
+// TestVouched guards against a daemon that was restarted and refuses what runs at
+// all others, since crashes of servers hit equal requests everywhere. The soak
+// found it (seeds 1 and 3).
+func TestVouched(t *testing.T) {
+	c := qt.New(t)
+	old, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
+	old.Suspicions.Proven(7)
+	old.Suspicions.(*poison.Suspicions).Suspect(7)
+	c.Check(old.Suspicions.Own(crashAge), qt.HasLen, 0, qt.Commentf("what has run is no suspect"))
+	restarted, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
+	suspicions := restarted.Suspicions.(*poison.Suspicions)
+	for range 3 {
+		suspicions.Suspect(7)
+	}
+	c.Assert(code.Of(suspicions.Check(7)), qt.Equals, code.PoisonRequest)
+	tell := func(from, to *Gossip, sequence unit.Sequence) {
+		raw, _ := from.compose(false)
+		m, err := decodeMessage(raw)
+		c.Assert(err, qt.IsNil)
+		m.From, m.Sequence = "b", sequence
+		to.learn(m)
+	}
+	tell(restarted, old, 1)
+	tell(old, restarted, 1)
+	c.Check(suspicions.Check(7), qt.IsNil)
+}
+
 // TestIdle guards against a daemon without requests that sends as often as one
 // with them, and against others that still count what it had.
 func TestIdle(t *testing.T) {
@@ -285,7 +312,7 @@
 		From: "b", Boot: 1_700_000_000_000, Sequence: 7, Revision: 9, Age: 40 * time.Millisecond,
 		Load:    map[endpoint]unit.Requests{nameFor("i", 3): 4, nameFor("j", 1): 1},
 		Failed:  map[endpoint]time.Duration{nameFor("i", 2): 300 * time.Millisecond},
-		Crashes: map[ident.Fingerprint]uint32{1 << 63: 2},
+		Crashes: map[ident.Fingerprint]uint32{1 << 63: 2}, Proven: []ident.Fingerprint{7},
 	}
 	raw, err := m.encode()
 	c.Assert(err, qt.IsNil)
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -28,6 +28,9 @@
 	// Crashes has the endpoints that crashed at the sender lately, counted by the
 	// request that they ran.
 	Crashes map[ident.Fingerprint]uint32
+	// Proven has the requests that others suspect and that have run to their end
+	// at the sender.
+	Proven []ident.Fingerprint
 }
 
 // endpoint names a server's part in a replica, so that what is said of one
@@ -61,6 +64,9 @@
 		d.Crashing = append(d.Crashing, uint64(f))
 		d.Crashes = append(d.Crashes, n)
 	}
+	for _, f := range m.Proven {
+		d.Proven = append(d.Proven, uint64(f))
+	}
 	return proto.Marshal(d)
 }
 
@@ -108,5 +114,8 @@
 	for i, f := range d.GetCrashing() {
 		m.Crashes[ident.Fingerprint(f)] = d.GetCrashes()[i]
 	}
+	for _, f := range d.GetProven() {
+		m.Proven = append(m.Proven, ident.Fingerprint(f))
+	}
 	return m, nil
 }
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -53,6 +53,9 @@
 	current atomic.Pointer[snapshot]
 	// proven has requests that ran to their end, each in the slot of its hash.
 	proven [provenSlots]atomic.Uint64
+	// vouched has the proven requests that another daemon suspects, with the time
+	// at which it said so.
+	vouched map[ident.Fingerprint]time.Time
 }
 
 // provenSlots bounds the requests that are remembered to have run.
@@ -76,7 +79,7 @@
 	if o.Threshold == 0 {
 		o.Threshold = defaultThreshold
 	}
-	s := &Suspicions{Options: o}
+	s := &Suspicions{Options: o, vouched: make(map[ident.Fingerprint]time.Time)}
 	s.current.Store(new(snapshot))
 	return s
 }
@@ -102,8 +105,12 @@
 	return s.proven[f%provenSlots].Load() == uint64(f)
 }
 
-// Suspect records that an endpoint crashed while it ran the request.
+// Suspect records that an endpoint crashed while it ran the request, unless that
+// is proven.
 func (s *Suspicions) Suspect(f ident.Fingerprint) {
+	if s.isProven(f) {
+		return
+	}
 	s.change(func(seen map[observation]suspicion, now time.Time) {
 		o := observation{f, s.Self}
 		seen[o] = suspicion{count: seen[o].count + 1, until: now.Add(s.Lifetime)}
@@ -155,7 +162,7 @@
 	since := s.Clock.Now().Add(s.Lifetime - within)
 	var counts map[ident.Fingerprint]uint32
 	for o, v := range s.current.Load().seen {
-		if o.observer != s.Self || v.until.Before(since) {
+		if o.observer != s.Self || v.until.Before(since) || s.isProven(o.fingerprint) {
 			continue
 		}
 		if counts == nil {
@@ -166,9 +173,42 @@
 	return counts
 }
 
+// Vouched returns the requests that another daemon suspected within the time and
+// that are proven here.
+func (s *Suspicions) Vouched(within time.Duration) []ident.Fingerprint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	var list []ident.Fingerprint
+	for f, at := range s.vouched {
+		if now.Sub(at) > within {
+			delete(s.vouched, f)
+			continue
+		}
+		list = append(list, f)
+	}
+	return list
+}
+
+// vouch notes the requests that are proven here, of those that another daemon
+// suspects.
+func (s *Suspicions) vouch(counts map[ident.Fingerprint]uint32) {
+	for f := range counts {
+		if !s.isProven(f) {
+			continue
+		}
+		s.mu.Lock()
+		if len(s.vouched) < s.Limit {
+			s.vouched[f] = s.Clock.Now()
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Hear takes the crashes that another daemon saw a short time ago. It returns the
 // number of requests of which that is news.
 func (s *Suspicions) Hear(from ident.Instance, counts map[ident.Fingerprint]uint32) int {
+	s.vouch(counts)
 	known := s.current.Load().seen
 	news := 0
 	for f, n := range counts {
