--- a/internal/domain/ident/ident.go
+++ b/internal/domain/ident/ident.go
@@ -39,6 +39,11 @@
 	Fingerprint uint64
 )
 
+// String returns the fingerprint as log lines and messages have it.
+func (f Fingerprint) String() string {
+	return fmt.Sprintf("%016x", uint64(f))
+}
+
 // maxNameLength bounds names, so that state per name is bounded too.
 const maxNameLength = 128
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"time"
 
@@ -351,7 +350,7 @@
 	if cause == code.CutOff && x.crashed(ctx, e) {
 		x.Poison.Suspect(x.request.Fingerprint)
 		x.Log.Warn().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
-			Str("fingerprint", fmt.Sprintf("%016x", uint64(x.request.Fingerprint))).Msg("request-suspected")
+			Stringer("fingerprint", x.request.Fingerprint).Msg("request-suspected")
 	}
 	x.Telemetry.retries.WithLabelValues(cause.Spec().Name).Inc()
 	x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,9 +54,6 @@
 	current atomic.Pointer[snapshot]
 	// proven has requests that ran to their end, each in the slot of its hash.
 	proven [provenSlots]atomic.Uint64
-	// vouched has the proven requests that another daemon suspects, with the time
-	// at which it said so.
-	vouched map[ident.Fingerprint]time.Time
 }
 
 // provenSlots bounds the requests that are remembered to have run.
@@ -79,7 +77,7 @@
 	if o.Threshold == 0 {
 		o.Threshold = defaultThreshold
 	}
-	s := &Suspicions{Options: o, vouched: make(map[ident.Fingerprint]time.Time)}
+	s := &Suspicions{Options: o}
 	s.current.Store(new(snapshot))
 	return s
 }
@@ -92,7 +90,7 @@
 	if !found || t.count < s.Threshold || s.isProven(f) || !s.Clock.Now().Before(t.until) {
 		return nil
 	}
-	return code.PoisonRequest.New("request %016x: %d endpoints crashed while they ran it", uint64(f), t.count)
+	return code.PoisonRequest.New("request %s: %d endpoints crashed while they ran it", f, t.count)
 }
 
 // Proven records that the request ran to its end. Equal requests, as reads of one
@@ -157,76 +155,73 @@
 }
 
 // Own returns the crashes that this daemon saw, by request, of those whose last
-// was within the time.
+// was within the time. Proven requests are left out.
 func (s *Suspicions) Own(within time.Duration) map[ident.Fingerprint]uint32 {
-	since := s.Clock.Now().Add(s.Lifetime - within)
 	var counts map[ident.Fingerprint]uint32
-	for o, v := range s.current.Load().seen {
-		if o.observer != s.Self || v.until.Before(since) || s.isProven(o.fingerprint) {
-			continue
+	s.recent(within, func(o observation, v suspicion) {
+		if o.observer != s.Self || s.isProven(o.fingerprint) {
+			return
 		}
 		if counts == nil {
 			counts = make(map[ident.Fingerprint]uint32)
 		}
 		counts[o.fingerprint] = v.count
-	}
+	})
 	return counts
 }
 
-// Vouched returns the requests that another daemon suspected within the time and
-// that are proven here.
+// Vouched returns the requests that are proven here, of those that another daemon
+// began to suspect within the time.
 func (s *Suspicions) Vouched(within time.Duration) []ident.Fingerprint {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
 	var list []ident.Fingerprint
-	for f, at := range s.vouched {
-		if now.Sub(at) > within {
-			delete(s.vouched, f)
-			continue
+	s.recent(within, func(o observation, _ suspicion) {
+		if o.observer != s.Self && s.isProven(o.fingerprint) {
+			list = append(list, o.fingerprint)
 		}
-		list = append(list, f)
-	}
+	})
 	return list
 }
 
-// vouch notes the requests that are proven here, of those that another daemon
-// suspects.
-func (s *Suspicions) vouch(counts map[ident.Fingerprint]uint32) {
-	for f := range counts {
-		if !s.isProven(f) {
-			continue
-		}
-		s.mu.Lock()
-		if len(s.vouched) < s.Limit {
-			s.vouched[f] = s.Clock.Now()
+// recent calls f with the suspicions that began or grew within the time.
+func (s *Suspicions) recent(within time.Duration, f func(observation, suspicion)) {
+	since := s.Clock.Now().Add(s.Lifetime - within)
+	for o, v := range s.current.Load().seen {
+		if !v.until.Before(since) {
+			f(o, v)
 		}
-		s.mu.Unlock()
 	}
 }
 
 // Hear takes the crashes that another daemon saw a short time ago. It returns the
 // number of requests of which that is news.
 func (s *Suspicions) Hear(from ident.Instance, counts map[ident.Fingerprint]uint32) int {
-	s.vouch(counts)
-	known := s.current.Load().seen
-	news := 0
+	entries := make([]entry, 0, len(counts))
 	for f, n := range counts {
-		if n > known[observation{f, from}].count {
-			news++
-		}
+		entries = append(entries, entry{Fingerprint: f, Observer: from, Count: n, Left: s.Lifetime})
 	}
-	if news == 0 {
+	return s.merge(entries)
+}
+
+// merge takes suspicions of which more crashes are told than known, and returns
+// their number.
+func (s *Suspicions) merge(entries []entry) int {
+	known, now := s.current.Load().seen, s.Clock.Now()
+	entries = slices.DeleteFunc(entries, func(e entry) bool {
+		v := known[observation{e.Fingerprint, e.Observer}]
+		return now.Before(v.until) && e.Count <= v.count
+	})
+	if len(entries) == 0 {
 		return 0
 	}
 	s.change(func(seen map[observation]suspicion, now time.Time) {
-		for f, n := range counts {
-			if o := (observation{f, from}); n > seen[o].count {
-				seen[o] = suspicion{count: n, until: now.Add(s.Lifetime)}
+		for _, e := range entries {
+			o := observation{e.Fingerprint, e.Observer}
+			if e.Count > seen[o].count {
+				seen[o] = suspicion{count: e.Count, until: now.Add(e.Left)}
 			}
 		}
 	})
-	return news
+	return len(entries)
 }
 
 // entry is a suspicion in the peers' section. Left is a duration, as clocks of
@@ -330,13 +325,6 @@
 			return code.BadMessage.Wrap(err, "suspicions from %s", from)
 		}
 	}
-	s.change(func(seen map[observation]suspicion, now time.Time) {
-		for _, e := range entries {
-			o := observation{e.Fingerprint, e.Observer}
-			if e.Count > seen[o].count {
-				seen[o] = suspicion{count: e.Count, until: now.Add(e.Left)}
-			}
-		}
-	})
+	s.merge(entries)
 	return nil
 }
--- a/internal/serve/poison/poison_test.go
+++ b/internal/serve/poison/poison_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// TestToldAgain guards against crashes that are not heard since older ones of the
+// same request, which have ended, were as many.
+func TestToldAgain(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	s := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Hour, Limit: 2})
+	told := map[ident.Fingerprint]uint32{7: 2}
+	c.Check(s.Hear("b", told), qt.Equals, 1)
+	c.Check(s.Hear("b", told), qt.Equals, 0)
+	clk.Advance(time.Hour)
+	c.Check(s.Check(7), qt.IsNil)
+	c.Check(s.Hear("b", told), qt.Equals, 1)
+	c.Check(code.Of(s.Check(7)), qt.Equals, code.PoisonRequest)
+}
+
 // TestLimit guards against suspicions growing without bound.
 func TestLimit(t *testing.T) {
 	c := qt.New(t)
