--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -101,10 +101,7 @@
 
 // Start begins to follow the platform.
 func (c *Config) Start(context.Context) error {
-	if err := c.deps.Need(&c.platform); err != nil {
-		return err
-	}
-	if err := c.deps.Need(&c.members); err != nil {
+	if err := c.deps.Need(&c.platform, &c.members); err != nil {
 		return err
 	}
 	c.Go(c.Run)
--- a/internal/fleet/drain/plugin.go
+++ b/internal/fleet/drain/plugin.go
@@ -79,7 +79,7 @@
 
 // Start begins to read and write the platform.
 func (p *Plugin) Start(context.Context) error {
-	if err := errors.Join(p.deps.Need(&p.members), p.deps.Need(&p.platform)); err != nil {
+	if err := p.deps.Need(&p.members, &p.platform); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	p.Go(p.writeLoop)
@@ -143,15 +143,9 @@
 // writeLoop writes new marks at once and those that failed once an interval.
 func (p *Plugin) writeLoop(ctx context.Context) {
 	for {
-		timer := p.clock.NewTimer(clock.Jitter(writeInterval))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !plugin.Wait(ctx, p.clock, clock.Jitter(writeInterval), p.wake) {
 			return
-		case <-p.wake:
-		case <-timer.Chan():
 		}
-		timer.Stop()
 		for _, t := range p.pending() {
 			p.write(ctx, t)
 		}
--- a/internal/kernel/plugin/deps.go
+++ b/internal/kernel/plugin/deps.go
@@ -1,6 +1,7 @@
 package plugin
 
 import (
+	"errors"
 	"fmt"
 	"reflect"
 	"sync"
@@ -48,19 +49,22 @@
 
 // Need sets what each target points to, an interface or a pointer, to the first
 // provided value that implements the interface or has the pointer's type. It is
-// called from Start, when every plug-in is built.
+// called from Start, when every plug-in is built. The error names all that are
+// missing.
 func (d *Deps) Need(targets ...any) error {
+	var failed []error
 	for _, target := range targets {
 		found, want, err := d.find(target)
-		if err != nil {
-			return err
+		switch {
+		case err != nil:
+			failed = append(failed, err)
+		case len(found) == 0:
+			failed = append(failed, fmt.Errorf("plugin: no plug-in provides %s", want))
+		default:
+			reflect.ValueOf(target).Elem().Set(reflect.ValueOf(found[0]))
 		}
-		if len(found) == 0 {
-			return fmt.Errorf("plugin: no plug-in provides %s", want)
-		}
-		reflect.ValueOf(target).Elem().Set(reflect.ValueOf(found[0]))
 	}
-	return nil
+	return errors.Join(failed...)
 }
 
 // NeedAll appends every provided value that implements the slice's element
--- a/internal/kernel/plugin/loop.go
+++ b/internal/kernel/plugin/loop.go
@@ -63,11 +63,18 @@
 // Sleep waits for the duration and reports whether it passed before the
 // context ended.
 func Sleep(ctx context.Context, clk clock.Clock, d time.Duration) bool {
+	return Wait(ctx, clk, d, nil)
+}
+
+// Wait is Sleep that ends early when wake is ready; a nil channel never is.
+func Wait(ctx context.Context, clk clock.Clock, d time.Duration, wake <-chan struct{}) bool {
 	timer := clk.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
 		return true
+	case <-wake:
+		return true
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/kernel/plugin/plugin_test.go
+++ b/internal/kernel/plugin/plugin_test.go
@@ -129,6 +129,8 @@
 	d.Provide(voice("two"))
 	c.Assert(d.Need(&s), qt.IsNil)
 	c.Assert(s.Speak(), qt.Equals, "one")
+	var first, second interface{ Absent() }
+	c.Assert(d.Need(&s, &first, &second), qt.ErrorMatches, "(?s).*provides.*\n.*provides.*")
 	var all []speaker
 	c.Assert(d.NeedAll(&all), qt.IsNil)
 	c.Assert(all, qt.HasLen, 2)
--- a/internal/peer/twirp/plugin.go
+++ b/internal/peer/twirp/plugin.go
@@ -126,7 +126,7 @@
 
 // Start finds sections and topics, listens, and begins to exchange.
 func (p *Plugin) Start(context.Context) error {
-	if err := errors.Join(p.deps.Need(&p.members), p.deps.Need(&p.contact), p.find()); err != nil {
+	if err := errors.Join(p.deps.Need(&p.members, &p.contact), p.find()); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
 	listener, err := net.Listen("tcp", p.settings.Listen)
--- a/internal/serve/claim/plugin.go
+++ b/internal/serve/claim/plugin.go
@@ -90,10 +90,7 @@
 
 // Start implements plugin.Plugin.
 func (p *claimPlugin) Start(context.Context) error {
-	if err := p.deps.Need(&p.Platform); err != nil {
-		return err
-	}
-	if err := p.deps.Need(&p.Asker); err != nil {
+	if err := p.deps.Need(&p.Platform, &p.Asker); err != nil {
 		return err
 	}
 	if err := p.register(); err != nil {
