--- a/internal/peer/gossip/failure.go
+++ b/internal/peer/gossip/failure.go
@@ -21,7 +21,7 @@
 	heard := g.told(nameOf(e), now)
 	g.mu.Unlock()
 	if !heard && (!known || now.Sub(last) > failureAgain) {
-		g.send(true)
+		g.send(g.load(), true)
 	}
 }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -109,6 +109,9 @@
 	// crashAge is how long a crash is told. It bounds the daemons that never
 	// hear of it to few in a hundred.
 	crashAge = 3 * time.Second
+	// vouchAge is how long a request is vouched for after another daemon began
+	// to suspect it: for as long as it tells of that, and once more as long.
+	vouchAge = 2 * crashAge
 	// countedAge is how long a silent daemon counts among those that share a
 	// bound, since it may only be cut off.
 	countedAge = 15 * time.Second
@@ -167,23 +170,33 @@
 
 // Send sends a datagram to some daemons. It is called once in each interval.
 func (g *Gossip) Send() {
-	busy := false
-	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) { busy = busy || e.Load.InFlight() > 0 })
+	load := g.load()
 	g.mu.Lock()
 	g.turns++
 	g.idle++
-	if busy {
+	if len(load) > 0 {
 		g.idle = 0
 	}
 	skip := g.idle > 1 && g.idle%idleEvery != 0
 	g.mu.Unlock()
 	if !skip {
-		g.send(false)
+		g.send(load, false)
 	}
 }
 
-func (g *Gossip) send(everybody bool) {
-	raw, to := g.compose(everybody)
+// load returns this daemon's requests in flight.
+func (g *Gossip) load() map[endpoint]unit.Requests {
+	load := make(map[endpoint]unit.Requests)
+	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
+		if n := e.Load.InFlight(); n > 0 {
+			load[nameOf(e)] = n
+		}
+	})
+	return load
+}
+
+func (g *Gossip) send(load map[endpoint]unit.Requests, everybody bool) {
+	raw, to := g.compose(load, everybody)
 	if raw == nil {
 		return
 	}
@@ -227,17 +240,12 @@
 	return append(shuffle(near, nearFanout), shuffle(far, farFanout)...)
 }
 
-func (g *Gossip) compose(everybody bool) ([]byte, []netip.AddrPort) {
+func (g *Gossip) compose(load map[endpoint]unit.Requests, everybody bool) ([]byte, []netip.AddrPort) {
 	m := message{
 		From: g.Self, Boot: g.Boot, Revision: g.Copies.Revision(), Age: g.Copies.Age(),
-		Load: make(map[endpoint]unit.Requests), Failed: make(map[endpoint]time.Duration),
-		Crashes: g.Suspicions.Own(crashAge), Proven: g.Suspicions.Vouched(crashAge),
+		Load: load, Failed: make(map[endpoint]time.Duration),
+		Crashes: g.Suspicions.Own(crashAge), Proven: g.Suspicions.Vouched(vouchAge),
 	}
-	g.Catalog.Current().Endpoints(func(e *catalog.Endpoint) {
-		if n := e.Load.InFlight(); n > 0 {
-			m.Load[nameOf(e)] = n
-		}
-	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -135,12 +135,12 @@
 	c := qt.New(t)
 	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "d": "z"})
 	g.Suspicions.(*poison.Suspicions).Suspect(7)
-	raw, _ := g.compose(false)
+	raw, _ := g.compose(g.load(), false)
 	m, err := decodeMessage(raw)
 	c.Assert(err, qt.IsNil)
 	c.Check(m.Crashes, qt.DeepEquals, map[ident.Fingerprint]uint32{7: 1})
 	clk.Advance(crashAge + time.Second)
-	raw, _ = g.compose(false)
+	raw, _ = g.compose(g.load(), false)
 	m, err = decodeMessage(raw)
 	c.Assert(err, qt.IsNil)
 	c.Check(m.Crashes, qt.HasLen, 0, qt.Commentf("everybody was told"))
@@ -172,7 +172,7 @@
 	}
 	c.Assert(code.Of(suspicions.Check(7)), qt.Equals, code.PoisonRequest)
 	tell := func(from, to *Gossip, sequence unit.Sequence) {
-		raw, _ := from.compose(false)
+		raw, _ := from.compose(from.load(), false)
 		m, err := decodeMessage(raw)
 		c.Assert(err, qt.IsNil)
 		m.From, m.Sequence = "b", sequence
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -88,7 +88,7 @@
 		Boot: unit.Boot(d.Clock.Now().UnixMilli()),
 	}, nil)
 	// The mirror asks for the tree as soon as it starts, before this plug-in.
-	if err := errors.Join(d.Need(&c.Catalog), d.Need(&c.Copies)); err != nil {
+	if err := d.Need(&c.Catalog, &c.Copies); err != nil {
 		return nil, err
 	}
 	d.Provide(c)
@@ -97,10 +97,7 @@
 
 // Start opens the socket and registers the daemon.
 func (c *component) Start(ctx context.Context) error {
-	if err := c.deps.Need(&c.platform); err != nil {
-		return err
-	}
-	if err := errors.Join(c.deps.Need(&c.Suspicions), c.deps.NeedAll(&c.listeners)); err != nil {
+	if err := errors.Join(c.deps.Need(&c.platform, &c.Suspicions), c.deps.NeedAll(&c.listeners)); err != nil {
 		return err
 	}
 	var config net.ListenConfig
@@ -145,14 +142,7 @@
 			pause = retry
 			c.Log.Debug().Err(err).Msg("registration-failed")
 		}
-		timer := c.deps.Clock.NewTimer(clock.Jitter(pause))
-		select {
-		case <-timer.Chan():
-		case <-c.lapsed:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
+		if !plugin.Wait(ctx, c.deps.Clock, clock.Jitter(pause), c.lapsed) {
 			return
 		}
 	}
