--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -28,13 +28,19 @@
 // started returns a world of six domains in which every replica serves.
 func started(c *qt.C) (*world, *Planner) {
 	w := newWorld(6, 9, testModels()...)
+	return w, start(c, w, map[ident.Model]int{"large": 7, "small": 7})
+}
+
+// start returns a planner after the first start of the world, in which the
+// replicas serve.
+func start(c *qt.C, w *world, serving map[ident.Model]int) *Planner {
 	p := New(testRules(), 10, w.now)
 	for range 80 {
 		w.step(p, true)
 	}
-	c.Assert(w.serving(), qt.DeepEquals, map[ident.Model]int{"large": 7, "small": 7})
+	c.Assert(w.serving(), qt.DeepEquals, serving)
 	c.Assert(w.broken, qt.HasLen, 0)
-	return w, p
+	return p
 }
 
 // die kills a machine and tells the planner, as a probe does.
@@ -163,12 +169,8 @@
 // since another domain would be the better place but has none with the weights.
 func TestFormsElsewhere(t *testing.T) {
 	c := qt.New(t)
-	w := newWorld(1, 3, site.Model{Name: "small", Size: 3, Share: 1, Pace: 1, LoadTime: loadTime, WarmTime: warmTime})
-	p := New(testRules(), 10, w.now)
-	for range 80 {
-		w.step(p, true)
-	}
-	c.Assert(w.serving(), qt.DeepEquals, map[ident.Model]int{"small": 1})
+	w := newWorld(1, 3, testModels()[1])
+	p := start(c, w, map[ident.Model]int{"small": 1})
 	for i := range 3 {
 		w.add(fmt.Sprintf("d0-new%d", i), "d0")
 		w.add(fmt.Sprintf("d1-%02d", i), "d1").Staged = []ident.Model{"small"}
@@ -184,12 +186,8 @@
 // service, while one in service waits for them.
 func TestOut(t *testing.T) {
 	c := qt.New(t)
-	w := newWorld(2, 3, site.Model{Name: "small", Size: 3, Share: 1, Pace: 1, LoadTime: loadTime, WarmTime: warmTime})
-	p := New(testRules(), 10, w.now)
-	for range 80 {
-		w.step(p, true)
-	}
-	c.Assert(w.serving(), qt.DeepEquals, map[ident.Model]int{"small": 2})
+	w := newWorld(2, 3, testModels()[1])
+	p := start(c, w, map[ident.Model]int{"small": 2})
 	w.out = "z0"
 	for i := range 6 {
 		w.add(fmt.Sprintf("d0-new%d", i), "d0")
