proof: Allocate listen addresses that nothing else can take

Cause: the process tests and the soak let the system choose a port, closed the listener and passed the port to a daemon. Another socket could get the port before the daemon had bound it; the same cluster could also get it twice.

Change: loopback.Host gives each cluster a loopback address of its own and ports in sequence, below the range that Linux assigns. Both tests use it.

Ruled out: a slow start; the daemon's log named the port.

--- a/internal/proof/process/cluster_test.go
+++ b/internal/proof/process/cluster_test.go
@@ -6,18 +6,17 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"cuminbay/internal/domain/roster"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/proof/loopback"
 )
 
 // answerTokens is the length of the engines' answers. With tokenTime a stream
@@ -33,7 +32,6 @@
 	binaryDir string
 	// clusterSlots limits the number of clusters that run at once.
 	clusterSlots = make(chan struct{}, 3)
-	clusterCount atomic.Int32
 )
 
 func TestMain(m *testing.M) {
@@ -72,7 +70,8 @@
 // cluster is a simulated platform with its daemons, engines and services.
 type cluster struct {
 	t        testing.TB
-	dir, ip  string
+	dir      string
+	host     *loopback.Host
 	platform *process
 	daemons  []*daemon
 	// engines and services are keyed by instance id.
@@ -94,13 +93,7 @@
 func startCluster(t testing.TB, size clusterSize) *cluster {
 	t.Helper()
 	clusterSlots <- struct{}{}
-	pid, n := os.Getpid(), int(clusterCount.Add(1))
-	const octetRange = 250
-	s := &cluster{t: t, engines: make(map[string]*process), services: make(map[string]*process)}
-	// Each cluster listens on a loopback address of its own. Outgoing connections
-	// have 127.0.0.1 as their source, so they cannot occupy a port that the
-	// cluster is about to listen on.
-	s.ip = fmt.Sprintf("127.%d.%d.%d", 1+pid/octetRange%octetRange, 1+pid%octetRange, n)
+	s := &cluster{t: t, host: loopback.NewHost(), engines: make(map[string]*process), services: make(map[string]*process)}
 	var err error
 	if s.dir, err = os.MkdirTemp("", "cuminbay-site-"); err != nil {
 		t.Fatal(err)
@@ -152,17 +145,17 @@
 // startProcesses chooses the addresses, writes the settings and the list of
 // instances, and starts the processes.
 func (s *cluster) startProcesses(size clusterSize) {
-	s.platform = &process{name: "platform", address: s.freeAddress()}
+	s.platform = &process{name: "platform", address: s.host.Address()}
 	var toStart []*process
 	for _, dataCentre := range size.dataCentres {
 		for n := range size.daemons {
-			d := &daemon{process: &process{name: fmt.Sprintf("daemon-%s-%d", dataCentre, n)}, dataCentre: dataCentre, callerAddress: s.freeAddress(), operatorAddress: s.freeAddress(), peerAddress: s.freeAddress()}
+			d := &daemon{process: &process{name: fmt.Sprintf("daemon-%s-%d", dataCentre, n)}, dataCentre: dataCentre, callerAddress: s.host.Address(), operatorAddress: s.host.Address(), peerAddress: s.host.Address()}
 			d.args = []string{"cuminbay", "serve", "--settings", filepath.Join(s.dir, d.name+".json")}
 			s.daemons, toStart = append(s.daemons, d), append(toStart, d.process)
 			s.addInstance(roster.Instance{ID: instanceID(d.name), DataCentre: dataCentreID(dataCentre), Role: roster.Daemon, Address: d.peerAddress, CallerAddress: d.callerAddress})
 		}
 		for n := range size.engines {
-			p := &process{name: fmt.Sprintf("engine-%s-%d", dataCentre, n), address: s.freeAddress()}
+			p := &process{name: fmt.Sprintf("engine-%s-%d", dataCentre, n), address: s.host.Address()}
 			p.args = []string{
 				"standin", "engine", "--listen", p.address, "--instance", p.name, "--data-centre", dataCentre, "--domain", dataCentre + "-fabric",
 				"--load-time", "200ms", "--cold-time", "300ms", "--answer-tokens", fmt.Sprint(answerTokens), "--token-time", tokenTime,
@@ -171,7 +164,7 @@
 			s.addInstance(roster.Instance{ID: instanceID(p.name), DataCentre: dataCentreID(dataCentre), Role: roster.Engine, Address: p.address, Domain: fabricDomain(dataCentre), Accelerators: 2})
 		}
 		for n := range size.services {
-			p := &process{name: fmt.Sprintf("ledger-%s-%d", dataCentre, n), address: s.freeAddress()}
+			p := &process{name: fmt.Sprintf("ledger-%s-%d", dataCentre, n), address: s.host.Address()}
 			p.args = []string{"standin", "service", "--listen", p.address}
 			s.services[p.name], toStart = p, append(toStart, p)
 			s.addInstance(roster.Instance{ID: instanceID(p.name), DataCentre: dataCentreID(dataCentre), Role: roster.Service, Address: p.address, Service: "ledger"})
@@ -233,16 +226,6 @@
 	}
 }
 
-// freeAddress returns the cluster's loopback address with an unused port.
-func (s *cluster) freeAddress() string {
-	l, err := net.Listen("tcp", s.ip+":0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // startProcess starts the process, or starts it again after it has ended.
 func (s *cluster) startProcess(p *process) {
 	s.t.Helper()
