etcd: Shut the test's server down after it has begun to accept

Cause: Shutdown of the fasthttp server does nothing before Serve has taken the listener. A test that ended before its goroutine had called Serve waited forever. Seen once in TestSwap beside a load of 20, traced from the stack.

Change: the cleanup waits for the first Accept before it calls Shutdown.

--- a/internal/platform/etcd/client_test.go
+++ b/internal/platform/etcd/client_test.go
@@ -45,15 +45,29 @@
 	f.address = listener.Addr().String()
 	// The cleaner of the worker pool checks for the shutdown at this interval.
 	server := &fasthttp.Server{Handler: f.handle, MaxIdleWorkerDuration: 10 * time.Millisecond}
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	accepting, served := make(chan struct{}), make(chan error, 1)
+	go func() { served <- server.Serve(&signallingListener{Listener: listener, accepting: accepting}) }()
 	c.Cleanup(func() {
+		// Shutdown does nothing before Serve has taken the listener.
+		<-accepting
 		c.Check(server.Shutdown(), qt.IsNil)
 		c.Check(<-served, qt.IsNil)
 	})
 	return f
 }
 
+// signallingListener closes accepting when Accept is called first.
+type signallingListener struct {
+	net.Listener
+	once      sync.Once
+	accepting chan struct{}
+}
+
+func (l *signallingListener) Accept() (net.Conn, error) {
+	l.once.Do(func() { close(l.accepting) })
+	return l.Listener.Accept()
+}
+
 func (f *fakeServer) handle(ctx *fasthttp.RequestCtx) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
