remote: Keep the versions of summaries without a time limit

Cause: the version of an author was removed 60 s after its summary was made. A daemon that was suspended between making and sending a summary states an age that is too low by the length of the suspension, so an older summary could replace a newer one after that time.

Change: versions are bounded in number instead, and the oldest goes first.

--- a/internal/fleet/remote/section.go
+++ b/internal/fleet/remote/section.go
@@ -35,8 +35,8 @@
 }
 
 // acceptedVersion is the version of the newest summary accepted from an author.
-// The version is kept for longer than the summary, so that an older summary of the
-// author is still refused after a summary of another author was accepted.
+// The version outlives the summary, so that a delayed older summary of the author is
+// still refused after a summary of another author was accepted.
 type acceptedVersion struct {
 	incarnation unit.Incarnation
 	sequence    unit.Sequence
@@ -76,23 +76,33 @@
 	return true
 }
 
-// versionRetentionFactor is the multiple of maxAge for which a version is kept.
-// Ages don't include the time that messages take, so a delayed summary may
-// appear younger than it is.
-const versionRetentionFactor = 12
+// maxVersions bounds the number of authors whose versions are kept. It exceeds the
+// daemons of the largest fleet, with their replacements, several times. A version
+// isn't removed after a time, since a daemon that was suspended may send a summary
+// with an age that is too low by any amount.
+const maxVersions = 4096
 
-// prune removes the summaries and versions that no longer count.
+// prune removes the summaries that no longer count, and the oldest versions beyond
+// maxVersions.
 func (m *Summaries) prune(now time.Time) {
 	for dc, summary := range m.newest {
 		if now.Sub(summary.madeAt) >= m.maxAge {
 			delete(m.newest, dc)
 		}
 	}
+	for len(m.versions) > maxVersions {
+		m.removeOldestVersion()
+	}
+}
+
+func (m *Summaries) removeOldestVersion() {
+	var oldest ident.Instance
 	for author, version := range m.versions {
-		if now.Sub(version.madeAt) >= versionRetentionFactor*m.maxAge {
-			delete(m.versions, author)
+		if oldest == "" || version.madeAt.Before(m.versions[oldest].madeAt) {
+			oldest = author
 		}
 	}
+	delete(m.versions, oldest)
 }
 
 // Current returns the summaries that still count with their present ages, in
