formation: Plan the layout for the capacity that a loss leaves

Cause: the planner preferred a fabric domain that serves one model only. A model that was not the neediest got no domain that serves others, so 21 of 66 servers stayed idle from the start.

Change: layout decides on counts alone. A spare server stages the model whose failure is the least covered, so a domain of two models covers both.

Ruled out: one replica of each model in every domain without the search.

--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -70,8 +70,9 @@
 	if p.isGrowing(service, domain) {
 		return candidates
 	}
+	fleet := p.fleetLayout(service)
 	for _, s := range unstaged {
-		m := p.modelForSpare(service, domain, staged)
+		m := service.Engine.Model(fleet.NextStaged(domain, staged))
 		loads := precautionaryLoads
 		if !p.hasReplicaOf(domain, m.Name) {
 			loads = float64(max(m.ServersPerReplica-staged[m.Name], 1))
