formation: Keep replicas that went on serving while they were cut off

Cause: a data centre that is cut off looks lost to the planner, whose replicas there became incomplete without members. When the link was back, members whose entries returned one after the other were ordered to leave and to join again at a new epoch, although all of them had gone on serving the callers of their own data centre.

Change: members that report the epoch at which their replica last served return to it without an order. A replica that is complete and open again serves without a new epoch. A repair waits until no further member has returned for 1 s.

Ruled out: a longer timeout of probes, since the cut lasts 6 s.

--- a/internal/fleet/formation/adopt.go
+++ b/internal/fleet/formation/adopt.go
@@ -13,14 +13,13 @@
 // doesn't have yet, because they were formed in an earlier term.
 func (p *Planner) adoptReplicas(service *cluster.Service) {
 	newestEpochs := make(map[ident.Replica]unit.Epoch)
-	reported := p.snapshot.Replicas()
-	for key, r := range reported {
+	for key, r := range p.reported {
 		if p.replicas[key.Replica] == nil && r.Members[0].Service == service.Name {
 			newestEpochs[key.Replica] = max(newestEpochs[key.Replica], key.Epoch)
 		}
 	}
 	for name, epoch := range newestEpochs {
-		p.adoptReplica(service, name, epoch, reported[catalog.ReplicaKey{Replica: name, Epoch: epoch}])
+		p.adoptReplica(service, name, epoch, p.reported[catalog.ReplicaKey{Replica: name, Epoch: epoch}])
 	}
 }
 
@@ -32,7 +31,7 @@
 	if model == nil {
 		return
 	}
-	r := &replica{name: name, service: service.Name, domain: first.Domain, model: model, epoch: epoch, phase: incomplete, phaseSince: p.now, brokenSince: p.now}
+	r := &replica{name: name, service: service.Name, domain: first.Domain, model: model, epoch: epoch, servedEpoch: epoch, phase: incomplete, phaseSince: p.now, brokenSince: p.now}
 	members := make([]ident.Instance, model.ServersPerReplica)
 	for _, s := range reported.Members {
 		if rank := int(s.Membership.Rank); rank >= 0 && rank < model.ServersPerReplica {
--- a/internal/fleet/formation/advance.go
+++ b/internal/fleet/formation/advance.go
@@ -61,13 +61,17 @@
 	head := p.snapshot.Servers[r.members[0]]
 	if head.Membership.State == cluster.Open {
 		p.recordDecision("replica-serving", r, "serves %s after the loss of a member or the first order", p.now.Sub(r.brokenSince).Round(time.Millisecond))
-		r.brokenSince = time.Time{}
-		r.setPhase(serving, p.now)
+		p.startServing(r)
 		return
 	}
 	p.issueOrder(head.ID, cluster.Order{Operation: cluster.OpenReplica, Replica: r.name, Epoch: r.epoch})
 }
 
+func (p *Planner) startServing(r *replica) {
+	r.brokenSince, r.servedEpoch = time.Time{}, r.epoch
+	r.setPhase(serving, p.now)
+}
+
 // closeIfDraining closes the replica if a member drains, so that the replica
 // gets no new requests.
 func (p *Planner) closeIfDraining(r *replica) {
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -27,6 +27,10 @@
 type fakeServer struct {
 	cluster.Server
 	failed bool
+	// cutOff says that neither the planner nor the platform can reach the server.
+	cutOff bool
+	// orderCount is the number of orders that the server has received.
+	orderCount int
 	// highestEpoch is the highest epoch of the orders to join that the server
 	// accepted.
 	highestEpoch unit.Epoch
@@ -125,6 +129,9 @@
 		update.Drained = []ident.DataCentre{tc.drainedDataCentre}
 	}
 	for _, server := range tc.servers {
+		if server.cutOff {
+			continue
+		}
 		s := server.Server
 		if server.Membership != nil {
 			member := *server.Membership
@@ -240,9 +247,10 @@
 // executeOrder carries out an order and returns the server's answer.
 func (tc *testCluster) executeOrder(id ident.Instance, o *cluster.Order, bootstrap bool) cluster.OrderResult {
 	server := tc.servers[id]
-	if server == nil || server.failed {
+	if server == nil || server.failed || server.cutOff {
 		return cluster.Unanswered
 	}
+	server.orderCount++
 	if o.FencingToken < server.fencingToken {
 		return cluster.Fenced
 	}
@@ -338,3 +346,16 @@
 	}
 	return counts
 }
+
+// cutOff cuts the data centre off and returns its servers in order of their ids.
+func (tc *testCluster) cutOff(dc ident.DataCentre) []ident.Instance {
+	var ids []ident.Instance
+	for id, server := range tc.servers {
+		if server.DataCentre == dc {
+			server.cutOff = true
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -59,6 +59,10 @@
 	// first one is the head.
 	members []ident.Instance
 	phase   phase
+	// servedEpoch is the epoch at which the replica last served. lastReturn is the
+	// time at which a member of that epoch last became usable again.
+	servedEpoch unit.Epoch
+	lastReturn  time.Time
 	// phaseSince is the time at which the phase began. brokenSince is the time
 	// at which the replica was formed or stopped serving, zero while it serves.
 	phaseSince  time.Time
@@ -127,6 +131,8 @@
 	// domainServers has the servers of each fabric domain in order of their
 	// ids.
 	domainServers map[domainKey][]*cluster.Server
+	// reported has the replicas as the servers report them.
+	reported map[catalog.ReplicaKey]*catalog.Replica
 	// members has the members of all replicas. It is nil after a change and
 	// built again when it is needed.
 	members map[ident.Instance]bool
@@ -205,6 +211,7 @@
 		}
 	}
 	p.indexServers()
+	p.reported = snapshot.Replicas()
 	for id, l := range p.loads.running {
 		if s := snapshot.Servers[id]; s == nil || s.HasStaged(l.model) {
 			p.loads.removeLoad(id)
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -43,7 +43,7 @@
 func (p *Planner) repairReplicas(service *cluster.Service) {
 	var broken []*replica
 	for _, r := range p.sortedReplicas(service) {
-		if r.phase == incomplete {
+		if r.phase == incomplete && !p.restoreReplica(r) {
 			r.members = slices.DeleteFunc(r.members, func(id ident.Instance) bool {
 				s := p.snapshot.Servers[id]
 				return s == nil || !p.isUsable(s)
@@ -56,7 +56,9 @@
 		return cmp.Compare(a.model.ServersPerReplica-len(a.members), b.model.ServersPerReplica-len(b.members))
 	})
 	for _, r := range broken {
-		p.completeReplica(service, r)
+		if p.now.Sub(r.lastReturn) >= returnWindow {
+			p.completeReplica(service, r)
+		}
 	}
 	p.releaseDonors(service)
 }
--- /dev/null
+++ b/internal/fleet/formation/restore.go
@@ -0,0 +1,59 @@
+package formation
+
+import (
+	"time"
+
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// returnWindow is the time for which an incomplete replica waits for further members
+// after one has returned. The members behind a cut link return one after the other, as
+// their entries reach the server list.
+const returnWindow = time.Second
+
+// restoreReplica returns members to the incomplete replica that could not be reached and
+// have not noticed it. The replica serves again, without a new epoch, if it is still
+// complete and open.
+func (p *Planner) restoreReplica(r *replica) bool {
+	reported := p.reported[catalog.ReplicaKey{Replica: r.name, Epoch: r.servedEpoch}]
+	if reported == nil {
+		return false
+	}
+	for _, s := range reported.Members {
+		if p.isUsable(s) && !p.isMember(s.ID) {
+			r.members = append(r.members, s.ID)
+			r.lastReturn = p.now
+			p.members = nil
+		}
+	}
+	if !p.isIntact(r, reported) {
+		return false
+	}
+	r.epoch = r.servedEpoch
+	r.members = make([]ident.Instance, len(reported.Members))
+	for _, s := range reported.Members {
+		r.members[s.Membership.Rank] = s.ID
+	}
+	p.members = nil
+	p.recordDecision("replica-restored", r, "its members can be reached again after %s", p.now.Sub(r.brokenSince).Round(time.Millisecond))
+	p.startServing(r)
+	return true
+}
+
+// isIntact reports whether the replica still serves at its last epoch with members that
+// are all usable.
+func (p *Planner) isIntact(r *replica, reported *catalog.Replica) bool {
+	if !reported.Complete(r.model.ServersPerReplica) {
+		return false
+	}
+	for _, s := range reported.Members {
+		rank := int(s.Membership.Rank)
+		isOpen := s.Membership.State == cluster.Open
+		if !p.isUsable(s) || !hasMember(r, s.ID) || rank < 0 || rank >= len(reported.Members) || rank == 0 && !isOpen {
+			return false
+		}
+	}
+	return true
+}
