formation: Repair replicas while the platform's store can't be read

Cause: the planner knows what its orders have done from the servers' entries in the store, and so do the daemons that route requests.

Change: while the copy of the store is older than 1.8 s, the planner reads the reports of the servers whose orders should have taken effect, and announces each replica that serves to the other daemons by datagram. The catalog takes both over unless it knows a later epoch. The probe of a server now returns its state too. The sequence number of a server's entry counts its registrations, not its orders; the field is no longer decoded.

Ruled out: the order of reports by the accepted orders, which entries don't have.

--- a/internal/domain/cluster/server.go
+++ b/internal/domain/cluster/server.go
@@ -25,9 +25,6 @@
 	// ReceivedAt is the time at which this daemon received the entry, by the
 	// local clock.
 	ReceivedAt time.Time
-	// AcceptedOrders is the number of orders that this incarnation has
-	// accepted.
-	AcceptedOrders unit.Sequence
 	// Domain is the fabric domain of a model server.
 	Domain ident.FabricDomain
 	// StagedModels are the models whose weights are on the server's host.
@@ -65,6 +62,21 @@
 	Broken  MemberState = "broken"
 )
 
+// Formation is a replica that serves, as its members reported.
+type Formation struct {
+	Replica ident.Replica
+	Epoch   unit.Epoch
+	Model   ident.Model
+	// Members are in order of their ranks.
+	Members []FormationMember
+}
+
+// FormationMember is a server of a Formation.
+type FormationMember struct {
+	ID          ident.Instance
+	Incarnation unit.Incarnation
+}
+
 // Operation is the action that an order requests.
 type Operation string
 
--- a/internal/fleet/catalog/catalog_test.go
+++ b/internal/fleet/catalog/catalog_test.go
@@ -36,6 +36,70 @@
 	}
 }
 
+// TestReports guards against a replica that gets no requests although its members have
+// reported that they serve, and against an old report that replaces a newer state.
+func TestReports(t *testing.T) {
+	const incarnation = 7
+	server := func(id string, membership *cluster.Membership) *cluster.Server {
+		return &cluster.Server{ID: ident.Instance(id), Service: llm, Address: id, DataCentre: "z", Incarnation: incarnation, Membership: membership}
+	}
+	at := func(epoch unit.Epoch, rank unit.Rank, state cluster.MemberState) *cluster.Membership {
+		return &cluster.Membership{Replica: "r", Epoch: epoch, Rank: rank, Model: "m", State: state}
+	}
+	listed := []*cluster.Server{server("a", at(2, 0, cluster.Open)), server("b", nil)}
+	formation := func(epoch unit.Epoch, bIncarnation unit.Incarnation) cluster.Formation {
+		return cluster.Formation{Replica: "r", Epoch: epoch, Model: "m", Members: []cluster.FormationMember{{ID: "a", Incarnation: incarnation}, {ID: "b", Incarnation: bIncarnation}}}
+	}
+	tests := map[string]struct {
+		reports    []*cluster.Server
+		formations []cluster.Formation
+		removed    []ident.Instance
+		// epochs has the epoch of each endpoint.
+		epochs map[ident.Instance]unit.Epoch
+		state  cluster.MemberState
+	}{
+		"nothing reported":             {state: cluster.Open},
+		"all members report":           {reports: []*cluster.Server{server("a", at(3, 0, cluster.Open)), server("b", at(3, 1, cluster.Ready))}, epochs: map[ident.Instance]unit.Epoch{"a": 3}, state: cluster.Open},
+		"a member joins":               {reports: []*cluster.Server{server("a", at(3, 0, cluster.Open)), server("b", at(3, 1, cluster.Joining))}, state: cluster.Open},
+		"report of an earlier epoch":   {reports: []*cluster.Server{server("a", at(1, 0, cluster.Ready))}, state: cluster.Open},
+		"head breaks":                  {reports: []*cluster.Server{server("a", at(2, 0, cluster.Broken))}, state: cluster.Broken},
+		"server that is not listed":    {reports: []*cluster.Server{server("c", at(9, 0, cluster.Open))}, state: cluster.Open},
+		"formation":                    {formations: []cluster.Formation{formation(3, incarnation)}, epochs: map[ident.Instance]unit.Epoch{"a": 3}, state: cluster.Open},
+		"formation of a later epoch":   {formations: []cluster.Formation{formation(4, incarnation), formation(3, incarnation)}, epochs: map[ident.Instance]unit.Epoch{"a": 4}, state: cluster.Open},
+		"formation at an ended epoch":  {formations: []cluster.Formation{formation(1, incarnation)}, state: cluster.Open},
+		"formation after the head":     {reports: []*cluster.Server{server("a", at(3, 0, cluster.Closing))}, formations: []cluster.Formation{formation(3, incarnation)}, state: cluster.Closing},
+		"formation with a restart":     {formations: []cluster.Formation{formation(3, incarnation-1)}, state: cluster.Open},
+		"formation with a removed one": {removed: []ident.Instance{"b"}, formations: []cluster.Formation{formation(3, incarnation)}, state: cluster.Open},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			cat := New(clockwork.NewFakeClock())
+			cat.Apply(Update{Config: newConfig(1), Servers: listed, Removed: test.removed})
+			for _, s := range test.reports {
+				cat.ApplyReport(s)
+			}
+			cat.ApplyFormations(test.formations)
+			changed := cat.Changed()
+			cat.ApplyFormations(test.formations)
+			select {
+			case <-changed:
+				c.Error("a formation that was known published a snapshot")
+			default:
+			}
+			epochs := map[ident.Instance]unit.Epoch{}
+			for _, e := range cat.Current().ModelEndpoints(llm, "m") {
+				epochs[e.ID] = e.Epoch
+			}
+			if test.epochs == nil {
+				test.epochs = map[ident.Instance]unit.Epoch{}
+			}
+			c.Check(epochs, qt.DeepEquals, test.epochs)
+			c.Check(cat.Current().Servers["a"].Membership.State, qt.Equals, test.state)
+		})
+	}
+}
+
 // TestEndpoints guards against requests to incomplete replicas, to draining
 // servers, and to drained data centres.
 func TestEndpoints(t *testing.T) {
--- /dev/null
+++ b/internal/fleet/catalog/report.go
@@ -0,0 +1,78 @@
+package catalog
+
+import (
+	"slices"
+
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/unit"
+)
+
+// ApplyReport publishes a snapshot with the state that a server has reported directly, and
+// returns whether it differs from the known one. It ignores the reports of servers that
+// the platform doesn't list, and states before the known one.
+func (c *Catalog) ApplyReport(reported *cluster.Server) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.servers[reported.ID]
+	if known == nil || known.Incarnation != reported.Incarnation || reported.Membership != nil && epochOf(reported) < epochOf(known) || hasSameState(reported, known) {
+		return false
+	}
+	updated := *known
+	updated.StagedModels, updated.Membership = reported.StagedModels, reported.Membership
+	c.servers[updated.ID] = &updated
+	c.publish()
+	return true
+}
+
+// epochOf returns the epoch of the server's membership, zero if it has none. The epochs of
+// a server's memberships rise.
+func epochOf(s *cluster.Server) unit.Epoch {
+	if s.Membership == nil {
+		return 0
+	}
+	return s.Membership.Epoch
+}
+
+func hasSameState(a, b *cluster.Server) bool {
+	sameMembership := a.Membership == b.Membership || a.Membership != nil && b.Membership != nil && *a.Membership == *b.Membership
+	return sameMembership && slices.Equal(a.StagedModels, b.StagedModels)
+}
+
+// ApplyFormations publishes a snapshot with replicas whose members have reported to
+// another daemon that they serve. It ignores members that are not listed, and states
+// before the known one.
+func (c *Catalog) ApplyFormations(formations []cluster.Formation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := false
+	for i := range formations {
+		for rank, member := range formations[i].Members {
+			if s := c.serverInFormation(&formations[i], unit.Rank(rank), member); s != nil {
+				c.servers[s.ID] = s
+				changed = true
+			}
+		}
+	}
+	if changed {
+		c.publish()
+	}
+}
+
+// serverInFormation returns the state of the member in the formation, nil if the known
+// state is the same or a later one. The caller holds the lock.
+func (c *Catalog) serverInFormation(f *cluster.Formation, rank unit.Rank, member cluster.FormationMember) *cluster.Server {
+	known := c.servers[member.ID]
+	if known == nil || known.Incarnation != member.Incarnation || epochOf(known) > f.Epoch {
+		return nil
+	}
+	state := cluster.Ready
+	if rank == 0 {
+		state = cluster.Open
+	}
+	if m := known.Membership; m != nil && m.Replica == f.Replica && m.Epoch == f.Epoch && m.State != cluster.Joining && (m.State != cluster.Ready || state == cluster.Ready) {
+		return nil
+	}
+	updated := *known
+	updated.Membership = &cluster.Membership{Replica: f.Replica, Epoch: f.Epoch, Rank: rank, Model: f.Model, State: state}
+	return &updated
+}
--- a/internal/fleet/formation/advance.go
+++ b/internal/fleet/formation/advance.go
@@ -42,12 +42,14 @@
 		case m == nil || m.Replica != r.name || m.Epoch != r.epoch:
 			if m != nil && m.Replica != r.name {
 				p.issueOrder(id, cluster.Order{Operation: cluster.LeaveReplica, Replica: m.Replica, Epoch: m.Epoch})
-				continue
+				break
 			}
 			p.issueOrder(id, cluster.Order{Operation: cluster.JoinReplica, Replica: r.name, Epoch: r.epoch, Model: r.model.Name, Members: slices.Clone(r.members)})
 		case m.State == cluster.Ready, m.State == cluster.Open:
 			ready++
+			continue
 		}
+		p.awaitEffect(r, s)
 	}
 	if ready == len(r.members) {
 		r.setPhase(opening, p.now)
@@ -65,10 +67,28 @@
 		return
 	}
 	p.issueOrder(head.ID, cluster.Order{Operation: cluster.OpenReplica, Replica: r.name, Epoch: r.epoch})
+	p.awaitEffect(r, head)
 }
 
+// effectTime is the time from the start of a replica's phase after which an order may have
+// taken effect: the shortest join and opening of a replica.
+const effectTime = 300 * time.Millisecond
+
+// awaitEffect adds the server to those whose orders should have taken effect.
+func (p *Planner) awaitEffect(r *replica, s *cluster.Server) {
+	if p.now.Sub(r.phaseSince) >= effectTime {
+		p.Awaited = append(p.Awaited, s)
+	}
+}
+
+// startServing records that the replica serves.
 func (p *Planner) startServing(r *replica) {
 	r.brokenSince, r.servedEpoch = time.Time{}, r.epoch
+	f := cluster.Formation{Replica: r.name, Epoch: r.epoch, Model: r.model.Name}
+	for _, id := range r.members {
+		f.Members = append(f.Members, cluster.FormationMember{ID: id, Incarnation: p.snapshot.Servers[id].Incarnation})
+	}
+	p.Formed = append(p.Formed, f)
 	r.setPhase(serving, p.now)
 }
 
@@ -96,6 +116,7 @@
 		return
 	}
 	p.issueOrder(head.ID, cluster.Order{Operation: cluster.CloseReplica, Replica: r.name, Epoch: r.epoch})
+	p.awaitEffect(r, head)
 }
 
 // advanceDissolving orders the members to leave, the head first. It removes the
@@ -109,6 +130,7 @@
 		}
 		remaining++
 		p.issueOrder(id, cluster.Order{Operation: cluster.LeaveReplica, Replica: r.name, Epoch: s.Membership.Epoch})
+		p.awaitEffect(r, s)
 	}
 	if remaining == 0 {
 		delete(p.replicas, r.name)
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -63,6 +63,9 @@
 	violations []string
 	// drainedDataCentre is drained unless empty.
 	drainedDataCentre ident.DataCentre
+	// listed has the servers as the platform listed them before its store failed, and
+	// as they have reported since; nil while the store works.
+	listed *catalog.Catalog
 	// lateOrders are carried out when their time has come.
 	lateOrders []lateOrder
 	// orderFault, if set, says whether an order is lost or carried out late.
@@ -123,6 +126,14 @@
 // snapshot returns the configuration and the servers as the platform lists
 // them.
 func (tc *testCluster) snapshot() *catalog.Snapshot {
+	if tc.listed != nil {
+		return tc.listed.Current()
+	}
+	return tc.list().Current()
+}
+
+// list returns a catalog with the servers as they are now.
+func (tc *testCluster) list() *catalog.Catalog {
 	catalogue := catalog.New(nil)
 	update := catalog.Update{Config: tc.config, Synced: true}
 	if tc.drainedDataCentre != "" {
@@ -132,15 +143,20 @@
 		if server.cutOff {
 			continue
 		}
-		s := server.Server
-		if server.Membership != nil {
-			member := *server.Membership
-			s.Membership = &member
-		}
-		update.Servers = append(update.Servers, &s)
+		update.Servers = append(update.Servers, server.report())
 	}
 	catalogue.Apply(update)
-	return catalogue.Current()
+	return catalogue
+}
+
+// report returns the state of the server.
+func (s *fakeServer) report() *cluster.Server {
+	reported := s.Server
+	if s.Membership != nil {
+		member := *s.Membership
+		reported.Membership = &member
+	}
+	return &reported
 }
 
 // step advances the clock by stepInterval and carries out the planner's orders.
@@ -166,6 +182,11 @@
 		}
 	}
 	p.Decisions = nil
+	for _, s := range p.Awaited {
+		if server := tc.servers[s.ID]; tc.listed != nil && !server.failed {
+			tc.listed.ApplyReport(server.report())
+		}
+	}
 }
 
 func (tc *testCluster) executeLateOrders() {
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -122,6 +122,10 @@
 	growths map[ident.FabricDomain]growth
 	// Decisions collects the decisions to log. The caller of Step clears it.
 	Decisions []Decision
+	// Awaited has, after a Step, the servers whose orders should have taken effect.
+	Awaited []*cluster.Server
+	// Formed collects the replicas that began to serve. The caller of Step clears it.
+	Formed []cluster.Formation
 
 	// now and snapshot are the arguments of the current Step, commands its
 	// result.
@@ -200,7 +204,7 @@
 // Step returns the orders that bring the servers closer to complete replicas.
 // It returns none before the configuration and the whole server list are known.
 func (p *Planner) Step(now time.Time, snapshot *catalog.Snapshot, bootstrap bool) []Command {
-	p.now, p.snapshot, p.commands = now, snapshot, nil
+	p.now, p.snapshot, p.commands, p.Awaited = now, snapshot, nil, nil
 	if snapshot.Config == nil || !snapshot.Synced {
 		return nil
 	}
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -277,6 +277,32 @@
 	}
 }
 
+// TestStoreUnavailable guards against repairs that wait until the platform's store works
+// again, and checks the formations that the other daemons get meanwhile.
+func TestStoreUnavailable(t *testing.T) {
+	c := qt.New(t)
+	tc, p := newServingCluster(c)
+	want := tc.servingReplicas()
+	p.Formed = nil
+	tc.listed = tc.list()
+	members := nthReplicaMembers(p, "large", 0)
+	broken, head := tc.servers[members[0]].Membership.Replica, members[0]
+	failServer(tc, p, members[2])
+	for range 50 {
+		tc.step(p, false)
+	}
+	c.Check(tc.servingReplicas(), qt.DeepEquals, want)
+	c.Check(tc.violations, qt.HasLen, 0)
+	c.Assert(p.Formed, qt.HasLen, 1)
+	formation := p.Formed[0]
+	c.Check(formation.Replica, qt.Equals, broken)
+	c.Check(formation.Epoch, qt.Equals, tc.servers[head].Membership.Epoch)
+	c.Check(formation.Members, qt.HasLen, 4)
+	for rank, member := range formation.Members {
+		c.Check(tc.servers[member.ID].Membership.Rank, qt.Equals, unit.Rank(rank))
+	}
+}
+
 // TestNewTerm guards against a new leader that dissolves serving replicas, and
 // against an epoch that two terms use.
 func TestNewTerm(t *testing.T) {
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
@@ -50,15 +52,20 @@
 	catalogSource interface {
 		Current() *catalog.Snapshot
 		Changed() <-chan struct{}
+		ApplyReport(reported *cluster.Server) bool
+	}
+	formationAnnouncer interface {
+		AnnounceFormation(f cluster.Formation)
 	}
 	serverClient interface {
 		SendOrder(ctx context.Context, s *cluster.Server, o *cluster.Order) cluster.OrderResult
-		IsRunning(ctx context.Context, s *cluster.Server) bool
+		ReadReport(ctx context.Context, s *cluster.Server) *cluster.Server
 	}
 	keyMirror interface {
 		Get(key store.Key) store.Entry
 		SourceConnected() bool
 		SetLowLatency(enabled bool)
+		Age() time.Duration
 	}
 	trafficMonitor interface {
 		HasTraffic() bool
@@ -77,6 +84,7 @@
 	servers serverClient
 	keys    keyMirror
 	traffic trafficMonitor
+	peers   formationAnnouncer
 
 	// fencingToken is the token of the current term, zero if this daemon is not
 	// the leader.
@@ -84,6 +92,9 @@
 	// refusedToken is the last fencing token that a server refused, since the
 	// server had accepted an order of a later leader.
 	refusedToken atomic.Int64
+	// reportReadAt has the times of the reports that were read within reportInterval.
+	// Only the planner's goroutine uses it.
+	reportReadAt map[ident.Instance]time.Time
 	// wake starts a round before the interval has passed.
 	wake chan struct{}
 
@@ -129,7 +140,7 @@
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
 	c := &controller{
 		deps: deps, settings: deps.Settings.Section(section).(*Settings), self: deps.Settings.Daemon.Instance,
-		wake: make(chan struct{}, 1), suspects: make(map[suspect]time.Time),
+		wake: make(chan struct{}, 1), suspects: make(map[suspect]time.Time), reportReadAt: make(map[ident.Instance]time.Time),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminbay_formation_orders_total", Help: "Orders of the planner by operation and result.",
 		}, []string{"operation", "result"}),
@@ -140,7 +151,7 @@
 
 // Start begins to compete for the planner lease and to plan.
 func (c *controller) Start(context.Context) error {
-	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic); err != nil {
+	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic, &c.peers); err != nil {
 		return err
 	}
 	c.Go(c.holdLease)
@@ -311,11 +322,61 @@
 			Int64("fence", int64(p.fencingToken)).Str("detail", d.Detail).Msg(d.Event)
 	}
 	p.Decisions = nil
+	c.replaceStore(p, now)
 	for _, command := range commands {
 		c.Go(func(ctx context.Context) { c.sendOrder(ctx, command) })
 	}
 }
 
+// A copy of the store older than maxCopyAge doesn't show in time what the servers report to
+// the store. Servers are then asked directly, each at most once in reportInterval.
+const (
+	maxCopyAge     = 1800 * time.Millisecond
+	reportInterval = 300 * time.Millisecond
+)
+
+// replaceStore does, while the store can't be read, what otherwise happens through it: it
+// reads the reports of servers that carry out orders, and announces replicas that serve to
+// the other daemons.
+func (c *controller) replaceStore(p *Planner, now time.Time) {
+	formed := p.Formed
+	p.Formed = nil
+	if c.keys.Age() < maxCopyAge {
+		return
+	}
+	maps.DeleteFunc(c.reportReadAt, func(_ ident.Instance, at time.Time) bool { return now.Sub(at) >= reportInterval })
+	for _, s := range p.Awaited {
+		if _, recent := c.reportReadAt[s.ID]; !recent {
+			c.reportReadAt[s.ID] = now
+			c.Go(func(ctx context.Context) { c.readReport(ctx, s) })
+		}
+	}
+	for _, f := range formed {
+		c.peers.AnnounceFormation(f)
+	}
+}
+
+// readReport applies the state that a server reports to the catalog, and returns whether
+// the server's incarnation is running.
+func (c *controller) readReport(ctx context.Context, s *cluster.Server) bool {
+	reported := c.servers.ReadReport(ctx, s)
+	if reported == nil {
+		return false
+	}
+	if c.catalog.ApplyReport(reported) {
+		logReport(c.deps.Log, reported)
+	}
+	return true
+}
+
+func logReport(log zerolog.Logger, s *cluster.Server) {
+	event := log.Info().Str("server", string(s.ID))
+	if m := s.Membership; m != nil {
+		event = event.Str("replica", string(m.Replica)).Uint64("epoch", uint64(m.Epoch)).Str("state", string(m.State))
+	}
+	event.Msg("server-reported")
+}
+
 // applyResults passes the results of probes and orders to the planner.
 func (c *controller) applyResults(p *Planner) {
 	c.mu.Lock()
@@ -373,7 +434,7 @@
 // probeServer probes whether this incarnation of the server runs, and wakes the
 // planner with the result.
 func (c *controller) probeServer(ctx context.Context, s *cluster.Server) {
-	running := c.servers.IsRunning(ctx, s)
+	running := c.readReport(ctx, s)
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -16,15 +16,17 @@
 
 	"github.com/rs/zerolog"
 
+	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/kernel/clock"
 )
 
-// catalogSource returns the endpoints that requests can be sent to.
-type catalogSource interface {
+// endpointCatalog has the endpoints that requests can be sent to.
+type endpointCatalog interface {
 	Current() *catalog.Snapshot
+	ApplyFormations(formations []cluster.Formation)
 }
 
 // failureListener is notified of endpoint failures that this daemon or another daemon
@@ -55,7 +57,7 @@
 	Self         ident.Instance
 	DataCentre   ident.DataCentre
 	Incarnation  unit.Incarnation
-	Catalog      catalogSource
+	Catalog      endpointCatalog
 	PlatformCopy platformCopy
 	Poison       poisonDetector
 }
@@ -71,6 +73,8 @@
 	peers     map[ident.Instance]*peer
 	failures  map[endpointHash]time.Time
 	listeners []failureListener
+	// announcements are the formations that this daemon announces, the oldest first.
+	announcements []announcement
 	// rounds counts the calls of SendRound, and idleRounds the consecutive latest
 	// calls without requests in flight.
 	rounds     int
@@ -278,6 +282,7 @@
 		}
 		m.FailureAges[e] = now.Sub(failedAt)
 	}
+	m.Formations = g.announcedFormations(now)
 	targets := g.chooseTargets(toAll)
 	if len(targets) == 0 {
 		return nil, nil
@@ -336,6 +341,9 @@
 	}
 	g.mu.Unlock()
 	g.PlatformCopy.ObserveRevision(m.CopyRevision)
+	if len(m.Formations) > 0 {
+		g.Catalog.ApplyFormations(m.Formations)
+	}
 	for _, f := range m.ClearedRequests {
 		g.Poison.RecordCompletion(f)
 	}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -191,6 +191,40 @@
 	c.Check(detector.Check(7), qt.IsNil)
 }
 
+// TestAnnounceFormation guards against daemons that don't get a replica that was formed
+// while the platform's store can't be read, and against a formation that is announced
+// forever or beside a later one of the same replica.
+func TestAnnounceFormation(t *testing.T) {
+	c := qt.New(t)
+	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
+	receiver, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
+	sent := func() []cluster.Formation {
+		raw, _ := g.encodeDatagram(g.ownInFlight(), false)
+		m, err := decodeMessage(raw)
+		c.Assert(err, qt.IsNil)
+		m.From = "b"
+		receiver.handleMessage(m)
+		return m.Formations
+	}
+	formation := cluster.Formation{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i"}}}
+	sequence := g.sequence
+	g.AnnounceFormation(formation)
+	c.Check(g.sequence, qt.Equals, sequence+1, qt.Commentf("the formation was not sent immediately"))
+	c.Check(sent(), qt.DeepEquals, []cluster.Formation{formation})
+	c.Check(testEndpoint(receiver).Epoch, qt.Equals, unit.Epoch(4))
+	later := formation
+	later.Epoch = 5
+	g.AnnounceFormation(later)
+	c.Check(sent(), qt.DeepEquals, []cluster.Formation{later})
+	c.Check(testEndpoint(receiver).Epoch, qt.Equals, unit.Epoch(5))
+	for i := range 2 * maxAnnouncements {
+		g.AnnounceFormation(cluster.Formation{Replica: ident.Replica(fmt.Sprint(i)), Members: formation.Members})
+	}
+	c.Check(sent(), qt.HasLen, maxAnnouncements)
+	clk.Advance(announcementTime)
+	c.Check(sent(), qt.HasLen, 0)
+}
+
 // TestIdle guards against an idle daemon that sends as often as a busy one, and
 // against peers that still count the requests of a daemon that has become idle.
 func TestIdle(t *testing.T) {
@@ -322,6 +356,7 @@
 		InFlight:    map[endpointHash]unit.Requests{hashEndpoint("i", 3): 4, hashEndpoint("j", 1): 1},
 		FailureAges: map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
 		Crashes:     map[ident.Fingerprint]uint32{1 << 63: 2}, ClearedRequests: []ident.Fingerprint{7},
+		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
 	}
 	raw, err := m.encode()
 	c.Assert(err, qt.IsNil)
@@ -345,6 +380,7 @@
 		"endpoint without requests": encoded(&Datagram{From: "b", Endpoints: []uint32{1}}),
 		"failure without age":       encoded(&Datagram{From: "b", Failed: []uint32{1}}),
 		"crash without count":       encoded(&Datagram{From: "b", Crashing: []uint64{1}}),
+		"member without start":      encoded(&Datagram{From: "b", Formations: []*Formation{{Replica: "r", Members: []string{"i"}}}}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := decodeMessage(raw)
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
@@ -32,6 +33,8 @@
 	// ClearedRequests has the requests that other daemons suspect and that have run to
 	// their end at the sender.
 	ClearedRequests []ident.Fingerprint
+	// Formations are replicas that serve, as their members reported to the sender.
+	Formations []cluster.Formation
 }
 
 // endpointHash identifies a server at one epoch of its replica, so that a report
@@ -69,6 +72,9 @@
 	for _, f := range m.ClearedRequests {
 		d.Proven = append(d.Proven, uint64(f))
 	}
+	for i := range m.Formations {
+		d.Formations = append(d.Formations, encodeFormation(&m.Formations[i]))
+	}
 	return proto.Marshal(d)
 }
 
@@ -120,5 +126,12 @@
 	for _, f := range d.GetProven() {
 		m.ClearedRequests = append(m.ClearedRequests, ident.Fingerprint(f))
 	}
+	for _, encoded := range d.GetFormations() {
+		f, err := decodeFormation(encoded)
+		if err != nil {
+			return nil, err
+		}
+		m.Formations = append(m.Formations, f)
+	}
 	return m, nil
 }
