mirror, feed, gossip: Deliver large changes over slow links

A configuration with 1,240 routes more, in one value, passed through the tree of daemons over links of 20 Mbit/s. A daemon that lacked a revision for 0.7 s cancelled its call although the answer was arriving, avoided the source and read the whole list, with the same configuration, from another one. All daemons without a source chose the same daemon of another data centre, which then had 20 followers. Fifteen daemons got the configuration 5 to 9 s after it was acknowledged.

Change: a call that receives a large answer is neither cancelled for lag nor for its length while bytes arrive. After a failed call the copy goes on from its revision; the list is read only if the history is lost or malformed. Large answers are compressed, and encoded once for all followers. The order of the sources without a parent differs between the daemons.

Ruled out: delay of the daemons' own processor time; the log shows the calls that were cancelled.

The tests of the mirror expected a list after each failed call. A watch is repeatable for its revision, so they now expect that the changes go on, and a list after lost history and malformed changes.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -185,9 +185,10 @@
 		m.retryDelay = minRetryDelay
 		return m.currentBatchTime()
 	}
-	// A failed call may have lost changes that the next call would not return
-	// for the same revision, so the list is read again.
-	m.synced = false
+	if code.Of(err) == code.BadMessage {
+		// The same changes would be malformed again.
+		m.synced = false
+	}
 	m.recordSourceLoss(err)
 	delay := m.retryDelay
 	m.retryDelay = min(2*m.retryDelay, maxRetryDelay)
@@ -228,9 +229,15 @@
 			}
 			continue
 		}
+		u, isUpstream := m.Source.(*Upstream)
+		if isUpstream && u.Feed.Transferring() {
+			// A large change takes time over a slow link. A new call would start
+			// the transfer again.
+			continue
+		}
 		m.Log.Info().Int64("revision", ownRevision).Int64("heard", peerRevision).Msg("store-behind")
 		missingRevision = 0
-		if u, ok := m.Source.(*Upstream); ok {
+		if isUpstream {
 			u.AvoidCurrentSource()
 		}
 		if cancel := m.cancelCall.Load(); cancel != nil {
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -25,6 +25,8 @@
 type Feed interface {
 	List(ctx context.Context, p Peer) ([]store.Entry, unit.Revision, time.Duration, error)
 	Changes(ctx context.Context, p Peer, after unit.Revision) (changes []store.Change, completeUpTo unit.Revision, compacted bool, age time.Duration, err error)
+	// Transferring reports whether a large answer is arriving.
+	Transferring() bool
 }
 
 // tree orders the daemons of the same data centre in a tree in which each daemon
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -6,9 +6,9 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cuminbay/internal/domain/code"
@@ -40,8 +40,6 @@
 	Changes   []store.Change `json:"changes,omitempty"`
 	Revision  unit.Revision  `json:"revision"`
 	Compacted bool           `json:"forgotten,omitempty"`
-	// Age is the time since the platform confirmed the copy, in milliseconds.
-	Age int64 `json:"age"`
 }
 
 // platformCopy is this daemon's copy of the platform's keys.
@@ -55,6 +53,15 @@
 type server struct {
 	self         ident.Instance
 	platformCopy platformCopy
+	// lastPayload is the last encoded answer with changes. Most followers ask for the
+	// same ones.
+	lastPayload atomic.Pointer[encodedChanges]
+}
+
+// encodedChanges are the encoded changes after one revision up to another one.
+type encodedChanges struct {
+	after, revision unit.Revision
+	payload         []byte
 }
 
 // maxWait bounds the time for which a question can wait for a change.
@@ -77,19 +84,32 @@
 	if question.GetTopic() != topic || question.GetTo() != string(s.self) {
 		return nil, code.BadMessage.New("question from %s to %s on topic %q is not for this daemon's feed", question.GetFrom(), question.GetTo(), question.GetTopic())
 	}
-	var response copyResponse
+	payload, err := s.payload(ctx, &request)
+	if err != nil {
+		return nil, err
+	}
+	return appendAge(payload, s.platformCopy.Age()), nil
+}
+
+// payload returns the encoded response.
+func (s *server) payload(ctx context.Context, request *copyRequest) ([]byte, error) {
 	if request.List {
 		entries, revision, err := s.platformCopy.Entries()
 		if err != nil {
 			return nil, err
 		}
-		response.Entries, response.Revision = entries, revision
-	} else {
-		wait := min(time.Duration(request.Wait)*time.Millisecond, maxWait)
-		response.Changes, response.Revision, response.Compacted = s.platformCopy.WaitForChanges(ctx, request.After, wait)
+		return encodePayload(&copyResponse{Entries: entries, Revision: revision})
+	}
+	wait := min(time.Duration(request.Wait)*time.Millisecond, maxWait)
+	changes, revision, compacted := s.platformCopy.WaitForChanges(ctx, request.After, wait)
+	if known := s.lastPayload.Load(); known != nil && !compacted && known.after == request.After && known.revision == revision {
+		return known.payload, nil
+	}
+	payload, err := encodePayload(&copyResponse{Changes: changes, Revision: revision, Compacted: compacted})
+	if err == nil && !compacted && len(changes) > 0 {
+		s.lastPayload.Store(&encodedChanges{request.After, revision, payload})
 	}
-	response.Age = s.platformCopy.Age().Milliseconds()
-	return json.Marshal(response)
+	return payload, err
 }
 
 // Exchange always returns an error: the protocol requires the method, but this listener
@@ -103,6 +123,11 @@
 	self  ident.Instance
 	clock clock.Clock
 
+	// received is the number of bytes of the current answer, and receivedAt the time
+	// of its last ones, in nanoseconds since 1970 of the local clock.
+	received   atomic.Int64
+	receivedAt atomic.Int64
+
 	mu          sync.Mutex
 	peerClients map[string]*peerClient
 }
@@ -114,12 +139,14 @@
 }
 
 // Time limits of a question: changeWait is the time that the other daemon waits for
-// a change, and answerTimeout the time for everything else. If no answer arrives, the
-// client closes the idle connections to the daemon, which may have stalled.
+// a change, and answerTimeout the longest time after it in which no part of the answer
+// arrives. If no answer arrives, the client closes the idle connections to the daemon,
+// which may have stalled. An answer may take maxTransferTime over a slow link.
 const (
-	changeWait    = 1200 * time.Millisecond
-	answerTimeout = 700 * time.Millisecond
-	dialTimeout   = 500 * time.Millisecond
+	changeWait      = 1200 * time.Millisecond
+	answerTimeout   = 700 * time.Millisecond
+	dialTimeout     = 500 * time.Millisecond
+	maxTransferTime = 10 * time.Second
 )
 
 func newClient(self ident.Instance, clk clock.Clock) *client {
@@ -143,7 +170,7 @@
 		}
 	}
 	transport := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:        c.dial,
 		DisableCompression: true,
 	}
 	added := &peerClient{twirp.NewPeerProtobufClient("http://"+address, &http.Client{Transport: transport}), transport}
@@ -151,45 +178,45 @@
 	return added
 }
 
-func (c *client) call(ctx context.Context, p mirror.Peer, request copyRequest) (*copyResponse, error) {
-	ctx, cancel := clock.WithDeadline(ctx, c.clock, c.clock.Now().Add(time.Duration(request.Wait)*time.Millisecond+answerTimeout))
+func (c *client) call(ctx context.Context, p mirror.Peer, request copyRequest) (*copyResponse, time.Duration, error) {
+	ctx, cancel := c.withProgressTimeout(ctx, time.Duration(request.Wait)*time.Millisecond)
 	defer cancel()
 	body, err := json.Marshal(request)
 	if err != nil {
-		return nil, code.Internal.Wrap(err, "encode question to %s", p.Instance)
+		return nil, 0, code.Internal.Wrap(err, "encode question to %s", p.Instance)
 	}
 	peer := c.clientFor(p.Address)
 	answer, err := peer.Ask(ctx, &twirp.Question{From: string(c.self), To: string(p.Instance), Topic: topic, Body: body})
 	if err != nil {
 		peer.transport.CloseIdleConnections()
-		return nil, code.PlatformUnavailable.Wrap(err, "read copy of daemon %s at %s", p.Instance, p.Address)
+		return nil, 0, code.PlatformUnavailable.Wrap(err, "read copy of daemon %s at %s", p.Instance, p.Address)
 	}
 	if answer.GetCode() != 0 {
-		return nil, code.PlatformUnavailable.New("read copy of daemon %s at %s: %s", p.Instance, p.Address, answer.GetMessage())
+		return nil, 0, code.PlatformUnavailable.New("read copy of daemon %s at %s: %s", p.Instance, p.Address, answer.GetMessage())
 	}
-	response := new(copyResponse)
-	if err := json.Unmarshal(answer.GetBody(), response); err != nil {
-		return nil, code.BadMessage.Wrap(err, "decode copy of daemon %s at %s", p.Instance, p.Address)
+	response, age, err := decodeAnswer(answer.GetBody())
+	if err != nil {
+		return nil, 0, code.BadMessage.Wrap(err, "decode copy of daemon %s at %s", p.Instance, p.Address)
 	}
-	return response, nil
+	return response, age, nil
 }
 
 // List reads all entries of the daemon's copy. It also returns the copy's revision
 // and age.
 func (c *client) List(ctx context.Context, p mirror.Peer) ([]store.Entry, unit.Revision, time.Duration, error) {
-	response, err := c.call(ctx, p, copyRequest{List: true})
+	response, age, err := c.call(ctx, p, copyRequest{List: true})
 	if err != nil {
 		return nil, 0, 0, err
 	}
-	return response.Entries, response.Revision, time.Duration(response.Age) * time.Millisecond, nil
+	return response.Entries, response.Revision, age, nil
 }
 
 // Changes waits for changes of the daemon's copy after the revision. It also returns
 // the copy's age.
 func (c *client) Changes(ctx context.Context, p mirror.Peer, after unit.Revision) (changes []store.Change, completeUpTo unit.Revision, compacted bool, age time.Duration, err error) {
-	response, err := c.call(ctx, p, copyRequest{After: after, Wait: changeWait.Milliseconds()})
+	response, age, err := c.call(ctx, p, copyRequest{After: after, Wait: changeWait.Milliseconds()})
 	if err != nil {
 		return nil, 0, false, 0, err
 	}
-	return response.Changes, response.Revision, response.Compacted, time.Duration(response.Age) * time.Millisecond, nil
+	return response.Changes, response.Revision, response.Compacted, age, nil
 }
--- a/internal/peer/feed/feed_test.go
+++ b/internal/peer/feed/feed_test.go
@@ -1,22 +1,108 @@
 package feed
 
 import (
+	"bytes"
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/mirror"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/peer/twirp"
 )
 
+// TestPayload guards against a large answer that is not compressed, and against a malformed
+// answer that is accepted or ends the process.
+func TestPayload(t *testing.T) {
+	large := &copyResponse{Entries: []store.Entry{{Key: "op/config", Value: bytes.Repeat([]byte("a route; "), 40_000), Revision: 9}}, Revision: 9}
+	payload, err := encodePayload(large)
+	c := qt.New(t)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(payload) < 20_000, qt.IsTrue, qt.Commentf("%d bytes", len(payload)))
+	decoded, age, err := decodeAnswer(appendAge(payload, 3*time.Second))
+	c.Assert(err, qt.IsNil)
+	c.Check(decoded, qt.DeepEquals, large)
+	c.Check(age, qt.Equals, 3*time.Second)
+	for name, body := range map[string][]byte{
+		"empty":       nil,
+		"no payload":  appendAge(nil, time.Second),
+		"not JSON":    appendAge([]byte("?"), time.Second),
+		"cut off":     appendAge(payload[:len(payload)/2], time.Second),
+		"not gzip":    appendAge([]byte{0x1f, 0x8b, 1}, time.Second),
+		"too short":   {1, 2},
+		"other magic": appendAge([]byte{0x1f}, time.Second),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := decodeAnswer(body)
+			qt.New(t).Check(err, qt.IsNotNil)
+		})
+	}
+}
+
+// slowServer sends an answer of 64 kB in parts, with pauses between them.
+func slowServer(clk clock.Clock, parts int, pause time.Duration) http.Handler {
+	raw, err := proto.Marshal(&twirp.Answer{Body: appendAge([]byte(`{"revision":7}`+strings.Repeat(" ", 64<<10)), time.Second)})
+	if err != nil {
+		panic(err)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		size := len(raw) / parts
+		for rest := raw; len(rest) > 0; rest = rest[min(size, len(rest)):] {
+			if _, err := w.Write(rest[:min(size, len(rest))]); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			if !plugin.Sleep(r.Context(), clk, pause) {
+				return
+			}
+		}
+	})
+}
+
+// TestSlowTransfer guards against a large answer that is cut off although it arrives, and
+// against a stalled one that is awaited.
+func TestSlowTransfer(t *testing.T) {
+	tests := map[string]struct {
+		parts int
+		pause time.Duration
+		fails bool
+	}{
+		"slow but steady": {parts: 10, pause: 250 * time.Millisecond},
+		"stalled":         {parts: 2, pause: 4 * time.Second, fails: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			httpServer := httptest.NewServer(slowServer(clock.Real(), test.parts, test.pause))
+			defer httpServer.Close()
+			client := newClient("a", clock.Real())
+			start := clock.Real().Now()
+			_, revision, _, err := client.List(context.Background(), mirror.Peer{Instance: "p", Address: strings.TrimPrefix(httpServer.URL, "http://")})
+			if test.fails {
+				c.Check(code.Of(err), qt.Equals, code.PlatformUnavailable)
+				c.Check(clock.Real().Since(start) < 3*time.Second, qt.IsTrue)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Check(revision, qt.Equals, unit.Revision(7))
+		})
+	}
+}
+
 // fakeCopy is a copy with one key, or without any.
 type fakeCopy struct{ empty bool }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -11,7 +11,9 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -66,12 +68,19 @@
 type Gossip struct {
 	Options
 	conn net.PacketConn
+	// hashed has the endpoints of the catalog's latest snapshot.
+	hashed atomic.Pointer[hashedEndpoints]
 
-	mu        sync.Mutex
-	random    *rand.Rand
-	sequence  unit.Sequence
-	peers     map[ident.Instance]*peer
-	failures  map[endpointHash]time.Time
+	mu       sync.Mutex
+	random   *rand.Rand
+	sequence unit.Sequence
+	peers    map[ident.Instance]*peer
+	failures map[endpointHash]time.Time
+	// localAddresses and remoteAddresses are those of the registered daemons of this
+	// and of other data centres.
+	localAddresses, remoteAddresses []netip.AddrPort
+	// loads has the load of the other daemons of each data centre.
+	loads     map[ident.DataCentre]*dataCentreLoad
 	listeners []failureListener
 	// announcements are the formations that this daemon announces, the oldest first.
 	announcements []announcement
@@ -105,7 +114,7 @@
 func New(o Options, conn net.PacketConn) *Gossip {
 	return &Gossip{
 		Options: o, conn: conn, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		peers: make(map[ident.Instance]*peer), failures: make(map[endpointHash]time.Time),
+		peers: make(map[ident.Instance]*peer), failures: make(map[endpointHash]time.Time), loads: make(map[ident.DataCentre]*dataCentreLoad),
 	}
 }
 
@@ -160,16 +169,34 @@
 			p = &peer{lastDatagramAt: now, reportedFailures: make(map[endpointHash]time.Time)}
 			g.peers[id] = p
 		}
+		if p.dataCentre != d.DataCentre && len(p.inFlight) > 0 {
+			g.replaceInFlight(p, nil)
+		}
 		p.address, p.feedAddress, p.dataCentre, p.registered = d.Address, d.FeedAddress, d.DataCentre, true
 	}
 	for id, p := range g.peers {
 		if _, ok := daemons[id]; !ok {
 			p.registered = false
 			if now.Sub(p.lastDatagramAt) > daemonExpiry {
-				delete(g.peers, id)
+				g.removePeer(id)
 			}
 		}
 	}
+	g.listAddresses()
+}
+
+// listAddresses lists the addresses of the registered daemons. The caller holds the lock.
+func (g *Gossip) listAddresses() {
+	g.localAddresses, g.remoteAddresses = nil, nil
+	for _, p := range g.peers {
+		switch {
+		case !p.registered:
+		case p.dataCentre == g.DataCentre:
+			g.localAddresses = append(g.localAddresses, p.address)
+		default:
+			g.remoteAddresses = append(g.remoteAddresses, p.address)
+		}
+	}
 }
 
 // DaemonCount returns the number of daemons that may be running, including this daemon.
@@ -185,14 +212,9 @@
 	return count
 }
 
-// idleRoundsPerSend is the number of rounds per datagram of a daemon without
-// requests in flight. Peers then only need the revision and age of its copy of the
-// platform's keys.
-const idleRoundsPerSend = 6
-
-// SendRound sends a datagram to some of the daemons. It is called once per interval. In
-// most rounds an idle daemon sends nothing, see idleRoundsPerSend.
-func (g *Gossip) SendRound() {
+// SendRound sends a datagram to some of the daemons. It is called once per interval of the
+// pace. In most rounds an idle daemon sends nothing.
+func (g *Gossip) SendRound(p pace) {
 	inFlight := g.ownInFlight()
 	g.mu.Lock()
 	g.rounds++
@@ -200,24 +222,13 @@
 	if len(inFlight) > 0 {
 		g.idleRounds = 0
 	}
-	skip := g.idleRounds > 1 && g.idleRounds%idleRoundsPerSend != 0
+	skip := g.idleRounds > 1 && g.idleRounds%p.idleRoundsPerSend != 0
 	g.mu.Unlock()
 	if !skip {
 		g.send(inFlight, false)
 	}
 }
 
-// ownInFlight returns the numbers of this daemon's requests in flight by endpoint.
-func (g *Gossip) ownInFlight() map[endpointHash]unit.Requests {
-	inFlight := make(map[endpointHash]unit.Requests)
-	g.Catalog.Current().EachEndpoint(func(e *catalog.Endpoint) {
-		if n := e.Load.InFlight(); n > 0 {
-			inFlight[hashOf(e)] = n
-		}
-	})
-	return inFlight
-}
-
 func (g *Gossip) send(inFlight map[endpointHash]unit.Requests, toAll bool) {
 	raw, targets := g.encodeDatagram(inFlight, toAll)
 	if raw == nil {
@@ -241,27 +252,24 @@
 
 // chooseTargets returns the addresses for the next datagram.
 func (g *Gossip) chooseTargets(toAll bool) []netip.AddrPort {
-	var local, remote []netip.AddrPort
-	for _, p := range g.peers {
-		switch {
-		case !p.registered:
-		case p.dataCentre == g.DataCentre:
-			local = append(local, p.address)
-		default:
-			remote = append(remote, p.address)
-		}
-	}
 	if toAll {
-		return append(local, remote...)
-	}
-	shuffle := func(addresses []netip.AddrPort, limit int) []netip.AddrPort {
-		g.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		return addresses[:min(limit, len(addresses))]
+		return slices.Concat(g.localAddresses, g.remoteAddresses)
 	}
+	targets := g.sample(g.localAddresses, localFanout)
 	if g.idleRounds == 0 && g.rounds%remoteRoundInterval != 0 {
-		remote = nil
+		return slices.Clone(targets)
+	}
+	return slices.Concat(targets, g.sample(g.remoteAddresses, remoteFanout))
+}
+
+// sample returns random addresses, which it moves to the start of the list.
+func (g *Gossip) sample(addresses []netip.AddrPort, size int) []netip.AddrPort {
+	size = min(size, len(addresses))
+	for i := range size {
+		j := i + g.random.IntN(len(addresses)-i)
+		addresses[i], addresses[j] = addresses[j], addresses[i]
 	}
-	return append(shuffle(local, localFanout), shuffle(remote, remoteFanout)...)
+	return addresses[:size]
 }
 
 // encodeDatagram returns the next datagram and its targets, or nil if there are no
@@ -326,7 +334,8 @@
 		return
 	}
 	now := g.Clock.Now()
-	p.incarnation, p.sequence, p.lastDatagramAt, p.inFlight = m.Incarnation, m.Sequence, now, m.InFlight
+	p.incarnation, p.sequence, p.lastDatagramAt = m.Incarnation, m.Sequence, now
+	g.replaceInFlight(p, m.InFlight)
 	p.copyAge = m.CopyAge
 	for e := range m.FailureAges {
 		if now.Sub(p.reportedFailures[e]) > failureExpiry {
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -29,7 +29,8 @@
 	// Feed is the address at which other daemons read this daemon's copy of the
 	// platform's keys.
 	Feed string `json:"feed" validate:"omitempty,listen"`
-	// Interval is the time between two rounds of datagrams. Requests that another
+	// Interval is the time between two rounds of datagrams, in a large fleet up to
+	// four times as long. Requests that another
 	// daemon started after its last datagram are not counted yet, so several daemons
 	// may choose the same endpoint.
 	Interval settings.Duration `json:"interval" validate:"duration"`
@@ -112,14 +113,23 @@
 	}
 	c.conn = conn
 	go c.Receive()
-	c.Every(c.deps.Clock, c.settings.Interval.Duration, func(context.Context) {
-		c.UpdatePeerInFlight()
-		c.SendRound()
-	})
+	c.Go(c.runRounds)
 	c.Go(c.maintainRegistration)
 	return nil
 }
 
+// runRounds sends datagrams and updates the peers' load until the context ends.
+func (c *component) runRounds(ctx context.Context) {
+	for {
+		current := c.currentPace(c.settings.Interval.Duration)
+		if !plugin.Sleep(ctx, c.deps.Clock, current.interval) {
+			return
+		}
+		c.UpdatePeerInFlight()
+		c.SendRound(current)
+	}
+}
+
 // Stop ends the exchange and withdraws the registration.
 func (c *component) Stop(ctx context.Context) error {
 	err := c.BackgroundTasks.Stop(ctx)
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -66,7 +66,8 @@
 
 // FallbackPeers returns live daemons with recent copies, alternately of another and
 // of this data centre. A daemon of another data centre is the first, since the platform
-// may be unreachable from all daemons of this data centre.
+// may be unreachable from all daemons of this data centre. The order differs between the
+// daemons, so that they don't all read from the same one.
 func (g *Gossip) FallbackPeers() []mirror.Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -81,8 +82,10 @@
 			remote = append(remote, id)
 		}
 	}
-	slices.Sort(remote)
-	slices.Sort(local)
+	rank := func(id ident.Instance) uint64 { return xxhash.Sum64String(string(g.Self) + " " + string(id)) }
+	byRank := func(a, b ident.Instance) int { return cmp.Compare(rank(a), rank(b)) }
+	slices.SortFunc(remote, byRank)
+	slices.SortFunc(local, byRank)
 	var peers []mirror.Peer
 	for len(peers) < maxFallbackPeers && len(remote)+len(local) > 0 {
 		if len(remote) > 0 {
