stream, forward: Bound answers without end and streams that trickle

Cause: a faulty server can send interim responses, answers to other requests, trailers or a body without end; each of them occupied the request until its deadline, and a body or an event also the daemon's memory. An announced length of 2^63-1 ended the process with a panic of make. A stream that sends a byte now and then but no event counted as alive until its deadline, and hid the stall of its endpoint.

Change: each of these has a bound; the head had one already. Only complete events count as progress of a stream and of its endpoint.

Result: TestEndlessAnswer (10 kinds on real connections) and six cases of TestForward fail on the code before, by timeout or panic, and pass now. A slow but sound stream is not cut.

--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -39,9 +40,24 @@
 // skipped before an exchange fails.
 const maxForeignAnswers = 2
 
-// errForeignAnswers says that the connection has answers to other requests
-// only.
-var errForeignAnswers = errors.New("connection returned only answers to other requests")
+// Bounds of bytes that are no part of the answer, which a faulty endpoint may send without
+// end: interim responses before the answer, the bodies of answers to other requests, and
+// the trailer after the last chunk.
+const (
+	maxInterimResponses = 8
+	maxForeignBytes     = 1 << 20
+	maxTrailerBytes     = 16 << 10
+)
+
+// Errors of connections that return such bytes.
+var (
+	// errForeignAnswers says that the connection has answers to other requests
+	// only.
+	errForeignAnswers   = errors.New("connection returned only answers to other requests")
+	errInterimResponses = fmt.Errorf("connection returned more than %d interim responses", maxInterimResponses)
+	errForeignBytes     = fmt.Errorf("connection returned an answer to another request with over %d bytes", maxForeignBytes)
+	errTrailerBytes     = fmt.Errorf("connection returned a trailer of over %d bytes", maxTrailerBytes)
+)
 
 // RawResponse is the answer to a RawRequest; its body may still be arriving.
 // The user has to call Close.
@@ -116,26 +132,36 @@
 		if request.MatchesRequest == nil || request.MatchesRequest(&r.Header) {
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, r); err != nil {
+		if err := r.skipBody(); err != nil {
 			return err
 		}
-		r.bodyRead = false
 	}
 	return errForeignAnswers
 }
 
+// skipBody reads the body of an answer to another request.
+func (r *RawResponse) skipBody() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, maxForeignBytes))
+	r.bodyRead = false
+	if err == nil && n == maxForeignBytes {
+		return errForeignBytes
+	}
+	return err
+}
+
+// readHead reads the head of the answer. The connection's buffer bounds its size.
 func (r *RawResponse) readHead(request *RawRequest) error {
 	r.Header.Reset()
-	for {
+	for range maxInterimResponses + 1 {
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return err
 		}
 		if status := r.Header.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
-			break
+			r.body, r.chunked = r.bodyReader(request)
+			return nil
 		}
 	}
-	r.body, r.chunked = r.bodyReader(request)
-	return nil
+	return errInterimResponses
 }
 
 // bodyReader returns the reader of the body, and whether the body is chunked.
@@ -197,7 +223,7 @@
 
 // skipTrailer reads the trailer fields after the last chunk.
 func (r *RawResponse) skipTrailer() error {
-	for {
+	for remaining := maxTrailerBytes; remaining > 0; {
 		line, err := r.conn.reader.ReadSlice('\n')
 		if err != nil {
 			if errors.Is(err, io.EOF) {
@@ -208,7 +234,9 @@
 		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
 			return nil
 		}
+		remaining -= len(line)
 	}
+	return errTrailerBytes
 }
 
 // ContentLength returns the length that the header announces, or -1 if the
--- a/internal/endpoint/stream/raw_test.go
+++ b/internal/endpoint/stream/raw_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -151,6 +152,60 @@
 	}
 }
 
+// endlessAnswers are answers that repeat their end until the connection is closed.
+var endlessAnswers = map[string]struct{ start, repeated string }{
+	"field in the head":          {"HTTP/1.1 200 OK\r\nRequest-Id: own\r\nX: ", "x"},
+	"fields in the head":         {"HTTP/1.1 200 OK\r\nRequest-Id: own\r\n", "X: x\r\n"},
+	"empty lines before a head":  {"", "\r\n"},
+	"interim responses":          {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"answers to other requests":  {"", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\na"},
+	"body of another answer":     {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", "x"},
+	"chunks of another answer":   {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	"size of a chunk":            {"HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	"extension of a chunk":       {"HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"trailer after the last one": {"HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
+}
+
+// TestEndlessAnswer guards against a faulty server whose bytes without end occupy the
+// daemon's memory, or its request until the caller leaves.
+func TestEndlessAnswer(t *testing.T) {
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer l.Close() //nolint:errcheck // the end of the test
+			closed := make(chan struct{})
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close() //nolint:errcheck // the client has closed it
+				_, _ = io.WriteString(conn, answer.start)
+				part := []byte(strings.Repeat(answer.repeated, 1000))
+				for {
+					if _, err := conn.Write(part); err != nil {
+						close(closed)
+						return
+					}
+				}
+			}()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			r, err := newTestPool().Forward(context.Background(), newTestRequest(l.Addr().String()))
+			if err == nil {
+				_, err = io.Copy(io.Discard, r)
+				r.Close()
+			}
+			c.Check(err, qt.IsNotNil)
+			runtime.ReadMemStats(&after)
+			c.Check(after.TotalAlloc-before.TotalAlloc < 8<<20, qt.IsTrue, qt.Commentf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc))
+			<-closed
+		})
+	}
+}
+
 // TestKeepWaiting guards against waiting forever for a server that sends
 // nothing.
 func TestKeepWaiting(t *testing.T) {
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -137,15 +138,27 @@
 	return nil
 }
 
+// maxReplyBytes bounds a reply that is buffered. A faulty server may send bytes without end
+// or announce any length.
+const maxReplyBytes = 4 << 20
+
+var errReplyTooLong = fmt.Errorf("the reply has over %d bytes", maxReplyBytes)
+
 // readBody reads the body to its end. On an error it returns the part that was read.
 func readBody(reply Reply) ([]byte, error) {
 	const initialSize = 2048
 	size := reply.ContentLength()
+	if size > maxReplyBytes {
+		return nil, errReplyTooLong
+	}
 	if size < 0 {
 		size = initialSize
 	}
 	body := make([]byte, 0, size+1)
 	for {
+		if len(body) > maxReplyBytes {
+			return body, errReplyTooLong
+		}
 		if len(body) == cap(body) {
 			body = append(body, 0)[:len(body)]
 		}
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -32,6 +32,12 @@
 	// which the server sends nothing before the end of the body.
 	bodyCutOff bool
 	silence    time.Duration
+	// trickle is the time between two bytes that the server sends without end after
+	// the body, and flood says that it does so without a pause.
+	trickle time.Duration
+	flood   bool
+	// length is the announced length of the body, unknown if zero.
+	length int
 }
 
 // fakeSender sends the replies of each server in order and records the attempts.
@@ -77,7 +83,12 @@
 	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
 }
 
-func (r *fakeReply) ContentLength() int { return -1 }
+func (r *fakeReply) ContentLength() int {
+	if r.script.length != 0 {
+		return r.script.length
+	}
+	return -1
+}
 
 func (r *fakeReply) Read(b []byte) (int, error) {
 	if r.bytesRead < len(r.script.body) {
@@ -91,6 +102,17 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 	}
+	switch {
+	case r.script.flood:
+		for i := range b {
+			b[i] = 'x'
+		}
+		return len(b), nil
+	case r.script.trickle > 0:
+		r.sender.clock.Advance(r.script.trickle)
+		b[0] = 'x'
+		return 1, nil
+	}
 	if r.script.bodyCutOff {
 		return 0, errors.New("connection reset")
 	}
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -101,6 +102,31 @@
 			path: "/not-resumable/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, bodyCutOff: true}}, "y": {{body: eventB}}},
 			wantCode: code.CutOff, wantOutcome: code.Unknown, wantStatus: 200, wantBody: eventA, wantAborted: true, wantServers: []ident.Instance{"x"}, wantResumeAfter: []proxy.EventID{0},
 		},
+		"safe, body without end": {
+			path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"a": {{body: "do", flood: true}}, "b": doneReply}, wantStatus: 200, wantBody: "done", wantServers: []ident.Instance{"a", "b"},
+		},
+		"safe, any length announced": {
+			path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"a": {{body: "do", length: math.MaxInt64}}, "b": doneReply}, wantStatus: 200, wantBody: "done", wantServers: []ident.Instance{"a", "b"},
+		},
+		"unsafe, body without end": {
+			path: "/unsafe/1", replies: map[ident.Instance][]scriptedReply{"a": {{flood: true}}, "b": doneReply}, wantCode: code.CutOff, wantOutcome: code.Unknown, wantServers: []ident.Instance{"a"},
+		},
+		"stream, event without end": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, flood: true}}, "y": {{body: eventB}}},
+			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
+		},
+		"stream, stalled but a byte now and then": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, trickle: 40 * time.Millisecond}}, "y": {{body: eventB}}},
+			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
+		},
+		"stream, a byte now and then before the first event": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{trickle: 40 * time.Millisecond}}, "y": {{body: eventA}}},
+			wantStatus: 200, wantBody: eventA, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 0},
+		},
+		"stream, slow but sound": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + eventB, silence: 150 * time.Millisecond}}},
+			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x"}, wantResumeAfter: []proxy.EventID{0},
+		},
 		"stream, caller disconnects": {
 			path: "/stream/1", callerDisconnected: true, replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + eventB}}, "y": {{body: eventB}}},
 			wantCode: code.CallerClosed, wantOutcome: code.Ran, wantStatus: 200, wantAborted: true, wantServers: []ident.Instance{"x"}, wantResumeAfter: []proxy.EventID{0},
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -106,24 +106,24 @@
 // copyEvents forwards complete events until the end of the reply's body.
 func (x *exchange) copyEvents(e *catalog.Endpoint, reply Reply, ev *eventBuffer, detector *stallDetector) error {
 	for {
+		if len(ev.unforwarded) >= maxEventBytes {
+			return code.ForeignAnswer.New("read stream of endpoint %s: an event after event %d has over %d bytes", e.ID, ev.lastID, maxEventBytes)
+		}
 		if len(ev.unforwarded) == cap(ev.unforwarded) {
 			ev.unforwarded = append(ev.unforwarded, 0)[:len(ev.unforwarded)]
 		}
 		n, err := reply.Read(ev.unforwarded[len(ev.unforwarded):cap(ev.unforwarded)])
 		ev.unforwarded = ev.unforwarded[:len(ev.unforwarded)+n]
-		if n > 0 {
-			now := x.Clock.Now()
-			e.Load.RecordProgress(now)
-			detector.hasReceived = true
-			if !x.lastEventTime.IsZero() {
-				x.longestPause = max(x.longestPause, now.Sub(x.lastEventTime))
-			}
-			x.lastEventTime = now
-		}
 		complete, eventErr := ev.completeEvents()
 		if eventErr != nil {
 			return eventErr
 		}
+		switch {
+		case len(complete) > 0:
+			detector.recordEvent()
+		case n > 0 && detector.isTrickling():
+			return code.Stalled.New("read stream of endpoint %s: bytes arrive, but no event is complete after event %d", e.ID, ev.lastID)
+		}
 		if errors.Is(err, io.EOF) && len(complete) == len(ev.unforwarded) {
 			return x.endStream(reply, ev)
 		}
@@ -140,6 +140,9 @@
 	}
 }
 
+// maxEventBytes bounds an event. A faulty server may send an event without end.
+const maxEventBytes = 1 << 20
+
 // streamError returns the error for a read that failed before the end of the stream.
 func streamError(err error, e *catalog.Endpoint, ev *eventBuffer) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -170,8 +173,30 @@
 	*exchange
 	endpoint     *catalog.Endpoint
 	attemptStart time.Time
-	// hasReceived says that this attempt has received a part of the stream.
-	hasReceived bool
+	// lastEventAt is the time at which this attempt last received a complete event,
+	// zero before the first one.
+	lastEventAt time.Time
+}
+
+// recordEvent records that complete events have arrived.
+func (d *stallDetector) recordEvent() {
+	now := d.Clock.Now()
+	d.endpoint.Load.RecordProgress(now)
+	d.lastEventAt = now
+	if !d.lastEventTime.IsZero() {
+		d.longestPause = max(d.longestPause, now.Sub(d.lastEventTime))
+	}
+	d.lastEventTime = now
+}
+
+// isTrickling reports whether the endpoint has sent no complete event for as long as a
+// silent endpoint may take, although bytes arrive.
+func (d *stallDetector) isTrickling() bool {
+	since := d.lastEventAt
+	if since.IsZero() {
+		since = d.attemptStart
+	}
+	return d.route.Repeatable() && d.Clock.Since(since) >= maxStallTimeout
 }
 
 // Stall timeouts. In each pass, an engine sends the new tokens of all its streams. If
@@ -225,7 +250,7 @@
 		return false
 	}
 	endpointSilence := d.Clock.Since(d.endpoint.Load.LastProgress())
-	if d.hasReceived {
+	if !d.lastEventAt.IsZero() {
 		return min(silence, endpointSilence) < d.nextEventTimeout()
 	}
 	return min(silence, endpointSilence) < d.firstEventTimeout()
