httpserver, gossip: Let a panic end one request or datagram

Cause: a panic while one request or datagram was handled ended the daemon with all requests of its callers.

Change: the panic is logged with its stack; the request's connection is reset, so that its answer doesn't look complete. Background work still ends the process, since it would otherwise stand still unnoticed.

Result: TestPanic fails before (the test process ends) and passes now.

--- a/internal/caller/httpserver/conn.go
+++ b/internal/caller/httpserver/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -138,7 +139,7 @@
 func (c *conn) serveRequest(ctx context.Context, r *Request, w *ResponseWriter) {
 	defer close(c.answered)
 	defer c.cancel()
-	c.server.Handler.Serve(ctx, r, w)
+	c.handleRequest(ctx, r, w)
 	c.server.activeRequests.Add(-1)
 	if !w.ended {
 		w.Abort()
@@ -157,6 +158,18 @@
 	}
 }
 
+// handleRequest calls the handler. A panic ends the request and its connection, not the
+// process.
+func (c *conn) handleRequest(ctx context.Context, r *Request, w *ResponseWriter) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			w.Abort()
+			c.server.OnPanic(cause, debug.Stack())
+		}
+	}()
+	c.server.Handler.Serve(ctx, r, w)
+}
+
 // closeAfterAnswer ends the connection after its last answer.
 func (c *conn) closeAfterAnswer(w *ResponseWriter) {
 	if w.aborted {
--- a/internal/caller/httpserver/server.go
+++ b/internal/caller/httpserver/server.go
@@ -51,6 +51,8 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
+	// OnPanic is called with the cause and the stack after a panic of the handler.
+	OnPanic func(cause any, stack []byte)
 }
 
 // Server accepts connections and answers the requests on them.
--- a/internal/caller/httpserver/server_test.go
+++ b/internal/caller/httpserver/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	cancelled chan struct{}
 	// release ends the request for /hold.
 	release chan struct{}
+	panics  atomic.Int64
 }
 
 func (h *testHandler) Serve(ctx context.Context, r *Request, w *ResponseWriter) {
@@ -44,6 +46,8 @@
 		close(h.started)
 		<-ctx.Done()
 		close(h.cancelled)
+	case "/panic":
+		panic("unexpected error")
 	case "/hold":
 		close(h.started)
 		<-h.release
@@ -62,7 +66,14 @@
 
 func startServer(c *qt.C, limits Limits) (*Server, *testHandler, string) {
 	h := &testHandler{started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})}
-	s := New(Options{Clock: clock.Real(), Handler: h, Limits: func() Limits { return limits }})
+	s := New(Options{
+		Clock: clock.Real(), Handler: h, Limits: func() Limits { return limits },
+		OnPanic: func(cause any, stack []byte) {
+			h.panics.Add(1)
+			c.Check(cause, qt.Equals, "unexpected error")
+			c.Check(len(stack) > 0, qt.IsTrue)
+		},
+	})
 	c.Assert(s.Listen(context.Background(), "127.0.0.1:0"), qt.IsNil)
 	c.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -162,6 +173,22 @@
 	c.Check(err, qt.IsNotNil)
 }
 
+// TestPanic guards against an unexpected error in one request that ends the process, and
+// against a request that stays counted after it.
+func TestPanic(t *testing.T) {
+	c := qt.New(t)
+	s, h, address := startServer(c, defaultLimits())
+	failed := dial(c, address, "GET /panic HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err := io.ReadAll(failed)
+	c.Check(err, qt.IsNotNil, qt.Commentf("the answer looks complete"))
+	c.Check(h.panics.Load(), qt.Equals, int64(1))
+	other := dial(c, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nConnection: close\r\n\r\na")
+	answer, err := io.ReadAll(other)
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.HasPrefix(string(answer), "HTTP/1.1 200"), qt.IsTrue)
+	c.Check(s.ActiveRequests(), qt.Equals, int64(0))
+}
+
 // TestCallerLeaves guards against a request that continues after its caller has
 // closed the connection.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -8,9 +8,11 @@
 package gossip
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -314,13 +316,24 @@
 		if err != nil {
 			return
 		}
-		m, err := decodeMessage(buffer[:n])
-		if err != nil {
-			g.Log.Debug().Err(err).Msg("datagram-rejected")
-			continue
+		g.handleDatagram(buffer[:n])
+	}
+}
+
+// handleDatagram decodes and applies a datagram. A panic ends the handling of this datagram,
+// not the process.
+func (g *Gossip) handleDatagram(raw []byte) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.Log.Error().Str("cause", fmt.Sprint(cause)).Str("stack", string(debug.Stack())).Msg("datagram-panic")
 		}
-		g.handleMessage(m)
+	}()
+	m, err := decodeMessage(raw)
+	if err != nil {
+		g.Log.Debug().Err(err).Msg("datagram-rejected")
+		return
 	}
+	g.handleMessage(m)
 }
 
 // handleMessage applies a datagram. It ignores the datagram if its sender is
