clock, lease, formation: Measure permissions and ages with the right clock

Cause: the age of the store's copy and the times for which an endpoint is avoided were kept in nanoseconds of the time of day, so a clock that is set moved them by seconds. The planner's lease was compared with the monotonic clock, which stands still while a machine is suspended: after it woke the daemon believed that it held the lease. A planner that was paused went on before its next renewal.

Change: clock.Instant follows the monotonic clock; a lease counts the machine's time since boot; a planner that did not run for the length of its lease ends its term until the lease is renewed.

--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
 )
 
 // Load holds the request counts, response times and failures of a server, as
@@ -14,11 +15,11 @@
 	inFlight atomic.Int64
 	// peerInFlight is the number of requests that the peers have in flight.
 	peerInFlight atomic.Int64
-	// lastProgress is the time at which the last byte of any answer arrived, in
-	// nanoseconds since 1970 of the local clock.
+	// lastProgress is the time at which the last byte of any answer arrived as
+	// a clock.Instant.
 	lastProgress atomic.Int64
-	// avoidUntil is the time until which the server gets no requests, in
-	// nanoseconds since 1970 of the local clock.
+	// avoidUntil is the time until which the server gets no requests as
+	// a clock.Instant.
 	avoidUntil atomic.Int64
 	// consecutiveFailures counts the failures since the last success, and
 	// lastFailure is the time of the last failure, in nanoseconds since 1970 of
@@ -62,20 +63,21 @@
 
 // RecordProgress records that bytes of an answer arrived now.
 func (l *Load) RecordProgress(now time.Time) {
-	l.lastProgress.Store(now.UnixNano())
+	l.lastProgress.Store(int64(clock.InstantOf(now)))
 }
 
 // LastProgress returns the time at which bytes of any answer last arrived.
 func (l *Load) LastProgress() time.Time {
-	return time.Unix(0, l.lastProgress.Load())
+	return clock.Instant(l.lastProgress.Load()).Time()
 }
 
 // AvoidUntil excludes the server from requests until the given time. It has no
 // effect if the server is already excluded until a later time.
 func (l *Load) AvoidUntil(until time.Time) {
+	end := int64(clock.InstantOf(until))
 	for {
 		current := l.avoidUntil.Load()
-		if current >= until.UnixNano() || l.avoidUntil.CompareAndSwap(current, until.UnixNano()) {
+		if current >= end || l.avoidUntil.CompareAndSwap(current, end) {
 			return
 		}
 	}
@@ -83,7 +85,7 @@
 
 // Avoided reports whether the server is excluded from requests now.
 func (l *Load) Avoided(now time.Time) bool {
-	return now.UnixNano() < l.avoidUntil.Load()
+	return int64(clock.InstantOf(now)) < l.avoidUntil.Load()
 }
 
 // The time for which a server is avoided doubles with each consecutive failure,
@@ -97,8 +99,8 @@
 // avoided. A failure within half of minAvoidTime after the last one does not count
 // and returns zero, since one fault fails many requests at once.
 func (l *Load) RecordFailure(now time.Time) time.Duration {
-	last := l.lastFailure.Load()
-	if now.UnixNano()-last < int64(minAvoidTime)/2 || !l.lastFailure.CompareAndSwap(last, now.UnixNano()) {
+	last, current := l.lastFailure.Load(), int64(clock.InstantOf(now))
+	if current-last < int64(minAvoidTime)/2 || !l.lastFailure.CompareAndSwap(last, current) {
 		return 0
 	}
 	failures := l.consecutiveFailures.Add(1)
@@ -143,7 +145,7 @@
 	}
 	interval := int64(float64(time.Second) / perSecond)
 	for {
-		next, nowNanos := l.nextColdRequest.Load(), now.UnixNano()
+		next, nowNanos := l.nextColdRequest.Load(), int64(clock.InstantOf(now))
 		switch {
 		case nowNanos < next:
 			return false
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -18,6 +18,7 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/fleet/lease"
+	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 )
@@ -266,9 +267,19 @@
 func (c *controller) runPlanner(ctx context.Context) {
 	var planner *Planner
 	var token int64
+	pauses := pauseDetector{limit: c.settings.Lease.Duration}
+	suspensionClock := clock.CountingSuspension(c.deps.Clock)
 	for {
 		changed := c.catalog.Changed()
 		now := c.deps.Clock.Now()
+		if token == 0 {
+			pauses.reset()
+		}
+		if pauses.ranAt(suspensionClock.Now()) && c.fencingToken.CompareAndSwap(token, 0) {
+			// The lease may have ended during the pause. The next renewal
+			// begins a term if it has not.
+			c.deps.Log.Warn().Int64("fence", token).Msg("planner-paused")
+		}
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
 			if current != 0 {
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -50,12 +50,12 @@
 
 // New returns a lease that is not held.
 func New(keyStore Store, clk clock.Clock, key store.Key, self ident.Instance, ttl time.Duration) *Lease {
-	return &Lease{store: keyStore, clock: clk, key: key, self: self, ttl: ttl}
+	return &Lease{store: keyStore, clock: clock.CountingSuspension(clk), key: key, self: self, ttl: ttl}
 }
 
 // IsHeld reports whether this daemon may act as the holder now. It depends only
-// on the local monotonic clock: the time to live counts from before the last
-// renewal was sent.
+// on the machine's time since boot, which goes on while the machine is suspended:
+// the time to live counts from before the last renewal was sent.
 func (l *Lease) IsHeld() bool {
 	return l.acquired && l.clock.Now().Before(l.validUntil)
 }
--- a/internal/fleet/mirror/history.go
+++ b/internal/fleet/mirror/history.go
@@ -7,6 +7,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
 )
 
 // maxHistory is the number of changes that are kept for the followers of this
@@ -44,7 +45,7 @@
 // Age returns the time since the platform last confirmed the copy, directly or
 // through other daemons.
 func (m *Mirror) Age() time.Duration {
-	return m.Clock.Now().Sub(time.Unix(0, m.confirmedAt.Load()))
+	return m.Clock.Now().Sub(clock.Instant(m.confirmedAt.Load()).Time())
 }
 
 // Entries returns all entries of the copy and the copy's revision, for a follower.
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -65,8 +65,8 @@
 	sourceConnected atomic.Bool
 	lowLatency      atomic.Bool
 	revision        atomic.Int64
-	// confirmedAt is the time at which the platform last confirmed the copy, in
-	// nanoseconds since 1970 of the local clock.
+	// confirmedAt is the time at which the platform last confirmed the copy, as a
+	// clock.Instant.
 	confirmedAt atomic.Int64
 
 	// Only Run uses synced and retryDelay. synced says that the list has been
@@ -149,7 +149,7 @@
 	if u, ok := m.Source.(*Upstream); ok {
 		confirmedAt = u.ConfirmedAt()
 	}
-	m.confirmedAt.Store(confirmedAt.UnixNano())
+	m.confirmedAt.Store(int64(clock.InstantOf(confirmedAt)))
 }
 
 func (m *Mirror) currentBatchTime() time.Duration {
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -124,7 +124,7 @@
 	clock clock.Clock
 
 	// received is the number of bytes of the current answer, and receivedAt the time
-	// of its last ones, in nanoseconds since 1970 of the local clock.
+	// of its last ones, as a clock.Instant.
 	received   atomic.Int64
 	receivedAt atomic.Int64
 
--- a/internal/peer/feed/progress.go
+++ b/internal/peer/feed/progress.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"cuminbay/internal/kernel/clock"
 )
 
 // receivingConn counts the received bytes of the client's current answer.
@@ -16,7 +18,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.client.received.Add(int64(n))
-		c.client.receivedAt.Store(c.client.clock.Now().UnixNano())
+		c.client.receivedAt.Store(int64(clock.InstantOf(c.client.clock.Now())))
 	}
 	return n, err
 }
@@ -38,7 +40,7 @@
 
 // Transferring reports whether a large answer is arriving.
 func (c *client) Transferring() bool {
-	pause := c.clock.Now().Sub(time.Unix(0, c.receivedAt.Load()))
+	pause := c.clock.Now().Sub(clock.Instant(c.receivedAt.Load()).Time())
 	return c.received.Load() >= minTransferBytes && pause < maxTransferPause
 }
 
@@ -58,7 +60,7 @@
 				return
 			case now := <-timer.Chan():
 				progressAt := expectedAt
-				if receivedAt := time.Unix(0, c.receivedAt.Load()); c.received.Load() > 0 && receivedAt.After(progressAt) {
+				if receivedAt := clock.Instant(c.receivedAt.Load()).Time(); c.received.Load() > 0 && receivedAt.After(progressAt) {
 					progressAt = receivedAt
 				}
 				remaining := progressAt.Add(answerTimeout).Sub(now)
--- a/internal/route/balance/retrybudget.go
+++ b/internal/route/balance/retrybudget.go
@@ -79,7 +79,7 @@
 // currentBucket returns the bucket of the current time, after emptying the buckets that
 // are older than a window.
 func (b *RetryBudget) currentBucket() *windowBucket {
-	current := b.Clock.Now().UnixNano() / int64(b.Window/windowBuckets)
+	current := int64(clock.InstantOf(b.Clock.Now())) / int64(b.Window/windowBuckets)
 	for i := range b.buckets {
 		if bucket := &b.buckets[i]; bucket.index < current-windowBuckets && bucket.index != 0 {
 			b.requests -= bucket.requests
--- a/internal/route/table/load.go
+++ b/internal/route/table/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
 )
 
 // Load is the state of an endpoint that changes with each request of this daemon. All
@@ -75,7 +76,7 @@
 
 // AvoidUntil excludes the endpoint from requests until the given time.
 func (l *Load) AvoidUntil(until time.Time) {
-	l.avoidUntil.Store(until.UnixNano())
+	l.avoidUntil.Store(int64(clock.InstantOf(until)))
 }
 
 // movingAverage is an exponentially weighted moving average of durations. It stores
@@ -137,12 +138,12 @@
 	// The limit is zero while the time changes, so that a concurrent reader
 	// never combines the old limit with the new time.
 	l.coldLimit.Store(0)
-	l.coldLimitUntil.Store(until.UnixNano())
+	l.coldLimitUntil.Store(int64(clock.InstantOf(until)))
 	l.coldLimit.Store(int64(requests))
 }
 
 func (l *Load) coldGrant(now time.Time) unit.Requests {
-	if now.UnixNano() >= l.coldLimitUntil.Load() {
+	if int64(clock.InstantOf(now)) >= l.coldLimitUntil.Load() {
 		return 0
 	}
 	return unit.Requests(l.coldLimit.Load())
@@ -189,7 +190,7 @@
 // EffectiveLimit returns the number of requests that this daemon may currently have in
 // flight to the endpoint.
 func (e *Endpoint) EffectiveLimit(now time.Time) unit.Requests {
-	if now.UnixNano() < e.Load.avoidUntil.Load() {
+	if int64(clock.InstantOf(now)) < e.Load.avoidUntil.Load() {
 		return 0
 	}
 	if e.Cold || e.Load.IsSuspectedCold() {
