formation: Give a load that a server rejects to another server

Cause: a planner that takes over doesn't know the loads that its predecessor ordered.

Change: a rejected load is taken back, and the server gets none for 2 s.

The test fails before.

--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -298,6 +298,9 @@
 		}
 		return cluster.Done
 	case cluster.StageModel:
+		if server.stagingModel != "" && server.stagingModel != o.Model {
+			return cluster.Rejected
+		}
 		if server.stagingModel == "" && !server.HasStaged(o.Model) {
 			server.stagingModel, server.stagingEnd = o.Model, tc.now.Add(tc.loadDuration(bootstrap))
 		}
--- a/internal/fleet/formation/loadlimiter.go
+++ b/internal/fleet/formation/loadlimiter.go
@@ -20,6 +20,9 @@
 	// quick and not limited.
 	bootstrap bool
 	running   map[ident.Instance]modelLoad
+	// busyUntil has the servers that rejected a load, since they carry out another
+	// order, with the time at which they are asked again.
+	busyUntil map[ident.Instance]time.Time
 }
 
 // modelLoad is a load of a model's weights that runs on a server.
@@ -36,7 +39,7 @@
 )
 
 func newLoadLimiter(now time.Time) *loadLimiter {
-	return &loadLimiter{tokens: maxBurst, refilledAt: now, running: make(map[ident.Instance]modelLoad)}
+	return &loadLimiter{tokens: maxBurst, refilledAt: now, running: make(map[ident.Instance]modelLoad), busyUntil: make(map[ident.Instance]time.Time)}
 }
 
 // setLimits sets the limits of the service's engine.
@@ -54,6 +57,11 @@
 			delete(l.running, id)
 		}
 	}
+	for id, until := range l.busyUntil {
+		if !now.Before(until) {
+			delete(l.busyUntil, id)
+		}
+	}
 }
 
 // allowsLoads reports whether n loads may start. The members of a replica load
@@ -81,6 +89,25 @@
 	delete(l.running, id)
 }
 
+// busyTime is the time for which a server that rejected a load gets no further one.
+const busyTime = 2 * time.Second
+
+// rejectLoad records that a server rejected its load. An earlier planner may have ordered a
+// load of another model, which the server's entry doesn't show.
+func (l *loadLimiter) rejectLoad(id ident.Instance) {
+	if _, ordered := l.running[id]; ordered && !l.bootstrap {
+		l.tokens = min(maxBurst, l.tokens+1)
+	}
+	delete(l.running, id)
+	l.busyUntil[id] = l.now.Add(busyTime)
+}
+
+// isBusy reports whether the server rejected a load recently.
+func (l *loadLimiter) isBusy(id ident.Instance) bool {
+	_, busy := l.busyUntil[id]
+	return busy
+}
+
 // loadingModel returns the model whose weights the server loads, empty for
 // none.
 func (l *loadLimiter) loadingModel(id ident.Instance) ident.Model {
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -293,14 +293,19 @@
 	p.commands = append(p.commands, Command{Server: s, Order: o})
 }
 
-// HandleResult applies a server's answer to an order. If the server loads
-// weights and the order is in progress or done, the order is not repeated before
+// HandleResult applies a server's answer to an order. A load that the server
+// rejects is given to another one. If the server loads weights and the order is in progress or done, the order is not repeated before
 // the expected end of the load.
 func (p *Planner) HandleResult(c Command, result cluster.OrderResult) {
 	last, sent := p.sentOrders[c.Server.ID][c.Order.Operation]
 	if !sent || !sameOrder(&last.order, &c.Order) {
 		return
 	}
+	if c.Order.Operation == cluster.StageModel && result == cluster.Rejected {
+		p.loads.rejectLoad(c.Server.ID)
+		delete(p.sentOrders[c.Server.ID], cluster.StageModel)
+		return
+	}
 	load, loading := p.loads.running[c.Server.ID]
 	if loading && (result == cluster.InProgress || result == cluster.Done) {
 		last.retryAt = load.expectedEnd
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -303,6 +303,32 @@
 	}
 }
 
+// TestRejectedLoad guards against an incomplete replica that waits for a load which its
+// server has rejected, since it loads another model for an earlier planner, while another
+// server of the domain is free.
+func TestRejectedLoad(t *testing.T) {
+	c := qt.New(t)
+	tc := newTestCluster(1, 7, testModels()...)
+	p := runFirstStart(c, tc, map[ident.Model]int{"large": 1, "small": 1})
+	member := nthReplicaMembers(p, "large", 0)[3]
+	for _, id := range []string{"d0-a-busy", "d0-b-free"} {
+		tc.addServer(id, "d0")
+	}
+	busy := tc.servers["d0-a-busy"]
+	busy.stagingModel, busy.stagingEnd = "small", tc.now.Add(loadTime)
+	p = NewPlanner(testOptions(), 11, tc.now)
+	failServer(tc, p, member)
+	for range 30 {
+		tc.step(p, false)
+	}
+	c.Check(tc.servers["d0-b-free"].stagingModel, qt.Equals, ident.Model("large"))
+	for range int((loadTime + 2*time.Second) / stepInterval) {
+		tc.step(p, false)
+	}
+	c.Check(tc.servingReplicas(), qt.DeepEquals, map[ident.Model]int{"large": 1, "small": 1})
+	c.Check(tc.violations, qt.HasLen, 0)
+}
+
 // TestNewTerm guards against a new leader that dissolves serving replicas, and
 // against an epoch that two terms use.
 func TestNewTerm(t *testing.T) {
--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -56,6 +56,7 @@
 	for _, s := range p.spareServers(service, domain, "") {
 		model := p.loads.loadingModel(s.ID)
 		switch {
+		case p.loads.isBusy(s.ID):
 		case model != "":
 			staged[model]++
 			p.issueOrder(s.ID, cluster.Order{Operation: cluster.StageModel, Model: model})
