mirror, gossip: Let few daemons call an unavailable platform

Cause: a daemon without a usable source called the platform's store after each retry delay, so in an outage all daemons called it twice a second; all of them also competed for the planner's lease, and tried to renew their registration every 0.3 s.

Change: the first four live daemons of each data centre may call the store beside the root; the others follow them or wait without a call. The same four compete for the lease. Failed registrations are retried with backoff. Daemons without a recent copy choose different sources.

--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -68,6 +68,9 @@
 		SetLowLatency(enabled bool)
 		Age() time.Duration
 	}
+	leaderCandidates interface {
+		MayReadPlatform() bool
+	}
 	trafficMonitor interface {
 		HasTraffic() bool
 	}
@@ -86,6 +89,9 @@
 	keys    keyMirror
 	traffic trafficMonitor
 	peers   formationAnnouncer
+	// candidates says whether this daemon competes for the lease. In a large fleet, most
+	// daemons would find it taken.
+	candidates leaderCandidates
 
 	// fencingToken is the token of the current term, zero if this daemon is not
 	// the leader.
@@ -152,7 +158,7 @@
 
 // Start begins to compete for the planner lease and to plan.
 func (c *controller) Start(context.Context) error {
-	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic, &c.peers); err != nil {
+	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic, &c.peers, &c.candidates); err != nil {
 		return err
 	}
 	c.Go(c.holdLease)
@@ -193,7 +199,7 @@
 // the shortest delay usually acquires the lease, and the other daemons find it in
 // their mirrors before their own delays end.
 func (c *controller) leaseAvailable(ctx context.Context) bool {
-	if !c.keys.SourceConnected() || c.keys.Get(plannerKey).Revision != 0 {
+	if !c.keys.SourceConnected() || c.keys.Get(plannerKey).Revision != 0 || !c.candidates.MayReadPlatform() {
 		return false
 	}
 	const maxDelay = 150 * time.Millisecond
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -38,6 +38,9 @@
 	// FallbackPeers returns the daemons to follow if neither the parent nor the
 	// platform can be reached, in order of preference.
 	FallbackPeers() []Peer
+	// MayReadPlatform reports whether this daemon may read from the platform although
+	// it has a parent.
+	MayReadPlatform() bool
 }
 
 // Upstream is the Source that chooses, for each call, between the parent in the
@@ -69,13 +72,15 @@
 
 // A source that failed is avoided for minAvoidTime, doubled for each consecutive
 // failure up to maxAvoidDoublings times: a call to a stalled platform takes as long
-// as other daemons need to pass on changes. A daemon whose copy is older than
+// as other daemons need to pass on changes. The platform is avoided for less time, as few
+// daemons call it and the others depend on them. A daemon whose copy is older than
 // maxCopyAge has lost its connection to the platform and is not followed.
 const (
-	minAvoidTime      = 1200 * time.Millisecond
-	maxAvoidDoublings = 3
-	maxCopyAge        = 3 * time.Second
-	platformSource    = ident.Instance("")
+	minAvoidTime         = 1200 * time.Millisecond
+	maxAvoidDoublings    = 3
+	maxPlatformDoublings = 1
+	maxCopyAge           = 3 * time.Second
+	platformSource       = ident.Instance("")
 )
 
 // PreferPlatform sets whether this daemon reads from the platform even if it has a
@@ -86,25 +91,28 @@
 	u.preferPlatform = enabled
 }
 
-// chooseSource returns the daemon to read from, or false for the platform.
-func (u *Upstream) chooseSource() (Peer, bool) {
+// chooseSource returns the daemon to read from; the platform is the zero Peer.
+//
+// Errors carry code.PlatformUnavailable if no source can be used now.
+func (u *Upstream) chooseSource() (Peer, error) {
 	parent, hasParent := u.Tree.Parent()
+	mayReadPlatform := !hasParent || u.Tree.MayReadPlatform()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Clock.Now()
 	usable := func(id ident.Instance) bool { return !now.Before(u.failures[id].avoidUntil) }
 	if hasParent && !u.preferPlatform && usable(parent.Instance) {
-		return parent, true
+		return parent, nil
 	}
-	if usable(platformSource) {
-		return Peer{}, false
+	if (mayReadPlatform || u.preferPlatform) && usable(platformSource) {
+		return Peer{}, nil
 	}
 	for _, p := range u.Tree.FallbackPeers() {
 		if usable(p.Instance) {
-			return p, true
+			return p, nil
 		}
 	}
-	return Peer{}, false
+	return Peer{}, code.PlatformUnavailable.New("choose a source of the copy: all sources have failed within %s", minAvoidTime<<maxAvoidDoublings)
 }
 
 // recordResult records the result of a call to a source.
@@ -143,11 +151,27 @@
 		u.failures = make(map[ident.Instance]sourceFailures)
 	}
 	f := u.failures[id]
-	f.avoidUntil = u.Clock.Now().Add(clock.Jitter(minAvoidTime << min(f.consecutiveFailures, maxAvoidDoublings)))
+	doublings := maxAvoidDoublings
+	if id == platformSource {
+		doublings = maxPlatformDoublings
+	}
+	f.avoidUntil = u.Clock.Now().Add(clock.Jitter(minAvoidTime << min(f.consecutiveFailures, doublings)))
 	f.consecutiveFailures++
 	u.failures[id] = f
 }
 
+// rejectOldCopy avoids a daemon that answers, but whose copy is too old. It may read from
+// the platform again at any time, so the time does not grow.
+func (u *Upstream) rejectOldCopy(p Peer, err error) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.failures == nil {
+		u.failures = make(map[ident.Instance]sourceFailures)
+	}
+	u.failures[p.Instance] = sourceFailures{avoidUntil: u.Clock.Now().Add(clock.Jitter(minAvoidTime))}
+	return err
+}
+
 // ConfirmedAt returns the time at which the platform last confirmed the entries
 // that were read.
 func (u *Upstream) ConfirmedAt() time.Time {
@@ -168,15 +192,20 @@
 
 // List reads the entries below the prefix from the chosen source.
 func (u *Upstream) List(ctx context.Context, prefix store.Key) ([]store.Entry, unit.Revision, error) {
-	p, viaPeer := u.chooseSource()
-	if !viaPeer {
+	p, err := u.chooseSource()
+	if err != nil {
+		return nil, 0, err
+	}
+	if p.Instance == platformSource {
 		entries, revision, err := u.Platform.List(ctx, prefix)
 		u.recordResult(platformSource, 0, err)
 		return entries, revision, err
 	}
 	entries, revision, age, err := u.Feed.List(ctx, p)
 	if err == nil {
-		err = checkCopyAge(p, age)
+		if err = checkCopyAge(p, age); err != nil {
+			return nil, 0, u.rejectOldCopy(p, err)
+		}
 	}
 	u.recordResult(p.Instance, age, err)
 	return entries, revision, err
@@ -184,15 +213,20 @@
 
 // Changes waits for changes after the revision at the chosen source.
 func (u *Upstream) Changes(ctx context.Context, prefix store.Key, after unit.Revision) ([]store.Change, unit.Revision, bool, error) {
-	p, viaPeer := u.chooseSource()
-	if !viaPeer {
+	p, err := u.chooseSource()
+	if err != nil {
+		return nil, 0, false, err
+	}
+	if p.Instance == platformSource {
 		changes, completeUpTo, compacted, err := u.Platform.Changes(ctx, prefix, after)
 		u.recordResult(platformSource, 0, err)
 		return changes, completeUpTo, compacted, err
 	}
 	changes, completeUpTo, compacted, age, err := u.Feed.Changes(ctx, p, after)
 	if err == nil {
-		err = checkCopyAge(p, age)
+		if err = checkCopyAge(p, age); err != nil {
+			return nil, 0, false, u.rejectOldCopy(p, err)
+		}
 	}
 	u.recordResult(p.Instance, age, err)
 	return changes, completeUpTo, compacted, err
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -358,6 +359,7 @@
 	for rank := 1; rank < len(order); rank++ {
 		c.Check((rank-1)/maxChildren < rank, qt.IsTrue)
 	}
+	c.Check(g.MayReadPlatform(), qt.Equals, slices.Index(order, "a") < platformReaders)
 	for _, id := range order {
 		if id != "a" {
 			g.handleMessage(&message{From: id, Incarnation: 1, Sequence: 1, CopyAge: 9 * time.Second})
@@ -373,6 +375,8 @@
 	c.Check(found, qt.IsTrue)
 	c.Check(parent.Address, qt.Equals, "p07:1")
 	c.Check(g.FallbackPeers()[0].Instance, qt.Equals, ident.Instance("far"))
+	clk.Advance(maxSilence)
+	c.Check(g.MayReadPlatform(), qt.IsTrue, qt.Commentf("all other daemons are silent"))
 }
 
 // TestMessage guards against a field that is lost in encoding or decoding.
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -151,12 +151,15 @@
 // lease expires, which can happen while the store is unavailable, the daemon
 // registers again as soon as it detects the expiry.
 func (c *component) maintainRegistration(ctx context.Context) {
-	const retryDelay = 300 * time.Millisecond
+	const minRetryDelay, maxRetryDelay = 300 * time.Millisecond, 3 * time.Second
+	retryDelay := minRetryDelay
 	for {
 		delay := c.settings.Lease.Duration / renewalsPerLease
 		if err := c.renewOrRegister(ctx); err != nil {
-			delay = retryDelay
+			delay, retryDelay = retryDelay, min(2*retryDelay, maxRetryDelay)
 			c.Log.Debug().Err(err).Msg("registration-failed")
+		} else {
+			retryDelay = minRetryDelay
 		}
 		if !plugin.SleepOrWake(ctx, c.deps.Clock, clock.Jitter(delay), c.registrationLost) {
 			return
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -37,12 +37,35 @@
 			daemons = append(daemons, id)
 		}
 	}
-	slices.SortFunc(daemons, func(a, b ident.Instance) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
-	})
+	slices.SortFunc(daemons, compareInTree)
 	return daemons
 }
 
+// compareInTree orders the daemons of a tree.
+func compareInTree(a, b ident.Instance) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
+}
+
+// platformReaders is the number of daemons of a data centre that may read from the platform
+// and compete for its leases. The platform may refuse some of them.
+const platformReaders = 4
+
+// MayReadPlatform reports whether this daemon is among the first live ones of its data
+// centre. While the platform is unavailable only these call it, and the others follow them.
+func (g *Gossip) MayReadPlatform() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	rank := 0
+	for id, p := range g.peers {
+		isLive := p.registered && p.dataCentre == g.DataCentre && now.Sub(p.lastDatagramAt) < maxSilence
+		if isLive && compareInTree(id, g.Self) < 0 {
+			rank++
+		}
+	}
+	return rank < platformReaders
+}
+
 // Parent returns the daemon of this data centre that this daemon follows. It returns
 // false if no daemon can be followed, and for the first daemon in the order, which
 // reads from the platform.
@@ -55,7 +78,8 @@
 	case rank > 0:
 		return g.peerOf(daemons[(rank-1)/maxChildren]), true
 	case rank < 0 && len(daemons) > 0:
-		return g.peerOf(daemons[len(daemons)-1]), true
+		// All daemons without a recent copy would overload a single one.
+		return g.peerOf(daemons[xxhash.Sum64String(string(g.Self))%uint64(len(daemons))]), true
 	}
 	return mirror.Peer{}, false
 }
