--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -18,6 +18,7 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/fleet/lease"
+	"cuminbay/internal/fleet/mirror"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
@@ -166,16 +167,13 @@
 	return nil
 }
 
-// plannerKey is the key that the leader holds.
-const plannerKey store.Key = "cuminbay/planner"
-
 // renewalsPerTTL is the number of renewals in the lease's time to live.
 const renewalsPerTTL = 4
 
 // holdLease renews the lease while this daemon is the leader, and acquires it
 // when it is free.
 func (c *controller) holdLease(ctx context.Context) {
-	l := lease.New(c.store, c.deps.Clock, plannerKey, c.self, c.settings.Lease.Duration)
+	l := lease.New(c.store, c.deps.Clock, mirror.LeaderKey, c.self, c.settings.Lease.Duration)
 	defer func() {
 		c.fencingToken.Store(0)
 		releaseCtx, cancel := context.WithTimeout(context.Background(), c.settings.Lease.Duration)
@@ -199,12 +197,12 @@
 // the shortest delay usually acquires the lease, and the other daemons find it in
 // their mirrors before their own delays end.
 func (c *controller) leaseAvailable(ctx context.Context) bool {
-	if !c.keys.SourceConnected() || c.keys.Get(plannerKey).Revision != 0 || !c.candidates.MayReadPlatform() {
+	if !c.keys.SourceConnected() || c.keys.Get(mirror.LeaderKey).Revision != 0 || !c.candidates.MayReadPlatform() {
 		return false
 	}
 	const maxDelay = 150 * time.Millisecond
 	delay := time.Duration(float64(xxhash.Sum64String(string(c.self))) / math.MaxUint64 * float64(maxDelay))
-	return plugin.Sleep(ctx, c.deps.Clock, delay) && c.keys.Get(plannerKey).Revision == 0
+	return plugin.Sleep(ctx, c.deps.Clock, delay) && c.keys.Get(mirror.LeaderKey).Revision == 0
 }
 
 // renewLease acquires or renews the lease and begins or ends a term
@@ -242,7 +240,7 @@
 // supersededBy reports whether another daemon is known to have acquired the
 // lease after the token was issued.
 func (c *controller) supersededBy(token int64) bool {
-	return int64(c.keys.Get(plannerKey).Revision) > token
+	return int64(c.keys.Get(mirror.LeaderKey).Revision) > token
 }
 
 // wakePlanner starts a round without waiting for it.
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
@@ -121,6 +122,14 @@
 	return m.entries[key]
 }
 
+// LeaderKey is the key that the leader holds, with its name as the value.
+const LeaderKey store.Key = "cuminbay/planner"
+
+// Leader returns the daemon that holds LeaderKey, empty if none does.
+func (m *Mirror) Leader() ident.Instance {
+	return ident.Instance(m.Get(LeaderKey).Value)
+}
+
 // After a failed call the mirror waits from minRetryDelay up to maxRetryDelay.
 // After a successful call it waits for a batch time, so that a burst of changes
 // takes one call: each call to the platform has a cost. The batch time is shorter
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -44,6 +44,8 @@
 	Revision() unit.Revision
 	ObserveRevision(revision unit.Revision)
 	Age() time.Duration
+	// Leader returns the daemon that holds the planner lease, empty if none does.
+	Leader() ident.Instance
 }
 
 // poisonDetector counts the endpoints that crashed while they ran a request.
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -28,11 +28,13 @@
 	revision     unit.Revision
 	peerRevision unit.Revision
 	age          time.Duration
+	leader       ident.Instance
 }
 
 func (c *fakeCopy) Revision() unit.Revision         { return c.revision }
 func (c *fakeCopy) ObserveRevision(r unit.Revision) { c.peerRevision = max(c.peerRevision, r) }
 func (c *fakeCopy) Age() time.Duration              { return c.age }
+func (c *fakeCopy) Leader() ident.Instance          { return c.leader }
 
 // recordingListener keeps the servers that it was notified of.
 type recordingListener []ident.Instance
@@ -379,6 +381,39 @@
 	c.Check(g.MayReadPlatform(), qt.IsTrue, qt.Commentf("all other daemons are silent"))
 }
 
+// TestTreeWithLeader guards against a root of each data centre that calls the platform beside
+// the leader, and against daemons that follow each other in a cycle or a failed leader.
+func TestTreeWithLeader(t *testing.T) {
+	tests := map[string]struct {
+		// peers are the data centres of the other daemons.
+		peers  map[ident.Instance]ident.DataCentre
+		leader ident.Instance
+		// leaderAge is the age of the leader's copy.
+		leaderAge time.Duration
+		parent    ident.Instance
+	}{
+		"no leader":                     {peers: map[ident.Instance]ident.DataCentre{"far": "y"}},
+		"leader in another data centre": {peers: map[ident.Instance]ident.DataCentre{"far": "y"}, leader: "far", parent: "far"},
+		"leader in this data centre":    {peers: map[ident.Instance]ident.DataCentre{"near": "z"}, leader: "near", parent: "near"},
+		"this daemon leads":             {peers: map[ident.Instance]ident.DataCentre{"near": "z", "far": "y"}, leader: "a"},
+		"leader that left":              {peers: map[ident.Instance]ident.DataCentre{"far": "y"}, leader: "gone"},
+		"leader has lost the platform":  {peers: map[ident.Instance]ident.DataCentre{"far": "y"}, leader: "far", leaderAge: 9 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			g, platformCopy, _ := newGossip(c, test.peers)
+			platformCopy.leader = test.leader
+			if test.peers[test.leader] != "" {
+				g.handleMessage(&message{From: test.leader, Incarnation: 1, Sequence: 1, CopyAge: test.leaderAge})
+			}
+			parent, found := g.Parent()
+			c.Check(found, qt.Equals, test.parent != "")
+			c.Check(parent.Instance, qt.Equals, test.parent)
+		})
+	}
+}
+
 // TestMessage guards against a field that is lost in encoding or decoding.
 func TestMessage(t *testing.T) {
 	c := qt.New(t)
