formation: Don't resume an ended term with its fencing token

Cause: a term that ended because the lease could not be renewed, or now because the planner was paused, could begin again with the same token. The new planner then used the epochs and names of replicas of that term again, so two replicas could get one name. Found while reading the change. A probe's report, which may be some hundred ms old, could also replace a newer registration.

Change: an ended token is not used again; the lease is released and acquired with a new one. Reports are applied only while the store can't be read.

--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -294,8 +294,8 @@
 }
 
 // HandleResult applies a server's answer to an order. A load that the server
-// rejects is given to another one. If the server loads weights and the order is in progress or done, the order is not repeated before
-// the expected end of the load.
+// rejects is given to another one. If the server loads weights and the order is in
+// progress or done, the order is not repeated before the expected end of the load.
 func (p *Planner) HandleResult(c Command, result cluster.OrderResult) {
 	last, sent := p.sentOrders[c.Server.ID][c.Order.Operation]
 	if !sent || !sameOrder(&last.order, &c.Order) {
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -97,9 +97,9 @@
 	// fencingToken is the token of the current term, zero if this daemon is not
 	// the leader.
 	fencingToken atomic.Int64
-	// refusedToken is the last fencing token that a server refused, since the
-	// server had accepted an order of a later leader.
-	refusedToken atomic.Int64
+	// endedToken is the token of the last term that ended. A term is not resumed with
+	// its token, since a new planner would use its epochs and names again.
+	endedToken atomic.Int64
 	// reportReadAt has the times of the reports that were read within reportInterval.
 	// Only the planner's goroutine uses it.
 	reportReadAt map[ident.Instance]time.Time
@@ -213,9 +213,9 @@
 	err := l.AcquireOrRenew(renewCtx)
 	previous := c.fencingToken.Load()
 	switch {
-	case l.IsHeld() && int64(l.FencingToken()) == c.refusedToken.Load():
-		// A server accepted an order of a later leader. That leader's lease
-		// must have ended since, so this daemon needs a new token.
+	case l.IsHeld() && int64(l.FencingToken()) == c.endedToken.Load():
+		// The term ended although the lease did not: a server accepted an order of
+		// a later leader, or the planner was paused.
 		if err := l.Release(renewCtx); err != nil {
 			c.deps.Log.Warn().Err(err).Msg("planner-lease-not-released")
 		}
@@ -228,7 +228,7 @@
 		// higher token on, servers refuse the lower one.
 		return
 	default:
-		c.fencingToken.Store(0)
+		c.endTerm(previous)
 	}
 	if current := c.fencingToken.Load(); current != previous {
 		c.keys.SetLowLatency(current != 0)
@@ -237,6 +237,13 @@
 	}
 }
 
+// endTerm ends the term with the token if it is the current one.
+func (c *controller) endTerm(token int64) {
+	if token != 0 && c.fencingToken.CompareAndSwap(token, 0) {
+		c.endedToken.Store(token)
+	}
+}
+
 // supersededBy reports whether another daemon is known to have acquired the
 // lease after the token was issued.
 func (c *controller) supersededBy(token int64) bool {
@@ -279,10 +286,10 @@
 		if token == 0 {
 			pauses.reset()
 		}
-		if pauses.ranAt(suspensionClock.Now()) && c.fencingToken.CompareAndSwap(token, 0) {
-			// The lease may have ended during the pause. The next renewal
-			// begins a term if it has not.
+		if pauses.ranAt(suspensionClock.Now()) {
+			// The lease may have ended during the pause.
 			c.deps.Log.Warn().Int64("fence", token).Msg("planner-paused")
+			c.endTerm(token)
 		}
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
@@ -371,14 +378,15 @@
 	}
 }
 
-// readReport applies the state that a server reports to the catalog, and returns whether
-// the server's incarnation is running.
+// readReport returns whether the server's incarnation is running. While the store can't be
+// read, it applies the state that the server reports to the catalog. A report may be older
+// than the entry that the store has of the server.
 func (c *controller) readReport(ctx context.Context, s *cluster.Server) bool {
 	reported := c.servers.ReadReport(ctx, s)
 	if reported == nil {
 		return false
 	}
-	if c.catalog.ApplyReport(reported) {
+	if c.keys.Age() >= maxCopyAge && c.catalog.ApplyReport(reported) {
 		logReport(c.deps.Log, reported)
 	}
 	return true
@@ -475,7 +483,6 @@
 		c.probeServer(ctx, command.Server)
 	}
 	if result == cluster.Fenced {
-		c.refusedToken.Store(int64(command.Order.FencingToken))
-		c.fencingToken.CompareAndSwap(int64(command.Order.FencingToken), 0)
+		c.endTerm(int64(command.Order.FencingToken))
 	}
 }
