gossip, mirror: Read from the store independently in each data centre

The planner's connection to the store was cut; the roots of all data centres followed it since and noticed after 3.6 s, since no daemon knew a newer revision.

Change: each root reads from the store again. The leader stays the root of its own data centre, and a root that is not the leader gathers changes for 300 ms instead of 150.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -138,7 +138,7 @@
 const (
 	minRetryDelay       = 50 * time.Millisecond
 	maxRetryDelay       = 500 * time.Millisecond
-	batchTime           = 150 * time.Millisecond
+	batchTime           = 300 * time.Millisecond
 	lowLatencyBatchTime = 20 * time.Millisecond
 	followerBatchTime   = 20 * time.Millisecond
 )
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -39,7 +39,7 @@
 	}
 	slices.SortFunc(daemons, compareInTree)
 	if i := slices.Index(daemons, g.PlatformCopy.Leader()); i > 0 {
-		// The leader is the root of its data centre.
+		// The leader reads from the platform anyway, so it is the root.
 		leader := daemons[i]
 		copy(daemons[1:i+1], daemons[:i])
 		daemons[0] = leader
@@ -72,10 +72,10 @@
 	return rank < platformReaders
 }
 
-// Parent returns the daemon that this daemon follows. The first daemon in the order of a
-// data centre follows the leader, which reads each change from the platform anyway.
-// Parent returns false for the leader, for the first daemon while there is no leader with a
-// recent copy, and if no daemon can be followed. These read from the platform.
+// Parent returns the daemon of this data centre that this daemon follows. It returns
+// false if no daemon can be followed, and for the first daemon in the order, which
+// reads from the platform. The data centres read independently, so that the revisions in
+// datagrams show when one of them lost its connection.
 func (g *Gossip) Parent() (mirror.Peer, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -84,8 +84,6 @@
 	switch {
 	case rank > 0:
 		return g.peerOf(daemons[(rank-1)/maxChildren]), true
-	case rank == 0:
-		return g.leader()
 	case rank < 0 && len(daemons) > 0:
 		// All daemons without a recent copy would overload a single one.
 		return g.peerOf(daemons[xxhash.Sum64String(string(g.Self))%uint64(len(daemons))]), true
@@ -93,17 +91,6 @@
 	return mirror.Peer{}, false
 }
 
-// leader returns the leader, and false if this daemon can't follow it. The caller holds the
-// lock.
-func (g *Gossip) leader() (mirror.Peer, bool) {
-	id := g.PlatformCopy.Leader()
-	p := g.peers[id]
-	if p == nil || !p.registered || g.Clock.Now().Sub(p.lastDatagramAt) >= maxSilence || p.copyAge >= maxCopyAge {
-		return mirror.Peer{}, false
-	}
-	return g.peerOf(id), true
-}
-
 func (g *Gossip) peerOf(id ident.Instance) mirror.Peer {
 	return mirror.Peer{Instance: id, Address: g.peers[id].feedAddress}
 }
