mirror: Let a follower whose source fails or lags read from the platform

Change: a source that fails or lags lets a daemon read from the platform. Only a source that answers with an old copy does not, as in an outage of the platform.

--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -104,7 +104,10 @@
 	if hasParent && !u.preferPlatform && usable(parent.Instance) {
 		return parent, nil
 	}
-	if (mayReadPlatform || u.preferPlatform) && usable(platformSource) {
+	// A parent that fails or lags, rather than having an old copy itself, says nothing
+	// about the platform.
+	parentFailed := hasParent && u.failures[parent.Instance].consecutiveFailures > 0
+	if (mayReadPlatform || u.preferPlatform || parentFailed) && usable(platformSource) {
 		return Peer{}, nil
 	}
 	for _, p := range u.Tree.FallbackPeers() {
