formation: Bound the members that return to a replica

When two members of a replica returned after a spare server had replaced one of them, and the other had missed the order to join, the replica got more members than it needs, and the repair cut the list of spare servers at -1.

Change: a replica takes returning members up to its size. One that still serves completely at its last epoch is kept whatever spare servers were to replace its members.

Result: TestReturnAfterReplacement panics before and passes now; TestFaults cuts servers off too.

--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -329,6 +329,30 @@
 	c.Check(tc.violations, qt.HasLen, 0)
 }
 
+// TestReturnAfterReplacement guards against a planner that ends the process when two members
+// return to a replica that has replaced one of them.
+func TestReturnAfterReplacement(t *testing.T) {
+	c := qt.New(t)
+	tc, p := newServingCluster(c)
+	want := tc.servingReplicas()
+	members := nthReplicaMembers(p, "large", 0)
+	first, second := tc.servers[members[1]], tc.servers[members[2]]
+	first.cutOff = true
+	// The second member is cut off before the order to join reaches it.
+	membership := *second.Membership
+	tc.step(p, false)
+	second.Membership, second.nextState, second.cutOff = &membership, "", true
+	for range 10 {
+		tc.step(p, false)
+	}
+	first.cutOff, second.cutOff = false, false
+	for range 120 {
+		tc.step(p, false)
+	}
+	c.Check(tc.servingReplicas(), qt.DeepEquals, want)
+	c.Check(tc.violations, qt.HasLen, 0)
+}
+
 // TestNewTerm guards against a new leader that dissolves serving replicas, and
 // against an epoch that two terms use.
 func TestNewTerm(t *testing.T) {
@@ -404,7 +428,7 @@
 // replicas, an epoch with two lists of members, and replicas that are not
 // complete again 35 s after the last fault. Servers fail, restart and drain,
 // heads report missing members, orders are lost or carried out late, and
-// planners replace each other.
+// planners replace each other, and servers are cut off and return.
 func TestFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tc := newTestCluster(3, 9, testModels()...)
@@ -425,7 +449,7 @@
 		}
 		for range rapid.IntRange(5, 25).Draw(t, "faults") {
 			id := rapid.SampledFrom(ids).Draw(t, "server")
-			switch rapid.IntRange(0, 4).Draw(t, "fault") {
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
 			case 0:
 				failServer(tc, p, id)
 			case 1:
@@ -441,6 +465,8 @@
 						p.MarkUnreachable(&s)
 					}
 				}
+			case 5:
+				tc.servers[id].cutOff = !tc.servers[id].cutOff
 			case 4:
 				if membership := tc.servers[id].Membership; membership != nil && membership.Rank == 0 && membership.State == cluster.Open {
 					membership.State = cluster.Broken
@@ -452,6 +478,7 @@
 		}
 		tc.orderFault = nil
 		for _, id := range ids {
+			tc.servers[id].cutOff = false
 			tc.restartServer(id)
 		}
 		for range 700 {
--- a/internal/fleet/formation/restore.go
+++ b/internal/fleet/formation/restore.go
@@ -22,7 +22,7 @@
 		return false
 	}
 	for _, s := range reported.Members {
-		if p.isUsable(s) && !p.isMember(s.ID) {
+		if len(r.members) < r.model.ServersPerReplica && p.isUsable(s) && !p.isMember(s.ID) {
 			r.members = append(r.members, s.ID)
 			r.lastReturn = p.now
 			p.members = nil
@@ -43,7 +43,8 @@
 }
 
 // isIntact reports whether the replica still serves at its last epoch with members that
-// are all usable.
+// are all usable and in no other replica. Spare servers that were to replace some of them
+// don't matter.
 func (p *Planner) isIntact(r *replica, reported *catalog.Replica) bool {
 	if !reported.Complete(r.model.ServersPerReplica) {
 		return false
@@ -51,7 +52,8 @@
 	for _, s := range reported.Members {
 		rank := int(s.Membership.Rank)
 		isOpen := s.Membership.State == cluster.Open
-		if !p.isUsable(s) || !hasMember(r, s.ID) || rank < 0 || rank >= len(reported.Members) || rank == 0 && !isOpen {
+		isAssigned := p.isMember(s.ID) && !hasMember(r, s.ID)
+		if !p.isUsable(s) || isAssigned || rank < 0 || rank >= len(reported.Members) || rank == 0 && !isOpen {
 			return false
 		}
 	}
