httpserver: Report a panic before the connection is reset

Change: the panic is reported first; the connection is aborted where each answer that was not ended is, after the request is no longer counted.

--- a/internal/caller/httpserver/conn.go
+++ b/internal/caller/httpserver/conn.go
@@ -158,12 +158,11 @@
 	}
 }
 
-// handleRequest calls the handler. A panic ends the request and its connection, not the
-// process.
+// handleRequest calls the handler. A panic ends the request, not the process; an answer
+// that was not ended is then aborted.
 func (c *conn) handleRequest(ctx context.Context, r *Request, w *ResponseWriter) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			w.Abort()
 			c.server.OnPanic(cause, debug.Stack())
 		}
 	}()
