formation, gossip: Compute the layout once a step and check liveness in one place

Found while reading the change: the planner computed the counts of the layout again for each fabric domain in which it stages weights, three functions of the tree repeated the check whether a daemon is live, and the comments on a load's progress still spoke of bytes. Behaviour stays.

--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -15,10 +15,10 @@
 	inFlight atomic.Int64
 	// peerInFlight is the number of requests that the peers have in flight.
 	peerInFlight atomic.Int64
-	// lastProgress is the time at which the last byte of any answer arrived as
-	// a clock.Instant.
+	// lastProgress is the time at which the last complete event of any stream
+	// arrived, as a clock.Instant.
 	lastProgress atomic.Int64
-	// avoidUntil is the time until which the server gets no requests as
+	// avoidUntil is the time until which the server gets no requests, as
 	// a clock.Instant.
 	avoidUntil atomic.Int64
 	// consecutiveFailures counts the failures since the last success, and
@@ -61,12 +61,12 @@
 	l.peerInFlight.Store(int64(n))
 }
 
-// RecordProgress records that bytes of an answer arrived now.
+// RecordProgress records that a complete event of a stream arrived now.
 func (l *Load) RecordProgress(now time.Time) {
 	l.lastProgress.Store(int64(clock.InstantOf(now)))
 }
 
-// LastProgress returns the time at which bytes of any answer last arrived.
+// LastProgress returns the time at which a complete event of any stream last arrived.
 func (l *Load) LastProgress() time.Time {
 	return clock.Instant(l.lastProgress.Load()).Time()
 }
--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -6,6 +6,7 @@
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/fleet/layout"
 )
 
 // stagingCandidate is a useful load of a model's weights on a spare server. The
@@ -32,11 +33,12 @@
 		return
 	}
 	var candidates []stagingCandidate
+	fleet := p.fleetLayout(service)
 	for _, domain := range p.sortedDomains(service) {
 		if p.isDataCentreDrained(service, domain) {
 			continue
 		}
-		candidates = append(candidates, p.stagingCandidates(service, domain)...)
+		candidates = append(candidates, p.stagingCandidates(service, fleet, domain)...)
 	}
 	slices.SortStableFunc(candidates, func(a, b stagingCandidate) int { return cmp.Compare(a.loadsToComplete, b.loadsToComplete) })
 	for _, c := range candidates {
@@ -50,7 +52,7 @@
 
 // stagingCandidates returns the useful loads in the domain, and issues the
 // orders of running loads again.
-func (p *Planner) stagingCandidates(service *cluster.Service, domain ident.FabricDomain) []stagingCandidate {
+func (p *Planner) stagingCandidates(service *cluster.Service, fleet *layout.Fleet, domain ident.FabricDomain) []stagingCandidate {
 	staged := make(map[ident.Model]int)
 	var unstaged, stagedServers []*cluster.Server
 	for _, s := range p.spareServers(service, domain, "") {
@@ -71,7 +73,6 @@
 	if p.isGrowing(service, domain) {
 		return candidates
 	}
-	fleet := p.fleetLayout(service)
 	for _, s := range unstaged {
 		m := service.Engine.Model(fleet.NextStaged(domain, staged))
 		loads := precautionaryLoads
--- a/internal/peer/gossip/inflight.go
+++ b/internal/peer/gossip/inflight.go
@@ -116,7 +116,7 @@
 			g.replaceInFlight(p, nil)
 		}
 		load := g.loadOf(p.dataCentre)
-		if p.registered && silence < maxSilence {
+		if p.isLive(now) {
 			load.liveDaemons++
 		}
 		if silence <= inFlightExpiry {
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -33,7 +33,7 @@
 		daemons = append(daemons, g.Self)
 	}
 	for id, p := range g.peers {
-		if p.registered && p.dataCentre == g.DataCentre && now.Sub(p.lastDatagramAt) < maxSilence && p.copyAge < maxCopyAge {
+		if p.dataCentre == g.DataCentre && p.isLive(now) && p.copyAge < maxCopyAge {
 			daemons = append(daemons, id)
 		}
 	}
@@ -47,6 +47,11 @@
 	return daemons
 }
 
+// isLive reports whether the daemon is registered and has sent a datagram recently.
+func (p *peer) isLive(now time.Time) bool {
+	return p.registered && now.Sub(p.lastDatagramAt) < maxSilence
+}
+
 // compareInTree orders the daemons of a tree.
 func compareInTree(a, b ident.Instance) int {
 	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
@@ -64,8 +69,7 @@
 	now := g.Clock.Now()
 	rank := 0
 	for id, p := range g.peers {
-		isLive := p.registered && p.dataCentre == g.DataCentre && now.Sub(p.lastDatagramAt) < maxSilence
-		if isLive && compareInTree(id, g.Self) < 0 {
+		if p.dataCentre == g.DataCentre && p.isLive(now) && compareInTree(id, g.Self) < 0 {
 			rank++
 		}
 	}
@@ -106,7 +110,7 @@
 	var remote, local []ident.Instance
 	for id, p := range g.peers {
 		switch {
-		case !p.registered || now.Sub(p.lastDatagramAt) >= maxSilence || p.copyAge >= maxCopyAge:
+		case !p.isLive(now) || p.copyAge >= maxCopyAge:
 		case p.dataCentre == g.DataCentre:
 			local = append(local, id)
 		default:
