--- a/internal/fleet/mirror/history.go
+++ b/internal/fleet/mirror/history.go
@@ -48,6 +48,15 @@
 	return m.Clock.Now().Sub(clock.Instant(m.confirmedAt.Load()).Time())
 }
 
+// Status returns the state of the copy.
+func (m *Mirror) Status() store.CopyStatus {
+	status := store.CopyStatus{Revision: m.Revision(), Age: m.Age(), MaxAge: maxCopyAge}
+	if u, ok := m.Source.(*Upstream); ok {
+		status.Source = u.CurrentSource()
+	}
+	return status
+}
+
 // Entries returns all entries of the copy and the copy's revision, for a follower.
 //
 // Errors carry code.NotReady before the first list has been read.
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -166,7 +166,7 @@
 	switch {
 	case m.lowLatency.Load():
 		return lowLatencyBatchTime
-	case ok && u.FollowsPeer():
+	case ok && u.CurrentSource() != platformSource:
 		return followerBatchTime
 	}
 	return batchTime
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -135,11 +135,12 @@
 	}
 }
 
-// FollowsPeer reports whether the current source is another daemon.
-func (u *Upstream) FollowsPeer() bool {
+// CurrentSource returns the daemon that the last successful call read from, empty for
+// the platform.
+func (u *Upstream) CurrentSource() ident.Instance {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.currentSource != platformSource
+	return u.currentSource
 }
 
 // AvoidCurrentSource avoids the current source as if its last call had failed.
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -15,6 +15,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/store"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/route/balance"
 	"cuminbay/internal/serve/poison"
@@ -215,12 +216,17 @@
 		panic(err)
 	}
 	return New(Options{
-		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Observer: fakeDaemons{}, Telemetry: telemetry,
+		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
 		RetryBudget: balance.NewRetryBudget(balance.RetryBudgetOptions{Clock: clk, Daemons: fakeDaemons{}, Ratio: 1, BaseRetries: 100, Window: 10 * time.Second}),
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
 	})
 }
 
+// fakeCopy is a copy of the platform's keys with a fixed status.
+type fakeCopy store.CopyStatus
+
+func (c fakeCopy) Status() store.CopyStatus { return store.CopyStatus(c) }
+
 // firstPicker picks the first endpoint that was not tried.
 type firstPicker struct{}
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -18,6 +18,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/kernel/clock"
@@ -45,6 +46,11 @@
 		RecordCrash(ident.Fingerprint)
 		RecordCompletion(ident.Fingerprint)
 	}
+	// platformCopy is the copy of the platform's keys from which routes and callers' keys
+	// are known.
+	platformCopy interface {
+		Status() store.CopyStatus
+	}
 	// failureObserver is notified of endpoints that fail.
 	failureObserver interface {
 		EndpointFailed(e *catalog.Endpoint, cause code.Code)
@@ -105,6 +111,7 @@
 	Poison      poisonDetector
 	Sender      Sender
 	Observer    failureObserver
+	Copy        platformCopy
 	Telemetry   *Telemetry
 }
 
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"testing"
@@ -8,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
@@ -231,6 +233,27 @@
 	}
 }
 
+// TestRefusalLog guards against a refusal of an unknown key or path whose log line doesn't
+// tell whether the daemon's copy of the configuration was old.
+func TestRefusalLog(t *testing.T) {
+	tests := map[string]struct{ path, key string }{
+		"unknown path": {"/none/1", "k"},
+		"unknown key":  {"/safe/1", "x"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var lines bytes.Buffer
+			f := newTestForwarder(&fakeSender{clock: clockwork.NewFakeClock()})
+			f.Log = zerolog.New(&lines)
+			f.Copy = fakeCopy{Revision: 7, Age: 1500 * time.Millisecond, MaxAge: 3 * time.Second, Source: "p"}
+			r := &proxy.Request{Host: "h", Path: test.path, Credential: test.key, Received: f.Clock.Now()}
+			c.Assert(f.Forward(context.Background(), r, &fakeSink{}), qt.IsNotNil)
+			c.Check(lines.String(), qt.Contains, `"copy_revision":7,"copy_age_ms":1500,"copy_max_age_ms":3000,"copy_from":"p"`)
+		})
+	}
+}
+
 // TestNotReady guards against the status 404 or 401 for a request that arrives before
 // the daemon has a configuration.
 func TestNotReady(t *testing.T) {
