mirror, feed: Leave a source whose copy is too old while a call waits there

Cause: the daemons that read from the store (one a data centre) had silently lost it. Their followers compared the age of their copy only when a call to their parent ended, up to 1.2 s after it began, and with bounds of 2.5 s and 3 s that nothing related to config_ms, 2 s at the standard sites.

Now the bound follows from config_ms: the store confirms the copy every 0.3 of it, at most every 1.2 s, and a copy older than twice that is left. A parent answers a waiting follower at each confirmation, so the age is known without a question, and MonitorAge ends a wait when the bound is reached. A copy that is too old is confirmed without a wait.

--- a/internal/fleet/mirror/history.go
+++ b/internal/fleet/mirror/history.go
@@ -50,7 +50,7 @@
 
 // Status returns the state of the copy.
 func (m *Mirror) Status() store.CopyStatus {
-	status := store.CopyStatus{Revision: m.Revision(), Age: m.Age(), MaxAge: maxCopyAge}
+	status := store.CopyStatus{Revision: m.Revision(), Age: m.Age(), MaxAge: m.MaxAge()}
 	if u, ok := m.Source.(*Upstream); ok {
 		status.Source = u.CurrentSource()
 	}
@@ -76,20 +76,22 @@
 	return entries, m.Revision(), nil
 }
 
-// WaitForChanges waits, for a follower, until there are changes after the revision
-// or the wait ends. completeUpTo is the revision up to which the changes are
-// complete; compacted says that the history no longer has all of them.
-func (m *Mirror) WaitForChanges(ctx context.Context, after unit.Revision, wait time.Duration) (changes []store.Change, completeUpTo unit.Revision, compacted bool) {
+// WaitForChanges waits, for a follower, until there are changes after the revision, the
+// platform has confirmed the copy later than the follower's copy of the given age, or the
+// wait ends. completeUpTo is the revision up to which the changes are complete; compacted
+// says that the history no longer has all of them.
+func (m *Mirror) WaitForChanges(ctx context.Context, after unit.Revision, age, wait time.Duration) (changes []store.Change, completeUpTo unit.Revision, compacted bool) {
 	timer := m.Clock.NewTimer(wait)
 	defer timer.Stop()
+	confirmedBefore := int64(clock.InstantOf(m.Clock.Now().Add(-age)))
 	for {
 		m.mu.Lock()
 		changed := m.changed
 		found, covered := m.history.changesAfter(after)
 		completeUpTo = m.Revision()
 		m.mu.Unlock()
-		if !covered || len(found) > 0 {
-			return found, completeUpTo, !covered
+		if !covered || len(found) > 0 || m.confirmedAt.Load() > confirmedBefore {
+			return found, max(completeUpTo, after), !covered
 		}
 		select {
 		case <-changed:
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -27,10 +27,10 @@
 	// List returns the entries below the prefix, and the revision after which
 	// Changes has all changes that are not in the list.
 	List(ctx context.Context, prefix store.Key) ([]store.Entry, unit.Revision, error)
-	// Changes waits for changes after the revision. completeUpTo is the revision up
-	// to which the changes are complete; compacted says that the source no
-	// longer has the history since the revision.
-	Changes(ctx context.Context, prefix store.Key, after unit.Revision) (changes []store.Change, completeUpTo unit.Revision, compacted bool, err error)
+	// Changes waits for changes after the revision, not longer than the given time.
+	// completeUpTo is the revision up to which the changes are complete; compacted
+	// says that the source no longer has the history since the revision.
+	Changes(ctx context.Context, prefix store.Key, after unit.Revision, wait time.Duration) (changes []store.Change, completeUpTo unit.Revision, compacted bool, err error)
 }
 
 // ChangeHandler handles the changes of the keys below its prefix. Its methods are
@@ -56,6 +56,9 @@
 	// MinOutage is the shortest outage of the source in which leases of running
 	// writers may expire.
 	MinOutage time.Duration
+	// Within is the time within which a change has to be in force. Zero means two
+	// seconds.
+	Within time.Duration
 }
 
 // Mirror copies the keys of its Source and passes the changes to its handlers.
@@ -78,6 +81,8 @@
 	// cancelCall cancels the current call to the source.
 	peerRevision atomic.Int64
 	cancelCall   atomic.Pointer[context.CancelFunc]
+	// freshness has the bounds of the copy's age.
+	freshness freshness
 
 	// notifyMu is held while handlers are called, so that they get changes in
 	// order and one call at a time.
@@ -86,7 +91,7 @@
 	mu      sync.Mutex
 	entries map[store.Key]store.Entry
 	history history
-	// changed is closed and replaced when the copy changes.
+	// changed is closed and replaced when the copy changes or is confirmed.
 	changed chan struct{}
 	// deferredRemovals has the keys whose removal is deferred, with the time at
 	// which the removal is due.
@@ -97,7 +102,7 @@
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{Options: o, retryDelay: minRetryDelay, entries: make(map[store.Key]store.Entry), changed: make(chan struct{}), deferredRemovals: make(map[store.Key]time.Time)}
+	return &Mirror{Options: o, freshness: freshnessFor(o.Within), retryDelay: minRetryDelay, entries: make(map[store.Key]store.Entry), changed: make(chan struct{}), deferredRemovals: make(map[store.Key]time.Time)}
 }
 
 // AddHandler adds a handler of changes. It must not be called after Run.
@@ -152,13 +157,13 @@
 	}
 }
 
-// recordConfirmation records that the source has confirmed the copy.
-func (m *Mirror) recordConfirmation() {
-	confirmedAt := m.Clock.Now()
+// confirmationTime returns the time at which the platform confirmed what the last call
+// read.
+func (m *Mirror) confirmationTime() time.Time {
 	if u, ok := m.Source.(*Upstream); ok {
-		confirmedAt = u.ConfirmedAt()
+		return u.ConfirmedAt()
 	}
-	m.confirmedAt.Store(int64(clock.InstantOf(confirmedAt)))
+	return m.Clock.Now()
 }
 
 func (m *Mirror) currentBatchTime() time.Duration {
@@ -255,6 +260,22 @@
 	}
 }
 
+// MonitorAge ends, until the context ends, each wait for changes at another daemon during
+// which the copy becomes too old. That daemon has lost its connection to the platform, and
+// may not notice it soon enough to answer.
+func (m *Mirror) MonitorAge(ctx context.Context) {
+	for plugin.Sleep(ctx, m.Clock, max(m.freshness.maxAge-m.Age(), minAgeCheckInterval)) {
+		u, isUpstream := m.Source.(*Upstream)
+		if !isUpstream || m.Age() < m.freshness.maxAge || !u.LeaveOldCopy() {
+			continue
+		}
+		m.Log.Info().Int64("revision", m.revision.Load()).Dur("age_ms", m.Age()).Msg("store-copy-old")
+		if cancel := m.cancelCall.Load(); cancel != nil {
+			(*cancel)()
+		}
+	}
+}
+
 // recordSourceRecovery records that the source answers again. After an outage of
 // at least MinOutage it starts deferring removals.
 func (m *Mirror) recordSourceRecovery() {
@@ -306,7 +327,6 @@
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
 	})
 	m.apply(changes, revision, true)
-	m.recordConfirmation()
 	m.Log.Info().Int("keys", len(entries)).Int64("revision", int64(revision)).Msg("store-listed")
 	return true, nil
 }
@@ -314,7 +334,7 @@
 // readChanges waits for changes and applies them. It returns false if the list has
 // to be read again.
 func (m *Mirror) readChanges(ctx context.Context) (bool, error) {
-	changes, completeUpTo, compacted, err := m.Source.Changes(ctx, "", m.Revision())
+	changes, completeUpTo, compacted, err := m.Source.Changes(ctx, "", m.Revision(), m.nextWait())
 	if err != nil {
 		return true, err
 	}
@@ -324,11 +344,11 @@
 		return false, nil
 	}
 	m.apply(changes, completeUpTo, false)
-	m.recordConfirmation()
 	return true, nil
 }
 
-// apply applies changes to the copy and calls the handlers. The history gets every
+// apply applies changes to the copy, records the time of its confirmation and calls the
+// handlers. The history gets every
 // change: daemons that follow this daemon defer removals themselves.
 func (m *Mirror) apply(changes []store.Change, revision unit.Revision, synced bool) {
 	m.notifyMu.Lock()
@@ -340,10 +360,9 @@
 		m.history.completeAfter = m.Revision()
 	}
 	m.history.add(forwarded)
-	if len(forwarded) > 0 {
-		close(m.changed)
-		m.changed = make(chan struct{})
-	}
+	m.confirmedAt.Store(int64(clock.InstantOf(m.confirmationTime())))
+	close(m.changed)
+	m.changed = make(chan struct{})
 	m.mu.Unlock()
 	m.notify(accepted, synced)
 }
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"testing"
@@ -58,7 +59,7 @@
 	return a.list, a.revision, err
 }
 
-func (s *fakeSource) Changes(context.Context, store.Key, unit.Revision) ([]store.Change, unit.Revision, bool, error) {
+func (s *fakeSource) Changes(context.Context, store.Key, unit.Revision, time.Duration) ([]store.Change, unit.Revision, bool, error) {
 	a, err := s.next("changes")
 	return a.changes, a.revision, a.compacted, err
 }
@@ -187,6 +188,9 @@
 	ages         map[ident.Instance]time.Duration
 	calls        []string
 	transferring bool
+	// waiting receives a value when a call for changes begins. The call then waits
+	// until it is cancelled. It is nil for a feed that answers at once.
+	waiting chan struct{}
 }
 
 func (f *fakeFeed) List(_ context.Context, p Peer) ([]store.Entry, unit.Revision, time.Duration, error) {
@@ -200,7 +204,12 @@
 
 func (f *fakeFeed) Transferring() bool { return f.transferring }
 
-func (f *fakeFeed) Changes(context.Context, Peer, unit.Revision) ([]store.Change, unit.Revision, bool, time.Duration, error) {
+func (f *fakeFeed) Changes(ctx context.Context, _ Peer, _ unit.Revision, _, _ time.Duration) ([]store.Change, unit.Revision, bool, time.Duration, error) {
+	if f.waiting != nil {
+		f.waiting <- struct{}{}
+		<-ctx.Done()
+		return nil, 0, false, 0, ctx.Err()
+	}
 	return nil, 9, false, 0, nil
 }
 
@@ -261,7 +270,7 @@
 			c := qt.New(t)
 			platform := &fakeSource{answers: test.platform, cancel: func() {}}
 			feed := &fakeFeed{ages: test.ages}
-			upstream := &Upstream{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Platform: platform, Feed: feed, Tree: test.tree}
+			upstream := &Upstream{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(), Platform: platform, Feed: feed, Tree: test.tree, MaxAge: 3 * time.Second}
 			upstream.PreferPlatform(test.preferPlatform)
 			err := errUnavailable
 			for attempt := 0; err != nil && attempt < 4; attempt++ {
@@ -305,6 +314,102 @@
 	}
 }
 
+// TestOldCopy guards against a follower that stays with a daemon that has lost the
+// platform for as long as a change may take to be in force.
+func TestOldCopy(t *testing.T) {
+	tests := map[string]struct {
+		transferring bool
+		// within is the time within which a change has to be in force.
+		within   time.Duration
+		wantLeft bool
+	}{
+		"2 s":                    {within: 2 * time.Second, wantLeft: true},
+		"4 s":                    {within: 4 * time.Second, wantLeft: true},
+		"large change arriving":  {within: 2 * time.Second, transferring: true},
+		"unset, that is 2 s too": {wantLeft: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			clk := clockwork.NewFakeClock()
+			feed := &fakeFeed{ages: map[ident.Instance]time.Duration{"p": 0}, transferring: test.transferring, waiting: make(chan struct{})}
+			platform := &fakeSource{answers: []sourceAnswer{{changes: []store.Change{{Entry: entry("op/config", "new", 10)}}, revision: 10}}, cancel: stop}
+			m := New(Options{Clock: clk, Log: zerolog.Nop(), Within: test.within})
+			m.Source = &Upstream{Clock: clk, Log: zerolog.Nop(), Platform: platform, Feed: feed, Tree: fakeTree{parent: "p"}, MaxAge: m.MaxAge()}
+			m.poll(ctx)
+			c.Assert(m.Revision(), qt.Equals, unit.Revision(9), qt.Commentf("list of the parent"))
+			polled := make(chan struct{})
+			go func() {
+				m.poll(ctx)
+				m.poll(ctx)
+				close(polled)
+			}()
+			<-feed.waiting
+			go m.MonitorAge(ctx)
+			lost := clk.Now()
+			for range 2 {
+				c.Assert(clk.BlockUntilContext(ctx, 1), qt.IsNil)
+				clk.Advance(m.MaxAge())
+			}
+			if !test.wantLeft {
+				c.Check(platform.calls, qt.HasLen, 0)
+				stop()
+				<-polled
+				return
+			}
+			<-polled
+			c.Check(string(m.Get("op/config").Value), qt.Equals, "new")
+			within := cmp.Or(test.within, 2*time.Second)
+			c.Check(m.MaxAge() < within*2/3, qt.IsTrue, qt.Commentf("left after %s", clk.Since(lost)))
+		})
+	}
+}
+
+// TestConfirmation guards against a follower whose copy seems old although its parent's copy
+// was confirmed, and against a follower that calls its parent without end.
+func TestConfirmation(t *testing.T) {
+	tests := map[string]struct {
+		// followerAge is the age of the follower's copy when it asks, a second after
+		// the first confirmation. confirmed says that the copy is then confirmed once
+		// more.
+		followerAge time.Duration
+		confirmed   bool
+		wantWait    time.Duration
+	}{
+		"same confirmation":      {followerAge: time.Second, wantWait: 5 * time.Second},
+		"earlier confirmation":   {followerAge: 1100 * time.Millisecond},
+		"confirmed in the wait":  {followerAge: time.Second, confirmed: true},
+		"follower of an old one": {followerAge: 0, wantWait: 5 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			clk := clockwork.NewFakeClock()
+			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: &fakeSource{answers: []sourceAnswer{{revision: 3}, {revision: 3}}, cancel: cancel}})
+			m.poll(ctx)
+			clk.Advance(time.Second)
+			answered := make(chan time.Time, 1)
+			start := clk.Now()
+			go func() {
+				m.WaitForChanges(ctx, 3, test.followerAge, 5*time.Second)
+				answered <- clk.Now()
+			}()
+			if test.confirmed || test.wantWait > 0 {
+				c.Assert(clk.BlockUntilContext(ctx, 1), qt.IsNil)
+			}
+			if test.confirmed {
+				m.poll(ctx)
+			}
+			clk.Advance(test.wantWait)
+			c.Check((<-answered).Sub(start), qt.Equals, test.wantWait)
+		})
+	}
+}
+
 // TestChangesAfter guards against changes in the history that a follower does not get.
 func TestChangesAfter(t *testing.T) {
 	changes := func(revisions ...unit.Revision) []store.Change {
@@ -373,7 +478,7 @@
 		}
 	}
 	c.Check(m.Get("servers/b").Revision, qt.Equals, unit.Revision(2))
-	changes, completeUpTo, compacted := m.WaitForChanges(ctx, 2, time.Second)
+	changes, completeUpTo, compacted := m.WaitForChanges(ctx, 2, 0, time.Second)
 	c.Check(compacted, qt.IsFalse)
 	c.Check(completeUpTo, qt.Equals, unit.Revision(9))
 	c.Check(changes, qt.DeepEquals, []store.Change{removal})
--- a/internal/fleet/mirror/plugin.go
+++ b/internal/fleet/mirror/plugin.go
@@ -20,13 +20,15 @@
 	// Outage is the shortest outage of the store in which leases of running
 	// servers may expire.
 	Outage settings.Duration `json:"outage" validate:"duration"`
+	// Within is the time within which a change of the store's keys has to be in force. The age at which a copy is too old follows from it.
+	Within settings.Duration `json:"within" validate:"duration"`
 	// Lapsing is the prefix of the keys that are bound to a lease of their writer.
 	Lapsing string `json:"lapsing" validate:"required"`
 }
 
 func init() {
 	settings.Register(section, func() any {
-		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(1500 * time.Millisecond), Lapsing: "servers/"}
+		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(1500 * time.Millisecond), Within: settings.DurationOf(defaultWithin), Lapsing: "servers/"}
 	})
 	plugin.RegisterForAdapter("platform", plugin.Roster, "mirror", newPlugin)
 }
@@ -39,14 +41,14 @@
 
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
 	s := deps.Settings.Section(section).(*Settings)
-	m := New(Options{Clock: deps.Clock, Log: deps.Log, LeasedPrefix: store.Key(s.Lapsing), SettleTime: s.Settle.Duration, MinOutage: s.Outage.Duration})
+	m := New(Options{Clock: deps.Clock, Log: deps.Log, LeasedPrefix: store.Key(s.Lapsing), SettleTime: s.Settle.Duration, MinOutage: s.Outage.Duration, Within: s.Within.Duration})
 	deps.Provide(m)
 	return &component{m, deps}, nil
 }
 
 // Start finds the sources and handlers and starts copying in the background.
 func (c *component) Start(context.Context) error {
-	u := &Upstream{Clock: c.Clock, Log: c.Log}
+	u := &Upstream{Clock: c.Clock, Log: c.Log, MaxAge: c.MaxAge()}
 	if err := c.deps.Resolve(&u.Platform, &u.Feed, &u.Tree); err != nil {
 		return err
 	}
@@ -56,5 +58,6 @@
 	}
 	c.Go(c.Run)
 	c.Go(c.MonitorLag)
+	c.Go(c.MonitorAge)
 	return nil
 }
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -24,7 +24,9 @@
 // the age of the copy.
 type Feed interface {
 	List(ctx context.Context, p Peer) ([]store.Entry, unit.Revision, time.Duration, error)
-	Changes(ctx context.Context, p Peer, after unit.Revision) (changes []store.Change, completeUpTo unit.Revision, compacted bool, age time.Duration, err error)
+	// Changes waits for changes, or for a confirmation of the daemon's copy that is
+	// later than that of this daemon's copy of the age ownAge.
+	Changes(ctx context.Context, p Peer, after unit.Revision, ownAge, wait time.Duration) (changes []store.Change, completeUpTo unit.Revision, compacted bool, age time.Duration, err error)
 	// Transferring reports whether a large answer is arriving.
 	Transferring() bool
 }
@@ -51,6 +53,9 @@
 	Platform Source
 	Feed     Feed
 	Tree     tree
+	// MaxAge is the age of a daemon's copy above which the copy is not followed: the
+	// daemon has lost its connection to the platform.
+	MaxAge time.Duration
 
 	mu             sync.Mutex
 	preferPlatform bool
@@ -61,6 +66,10 @@
 	// at which the platform confirmed that source's copy.
 	currentSource ident.Instance
 	confirmedAt   time.Time
+	// waitingAt is the daemon at which the current call waits for changes, empty if
+	// it does not. leftOldCopy says that LeaveOldCopy has ended that call.
+	waitingAt   ident.Instance
+	leftOldCopy bool
 }
 
 // sourceFailures counts the consecutive failures of a source. The source is not
@@ -73,13 +82,11 @@
 // A source that failed is avoided for minAvoidTime, doubled for each consecutive
 // failure up to maxAvoidDoublings times: a call to a stalled platform takes as long
 // as other daemons need to pass on changes. The platform is avoided for less time, as few
-// daemons call it and the others depend on them. A daemon whose copy is older than
-// maxCopyAge has lost its connection to the platform and is not followed.
+// daemons call it and the others depend on them.
 const (
 	minAvoidTime         = 1200 * time.Millisecond
 	maxAvoidDoublings    = 3
 	maxPlatformDoublings = 1
-	maxCopyAge           = 3 * time.Second
 	platformSource       = ident.Instance("")
 )
 
@@ -184,11 +191,11 @@
 	return u.confirmedAt
 }
 
-// checkCopyAge returns an error if the daemon's copy is older than maxCopyAge.
+// checkCopyAge returns an error if the daemon's copy is older than MaxAge.
 //
 // Errors carry code.PlatformUnavailable.
-func checkCopyAge(p Peer, age time.Duration) error {
-	if age <= maxCopyAge {
+func (u *Upstream) checkCopyAge(p Peer, age time.Duration) error {
+	if age <= u.MaxAge {
 		return nil
 	}
 	return code.PlatformUnavailable.New("read copy of daemon %s: the platform last confirmed the copy %s ago, longer than allowed", p.Instance, age)
@@ -207,7 +214,7 @@
 	}
 	entries, revision, age, err := u.Feed.List(ctx, p)
 	if err == nil {
-		if err = checkCopyAge(p, age); err != nil {
+		if err = u.checkCopyAge(p, age); err != nil {
 			return nil, 0, u.rejectOldCopy(p, err)
 		}
 	}
@@ -216,22 +223,55 @@
 }
 
 // Changes waits for changes after the revision at the chosen source.
-func (u *Upstream) Changes(ctx context.Context, prefix store.Key, after unit.Revision) ([]store.Change, unit.Revision, bool, error) {
+func (u *Upstream) Changes(ctx context.Context, prefix store.Key, after unit.Revision, wait time.Duration) ([]store.Change, unit.Revision, bool, error) {
 	p, err := u.chooseSource()
 	if err != nil {
 		return nil, 0, false, err
 	}
-	if p.Instance == platformSource {
-		changes, completeUpTo, compacted, err := u.Platform.Changes(ctx, prefix, after)
-		u.recordResult(platformSource, 0, err)
-		return changes, completeUpTo, compacted, err
+	if p.Instance != platformSource {
+		return u.changesOfPeer(ctx, p, after, wait)
+	}
+	changes, completeUpTo, compacted, err := u.Platform.Changes(ctx, prefix, after, wait)
+	u.recordResult(platformSource, 0, err)
+	return changes, completeUpTo, compacted, err
+}
+
+// changesOfPeer waits for changes of another daemon's copy for as long as this daemon's copy
+// stays recent. Without a wait it asks for the changes that the other daemon has.
+func (u *Upstream) changesOfPeer(ctx context.Context, p Peer, after unit.Revision, wait time.Duration) ([]store.Change, unit.Revision, bool, error) {
+	ownAge := u.Clock.Now().Sub(u.ConfirmedAt())
+	if wait > 0 {
+		wait = u.MaxAge
+		u.setWaitingAt(p.Instance)
 	}
-	changes, completeUpTo, compacted, age, err := u.Feed.Changes(ctx, p, after)
+	changes, completeUpTo, compacted, age, err := u.Feed.Changes(ctx, p, after, ownAge, wait)
+	leftOldCopy := u.setWaitingAt(platformSource)
 	if err == nil {
-		if err = checkCopyAge(p, age); err != nil {
-			return nil, 0, false, u.rejectOldCopy(p, err)
-		}
+		err = u.checkCopyAge(p, age)
+		leftOldCopy = err != nil
+	}
+	if leftOldCopy {
+		return nil, 0, false, u.rejectOldCopy(p, err)
 	}
 	u.recordResult(p.Instance, age, err)
 	return changes, completeUpTo, compacted, err
 }
+
+// setWaitingAt records at which daemon a call waits for changes, platformSource if the call
+// has ended. It reports whether LeaveOldCopy ended the call.
+func (u *Upstream) setWaitingAt(id ident.Instance) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	left := u.leftOldCopy
+	u.waitingAt, u.leftOldCopy = id, false
+	return left
+}
+
+// LeaveOldCopy reports whether the current call waits for changes at another daemon. The
+// caller then cancels the call, and that daemon is avoided as one whose copy is too old.
+func (u *Upstream) LeaveOldCopy() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leftOldCopy = u.waitingAt != platformSource && !u.Feed.Transferring()
+	return u.leftOldCopy
+}
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -29,8 +29,11 @@
 	// are requested instead.
 	After unit.Revision `json:"after"`
 	List  bool          `json:"list,omitempty"`
-	// Wait is the time to wait for a change, in milliseconds.
+	// Wait is the time to wait for a change, in milliseconds. The wait also ends when
+	// the platform has confirmed the copy later than the follower's copy, whose age in
+	// milliseconds is Age.
 	Wait int64 `json:"wait"`
+	Age  int64 `json:"age,omitempty"`
 }
 
 // copyResponse is the body of an answer. Revision is the revision up to which the
@@ -45,7 +48,7 @@
 // platformCopy is this daemon's copy of the platform's keys.
 type platformCopy interface {
 	Entries() ([]store.Entry, unit.Revision, error)
-	WaitForChanges(ctx context.Context, after unit.Revision, wait time.Duration) ([]store.Change, unit.Revision, bool)
+	WaitForChanges(ctx context.Context, after unit.Revision, age, wait time.Duration) ([]store.Change, unit.Revision, bool)
 	Age() time.Duration
 }
 
@@ -101,7 +104,7 @@
 		return encodePayload(&copyResponse{Entries: entries, Revision: revision})
 	}
 	wait := min(time.Duration(request.Wait)*time.Millisecond, maxWait)
-	changes, revision, compacted := s.platformCopy.WaitForChanges(ctx, request.After, wait)
+	changes, revision, compacted := s.platformCopy.WaitForChanges(ctx, request.After, time.Duration(request.Age)*time.Millisecond, wait)
 	if known := s.lastPayload.Load(); known != nil && !compacted && known.after == request.After && known.revision == revision {
 		return known.payload, nil
 	}
@@ -138,12 +141,10 @@
 	transport *http.Transport
 }
 
-// Time limits of a question: changeWait is the time that the other daemon waits for
-// a change, and answerTimeout the longest time after it in which no part of the answer
-// arrives. If no answer arrives, the client closes the idle connections to the daemon,
+// Time limits of a question: answerTimeout is the longest time after the other daemon's
+// wait for a change in which no part of the answer arrives. If no answer arrives, the client closes the idle connections to the daemon,
 // which may have stalled. An answer may take maxTransferTime over a slow link.
 const (
-	changeWait      = 1200 * time.Millisecond
 	answerTimeout   = 700 * time.Millisecond
 	dialTimeout     = 500 * time.Millisecond
 	maxTransferTime = 10 * time.Second
@@ -211,10 +212,11 @@
 	return response.Entries, response.Revision, age, nil
 }
 
-// Changes waits for changes of the daemon's copy after the revision. It also returns
-// the copy's age.
-func (c *client) Changes(ctx context.Context, p mirror.Peer, after unit.Revision) (changes []store.Change, completeUpTo unit.Revision, compacted bool, age time.Duration, err error) {
-	response, age, err := c.call(ctx, p, copyRequest{After: after, Wait: changeWait.Milliseconds()})
+// Changes waits for changes of the daemon's copy after the revision, or for a later
+// confirmation than that of this daemon's copy of the given age. It also returns the age of
+// the daemon's copy.
+func (c *client) Changes(ctx context.Context, p mirror.Peer, after unit.Revision, ownAge, wait time.Duration) (changes []store.Change, completeUpTo unit.Revision, compacted bool, age time.Duration, err error) {
+	response, age, err := c.call(ctx, p, copyRequest{After: after, Wait: wait.Milliseconds(), Age: ownAge.Milliseconds()})
 	if err != nil {
 		return nil, 0, false, 0, err
 	}
--- a/internal/peer/feed/feed_test.go
+++ b/internal/peer/feed/feed_test.go
@@ -115,7 +115,7 @@
 	return []store.Entry{testEntry}, 5, nil
 }
 
-func (fakeCopy) WaitForChanges(_ context.Context, after unit.Revision, _ time.Duration) ([]store.Change, unit.Revision, bool) {
+func (fakeCopy) WaitForChanges(_ context.Context, after unit.Revision, _, _ time.Duration) ([]store.Change, unit.Revision, bool) {
 	return []store.Change{{Entry: testEntry, Removed: true}}, 6, after < 3
 }
 
@@ -149,7 +149,7 @@
 			c.Check(entries, qt.DeepEquals, []store.Entry{testEntry})
 			c.Check(revision, qt.Equals, unit.Revision(5))
 			c.Check(age, qt.Equals, 70*time.Millisecond)
-			changes, completeUpTo, compacted, _, err := client.Changes(context.Background(), test.to, 2)
+			changes, completeUpTo, compacted, _, err := client.Changes(context.Background(), test.to, 2, 0, time.Second)
 			c.Assert(err, qt.IsNil)
 			c.Check(changes, qt.DeepEquals, []store.Change{{Entry: testEntry, Removed: true}})
 			c.Check(completeUpTo, qt.Equals, unit.Revision(6))
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -44,6 +44,8 @@
 	Revision() unit.Revision
 	ObserveRevision(revision unit.Revision)
 	Age() time.Duration
+	// MaxAge returns the age above which a copy is not followed.
+	MaxAge() time.Duration
 	// Leader returns the daemon that holds the planner lease, empty if none does.
 	Leader() ident.Instance
 }
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -22,18 +22,15 @@
 	maxFallbackPeers = 6
 )
 
-// maxCopyAge is the age of a daemon's copy above which no daemon follows it.
-const maxCopyAge = 2500 * time.Millisecond
-
 // followableDaemons returns the live daemons of this data centre whose copies are
-// younger than maxCopyAge, in an order that all daemons agree on.
+// recent enough to follow, in an order that all daemons agree on.
 func (g *Gossip) followableDaemons(now time.Time) []ident.Instance {
 	var daemons []ident.Instance
-	if g.PlatformCopy.Age() < maxCopyAge {
+	if g.PlatformCopy.Age() < g.PlatformCopy.MaxAge() {
 		daemons = append(daemons, g.Self)
 	}
 	for id, p := range g.peers {
-		if p.dataCentre == g.DataCentre && p.isLive(now) && p.copyAge < maxCopyAge {
+		if p.dataCentre == g.DataCentre && p.isLive(now) && p.copyAge < g.PlatformCopy.MaxAge() {
 			daemons = append(daemons, id)
 		}
 	}
@@ -110,7 +107,7 @@
 	var remote, local []ident.Instance
 	for id, p := range g.peers {
 		switch {
-		case !p.isLive(now) || p.copyAge >= maxCopyAge:
+		case !p.isLive(now) || p.copyAge >= g.PlatformCopy.MaxAge():
 		case p.dataCentre == g.DataCentre:
 			local = append(local, id)
 		default:
