forward: Don't refuse for good what only an old copy lacks

Callers got 401 or 404 for a key or path that had been added, from a daemon that had reached neither the store nor a daemon with a recent copy. They don't repeat after these statuses, although any other daemon would have served them.

Cause: the forwarder decided by its copy whatever the copy's age was. A copy older than its bound can't tell an unknown key from one that was added since, so the daemon now answers 503 not-ready, which says truly that the request was not run, and the caller's retry reaches another daemon. Keys and paths that the copy has are served as before.

TestRefusalLog has the two cases with an old copy, which failed before.

--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -110,7 +110,7 @@
 	{OverShare, "over-share", http.StatusTooManyRequests, NotRun, "The organisation is over its share while capacity is short.", "Retry after the given time."},
 	{ColdOnly, "cold-only", http.StatusServiceUnavailable, NotRun, "Only cold endpoints are in service, and they are at their limit.", "Retry after the given time."},
 	{ClaimsFull, "claims-full", http.StatusServiceUnavailable, NotRun, "The shard of the claim is full of claims whose retention has not ended.", "Retry later; raise the number of shards."},
-	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, "The daemon has not yet received the configuration from the platform or a peer.", "Retry; the balancer will choose another daemon."},
+	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, "The daemon has not received the configuration from the platform or a peer yet, or not recently enough to refuse an unknown path or key for good.", "Retry; the balancer will choose another daemon."},
 	{ClaimExpired, "claim-expired", http.StatusServiceUnavailable, NotRun, "The daemon was paused between the claim and the send, so it did not send the request.", "Retry with the same key."},
 	{EndpointUnreachable, "endpoint-unreachable", http.StatusBadGateway, NotRun, "The daemon could not connect to an endpoint, so nothing was sent.", "Retry."},
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -206,11 +206,11 @@
 	}
 	x.route = s.Route(r.Host, r.Path)
 	if x.route == nil {
-		return code.UnknownPath.New("resolve route: no route for host %q and path %q in configuration version %d", r.Host, r.Path, s.Config.Version)
+		return x.refuseUnknown(code.UnknownPath.New("resolve route: no route for host %q and path %q in configuration version %d", r.Host, r.Path, s.Config.Version))
 	}
 	x.organisation = s.Organisation(r.Credential)
 	if x.organisation == nil && !x.route.Public && len(s.Config.Organisations) > 0 {
-		return code.UnknownOrganisation.New("authenticate for route %s: no organisation of configuration version %d has the caller's key", x.route.Name, s.Config.Version)
+		return x.refuseUnknown(code.UnknownOrganisation.New("authenticate for route %s: no organisation of configuration version %d has the caller's key", x.route.Name, s.Config.Version))
 	}
 	if err := x.Poison.Check(r.Fingerprint); err != nil {
 		return err
@@ -223,6 +223,16 @@
 	return nil
 }
 
+// refuseUnknown returns the error for a path or key that the configuration doesn't have. An
+// old copy may lack the version that added it, so the caller is told to retry, which
+// reaches another daemon.
+func (x *exchange) refuseUnknown(err error) error {
+	if status := x.Copy.Status(); status.Age > status.MaxAge {
+		return code.NotReady.Wrap(err, "resolve route: the copy of the configuration is %s old, longer than %s", status.Age, status.MaxAge)
+	}
+	return err
+}
+
 // chooseService chooses a service of the route by weight. All attempts of a request
 // go to the same service.
 func (x *exchange) chooseService() ident.Service {
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -233,12 +234,18 @@
 	}
 }
 
-// TestRefusalLog guards against a refusal of an unknown key or path whose log line doesn't
-// tell whether the daemon's copy of the configuration was old.
+// TestRefusalLog guards against a final refusal of a key or path that an old copy of the
+// configuration lacks, and against a refusal whose log line doesn't tell the copy's age.
 func TestRefusalLog(t *testing.T) {
-	tests := map[string]struct{ path, key string }{
-		"unknown path": {"/none/1", "k"},
-		"unknown key":  {"/safe/1", "x"},
+	tests := map[string]struct {
+		path, key string
+		age       time.Duration
+		wantCode  code.Code
+	}{
+		"unknown path":             {"/none/1", "k", 1500 * time.Millisecond, code.UnknownPath},
+		"unknown key":              {"/safe/1", "x", 1500 * time.Millisecond, code.UnknownOrganisation},
+		"unknown path, copy old":   {"/none/1", "k", 3500 * time.Millisecond, code.NotReady},
+		"unknown key, copy is old": {"/safe/1", "x", 3500 * time.Millisecond, code.NotReady},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -246,10 +253,12 @@
 			var lines bytes.Buffer
 			f := newTestForwarder(&fakeSender{clock: clockwork.NewFakeClock()})
 			f.Log = zerolog.New(&lines)
-			f.Copy = fakeCopy{Revision: 7, Age: 1500 * time.Millisecond, MaxAge: 3 * time.Second, Source: "p"}
+			f.Copy = fakeCopy{Revision: 7, Age: test.age, MaxAge: 3 * time.Second, Source: "p"}
 			r := &proxy.Request{Host: "h", Path: test.path, Credential: test.key, Received: f.Clock.Now()}
-			c.Assert(f.Forward(context.Background(), r, &fakeSink{}), qt.IsNotNil)
-			c.Check(lines.String(), qt.Contains, `"copy_revision":7,"copy_age_ms":1500,"copy_max_age_ms":3000,"copy_from":"p"`)
+			err := f.Forward(context.Background(), r, &fakeSink{})
+			c.Check(code.Of(err), qt.Equals, test.wantCode)
+			c.Check(code.OutcomeOf(err), qt.Equals, code.NotRun)
+			c.Check(lines.String(), qt.Contains, fmt.Sprintf(`"copy_revision":7,"copy_age_ms":%d,"copy_max_age_ms":3000,"copy_from":"p"`, test.age.Milliseconds()))
 		})
 	}
 }
--- a/internal/serve/forward/telemetry.go
+++ b/internal/serve/forward/telemetry.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		logEvent = logEvent.Str("detail", code.Message(err))
 	}
-	if c == code.UnknownPath || c == code.UnknownOrganisation {
+	if c == code.UnknownPath || c == code.UnknownOrganisation || c == code.NotReady {
 		copyStatus := x.Copy.Status()
 		logEvent = logEvent.Int64("copy_revision", int64(copyStatus.Revision)).Dur("copy_age_ms", copyStatus.Age).
 			Dur("copy_max_age_ms", copyStatus.MaxAge).Str("copy_from", string(copyStatus.Source))
