forward: Log the shared parts and the events of a suspected request

The adapter decodes the parts of a prompt, without the last one. The line request-suspected has them and the number of events that the server had sent, which tell a part that crashes servers from those that were merely there.

--- a/internal/domain/ident/ident.go
+++ b/internal/domain/ident/ident.go
@@ -41,8 +41,15 @@
 	// Fingerprint is a hash of the content of a request: its organisation and
 	// its body.
 	Fingerprint uint64
+	// PromptPart identifies a part of a prompt. Requests share parts.
+	PromptPart uint64
 )
 
+// String returns the part as 16 hexadecimal digits, as in log lines.
+func (p PromptPart) String() string {
+	return fmt.Sprintf("%016x", uint64(p))
+}
+
 // String returns the fingerprint as 16 hexadecimal digits, as in log lines and
 // messages.
 func (f Fingerprint) String() string {
--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -32,6 +32,9 @@
 
 	Model        ident.Model
 	PromptTokens unit.Tokens
+	// SharedParts are the parts of the prompt that other requests may share. The last
+	// part of a prompt is the request's own and is left out.
+	SharedParts  []ident.PromptPart
 	OutputTokens unit.Tokens
 	// LastEventID is the id of the last event that the caller received before
 	// it resumed the stream; zero means that the caller starts a stream.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"time"
 
@@ -167,6 +168,8 @@
 	// request.
 	possibleRunFailure error
 	admission          admit.Admission
+	// attemptEvents counts the reads of the current attempt that completed an event.
+	attemptEvents int
 
 	// For the log: the last endpoint and its requests in flight when it was
 	// chosen, the time in the queue, the time to the first byte, and the longest
@@ -367,6 +370,7 @@
 		a.Organisation = x.organisation.Name
 	}
 	x.attemptCount++
+	x.attemptEvents = 0
 	x.lastEndpoint, x.lastInFlight = e.ID, e.Load.TotalInFlight()
 	return a
 }
@@ -393,7 +397,8 @@
 	if cause == code.CutOff && x.hasCrashed(ctx, e) {
 		x.Poison.RecordCrash(x.request.Fingerprint)
 		x.Log.Warn().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
-			Stringer("fingerprint", x.request.Fingerprint).Msg("request-suspected")
+			Stringer("fingerprint", x.request.Fingerprint).Int("events", x.attemptEvents).
+			Str("parts", fmt.Sprint(x.request.SharedParts)).Msg("request-suspected")
 	}
 	x.Telemetry.failedAttempts.WithLabelValues(cause.Spec().Name).Inc()
 	x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -182,6 +182,7 @@
 func (d *stallDetector) recordEvent() {
 	now := d.Clock.Now()
 	d.endpoint.Load.RecordProgress(now)
+	d.attemptEvents++
 	d.lastEventAt = now
 	if !d.lastEventTime.IsZero() {
 		d.longestPause = max(d.longestPause, now.Sub(d.lastEventTime))
