poison, forward, gossip: Refuse prompts with a part that crashes servers

Cause: crashes were counted by whole request. Requests that share only a part of their prompt are all different, so no count reached the threshold of three.

PartDetector counts crashes by prompt part. A crash counts only for requests at the server that had no answer begun, once for each server's incarnation however many daemons observe it, and an answer that begins to a prompt with the part clears its count, since such a part never gets that far. Sound requests share the beginning of these prompts: a crash does not count for a part if another part that reached the threshold explains it and the prompt doesn't have that one. A new crash goes to all daemons at once, and the crashes of refused parts stay in the datagrams, for daemons that start later.

Ruled out: counts by part alone, since the beginning of the prompt stood beside 38 crashes in the logs and is sound; two sends of one request, which end with the part's refusal.

TestPoisonPart failed before ("servers crash": answered instead of refused). TestParts, TestPartsAtStart, TestPartLimit and TestPartsSuspected are new.

--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -98,7 +98,7 @@
 	{UnknownPath, "unknown-path", http.StatusNotFound, NotRun, "No front end or service serves this path and method.", "Check the path against the service records."},
 	{MissingKey, "missing-key", http.StatusBadRequest, NotRun, "An at-most-once call came without an Idempotency-Key.", "Send a key that is new for each intended call."},
 	{KeyReused, "key-reused", http.StatusUnprocessableEntity, NotRun, "The key was used before with a different request.", "Use a new key for a new request."},
-	{PoisonRequest, "poison-request", http.StatusUnprocessableEntity, NotRun, "Earlier runs of this request crashed the endpoints that ran it; this request was not run.", "Change the request; the block expires."},
+	{PoisonRequest, "poison-request", http.StatusUnprocessableEntity, NotRun, "Earlier runs of this request, or of requests with a part of its prompt, crashed the endpoints that ran them; this request was not run.", "Change the request; the block expires."},
 	{BadHeader, "bad-header", http.StatusBadRequest, NotRun, "A header has a value of the wrong form.", "Correct the header that the message names."},
 	{EndpointRejected, "endpoint-rejected", http.StatusBadRequest, NotRun, "The endpoint rejected the request as invalid before running it.", "Correct the request; the message quotes the endpoint."},
 
--- a/internal/domain/ident/ident.go
+++ b/internal/domain/ident/ident.go
@@ -43,6 +43,8 @@
 	Fingerprint uint64
 	// PromptPart identifies a part of a prompt. Requests share parts.
 	PromptPart uint64
+	// Crash identifies the crash of one incarnation of an endpoint.
+	Crash uint64
 )
 
 // String returns the part as 16 hexadecimal digits, as in log lines.
--- a/internal/peer/gossip/failure.go
+++ b/internal/peer/gossip/failure.go
@@ -26,6 +26,12 @@
 	}
 }
 
+// PartsSuspected sends the latest crashes of prompt parts to all daemons immediately, since
+// requests with such a part may arrive at any of them.
+func (g *Gossip) PartsSuspected() {
+	g.send(g.ownInFlight(), true)
+}
+
 // reportedByPeer reports whether another daemon has reported the failure within
 // failureExpiry. That daemon sent the report to all daemons.
 func (g *Gossip) reportedByPeer(e endpointHash, now time.Time) bool {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -58,6 +58,13 @@
 	RecordCompletion(f ident.Fingerprint)
 }
 
+// partDetector counts the endpoints that crashed by prompt part.
+type partDetector interface {
+	PartReport() (crashes map[ident.PromptPart][]ident.Crash, sound []ident.PromptPart)
+	MergePartCrashes(reported map[ident.PromptPart][]ident.Crash) []ident.PromptPart
+	ClearParts(parts []ident.PromptPart)
+}
+
 // Options configure a Gossip.
 type Options struct {
 	Clock        clock.Clock
@@ -68,6 +75,7 @@
 	Catalog      endpointCatalog
 	PlatformCopy platformCopy
 	Poison       poisonDetector
+	Parts        partDetector
 }
 
 // Gossip sends and receives the datagrams of one daemon.
@@ -286,6 +294,7 @@
 		InFlight: inFlight, FailureAges: make(map[endpointHash]time.Duration),
 		Crashes: g.Poison.LocalCrashes(crashReportTime), ClearedRequests: g.Poison.ClearedRequests(clearedReportTime),
 	}
+	m.PartCrashes, m.SoundParts = g.Parts.PartReport()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -378,5 +387,14 @@
 			g.Log.Info().Str("from", string(m.From)).Int("requests", count).Msg("suspicions-heard")
 		}
 	}
+	g.handleParts(m)
 	g.handlePeerFailures(newFailures, m.From)
 }
+
+// handleParts applies what a datagram says of prompt parts.
+func (g *Gossip) handleParts(m *message) {
+	g.Parts.ClearParts(m.SoundParts)
+	for _, part := range g.Parts.MergePartCrashes(m.PartCrashes) {
+		g.Log.Warn().Str("from", string(m.From)).Stringer("part", part).Msg("part-refused")
+	}
+}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -63,7 +63,8 @@
 	c.Cleanup(func() { _ = conn.Close() })
 	platformCopy := &fakeCopy{revision: 5}
 	detector := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Minute, Limit: 16})
-	g := New(Options{Poison: detector, Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
+	parts := poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16})
+	g := New(Options{Poison: detector, Parts: parts, Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
 	daemons := map[ident.Instance]RegisteredDaemon{"a": {DataCentre: "z"}}
 	for id, dataCentre := range peers {
 		daemons[id] = RegisteredDaemon{Address: netip.MustParseAddrPort("127.0.0.1:9"), FeedAddress: string(id) + ":1", DataCentre: dataCentre}
@@ -195,6 +196,31 @@
 	c.Check(detector.Check(7), qt.IsNil)
 }
 
+// TestPartsSuspected guards against a prompt part that crashes servers at one daemon after the
+// other, since they hear of its crashes only by and by.
+func TestPartsSuspected(t *testing.T) {
+	c := qt.New(t)
+	g, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "d": "y"})
+	receiver, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
+	detectors := []*poison.PartDetector{g.Parts.(*poison.PartDetector), receiver.Parts.(*poison.PartDetector)}
+	part := []ident.PromptPart{4}
+	for crash := range ident.Crash(3) {
+		c.Assert(detectors[0].RecordPartCrash(part, crash+1), qt.IsTrue)
+	}
+	sequence := g.sequence
+	g.PartsSuspected()
+	c.Check(g.sequence, qt.Equals, sequence+1, qt.Commentf("the crashes were not sent immediately"))
+	raw, targets := g.encodeDatagram(nil, true)
+	c.Check(targets, qt.HasLen, 2)
+	m, err := decodeMessage(raw)
+	c.Assert(err, qt.IsNil)
+	m.From = "b"
+	receiver.handleMessage(m)
+	c.Check(code.Of(detectors[1].CheckParts(part)), qt.Equals, code.PoisonRequest)
+	receiver.handleMessage(&message{From: "b", Incarnation: 1, Sequence: m.Sequence + 1, SoundParts: part})
+	c.Check(detectors[1].CheckParts(part), qt.IsNil)
+}
+
 // TestAnnounceFormation guards against daemons that don't get a replica that was formed
 // while the platform's store can't be read, and against a formation that is announced
 // forever or beside a later one of the same replica.
@@ -425,6 +451,7 @@
 		InFlight:    map[endpointHash]unit.Requests{hashEndpoint("i", 3): 4, hashEndpoint("j", 1): 1},
 		FailureAges: map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
 		Crashes:     map[ident.Fingerprint]uint32{1 << 63: 2}, ClearedRequests: []ident.Fingerprint{7},
+		PartCrashes: map[ident.PromptPart][]ident.Crash{5: {8, 9}}, SoundParts: []ident.PromptPart{6},
 		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
 	}
 	raw, err := m.encode()
@@ -449,6 +476,7 @@
 		"endpoint without requests": encoded(&Datagram{From: "b", Endpoints: []uint32{1}}),
 		"failure without age":       encoded(&Datagram{From: "b", Failed: []uint32{1}}),
 		"crash without count":       encoded(&Datagram{From: "b", Crashing: []uint64{1}}),
+		"part without crash":        encoded(&Datagram{From: "b", CrashParts: []uint64{1}}),
 		"member without start":      encoded(&Datagram{From: "b", Formations: []*Formation{{Replica: "r", Members: []string{"i"}}}}),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -33,6 +33,12 @@
 	// ClearedRequests has the requests that other daemons suspect and that have run to
 	// their end at the sender.
 	ClearedRequests []ident.Fingerprint
+	// PartCrashes has, by prompt part, crashes of endpoints that had not begun to answer
+	// a prompt with the part.
+	PartCrashes map[ident.PromptPart][]ident.Crash
+	// SoundParts are parts that other daemons suspect, and that an endpoint has begun to
+	// answer a prompt with.
+	SoundParts []ident.PromptPart
 	// Formations are replicas that serve, as their members reported to the sender.
 	Formations []cluster.Formation
 }
@@ -72,12 +78,35 @@
 	for _, f := range m.ClearedRequests {
 		d.Proven = append(d.Proven, uint64(f))
 	}
+	for part, crashes := range m.PartCrashes {
+		for _, crash := range crashes {
+			d.CrashParts = append(d.CrashParts, uint64(part))
+			d.PartCrashes = append(d.PartCrashes, uint64(crash))
+		}
+	}
+	for _, part := range m.SoundParts {
+		d.SoundParts = append(d.SoundParts, uint64(part))
+	}
 	for i := range m.Formations {
 		d.Formations = append(d.Formations, encodeFormation(&m.Formations[i]))
 	}
 	return proto.Marshal(d)
 }
 
+func decodeParts(d *Datagram) (crashes map[ident.PromptPart][]ident.Crash, sound []ident.PromptPart) {
+	if len(d.GetCrashParts()) > 0 {
+		crashes = make(map[ident.PromptPart][]ident.Crash)
+	}
+	for i, p := range d.GetCrashParts() {
+		part := ident.PromptPart(p)
+		crashes[part] = append(crashes[part], ident.Crash(d.GetPartCrashes()[i]))
+	}
+	for _, p := range d.GetSoundParts() {
+		sound = append(sound, ident.PromptPart(p))
+	}
+	return crashes, sound
+}
+
 func encodeAge(d time.Duration) uint32 {
 	return uint32(max(0, min(d, maxEncodedAge)).Milliseconds())
 }
@@ -106,6 +135,9 @@
 	if len(d.GetCrashing()) != len(d.GetCrashes()) {
 		return nil, code.BadMessage.New("datagram: field crashes has %d values for %d requests", len(d.GetCrashes()), len(d.GetCrashing()))
 	}
+	if len(d.GetCrashParts()) != len(d.GetPartCrashes()) {
+		return nil, code.BadMessage.New("datagram: field part_crashes has %d values for %d parts", len(d.GetPartCrashes()), len(d.GetCrashParts()))
+	}
 	m := &message{
 		From: ident.Instance(d.GetFrom()), Incarnation: unit.Incarnation(d.GetBoot()), Sequence: unit.Sequence(d.GetSequence()),
 		CopyRevision: unit.Revision(d.GetRevision()), CopyAge: time.Duration(d.GetAge()) * time.Millisecond,
@@ -123,6 +155,7 @@
 	for i, f := range d.GetCrashing() {
 		m.Crashes[ident.Fingerprint(f)] = d.GetCrashes()[i]
 	}
+	m.PartCrashes, m.SoundParts = decodeParts(d)
 	for _, f := range d.GetProven() {
 		m.ClearedRequests = append(m.ClearedRequests, ident.Fingerprint(f))
 	}
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -82,7 +82,7 @@
 	case !x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts:
 		return false
 	}
-	return x.Poison.Check(x.request.Fingerprint) == nil && x.RetryBudget.AllowRetry()
+	return x.checkPoison() == nil && x.RetryBudget.AllowRetry()
 }
 
 // fetchReply makes one attempt at the endpoint and reads the complete reply.
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -157,6 +157,7 @@
 
 func (fakeDaemons) DaemonCount() int                            { return 1 }
 func (fakeDaemons) EndpointFailed(*catalog.Endpoint, code.Code) {}
+func (fakeDaemons) PartsSuspected()                             {}
 
 const (
 	testModel = ident.Model("m")
@@ -219,6 +220,7 @@
 		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
 		RetryBudget: balance.NewRetryBudget(balance.RetryBudgetOptions{Clock: clk, Daemons: fakeDaemons{}, Ratio: 1, BaseRetries: 100, Window: 10 * time.Second}),
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
+		Parts:       poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
 	})
 }
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"math"
 	"time"
@@ -52,9 +53,18 @@
 	platformCopy interface {
 		Status() store.CopyStatus
 	}
-	// failureObserver is notified of endpoints that fail.
+	// partDetector counts crashes of servers by prompt part and refuses parts that crash
+	// servers.
+	partDetector interface {
+		CheckParts([]ident.PromptPart) error
+		RecordPartCrash([]ident.PromptPart, ident.Crash) bool
+		RecordPartStart([]ident.PromptPart)
+	}
+	// failureObserver is notified of endpoints that fail, and of prompt parts with a
+	// new crash.
 	failureObserver interface {
 		EndpointFailed(e *catalog.Endpoint, cause code.Code)
+		PartsSuspected()
 	}
 )
 
@@ -110,6 +120,7 @@
 	Picker      picker
 	RetryBudget retryBudget
 	Poison      poisonDetector
+	Parts       partDetector
 	Sender      Sender
 	Observer    failureObserver
 	Copy        platformCopy
@@ -215,7 +226,7 @@
 	if x.organisation == nil && !x.route.Public && len(s.Config.Organisations) > 0 {
 		return x.refuseUnknown(code.UnknownOrganisation.New("authenticate for route %s: no organisation of configuration version %d has the caller's key", x.route.Name, s.Config.Version))
 	}
-	if err := x.Poison.Check(r.Fingerprint); err != nil {
+	if err := x.checkPoison(); err != nil {
 		return err
 	}
 	x.service = x.chooseService()
@@ -226,6 +237,17 @@
 	return nil
 }
 
+// checkPoison returns an error if equal requests or requests with a part of this prompt have
+// crashed servers.
+//
+// Errors carry code.PoisonRequest.
+func (x *exchange) checkPoison() error {
+	if err := x.Poison.Check(x.request.Fingerprint); err != nil {
+		return err
+	}
+	return x.Parts.CheckParts(x.request.SharedParts)
+}
+
 // refuseUnknown returns the error for a path or key that the configuration doesn't have. An
 // old copy may lack the version that added it, so the caller is told to retry, which
 // reaches another daemon.
@@ -281,13 +303,16 @@
 // pickEndpoint returns the endpoint for the next attempt. It waits in the queue while
 // no endpoint has a free slot.
 //
-// Errors carry code.NoReplica or code.Overloaded.
+// Errors carry code.NoReplica, code.Overloaded or code.PoisonRequest.
 func (x *exchange) pickEndpoint(ctx context.Context) (*catalog.Endpoint, error) {
 	var chosen *catalog.Endpoint
 	tryPick := func() bool {
 		chosen = x.Picker.Pick(x.Clock.Now(), x.candidates(), x.triedServers)
 		return chosen != nil
 	}
+	if err := x.checkPoison(); err != nil {
+		return nil, err
+	}
 	if tryPick() {
 		return chosen, nil
 	}
@@ -302,7 +327,7 @@
 	x.queue.Wait(ctx, admit.WaitRequest{Key: x.queueKey(), Priority: -x.priority(), Received: x.request.Received, Admission: x.admission, Deadline: waitDeadline}, tryPick)
 	x.queueTime += x.Clock.Since(waitStart)
 	if chosen != nil {
-		return chosen, nil
+		return chosen, x.checkPoison()
 	}
 	candidates := x.candidates()
 	if len(candidates) == 0 {
@@ -396,6 +421,9 @@
 	}
 	if cause == code.CutOff && x.hasCrashed(ctx, e) {
 		x.Poison.RecordCrash(x.request.Fingerprint)
+		if x.attemptEvents < startedEvents && x.Parts.RecordPartCrash(x.request.SharedParts, crashOf(e)) {
+			x.Observer.PartsSuspected()
+		}
 		x.Log.Warn().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
 			Stringer("fingerprint", x.request.Fingerprint).Int("events", x.attemptEvents).
 			Str("parts", fmt.Sprint(x.request.SharedParts)).Msg("request-suspected")
@@ -407,6 +435,18 @@
 		Dur("avoided_ms", avoidedFor).Str("cause", cause.Spec().Name).Str("detail", code.Message(err)).Msg("attempt-failed")
 }
 
+// startedEvents is the number of reads with events from which a server has begun to answer a
+// prompt. A prompt part that crashes servers does so at the begin of the answer, of which the
+// first event may still arrive.
+const startedEvents = 2
+
+// crashOf identifies the crash of the endpoint's server. A server crashes once in an
+// incarnation, and several daemons may observe it.
+func crashOf(e *catalog.Endpoint) ident.Crash {
+	raw := binary.LittleEndian.AppendUint64([]byte(e.ID), uint64(e.Incarnation))
+	return ident.Crash(xxhash.Sum64(raw))
+}
+
 // crashCheckTimeout bounds the wait for a connection to a server whose reply was cut
 // off.
 const crashCheckTimeout = 100 * time.Millisecond
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -15,6 +15,8 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
 )
 
 const (
@@ -234,6 +236,58 @@
 	}
 }
 
+// TestPoisonPart guards against requests that share only a part of their prompts and crash one
+// server after another, and against the refusal of requests that share their beginning with
+// them.
+func TestPoisonPart(t *testing.T) {
+	const beginning, deadly = 1, 2
+	tests := map[string]struct {
+		// replies are those of each server to the requests with the part.
+		replies        []scriptedReply
+		serversCrashed bool
+		wantRefused    bool
+	}{
+		"servers crash":                      {replies: []scriptedReply{{reset: true}, {reset: true}}, serversCrashed: true, wantRefused: true},
+		"servers crash after an event":       {replies: []scriptedReply{{body: eventA, bodyCutOff: true}, {body: eventA, bodyCutOff: true}}, serversCrashed: true, wantRefused: true},
+		"replies cut off":                    {replies: []scriptedReply{{reset: true}, {reset: true}}},
+		"servers crash, answers begun since": {replies: []scriptedReply{{reset: true}, {body: eventA}}, serversCrashed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sender := &fakeSender{clock: clockwork.NewFakeClock(), serversCrashed: test.serversCrashed}
+			f := newTestForwarder(sender)
+			send := func(n ident.Fingerprint, parts ...ident.PromptPart) error {
+				// Each request meets servers that have started since the last one.
+				servers := testServers()
+				for _, s := range servers {
+					s.Incarnation = unit.Incarnation(n)
+				}
+				f.Catalog.(*catalog.Catalog).Apply(catalog.Update{Servers: servers})
+				return f.Forward(context.Background(), &proxy.Request{
+					ID: ident.Request(fmt.Sprint(n)), Method: "POST", Host: "h", Target: "/stream/1", Path: "/stream/1", Credential: "k", Model: testModel,
+					Received: f.Clock.Now(), Fingerprint: n, SharedParts: parts,
+				}, &fakeSink{})
+			}
+			for n := range ident.Fingerprint(2) {
+				sender.replies = map[ident.Instance][]scriptedReply{"x": test.replies[:1], "y": test.replies[1:]}
+				_ = send(n+1, beginning, deadly)
+			}
+			sent := len(sender.attempts)
+			sender.replies = map[ident.Instance][]scriptedReply{"x": {{body: eventA}, {body: eventA}}, "y": {{body: eventA}, {body: eventA}}}
+			err := send(3, beginning, deadly)
+			if test.wantRefused {
+				c.Check(code.Of(err), qt.Equals, code.PoisonRequest)
+				c.Check(code.OutcomeOf(err), qt.Equals, code.NotRun)
+				c.Check(sender.attempts, qt.HasLen, sent)
+			} else {
+				c.Check(err, qt.IsNil)
+			}
+			c.Check(send(4, beginning), qt.IsNil, qt.Commentf("sound request with the same beginning"))
+		})
+	}
+}
+
 // TestRefusalLog guards against a final refusal of a key or path that an old copy of the
 // configuration lacks, and against a refusal whose log line doesn't tell the copy's age.
 func TestRefusalLog(t *testing.T) {
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -30,9 +30,9 @@
 	Queue float64 `json:"queue" validate:"min=0"`
 	// Cold is the share of a cold server's request rate that all daemons together use.
 	Cold float64 `json:"cold" validate:"min=0,max=1"`
-	// Suspicion is the time for which a crash count is kept after its last crash. It counts the crashes of servers during equal requests.
+	// Suspicion is the time for which a crash count is kept after its last crash. It counts the crashes of servers during equal requests, or during requests with the same part of the prompt.
 	Suspicion settings.Duration `json:"suspicion" validate:"duration"`
-	// Suspects bounds the number of crash counts. There is one for each suspected request and each daemon that observed its crashes.
+	// Suspects bounds the number of crash counts. There is one for each suspected request and each daemon that observed its crashes. The same number bounds the suspected parts of prompts.
 	Suspects int `json:"suspects" validate:"min=1"`
 }
 
@@ -46,9 +46,9 @@
 	plugin.RegisterForAdapter("platform", plugin.Decision, "forward", newPlugin)
 }
 
-// crashThreshold is the number of crashes at which a request is refused. A failure of
-// a whole fabric domain may hit a harmless request twice, as its caller repeats the
-// request.
+// crashThreshold is the number of crashes at which a request, or a part of its prompt, is
+// refused. A failure of a whole fabric domain may hit a harmless request twice, as its
+// caller repeats the request.
 const crashThreshold = 3
 
 // daemonCounter returns the number of running daemons.
@@ -75,9 +75,13 @@
 		Clock: deps.Clock, Self: deps.Settings.Daemon.Instance, Lifetime: c.settings.Suspicion.Duration, Limit: c.settings.Suspects,
 		Threshold: crashThreshold,
 	})
-	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Telemetry: telemetry, Poison: detector})
+	parts := poison.NewPartDetector(poison.PartOptions{
+		Clock: deps.Clock, Threshold: crashThreshold, Lifetime: c.settings.Suspicion.Duration, Limit: c.settings.Suspects,
+	})
+	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Telemetry: telemetry, Poison: detector, Parts: parts})
 	deps.Provide(c)
 	deps.Provide(detector)
+	deps.Provide(parts)
 	return c, nil
 }
 
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -86,6 +86,9 @@
 	}
 	e.Load.RecordSuccess(x.Clock.Since(detector.attemptStart))
 	x.Poison.RecordCompletion(x.request.Fingerprint)
+	if x.attemptEvents < startedEvents {
+		x.Parts.RecordPartStart(x.request.SharedParts)
+	}
 	return nil
 }
 
@@ -182,7 +185,9 @@
 func (d *stallDetector) recordEvent() {
 	now := d.Clock.Now()
 	d.endpoint.Load.RecordProgress(now)
-	d.attemptEvents++
+	if d.attemptEvents++; d.attemptEvents == startedEvents {
+		d.Parts.RecordPartStart(d.request.SharedParts)
+	}
 	d.lastEventAt = now
 	if !d.lastEventTime.IsZero() {
 		d.longestPause = max(d.longestPause, now.Sub(d.lastEventTime))
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -1,7 +1,8 @@
 // Package poison detects poison requests, which crash the endpoints that run them. It
 // counts crashes by request, exchanges the counts with peers, and lets the dispatcher
 // and the forwarder refuse a request that reached the threshold when its caller repeats
-// it.
+// it. PartDetector does the same by prompt part, for requests that are otherwise
+// different.
 package poison
 
 import (
