forward: Try further servers after a run, although one rejects the request

Callers' streams were broken off in the middle although other servers were free.

Cause: a rejection counted like a run against the route's attempts. A request that was rejected everywhere can be refused as not run, and the caller comes back; one that may have run can't, and a stream that has started is broken off. After a possible run up to three further servers are now tried, within the budget of retries. Runs stay within the route's attempts.

The new case of TestForward failed before.

--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -78,13 +78,27 @@
 		// Nothing was sent, so the retry does not count against the budget.
 		return true
 	case code.OutcomeOf(err) == code.NotRun:
-		return len(x.triedServers) < x.route.MaxAttempts && x.RetryBudget.AllowRetry()
+		return len(x.triedServers) < x.maxTries() && x.RetryBudget.AllowRetry()
 	case !x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts:
 		return false
 	}
 	return x.checkPoison() == nil && x.RetryBudget.AllowRetry()
 }
 
+// maxTriesAfterRun is the number of further servers that are tried if these reject a request
+// that may have run at an earlier server.
+const maxTriesAfterRun = 3
+
+// maxTries returns the number of servers after which a rejected request ends. A request that
+// may have run can't be refused as not run any more, and a stream that has started would be
+// broken off, so other servers are tried.
+func (x *exchange) maxTries() int {
+	if x.possibleRuns > 0 {
+		return x.route.MaxAttempts + maxTriesAfterRun
+	}
+	return x.route.MaxAttempts
+}
+
 // fetchReply makes one attempt at the endpoint and reads the complete reply.
 func (x *exchange) fetchReply(ctx context.Context, e *catalog.Endpoint) (*completeReply, error) {
 	a := x.newAttempt(e)
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -194,7 +194,7 @@
 	}
 }
 
-// testServers returns two servers of each service.
+// testServers returns two plain servers and three engines.
 func testServers() []*cluster.Server {
 	newServer := func(id ident.Instance, service ident.Service) *cluster.Server {
 		s := &cluster.Server{ID: id, Service: service, Address: string(id), DataCentre: "z", Slots: 8}
@@ -203,7 +203,7 @@
 		}
 		return s
 	}
-	return []*cluster.Server{newServer("a", ledger), newServer("b", ledger), newServer("x", engines), newServer("y", engines)}
+	return []*cluster.Server{newServer("a", ledger), newServer("b", ledger), newServer("x", engines), newServer("y", engines), newServer("z", engines)}
 }
 
 // newTestForwarder returns a forwarder to the test servers, which tries them in the order
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -83,6 +83,12 @@
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, silence: time.Minute}}, "y": {{body: eventB}}},
 			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
 		},
+		"stream, cut off, rejected by a second server, resumed at a third": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{
+				"x": {{body: eventA, bodyCutOff: true}}, "y": {{status: 421, disposition: proxy.Misdirected}}, "z": {{body: eventB + eventC}},
+			},
+			wantStatus: 200, wantBody: eventA + eventB + eventC, wantServers: []ident.Instance{"x", "y", "z"}, wantResumeAfter: []proxy.EventID{0, 1, 1},
+		},
 		"stream, end within an event, resumed at another server": {
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + "id: 2\nda"}}, "y": {{body: eventB}}},
 			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
