catalog: Find the route of an IPv6 host without a port

A request whose Host is an IPv6 address without a port got 404: the part after the last colon of the address was cut off as if it were a port. Host names, IPv4 addresses and addresses with a port were not affected.

TestRoute/IPv6 failed before.

--- a/internal/fleet/catalog/catalog_test.go
+++ b/internal/fleet/catalog/catalog_test.go
@@ -152,6 +152,7 @@
 	cat.Apply(Update{Config: newConfig(
 		1, cluster.Route{Name: "root", Host: "h", Prefix: "/"}, cluster.Route{Name: "a", Host: "h", Prefix: "/a/"},
 		cluster.Route{Name: "ab", Host: "h", Prefix: "/a/b/"}, cluster.Route{Name: "other", Host: "other", Prefix: "/a/"},
+		cluster.Route{Name: "v6", Host: "[fd00::1]", Prefix: "/"},
 	)})
 	tests := map[string]struct{ host, path, want string }{
 		"longest prefix":     {"h", "/a/b/c", "ab"},
@@ -160,6 +161,8 @@
 		"host with a port":   {"h:80", "/a/x", "a"},
 		"host in upper case": {"H", "/a/x", "a"},
 		"another host":       {"other", "/a/x", "other"},
+		"IPv6":               {"[fd00::1]", "/a/x", "v6"},
+		"IPv6 with a port":   {"[fd00::1]:80", "/a/x", "v6"},
 		"no route":           {"other", "/b", ""},
 		"unknown host":       {"none", "/a/x", ""},
 	}
--- a/internal/fleet/catalog/routing.go
+++ b/internal/fleet/catalog/routing.go
@@ -40,7 +40,8 @@
 // Route returns the route with the longest prefix that matches the path, among
 // the routes of the host, or nil. The host may include a port.
 func (r *routing) Route(host, path string) *cluster.Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+	// The colons of an IPv6 address are inside its brackets.
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
 		host = host[:i]
 	}
 	for _, route := range r.routesByHost[strings.ToLower(host)] {
