engine: Count the characters of a resumed completion, not its bytes

A completion that continued at another engine after text with characters of several bytes was resumed at the wrong place or rejected: X-Resume-Chars had the number of bytes, and engines count characters.

TestResumeHeader/several_bytes_each failed before.

--- a/internal/endpoint/engine/send.go
+++ b/internal/endpoint/engine/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/valyala/fasthttp"
 
@@ -22,7 +23,7 @@
 	headerVersion  = "X-Version"
 	headerPriority = "X-Priority"
 	headerRequest  = "X-Request-Id"
-	// headerResume is the number of bytes at the end of a completion's prompt
+	// headerResume is the number of characters at the end of a completion's prompt
 	// that an earlier run generated.
 	headerResume = "X-Resume-Chars"
 )
@@ -45,9 +46,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	c.setRequestHeader(request, e, r, path)
-	if sent.Text != "" && r.Operation == work.Completion {
-		request.Header.Set(headerResume, strconv.Itoa(len(sent.Text)))
-	}
+	setResumeHeader(request, r, sent)
 	request.SetBodyRaw(body)
 
 	exchange, err := c.requestPool.Open(ctx, request, response)
@@ -80,6 +79,13 @@
 	request.Header.Set(headerRequest, string(r.ID))
 }
 
+// setResumeHeader sets the header of a completion that is resumed.
+func setResumeHeader(request *fasthttp.Request, r *work.Request, sent work.PartialAnswer) {
+	if sent.Text != "" && r.Operation == work.Completion {
+		request.Header.Set(headerResume, strconv.Itoa(utf8.RuneCountInString(sent.Text)))
+	}
+}
+
 // checkStatus returns an error with a result code unless the status is 200 and
 // the selected replica answered.
 func checkStatus(exchange *stream.Exchange, e *table.Endpoint) error {
--- a/internal/endpoint/engine/send_test.go
+++ b/internal/endpoint/engine/send_test.go
@@ -215,6 +215,28 @@
 	}
 }
 
+// TestResumeHeader guards against a completion that is resumed within a character or at the
+// wrong place, as the engine counts characters.
+func TestResumeHeader(t *testing.T) {
+	tests := map[string]struct {
+		operation work.Operation
+		text      string
+		want      string
+	}{
+		"ASCII":              {work.Completion, "abc", "3"},
+		"several bytes each": {work.Completion, "añ漢🙂", "4"},
+		"nothing sent yet":   {work.Completion, "", ""},
+		"chat":               {work.Chat, "abc", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var request fasthttp.Request
+			setResumeHeader(&request, &work.Request{Operation: test.operation}, work.PartialAnswer{Text: test.text})
+			qt.New(t).Check(string(request.Header.Peek(headerResume)), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestUnreachable guards against reporting a request as possibly run although its
 // connection was refused.
 func TestUnreachable(t *testing.T) {
