--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -348,8 +348,8 @@
 }
 
 // apply applies changes to the copy, records the time of its confirmation and calls the
-// handlers. The history gets every
-// change: daemons that follow this daemon defer removals themselves.
+// handlers. The history gets every change: daemons that follow this daemon defer removals
+// themselves.
 func (m *Mirror) apply(changes []store.Change, revision unit.Revision, synced bool) {
 	m.notifyMu.Lock()
 	defer m.notifyMu.Unlock()
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -142,8 +142,9 @@
 }
 
 // Time limits of a question: answerTimeout is the longest time after the other daemon's
-// wait for a change in which no part of the answer arrives. If no answer arrives, the client closes the idle connections to the daemon,
-// which may have stalled. An answer may take maxTransferTime over a slow link.
+// wait for a change in which no part of the answer arrives. If no answer arrives, the client
+// closes the idle connections to the daemon, which may have stalled. An answer may take
+// maxTransferTime over a slow link.
 const (
 	answerTimeout   = 700 * time.Millisecond
 	dialTimeout     = 500 * time.Millisecond
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -22,8 +22,8 @@
 	maxFallbackPeers = 6
 )
 
-// followableDaemons returns the live daemons of this data centre whose copies are
-// recent enough to follow, in an order that all daemons agree on.
+// followableDaemons returns the live daemons of this data centre whose copies are recent
+// enough to follow, in an order that all daemons agree on.
 func (g *Gossip) followableDaemons(now time.Time) []ident.Instance {
 	var daemons []ident.Instance
 	if g.PlatformCopy.Age() < g.PlatformCopy.MaxAge() {
