poison: Bound the crashes that a report has of a refused part

A datagram carried up to 32 crashes of each refused part, 16 bytes each, for as long as the part is refused. As many as the threshold say as much.

TestPartLimit failed before (32 crashes instead of 3).

--- a/internal/serve/poison/parts.go
+++ b/internal/serve/poison/parts.go
@@ -250,7 +250,7 @@
 }
 
 // PartReport returns what peers have to be told: the recent crashes that this daemon
-// observed, all crashes of parts that are refused, which a peer that has just started
+// observed, the latest crashes of parts that are refused, which a peer that has just started
 // lacks, and the parts that peers suspect and that are cleared here.
 func (d *PartDetector) PartReport() (crashes map[ident.PromptPart][]ident.Crash, sound []ident.PromptPart) {
 	now := d.Clock.Now()
@@ -265,23 +265,32 @@
 			}
 			continue
 		}
-		refused := count >= d.Threshold
-		if !refused && now.Sub(s.lastCrashAt) >= partReportTime {
-			continue
-		}
-		for _, c := range s.crashes {
-			if c.cleared || !refused && !c.local {
-				continue
-			}
+		if reported := d.reportedCrashes(s, count, now); len(reported) > 0 {
 			if crashes == nil {
 				crashes = make(map[ident.PromptPart][]ident.Crash)
 			}
-			crashes[part] = append(crashes[part], c.crash)
+			crashes[part] = reported
 		}
 	}
 	return crashes, sound
 }
 
+// reportedCrashes returns the crashes of a part to report: the latest ones, as many as the
+// threshold, if the part is refused, and otherwise those that this daemon observed recently.
+func (d *PartDetector) reportedCrashes(s *suspectPart, count int, now time.Time) []ident.Crash {
+	refused := count >= d.Threshold
+	if !refused && now.Sub(s.lastCrashAt) >= partReportTime {
+		return nil
+	}
+	var reported []ident.Crash
+	for _, c := range slices.Backward(s.crashes) {
+		if !c.cleared && (refused || c.local) && len(reported) < d.Threshold {
+			reported = append(reported, c.crash)
+		}
+	}
+	return reported
+}
+
 // MergePartCrashes merges crashes that a peer reported. It returns the parts that the
 // threshold is now reached for and was not before.
 func (d *PartDetector) MergePartCrashes(reported map[ident.PromptPart][]ident.Crash) []ident.PromptPart {
--- a/internal/serve/poison/parts_test.go
+++ b/internal/serve/poison/parts_test.go
@@ -143,7 +143,8 @@
 	c.Check(code.Of(started.CheckParts(parts)), qt.Equals, code.PoisonRequest)
 }
 
-// TestPartLimit guards against crashes whose number of parts grows without limit.
+// TestPartLimit guards against suspect parts, and crashes in a report, whose number grows
+// without limit.
 func TestPartLimit(t *testing.T) {
 	c := qt.New(t)
 	clk := clockwork.NewFakeClock()
@@ -162,4 +163,10 @@
 		}
 	}
 	c.Check(refused <= 10, qt.IsTrue, qt.Commentf("%d parts are refused", refused))
+	one := newPartDetector(clk)
+	for crash := range ident.Crash(100) {
+		one.RecordPartCrash([]ident.PromptPart{1}, crash+1)
+	}
+	crashes, _ = one.PartReport()
+	c.Check(crashes[1], qt.HasLen, 3, qt.Commentf("crashes that say that the part is refused"))
 }
