formation: End the term when servers report epochs of a later one

Cause: a planner that is cut off from the store goes on under its fencing token. When it can read the store again, it sees the replicas of its successor before its own lease call fails, and nextEpoch rises above every reported epoch, also into the successor's range of epochs. Servers that had not heard of the successor's token carried the orders out. The rule that epochs of two terms never overlap was kept only by the first epoch of a term.

Now a planner that sees an epoch of a later term, or in its copy of the store a later holder of the lease, ends its term before it orders anything.

TestEpochsOfLaterTerm failed before (orders with epochs of the later term).

--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -126,6 +126,9 @@
 	Awaited []*cluster.Server
 	// Formed collects the replicas that began to serve. The caller of Step clears it.
 	Formed []cluster.Formation
+	// Superseded says that a server reports an epoch of a later term. Step then returns
+	// no orders any more.
+	Superseded bool
 
 	// now and snapshot are the arguments of the current Step, commands its
 	// result.
@@ -202,7 +205,8 @@
 }
 
 // Step returns the orders that bring the servers closer to complete replicas.
-// It returns none before the configuration and the whole server list are known.
+// It returns none before the configuration and the whole server list are known, and none
+// after a server has reported an epoch of a later term.
 func (p *Planner) Step(now time.Time, snapshot *catalog.Snapshot, bootstrap bool) []Command {
 	p.now, p.snapshot, p.commands, p.Awaited = now, snapshot, nil, nil
 	if snapshot.Config == nil || !snapshot.Synced {
@@ -216,6 +220,10 @@
 	}
 	p.indexServers()
 	p.reported = snapshot.Replicas()
+	if p.isSuperseded() {
+		p.Superseded = true
+		return nil
+	}
 	for id, l := range p.loads.running {
 		if s := snapshot.Server(id); s == nil || s.HasStaged(l.model) {
 			p.loads.removeLoad(id)
@@ -236,6 +244,17 @@
 	return p.commands
 }
 
+// isSuperseded reports whether a server reports an epoch of a later term.
+func (p *Planner) isSuperseded() bool {
+	firstLaterEpoch := (unit.Epoch(p.fencingToken) + 1) * epochsPerToken
+	for key := range p.reported {
+		if key.Epoch >= firstLaterEpoch {
+			return true
+		}
+	}
+	return p.Superseded
+}
+
 // indexServers groups the servers by their fabric domains.
 func (p *Planner) indexServers() {
 	p.members = nil
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -308,6 +308,45 @@
 	c.Check(tc.servingReplicas(), qt.DeepEquals, before)
 }
 
+// TestEpochsOfLaterTerm guards against a planner that was cut off and uses epochs of its
+// successor's term, with which one replica had two lists of members: the hunt of shrestha-yard
+// pair-zone-cut-in-evacuation --vary --seed 99475668815 found this.
+func TestEpochsOfLaterTerm(t *testing.T) {
+	tests := map[string]struct {
+		// repaired says that the successor has formed a replica anew before the
+		// planner's next step.
+		repaired bool
+	}{
+		"successor has ordered nothing yet": {},
+		"successor has formed a replica":    {repaired: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tc, old := newServingCluster(c)
+			lost := nthReplicaMembers(old, "large", 0)[1]
+			if test.repaired {
+				next := NewPlanner(testOptions(), 11, tc.now)
+				failServer(tc, next, lost)
+				for range 60 {
+					tc.step(next, false)
+				}
+			} else {
+				failServer(tc, old, lost)
+			}
+			var commands []Command
+			for range 4 {
+				commands = append(commands, old.Step(tc.now, tc.snapshot(), false)...)
+			}
+			c.Check(old.Superseded, qt.Equals, test.repaired)
+			c.Check(len(commands) == 0, qt.Equals, test.repaired, qt.Commentf("%v", commands))
+			for _, command := range commands {
+				c.Check(command.Order.Epoch < 11*epochsPerToken, qt.IsTrue)
+			}
+		})
+	}
+}
+
 // TestLoadsPaced guards against more loads than the weight store can serve,
 // when all servers have to load at the same time.
 func TestLoadsPaced(t *testing.T) {
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -291,6 +291,9 @@
 			c.deps.Log.Warn().Int64("fence", token).Msg("planner-paused")
 			c.endTerm(token)
 		}
+		if token != 0 && c.supersededBy(token) {
+			c.endTerm(token)
+		}
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
 			if current != 0 {
@@ -344,6 +347,11 @@
 			Int64("fence", int64(p.fencingToken)).Str("detail", d.Detail).Msg(d.Event)
 	}
 	p.Decisions = nil
+	if p.Superseded {
+		c.deps.Log.Warn().Int64("fence", int64(p.fencingToken)).Msg("planner-superseded")
+		c.endTerm(int64(p.fencingToken))
+		return
+	}
 	c.replaceStore(p, now)
 	for _, command := range commands {
 		c.Go(func(ctx context.Context) { c.sendOrder(ctx, command) })
