--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -244,6 +244,12 @@
 	}
 }
 
+// endSupersededTerm ends the term with the token, as a later planner has taken over.
+func (c *controller) endSupersededTerm(token int64) {
+	c.deps.Log.Warn().Int64("fence", token).Msg("planner-superseded")
+	c.endTerm(token)
+}
+
 // supersededBy reports whether another daemon is known to have acquired the
 // lease after the token was issued.
 func (c *controller) supersededBy(token int64) bool {
@@ -292,7 +298,7 @@
 			c.endTerm(token)
 		}
 		if token != 0 && c.supersededBy(token) {
-			c.endTerm(token)
+			c.endSupersededTerm(token)
 		}
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
@@ -348,8 +354,7 @@
 	}
 	p.Decisions = nil
 	if p.Superseded {
-		c.deps.Log.Warn().Int64("fence", int64(p.fencingToken)).Msg("planner-superseded")
-		c.endTerm(int64(p.fencingToken))
+		c.endSupersededTerm(int64(p.fencingToken))
 		return
 	}
 	c.replaceStore(p, now)
