--- /dev/null
+++ b/internal/fleet/formation/term.go
@@ -0,0 +1,102 @@
+package formation
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cuminbay/internal/fleet/lease"
+	"cuminbay/internal/fleet/mirror"
+	"cuminbay/internal/kernel/plugin"
+)
+
+// renewalsPerTTL is the number of renewals in the lease's time to live.
+const renewalsPerTTL = 4
+
+// holdLease renews the lease while this daemon is the leader, and acquires it
+// when it is free.
+func (c *controller) holdLease(ctx context.Context) {
+	l := lease.New(c.store, c.deps.Clock, mirror.LeaderKey, c.self, c.settings.Lease.Duration)
+	defer func() {
+		c.fencingToken.Store(0)
+		releaseCtx, cancel := context.WithTimeout(context.Background(), c.settings.Lease.Duration)
+		defer cancel()
+		if err := l.Release(releaseCtx); err != nil {
+			c.deps.Log.Warn().Err(err).Msg("planner-lease-not-released")
+		}
+	}()
+	for {
+		if l.IsHeld() || c.fencingToken.Load() != 0 || c.leaseAvailable(ctx) {
+			c.renewLease(ctx, l)
+		}
+		if !plugin.Sleep(ctx, c.deps.Clock, c.settings.Lease.Duration/renewalsPerTTL) {
+			return
+		}
+	}
+}
+
+// leaseAvailable reports whether the key mirror is connected and names no
+// leader, now and after a delay that differs between the daemons. The daemon with
+// the shortest delay usually acquires the lease, and the other daemons find it in
+// their mirrors before their own delays end.
+func (c *controller) leaseAvailable(ctx context.Context) bool {
+	if !c.keys.SourceConnected() || c.keys.Get(mirror.LeaderKey).Revision != 0 || !c.candidates.MayReadPlatform() {
+		return false
+	}
+	const maxDelay = 150 * time.Millisecond
+	delay := time.Duration(float64(xxhash.Sum64String(string(c.self))) / math.MaxUint64 * float64(maxDelay))
+	return plugin.Sleep(ctx, c.deps.Clock, delay) && c.keys.Get(mirror.LeaderKey).Revision == 0
+}
+
+// renewLease acquires or renews the lease and begins or ends a term
+// accordingly.
+func (c *controller) renewLease(ctx context.Context, l *lease.Lease) {
+	renewCtx, cancel := context.WithTimeout(ctx, c.settings.Lease.Duration)
+	defer cancel()
+	err := l.AcquireOrRenew(renewCtx)
+	previous := c.fencingToken.Load()
+	switch {
+	case l.IsHeld() && int64(l.FencingToken()) == c.endedToken.Load():
+		// The term ended although the lease did not: a server accepted an order of
+		// a later leader, or the planner was paused.
+		if err := l.Release(renewCtx); err != nil {
+			c.deps.Log.Warn().Err(err).Msg("planner-lease-not-released")
+		}
+		c.fencingToken.Store(0)
+	case l.IsHeld():
+		c.fencingToken.Store(int64(l.FencingToken()))
+	case err != nil && c.settings.Fenced && previous != 0 && !c.supersededBy(previous):
+		// The platform does not answer. No other daemon can get a higher token
+		// before the platform answers again, and from the first order with the
+		// higher token on, servers refuse the lower one.
+		return
+	default:
+		c.endTerm(previous)
+	}
+	if current := c.fencingToken.Load(); current != previous {
+		c.keys.SetLowLatency(current != 0)
+		c.deps.Log.Info().Int64("fence", current).Int64("before", previous).AnErr("error", err).Msg("planner-tenure")
+		c.wakePlanner()
+	}
+}
+
+// endTerm ends the term with the token if it is the current one.
+func (c *controller) endTerm(token int64) {
+	if token != 0 && c.fencingToken.CompareAndSwap(token, 0) {
+		c.endedToken.Store(token)
+	}
+}
+
+// endSupersededTerm ends the term with the token, as a later planner has taken over.
+func (c *controller) endSupersededTerm(token int64) {
+	c.deps.Log.Warn().Int64("fence", token).Msg("planner-superseded")
+	c.endTerm(token)
+}
+
+// supersededBy reports whether another daemon is known to have acquired the
+// lease after the token was issued.
+func (c *controller) supersededBy(token int64) bool {
+	return int64(c.keys.Get(mirror.LeaderKey).Revision) > token
+}
