mirror, forward, poison: Share the cancellation of a call and check a request once

MonitorLag and MonitorAge cancelled the current call with the same lines, which are one method now. The first choice of an endpoint checked for poison requests again right after resolveRoute had; the check is kept for later attempts and after a wait in the queue. Comments say start of an answer. Behaviour stays.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -225,6 +225,13 @@
 	}
 }
 
+// cancelCurrentCall cancels the call to the source that is in progress, if any.
+func (m *Mirror) cancelCurrentCall() {
+	if cancel := m.cancelCall.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // maxLagTime is the time for which another daemon's copy may be ahead of this copy
 // without a fault, since changes are batched and pass through several daemons.
 const maxLagTime = 700 * time.Millisecond
@@ -254,9 +261,7 @@
 		if isUpstream {
 			u.AvoidCurrentSource()
 		}
-		if cancel := m.cancelCall.Load(); cancel != nil {
-			(*cancel)()
-		}
+		m.cancelCurrentCall()
 	}
 }
 
@@ -270,9 +275,7 @@
 			continue
 		}
 		m.Log.Info().Int64("revision", m.revision.Load()).Dur("age_ms", m.Age()).Msg("store-copy-old")
-		if cancel := m.cancelCall.Load(); cancel != nil {
-			(*cancel)()
-		}
+		m.cancelCurrentCall()
 	}
 }
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -310,8 +310,11 @@
 		chosen = x.Picker.Pick(x.Clock.Now(), x.candidates(), x.triedServers)
 		return chosen != nil
 	}
-	if err := x.checkPoison(); err != nil {
-		return nil, err
+	if x.attemptCount > 0 {
+		// A crash in an earlier attempt or at another daemon may have been counted.
+		if err := x.checkPoison(); err != nil {
+			return nil, err
+		}
 	}
 	if tryPick() {
 		return chosen, nil
@@ -436,7 +439,7 @@
 }
 
 // startedEvents is the number of reads with events from which a server has begun to answer a
-// prompt. A prompt part that crashes servers does so at the begin of the answer, of which the
+// prompt. A prompt part that crashes servers does so at the start of the answer, of which the
 // first event may still arrive.
 const startedEvents = 2
 
--- a/internal/serve/poison/parts.go
+++ b/internal/serve/poison/parts.go
@@ -20,7 +20,7 @@
 	PartOptions
 	mu       sync.Mutex
 	suspects atomic.Pointer[map[ident.PromptPart]*suspectPart]
-	// started has the latest begin of an answer by part, each in the element given by
+	// started has the latest start of an answer by part, each in the element given by
 	// the part's remainder modulo startedLimit.
 	started [startedLimit]atomic.Pointer[partStart]
 }
@@ -42,7 +42,7 @@
 	startedLimit = 1 << 12
 	// maxPartCrashes bounds the crashes that are kept for a part.
 	maxPartCrashes = 32
-	// soundTime is the time after the begin of an answer for which crashes are not
+	// soundTime is the time after the start of an answer for which crashes are not
 	// counted for the prompt's parts. It saves the exchange of crashes that the next
 	// answer would clear.
 	soundTime = time.Second
@@ -56,7 +56,7 @@
 	forgetLifetimes = 10
 )
 
-// partStart is the begin of an answer to a prompt with the part.
+// partStart is the start of an answer to a prompt with the part.
 type partStart struct {
 	part ident.PromptPart
 	at   time.Time
--- a/internal/serve/poison/parts_test.go
+++ b/internal/serve/poison/parts_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// partEvent is a crash during a request at a daemon, or the begin of its answer if crash is
+// partEvent is a crash during a request at a daemon, or the start of its answer if crash is
 // zero.
 type partEvent struct {
 	daemon int
