ratelimit, forward, gossip: Keep to the limits of requests that servers name

Cause: no code read the header Server-Limit. An endpoint was chosen by its requests in flight and its slots alone. The class of fault is backpressure that is ignored. Keeping the limit in each daemon alone would not be enough, as the limit is for all daemons together.

Change: package ratelimit keeps the limits that servers name, by server and incarnation. A limit is divided among as many daemons as it has requests a second and two more, those with the highest rendezvous hashes, so that no daemon waits for another one and the sum holds whoever reads it. Daemons tell each other by datagram what they read. A limit ends with an answer that names none, a second after the last one that did. Requests take from a share without a lock. When every endpoint of a request is at its limit and none admits it within the wait for a free slot, it is rejected at once, with a Retry-After that spreads returning callers over the admissions to come.

Tests: TestServerLimit (real processes) failed before: 97 and 93 requests in 3 s, allowed 18. TestFleet plays 6 to 295 daemons with lost messages, limits that rise, fall and end, and a daemon that starts meanwhile. TestLimits plays requests whose servers are all at their limits.

--- a/internal/domain/cluster/server.go
+++ b/internal/domain/cluster/server.go
@@ -1,9 +1,12 @@
 package cluster
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 )
@@ -34,6 +37,12 @@
 	Membership *Membership
 }
 
+// IncarnationID identifies the server's incarnation.
+func (s *Server) IncarnationID() ident.ServerIncarnation {
+	raw := binary.LittleEndian.AppendUint64([]byte(s.ID), uint64(s.Incarnation))
+	return ident.ServerIncarnation(xxhash.Sum64(raw))
+}
+
 // HasStaged reports whether the model's weights are on the server's host.
 func (s *Server) HasStaged(m ident.Model) bool {
 	return slices.Contains(s.StagedModels, m)
--- a/internal/domain/ident/ident.go
+++ b/internal/domain/ident/ident.go
@@ -43,6 +43,8 @@
 	Fingerprint uint64
 	// PromptPart identifies a part of a prompt. Requests share parts.
 	PromptPart uint64
+	// ServerIncarnation identifies one incarnation of a server.
+	ServerIncarnation uint64
 	// Crash identifies the crash of one incarnation of an endpoint.
 	Crash uint64
 )
--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -88,4 +88,7 @@
 	Status      int
 	Header      []Field
 	Disposition Disposition
+	// RequestLimit is the rate of requests that the server takes from all daemons
+	// together, nil if the reply names none.
+	RequestLimit *unit.RequestRate
 }
--- a/internal/domain/unit/unit.go
+++ b/internal/domain/unit/unit.go
@@ -9,6 +9,8 @@
 	Bytes int64
 	// Requests counts requests, in flight or in total.
 	Requests int64
+	// RequestRate counts requests a second.
+	RequestRate float64
 	// Revision is the platform's revision of a key. Each write to the platform
 	// has a higher revision than all earlier writes.
 	Revision int64
--- a/internal/fleet/catalog/endpoints.go
+++ b/internal/fleet/catalog/endpoints.go
@@ -23,6 +23,9 @@
 	// the server is cold; zero is no limit.
 	ColdRate float64
 	Load     *Load
+	// Process identifies the server's incarnation. It is computed once for each endpoint,
+	// as requests look up the state of the incarnation.
+	Process ident.ServerIncarnation
 }
 
 // endpointKey is the key of a list of endpoints. Model is empty for plain services.
@@ -144,7 +147,7 @@
 		return nil
 	}
 	if service.Engine == nil {
-		return &Endpoint{Server: s, ColdRate: service.ColdRate, Load: source.loadOf(s)}
+		return &Endpoint{Server: s, ColdRate: service.ColdRate, Load: source.loadOf(s), Process: s.IncarnationID()}
 	}
 	m := s.Membership
 	if m == nil || m.Rank != 0 || m.State != cluster.Open {
@@ -155,7 +158,7 @@
 		return nil
 	}
 	return &Endpoint{
-		Server: s, ColdRate: service.ColdRate, Load: source.loadOf(s),
+		Server: s, ColdRate: service.ColdRate, Load: source.loadOf(s), Process: s.IncarnationID(),
 		Replica: m.Replica, Epoch: m.Epoch, Model: model, Engine: service.Engine,
 	}
 }
--- a/internal/peer/gossip/bench_test.go
+++ b/internal/peer/gossip/bench_test.go
@@ -15,6 +15,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
 )
 
@@ -38,7 +39,11 @@
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	qt.New(b).Assert(err, qt.IsNil)
 	b.Cleanup(func() { _ = conn.Close() })
-	g := New(Options{Poison: poison.New(poison.Options{Clock: clk, Self: "d0", Lifetime: time.Minute, Limit: 16}), Clock: clk, Log: zerolog.Nop(), Self: "d0", DataCentre: "0", Incarnation: 1, Catalog: cat, PlatformCopy: &fakeCopy{revision: 5}}, conn)
+	g := New(Options{
+		Poison: poison.New(poison.Options{Clock: clk, Self: "d0", Lifetime: time.Minute, Limit: 16}),
+		Parts:  poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
+		Limits: ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d0", Daemons: soleDaemon{}, Catalog: cat}), Clock: clk, Log: zerolog.Nop(), Self: "d0", DataCentre: "0", Incarnation: 1, Catalog: cat, PlatformCopy: &fakeCopy{revision: 5},
+	}, conn)
 	daemons := make(map[ident.Instance]RegisteredDaemon)
 	for d := range 295 {
 		daemons[ident.Instance(fmt.Sprintf("d%d", d))] = RegisteredDaemon{Address: netip.MustParseAddrPort("127.0.0.1:9"), FeedAddress: "x", DataCentre: ident.DataCentre(fmt.Sprint(d % 5))}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -25,6 +25,7 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/route/ratelimit"
 )
 
 // endpointCatalog has the endpoints that requests can be sent to.
@@ -65,6 +66,13 @@
 	ClearParts(parts []ident.PromptPart)
 }
 
+// requestLimits has the limits of requests that endpoints name.
+type requestLimits interface {
+	Observations() []ratelimit.Observation
+	Merge(from ident.Instance, observations []ratelimit.Observation)
+	Refresh()
+}
+
 // Options configure a Gossip.
 type Options struct {
 	Clock        clock.Clock
@@ -76,6 +84,7 @@
 	PlatformCopy platformCopy
 	Poison       poisonDetector
 	Parts        partDetector
+	Limits       requestLimits
 }
 
 // Gossip sends and receives the datagrams of one daemon.
@@ -213,19 +222,37 @@
 	}
 }
 
+// mayRun reports whether the daemon may be running.
+func (p *peer) mayRun(now time.Time) bool {
+	return p.registered || now.Sub(p.lastDatagramAt) < daemonExpiry
+}
+
 // DaemonCount returns the number of daemons that may be running, including this daemon.
 func (g *Gossip) DaemonCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	count, now := 1, g.Clock.Now()
 	for _, p := range g.peers {
-		if p.registered || now.Sub(p.lastDatagramAt) < daemonExpiry {
+		if p.mayRun(now) {
 			count++
 		}
 	}
 	return count
 }
 
+// Daemons returns the daemons that may be running, including this daemon, in no order.
+func (g *Gossip) Daemons() []ident.Instance {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	daemons, now := []ident.Instance{g.Self}, g.Clock.Now()
+	for id, p := range g.peers {
+		if p.mayRun(now) {
+			daemons = append(daemons, id)
+		}
+	}
+	return daemons
+}
+
 // SendRound sends a datagram to some of the daemons. It is called once per interval of the
 // pace. In most rounds an idle daemon sends nothing.
 func (g *Gossip) SendRound(p pace) {
@@ -295,6 +322,7 @@
 		Crashes: g.Poison.LocalCrashes(crashReportTime), ClearedRequests: g.Poison.ClearedRequests(clearedReportTime),
 	}
 	m.PartCrashes, m.SoundParts = g.Parts.PartReport()
+	m.Limits = g.Limits.Observations()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -388,6 +416,7 @@
 		}
 	}
 	g.handleParts(m)
+	g.Limits.Merge(m.From, m.Limits)
 	g.handlePeerFailures(newFailures, m.From)
 }
 
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -19,6 +19,7 @@
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
 )
 
@@ -44,6 +45,11 @@
 	*l = append(*l, id)
 }
 
+// soleDaemon is a list of one daemon.
+type soleDaemon struct{}
+
+func (soleDaemon) Daemons() []ident.Instance { return []ident.Instance{"a"} }
+
 // newGossip returns the Gossip of daemon "a" of data centre "z", with the given peers
 // and a catalog of one replica.
 func newGossip(c *qt.C, peers map[ident.Instance]ident.DataCentre) (*Gossip, *fakeCopy, *clockwork.FakeClock) {
@@ -63,8 +69,9 @@
 	c.Cleanup(func() { _ = conn.Close() })
 	platformCopy := &fakeCopy{revision: 5}
 	detector := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Minute, Limit: 16})
+	limits := ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "a", Daemons: soleDaemon{}, Catalog: cat})
 	parts := poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16})
-	g := New(Options{Poison: detector, Parts: parts, Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
+	g := New(Options{Poison: detector, Parts: parts, Limits: limits, Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
 	daemons := map[ident.Instance]RegisteredDaemon{"a": {DataCentre: "z"}}
 	for id, dataCentre := range peers {
 		daemons[id] = RegisteredDaemon{Address: netip.MustParseAddrPort("127.0.0.1:9"), FeedAddress: string(id) + ":1", DataCentre: dataCentre}
@@ -452,6 +459,7 @@
 		FailureAges: map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
 		Crashes:     map[ident.Fingerprint]uint32{1 << 63: 2}, ClearedRequests: []ident.Fingerprint{7},
 		PartCrashes: map[ident.PromptPart][]ident.Crash{5: {8, 9}}, SoundParts: []ident.PromptPart{6},
+		Limits:     []ratelimit.Observation{{Server: 10, Limit: 2.5, Age: 300 * time.Millisecond}, {Server: 11, Age: time.Second}},
 		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
 	}
 	raw, err := m.encode()
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/ratelimit"
 )
 
 // message is the decoded content of a datagram.
@@ -39,6 +41,9 @@
 	// SoundParts are parts that other daemons suspect, and that an endpoint has begun to
 	// answer a prompt with.
 	SoundParts []ident.PromptPart
+	// Limits says which endpoints named a limit of requests in their recent answers to the
+	// sender.
+	Limits []ratelimit.Observation
 	// Formations are replicas that serve, as their members reported to the sender.
 	Formations []cluster.Formation
 }
@@ -87,12 +92,31 @@
 	for _, part := range m.SoundParts {
 		d.SoundParts = append(d.SoundParts, uint64(part))
 	}
+	for _, o := range m.Limits {
+		d.Limited = append(d.Limited, uint64(o.Server))
+		d.Limits = append(d.Limits, uint32(math.Round(float64(o.Limit)*limitScale)))
+		d.LimitAges = append(d.LimitAges, encodeAge(o.Age))
+	}
 	for i := range m.Formations {
 		d.Formations = append(d.Formations, encodeFormation(&m.Formations[i]))
 	}
 	return proto.Marshal(d)
 }
 
+// limitScale is the number of units of an encoded limit per request a second.
+const limitScale = 1000
+
+func decodeLimits(d *Datagram) []ratelimit.Observation {
+	var observations []ratelimit.Observation
+	for i, server := range d.GetLimited() {
+		observations = append(observations, ratelimit.Observation{
+			Server: ident.ServerIncarnation(server), Limit: unit.RequestRate(d.GetLimits()[i]) / limitScale,
+			Age: time.Duration(d.GetLimitAges()[i]) * time.Millisecond,
+		})
+	}
+	return observations
+}
+
 func decodeParts(d *Datagram) (crashes map[ident.PromptPart][]ident.Crash, sound []ident.PromptPart) {
 	if len(d.GetCrashParts()) > 0 {
 		crashes = make(map[ident.PromptPart][]ident.Crash)
@@ -138,6 +162,9 @@
 	if len(d.GetCrashParts()) != len(d.GetPartCrashes()) {
 		return nil, code.BadMessage.New("datagram: field part_crashes has %d values for %d parts", len(d.GetPartCrashes()), len(d.GetCrashParts()))
 	}
+	if len(d.GetLimits()) != len(d.GetLimited()) || len(d.GetLimitAges()) != len(d.GetLimited()) {
+		return nil, code.BadMessage.New("datagram: fields limits and limit_ages have %d and %d values for %d endpoints", len(d.GetLimits()), len(d.GetLimitAges()), len(d.GetLimited()))
+	}
 	m := &message{
 		From: ident.Instance(d.GetFrom()), Incarnation: unit.Incarnation(d.GetBoot()), Sequence: unit.Sequence(d.GetSequence()),
 		CopyRevision: unit.Revision(d.GetRevision()), CopyAge: time.Duration(d.GetAge()) * time.Millisecond,
@@ -156,6 +183,7 @@
 		m.Crashes[ident.Fingerprint(f)] = d.GetCrashes()[i]
 	}
 	m.PartCrashes, m.SoundParts = decodeParts(d)
+	m.Limits = decodeLimits(d)
 	for _, f := range d.GetProven() {
 		m.ClearedRequests = append(m.ClearedRequests, ident.Fingerprint(f))
 	}
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -103,7 +103,7 @@
 
 // Start opens the socket, starts the exchange and registers the daemon.
 func (c *component) Start(ctx context.Context) error {
-	if err := errors.Join(c.deps.Resolve(&c.platform, &c.Poison, &c.Parts), c.deps.ResolveAll(&c.listeners)); err != nil {
+	if err := errors.Join(c.deps.Resolve(&c.platform, &c.Poison, &c.Parts, &c.Limits), c.deps.ResolveAll(&c.listeners)); err != nil {
 		return err
 	}
 	var listenConfig net.ListenConfig
@@ -126,6 +126,7 @@
 			return
 		}
 		c.UpdatePeerInFlight()
+		c.Limits.Refresh()
 		c.SendRound(current)
 	}
 }
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -116,6 +116,22 @@
 	return int(q.length.Load())
 }
 
+// LengthOf returns the number of requests that wait for the key.
+func (q *Queue) LengthOf(key QueueKey) unit.Requests {
+	if q.length.Load() == 0 {
+		return 0
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var count unit.Requests
+	for _, w := range q.waiters {
+		if w.key == key {
+			count++
+		}
+	}
+	return count
+}
+
 // precedes reports whether w is served before the other waiter.
 func (w *waiter) precedes(other *waiter) bool {
 	if w.priority != other.priority {
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -17,10 +17,17 @@
 	DaemonCount() int
 }
 
+// limiter admits requests to endpoints that name a limit of requests.
+type limiter interface {
+	Available(now time.Time, e *catalog.Endpoint) bool
+	Admit(now time.Time, e *catalog.Endpoint) bool
+}
+
 // Options are the dependencies and settings of a Balancer.
 type Options struct {
 	DataCentre ident.DataCentre
 	Daemons    daemonCounter
+	Limits     limiter
 	// RemotePenalty is added to the utilisation of an endpoint in another data centre,
 	// as traffic between data centres is paid for.
 	RemotePenalty float64
@@ -68,7 +75,7 @@
 		var best *catalog.Endpoint
 		var lowest float64
 		for _, e := range endpoints {
-			if !includeAvoided && e.Load.Avoided(now) || slices.Contains(tried, e.ID) || slices.Contains(excluded, e.ID) {
+			if !includeAvoided && e.Load.Avoided(now) || slices.Contains(tried, e.ID) || slices.Contains(excluded, e.ID) || !b.Limits.Available(now, e) {
 				continue
 			}
 			utilisation, hasFreeSlot := b.utilisation(e)
@@ -76,7 +83,7 @@
 				best, lowest = e, utilisation
 			}
 		}
-		if best == nil || b.admitCold(now, best) {
+		if best == nil || b.admitCold(now, best) && b.Limits.Admit(now, best) {
 			return best
 		}
 		excluded = append(excluded, best.ID)
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -18,6 +18,12 @@
 
 func (d fixedDaemonCount) DaemonCount() int { return int(d) }
 
+// noLimits is a limiter for endpoints without limits.
+type noLimits struct{}
+
+func (noLimits) Available(time.Time, *catalog.Endpoint) bool { return true }
+func (noLimits) Admit(time.Time, *catalog.Endpoint) bool     { return true }
+
 var testStart = time.Unix(1_000_000, 0)
 
 // testEndpoint describes an endpoint with 10 slots.
@@ -71,7 +77,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
+			b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 			var endpoints []*catalog.Endpoint
 			for _, endpoint := range test.endpoints {
 				endpoints = append(endpoints, endpoint.build())
@@ -178,7 +184,7 @@
 
 // BenchmarkPick measures the choice among 50 endpoints with different loads.
 func BenchmarkPick(b *testing.B) {
-	balancer := New(Options{Daemons: fixedDaemonCount(8), RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
+	balancer := New(Options{Daemons: fixedDaemonCount(8), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 	var endpoints []*catalog.Endpoint
 	for i := range 50 {
 		endpoints = append(endpoints, testEndpoint{id: ident.Instance(rune('a' + i)), inFlight: i % 7}.build())
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	defer reply.Close()
-	head := reply.Head()
+	head := x.readHead(e, reply)
 	if err := dispositionError(e, head); err != nil {
 		return nil, err
 	}
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -16,8 +16,10 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/route/balance"
+	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
 )
 
@@ -39,6 +41,8 @@
 	flood   bool
 	// length is the announced length of the body, unknown if zero.
 	length int
+	// limit is the limit of requests that the reply names, nil if none.
+	limit *unit.RequestRate
 }
 
 // fakeSender sends the replies of each server in order and records the attempts.
@@ -81,7 +85,7 @@
 }
 
 func (r *fakeReply) Head() *proxy.Head {
-	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
+	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, RequestLimit: r.script.limit, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
 }
 
 func (r *fakeReply) ContentLength() int {
@@ -156,6 +160,7 @@
 type fakeDaemons struct{}
 
 func (fakeDaemons) DaemonCount() int                            { return 1 }
+func (fakeDaemons) Daemons() []ident.Instance                   { return []ident.Instance{"d"} }
 func (fakeDaemons) EndpointFailed(*catalog.Endpoint, code.Code) {}
 func (fakeDaemons) PartsSuspected()                             {}
 
@@ -220,6 +225,7 @@
 		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
 		RetryBudget: balance.NewRetryBudget(balance.RetryBudgetOptions{Clock: clk, Daemons: fakeDaemons{}, Ratio: 1, BaseRetries: 100, Window: 10 * time.Second}),
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
+		Limits:      ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
 		Parts:       poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
 	})
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -7,9 +7,9 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +25,7 @@
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/admit"
+	"cuminbay/internal/route/ratelimit"
 )
 
 type (
@@ -60,6 +61,11 @@
 		RecordPartCrash([]ident.PromptPart, ident.Crash) bool
 		RecordPartStart([]ident.PromptPart)
 	}
+	// requestLimits has the limits of requests that endpoints name in their replies.
+	requestLimits interface {
+		Observe(e *catalog.Endpoint, limit *unit.RequestRate)
+		Exhausted(now time.Time, endpoints []*catalog.Endpoint) (ratelimit.Supply, bool)
+	}
 	// failureObserver is notified of endpoints that fail, and of prompt parts with a
 	// new crash.
 	failureObserver interface {
@@ -121,6 +127,7 @@
 	RetryBudget retryBudget
 	Poison      poisonDetector
 	Parts       partDetector
+	Limits      requestLimits
 	Sender      Sender
 	Observer    failureObserver
 	Copy        platformCopy
@@ -132,6 +139,8 @@
 	Options
 	shares *admit.Shares
 	queue  *admit.Queue
+	// retries has the times at which callers that were rejected for limits come back.
+	retries ratelimit.RetrySchedule
 }
 
 // Bounds of the queue for free slots: the number of requests that wait, and the
@@ -326,6 +335,9 @@
 	if waitDeadline.After(x.deadline) {
 		waitDeadline = x.deadline
 	}
+	if err := x.checkLimits(waitDeadline); err != nil {
+		return nil, err
+	}
 	waitStart := x.Clock.Now()
 	x.queue.Wait(ctx, admit.WaitRequest{Key: x.queueKey(), Priority: -x.priority(), Received: x.request.Received, Admission: x.admission, Deadline: waitDeadline}, tryPick)
 	x.queueTime += x.Clock.Since(waitStart)
@@ -339,6 +351,33 @@
 	return nil, x.withRetryAfter(code.Overloaded.New("choose endpoint for service %s, model %q: none of %d endpoints has a free slot", x.service, x.request.Model, len(candidates)))
 }
 
+// checkLimits rejects the request if every endpoint names a limit of requests and none of them
+// admits it until the end of the wait. A request that may have run can't be rejected.
+//
+// Errors carry code.Overloaded.
+func (x *exchange) checkLimits(waitDeadline time.Time) error {
+	if x.possibleRuns > 0 || x.sink.Started() {
+		return nil
+	}
+	now := x.Clock.Now()
+	endpoints := x.untried(x.candidates())
+	supply, exhausted := x.Limits.Exhausted(now, endpoints)
+	if !exhausted || supply.Before(waitDeadline) > x.queue.LengthOf(x.queueKey()) {
+		return nil
+	}
+	patience := x.deadline.Sub(now) / retryAfterDivisor
+	retryAfter := x.retries.Next(now, string(x.queueKey()), supply.FleetRate, patience)
+	return code.WithRetryAfter(code.Overloaded.New("choose endpoint for service %s, model %q: all %d endpoints are at the limits that they name", x.service, x.request.Model, len(endpoints)), retryAfter)
+}
+
+// untried returns the endpoints that this request was not sent to.
+func (x *exchange) untried(endpoints []*catalog.Endpoint) []*catalog.Endpoint {
+	if len(x.triedServers) == 0 {
+		return endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e *catalog.Endpoint) bool { return slices.Contains(x.triedServers, e.ID) })
+}
+
 // queueKey returns the key of the queue that the request waits in.
 func (x *exchange) queueKey() admit.QueueKey {
 	return admit.QueueKey(string(x.service) + " " + string(x.request.Model))
@@ -378,6 +417,16 @@
 	return code.WithRetryAfter(err, max(0, min(timeLeft/retryAfterDivisor, maxRetryAfter)))
 }
 
+// readHead returns the head of the endpoint's reply, after recording what it says of the
+// server.
+func (x *exchange) readHead(e *catalog.Endpoint, reply Reply) *proxy.Head {
+	head := reply.Head()
+	if head.Disposition != proxy.Misdirected {
+		x.Limits.Observe(e, head.RequestLimit)
+	}
+	return head
+}
+
 // countInFlight counts a request in flight to the endpoint until the returned
 // function is called.
 func (x *exchange) countInFlight(e *catalog.Endpoint) func() {
@@ -446,8 +495,7 @@
 // crashOf identifies the crash of the endpoint's server. A server crashes once in an
 // incarnation, and several daemons may observe it.
 func crashOf(e *catalog.Endpoint) ident.Crash {
-	raw := binary.LittleEndian.AppendUint64([]byte(e.ID), uint64(e.Incarnation))
-	return ident.Crash(xxhash.Sum64(raw))
+	return ident.Crash(e.IncarnationID())
 }
 
 // crashCheckTimeout bounds the wait for a connection to a server whose reply was cut
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -9,6 +9,7 @@
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/route/balance"
+	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
 )
 
@@ -62,6 +63,7 @@
 	*Forwarder
 	deps               *plugin.Deps
 	settings           *Settings
+	limits             *ratelimit.Limits
 	hasReceivedRequest atomic.Bool
 }
 
@@ -78,22 +80,27 @@
 	parts := poison.NewPartDetector(poison.PartOptions{
 		Clock: deps.Clock, Threshold: crashThreshold, Lifetime: c.settings.Suspicion.Duration, Limit: c.settings.Suspects,
 	})
-	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Telemetry: telemetry, Poison: detector, Parts: parts})
+	c.limits = ratelimit.New(ratelimit.Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance})
+	if err := c.limits.Register(deps.Metrics); err != nil {
+		return nil, err
+	}
+	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Telemetry: telemetry, Poison: detector, Parts: parts, Limits: c.limits})
 	deps.Provide(c)
 	deps.Provide(detector)
 	deps.Provide(parts)
+	deps.Provide(c.limits)
 	return c, nil
 }
 
 // Start implements plugin.Plugin. It connects the forwarder to other plug-ins.
 func (c *component) Start(context.Context) error {
 	var daemons daemonCounter
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Observer, &c.Copy, &daemons); err != nil {
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Observer, &c.Copy, &daemons, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
 	s := c.settings
 	c.Picker = balance.New(balance.Options{
-		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Limits: c.limits, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	defer reply.Close()
-	head := reply.Head()
+	head := x.readHead(e, reply)
 	if err := dispositionError(e, head); err != nil {
 		return err
 	}
