mirror, unit, platform: Follow a store that was restored from a copy

Cause: revisions were taken to rise for good. After a restoration the store gives them out again, so a daemon rejected each list that was below its own revision, and then ignored every key that had been written again with a lower revision than before. The class of fault is a position in a history that is compared with one in another history. The planner's lease, its fencing token, epochs and lease numbers had the same fault.

Change: a unit.Revision has the store's era in its upper bits, which the adapter reads from Store-Era, so every comparison of revisions, of fencing tokens and of copies in the tree is right as it stands. A watch from an earlier era counts as compacted, a lease of an earlier era as expired, and neither is renewed or revoked under a number that may now be another daemon's. Epochs of a term follow from era and number. After a restoration the mirror gives handlers the differences only after the settle time, unless they are written again before: a server that was draining or gone, or an evacuation, isn't undone for as long as the copy is older. Configurations have a version, and what daemons wrote isn't written again, so both apply at once.

--- a/internal/domain/unit/unit.go
+++ b/internal/domain/unit/unit.go
@@ -11,9 +11,6 @@
 	Requests int64
 	// RequestRate counts requests a second.
 	RequestRate float64
-	// Revision is the platform's revision of a key. Each write to the platform
-	// has a higher revision than all earlier writes.
-	Revision int64
 	// Epoch numbers the assignments of a fabric domain. It is the fencing token
 	// of orders: an order with a lower epoch is out of date.
 	Epoch uint64
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -164,10 +164,20 @@
 // never overlap, so no epoch is used with two lists of members.
 const epochsPerToken = 1 << 12
 
+// maxLostRevisions bounds the writes that a restored platform has lost. The tokens of an era
+// follow on those of the era before by as much, which keeps epochs within the 53 bits that
+// every decoder of JSON holds.
+const maxLostRevisions = 1 << 28
+
+// firstEpoch returns the first epoch of the term with the token.
+func firstEpoch(token unit.Revision) unit.Epoch {
+	return unit.Epoch(int64(token.Era())*maxLostRevisions+token.Number()) * epochsPerToken
+}
+
 // NewPlanner returns a planner for the term with the fencing token.
 func NewPlanner(options Options, token unit.Revision, now time.Time) *Planner {
 	return &Planner{
-		options: options, fencingToken: token, lastEpoch: unit.Epoch(token) * epochsPerToken,
+		options: options, fencingToken: token, lastEpoch: firstEpoch(token),
 		replicas:    make(map[ident.Replica]*replica),
 		unreachable: make(map[ident.Instance]unreachableServer),
 		sentOrders:  make(map[ident.Instance]map[cluster.Operation]sentOrder),
@@ -246,7 +256,7 @@
 
 // isSuperseded reports whether a server reports an epoch of a later term.
 func (p *Planner) isSuperseded() bool {
-	firstLaterEpoch := (unit.Epoch(p.fencingToken) + 1) * epochsPerToken
+	firstLaterEpoch := firstEpoch(p.fencingToken + 1)
 	for key := range p.reported {
 		if key.Epoch >= firstLaterEpoch {
 			return true
--- a/internal/fleet/formation/term_test.go
+++ b/internal/fleet/formation/term_test.go
@@ -83,3 +83,21 @@
 		})
 	}
 }
+
+// TestFirstEpoch guards against epochs of a term that overlap with those of the terms before,
+// also after the store was restored, and against epochs that a decoder of JSON rounds.
+func TestFirstEpoch(t *testing.T) {
+	const exact = 1 << 53
+	tests := map[string]struct{ earlier, later unit.Revision }{
+		"same era": {unit.NewRevision(1, 7), unit.NewRevision(1, 8)},
+		"restored": {unit.NewRevision(1, 1_000_000), unit.NewRevision(2, 5)},
+		"late era": {unit.NewRevision(999, 1_000_000), unit.NewRevision(1000, 5)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Check(firstEpoch(test.earlier)+epochsPerToken <= firstEpoch(test.later), qt.IsTrue)
+			c.Check(firstEpoch(test.later) < exact, qt.IsTrue)
+		})
+	}
+}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -96,13 +96,16 @@
 	// deferredRemovals has the keys whose removal is deferred, with the time at
 	// which the removal is due.
 	deferredRemovals map[store.Key]time.Time
+	// unsettled has the keys of which handlers don't know the state after a restoration
+	// of the platform yet, with the time at which they get it.
+	unsettled map[store.Key]time.Time
 	// deferUntil is the time until which removals below LeasedPrefix are deferred.
 	deferUntil time.Time
 }
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{Options: o, freshness: freshnessFor(o.Within), retryDelay: minRetryDelay, entries: make(map[store.Key]store.Entry), changed: make(chan struct{}), deferredRemovals: make(map[store.Key]time.Time)}
+	return &Mirror{Options: o, freshness: freshnessFor(o.Within), retryDelay: minRetryDelay, entries: make(map[store.Key]store.Entry), changed: make(chan struct{}), deferredRemovals: make(map[store.Key]time.Time), unsettled: make(map[store.Key]time.Time)}
 }
 
 // AddHandler adds a handler of changes. It must not be called after Run.
@@ -309,6 +312,10 @@
 		return false, code.PlatformUnavailable.New("mirror: read list: got revision %d, expected at least revision %d of this copy", revision, ownRevision)
 	}
 	m.recordSourceRecovery()
+	if m.isRestored(revision) {
+		m.applyRestoredList(entries, revision)
+		return true, nil
+	}
 	m.mu.Lock()
 	listed := make(map[store.Key]bool, len(entries))
 	changes := make([]store.Change, 0, len(entries))
@@ -396,6 +403,7 @@
 			m.entries[change.Key] = change.Entry
 		}
 		delete(m.deferredRemovals, change.Key)
+		delete(m.unsettled, change.Key)
 		accepted = append(accepted, change)
 	}
 	return forwarded, accepted
--- /dev/null
+++ b/internal/fleet/mirror/restore_test.go
@@ -0,0 +1,105 @@
+package mirror
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"cuminbay/internal/domain/store"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+)
+
+// versionedKeys is a handler of the keys below op/, of which only op/config has a version.
+type versionedKeys struct {
+	recordingHandler
+}
+
+func (versionedKeys) Prefix() store.Key              { return "op/" }
+func (versionedKeys) IsVersioned(key store.Key) bool { return key == "op/config" }
+
+// TestRestored guards against a copy that rejects or ignores what a restored platform has, and
+// against handlers that go back to an older state which is about to be written again.
+func TestRestored(t *testing.T) {
+	old := func(n int64) unit.Revision { return unit.NewRevision(1, n) }
+	restored := func(n int64) unit.Revision { return unit.NewRevision(2, n) }
+	const settleTime = 2 * time.Second
+	before := []store.Entry{
+		entry("servers/a", "draining", old(9)), entry("servers/b", "ready", old(3)), entry("op/config", "v7", old(8)),
+		entry("op/evacuate/z", "", old(7)), entry("cuminbay/planner", "p", old(5)),
+	}
+	tests := map[string]struct {
+		list    []store.Entry
+		changes []store.Change
+		// atOnce and settled are the keys of the handlers after the list and changes, and
+		// after settleTime. leader is the holder of the planner lease after the list.
+		atOnce, settled map[store.Key]string
+		leader          string
+	}{
+		"older and missing keys": {
+			list:    []store.Entry{entry("servers/a", "ready", restored(2)), entry("servers/b", "ready", restored(3)), entry("op/config", "v6", restored(4))},
+			atOnce:  map[store.Key]string{"servers/a": "draining", "servers/b": "ready", "op/config": "v6", "op/evacuate/z": ""},
+			settled: map[store.Key]string{"servers/a": "ready", "servers/b": "ready", "op/config": "v6"},
+		},
+		"written again after the list": {
+			list: []store.Entry{entry("servers/a", "ready", restored(2)), entry("servers/b", "ready", restored(3)), entry("cuminbay/planner", "q", restored(5))},
+			changes: []store.Change{
+				{Entry: entry("servers/a", "draining", restored(6))}, {Entry: entry("op/config", "v8", restored(7))}, {Entry: entry("op/evacuate/z", "", restored(8))},
+			},
+			atOnce:  map[store.Key]string{"servers/a": "draining", "servers/b": "ready", "op/config": "v8", "op/evacuate/z": ""},
+			settled: map[store.Key]string{"servers/a": "draining", "servers/b": "ready", "op/config": "v8", "op/evacuate/z": ""}, leader: "q",
+		},
+		"server that was gone before": {
+			list:    append([]store.Entry{entry("servers/gone", "ready", restored(2))}, before...),
+			changes: []store.Change{{Entry: store.Entry{Key: "servers/gone", Revision: restored(10)}, Removed: true}},
+			atOnce:  map[store.Key]string{"servers/a": "draining", "servers/b": "ready", "op/config": "v7", "op/evacuate/z": ""},
+			settled: map[store.Key]string{"servers/a": "draining", "servers/b": "ready", "op/config": "v7", "op/evacuate/z": ""}, leader: "p",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			clk := clockwork.NewFakeClock()
+			source := &fakeSource{cancel: cancel, answers: []sourceAnswer{
+				{list: before, revision: old(9)}, {compacted: true}, {list: test.list, revision: restored(5)}, {changes: test.changes, revision: restored(10)},
+			}}
+			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, MinOutage: time.Second})
+			keys := make(map[store.Key]string)
+			m.AddHandler(&recordingHandler{keys: keys})
+			m.AddHandler(&versionedKeys{recordingHandler{keys: keys}})
+			for range 3 {
+				m.poll(ctx)
+			}
+			c.Check(m.Revision(), qt.Equals, restored(5))
+			_, _, compacted := m.WaitForChanges(ctx, old(9), 0, 0)
+			c.Check(compacted, qt.IsTrue, qt.Commentf("a follower reads the list"))
+			c.Check(string(m.Leader()), qt.Equals, test.leader)
+			m.poll(ctx)
+			c.Check(keys, qt.DeepEquals, test.atOnce)
+			clk.Advance(settleTime)
+			waitSettled(m)
+			m.notifyMu.Lock()
+			defer m.notifyMu.Unlock()
+			c.Check(keys, qt.DeepEquals, test.settled)
+		})
+	}
+}
+
+// waitSettled waits until the mirror has no unsettled keys and no deferred removals.
+func waitSettled(m *Mirror) {
+	for {
+		m.mu.Lock()
+		left := len(m.unsettled) + len(m.deferredRemovals)
+		m.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		clock.Real().Sleep(time.Millisecond)
+	}
+}
