catalog, forward, platform: Send nothing to servers that say in answers that they leave

Servers that leave say so in all their answers (Server-Leaving). A daemon went on sending to such a server until its registration said so, or was gone.

Cause: no code read the header. The same class of fault is a server that was known to drain and is used again, as an older registration of it is read once more from a restored store.

Change: the adapter decodes the header, and the forwarder tells the catalog, which publishes the server as draining, so requests, the planner and staging see it at once. The catalog remembers the incarnations that drain for ten minutes after it saw them last: no registration of theirs, older or written again, takes it back. An answer of another server at the address (421) says nothing of the server.

TestSetLeaving has registrations in all orders, TestLeaving answers of each kind. The catalog of the formation tests gets a clock, which it needs now.

--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -91,4 +91,6 @@
 	// RequestLimit is the rate of requests that the server takes from all daemons
 	// together, nil if the reply names none.
 	RequestLimit *unit.RequestRate
+	// Leaving says that the server gets no new requests.
+	Leaving bool
 }
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -8,6 +8,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
@@ -26,6 +27,8 @@
 	routing *routing
 	servers *serverSet
 	index   *endpointIndex
+	// leaving has the times at which incarnations of servers were last seen draining.
+	leaving map[ident.ServerIncarnation]time.Time
 	// drained is replaced, not changed, since snapshots share it.
 	drained map[ident.DataCentre]bool
 	loads   map[loadKey]*Load
@@ -61,6 +64,7 @@
 		routing: newRouting(nil),
 		servers: new(serverSet),
 		index:   newEndpointIndex(),
+		leaving: make(map[ident.ServerIncarnation]time.Time),
 		drained: make(map[ident.DataCentre]bool),
 		loads:   make(map[loadKey]*Load),
 
@@ -111,7 +115,7 @@
 		c.routing = newRouting(u.Config)
 	}
 	drainedChanged := c.applyDrained(u.Drained, u.Restored)
-	c.applyServers(u.Servers, u.Removed)
+	c.applyServers(c.withLeaving(u.Servers), u.Removed)
 	if configReplaced || drainedChanged {
 		c.servers.each(c.index.markAffected)
 	}
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
@@ -134,7 +136,7 @@
 
 // list returns a catalog with the servers as they are now.
 func (tc *testCluster) list() *catalog.Catalog {
-	catalogue := catalog.New(nil)
+	catalogue := catalog.New(clockwork.NewFakeClock())
 	update := catalog.Update{Config: tc.config, Synced: true}
 	if tc.drainedDataCentre != "" {
 		update.Drained = []ident.DataCentre{tc.drainedDataCentre}
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -43,6 +43,8 @@
 	length int
 	// limit is the limit of requests that the reply names, nil if none.
 	limit *unit.RequestRate
+	// leaving says that the reply says that the server leaves.
+	leaving bool
 }
 
 // fakeSender sends the replies of each server in order and records the attempts.
@@ -85,7 +87,7 @@
 }
 
 func (r *fakeReply) Head() *proxy.Head {
-	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, RequestLimit: r.script.limit, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
+	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, RequestLimit: r.script.limit, Leaving: r.script.leaving, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
 }
 
 func (r *fakeReply) ContentLength() int {
@@ -202,7 +204,7 @@
 // testServers returns two plain servers and three engines.
 func testServers() []*cluster.Server {
 	newServer := func(id ident.Instance, service ident.Service) *cluster.Server {
-		s := &cluster.Server{ID: id, Service: service, Address: string(id), DataCentre: "z", Slots: 8}
+		s := &cluster.Server{ID: id, Service: service, Address: string(id), DataCentre: "z", Incarnation: 1, Slots: 8}
 		if service == engines {
 			s.Membership = &cluster.Membership{Replica: ident.Replica(id), Epoch: 1, Model: testModel, State: cluster.Open}
 		}
@@ -252,7 +254,7 @@
 }
 
 // unconfiguredCatalog has no configuration.
-type unconfiguredCatalog struct{}
+type unconfiguredCatalog struct{ endpointCatalog }
 
 func (unconfiguredCatalog) Current() *catalog.Snapshot {
 	return catalog.New(clockwork.NewFakeClock()).Current()
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -29,9 +29,11 @@
 )
 
 type (
-	// catalogSource has the current routes and endpoints.
-	catalogSource interface {
+	// endpointCatalog has the current routes and endpoints, and is told of servers that
+	// leave.
+	endpointCatalog interface {
 		Current() *catalog.Snapshot
+		SetLeaving(server *cluster.Server) bool
 	}
 	// picker chooses an endpoint.
 	picker interface {
@@ -122,7 +124,7 @@
 type Options struct {
 	Clock       clock.Clock
 	Log         zerolog.Logger
-	Catalog     catalogSource
+	Catalog     endpointCatalog
 	Picker      picker
 	RetryBudget retryBudget
 	Poison      poisonDetector
@@ -421,8 +423,12 @@
 // server.
 func (x *exchange) readHead(e *catalog.Endpoint, reply Reply) *proxy.Head {
 	head := reply.Head()
-	if head.Disposition != proxy.Misdirected {
-		x.Limits.Observe(e, head.RequestLimit)
+	if head.Disposition == proxy.Misdirected {
+		return head
+	}
+	x.Limits.Observe(e, head.RequestLimit)
+	if head.Leaving && x.Catalog.SetLeaving(e.Server) {
+		x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).Msg("server-leaving")
 	}
 	return head
 }
