ratelimit, forward, platform: Keep to the pauses that servers want

A server that turns a request away with 503 may say in Retry-After for how long it wants nothing from this daemon. The daemon sent it further requests at once, as each request only remembers for itself which servers it tried.

Cause: no code read the header of a server's rejection. The class of fault is backpressure that is ignored, as with the limits.

Change: ratelimit keeps the end of each server's pause, by incarnation, in a map that is replaced on change, so requests read it without a lock. The balancer chooses no paused server, also if all others are avoided. The check for limits that are used up counts pauses too: a request that no server admits within the wait for a free slot is rejected at once, and callers come back after the first pause, spread over what the servers complete. What an answer's head says of the server is decoded in a file of its own.

TestPause, TestPausesOfManyServers, TestPauseInRejection and new cases of TestLimits and TestRetrySchedule.

--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -91,6 +91,9 @@
 	// RequestLimit is the rate of requests that the server takes from all daemons
 	// together, nil if the reply names none.
 	RequestLimit *unit.RequestRate
+	// RetryAfter is the time for which the server wants no further requests of this
+	// daemon, zero if the reply names none.
+	RetryAfter time.Duration
 	// Leaving says that the server gets no new requests.
 	Leaving bool
 }
--- a/internal/route/ratelimit/ratelimit.go
+++ b/internal/route/ratelimit/ratelimit.go
@@ -1,7 +1,8 @@
 // Package ratelimit keeps the rates of requests that servers name as their limits, and
 // divides each of them among the daemons. Daemons tell each other the limits that they have
 // read, and each computes its share from the list of daemons, without waiting for another
-// one. Requests read shares and take from them without a lock.
+// one. It also keeps the pauses that servers want from this daemon. Requests read shares and
+// pauses, and take from shares, without a lock.
 package ratelimit
 
 import (
@@ -44,6 +45,7 @@
 	Options
 	// shares has the share of each server with a limit. Changes replace the map.
 	shares atomic.Pointer[map[ident.ServerIncarnation]*share]
+	pauses pauses
 	// admitted counts the requests that were admitted to servers with a limit.
 	admitted atomic.Int64
 
@@ -58,6 +60,7 @@
 func New(o Options) *Limits {
 	l := &Limits{Options: o, known: make(map[ident.ServerIncarnation]*namedLimit)}
 	l.shares.Store(&map[ident.ServerIncarnation]*share{})
+	l.pauses.current.Store(&map[ident.ServerIncarnation]pause{})
 	return l
 }
 
@@ -80,6 +83,9 @@
 // Admit reports whether a request may be sent to the endpoint now, and counts the request
 // against this daemon's share of the endpoint's limit.
 func (l *Limits) Admit(now time.Time, e *catalog.Endpoint) bool {
+	if _, isPaused := l.pauses.of(now, e.Process); isPaused {
+		return false
+	}
 	s := (*l.shares.Load())[e.Process]
 	if s == nil {
 		return true
@@ -93,6 +99,9 @@
 
 // Available reports whether Admit would admit a request to the endpoint now.
 func (l *Limits) Available(now time.Time, e *catalog.Endpoint) bool {
+	if _, isPaused := l.pauses.of(now, e.Process); isPaused {
+		return false
+	}
 	s := (*l.shares.Load())[e.Process]
 	return s == nil || s.available(now)
 }
@@ -210,9 +219,7 @@
 
 // publish replaces the share of the server and returns its rate. The caller holds the lock.
 func (l *Limits) publish(known *namedLimit, now time.Time) unit.RequestRate {
-	if len(l.daemons) == 0 {
-		l.daemons = l.Daemons.Daemons()
-	}
+	daemonCount := l.daemonCount()
 	current := *l.shares.Load()
 	existing := current[known.server]
 	limit := known.effectiveLimit()
@@ -225,7 +232,7 @@
 		return 0
 	}
 	rate := shareOf(division{limit: limit, server: known.server, self: l.Self, daemons: l.daemons, stale: known.isStale(now)})
-	fleetRate := limit / unit.RequestRate(len(l.daemons))
+	fleetRate := limit / unit.RequestRate(daemonCount)
 	if existing != nil {
 		existing.setRates(now, rate, fleetRate)
 		return rate
@@ -236,6 +243,15 @@
 	return rate
 }
 
+// daemonCount returns the number of daemons, which it lists if they aren't known yet. The
+// caller holds the lock.
+func (l *Limits) daemonCount() int {
+	if len(l.daemons) == 0 {
+		l.daemons = l.Daemons.Daemons()
+	}
+	return max(len(l.daemons), 1)
+}
+
 // refreshInterval is the time between two computations of all shares.
 const refreshInterval = 500 * time.Millisecond
 
--- a/internal/route/ratelimit/ratelimit_test.go
+++ b/internal/route/ratelimit/ratelimit_test.go
@@ -288,19 +288,24 @@
 	c.Check(l.Admit(clk.Now(), &catalog.Endpoint{Server: restarted, Process: restarted.IncarnationID()}), qt.IsTrue)
 }
 
-// TestRetrySchedule guards against callers that are all told to come back at one time, and
-// against times that grow by callers who won't come back.
+// TestRetrySchedule guards against callers that are all told to come back at one time or
+// during a pause, and against times that grow by callers who won't come back.
 func TestRetrySchedule(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1_000_000, 0)
 	var r RetrySchedule
 	const rate, patience = 4.0, time.Second
+	supply := Supply{fleetRate: rate}
 	for i := 1; i <= 4; i++ {
-		c.Check(r.Next(now, "m", rate, patience), qt.Equals, time.Duration(i)*time.Second/rate)
+		c.Check(r.Next(now, "m", supply, patience), qt.Equals, time.Duration(i)*time.Second/rate)
 	}
 	for range 10 {
-		c.Check(r.Next(now, "m", rate, patience), qt.Equals, 5*time.Second/rate)
+		c.Check(r.Next(now, "m", supply, patience), qt.Equals, 5*time.Second/rate)
+	}
+	c.Check(r.Next(now, "other", supply, patience), qt.Equals, time.Second/rate)
+	c.Check(r.Next(now.Add(time.Minute), "m", supply, patience), qt.Equals, time.Second/rate)
+	paused := Supply{fleetRate: rate, startsAt: now.Add(time.Second / 2)}
+	for i := 1; i <= 2; i++ {
+		c.Check(r.Next(now, "paused", paused, patience), qt.Equals, time.Second/2+time.Duration(i)*time.Second/rate)
 	}
-	c.Check(r.Next(now, "other", rate, patience), qt.Equals, time.Second/rate)
-	c.Check(r.Next(now.Add(time.Minute), "m", rate, patience), qt.Equals, time.Second/rate)
 }
--- a/internal/route/ratelimit/share.go
+++ b/internal/route/ratelimit/share.go
@@ -184,3 +184,15 @@
 func (s *share) load() unit.RequestRate {
 	return unit.RequestRate(math.Float64frombits(s.rate.Load()))
 }
+
+// before returns the number of requests that this daemon may send between the times.
+func (s *share) before(start, end time.Time) unit.Requests {
+	if next := clock.Instant(s.next.Load()).Time(); next.After(start) {
+		start = next
+	}
+	rate, left := s.load(), end.Sub(start)
+	if rate == 0 || left < 0 {
+		return 0
+	}
+	return 1 + unit.Requests(left.Seconds()*float64(rate))
+}
--- a/internal/route/ratelimit/supply.go
+++ b/internal/route/ratelimit/supply.go
@@ -7,32 +7,51 @@
 
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
-	"cuminbay/internal/kernel/clock"
 )
 
-// Supply is what a set of endpoints will admit. Every endpoint names a limit, and this
-// daemon has used up its share of each.
+// Supply is what a set of endpoints will admit, none of which admits a request now.
 type Supply struct {
-	shares []*share
-	// FleetRate is the mean number of requests a second of a daemon.
-	FleetRate unit.RequestRate
+	sources []source
+	// fleetRate is the mean number of requests a second of a daemon.
+	fleetRate unit.RequestRate
+	// startsAt is the time at which the first endpoint is not paused.
+	startsAt time.Time
 }
 
-// Exhausted returns the supply of the endpoints, and reports whether each of them names a
-// limit of which this daemon has used up its share.
+// source is an endpoint that will admit requests: after its pause, and within this daemon's
+// share if it names a limit.
+type source struct {
+	share *share
+	// startsAt is the end of the pause, zero without one.
+	startsAt time.Time
+}
+
+// Exhausted returns the supply of the endpoints, and reports whether each of them is paused or
+// names a limit of which this daemon has used up its share.
 func (l *Limits) Exhausted(now time.Time, endpoints []*catalog.Endpoint) (Supply, bool) {
 	shares := *l.shares.Load()
-	if len(shares) == 0 || len(endpoints) == 0 {
+	if len(endpoints) == 0 || len(shares) == 0 && len(*l.pauses.current.Load()) == 0 {
 		return Supply{}, false
 	}
 	var supply Supply
 	for _, e := range endpoints {
 		s := shares[e.Process]
-		if s == nil || s.available(now) {
+		p, isPaused := l.pauses.of(now, e.Process)
+		if !isPaused && (s == nil || s.available(now)) {
 			return Supply{}, false
 		}
-		supply.shares = append(supply.shares, s)
-		supply.FleetRate += unit.RequestRate(math.Float64frombits(s.fleetRate.Load()))
+		from, rate := source{share: s}, p.fleetRate
+		if isPaused {
+			from.startsAt = p.until
+		}
+		if s != nil {
+			rate = unit.RequestRate(math.Float64frombits(s.fleetRate.Load()))
+		}
+		if len(supply.sources) == 0 || from.startsAt.Before(supply.startsAt) {
+			supply.startsAt = from.startsAt
+		}
+		supply.sources = append(supply.sources, from)
+		supply.fleetRate += rate
 	}
 	return supply, true
 }
@@ -40,11 +59,14 @@
 // Before returns the number of requests that this daemon may send until the given time.
 func (s Supply) Before(end time.Time) unit.Requests {
 	var count unit.Requests
-	for _, share := range s.shares {
-		rate := share.load()
-		if left := end.Sub(clock.Instant(share.next.Load()).Time()); rate > 0 && left >= 0 {
-			count += 1 + unit.Requests(left.Seconds()*float64(rate))
+	for _, from := range s.sources {
+		if from.startsAt.After(end) {
+			continue
+		}
+		if from.share == nil {
+			return math.MaxInt64
 		}
+		count += from.share.before(from.startsAt, end)
 	}
 	return count
 }
@@ -59,17 +81,19 @@
 
 // Next returns the time after which a caller finds an admission. A caller that doesn't wait
 // longer than its patience takes no place in the schedule if the time is longer.
-func (r *RetrySchedule) Next(now time.Time, queue string, rate unit.RequestRate, patience time.Duration) time.Duration {
+func (r *RetrySchedule) Next(now time.Time, queue string, supply Supply, patience time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.last == nil {
 		r.last = make(map[string]time.Time)
 	}
-	at := r.last[queue]
-	if at.Before(now) {
-		at = now
+	at := now
+	for _, earliest := range []time.Time{r.last[queue], supply.startsAt} {
+		if earliest.After(at) {
+			at = earliest
+		}
 	}
-	at = at.Add(intervalOf(rate))
+	at = at.Add(intervalOf(supply.fleetRate))
 	after := at.Sub(now)
 	if after <= patience {
 		r.last[queue] = at
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -43,6 +43,9 @@
 	length int
 	// limit is the limit of requests that the reply names, nil if none.
 	limit *unit.RequestRate
+	// retryAfter is the time for which the server wants no requests, zero if the reply
+	// names none.
+	retryAfter time.Duration
 	// leaving says that the reply says that the server leaves.
 	leaving bool
 }
@@ -87,7 +90,7 @@
 }
 
 func (r *fakeReply) Head() *proxy.Head {
-	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, RequestLimit: r.script.limit, Leaving: r.script.leaving, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
+	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, RequestLimit: r.script.limit, Leaving: r.script.leaving, RetryAfter: r.script.retryAfter, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
 }
 
 func (r *fakeReply) ContentLength() int {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -63,9 +63,11 @@
 		RecordPartCrash([]ident.PromptPart, ident.Crash) bool
 		RecordPartStart([]ident.PromptPart)
 	}
-	// requestLimits has the limits of requests that endpoints name in their replies.
+	// requestLimits has the limits of requests that endpoints name in their replies, and
+	// the pauses that they want.
 	requestLimits interface {
 		Observe(e *catalog.Endpoint, limit *unit.RequestRate)
+		Pause(e *catalog.Endpoint, d time.Duration)
 		Exhausted(now time.Time, endpoints []*catalog.Endpoint) (ratelimit.Supply, bool)
 	}
 	// failureObserver is notified of endpoints that fail, and of prompt parts with a
@@ -353,8 +355,9 @@
 	return nil, x.withRetryAfter(code.Overloaded.New("choose endpoint for service %s, model %q: none of %d endpoints has a free slot", x.service, x.request.Model, len(candidates)))
 }
 
-// checkLimits rejects the request if every endpoint names a limit of requests and none of them
-// admits it until the end of the wait. A request that may have run can't be rejected.
+// checkLimits rejects the request if every endpoint names a limit of requests or wants a pause,
+// and none of them admits it until the end of the wait. A request that may have run can't be
+// rejected.
 //
 // Errors carry code.Overloaded.
 func (x *exchange) checkLimits(waitDeadline time.Time) error {
@@ -368,8 +371,8 @@
 		return nil
 	}
 	patience := x.deadline.Sub(now) / retryAfterDivisor
-	retryAfter := x.retries.Next(now, string(x.queueKey()), supply.FleetRate, patience)
-	return code.WithRetryAfter(code.Overloaded.New("choose endpoint for service %s, model %q: all %d endpoints are at the limits that they name", x.service, x.request.Model, len(endpoints)), retryAfter)
+	retryAfter := x.retries.Next(now, string(x.queueKey()), supply, patience)
+	return code.WithRetryAfter(code.Overloaded.New("choose endpoint for service %s, model %q: all %d endpoints are at the limits that they name or want a pause", x.service, x.request.Model, len(endpoints)), retryAfter)
 }
 
 // untried returns the endpoints that this request was not sent to.
@@ -427,6 +430,7 @@
 		return head
 	}
 	x.Limits.Observe(e, head.RequestLimit)
+	x.Limits.Pause(e, head.RetryAfter)
 	if head.Leaving && x.Catalog.SetLeaving(e.Server) {
 		x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).Msg("server-leaving")
 	}
--- a/internal/serve/forward/limits_test.go
+++ b/internal/serve/forward/limits_test.go
@@ -20,26 +20,32 @@
 )
 
 // TestLimits guards against requests that wait although every server is at the limit that it
-// names, against a rejection without the time of the next admission, against a limit that a
-// server named for another one, and against an interrupted stream that is given up for a limit.
+// names or wants a pause, against a rejection without the time of the next admission, against a
+// limit that a server named for another one, and against an interrupted stream that is given up
+// for a limit.
 func TestLimits(t *testing.T) {
 	limit := unit.RequestRate(2)
 	reply := func(r scriptedReply) []scriptedReply { return []scriptedReply{r, r} }
 	tests := map[string]struct {
 		// limited are the servers that have named a limit, which is used up.
 		limited []ident.Instance
+		// paused are the servers that want no requests for longer than a request waits.
+		paused  []ident.Instance
 		path    string
 		replies map[ident.Instance][]scriptedReply
 		// wait lets time pass during the request.
 		wait       bool
 		wantCode   code.Code
 		wantServer ident.Instance
-		// wantLimited are the plain servers that are at a limit afterwards.
+		// wantLimited are the plain servers that are at a limit or paused afterwards.
 		wantLimited []ident.Instance
 	}{
 		"all at their limits":         {limited: []ident.Instance{"a", "b"}, path: "/safe/1", wantCode: code.Overloaded, wantLimited: []ident.Instance{"a", "b"}},
 		"unsafe, all at their limits": {limited: []ident.Instance{"a", "b"}, path: "/unsafe/1", wantCode: code.Overloaded, wantLimited: []ident.Instance{"a", "b"}},
 		"stream, all at their limits": {limited: []ident.Instance{"x", "y", "z"}, path: "/stream/1", wantCode: code.Overloaded},
+		"all paused":                  {paused: []ident.Instance{"a", "b"}, path: "/safe/1", wantCode: code.Overloaded, wantLimited: []ident.Instance{"a", "b"}},
+		"one paused, one at a limit":  {limited: []ident.Instance{"a"}, paused: []ident.Instance{"b"}, path: "/unsafe/1", wantCode: code.Overloaded, wantLimited: []ident.Instance{"a", "b"}},
+		"one paused":                  {paused: []ident.Instance{"a"}, path: "/unsafe/1", replies: map[ident.Instance][]scriptedReply{"b": reply(scriptedReply{body: "done"})}, wantServer: "b", wantLimited: []ident.Instance{"a"}},
 		"one server without a limit":  {limited: []ident.Instance{"a"}, path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"b": reply(scriptedReply{body: "done"})}, wantServer: "b", wantLimited: []ident.Instance{"a"}},
 		"limit named in the reply": {
 			limited: []ident.Instance{"b"}, path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"a": reply(scriptedReply{body: "done", limit: &limit})}, wantLimited: []ident.Instance{"a", "b"},
@@ -62,6 +68,9 @@
 			limits := f.Limits.(*ratelimit.Limits)
 			f.Picker = balance.New(balance.Options{DataCentre: "z", Daemons: fakeDaemons{}, Limits: limits, MaxUtilisation: 1, PlainQueueRatio: 1})
 			f.Catalog.Current().EachEndpoint(func(e *catalog.Endpoint) {
+				if slices.Contains(test.paused, e.ID) {
+					limits.Pause(e, time.Second)
+				}
 				if slices.Contains(test.limited, e.ID) {
 					limits.Observe(e, &limit)
 					for at := clk.Now(); !limits.Admit(at, e); at = at.Add(time.Millisecond) {
@@ -94,6 +103,30 @@
 	}
 }
 
+// TestPauseInRejection guards against a second request to a server that wants none for a time,
+// as it has said with its rejection.
+func TestPauseInRejection(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	rejection := []scriptedReply{{status: 503, disposition: proxy.Refused, retryAfter: time.Minute}}
+	sender := &fakeSender{clock: clk, replies: map[ident.Instance][]scriptedReply{"a": rejection, "b": rejection}}
+	f := newTestForwarder(sender)
+	f.Picker = balance.New(balance.Options{DataCentre: "z", Daemons: fakeDaemons{}, Limits: f.Limits.(*ratelimit.Limits), MaxUtilisation: 1, PlainQueueRatio: 1})
+	for _, id := range []ident.Request{"r1", "r2", "r3"} {
+		err := f.Forward(context.Background(), &proxy.Request{
+			ID: id, Method: "POST", Host: "h", Target: "/unsafe/1", Path: "/unsafe/1", Credential: "k", Received: clk.Now(),
+		}, new(fakeSink))
+		c.Check(code.Of(err), qt.Equals, code.Overloaded)
+		c.Check(code.OutcomeOf(err), qt.Equals, code.NotRun)
+	}
+	var servers []ident.Instance
+	for _, a := range sender.attempts {
+		servers = append(servers, a.Server)
+	}
+	slices.Sort(servers)
+	c.Check(servers, qt.DeepEquals, []ident.Instance{"a", "b"})
+}
+
 // waitFor returns the result. If advance is set, time passes while the request waits.
 func waitFor(clk *clockwork.FakeClock, done <-chan error, advance bool) error {
 	// A waiting request has a timer for its deadline and one for its next check.
