mirror: Wait for what is written again after each restoration of the store

A daemon could use a server again that was draining, or end an evacuation, if the store was restored twice within the settle time of two seconds.

Cause: a key that differed since the first restoration kept the end of the first settle time, if the second copy had the same old value.

Change: a restoration extends the time of all keys that still differ.

Test: TestRestoredTwice failed before: the handler went back to 'ready'.

--- a/internal/fleet/mirror/restore.go
+++ b/internal/fleet/mirror/restore.go
@@ -32,13 +32,17 @@
 }
 
 // applyRestoredList replaces the copy by the list of a restored platform. Handlers get what
-// differs from the copy after SettleTime, unless it has been written again by then.
+// differs from the copy after SettleTime, unless it has been written again by then. What still
+// differs since an earlier restoration waits for that time once more.
 func (m *Mirror) applyRestoredList(entries []store.Entry, revision unit.Revision) {
 	m.notifyMu.Lock()
 	defer m.notifyMu.Unlock()
 	m.mu.Lock()
 	before := m.Revision()
 	now := m.Clock.Now()
+	for key := range m.unsettled {
+		m.unsettled[key] = now.Add(m.SettleTime)
+	}
 	restored := make(map[store.Key]store.Entry, len(entries))
 	var atOnce []store.Change
 	for _, e := range entries {
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -91,6 +91,44 @@
 	}
 }
 
+// TestRestoredTwice guards against handlers that go back to an older state as the time for
+// writing it again after the first restoration is over, although the second one has just been.
+func TestRestoredTwice(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clk := clockwork.NewFakeClock()
+	const settleTime = 2 * time.Second
+	revision := func(era unit.Era, n int64) unit.Revision { return unit.NewRevision(era, n) }
+	list := func(era unit.Era, state string) sourceAnswer {
+		return sourceAnswer{list: []store.Entry{entry("servers/a", state, revision(era, 3))}, revision: revision(era, 3)}
+	}
+	source := &fakeSource{cancel: cancel, answers: []sourceAnswer{
+		list(1, "draining"), {compacted: true}, list(2, "ready"), {compacted: true}, list(3, "ready"),
+		{changes: []store.Change{{Entry: entry("servers/a", "draining", revision(3, 4))}}, revision: revision(3, 4)},
+	}}
+	m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, MinOutage: time.Second})
+	keys := make(map[store.Key]string)
+	m.AddHandler(&recordingHandler{keys: keys})
+	states := func() string {
+		m.settle()
+		return keys["servers/a"]
+	}
+	for range 3 {
+		m.poll(ctx)
+	}
+	clk.Advance(settleTime / 2)
+	for range 2 {
+		m.poll(ctx)
+	}
+	clk.Advance(settleTime / 2)
+	c.Check(states(), qt.Equals, "draining")
+	m.poll(ctx)
+	clk.Advance(settleTime)
+	waitSettled(m)
+	c.Check(states(), qt.Equals, "draining")
+}
+
 // waitSettled waits until the mirror has no unsettled keys and no deferred removals.
 func waitSettled(m *Mirror) {
 	for {
