stream, platform: Don't take an answer that names no request for a later request's

A faulty server may write an earlier refusal once more on a kept connection. If the refusal didn't have the id of its request, the next request on the connection was taken to have been refused: its caller could be told that it had not run, although the server was running it.

Cause: an answer without an id counted as the answer to whatever request was sent last, also on a connection that had been used before. Requests that must not run twice were safe, as each is sent on a new connection.

Change: an answer without an id is believed on a new connection only. On a kept one the exchange fails with an unknown outcome, and the connection is closed. Answers with the id of an earlier request are skipped as before.

--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -40,6 +40,9 @@
 	// readDeadline, if set, ends all reads.
 	readDeadline time.Time
 	reader       *bufio.Reader
+	// isKept says that the connection was kept after an earlier exchange, of which the
+	// endpoint may send an answer once more.
+	isKept bool
 	// idleSince is the time at which the connection became idle.
 	idleSince time.Time
 	// idleTimeout is the idle time after which the connection is not reused.
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -31,11 +31,22 @@
 	// exchange ends. It replaces the stall timeout for reads.
 	KeepWaiting     func(time.Duration) bool
 	SilenceInterval time.Duration
-	// MatchesRequest reports whether an answer belongs to the request. A late
-	// answer to an earlier request on the connection is skipped.
-	MatchesRequest func(*fasthttp.ResponseHeader) bool
+	// MatchRequest says whether an answer belongs to the request. A late answer
+	// to an earlier request on the connection is skipped.
+	MatchRequest func(*fasthttp.ResponseHeader) Match
 }
 
+// Match says whether an answer belongs to a request.
+type Match int
+
+// The values of Match. Unnamed means that the answer doesn't say which request it
+// answers. On a kept connection it may be an earlier one, so the exchange fails.
+const (
+	Unnamed Match = iota
+	Own
+	Foreign
+)
+
 // maxForeignAnswers is the highest number of answers to other requests that are
 // skipped before an exchange fails.
 const maxForeignAnswers = 2
@@ -54,6 +65,7 @@
 	// errForeignAnswers says that the connection has answers to other requests
 	// only.
 	errForeignAnswers   = errors.New("connection returned only answers to other requests")
+	errUnnamedAnswer    = errors.New("connection that was kept returned an answer that names no request")
 	errInterimResponses = fmt.Errorf("connection returned more than %d interim responses", maxInterimResponses)
 	errForeignBytes     = fmt.Errorf("connection returned an answer to another request with over %d bytes", maxForeignBytes)
 	errTrailerBytes     = fmt.Errorf("connection returned a trailer of over %d bytes", maxTrailerBytes)
@@ -129,8 +141,8 @@
 		if err := r.readHead(request); err != nil {
 			return err
 		}
-		if request.MatchesRequest == nil || request.MatchesRequest(&r.Header) {
-			return nil
+		if isOwn, err := r.isOwnAnswer(request); isOwn || err != nil {
+			return err
 		}
 		if err := r.skipBody(); err != nil {
 			return err
@@ -139,6 +151,18 @@
 	return errForeignAnswers
 }
 
+// isOwnAnswer reports whether the answer belongs to the request.
+func (r *RawResponse) isOwnAnswer(request *RawRequest) (bool, error) {
+	if request.MatchRequest == nil {
+		return true, nil
+	}
+	match := request.MatchRequest(&r.Header)
+	if match == Unnamed && r.conn.isKept {
+		return false, errUnnamedAnswer
+	}
+	return match != Foreign, nil
+}
+
 // skipBody reads the body of an answer to another request.
 func (r *RawResponse) skipBody() error {
 	n, err := io.Copy(io.Discard, io.LimitReader(r, maxForeignBytes))
@@ -256,6 +280,7 @@
 	bodyComplete := r.bodyRead || r.body == http.NoBody
 	r.conn.keepWaiting = nil
 	if notCancelled && bodyComplete && !r.writing.Load() && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0 {
+		r.conn.isKept = true
 		r.conn.idleTimeout = parseKeepAlive(r.Header.Peek("Keep-Alive"))
 		r.pool.releaseConn(r.address, r.conn)
 		return
--- a/internal/endpoint/stream/raw_test.go
+++ b/internal/endpoint/stream/raw_test.go
@@ -77,7 +77,12 @@
 func newTestRequest(address string) *RawRequest {
 	return &RawRequest{
 		Address: address, Data: []byte("GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: own\r\n\r\n"),
-		MatchesRequest: func(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Request-Id")) == "own" },
+		MatchRequest: func(h *fasthttp.ResponseHeader) Match {
+			if string(h.Peek("Request-Id")) == "own" {
+				return Own
+			}
+			return Foreign
+		},
 	}
 }
 
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -104,7 +104,11 @@
 		return sourceAnswer{list: []store.Entry{entry("servers/a", state, revision(era, 3))}, revision: revision(era, 3)}
 	}
 	source := &fakeSource{cancel: cancel, answers: []sourceAnswer{
-		list(1, "draining"), {compacted: true}, list(2, "ready"), {compacted: true}, list(3, "ready"),
+		list(1, "draining"),
+		{compacted: true},
+		list(2, "ready"),
+		{compacted: true},
+		list(3, "ready"),
 		{changes: []store.Change{{Entry: entry("servers/a", "draining", revision(3, 4))}}, revision: revision(3, 4)},
 	}}
 	m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, MinOutage: time.Second})
