forward: Deliver the events that arrive before a missing one

A resumed stream could lack events. When a server left out an event, the events before it that arrived in the same read were not passed on, but counted as passed on, and the next server continued after them.

Cause: the error of the missing event ended the read before what was complete was written, although the number of the last event had advanced.

Change: complete events are written first, then the error ends the run.

Test: a case of TestForward, which failed before: the first event was missing from the caller's stream.

--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -101,6 +101,10 @@
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, bodyCutOff: true}}, "y": {{body: eventC}}},
 			wantCode: code.ForeignAnswer, wantOutcome: code.Unknown, wantStatus: 200, wantBody: eventA, wantAborted: true, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
 		},
+		"stream, event missing, the one before it arrives in the same read": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + eventC}}, "y": {{body: eventB + eventC}}},
+			wantStatus: 200, wantBody: eventA + eventB + eventC, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
+		},
 		"stream, misdirected": {
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{status: 421, disposition: proxy.Misdirected}}, "y": {{body: eventA}}},
 			wantStatus: 200, wantBody: eventA, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 0},
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -118,16 +118,13 @@
 		n, err := reply.Read(ev.unforwarded[len(ev.unforwarded):cap(ev.unforwarded)])
 		ev.unforwarded = ev.unforwarded[:len(ev.unforwarded)+n]
 		complete, eventErr := ev.completeEvents()
-		if eventErr != nil {
-			return eventErr
-		}
 		switch {
 		case len(complete) > 0:
 			detector.recordEvent()
-		case n > 0 && detector.isTrickling():
+		case eventErr == nil && n > 0 && detector.isTrickling():
 			return code.Stalled.New("read stream of endpoint %s: bytes arrive, but no event is complete after event %d", e.ID, ev.lastID)
 		}
-		if errors.Is(err, io.EOF) && len(complete) == len(ev.unforwarded) {
+		if eventErr == nil && errors.Is(err, io.EOF) && len(complete) == len(ev.unforwarded) {
 			return x.endStream(reply, ev)
 		}
 		if len(complete) > 0 {
@@ -137,6 +134,9 @@
 			}
 			ev.discardForwarded(len(complete))
 		}
+		if eventErr != nil {
+			return eventErr
+		}
 		if err != nil {
 			return streamError(err, e, ev)
 		}
