forward: Don't pass on text that is no event of a stream

A report of other operators: a stream broke off, the next server answered with an error, and callers found the error's text or its whole head in the middle of their stream. An error status was handled: the stream is aborted. Text with status 200 was passed on, and so was the head of another answer that a faulty server wrote at the end of an answer without a length, since each block up to an empty line without an id was taken as an event.

Change: once a stream has events with ids, a block without one is an error of that server, unless it holds comments only. The stream goes on at another server or is aborted. Streams without any ids are passed on as before.

Tests: cases of TestForward and TestEventBuffer; those with text failed before. Those with an error status and with comments passed.

--- a/internal/serve/forward/events.go
+++ b/internal/serve/forward/events.go
@@ -24,7 +24,8 @@
 // events that the caller already has. The caller of completeEvents forwards them and
 // then calls discardForwarded.
 //
-// Errors carry code.ForeignAnswer if an event is missing.
+// Errors carry code.ForeignAnswer if an event is missing, or if there is other text among
+// numbered events, such as an error or the head of another answer.
 func (ev *eventBuffer) completeEvents() ([]byte, error) {
 	length := 0
 	for {
@@ -34,6 +35,8 @@
 		}
 		id, numbered := eventID(ev.unforwarded[length : length+n])
 		switch {
+		case !numbered && ev.hasLastID && !isComment(ev.unforwarded[length:length+n]):
+			return ev.unforwarded[:length], code.ForeignAnswer.New("read stream: got text without an event id after event %d", ev.lastID)
 		case !numbered:
 		case ev.hasLastID && id <= ev.lastID:
 			// The caller already has this event.
@@ -88,3 +91,15 @@
 	}
 	return 0, false
 }
+
+// isComment reports whether the event has no content for the caller: only comments, which
+// servers send to keep a connection open, or the time after which to reconnect.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/serve/forward/events_test.go
+++ b/internal/serve/forward/events_test.go
@@ -9,8 +9,8 @@
 	"cuminbay/internal/domain/proxy"
 )
 
-// TestEventBuffer guards against forwarding a part of an event, and against a resumed
-// stream with missing or repeated events.
+// TestEventBuffer guards against forwarding a part of an event or text that is no event of the
+// stream, and against a resumed stream with missing or repeated events.
 func TestEventBuffer(t *testing.T) {
 	tests := map[string]struct {
 		lastID        proxy.EventID
@@ -29,6 +29,9 @@
 		"resumed with repeated events":         {lastID: 7, reads: []string{"id: 6\n\nid: 7\n\nid: 8\n\n"}, wantForwarded: "id: 8\n\n"},
 		"event missing after the resumption":   {lastID: 7, reads: []string{"id: 9\n\n"}, wantError: true},
 		"event missing later":                  {reads: []string{"id: 1\n\nid: 3\n\n"}, wantForwarded: "id: 1\n\n", wantBuffered: "id: 3\n\n", wantError: true},
+		"comment between events":               {reads: []string{"id: 1\n\n: ping\n\nid: 2\n\n"}, wantForwarded: "id: 1\n\n: ping\n\nid: 2\n\n"},
+		"text after an event":                  {reads: []string{"id: 1\n\nerror: full\n\n"}, wantForwarded: "id: 1\n\n", wantError: true},
+		"text after the resumption":            {lastID: 7, reads: []string{"HTTP/1.1 503 Full\r\n\r\n"}, wantError: true},
 		"repeated event":                       {reads: []string{"id: 1\n\nid: 1\n\nid: 2\n\n"}, wantForwarded: "id: 1\n\nid: 2\n\n"},
 	}
 	for name, test := range tests {
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -142,6 +142,26 @@
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + eventB, silence: 150 * time.Millisecond}}},
 			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x"}, wantResumeAfter: []proxy.EventID{0},
 		},
+		"stream, cut off, error status from the second server": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, bodyCutOff: true}}, "y": {{status: 500, body: "broken\n\n"}}},
+			wantCode: code.EndpointFailed, wantOutcome: code.Ran, wantStatus: 200, wantBody: eventA, wantAborted: true, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
+		},
+		"stream, cut off, text instead of events from the second server": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, bodyCutOff: true}}, "y": {{body: "error: overloaded\n\n"}}},
+			wantCode: code.ForeignAnswer, wantOutcome: code.Unknown, wantStatus: 200, wantBody: eventA, wantAborted: true, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
+		},
+		"stream, head of another answer within the body": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n\r\n"}}, "y": {{body: eventB}}},
+			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
+		},
+		"stream, comment between events": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + ": ping\n\n" + eventB}}},
+			wantStatus: 200, wantBody: eventA + ": ping\n\n" + eventB, wantServers: []ident.Instance{"x"}, wantResumeAfter: []proxy.EventID{0},
+		},
+		"stream without ids": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: "data: a\n\ndata: b\n\n"}}},
+			wantStatus: 200, wantBody: "data: a\n\ndata: b\n\n", wantServers: []ident.Instance{"x"}, wantResumeAfter: []proxy.EventID{0},
+		},
 		"stream, caller disconnects": {
 			path: "/stream/1", callerDisconnected: true, replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + eventB}}, "y": {{body: eventB}}},
 			wantCode: code.CallerClosed, wantOutcome: code.Ran, wantStatus: 200, wantAborted: true, wantServers: []ident.Instance{"x"}, wantResumeAfter: []proxy.EventID{0},
