forward: Don't refuse a safe request as not run after it may have run

A safe request that had failed at one server was answered 'not run' if no other server had a free slot for its retry, although the first may have run it.

Cause: the error of the choice of a server was returned as it is. Streams and failed sends already keep the outcome of the earlier attempt.

Change: the earlier failure is returned there, too.

Test: a case of TestLimits, which failed before (3002 overloaded, expected 5001 cut-off).

--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -28,7 +28,7 @@
 	for {
 		e, err := x.pickEndpoint(ctx)
 		if err != nil {
-			return x.writeAnswer(lastReply, err)
+			return x.writeAnswer(lastReply, x.callerError(err))
 		}
 		reply, err := x.fetchReply(ctx, e)
 		if err == nil {
--- a/internal/serve/forward/limits_test.go
+++ b/internal/serve/forward/limits_test.go
@@ -21,8 +21,8 @@
 
 // TestLimits guards against requests that wait although every server is at the limit that it
 // names or wants a pause, against a rejection without the time of the next admission, against a
-// limit that a server named for another one, and against an interrupted stream that is given up
-// for a limit.
+// limit that a server named for another one, against an interrupted stream that is given up for a
+// limit, and against a request that may have run and is refused as not run.
 func TestLimits(t *testing.T) {
 	limit := unit.RequestRate(2)
 	reply := func(r scriptedReply) []scriptedReply { return []scriptedReply{r, r} }
@@ -46,7 +46,11 @@
 		"all paused":                  {paused: []ident.Instance{"a", "b"}, path: "/safe/1", wantCode: code.Overloaded, wantLimited: []ident.Instance{"a", "b"}},
 		"one paused, one at a limit":  {limited: []ident.Instance{"a"}, paused: []ident.Instance{"b"}, path: "/unsafe/1", wantCode: code.Overloaded, wantLimited: []ident.Instance{"a", "b"}},
 		"one paused":                  {paused: []ident.Instance{"a"}, path: "/unsafe/1", replies: map[ident.Instance][]scriptedReply{"b": reply(scriptedReply{body: "done"})}, wantServer: "b", wantLimited: []ident.Instance{"a"}},
-		"one server without a limit":  {limited: []ident.Instance{"a"}, path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"b": reply(scriptedReply{body: "done"})}, wantServer: "b", wantLimited: []ident.Instance{"a"}},
+		"may have run, the other server is paused": {
+			paused: []ident.Instance{"b"}, path: "/safe/1", wait: true, wantCode: code.CutOff, wantServer: "a", wantLimited: []ident.Instance{"b"},
+			replies: map[ident.Instance][]scriptedReply{"a": reply(scriptedReply{reset: true})},
+		},
+		"one server without a limit": {limited: []ident.Instance{"a"}, path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"b": reply(scriptedReply{body: "done"})}, wantServer: "b", wantLimited: []ident.Instance{"a"}},
 		"limit named in the reply": {
 			limited: []ident.Instance{"b"}, path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"a": reply(scriptedReply{body: "done", limit: &limit})}, wantLimited: []ident.Instance{"a", "b"},
 		},
