forward: Wait for the last server that a stream may go to

A stream that had been resumed was broken off if its second server paused, although no further server could be tried: after 200 ms of silence of all its streams, or 1.5 s of this one.

Cause: the timeout by which a stalled server is left for another one was also in force at the last attempt. Buffered replies already waited there. The class of fault: a timeout that protects a retry, without a retry left.

Change: once the caller has a part of the stream, the last attempt ends only by the server, the caller or the deadline. Before the first event it ends as before, as the caller can then try elsewhere sooner.

Test: a case of TestForward with a pause of 2 s at the second server failed before; one without a first event holds the other side.

--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -101,6 +101,14 @@
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, bodyCutOff: true}}, "y": {{body: eventC}}},
 			wantCode: code.ForeignAnswer, wantOutcome: code.Unknown, wantStatus: 200, wantBody: eventA, wantAborted: true, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
 		},
+		"stream, cut off, long pause at the last server that may be tried": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, bodyCutOff: true}}, "y": {{body: eventB, silence: 2 * time.Second}}},
+			wantStatus: 200, wantBody: eventA + eventB, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
+		},
+		"stream, pause before the first event at the last server that may be tried": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{reset: true}}, "y": {{silence: 2 * time.Second}}},
+			wantCode: code.Stalled, wantOutcome: code.Unknown, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 0},
+		},
 		"stream, event missing, the one before it arrives in the same read": {
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA + eventC}}, "y": {{body: eventB + eventC}}},
 			wantStatus: 200, wantBody: eventA + eventB + eventC, wantServers: []ident.Instance{"x", "y"}, wantResumeAfter: []proxy.EventID{0, 1},
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -202,7 +202,14 @@
 	if since.IsZero() {
 		since = d.attemptStart
 	}
-	return d.route.Repeatable() && d.Clock.Since(since) >= maxStallTimeout
+	return !d.mustWait() && d.Clock.Since(since) >= maxStallTimeout
+}
+
+// mustWait reports whether the stream can only continue at this endpoint, so that ending it for
+// the endpoint's silence would break the answer off. Before its first event, the caller of a
+// stream that may run again gets an error and tries elsewhere sooner.
+func (d *stallDetector) mustWait() bool {
+	return !d.route.Repeatable() || d.sink.Started() && d.possibleRuns+1 >= d.route.MaxAttempts
 }
 
 // Stall timeouts. In each pass, an engine sends the new tokens of all its streams. If
@@ -249,7 +256,7 @@
 // keepWaiting reports whether to wait further for an attempt that has received nothing
 // for the given time.
 func (d *stallDetector) keepWaiting(silence time.Duration) bool {
-	if !d.route.Repeatable() {
+	if d.mustWait() {
 		return true
 	}
 	if silence >= maxStallTimeout {
