--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	waitStart := x.Clock.Now()
-	x.queue.Wait(ctx, admit.WaitRequest{Key: x.queueKey(), Priority: -x.priority(), Received: x.request.Received, Admission: x.admission, Deadline: waitDeadline}, tryPick)
+	x.queue.Wait(ctx, admit.WaitRequest{Key: x.queueKey(), Priority: x.priority(), Received: x.request.Received, Admission: x.admission, Deadline: waitDeadline}, tryPick)
 	x.queueTime += x.Clock.Since(waitStart)
 	if chosen != nil {
 		return chosen, x.checkPoison()
@@ -95,8 +95,7 @@
 	return admit.QueueKey(string(x.service) + " " + string(x.request.Model))
 }
 
-// priority returns the priority of the organisation or else of the route. In the
-// configuration lower values go first, so pickEndpoint negates the value for the queue.
+// priority returns the priority of the organisation or else of the route.
 func (x *exchange) priority() unit.Priority {
 	if x.organisation != nil && x.organisation.HasPriority {
 		return x.organisation.Priority
