--- a/internal/experiment/site/usage.go
+++ b/internal/experiment/site/usage.go
@@ -101,8 +101,11 @@
 // readMetrics adds the counters of a daemon's metrics to the usage.
 func (s *Site) readMetrics(d *Daemon, u *Usage) error {
 	status, body, err := s.control.http.GetTimeout(nil, "http://"+d.OperatorAddress+"/metrics", callTimeout)
-	if err != nil || status != fasthttp.StatusOK {
-		return fmt.Errorf("read metrics of %s: HTTP status %d: %w", d.Instance, status, err)
+	if err != nil {
+		return fmt.Errorf("read metrics of %s: %w", d.Instance, err)
+	}
+	if status != fasthttp.StatusOK {
+		return fmt.Errorf("read metrics of %s: got HTTP status %d, expected 200", d.Instance, status)
 	}
 	for line := range strings.Lines(string(body)) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
