ratelimit: Compute shares again only when what they depend on changes

Cause: the list of daemons was taken to have changed each time.

Change: a hash of the daemons, and whether the knowledge of a limit is stale, are compared with those of the last computation.

Test: TestDaemonsChange guards against shares that stay as they were when daemons come and go, now that they are kept.

--- a/internal/route/ratelimit/ratelimit.go
+++ b/internal/route/ratelimit/ratelimit.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -52,8 +53,10 @@
 	mu      sync.Mutex
 	known   map[ident.ServerIncarnation]*namedLimit
 	daemons []ident.Instance
-	// refreshedAt is the time of the last complete computation of the shares.
+	// refreshedAt is the time of the last check for changes on which shares depend, and
+	// daemonsHash the hash of the daemons then.
 	refreshedAt time.Time
+	daemonsHash uint64
 }
 
 // New returns Limits without any limit.
@@ -231,7 +234,8 @@
 		}
 		return 0
 	}
-	rate := shareOf(division{limit: limit, server: known.server, self: l.Self, daemons: l.daemons, stale: known.isStale(now)})
+	known.dividedAsStale = known.isStale(now)
+	rate := shareOf(division{limit: limit, server: known.server, self: l.Self, daemons: l.daemons, stale: known.dividedAsStale})
 	fleetRate := limit / unit.RequestRate(daemonCount)
 	if existing != nil {
 		existing.setRates(now, rate, fleetRate)
@@ -252,11 +256,11 @@
 	return max(len(l.daemons), 1)
 }
 
-// refreshInterval is the time between two computations of all shares.
+// refreshInterval is the time between two checks for changes on which shares depend.
 const refreshInterval = 500 * time.Millisecond
 
-// Refresh computes the shares again if the daemons have changed, or the knowledge of a limit
-// has become stale. It is called often.
+// Refresh computes shares again if the daemons have changed, or the knowledge of a limit has
+// become stale. It is called often.
 func (l *Limits) Refresh() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -265,11 +269,26 @@
 		return
 	}
 	l.refreshedAt, l.daemons = now, l.Daemons.Daemons()
+	hash := hashOf(l.daemons)
+	haveDaemonsChanged := hash != l.daemonsHash
+	l.daemonsHash = hash
 	for server, known := range l.known {
-		if now.Sub(known.confirmedAt()) > forgetTime {
+		isForgotten := now.Sub(known.confirmedAt()) > forgetTime
+		if isForgotten {
 			delete(l.known, server)
 			known.limit = 0
 		}
-		l.publish(known, now)
+		if isForgotten || haveDaemonsChanged || known.isStale(now) != known.dividedAsStale {
+			l.publish(known, now)
+		}
+	}
+}
+
+// hashOf returns a hash of the daemons that doesn't depend on their order.
+func hashOf(daemons []ident.Instance) uint64 {
+	var hash uint64
+	for _, daemon := range daemons {
+		hash += xxhash.Sum64String(string(daemon))
 	}
+	return hash
 }
--- a/internal/route/ratelimit/ratelimit_test.go
+++ b/internal/route/ratelimit/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -309,3 +310,37 @@
 		c.Check(r.Next(now, "paused", paused, patience), qt.Equals, time.Second/2+time.Duration(i)*time.Second/rate)
 	}
 }
+
+// listedDaemons is a daemonList that changes.
+type listedDaemons struct{ fixedDaemons }
+
+// TestDaemonsChange guards against shares that stay as they were when daemons come and go, and
+// against shares that depend on the order of the daemons.
+func TestDaemonsChange(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	list := &listedDaemons{newFixedDaemons(1)}
+	l := New(Options{Clock: clk, Log: zerolog.Nop(), Self: daemonName(0), Daemons: list, Catalog: catalog.New(clk)})
+	const servers = 20
+	limit := unit.RequestRate(2)
+	sum := func() unit.RequestRate {
+		clk.Advance(refreshInterval)
+		l.Refresh()
+		var sum unit.RequestRate
+		for _, s := range *l.shares.Load() {
+			sum += s.load()
+		}
+		return sum
+	}
+	for i := range servers {
+		l.Observe(newTestEndpoint(i), &limit)
+	}
+	c.Check(sum(), qt.Equals, servers*limit)
+	list.fixedDaemons = newFixedDaemons(40)
+	few := sum()
+	c.Check(few < servers*limit/4, qt.IsTrue, qt.Commentf("%v of %v", few, servers*limit))
+	slices.Reverse(list.fixedDaemons)
+	c.Check(sum(), qt.Equals, few)
+	list.fixedDaemons = newFixedDaemons(1)
+	c.Check(sum(), qt.Equals, servers*limit)
+}
--- a/internal/route/ratelimit/share.go
+++ b/internal/route/ratelimit/share.go
@@ -40,6 +40,8 @@
 	// namedAt is the time of the last answer with a limit, unnamedAt of the last one
 	// without.
 	namedAt, unnamedAt time.Time
+	// dividedAsStale says that the share was computed from knowledge that was stale.
+	dividedAsStale bool
 	// own is this daemon's last observation.
 	own   Observation
 	ownAt time.Time
