--- a/internal/domain/unit/revision.go
+++ b/internal/domain/unit/revision.go
@@ -1,5 +1,7 @@
 package unit
 
+import "strconv"
+
 // Revision is the platform's revision of a key. Each write to the platform has a higher
 // revision than all earlier writes, also after the platform was restored from a copy and gives
 // its own numbers out again: the upper bits hold the era.
@@ -29,3 +31,13 @@
 func (r Revision) Number() int64 {
 	return int64(r) & (1<<numberBits - 1)
 }
+
+// String returns the era and the number, such as "2/186", or the number alone if the platform
+// names no eras.
+func (r Revision) String() string {
+	number := strconv.FormatInt(r.Number(), 10)
+	if r.Era() == 0 {
+		return number
+	}
+	return strconv.FormatInt(int64(r.Era()), 10) + "/" + number
+}
--- a/internal/domain/unit/revision_test.go
+++ b/internal/domain/unit/revision_test.go
@@ -1,6 +1,7 @@
 package unit
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -28,3 +29,9 @@
 		})
 	}
 }
+
+// ExampleRevision_String shows a revision before and after the platform was restored.
+func ExampleRevision_String() {
+	fmt.Println(NewRevision(0, 186), NewRevision(1, 186), NewRevision(2, 12))
+	// Output: 186 1/186 2/12
+}
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -202,7 +202,7 @@
 		}
 		if pauses.ranAt(suspensionClock.Now()) {
 			// The lease may have ended during the pause.
-			c.deps.Log.Warn().Int64("fence", token).Msg("planner-paused")
+			c.deps.Log.Warn().Stringer("fence", unit.Revision(token)).Msg("planner-paused")
 			c.endTerm(token)
 		}
 		if token != 0 && c.supersededBy(token) {
@@ -258,7 +258,7 @@
 	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic())
 	for _, d := range p.Decisions {
 		c.deps.Log.Info().Str("replica", string(d.Replica)).Uint64("epoch", uint64(d.Epoch)).
-			Int64("fence", int64(p.fencingToken)).Str("detail", d.Detail).Msg(d.Event)
+			Stringer("fence", p.fencingToken).Str("detail", d.Detail).Msg(d.Event)
 	}
 	p.Decisions = nil
 	if p.Superseded {
@@ -396,7 +396,7 @@
 	c.orders.WithLabelValues(string(command.Order.Operation), result.String()).Inc()
 	c.deps.Log.Info().Str("server", string(command.Server.ID)).Str("operation", string(command.Order.Operation)).
 		Str("replica", string(command.Order.Replica)).Uint64("epoch", uint64(command.Order.Epoch)).Str("model", string(command.Order.Model)).
-		Int64("fence", int64(command.Order.FencingToken)).Str("result", result.String()).Msg("order")
+		Stringer("fence", command.Order.FencingToken).Str("result", result.String()).Msg("order")
 	c.mu.Lock()
 	c.orderResults = append(c.orderResults, orderResult{command, result})
 	c.mu.Unlock()
--- a/internal/fleet/formation/term.go
+++ b/internal/fleet/formation/term.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/lease"
 	"cuminbay/internal/fleet/mirror"
 	"cuminbay/internal/kernel/plugin"
@@ -77,7 +78,7 @@
 	}
 	if current := c.fencingToken.Load(); current != previous {
 		c.keys.SetLowLatency(current != 0)
-		c.deps.Log.Info().Int64("fence", current).Int64("before", previous).AnErr("error", err).Msg("planner-tenure")
+		c.deps.Log.Info().Stringer("fence", unit.Revision(current)).Stringer("before", unit.Revision(previous)).AnErr("error", err).Msg("planner-tenure")
 		c.wakePlanner()
 	}
 }
@@ -91,7 +92,7 @@
 
 // endSupersededTerm ends the term with the token, as a later planner has taken over.
 func (c *controller) endSupersededTerm(token int64) {
-	c.deps.Log.Warn().Int64("fence", token).Msg("planner-superseded")
+	c.deps.Log.Warn().Stringer("fence", unit.Revision(token)).Msg("planner-superseded")
 	c.endTerm(token)
 }
 
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -214,7 +214,7 @@
 
 func (m *Mirror) recordSourceLoss(err error) {
 	if m.sourceConnected.Swap(false) {
-		m.Log.Warn().Err(err).Int64("revision", m.revision.Load()).Msg("store-lost")
+		m.Log.Warn().Err(err).Stringer("revision", m.Revision()).Msg("store-lost")
 	}
 }
 
@@ -259,7 +259,7 @@
 			// the transfer again.
 			continue
 		}
-		m.Log.Info().Int64("revision", ownRevision).Int64("heard", peerRevision).Msg("store-behind")
+		m.Log.Info().Stringer("revision", unit.Revision(ownRevision)).Stringer("heard", unit.Revision(peerRevision)).Msg("store-behind")
 		missingRevision = 0
 		if isUpstream {
 			u.AvoidCurrentSource()
@@ -277,7 +277,7 @@
 		if !isUpstream || m.Age() < m.freshness.maxAge || !u.LeaveOldCopy() {
 			continue
 		}
-		m.Log.Info().Int64("revision", m.revision.Load()).Dur("age_ms", m.Age()).Msg("store-copy-old")
+		m.Log.Info().Stringer("revision", m.Revision()).Dur("age_ms", m.Age()).Msg("store-copy-old")
 		m.cancelCurrentCall()
 	}
 }
@@ -293,7 +293,7 @@
 		m.deferUntil = m.Clock.Now().Add(m.SettleTime)
 		m.mu.Unlock()
 	}
-	m.Log.Info().Int64("revision", m.revision.Load()).Msg("store-regained")
+	m.Log.Info().Stringer("revision", m.Revision()).Msg("store-regained")
 }
 
 // readList reads the source's whole list and applies the differences from the copy.
@@ -309,7 +309,7 @@
 		if u, ok := m.Source.(*Upstream); ok {
 			u.AvoidCurrentSource()
 		}
-		return false, code.PlatformUnavailable.New("mirror: read list: got revision %d, expected at least revision %d of this copy", revision, ownRevision)
+		return false, code.PlatformUnavailable.New("mirror: read list: got revision %s, expected at least revision %s of this copy", revision, ownRevision)
 	}
 	m.recordSourceRecovery()
 	if m.isRestored(revision) {
@@ -337,7 +337,7 @@
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
 	})
 	m.apply(changes, revision, true)
-	m.Log.Info().Int("keys", len(entries)).Int64("revision", int64(revision)).Msg("store-listed")
+	m.Log.Info().Int("keys", len(entries)).Stringer("revision", revision).Msg("store-listed")
 	return true, nil
 }
 
@@ -350,7 +350,7 @@
 	}
 	m.recordSourceRecovery()
 	if compacted {
-		m.Log.Info().Int64("revision", m.revision.Load()).Msg("store-history-lost")
+		m.Log.Info().Stringer("revision", m.Revision()).Msg("store-history-lost")
 		return false, nil
 	}
 	m.apply(changes, completeUpTo, false)
--- a/internal/fleet/mirror/restore.go
+++ b/internal/fleet/mirror/restore.go
@@ -69,8 +69,7 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.mu.Unlock()
-	m.Log.Warn().Int64("era", int64(revision.Era())).Int64("era_before", int64(before.Era())).
-		Int64("revision", revision.Number()).Int64("revision_before", before.Number()).Int("unsettled", unsettled).Msg("store-restored")
+	m.Log.Warn().Stringer("revision", revision).Stringer("before", before).Int("unsettled", unsettled).Msg("store-restored")
 	if unsettled > 0 {
 		m.Clock.AfterFunc(m.SettleTime, m.settle)
 	}
--- a/internal/serve/forward/telemetry.go
+++ b/internal/serve/forward/telemetry.go
@@ -65,7 +65,7 @@
 	}
 	if c == code.UnknownPath || c == code.UnknownOrganisation || c == code.NotReady {
 		copyStatus := x.Copy.Status()
-		logEvent = logEvent.Int64("copy_revision", int64(copyStatus.Revision)).Dur("copy_age_ms", copyStatus.Age).
+		logEvent = logEvent.Stringer("copy_revision", copyStatus.Revision).Dur("copy_age_ms", copyStatus.Age).
 			Dur("copy_max_age_ms", copyStatus.MaxAge).Str("copy_from", string(copyStatus.Source))
 	}
 	logEvent.Msg("request-ended")
