cli: Don't wait for daemons that can't be reached

It waited for all of them until the time was over, and then failed.

If a daemon that answers is behind when the time is over, the error lists both kinds as before.

--- a/internal/command/cli/record.go
+++ b/internal/command/cli/record.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -134,6 +135,13 @@
 	return c.writeRecord(c.streams, c.Args.Name, fmt.Appendf(nil, `{"schema":%d,"withdrawn":true}`, record.SchemaV2))
 }
 
+// writeReport is what a command that writes a record prints.
+type writeReport struct {
+	operator.WriteResult
+	// Unreachable are the daemons of which it isn't known whether the record is active.
+	Unreachable []operator.Confirmation `json:"unreachable,omitempty"`
+}
+
 func (f writeFlags) writeRecord(s Streams, name string, raw []byte) error {
 	n, err := record.ParseName(name)
 	if err != nil {
@@ -146,13 +154,13 @@
 	if err != nil {
 		return err
 	}
-	var written operator.WriteResult
+	var written writeReport
 	path := fmt.Sprintf("/records/%s?revision=%d", n, expected)
-	if err := f.sendRequest(fasthttp.MethodPut, path, raw, &written); err != nil {
+	if err := f.sendRequest(fasthttp.MethodPut, path, raw, &written.WriteResult); err != nil {
 		return err
 	}
 	if f.Wait > 0 {
-		if err := f.waitConfirmed(n, written.Revision); err != nil {
+		if written.Unreachable, err = f.waitConfirmed(n, written.Revision); err != nil {
 			return err
 		}
 	}
@@ -160,6 +168,9 @@
 		return s.printJSON(written)
 	}
 	s.printf("%s written at revision %d\n", n, written.Revision)
+	for _, c := range written.Unreachable {
+		s.printf("not confirmed by %s, which can't be reached: %s\n", c.Instance, c.Reason)
+	}
 	return nil
 }
 
@@ -176,11 +187,10 @@
 	return r.Revision, err
 }
 
-// waitConfirmed waits until the revision is active at every daemon that the
-// called daemon lists. If that takes longer than the flag allows, the error
-// lists the daemons that have not confirmed the revision, unreachable daemons
-// among them.
-func (f writeFlags) waitConfirmed(n record.Name, revision unit.Revision) error {
+// waitConfirmed waits until the revision is active at every daemon that the called daemon can
+// reach, and returns the daemons that it can't reach. If that takes longer than the flag
+// allows, the error lists the daemons that have not confirmed the revision.
+func (f writeFlags) waitConfirmed(n record.Name, revision unit.Revision) ([]operator.Confirmation, error) {
 	clk := clock.Real()
 	deadline := clk.Now().Add(f.Wait)
 	const interval = 100 * time.Millisecond
@@ -188,29 +198,34 @@
 		var list []operator.Confirmation
 		path := fmt.Sprintf("/confirmations/%s?revision=%d", n, revision)
 		if err := f.sendRequest(fasthttp.MethodGet, path, nil, &list); err != nil {
-			return err
+			return nil, err
 		}
-		unconfirmed := selectUnconfirmed(list)
-		if len(unconfirmed) == 0 {
-			return nil
+		pending, unreachable := splitUnconfirmed(list)
+		if len(pending) == 0 {
+			return unreachable, nil
 		}
 		if clk.Now().After(deadline) {
-			raw, err := json.Marshal(unconfirmed)
+			raw, err := json.Marshal(slices.Concat(pending, unreachable))
 			if err != nil {
-				return err
+				return nil, err
 			}
-			return code.NotReady.New("%s: revision %d is written but not confirmed by %s", n, revision, raw)
+			return nil, code.NotReady.New("%s: revision %d is written but not confirmed by %s", n, revision, raw)
 		}
 		plugin.Sleep(context.Background(), clk, interval)
 	}
 }
 
-func selectUnconfirmed(list []operator.Confirmation) []operator.Confirmation {
-	var selected []operator.Confirmation
+// splitUnconfirmed returns the daemons that answer but have not confirmed the revision, and
+// those that can't be reached.
+func splitUnconfirmed(list []operator.Confirmation) (pending, unreachable []operator.Confirmation) {
 	for _, c := range list {
-		if !c.Active {
-			selected = append(selected, c)
+		switch {
+		case c.Active:
+		case c.Reason != "":
+			unreachable = append(unreachable, c)
+		default:
+			pending = append(pending, c)
 		}
 	}
-	return selected
+	return pending, unreachable
 }
