--- a/internal/fleet/drain/plugin.go
+++ b/internal/fleet/drain/plugin.go
@@ -26,7 +26,6 @@
 		p := newPlugin(New(Options{Self: self, HybridClock: deps.Timeline}), deps.Clock)
 		p.deps, p.log, p.timeline = deps, deps.Log, deps.Timeline
 		deps.Provide(p)
-		deps.Provide(&inFlightTopic{deps: deps})
 		return p, nil
 	})
 }
@@ -260,43 +259,3 @@
 		}
 	}
 }
-
-// InFlightQuery is the body of a query on the topic "inflight".
-type InFlightQuery struct {
-	Endpoint ident.Endpoint `json:"endpoint"`
-}
-
-// InFlightReply is the body of the reply: the number of requests that the replying
-// daemon has in flight to the endpoint.
-type InFlightReply struct {
-	Requests unit.Requests `json:"requests"`
-}
-
-// inFlightCounter counts this daemon's requests in flight to an endpoint.
-type inFlightCounter interface {
-	InFlightTo(e ident.Endpoint) unit.Requests
-}
-
-// inFlightTopic reports to other daemons how many requests this daemon has in flight
-// to an endpoint, so that a planned stop of the endpoint can wait for them.
-type inFlightTopic struct {
-	deps *plugin.Deps
-}
-
-// Topic returns the name of the topic.
-func (i *inFlightTopic) Topic() string { return "inflight" }
-
-// Answer decodes an InFlightQuery and returns an InFlightReply.
-//
-// Errors carry code.BadMessage or code.Internal.
-func (i *inFlightTopic) Answer(_ context.Context, from ident.Instance, body []byte) ([]byte, error) {
-	var query InFlightQuery
-	if err := json.Unmarshal(body, &query); err != nil {
-		return nil, code.BadMessage.Wrap(err, "inflight: decode query from %s", from)
-	}
-	var counter inFlightCounter
-	if err := i.deps.Resolve(&counter); err != nil {
-		return nil, code.Internal.Wrap(err, "inflight: find the request counter")
-	}
-	return json.Marshal(InFlightReply{Requests: counter.InFlightTo(query.Endpoint)})
-}
--- a/internal/route/policy/leastcost.go
+++ b/internal/route/policy/leastcost.go
@@ -117,11 +117,6 @@
 	e.Load.ObserveFirstToken(firstToken)
 }
 
-// RecordEviction records an engine's report that it no longer caches a prefix.
-func (p *LeastCost) RecordEviction(e *table.Endpoint, h work.PrefixHash) {
-	p.prefixes.removeEndpoint(e, h)
-}
-
 // LimitOptions are the bounds of the adaptive limit of an endpoint.
 type LimitOptions struct {
 	// Min is the lowest adaptive limit.
--- a/internal/route/policy/prefixindex.go
+++ b/internal/route/policy/prefixindex.go
@@ -109,17 +109,3 @@
 		}
 	}
 }
-
-// removeEndpoint removes the endpoint from a prefix that it no longer caches.
-func (c *prefixIndex) removeEndpoint(e *table.Endpoint, h work.PrefixHash) {
-	s := c.slotOf(h)
-	if s.prefix.Load() != uint64(h) {
-		return
-	}
-	if sameEndpoint(s.previous.Load(), e) {
-		s.previous.Store(nil)
-	}
-	if sameEndpoint(s.latest.Load(), e) {
-		s.latest.Store(s.previous.Load())
-	}
-}
--- a/internal/route/policy/random2.go
+++ b/internal/route/policy/random2.go
@@ -42,9 +42,6 @@
 	return e.Load.FirstTokenTime()
 }
 
-// RecordEviction does nothing, as Random2 ignores caches.
-func (Random2) RecordEviction(*table.Endpoint, work.PrefixHash) {}
-
 func randomEndpoint(endpoints []*table.Endpoint) *table.Endpoint {
 	if len(endpoints) == 0 {
 		return nil
