--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -106,7 +106,7 @@
 	{Overloaded, "overloaded", http.StatusTooManyRequests, NotRun, "Every endpoint is at its limit.", "Retry after the given time."},
 	{DeadlineTooShort, "deadline-too-short", http.StatusServiceUnavailable, NotRun, "The estimated response time exceeds the deadline.", "Retry later or allow more time."},
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, "This daemon or data centre accepts no new requests.", "Retry; the balancer will choose another daemon."},
-	{PlatformUnavailable, "platform-unavailable", http.StatusServiceUnavailable, NotRun, "The claim of an at-most-once call could not be recorded in the platform.", "Retry with the same key."},
+	{PlatformUnavailable, "platform-unavailable", http.StatusServiceUnavailable, NotRun, "The platform could not be reached, rejected a call or has no recent answer; the claim of an at-most-once call, for example, could not be recorded.", "Retry with the same key."},
 	{OverShare, "over-share", http.StatusTooManyRequests, NotRun, "The organisation is over its share while capacity is short.", "Retry after the given time."},
 	{ColdOnly, "cold-only", http.StatusServiceUnavailable, NotRun, "Only cold endpoints are in service, and they are at their limit.", "Retry after the given time."},
 	{ClaimsFull, "claims-full", http.StatusServiceUnavailable, NotRun, "The shard of the claim is full of claims whose retention has not ended.", "Retry later; raise the number of shards."},
@@ -132,7 +132,7 @@
 	{RecordRace, "record-race", http.StatusConflict, NotRun, "Another write to the record came first.", "Read the record again and repeat the change."},
 	{NoSuchRecord, "no-such-record", http.StatusNotFound, NotRun, "The record does not exist.", "List the records."},
 	{BadReport, "bad-report", http.StatusBadGateway, NotRun, "An endpoint's report is malformed.", "Check the endpoint's version and paths."},
-	{BadMessage, "bad-message", http.StatusBadRequest, NotRun, "A message from a peer is malformed.", "Check that the daemons' versions are compatible."},
+	{BadMessage, "bad-message", http.StatusBadRequest, NotRun, "A message from a peer, a server or the platform is malformed.", "Check that the versions of both are compatible."},
 	{Internal, "internal", http.StatusInternalServerError, Unknown, "An internal error of cuminbay.", "Report the error with the log line."},
 }
 
