mirror: Don't use servers again that left before the store was restored

Callers could reach a server that had left without notice: after a restoration the store has its registration again until the lease ends, and the copy gave it to the catalog as the settle time of 2.2 s was over. If the registration was removed within that time, the removal was deferred to the same moment, and the server was in use between the two.

Cause: the settle time is what operator and servers need to write again. A server that is gone writes nothing; only the end of its lease shows that, three renewals after the restoration.

Change: a leased key of a restored list, which the handlers know otherwise or not at all, counts after three renewals (mirror.renewal, from the platform's heartbeat) and the settle time. A key whose removal is deferred isn't given to handlers before.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -53,6 +53,8 @@
 	// of these keys until SettleTime after the outage.
 	LeasedPrefix store.Key
 	SettleTime   time.Duration
+	// RenewInterval is the interval at which writers renew the leases of these keys.
+	RenewInterval time.Duration
 	// MinOutage is the shortest outage of the source in which leases of running
 	// writers may expire.
 	MinOutage time.Duration
@@ -439,6 +441,7 @@
 			continue
 		}
 		delete(m.deferredRemovals, key)
+		delete(m.unsettled, key)
 		delete(m.entries, key)
 		removed = append(removed, store.Change{Entry: store.Entry{Key: key, Revision: m.Revision()}, Removed: true})
 	}
--- a/internal/fleet/mirror/plugin.go
+++ b/internal/fleet/mirror/plugin.go
@@ -20,6 +20,9 @@
 	// Outage is the shortest outage of the store in which leases of running
 	// servers may expire.
 	Outage settings.Duration `json:"outage" validate:"duration"`
+	// Renewal is the interval at which servers renew the leases of their entries. The store
+	// removes the entry of a server that has missed three renewals.
+	Renewal settings.Duration `json:"renewal" validate:"duration"`
 	// Within is the time within which a change of the store's keys has to be in force. The age at which a copy is too old follows from it.
 	Within settings.Duration `json:"within" validate:"duration"`
 	// Lapsing is the prefix of the keys that are bound to a lease of their writer.
@@ -28,7 +31,7 @@
 
 func init() {
 	settings.Register(section, func() any {
-		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(1500 * time.Millisecond), Within: settings.DurationOf(defaultWithin), Lapsing: "servers/"}
+		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(1500 * time.Millisecond), Renewal: settings.DurationOf(1200 * time.Millisecond), Within: settings.DurationOf(defaultWithin), Lapsing: "servers/"}
 	})
 	plugin.RegisterForAdapter("platform", plugin.Roster, "mirror", newPlugin)
 }
@@ -41,7 +44,10 @@
 
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
 	s := deps.Settings.Section(section).(*Settings)
-	m := New(Options{Clock: deps.Clock, Log: deps.Log, LeasedPrefix: store.Key(s.Lapsing), SettleTime: s.Settle.Duration, MinOutage: s.Outage.Duration, Within: s.Within.Duration})
+	m := New(Options{
+		Clock: deps.Clock, Log: deps.Log, LeasedPrefix: store.Key(s.Lapsing), Within: s.Within.Duration,
+		SettleTime: s.Settle.Duration, RenewInterval: s.Renewal.Duration, MinOutage: s.Outage.Duration,
+	})
 	deps.Provide(m)
 	return &component{m, deps}, nil
 }
--- a/internal/fleet/mirror/restore.go
+++ b/internal/fleet/mirror/restore.go
@@ -12,7 +12,12 @@
 
 // A platform that was restored from a copy lacks the writes since that copy. The operator and
 // the servers write theirs again within SettleTime; until then the list may be older than what
-// the handlers know. What daemons wrote is not written again.
+// the handlers know. The registration of a server that has left stays until its lease ends. What
+// daemons wrote is not written again.
+
+// missedRenewals is the number of intervals without a renewal after which the platform removes
+// a leased key.
+const missedRenewals = 3
 
 // daemonPrefix is the prefix of the keys that daemons write.
 const daemonPrefix store.Key = "cuminbay/"
@@ -31,9 +36,19 @@
 	return own != 0 && revision.Era() > own.Era()
 }
 
+// settleTimeOf returns the time after which a restored platform has what it should have of the
+// key: a key that is missing has been written again, and a leased key whose writer is gone has
+// been removed.
+func (m *Mirror) settleTimeOf(key store.Key, isMissing bool) time.Duration {
+	if isMissing || !strings.HasPrefix(string(key), string(m.LeasedPrefix)) {
+		return m.SettleTime
+	}
+	return missedRenewals*m.RenewInterval + m.SettleTime
+}
+
 // applyRestoredList replaces the copy by the list of a restored platform. Handlers get what
-// differs from the copy after SettleTime, unless it has been written again by then. What still
-// differs since an earlier restoration waits for that time once more.
+// differs from the copy after the settle time, unless it has been written again by then. What
+// still differs since an earlier restoration waits for that time once more.
 func (m *Mirror) applyRestoredList(entries []store.Entry, revision unit.Revision) {
 	m.notifyMu.Lock()
 	defer m.notifyMu.Unlock()
@@ -41,7 +56,8 @@
 	before := m.Revision()
 	now := m.Clock.Now()
 	for key := range m.unsettled {
-		m.unsettled[key] = now.Add(m.SettleTime)
+		_, found := m.entries[key]
+		m.unsettled[key] = now.Add(m.settleTimeOf(key, !found))
 	}
 	restored := make(map[store.Key]store.Entry, len(entries))
 	var atOnce []store.Change
@@ -72,17 +88,18 @@
 	m.Log.Warn().Stringer("revision", revision).Stringer("before", before).Int("unsettled", unsettled).Msg("store-restored")
 	if unsettled > 0 {
 		m.Clock.AfterFunc(m.SettleTime, m.settle)
+		m.Clock.AfterFunc(m.settleTimeOf(m.LeasedPrefix, false), m.settle)
 	}
 	m.notify(atOnce, true)
 }
 
-// settleLater records a difference that handlers get after SettleTime, or appends it to
+// settleLater records a difference that handlers get after the settle time, or appends it to
 // those that they get at once. The caller holds the lock.
 func (m *Mirror) settleLater(atOnce []store.Change, change store.Change, now time.Time) []store.Change {
 	if strings.HasPrefix(string(change.Key), string(daemonPrefix)) || m.isVersioned(change) {
 		return append(atOnce, change)
 	}
-	m.unsettled[change.Key] = now.Add(m.SettleTime)
+	m.unsettled[change.Key] = now.Add(m.settleTimeOf(change.Key, change.Removed))
 	return atOnce
 }
 
@@ -106,10 +123,13 @@
 	var settled []store.Change
 	for key, due := range m.unsettled {
 		if now.Before(due) {
-			// A second restoration has extended the time, and calls settle again.
+			// A later call of settle is due.
 			continue
 		}
 		delete(m.unsettled, key)
+		if _, deferred := m.deferredRemovals[key]; deferred {
+			continue
+		}
 		e, found := m.entries[key]
 		if !found {
 			e = store.Entry{Key: key, Revision: m.Revision()}
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -133,6 +133,75 @@
 	c.Check(states(), qt.Equals, "draining")
 }
 
+// stateRecorder records every state of the keys below servers/ that it is given.
+type stateRecorder struct {
+	recordingHandler
+	states []string
+}
+
+func (r *stateRecorder) HandleChanges(changes []store.Change, synced bool) {
+	r.recordingHandler.HandleChanges(changes, synced)
+	for _, change := range changes {
+		if !change.Removed {
+			r.states = append(r.states, string(change.Key)+" "+string(change.Value))
+		}
+	}
+}
+
+// TestRestoredRemovedKey guards against a server that had left and is used again, since a
+// restored platform has its registration until its lease ends.
+func TestRestoredRemovedKey(t *testing.T) {
+	const (
+		settleTime    = 2 * time.Second
+		renewInterval = time.Second
+		lapseTime     = missedRenewals*renewInterval + settleTime
+	)
+	revision := func(n int64) unit.Revision { return unit.NewRevision(2, n) }
+	removed := store.Change{Entry: store.Entry{Key: "servers/gone", Revision: revision(10)}, Removed: true}
+	tests := map[string]struct {
+		// change is read at the time after the list.
+		change store.Change
+		after  time.Duration
+		// states are all states of the server that handlers got.
+		states []string
+	}{
+		"removed again at once":           {change: removed, states: nil},
+		"removed as its lease ends":       {change: removed, after: lapseTime - time.Millisecond, states: nil},
+		"still there after its lease":     {change: removed, after: lapseTime, states: []string{"servers/gone ready"}},
+		"registered again at once":        {change: store.Change{Entry: entry("servers/gone", "ready", revision(10))}, states: []string{"servers/gone ready"}},
+		"registered again, then draining": {change: store.Change{Entry: entry("servers/gone", "draining", revision(10))}, states: []string{"servers/gone draining"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			clk := clockwork.NewFakeClock()
+			source := &fakeSource{cancel: cancel, answers: []sourceAnswer{
+				{revision: unit.NewRevision(1, 9)}, {compacted: true},
+				{list: []store.Entry{entry("servers/gone", "ready", revision(2))}, revision: revision(5)},
+				{changes: []store.Change{test.change}, revision: revision(10)},
+			}}
+			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, RenewInterval: renewInterval, MinOutage: time.Second})
+			handler := &stateRecorder{recordingHandler: recordingHandler{keys: make(map[store.Key]string)}}
+			m.AddHandler(handler)
+			for range 3 {
+				m.poll(ctx)
+			}
+			clk.Advance(test.after)
+			m.settle()
+			m.poll(ctx)
+			for range 2 {
+				clk.Advance(lapseTime)
+				waitSettled(m)
+			}
+			m.notifyMu.Lock()
+			defer m.notifyMu.Unlock()
+			c.Check(handler.states, qt.DeepEquals, test.states)
+		})
+	}
+}
+
 // waitSettled waits until the mirror has no unsettled keys and no deferred removals.
 func waitSettled(m *Mirror) {
 	for {
