forward: Avoid endpoints at which another server or replica replies

Cause: an attempt that gets 421 didn't count as a failure of the endpoint. As such an endpoint has no request in flight it has the lowest utilisation, so it attracts every request until its registration changes. Ruled out: a wrong answer on a kept connection (the attempts went to three addresses only, all of servers that came back cold at 25 s).

Change: a misdirected attempt is a failure of the endpoint. It is avoided, and other daemons and the planner are told. Text that is no event of a stream doesn't count, as such a server serves other requests.

Result: TestMisdirected failed before in two cases and passes.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -369,8 +369,7 @@
 		return
 	}
 	avoidedFor := time.Duration(0)
-	switch cause {
-	case code.EndpointUnreachable, code.CutOff, code.Stalled, code.EndpointFailed:
+	if isEndpointFailure(err) {
 		avoidedFor = e.Load.RecordFailure(x.Clock.Now())
 		x.Observer.EndpointFailed(e, cause)
 	}
@@ -390,6 +389,19 @@
 		Dur("avoided_ms", avoidedFor).Str("cause", cause.Spec().Name).Str("detail", code.Message(err)).Msg("attempt-failed")
 }
 
+// isEndpointFailure reports whether the failure of an attempt shows that the endpoint will fail
+// other requests too. Where another server or replica replies, this one is gone: it would get
+// all requests, as it has none in flight.
+func isEndpointFailure(err error) bool {
+	switch code.Of(err) {
+	case code.EndpointUnreachable, code.CutOff, code.Stalled, code.EndpointFailed:
+		return true
+	case code.ForeignAnswer:
+		return code.OutcomeOf(err) == code.NotRun
+	}
+	return false
+}
+
 // startedEvents is the number of reads with events from which a server has begun to answer a
 // prompt. A prompt part that crashes servers does so at the start of the answer, of which the
 // first event may still arrive.
