formation: Name replicas by era and number of the token

Since revisions have an era, operators saw names such as r1099511627798-2 in logs and in servers' reports: the name had the whole token as one number. The name now has its parts, r1-22-2, or r22-2 where the store has no eras.

--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
@@ -148,10 +149,12 @@
 	return domains
 }
 
-// newName returns a name that is unique over all terms.
+// newName returns a name that is unique over all terms: era and number of the fencing token,
+// and a count.
 func (p *Planner) newName() ident.Replica {
 	p.nameCount++
-	return ident.Replica(fmt.Sprintf("r%d-%d", p.fencingToken, p.nameCount))
+	term := strings.ReplaceAll(p.fencingToken.String(), "/", "-")
+	return ident.Replica(fmt.Sprintf("r%s-%d", term, p.nameCount))
 }
 
 // hasIncompleteOrDissolvingReplica reports whether the domain has an incomplete
--- a/internal/fleet/formation/term_test.go
+++ b/internal/fleet/formation/term_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/lease"
@@ -101,3 +102,21 @@
 		})
 	}
 }
+
+// TestNewName guards against replicas of two terms with one name, and against names that an
+// operator can't read.
+func TestNewName(t *testing.T) {
+	tests := map[string]struct {
+		token unit.Revision
+		want  []ident.Replica
+	}{
+		"no eras":        {unit.NewRevision(0, 186), []ident.Replica{"r186-1", "r186-2"}},
+		"after restored": {unit.NewRevision(2, 186), []ident.Replica{"r2-186-1", "r2-186-2"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlanner(Options{}, test.token, time.Time{})
+			qt.Check(t, []ident.Replica{p.newName(), p.newName()}, qt.DeepEquals, test.want)
+		})
+	}
+}
