poison: Count a crash once, however many equal requests it ended

Callers of a request were refused for a minute (2008, poison request) after one server had crashed.

Cause: a log that was kept shows five request-suspected lines of one daemon within 0.6 ms, all for the endpoint i-05: five equal requests were in flight there as it crashed, and each counted as a crash, so that the threshold of three was reached at once. Daemons that had seen such a request end would have cleared it, but all had restarted. Ruled out: three crashes (the other servers crashed without such a request in flight). The detector of prompt parts, which identifies crashes, doesn't have the fault.

Change: a crash is identified by server and incarnation (engines of the product's own interface: replica and epoch), daemons keep and exchange the crashes of a request instead of their number, and different ones count. Datagrams and the exchange between daemons still carry the number for daemons of the version before, whose numbers are given identities here. Plain services of the product's own interface have no incarnation, so each observation still counts there.

Tests: TestExchangeOfCrashCounts ('one crash observed by one daemon during equal requests', 'by two daemons'), TestCountsOfEarlierVersion, TestCrashes, TestDecodeMessage. Tests that recorded crashes without identity give each its own one, as they meant different crashes.

--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -178,7 +178,8 @@
 			defer cancel()
 			clk := clockwork.NewFakeClock()
 			source := &fakeSource{cancel: cancel, answers: []sourceAnswer{
-				{revision: unit.NewRevision(1, 9)}, {compacted: true},
+				{revision: unit.NewRevision(1, 9)},
+				{compacted: true},
 				{list: []store.Entry{entry("servers/gone", "ready", revision(2))}, revision: revision(5)},
 				{changes: []store.Change{test.change}, revision: revision(10)},
 			}}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -53,8 +53,8 @@
 
 // poisonDetector counts the endpoints that crashed while they ran a request.
 type poisonDetector interface {
-	LocalCrashes(within time.Duration) map[ident.Fingerprint]uint32
-	MergeCrashes(from ident.Instance, counts map[ident.Fingerprint]uint32) int
+	LocalCrashes(within time.Duration) map[ident.Fingerprint][]ident.Crash
+	MergeCrashes(from ident.Instance, crashes map[ident.Fingerprint][]ident.Crash) int
 	ClearedRequests(within time.Duration) []ident.Fingerprint
 	RecordCompletion(f ident.Fingerprint)
 }
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -153,11 +153,11 @@
 func TestCrashes(t *testing.T) {
 	c := qt.New(t)
 	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "d": "z"})
-	g.Poison.(*poison.Detector).RecordCrash(7)
+	g.Poison.(*poison.Detector).RecordCrash(7, 1)
 	raw, _ := g.encodeDatagram(g.ownInFlight(), false)
 	m, err := decodeMessage(raw)
 	c.Assert(err, qt.IsNil)
-	c.Check(m.Crashes, qt.DeepEquals, map[ident.Fingerprint]uint32{7: 1})
+	c.Check(m.Crashes, qt.DeepEquals, map[ident.Fingerprint][]ident.Crash{7: {1}})
 	clk.Advance(crashReportTime + time.Second)
 	raw, _ = g.encodeDatagram(g.ownInFlight(), false)
 	m, err = decodeMessage(raw)
@@ -167,10 +167,12 @@
 	check := func(f ident.Fingerprint) code.Code {
 		return code.Of(g.Poison.(*poison.Detector).Check(f))
 	}
-	g.handleMessage(&message{From: "b", Incarnation: 1, Sequence: 1, Crashes: map[ident.Fingerprint]uint32{9: 1}})
-	g.handleMessage(&message{From: "b", Incarnation: 1, Sequence: 2, Crashes: map[ident.Fingerprint]uint32{9: 1}})
+	g.handleMessage(&message{From: "b", Incarnation: 1, Sequence: 1, Crashes: map[ident.Fingerprint][]ident.Crash{9: {1}}})
+	g.handleMessage(&message{From: "b", Incarnation: 1, Sequence: 2, Crashes: map[ident.Fingerprint][]ident.Crash{9: {1}}})
 	c.Check(check(9), qt.Equals, code.Answered)
-	g.handleMessage(&message{From: "d", Incarnation: 1, Sequence: 1, Crashes: map[ident.Fingerprint]uint32{9: 1}})
+	g.handleMessage(&message{From: "d", Incarnation: 1, Sequence: 1, Crashes: map[ident.Fingerprint][]ident.Crash{9: {1}}})
+	c.Check(check(9), qt.Equals, code.Answered, qt.Commentf("two daemons observed one crash"))
+	g.handleMessage(&message{From: "d", Incarnation: 1, Sequence: 2, Crashes: map[ident.Fingerprint][]ident.Crash{9: {1, 2}}})
 	c.Check(check(9), qt.Equals, code.PoisonRequest)
 	c.Check(check(7), qt.Equals, code.Answered)
 }
@@ -183,12 +185,12 @@
 	c := qt.New(t)
 	running, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
 	running.Poison.RecordCompletion(7)
-	running.Poison.(*poison.Detector).RecordCrash(7)
+	running.Poison.(*poison.Detector).RecordCrash(7, 1)
 	c.Check(running.Poison.LocalCrashes(crashReportTime), qt.HasLen, 0, qt.Commentf("a completed request is suspected"))
 	restarted, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
 	detector := restarted.Poison.(*poison.Detector)
-	for range 3 {
-		detector.RecordCrash(7)
+	for crash := range ident.Crash(3) {
+		detector.RecordCrash(7, crash)
 	}
 	c.Assert(code.Of(detector.Check(7)), qt.Equals, code.PoisonRequest)
 	send := func(from, to *Gossip, sequence unit.Sequence) {
@@ -457,7 +459,7 @@
 		From: "b", Incarnation: 1_700_000_000_000, Sequence: 7, CopyRevision: 9, CopyAge: 40 * time.Millisecond,
 		InFlight:    map[endpointHash]unit.Requests{hashEndpoint("i", 3): 4, hashEndpoint("j", 1): 1},
 		FailureAges: map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
-		Crashes:     map[ident.Fingerprint]uint32{1 << 63: 2}, ClearedRequests: []ident.Fingerprint{7},
+		Crashes:     map[ident.Fingerprint][]ident.Crash{1 << 63: {12, 13}}, ClearedRequests: []ident.Fingerprint{7},
 		PartCrashes: map[ident.PromptPart][]ident.Crash{5: {8, 9}}, SoundParts: []ident.PromptPart{6},
 		Limits:     []ratelimit.Observation{{Server: 10, Limit: 2.5, Age: 300 * time.Millisecond}, {Server: 11, Age: time.Second}},
 		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
@@ -484,6 +486,9 @@
 		"endpoint without requests": encoded(&Datagram{From: "b", Endpoints: []uint32{1}}),
 		"failure without age":       encoded(&Datagram{From: "b", Failed: []uint32{1}}),
 		"crash without count":       encoded(&Datagram{From: "b", Crashing: []uint64{1}}),
+		"crash without identity":    encoded(&Datagram{From: "b", Crashing: []uint64{1, 2}, Crashes: []uint32{1, 1}, CrashIds: []uint64{3}}),
+		"any number of crashes":     encoded(&Datagram{From: "b", Crashing: []uint64{1}, Crashes: []uint32{1<<32 - 1}, CrashIds: []uint64{3}}),
+		"identity without crash":    encoded(&Datagram{From: "b", CrashIds: []uint64{3}}),
 		"part without crash":        encoded(&Datagram{From: "b", CrashParts: []uint64{1}}),
 		"member without start":      encoded(&Datagram{From: "b", Formations: []*Formation{{Replica: "r", Members: []string{"i"}}}}),
 	} {
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -29,9 +29,9 @@
 	// FailureAges has the endpoints whose failure the sender observed recently, with
 	// the time since the last failure.
 	FailureAges map[endpointHash]time.Duration
-	// Crashes has, by request, the number of endpoints that recently crashed while
-	// they ran the request for the sender.
-	Crashes map[ident.Fingerprint]uint32
+	// Crashes has, by request, the recent crashes of endpoints while they ran the request
+	// for the sender.
+	Crashes map[ident.Fingerprint][]ident.Crash
 	// ClearedRequests has the requests that other daemons suspect and that have run to
 	// their end at the sender.
 	ClearedRequests []ident.Fingerprint
@@ -76,9 +76,12 @@
 		d.Failed = append(d.Failed, uint32(e))
 		d.FailedAges = append(d.FailedAges, encodeAge(age))
 	}
-	for f, n := range m.Crashes {
+	for f, ids := range m.Crashes {
 		d.Crashing = append(d.Crashing, uint64(f))
-		d.Crashes = append(d.Crashes, n)
+		d.Crashes = append(d.Crashes, uint32(len(ids)))
+		for _, crash := range ids {
+			d.CrashIds = append(d.CrashIds, uint64(crash))
+		}
 	}
 	for _, f := range m.ClearedRequests {
 		d.Proven = append(d.Proven, uint64(f))
@@ -117,6 +120,40 @@
 	return observations
 }
 
+// decodeCrashes returns the crashes by request. A daemon of an earlier version sends only their
+// numbers.
+//
+// Errors carry code.BadMessage.
+func decodeCrashes(d *Datagram) (map[ident.Fingerprint][]ident.Crash, error) {
+	if len(d.GetCrashing()) != len(d.GetCrashes()) {
+		return nil, code.BadMessage.New("datagram: field crashes has %d values for %d requests", len(d.GetCrashes()), len(d.GetCrashing()))
+	}
+	ids := d.GetCrashIds()
+	if len(d.GetCrashing()) == 0 && len(ids) == 0 {
+		return nil, nil
+	}
+	isNamed := len(ids) > 0
+	crashes := make(map[ident.Fingerprint][]ident.Crash, len(d.GetCrashing()))
+	for i, f := range d.GetCrashing() {
+		count := d.GetCrashes()[i]
+		if !isNamed {
+			crashes[ident.Fingerprint(f)] = ident.UnnamedCrashes(ident.Instance(d.GetFrom()), count)
+			continue
+		}
+		if uint64(count) > uint64(len(ids)) {
+			return nil, code.BadMessage.New("datagram: field crash_ids has %d values, fewer than field crashes counts", len(d.GetCrashIds()))
+		}
+		for _, id := range ids[:count] {
+			crashes[ident.Fingerprint(f)] = append(crashes[ident.Fingerprint(f)], ident.Crash(id))
+		}
+		ids = ids[count:]
+	}
+	if len(ids) > 0 {
+		return nil, code.BadMessage.New("datagram: field crash_ids has %d values more than field crashes counts", len(ids))
+	}
+	return crashes, nil
+}
+
 func decodeParts(d *Datagram) (crashes map[ident.PromptPart][]ident.Crash, sound []ident.PromptPart) {
 	if len(d.GetCrashParts()) > 0 {
 		crashes = make(map[ident.PromptPart][]ident.Crash)
@@ -156,8 +193,9 @@
 	if len(d.GetFailed()) != len(d.GetFailedAges()) {
 		return nil, code.BadMessage.New("datagram: field failed_ages has %d values for %d endpoints", len(d.GetFailedAges()), len(d.GetFailed()))
 	}
-	if len(d.GetCrashing()) != len(d.GetCrashes()) {
-		return nil, code.BadMessage.New("datagram: field crashes has %d values for %d requests", len(d.GetCrashes()), len(d.GetCrashing()))
+	crashes, err := decodeCrashes(d)
+	if err != nil {
+		return nil, err
 	}
 	if len(d.GetCrashParts()) != len(d.GetPartCrashes()) {
 		return nil, code.BadMessage.New("datagram: field part_crashes has %d values for %d parts", len(d.GetPartCrashes()), len(d.GetCrashParts()))
@@ -176,12 +214,7 @@
 	for i, e := range d.GetFailed() {
 		m.FailureAges[endpointHash(e)] = time.Duration(d.GetFailedAges()[i]) * time.Millisecond
 	}
-	if len(d.GetCrashing()) > 0 {
-		m.Crashes = make(map[ident.Fingerprint]uint32, len(d.GetCrashing()))
-	}
-	for i, f := range d.GetCrashing() {
-		m.Crashes[ident.Fingerprint(f)] = d.GetCrashes()[i]
-	}
+	m.Crashes = crashes
 	m.PartCrashes, m.SoundParts = decodeParts(d)
 	m.Limits = decodeLimits(d)
 	for _, f := range d.GetProven() {
--- a/internal/proof/capacity/exchange_test.go
+++ b/internal/proof/capacity/exchange_test.go
@@ -225,7 +225,7 @@
 func detectorWith(n int) *poison.Detector {
 	d := poison.New(poison.Options{Clock: clockwork.NewFakeClock(), Self: "dc00-entry-00", Lifetime: 10 * time.Minute, Limit: 4096})
 	for i := range n {
-		d.RecordCrash(ident.Fingerprint(uint64(i+1) * 0x9e3779b97f4a7c15))
+		d.RecordCrash(ident.Fingerprint(uint64(i+1)*0x9e3779b97f4a7c15), ident.Crash(i))
 	}
 	return d
 }
@@ -234,7 +234,7 @@
 	for _, n := range []int{0, 10, 100, 1000} {
 		local, peer := detectorWith(n), detectorWith(n)
 		b.Run(fmt.Sprintf("crash-counts=%d/no-change", n), func(b *testing.B) { measureExchange(b, local, peer) })
-		local.RecordCrash(1)
+		local.RecordCrash(1, 1)
 		b.Run(fmt.Sprintf("crash-counts=%d/one-change", n), func(b *testing.B) { measureExchange(b, local, peer) })
 	}
 }
--- a/internal/serve/dispatch/dispatch.go
+++ b/internal/serve/dispatch/dispatch.go
@@ -44,7 +44,7 @@
 // requests.
 type poisonDetector interface {
 	Check(ident.Fingerprint) error
-	RecordCrash(ident.Fingerprint)
+	RecordCrash(ident.Fingerprint, ident.Crash)
 }
 
 // recordSource has the active configuration records.
--- a/internal/serve/dispatch/fake_test.go
+++ b/internal/serve/dispatch/fake_test.go
@@ -191,7 +191,7 @@
 	return nil
 }
 
-func (h *harness) RecordCrash(f ident.Fingerprint) {
+func (h *harness) RecordCrash(f ident.Fingerprint, _ ident.Crash) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.crashes[f]++
--- a/internal/serve/dispatch/relay_test.go
+++ b/internal/serve/dispatch/relay_test.go
@@ -29,8 +29,8 @@
 
 type crashCounter struct{ crashes atomic.Int64 }
 
-func (*crashCounter) Check(ident.Fingerprint) error   { return nil }
-func (c *crashCounter) RecordCrash(ident.Fingerprint) { c.crashes.Add(1) }
+func (*crashCounter) Check(ident.Fingerprint) error                { return nil }
+func (c *crashCounter) RecordCrash(ident.Fingerprint, ident.Crash) { c.crashes.Add(1) }
 
 // recordingSink records the answer, to check that it is complete.
 type recordingSink struct{ text, finishReason string }
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"math/rand/v2"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/work"
 	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/table"
@@ -235,7 +239,7 @@
 	case code.CutOff:
 		// A daemon only relays requests, so that no request can crash it.
 		if !sink.callerClosed && !d.probeEndpoint(ctx, e) && e.Protocol != table.Relay {
-			d.Poison.RecordCrash(r.Fingerprint)
+			d.Poison.RecordCrash(r.Fingerprint, crashOf(e))
 		}
 	case code.Stalled:
 		// The endpoint may be paused or unreachable, so no crash is
@@ -246,6 +250,17 @@
 	}
 }
 
+// crashOf identifies the crash of the endpoint. A replica that has crashed serves again at a
+// higher epoch. An instance of a plain service may start again without a sign, so each
+// observation counts as a crash.
+func crashOf(e *table.Endpoint) ident.Crash {
+	if e.Epoch == 0 {
+		return ident.Crash(rand.Uint64())
+	}
+	raw := binary.LittleEndian.AppendUint64([]byte(e.ID), uint64(e.Epoch))
+	return ident.Crash(xxhash.Sum64(raw))
+}
+
 // probeEndpoint reports whether the endpoint passes a health check on a new
 // connection. If not, the endpoint gets no requests for a while.
 func (d *Dispatcher) probeEndpoint(ctx context.Context, e *table.Endpoint) bool {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -47,7 +47,7 @@
 	// requests.
 	poisonDetector interface {
 		Check(ident.Fingerprint) error
-		RecordCrash(ident.Fingerprint)
+		RecordCrash(ident.Fingerprint, ident.Crash)
 		RecordCompletion(ident.Fingerprint)
 	}
 	// platformCopy is the copy of the platform's keys from which routes and callers' keys
@@ -374,7 +374,7 @@
 		x.Observer.EndpointFailed(e, cause)
 	}
 	if cause == code.CutOff && x.hasCrashed(ctx, e) {
-		x.Poison.RecordCrash(x.request.Fingerprint)
+		x.Poison.RecordCrash(x.request.Fingerprint, crashOf(e))
 		if x.attemptEvents < startedEvents && x.Parts.RecordPartCrash(x.request.SharedParts, crashOf(e)) {
 			x.Observer.PartsSuspected()
 		}
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -1,5 +1,5 @@
 // Package poison detects poison requests, which crash the endpoints that run them. It
-// counts crashes by request, exchanges the counts with peers, and lets the dispatcher
+// counts crashes by request, exchanges them with peers, and lets the dispatcher
 // and the forwarder refuse a request that reached the threshold when its caller repeats
 // it. PartDetector does the same by prompt part, for requests that are otherwise
 // different.
@@ -24,34 +24,37 @@
 // crash during a request may have another cause.
 const defaultThreshold = 2
 
-// crashCount is the number of crashes that one daemon has observed for one request.
-type crashCount struct {
-	count   uint32
+// maxCrashes bounds the crashes that are kept for one request and observer.
+const maxCrashes = 32
+
+// crashSet has the crashes that one daemon has observed during equal requests. Several of
+// them may have been in flight at the endpoint that crashed, at one daemon or at more.
+type crashSet struct {
+	crashes []ident.Crash
 	expires time.Time
 }
 
-// countKey identifies a crash count. Each daemon counts the crashes that it observes
-// separately. Peers merge counts by their maximum, so that no crash is lost or counted
-// twice.
-type countKey struct {
+// setKey identifies a crash set. Each daemon reports the crashes that it observes
+// separately, and peers merge the sets.
+type setKey struct {
 	fingerprint ident.Fingerprint
 	observer    ident.Instance
 }
 
-// snapshot is an immutable set of crash counts. totals has the sums over all daemons,
-// which requests are checked against.
+// snapshot holds immutable crash sets. totals has the numbers of different crashes that
+// daemons observed, which requests are checked against.
 type snapshot struct {
-	counts map[countKey]crashCount
+	sets   map[setKey]crashSet
 	totals map[ident.Fingerprint]totalCount
 }
 
-// totalCount is the sum of the crash counts of all daemons for one request.
+// totalCount is the number of different crashes during equal requests.
 type totalCount struct {
 	count   uint32
 	expires time.Time
 }
 
-// Detector holds the crash counts of this daemon and of its peers. Check takes no
+// Detector holds the crashes that this daemon and its peers observed. Check takes no
 // lock.
 type Detector struct {
 	Options
@@ -69,17 +72,17 @@
 type Options struct {
 	Clock clock.Clock
 	Self  ident.Instance
-	// Lifetime is the time for which a crash count is kept after its last crash.
+	// Lifetime is the time for which a crash set is kept after its last crash.
 	Lifetime time.Duration
-	// Limit bounds the number of crash counts. Above the limit, the counts that
-	// expire first are removed.
+	// Limit bounds the number of crash sets. Above the limit, the sets that expire
+	// first are removed.
 	Limit int
 	// Threshold is the number of crashes at which a request is refused. Zero means
 	// two.
 	Threshold uint32
 }
 
-// New returns a detector without crash counts.
+// New returns a detector without crashes.
 func New(o Options) *Detector {
 	if o.Threshold == 0 {
 		o.Threshold = defaultThreshold
@@ -113,34 +116,48 @@
 }
 
 // RecordCrash records that an endpoint crashed while it ran the request, unless the
-// request is cleared.
-func (d *Detector) RecordCrash(f ident.Fingerprint) {
+// request is cleared. One crash counts once, however many equal requests it ended.
+func (d *Detector) RecordCrash(f ident.Fingerprint, crash ident.Crash) {
 	if d.isCleared(f) {
 		return
 	}
-	d.updateCounts(func(counts map[countKey]crashCount, now time.Time) {
-		k := countKey{f, d.Self}
-		counts[k] = crashCount{count: counts[k].count + 1, expires: now.Add(d.Lifetime)}
+	d.updateSets(func(sets map[setKey]crashSet, now time.Time) {
+		k := setKey{f, d.Self}
+		sets[k] = crashSet{crashes: addCrashes(sets[k].crashes, crash), expires: now.Add(d.Lifetime)}
 	})
 }
 
-// updateCounts publishes a new snapshot: a copy of the crash counts without expired
-// ones, after calling change with the copy.
-func (d *Detector) updateCounts(change func(counts map[countKey]crashCount, now time.Time)) {
+// addCrashes returns the known crashes and those of the others that are not among them, up
+// to maxCrashes. It doesn't change known, which snapshots share.
+func addCrashes(known []ident.Crash, others ...ident.Crash) []ident.Crash {
+	result := slices.Clone(known)
+	for _, crash := range others {
+		if len(result) < maxCrashes && !slices.Contains(result, crash) {
+			result = append(result, crash)
+		}
+	}
+	return result
+}
+
+// updateSets publishes a new snapshot: a copy of the crash sets without expired ones,
+// after calling change with the copy.
+func (d *Detector) updateSets(change func(sets map[setKey]crashSet, now time.Time)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
-	next := &snapshot{counts: make(map[countKey]crashCount), totals: make(map[ident.Fingerprint]totalCount)}
-	for k, v := range d.current.Load().counts {
+	next := &snapshot{sets: make(map[setKey]crashSet), totals: make(map[ident.Fingerprint]totalCount)}
+	for k, v := range d.current.Load().sets {
 		if now.Before(v.expires) {
-			next.counts[k] = v
+			next.sets[k] = v
 		}
 	}
-	change(next.counts, now)
-	d.evictFirstToExpire(next.counts)
-	for k, v := range next.counts {
+	change(next.sets, now)
+	d.evictFirstToExpire(next.sets)
+	different := make(map[ident.Fingerprint][]ident.Crash)
+	for k, v := range next.sets {
+		different[k.fingerprint] = addCrashes(different[k.fingerprint], v.crashes...)
 		t := next.totals[k.fingerprint]
-		t.count += v.count
+		t.count = uint32(len(different[k.fingerprint]))
 		if v.expires.After(t.expires) {
 			t.expires = v.expires
 		}
@@ -149,44 +166,43 @@
 	d.current.Store(next)
 }
 
-// evictFirstToExpire removes the crash counts that expire first until their number is
-// within the limit.
-func (d *Detector) evictFirstToExpire(counts map[countKey]crashCount) {
-	for len(counts) > d.Limit {
-		var firstKey countKey
+// evictFirstToExpire removes the crash sets that expire first until their number is within
+// the limit.
+func (d *Detector) evictFirstToExpire(sets map[setKey]crashSet) {
+	for len(sets) > d.Limit {
+		var firstKey setKey
 		var firstExpiry time.Time
-		for k, v := range counts {
+		for k, v := range sets {
 			if firstExpiry.IsZero() || v.expires.Before(firstExpiry) {
 				firstKey, firstExpiry = k, v.expires
 			}
 		}
-		delete(counts, firstKey)
+		delete(sets, firstKey)
 	}
 }
 
-// LocalCrashes returns the number of crashes that this daemon observed, by request. It
-// includes requests whose last crash was within the given time and that are not
-// cleared.
-func (d *Detector) LocalCrashes(within time.Duration) map[ident.Fingerprint]uint32 {
-	var counts map[ident.Fingerprint]uint32
-	d.forEachRecent(within, func(k countKey, v crashCount) {
+// LocalCrashes returns the crashes that this daemon observed, by request. It includes
+// requests whose last crash was within the given time and that are not cleared.
+func (d *Detector) LocalCrashes(within time.Duration) map[ident.Fingerprint][]ident.Crash {
+	var crashes map[ident.Fingerprint][]ident.Crash
+	d.forEachRecent(within, func(k setKey, v crashSet) {
 		if k.observer != d.Self || d.isCleared(k.fingerprint) {
 			return
 		}
-		if counts == nil {
-			counts = make(map[ident.Fingerprint]uint32)
+		if crashes == nil {
+			crashes = make(map[ident.Fingerprint][]ident.Crash)
 		}
-		counts[k.fingerprint] = v.count
+		crashes[k.fingerprint] = v.crashes
 	})
-	return counts
+	return crashes
 }
 
-// ClearedRequests returns the requests that are cleared at this daemon and whose crash
-// counts of other daemons grew within the given time. It returns a request once for each
+// ClearedRequests returns the requests that are cleared at this daemon and during which
+// other daemons observed a crash within the given time. It returns a request once for each
 // of these daemons.
 func (d *Detector) ClearedRequests(within time.Duration) []ident.Fingerprint {
 	var cleared []ident.Fingerprint
-	d.forEachRecent(within, func(k countKey, _ crashCount) {
+	d.forEachRecent(within, func(k setKey, _ crashSet) {
 		if k.observer != d.Self && d.isCleared(k.fingerprint) {
 			cleared = append(cleared, k.fingerprint)
 		}
@@ -194,65 +210,67 @@
 	return cleared
 }
 
-// forEachRecent calls f with the crash counts that grew within the given time.
-func (d *Detector) forEachRecent(within time.Duration, f func(countKey, crashCount)) {
+// forEachRecent calls f with the crash sets that grew within the given time.
+func (d *Detector) forEachRecent(within time.Duration, f func(setKey, crashSet)) {
 	minExpiry := d.Clock.Now().Add(d.Lifetime - within)
-	for k, v := range d.current.Load().counts {
+	for k, v := range d.current.Load().sets {
 		if !v.expires.Before(minExpiry) {
 			f(k, v)
 		}
 	}
 }
 
-// MergeCrashes merges recent crash counts of another daemon. It returns the number of
-// requests whose counts were unknown or lower before.
-func (d *Detector) MergeCrashes(from ident.Instance, counts map[ident.Fingerprint]uint32) int {
-	entries := make([]crashEntry, 0, len(counts))
-	for f, count := range counts {
-		entries = append(entries, crashEntry{Fingerprint: f, Observer: from, Count: count, Remaining: d.Lifetime})
+// MergeCrashes merges recent crashes that another daemon observed. It returns the number
+// of requests of which a crash was unknown before.
+func (d *Detector) MergeCrashes(from ident.Instance, crashes map[ident.Fingerprint][]ident.Crash) int {
+	entries := make([]crashEntry, 0, len(crashes))
+	for f, ids := range crashes {
+		entries = append(entries, crashEntry{Fingerprint: f, Observer: from, Count: uint32(len(ids)), Remaining: d.Lifetime, Crashes: ids})
 	}
 	return d.mergeEntries(entries)
 }
 
-// mergeEntries merges the entries with a count above the known one, and returns their
-// number.
+// mergeEntries merges the entries with a crash that is unknown, and returns their number.
 func (d *Detector) mergeEntries(entries []crashEntry) int {
-	known, now := d.current.Load().counts, d.Clock.Now()
+	known, now := d.current.Load().sets, d.Clock.Now()
 	entries = slices.DeleteFunc(entries, func(e crashEntry) bool {
-		v := known[countKey{e.Fingerprint, e.Observer}]
-		return now.Before(v.expires) && e.Count <= v.count
+		v := known[setKey{e.Fingerprint, e.Observer}]
+		return now.Before(v.expires) && len(addCrashes(v.crashes, e.Crashes...)) == len(v.crashes)
 	})
 	if len(entries) == 0 {
 		return 0
 	}
-	d.updateCounts(func(counts map[countKey]crashCount, now time.Time) {
+	d.updateSets(func(sets map[setKey]crashSet, now time.Time) {
 		for _, e := range entries {
-			k := countKey{e.Fingerprint, e.Observer}
-			if e.Count > counts[k].count {
-				counts[k] = crashCount{count: e.Count, expires: now.Add(e.Remaining)}
-			}
+			k := setKey{e.Fingerprint, e.Observer}
+			sets[k] = crashSet{crashes: addCrashes(sets[k].crashes, e.Crashes...), expires: now.Add(e.Remaining)}
 		}
 	})
 	return len(entries)
 }
 
-// crashEntry is a crash count in the exchange between peers. Remaining is the remaining
+// crashEntry is a crash set in the exchange between peers. Remaining is the remaining
 // lifetime. It is a duration because the clocks of daemons may differ.
 type crashEntry struct {
 	Fingerprint ident.Fingerprint `json:"f"`
 	Observer    ident.Instance    `json:"o"`
 	Count       uint32            `json:"n"`
 	Remaining   time.Duration     `json:"l"`
+	// Crashes is empty if the peer's version counts crashes only.
+	Crashes []ident.Crash `json:"c,omitempty"`
 }
 
 // Check returns an error for an entry with an invalid observer or an excessive
-// lifetime.
+// lifetime. It names the crashes of an entry that has only their number.
 func (e *crashEntry) Check(lifetime time.Duration) error {
 	if err := ident.CheckName(string(e.Observer)); err != nil {
 		return err
 	}
+	if len(e.Crashes) == 0 {
+		e.Crashes = ident.UnnamedCrashes(e.Observer, e.Count)
+	}
 	if e.Remaining > lifetime {
-		return code.BadMessage.New("crash count has a remaining lifetime of %s, expected at most %s", e.Remaining, lifetime)
+		return code.BadMessage.New("crash set has a remaining lifetime of %s, expected at most %s", e.Remaining, lifetime)
 	}
 	return nil
 }
@@ -269,25 +287,25 @@
 }
 
 // digestBuckets is the number of buckets over which requests are spread. After a change
-// of one crash count, only the counts of its bucket are sent.
+// of one crash set, only the sets of its bucket are sent.
 const digestBuckets = 16
 
 // bucketHashBytes is the size of a bucket's hash in a digest.
 const bucketHashBytes = 4
 
-// Digest returns one hash for each bucket, or nil if there are no crash counts. It
+// Digest returns one hash for each bucket, or nil if there are no crashes. It
 // contains no fingerprints, as it is sent many times per second and has to be small.
 func (d *Detector) Digest() []byte {
 	now := d.Clock.Now()
 	var hashes [digestBuckets]uint64
 	empty := true
-	for k, v := range d.current.Load().counts {
+	for k, v := range d.current.Load().sets {
 		if !now.Before(v.expires) {
 			continue
 		}
 		empty = false
 		raw := binary.LittleEndian.AppendUint64([]byte(k.observer), uint64(k.fingerprint))
-		hashes[k.fingerprint%digestBuckets] ^= xxhash.Sum64(binary.LittleEndian.AppendUint32(raw, v.count))
+		hashes[k.fingerprint%digestBuckets] ^= xxhash.Sum64(binary.LittleEndian.AppendUint32(raw, uint32(len(v.crashes))))
 	}
 	if empty {
 		return nil
@@ -299,23 +317,23 @@
 	return digest
 }
 
-// Delta returns the crash counts of the buckets whose hashes differ from the digest.
+// Delta returns the crash sets of the buckets whose hashes differ from the digest.
 func (d *Detector) Delta(digest []byte) []byte {
 	ownDigest := d.Digest()
-	return d.encodeCounts(func(k countKey, _ crashCount) bool {
+	return d.encodeSets(func(k setKey, _ crashSet) bool {
 		offset := int(k.fingerprint%digestBuckets) * bucketHashBytes
 		return len(digest) != len(ownDigest) || string(digest[offset:offset+bucketHashBytes]) != string(ownDigest[offset:offset+bucketHashBytes])
 	})
 }
 
-// encodeCounts returns the crash counts for which include returns true as JSON, or nil if
-// there are none.
-func (d *Detector) encodeCounts(include func(countKey, crashCount) bool) []byte {
+// encodeSets returns the crash sets for which include returns true as JSON, or nil if there
+// are none.
+func (d *Detector) encodeSets(include func(setKey, crashSet) bool) []byte {
 	now := d.Clock.Now()
 	var entries []crashEntry
-	for k, v := range d.current.Load().counts {
+	for k, v := range d.current.Load().sets {
 		if remaining := v.expires.Sub(now); remaining > 0 && include(k, v) {
-			entries = append(entries, crashEntry{k.fingerprint, k.observer, v.count, remaining})
+			entries = append(entries, crashEntry{k.fingerprint, k.observer, uint32(len(v.crashes)), remaining, v.crashes})
 		}
 	}
 	if entries == nil {
@@ -328,17 +346,17 @@
 	return raw
 }
 
-// Merge merges a delta of a peer. Of two counts of one observer the higher one is kept.
+// Merge merges a delta of a peer.
 //
 // Errors carry code.BadMessage.
 func (d *Detector) Merge(from ident.Instance, delta []byte) error {
 	var entries []crashEntry
 	if err := json.Unmarshal(delta, &entries); err != nil {
-		return code.BadMessage.Wrap(err, "merge crash counts from %s", from)
+		return code.BadMessage.Wrap(err, "merge crashes from %s", from)
 	}
-	for _, e := range entries {
-		if err := e.Check(d.Lifetime); err != nil {
-			return code.BadMessage.Wrap(err, "merge crash counts from %s", from)
+	for i := range entries {
+		if err := entries[i].Check(d.Lifetime); err != nil {
+			return code.BadMessage.Wrap(err, "merge crashes from %s", from)
 		}
 	}
 	d.mergeEntries(entries)
--- a/internal/serve/poison/poison_test.go
+++ b/internal/serve/poison/poison_test.go
@@ -23,8 +23,10 @@
 // and against a crash that is counted twice.
 func TestExchangeOfCrashCounts(t *testing.T) {
 	tests := map[string]struct {
-		// crashes has the index of the daemon that observes each crash.
+		// crashes has the index of the daemon that observes each crash, which is always
+		// the same one if sameCrash is set.
 		crashes     []int
+		sameCrash   bool
 		elapsed     time.Duration
 		wantRefused bool
 	}{
@@ -32,7 +34,9 @@
 		"one crash":                           {crashes: []int{0}},
 		"two crashes observed by one daemon":  {crashes: []int{0, 0}, wantRefused: true},
 		"two crashes observed by two daemons": {crashes: []int{0, 1}, wantRefused: true},
-		"counts expired":                      {crashes: []int{0, 1}, elapsed: time.Hour},
+		"one crash observed by one daemon during equal requests":  {crashes: []int{0, 0, 0}, sameCrash: true},
+		"one crash observed by two daemons during equal requests": {crashes: []int{0, 1, 1}, sameCrash: true},
+		"counts expired": {crashes: []int{0, 1}, elapsed: time.Hour},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -42,8 +46,12 @@
 			for _, id := range []ident.Instance{"a", "b", "c"} {
 				daemons = append(daemons, poison.New(poison.Options{Clock: clk, Self: id, Lifetime: time.Hour, Limit: 10}))
 			}
-			for _, observer := range test.crashes {
-				daemons[observer].RecordCrash(7)
+			for i, observer := range test.crashes {
+				crash := ident.Crash(i)
+				if test.sameCrash {
+					crash = 0
+				}
+				daemons[observer].RecordCrash(7, crash)
 			}
 			for range 3 {
 				exchangeCounts(c, daemons[0], daemons[1])
@@ -79,11 +87,11 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			d := poison.New(poison.Options{Clock: clockwork.NewFakeClock(), Self: "a", Lifetime: time.Hour, Limit: 2, Threshold: test.threshold})
-			for range test.crashes {
-				d.RecordCrash(7)
+			for crash := range test.crashes {
+				d.RecordCrash(7, ident.Crash(crash))
 			}
 			if test.crashes < 0 {
-				d.MergeCrashes("b", map[ident.Fingerprint]uint32{7: uint32(-test.crashes)})
+				d.MergeCrashes("b", map[ident.Fingerprint][]ident.Crash{7: ident.UnnamedCrashes("b", uint32(-test.crashes))})
 			}
 			c.Check(code.Of(d.Check(7)) == code.PoisonRequest, qt.Equals, test.wantRefused)
 			d.RecordCompletion(7)
@@ -92,18 +100,43 @@
 	}
 }
 
+// TestCountsOfEarlierVersion guards against crashes that a daemon of an earlier version reports
+// by their number, and that are lost or counted again with each report.
+func TestCountsOfEarlierVersion(t *testing.T) {
+	tests := map[string]struct {
+		deltas      []string
+		wantRefused bool
+	}{
+		"one crash, told twice":       {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000}]`, `[{"f":7,"o":"b","n":1,"l":1000000000}]`}},
+		"two crashes":                 {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000}]`, `[{"f":7,"o":"b","n":2,"l":1000000000}]`}, wantRefused: true},
+		"one crash each of two":       {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000}]`, `[{"f":7,"o":"c","n":1,"l":1000000000}]`}, wantRefused: true},
+		"any number":                  {deltas: []string{`[{"f":7,"o":"b","n":4294967295,"l":1000000000}]`}, wantRefused: true},
+		"crash that this daemon knew": {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000,"c":[3]}]`, `[{"f":7,"o":"c","n":1,"l":1000000000,"c":[3]}]`}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := poison.New(poison.Options{Clock: clockwork.NewFakeClock(), Self: "a", Lifetime: time.Hour, Limit: 4})
+			for _, delta := range test.deltas {
+				c.Assert(d.Merge("b", []byte(delta)), qt.IsNil)
+			}
+			c.Check(code.Of(d.Check(7)) == code.PoisonRequest, qt.Equals, test.wantRefused)
+		})
+	}
+}
+
 // TestMergeAfterLifetime guards against crash counts that are dropped because an expired
 // count of the same request was as high.
 func TestMergeAfterLifetime(t *testing.T) {
 	c := qt.New(t)
 	clk := clockwork.NewFakeClock()
 	d := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Hour, Limit: 2})
-	counts := map[ident.Fingerprint]uint32{7: 2}
-	c.Check(d.MergeCrashes("b", counts), qt.Equals, 1)
-	c.Check(d.MergeCrashes("b", counts), qt.Equals, 0)
+	crashes := map[ident.Fingerprint][]ident.Crash{7: {1, 2}}
+	c.Check(d.MergeCrashes("b", crashes), qt.Equals, 1)
+	c.Check(d.MergeCrashes("b", crashes), qt.Equals, 0)
 	clk.Advance(time.Hour)
 	c.Check(d.Check(7), qt.IsNil)
-	c.Check(d.MergeCrashes("b", counts), qt.Equals, 1)
+	c.Check(d.MergeCrashes("b", crashes), qt.Equals, 1)
 	c.Check(code.Of(d.Check(7)), qt.Equals, code.PoisonRequest)
 }
 
@@ -113,8 +146,8 @@
 	clk := clockwork.NewFakeClock()
 	d := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Hour, Limit: 2})
 	for f := range ident.Fingerprint(5) {
-		d.RecordCrash(f)
-		d.RecordCrash(f)
+		d.RecordCrash(f, 1)
+		d.RecordCrash(f, 2)
 		clk.Advance(time.Second)
 	}
 	c.Assert(d.Check(0), qt.IsNil)
