poison: Let a prompt part explain crashes only if it has as many

Cause, by reading: a crash doesn't count for a part if another part that reached the threshold explains it. A sound part that is at three of the crashes by chance, before an answer to it begins anywhere, explained these three for the part at fault, which then needed three crashes more, and more with each such part.

Change: a part explains crashes of another one only if it has at least as many. The part at fault has the most as soon as the sound one misses a crash.

--- a/internal/serve/poison/parts.go
+++ b/internal/serve/poison/parts.go
@@ -88,7 +88,8 @@
 
 // CheckParts returns an error if a part has crashed as many endpoints as the threshold. A
 // crash does not count for a part if it is explained by another part that reached the
-// threshold and that this prompt does not have.
+// threshold, has at least as many crashes, and is not in this prompt. A sound part that was
+// at some of the crashes of another one by chance has fewer, so it explains none of them.
 //
 // Errors carry code.PoisonRequest.
 func (d *PartDetector) CheckParts(parts []ident.PromptPart) error {
@@ -118,7 +119,7 @@
 	}
 	explained := make(map[ident.Crash]bool)
 	for other, o := range suspects {
-		if o == s || o.count() < d.Threshold || slices.Contains(prompt, other) {
+		if o == s || o.count() < count || slices.Contains(prompt, other) {
 			continue
 		}
 		for _, c := range o.crashes {
--- a/internal/serve/poison/parts_test.go
+++ b/internal/serve/poison/parts_test.go
@@ -77,6 +77,19 @@
 			refused: [][]ident.PromptPart{both, {beginning}, {beginning, other}},
 			allowed: [][]ident.PromptPart{{deadly}, {other}},
 		},
+		"sound requests without an answer at the same crashes": {
+			events: []partEvent{
+				{0, []ident.PromptPart{deadly}, 11},
+				{1, []ident.PromptPart{other}, 11},
+				{1, []ident.PromptPart{deadly}, 12},
+				{2, []ident.PromptPart{other}, 12},
+				{2, []ident.PromptPart{deadly}, 13},
+				{0, []ident.PromptPart{other}, 13},
+				{0, []ident.PromptPart{deadly}, 14},
+			},
+			refused: [][]ident.PromptPart{{deadly}, both},
+			allowed: [][]ident.PromptPart{{other}, {beginning, other}},
+		},
 		"answers begin at another daemon": {
 			events:  []partEvent{{0, both, 11}, {0, both, 12}, {1, both, 0}, {0, both, 13}, {0, both, 14}},
 			allowed: [][]ident.PromptPart{both},
