forward, stream: Don't blame a server for an idle connection that it closes

Cause: an attempt on a kept connection that ended without a byte of an answer counted as a failure of the endpoint (251 attempt-failed lines with 'EOF' by 16 s). The daemon avoided the endpoint for 0.5 to 4 s and told all others, which took capacity from everybody. Ruled out: crashes (no request-suspected line, every server accepted new connections).

Change: such an exchange fails with a code of its own, connection-closed (5008), and the pool drops the address's other idle connections. The endpoint isn't avoided unless it refuses a new connection, which shows a crash; the request is sent again on a new connection, also to that endpoint, within the attempts and the retry budget, as it may have run. Requests that must not run twice are sent on new connections anyway. The product's own interface treats the code like cut-off, so its health check decides as before.

--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -60,13 +60,14 @@
 	EndpointFailed Code = 4002
 	CallerClosed   Code = 4003
 
-	CutOff          Code = 5001
-	OutcomeUnknown  Code = 5002
-	KeyTooOld       Code = 5003
-	KeyInProgress   Code = 5004
-	ForeignAnswer   Code = 5005
-	DeadlineExpired Code = 5006
-	Stalled         Code = 5007
+	CutOff           Code = 5001
+	OutcomeUnknown   Code = 5002
+	KeyTooOld        Code = 5003
+	KeyInProgress    Code = 5004
+	ForeignAnswer    Code = 5005
+	DeadlineExpired  Code = 5006
+	Stalled          Code = 5007
+	ConnectionClosed Code = 5008
 
 	BadSettings   Code = 6001
 	BadRecord     Code = 6002
@@ -125,6 +126,7 @@
 	{ForeignAnswer, "foreign-answer", http.StatusBadGateway, Unknown, "The answer came from another replica or epoch than requested, and was discarded.", "Retry what may be repeated."},
 	{DeadlineExpired, "deadline-expired", http.StatusGatewayTimeout, Unknown, "The deadline passed after the request had been sent.", "Retry what may be repeated, with more time."},
 	{Stalled, "stalled", http.StatusBadGateway, Unknown, "The endpoint sent no data for too long or stopped serving, and the answer could not be resumed.", "Retry what may be repeated."},
+	{ConnectionClosed, "connection-closed", http.StatusBadGateway, Unknown, "The endpoint closed a kept connection as the request was sent on it, and the request could not be sent again.", "Retry what may be repeated."},
 
 	{BadSettings, "bad-settings", 0, NotRun, "The settings file is invalid.", "Correct each path that the message names."},
 	{BadRecord, "bad-record", http.StatusUnprocessableEntity, NotRun, "A record has an invalid value; its earlier revision stays active.", "Correct the path that the message names."},
--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -25,6 +26,9 @@
 	return e.error
 }
 
+// errClosedWhileIdle says that the endpoint closed a connection that was idle before.
+var errClosedWhileIdle = errors.New("endpoint closed the idle connection as the request was sent")
+
 // errConnectionLimit says that the pool has the maximum number of connections
 // to an address.
 var errConnectionLimit = errors.New("connection limit of the address reached")
@@ -43,6 +47,9 @@
 	// isKept says that the connection was kept after an earlier exchange, of which the
 	// endpoint may send an answer once more.
 	isKept bool
+	// wasIdle says that the connection was idle before the exchange, and hasReceived that
+	// a byte has arrived in it.
+	wasIdle, hasReceived bool
 	// idleSince is the time at which the connection became idle.
 	idleSince time.Time
 	// idleTimeout is the idle time after which the connection is not reused.
@@ -59,6 +66,12 @@
 
 // Read reads with a new deadline.
 func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.readOnce(b)
+	c.hasReceived = c.hasReceived || n > 0
+	return n, err
+}
+
+func (c *conn) readOnce(b []byte) (int, error) {
 	if c.keepWaiting != nil {
 		return c.readWithSilenceCheck(b)
 	}
@@ -111,6 +124,15 @@
 	return c.Conn.Write(b)
 }
 
+// closedWhileIdle reports whether the error, with which an exchange failed, shows that the
+// endpoint closed the connection while it was idle: it ended before a byte of the answer.
+func (c *conn) closedWhileIdle(err error) bool {
+	if !c.wasIdle || c.hasReceived {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // isReusable reports whether the connection is open and has no data to read.
 // Data that arrives on an idle connection belongs to no request.
 func (c *conn) isReusable() bool {
@@ -140,6 +162,9 @@
 	if errors.As(err, &dialErr) {
 		return code.EndpointUnreachable.Wrap(err, "endpoint at %s: cannot connect", address)
 	}
+	if errors.Is(err, errClosedWhileIdle) {
+		return code.ConnectionClosed.Wrap(err, "endpoint at %s", address)
+	}
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		return code.Stalled.Wrap(err, "endpoint at %s: no data received or accepted within the time limit", address)
--- a/internal/endpoint/stream/exchange.go
+++ b/internal/endpoint/stream/exchange.go
@@ -61,11 +61,7 @@
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := x.roundTrip(request); err != nil {
 		x.Close()
-		err = c.withDeadlineError(err)
-		if cause := ctx.Err(); cause != nil {
-			err = errors.Join(cause, err)
-		}
-		return nil, err
+		return nil, p.exchangeError(ctx, address, c, err)
 	}
 	return x, nil
 }
--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -88,6 +89,7 @@
 		}
 		if p.Clock.Since(c.idleSince) < c.idleTimeout && c.isReusable() {
 			c.ioTimeout, c.readDeadline = p.StallTimeout, time.Time{}
+			c.wasIdle, c.hasReceived = true, false
 			return c, nil
 		}
 		p.discardConn(address, c)
@@ -147,6 +149,20 @@
 	return c, nil
 }
 
+// exchangeError returns the error with which an exchange on the connection failed.
+func (p *Pool) exchangeError(ctx context.Context, address string, c *conn, err error) error {
+	err = c.withDeadlineError(err)
+	if cause := ctx.Err(); cause != nil {
+		return errors.Join(cause, err)
+	}
+	if c.closedWhileIdle(err) {
+		// The other idle connections have rested for longer.
+		p.CloseIdle(address)
+		return errors.Join(errClosedWhileIdle, err)
+	}
+	return err
+}
+
 // AcceptsConnection reports whether the address accepts a new connection. The
 // pool keeps that connection for a request.
 func (p *Pool) AcceptsConnection(ctx context.Context, address string) bool {
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -101,11 +101,7 @@
 	r.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.roundTrip(request); err != nil {
 		r.Close()
-		err = c.withDeadlineError(err)
-		if cause := ctx.Err(); cause != nil {
-			err = errors.Join(cause, err)
-		}
-		return nil, err
+		return nil, p.exchangeError(ctx, request.Address, c, err)
 	}
 	return r, nil
 }
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -73,7 +73,7 @@
 		if code.OutcomeOf(failure) != code.NotRun {
 			return false
 		}
-	case code.CutOff, code.Stalled, code.ForeignAnswer, code.EndpointFailed:
+	case code.CutOff, code.ConnectionClosed, code.Stalled, code.ForeignAnswer, code.EndpointFailed:
 		if !isRepeatable(r) || d.Poison.Check(r.Fingerprint) != nil {
 			return false
 		}
@@ -236,7 +236,7 @@
 		if e.Protocol == table.Relay {
 			e.Load.AvoidUntil(d.Clock.Now().Add(d.Settings.RelayAvoid.Duration))
 		}
-	case code.CutOff:
+	case code.CutOff, code.ConnectionClosed:
 		// A daemon only relays requests, so that no request can crash it.
 		if !sink.callerClosed && !d.probeEndpoint(ctx, e) && e.Protocol != table.Relay {
 			d.Poison.RecordCrash(r.Fingerprint, crashOf(e))
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -28,6 +28,8 @@
 	// unreachable makes the send fail before anything is sent, reset afterwards.
 	unreachable bool
 	reset       bool
+	// closed makes the send fail on a connection that was kept. New connections don't.
+	closed      bool
 	status      int
 	disposition proxy.Disposition
 	body        string
@@ -72,6 +74,8 @@
 	switch {
 	case r.unreachable:
 		return nil, code.EndpointUnreachable.New("server %s: connection refused", a.Server)
+	case r.closed:
+		return nil, code.ConnectionClosed.New("server %s: kept connection closed", a.Server)
 	case r.reset:
 		return nil, code.CutOff.New("server %s: connection reset", a.Server)
 	}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -85,7 +85,7 @@
 	// silence. If it returns false, the server counts as stalled.
 	//
 	// Errors carry code.EndpointUnreachable if nothing was sent, and otherwise
-	// code.CutOff, code.Stalled or code.ForeignAnswer.
+	// code.ConnectionClosed, code.CutOff, code.Stalled or code.ForeignAnswer.
 	Send(ctx context.Context, a *proxy.Attempt, keepWaiting func(time.Duration) bool) (Reply, error)
 	// AcceptsConnection reports whether the server accepts a new connection.
 	AcceptsConnection(ctx context.Context, address string) bool
@@ -187,6 +187,9 @@
 	// the request.
 	possibleRuns int
 	attemptCount int
+	// needsNewConnection says that an endpoint closed a kept connection during an attempt,
+	// as others may do too.
+	needsNewConnection bool
 	// possibleRunFailure is the failure of the last attempt that may have run the
 	// request.
 	possibleRunFailure error
@@ -344,7 +347,7 @@
 func (x *exchange) newAttempt(e *catalog.Endpoint) *proxy.Attempt {
 	a := &proxy.Attempt{
 		Request: x.request, Server: e.ID, Address: e.Address,
-		Timeout: x.deadline.Sub(x.Clock.Now()), NewConnection: !x.route.Repeatable(),
+		Timeout: x.deadline.Sub(x.Clock.Now()), NewConnection: !x.route.Repeatable() || x.needsNewConnection,
 	}
 	if x.organisation != nil {
 		a.Organisation = x.organisation.Name
@@ -364,16 +367,22 @@
 		x.possibleRunFailure = err
 		x.possibleRuns++
 	}
-	x.triedServers = append(x.triedServers, e.ID)
 	if ctx.Err() != nil {
+		x.triedServers = append(x.triedServers, e.ID)
 		return
 	}
+	// An endpoint that closes idle connections can be tried again, unless it crashed.
+	crashed := cause == code.ConnectionClosed && x.hasCrashed(ctx, e)
+	if cause != code.ConnectionClosed || crashed {
+		x.triedServers = append(x.triedServers, e.ID)
+	}
+	x.needsNewConnection = x.needsNewConnection || cause == code.ConnectionClosed
 	avoidedFor := time.Duration(0)
-	if isEndpointFailure(err) {
+	if crashed || isEndpointFailure(err) {
 		avoidedFor = e.Load.RecordFailure(x.Clock.Now())
 		x.Observer.EndpointFailed(e, cause)
 	}
-	if cause == code.CutOff && x.hasCrashed(ctx, e) {
+	if crashed || cause == code.CutOff && x.hasCrashed(ctx, e) {
 		x.Poison.RecordCrash(x.request.Fingerprint, crashOf(e))
 		if x.attemptEvents < startedEvents && x.Parts.RecordPartCrash(x.request.SharedParts, crashOf(e)) {
 			x.Observer.PartsSuspected()
