poison, forward, mirror: Keep numbers of crashes apart from identities

In a fleet of two versions, a daemon that heard of one crash by its identity and, through a daemon of the version before, by its number counted it twice. Found in reading the change; an entry with a number now adds crashes only as far as the known ones are fewer, and identities replace what only a number told. Cases of TestCountsOfEarlierVersion ('number after the identity', 'identity after the number'); the first failed before.

recordFailure notes a tried server in one place again, and the two settle times of a restored store have names.

--- a/internal/fleet/mirror/restore.go
+++ b/internal/fleet/mirror/restore.go
@@ -36,14 +36,19 @@
 	return own != 0 && revision.Era() > own.Era()
 }
 
+// lapseTime returns the time after which a restored platform has removed the leased keys whose
+// writers are gone.
+func (m *Mirror) lapseTime() time.Duration {
+	return missedRenewals*m.RenewInterval + m.SettleTime
+}
+
 // settleTimeOf returns the time after which a restored platform has what it should have of the
-// key: a key that is missing has been written again, and a leased key whose writer is gone has
-// been removed.
+// key.
 func (m *Mirror) settleTimeOf(key store.Key, isMissing bool) time.Duration {
 	if isMissing || !strings.HasPrefix(string(key), string(m.LeasedPrefix)) {
 		return m.SettleTime
 	}
-	return missedRenewals*m.RenewInterval + m.SettleTime
+	return m.lapseTime()
 }
 
 // applyRestoredList replaces the copy by the list of a restored platform. Handlers get what
@@ -88,7 +93,7 @@
 	m.Log.Warn().Stringer("revision", revision).Stringer("before", before).Int("unsettled", unsettled).Msg("store-restored")
 	if unsettled > 0 {
 		m.Clock.AfterFunc(m.SettleTime, m.settle)
-		m.Clock.AfterFunc(m.settleTimeOf(m.LeasedPrefix, false), m.settle)
+		m.Clock.AfterFunc(m.lapseTime(), m.settle)
 	}
 	m.notify(atOnce, true)
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -187,8 +187,8 @@
 	// the request.
 	possibleRuns int
 	attemptCount int
-	// needsNewConnection says that an endpoint closed a kept connection during an attempt,
-	// as others may do too.
+	// needsNewConnection says that an endpoint closed an idle connection as an attempt used
+	// it. Others may do so too.
 	needsNewConnection bool
 	// possibleRunFailure is the failure of the last attempt that may have run the
 	// request.
@@ -367,15 +367,14 @@
 		x.possibleRunFailure = err
 		x.possibleRuns++
 	}
-	if ctx.Err() != nil {
-		x.triedServers = append(x.triedServers, e.ID)
-		return
-	}
 	// An endpoint that closes idle connections can be tried again, unless it crashed.
 	crashed := cause == code.ConnectionClosed && x.hasCrashed(ctx, e)
 	if cause != code.ConnectionClosed || crashed {
 		x.triedServers = append(x.triedServers, e.ID)
 	}
+	if ctx.Err() != nil {
+		return
+	}
 	x.needsNewConnection = x.needsNewConnection || cause == code.ConnectionClosed
 	avoidedFor := time.Duration(0)
 	if crashed || isEndpointFailure(err) {
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -235,7 +235,7 @@
 	known, now := d.current.Load().sets, d.Clock.Now()
 	entries = slices.DeleteFunc(entries, func(e crashEntry) bool {
 		v := known[setKey{e.Fingerprint, e.Observer}]
-		return now.Before(v.expires) && len(addCrashes(v.crashes, e.Crashes...)) == len(v.crashes)
+		return now.Before(v.expires) && slices.Equal(e.mergedWith(v.crashes), v.crashes)
 	})
 	if len(entries) == 0 {
 		return 0
@@ -243,7 +243,7 @@
 	d.updateSets(func(sets map[setKey]crashSet, now time.Time) {
 		for _, e := range entries {
 			k := setKey{e.Fingerprint, e.Observer}
-			sets[k] = crashSet{crashes: addCrashes(sets[k].crashes, e.Crashes...), expires: now.Add(e.Remaining)}
+			sets[k] = crashSet{crashes: e.mergedWith(sets[k].crashes), expires: now.Add(e.Remaining)}
 		}
 	})
 	return len(entries)
@@ -260,15 +260,28 @@
 	Crashes []ident.Crash `json:"c,omitempty"`
 }
 
+// mergedWith returns the known crashes of the entry's observer and those of the entry. A peer
+// of an earlier version may tell only the number of crashes that others tell by identity.
+func (e *crashEntry) mergedWith(known []ident.Crash) []ident.Crash {
+	unnamed := ident.UnnamedCrashes(e.Observer, maxCrashes)
+	if len(e.Crashes) > 0 {
+		isUnnamed := func(crash ident.Crash) bool { return slices.Contains(unnamed, crash) }
+		return addCrashes(slices.DeleteFunc(slices.Clone(known), isUnnamed), e.Crashes...)
+	}
+	for _, crash := range unnamed {
+		if len(known) < int(e.Count) {
+			known = addCrashes(known, crash)
+		}
+	}
+	return known
+}
+
 // Check returns an error for an entry with an invalid observer or an excessive
-// lifetime. It names the crashes of an entry that has only their number.
+// lifetime.
 func (e *crashEntry) Check(lifetime time.Duration) error {
 	if err := ident.CheckName(string(e.Observer)); err != nil {
 		return err
 	}
-	if len(e.Crashes) == 0 {
-		e.Crashes = ident.UnnamedCrashes(e.Observer, e.Count)
-	}
 	if e.Remaining > lifetime {
 		return code.BadMessage.New("crash set has a remaining lifetime of %s, expected at most %s", e.Remaining, lifetime)
 	}
@@ -354,8 +367,8 @@
 	if err := json.Unmarshal(delta, &entries); err != nil {
 		return code.BadMessage.Wrap(err, "merge crashes from %s", from)
 	}
-	for i := range entries {
-		if err := entries[i].Check(d.Lifetime); err != nil {
+	for _, e := range entries {
+		if err := e.Check(d.Lifetime); err != nil {
 			return code.BadMessage.Wrap(err, "merge crashes from %s", from)
 		}
 	}
--- a/internal/serve/poison/poison_test.go
+++ b/internal/serve/poison/poison_test.go
@@ -111,6 +111,9 @@
 		"two crashes":                 {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000}]`, `[{"f":7,"o":"b","n":2,"l":1000000000}]`}, wantRefused: true},
 		"one crash each of two":       {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000}]`, `[{"f":7,"o":"c","n":1,"l":1000000000}]`}, wantRefused: true},
 		"any number":                  {deltas: []string{`[{"f":7,"o":"b","n":4294967295,"l":1000000000}]`}, wantRefused: true},
+		"number after the identity":   {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000,"c":[3]}]`, `[{"f":7,"o":"b","n":1,"l":1000000000}]`}},
+		"identity after the number":   {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000}]`, `[{"f":7,"o":"b","n":1,"l":1000000000,"c":[3]}]`}},
+		"higher number":               {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000,"c":[3]}]`, `[{"f":7,"o":"b","n":2,"l":1000000000}]`}, wantRefused: true},
 		"crash that this daemon knew": {deltas: []string{`[{"f":7,"o":"b","n":1,"l":1000000000,"c":[3]}]`, `[{"f":7,"o":"c","n":1,"l":1000000000,"c":[3]}]`}},
 	}
 	for name, test := range tests {
