--- a/internal/domain/ident/crash.go
+++ b/internal/domain/ident/crash.go
@@ -6,13 +6,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxUnnamedCrashes bounds the crashes that are named for one number.
-const maxUnnamedCrashes = 32
+// MaxCrashes bounds the crashes that are kept for one request and the daemon that observed them.
+const MaxCrashes = 32
 
-// UnnamedCrashes returns identities for crashes of which a daemon has told only the number, up
-// to 32. They are the same each time it tells that number.
+// UnnamedCrashes returns identities for crashes of which a daemon has told only the number, at
+// most MaxCrashes. A higher number has the identities of the lower ones and more.
 func UnnamedCrashes(observer Instance, count uint32) []Crash {
-	count = min(count, maxUnnamedCrashes)
+	count = min(count, MaxCrashes)
 	crashes := make([]Crash, 0, count)
 	for i := range count {
 		raw := binary.LittleEndian.AppendUint32([]byte(observer), i)
--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -71,6 +71,7 @@
 	return n, err
 }
 
+// readOnce is Read, but for hasReceived.
 func (c *conn) readOnce(b []byte) (int, error) {
 	if c.keepWaiting != nil {
 		return c.readWithSilenceCheck(b)
@@ -124,8 +125,8 @@
 	return c.Conn.Write(b)
 }
 
-// closedWhileIdle reports whether the error, with which an exchange failed, shows that the
-// endpoint closed the connection while it was idle: it ended before a byte of the answer.
+// closedWhileIdle reports whether the exchange that ended with the error failed because the
+// endpoint closed the idle connection: no byte of the answer has arrived.
 func (c *conn) closedWhileIdle(err error) bool {
 	if !c.wasIdle || c.hasReceived {
 		return false
--- a/internal/endpoint/stream/kept_test.go
+++ b/internal/endpoint/stream/kept_test.go
@@ -23,6 +23,7 @@
 		reader := bufio.NewReader(conn)
 		for n := 1; ; n++ {
 			for line := "-"; strings.TrimSpace(line) != ""; {
+				var err error
 				if line, err = reader.ReadString('\n'); err != nil {
 					return
 				}
--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -156,7 +156,8 @@
 		return errors.Join(cause, err)
 	}
 	if c.closedWhileIdle(err) {
-		// The other idle connections have rested for longer.
+		// The other connections have been idle for longer, so they are probably
+		// closed too.
 		p.CloseIdle(address)
 		return errors.Join(errClosedWhileIdle, err)
 	}
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -165,7 +165,7 @@
 			clk := clockwork.NewFakeClock()
 			source := &fakeSource{answers: test.answers, cancel: cancel}
 			handler := &recordingHandler{keys: make(map[store.Key]string)}
-			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: 2 * time.Second, MinOutage: time.Second})
+			m := newTestMirror(clk, source)
 			m.AddHandler(handler)
 			for ctx.Err() == nil {
 				m.poll(ctx)
@@ -470,7 +470,7 @@
 		{fails: true},
 		{changes: []store.Change{removal}, revision: 9},
 	}}
-	m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: 2 * time.Second, MinOutage: time.Second})
+	m := newTestMirror(clk, source)
 	for range 3 {
 		m.poll(ctx)
 		if !m.SourceConnected() {
--- a/internal/fleet/mirror/restore_test.go
+++ b/internal/fleet/mirror/restore_test.go
@@ -14,6 +14,13 @@
 	"cuminbay/internal/kernel/clock"
 )
 
+// settleTime is the settle time of mirrors in tests.
+const settleTime = 2 * time.Second
+
+func newTestMirror(clk clock.Clock, source Source) *Mirror {
+	return New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, MinOutage: time.Second})
+}
+
 // versionedKeys is a handler of the keys below op/, of which only op/config has a version.
 type versionedKeys struct {
 	recordingHandler
@@ -27,7 +34,6 @@
 func TestRestored(t *testing.T) {
 	old := func(n int64) unit.Revision { return unit.NewRevision(1, n) }
 	restored := func(n int64) unit.Revision { return unit.NewRevision(2, n) }
-	const settleTime = 2 * time.Second
 	before := []store.Entry{
 		entry("servers/a", "draining", old(9)), entry("servers/b", "ready", old(3)), entry("op/config", "v7", old(8)),
 		entry("op/evacuate/z", "", old(7)), entry("cuminbay/planner", "p", old(5)),
@@ -69,7 +75,7 @@
 			source := &fakeSource{cancel: cancel, answers: []sourceAnswer{
 				{list: before, revision: old(9)}, {compacted: true}, {list: test.list, revision: restored(5)}, {changes: test.changes, revision: restored(10)},
 			}}
-			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, MinOutage: time.Second})
+			m := newTestMirror(clk, source)
 			keys := make(map[store.Key]string)
 			m.AddHandler(&recordingHandler{keys: keys})
 			m.AddHandler(&versionedKeys{recordingHandler{keys: keys}})
@@ -98,7 +104,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clk := clockwork.NewFakeClock()
-	const settleTime = 2 * time.Second
 	revision := func(era unit.Era, n int64) unit.Revision { return unit.NewRevision(era, n) }
 	list := func(era unit.Era, state string) sourceAnswer {
 		return sourceAnswer{list: []store.Entry{entry("servers/a", state, revision(era, 3))}, revision: revision(era, 3)}
@@ -111,7 +116,7 @@
 		list(3, "ready"),
 		{changes: []store.Change{{Entry: entry("servers/a", "draining", revision(3, 4))}}, revision: revision(3, 4)},
 	}}
-	m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, MinOutage: time.Second})
+	m := newTestMirror(clk, source)
 	keys := make(map[store.Key]string)
 	m.AddHandler(&recordingHandler{keys: keys})
 	states := func() string {
@@ -152,7 +157,6 @@
 // restored platform has its registration until its lease ends.
 func TestRestoredRemovedKey(t *testing.T) {
 	const (
-		settleTime    = 2 * time.Second
 		renewInterval = time.Second
 		lapseTime     = missedRenewals*renewInterval + settleTime
 	)
@@ -183,7 +187,8 @@
 				{list: []store.Entry{entry("servers/gone", "ready", revision(2))}, revision: revision(5)},
 				{changes: []store.Change{test.change}, revision: revision(10)},
 			}}
-			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: source, LeasedPrefix: "servers/", SettleTime: settleTime, RenewInterval: renewInterval, MinOutage: time.Second})
+			m := newTestMirror(clk, source)
+			m.RenewInterval = renewInterval
 			handler := &stateRecorder{recordingHandler: recordingHandler{keys: make(map[store.Key]string)}}
 			m.AddHandler(handler)
 			for range 3 {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -382,13 +382,7 @@
 		x.Observer.EndpointFailed(e, cause)
 	}
 	if crashed || cause == code.CutOff && x.hasCrashed(ctx, e) {
-		x.Poison.RecordCrash(x.request.Fingerprint, crashOf(e))
-		if x.attemptEvents < startedEvents && x.Parts.RecordPartCrash(x.request.SharedParts, crashOf(e)) {
-			x.Observer.PartsSuspected()
-		}
-		x.Log.Warn().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
-			Stringer("fingerprint", x.request.Fingerprint).Int("events", x.attemptEvents).
-			Str("parts", fmt.Sprint(x.request.SharedParts)).Msg("request-suspected")
+		x.recordCrash(e)
 	}
 	x.Telemetry.failedAttempts.WithLabelValues(cause.Spec().Name).Inc()
 	x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
@@ -397,9 +391,20 @@
 		Dur("avoided_ms", avoidedFor).Str("cause", cause.Spec().Name).Str("detail", code.Message(err)).Msg("attempt-failed")
 }
 
+// recordCrash records and logs that the endpoint's server crashed while it ran the request.
+func (x *exchange) recordCrash(e *catalog.Endpoint) {
+	x.Poison.RecordCrash(x.request.Fingerprint, crashOf(e))
+	if x.attemptEvents < startedEvents && x.Parts.RecordPartCrash(x.request.SharedParts, crashOf(e)) {
+		x.Observer.PartsSuspected()
+	}
+	x.Log.Warn().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).
+		Stringer("fingerprint", x.request.Fingerprint).Int("events", x.attemptEvents).
+		Str("parts", fmt.Sprint(x.request.SharedParts)).Msg("request-suspected")
+}
+
 // isEndpointFailure reports whether the failure of an attempt shows that the endpoint will fail
-// other requests too. Where another server or replica replies, this one is gone: it would get
-// all requests, as it has none in flight.
+// other requests too. An endpoint at which another server or replica replies is gone; with no
+// requests in flight, it would be chosen for all of them.
 func isEndpointFailure(err error) bool {
 	switch code.Of(err) {
 	case code.EndpointUnreachable, code.CutOff, code.Stalled, code.EndpointFailed:
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -31,9 +31,9 @@
 	Queue float64 `json:"queue" validate:"min=0"`
 	// Cold is the share of a cold server's request rate that all daemons together use.
 	Cold float64 `json:"cold" validate:"min=0,max=1"`
-	// Suspicion is the time for which a crash count is kept after its last crash. It counts the crashes of servers during equal requests, or during requests with the same part of the prompt.
+	// Suspicion is the time for which the crashes of a request are kept after the last one. They are crashes of servers during equal requests, or during requests with the same part of the prompt.
 	Suspicion settings.Duration `json:"suspicion" validate:"duration"`
-	// Suspects bounds the number of crash counts. There is one for each suspected request and each daemon that observed its crashes. The same number bounds the suspected parts of prompts.
+	// Suspects bounds the number of crash sets. There is one for each suspected request and each daemon that observed its crashes. The same number bounds the suspected parts of prompts.
 	Suspects int `json:"suspects" validate:"min=1"`
 }
 
--- a/internal/serve/poison/plugin.go
+++ b/internal/serve/poison/plugin.go
@@ -16,9 +16,9 @@
 
 // Settings are the settings in the section "poison".
 type Settings struct {
-	// Lifetime is the time for which a crash count is kept after its last crash.
+	// Lifetime is the time for which the crashes of a request are kept after the last one.
 	Lifetime settings.Duration `json:"lifetime" validate:"duration"`
-	// Limit bounds the number of crash counts. There is one for each suspected request and each daemon that observed its crashes.
+	// Limit bounds the number of crash sets. There is one for each suspected request and each daemon that observed its crashes.
 	Limit int `json:"limit" validate:"min=1,max=1000000"`
 }
 
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -24,9 +24,6 @@
 // crash during a request may have another cause.
 const defaultThreshold = 2
 
-// maxCrashes bounds the crashes that are kept for one request and observer.
-const maxCrashes = 32
-
 // crashSet has the crashes that one daemon has observed during equal requests. Several of
 // them may have been in flight at the endpoint that crashed, at one daemon or at more.
 type crashSet struct {
@@ -128,11 +125,11 @@
 }
 
 // addCrashes returns the known crashes and those of the others that are not among them, up
-// to maxCrashes. It doesn't change known, which snapshots share.
+// to ident.MaxCrashes. It doesn't change known, which snapshots share.
 func addCrashes(known []ident.Crash, others ...ident.Crash) []ident.Crash {
 	result := slices.Clone(known)
 	for _, crash := range others {
-		if len(result) < maxCrashes && !slices.Contains(result, crash) {
+		if len(result) < ident.MaxCrashes && !slices.Contains(result, crash) {
 			result = append(result, crash)
 		}
 	}
@@ -263,7 +260,7 @@
 // mergedWith returns the known crashes of the entry's observer and those of the entry. A peer
 // of an earlier version may tell only the number of crashes that others tell by identity.
 func (e *crashEntry) mergedWith(known []ident.Crash) []ident.Crash {
-	unnamed := ident.UnnamedCrashes(e.Observer, maxCrashes)
+	unnamed := ident.UnnamedCrashes(e.Observer, ident.MaxCrashes)
 	if len(e.Crashes) > 0 {
 		isUnnamed := func(crash ident.Crash) bool { return slices.Contains(unnamed, crash) }
 		return addCrashes(slices.DeleteFunc(slices.Clone(known), isUnnamed), e.Crashes...)
