reach: Log when a daemon loses its links to all servers

No line told a server that is down from a link that is. A daemon now connects to an endpoint that failed and to a sample of other servers in its data centre and elsewhere; if none accepts, it logs links-lost, and links-restored when one does again. Nothing else depends on it yet.

--- a/cmd/cuminbay/plugins.go
+++ b/cmd/cuminbay/plugins.go
@@ -25,6 +25,7 @@
 	_ "cuminbay/internal/platform/etcd"
 	_ "cuminbay/internal/platform/roster"
 	_ "cuminbay/internal/route/policy"
+	_ "cuminbay/internal/route/reach"
 	_ "cuminbay/internal/route/table"
 	_ "cuminbay/internal/serve/claim"
 	_ "cuminbay/internal/serve/dispatch"
--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -18,6 +18,9 @@
 	// lastProgress is the time at which the last complete event of any stream
 	// arrived, as a clock.Instant.
 	lastProgress atomic.Int64
+	// unreachable says that the server accepted no connection of this daemon when it was
+	// last checked.
+	unreachable atomic.Bool
 	// avoidUntil is the time until which the server gets no requests, as
 	// a clock.Instant.
 	avoidUntil atomic.Int64
@@ -71,6 +74,17 @@
 	return clock.Instant(l.lastProgress.Load()).Time()
 }
 
+// SetUnreachable records whether the server accepts no connection of this daemon.
+func (l *Load) SetUnreachable(unreachable bool) {
+	l.unreachable.Store(unreachable)
+}
+
+// Unreachable reports whether the server accepted no connection of this daemon when it was
+// last checked. The server may be well, and only the link to it be lost.
+func (l *Load) Unreachable() bool {
+	return l.unreachable.Load()
+}
+
 // AvoidUntil excludes the server from requests until the given time. It has no
 // effect if the server is already excluded until a later time.
 func (l *Load) AvoidUntil(until time.Time) {
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -173,6 +173,11 @@
 func (fakeDaemons) EndpointFailed(*catalog.Endpoint, code.Code) {}
 func (fakeDaemons) PartsSuspected()                             {}
 
+// fakeLinks has the state of the daemon's links.
+type fakeLinks struct{}
+
+func (*fakeLinks) Suspect(*catalog.Endpoint) {}
+
 const (
 	testModel = ident.Model("m")
 	engines   = ident.Service("engines")
@@ -231,7 +236,7 @@
 		panic(err)
 	}
 	return New(Options{
-		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
+		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Links: new(fakeLinks), Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
 		RetryBudget: balance.NewRetryBudget(balance.RetryBudgetOptions{Clock: clk, Daemons: fakeDaemons{}, Ratio: 1, BaseRetries: 100, Window: 10 * time.Second}),
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
 		Limits:      ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -69,6 +69,10 @@
 		Pause(e *catalog.Endpoint, d time.Duration)
 		Exhausted(now time.Time, endpoints []*catalog.Endpoint) (ratelimit.Supply, bool)
 	}
+	// linkMonitor finds out whether this daemon reaches endpoints.
+	linkMonitor interface {
+		Suspect(e *catalog.Endpoint)
+	}
 	// failureObserver is notified of endpoints that fail, and of prompt parts with a
 	// new crash.
 	failureObserver interface {
@@ -132,6 +136,7 @@
 	Parts       partDetector
 	Limits      requestLimits
 	Sender      Sender
+	Links       linkMonitor
 	Observer    failureObserver
 	Copy        platformCopy
 	Telemetry   *Telemetry
@@ -378,6 +383,7 @@
 	x.needsNewConnection = x.needsNewConnection || cause == code.ConnectionClosed
 	avoidedFor := time.Duration(0)
 	if crashed || isEndpointFailure(err) {
+		x.Links.Suspect(e)
 		avoidedFor = e.Load.RecordFailure(x.Clock.Now())
 		x.Observer.EndpointFailed(e, cause)
 	}
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -95,7 +95,7 @@
 // Start implements plugin.Plugin. It connects the forwarder to other plug-ins.
 func (c *component) Start(context.Context) error {
 	var daemons daemonCounter
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Observer, &c.Copy, &daemons, &c.limits.Daemons, &c.limits.Catalog); err != nil {
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Links, &c.Observer, &c.Copy, &daemons, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
 	s := c.settings
