forward, gossip, platform: Pass requests on to a daemon that reaches the servers

Cause: a daemon had no way to a server but its own links. It tried one server after the other, 0.3 s each, and took each for failed by itself.

An endpoint that this daemon can't connect to is left out of the choice. Daemons say in datagrams that they are cut off. A request is passed on once; what the first daemon knows goes with it: the configuration that allows it and the runs so far, so that an unsafe request still runs once, no route is withdrawn again, and no request runs on more servers than its route allows. The name of a server that leaves comes back with the answer.

The planner still breaks all replicas when it is cut off itself.

--- a/internal/caller/httpserver/server.go
+++ b/internal/caller/httpserver/server.go
@@ -142,7 +142,9 @@
 
 // CloseListener stops accepting connections and closes the idle connections.
 func (s *Server) CloseListener() {
-	_ = s.listener.Close()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listenerClosed = true
--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -41,6 +41,19 @@
 	LastEventID EventID
 	// Fingerprint identifies the content of the request.
 	Fingerprint ident.Fingerprint
+	// Relayed is set if another daemon has passed the request on to this one.
+	Relayed *Relay
+}
+
+// Relay says what a daemon that can't reach the servers knows of a request that it passes on
+// to another daemon.
+type Relay struct {
+	From ident.Instance
+	// ConfigVersion is the version of the configuration that allows the request. The other
+	// daemon must not handle the request by an older one.
+	ConfigVersion uint64
+	// PossibleRuns counts the earlier attempts that may have run the request.
+	PossibleRuns int
 }
 
 // EventID numbers the events of a stream in ascending order.
@@ -68,6 +81,8 @@
 	// connection while the request is sent, and the outcome of the request
 	// would then be unknown.
 	NewConnection bool
+	// Relay is set if the request is passed on to another daemon, which chooses the server.
+	Relay *Relay
 }
 
 // Disposition says whether the server ran the request, according to the head of
@@ -94,6 +109,6 @@
 	// RetryAfter is the time for which the server wants no further requests of this
 	// daemon, zero if the reply names none.
 	RetryAfter time.Duration
-	// Leaving says that the server gets no new requests.
-	Leaving bool
+	// Leaving is the server if it says that it gets no new requests, empty otherwise.
+	Leaving ident.Instance
 }
--- a/internal/fleet/catalog/endpoints.go
+++ b/internal/fleet/catalog/endpoints.go
@@ -26,6 +26,9 @@
 	// Process identifies the server's incarnation. It is computed once for each endpoint,
 	// as requests look up the state of the incarnation.
 	Process ident.ServerIncarnation
+	// IsRelay says that this is another daemon, which forwards requests to servers that this
+	// daemon can't reach.
+	IsRelay bool
 }
 
 // endpointKey is the key of a list of endpoints. Model is empty for plain services.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -73,6 +73,11 @@
 	Refresh()
 }
 
+// linkMonitor knows whether this daemon can connect to servers.
+type linkMonitor interface {
+	CutOff() bool
+}
+
 // Options configure a Gossip.
 type Options struct {
 	Clock        clock.Clock
@@ -85,6 +90,7 @@
 	Poison       poisonDetector
 	Parts        partDetector
 	Limits       requestLimits
+	Links        linkMonitor
 }
 
 // Gossip sends and receives the datagrams of one daemon.
@@ -93,6 +99,8 @@
 	conn net.PacketConn
 	// hashed has the endpoints of the catalog's latest snapshot.
 	hashed atomic.Pointer[hashedEndpoints]
+	// relays has the daemons that can forward requests for this one.
+	relays atomic.Pointer[relayList]
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -118,7 +126,11 @@
 type peer struct {
 	address     netip.AddrPort
 	feedAddress string
-	dataCentre  ident.DataCentre
+	// relay is the daemon as an endpoint for requests that it forwards, nil if it forwards
+	// none. cutOff says that it can't connect to servers.
+	relay      *catalog.Endpoint
+	cutOff     bool
+	dataCentre ident.DataCentre
 	// copyAge is the age of the daemon's copy of the platform's keys.
 	copyAge     time.Duration
 	registered  bool
@@ -172,10 +184,12 @@
 
 // RegisteredDaemon is a daemon's registration on the platform.
 type RegisteredDaemon struct {
-	// Address receives datagrams, FeedAddress the calls of followers.
-	Address     netip.AddrPort
-	FeedAddress string
-	DataCentre  ident.DataCentre
+	// Address receives datagrams, FeedAddress the calls of followers, and RelayAddress the
+	// requests of daemons that can't reach the servers.
+	Address      netip.AddrPort
+	FeedAddress  string
+	RelayAddress string
+	DataCentre   ident.DataCentre
 }
 
 // SetDaemons replaces the registered daemons.
@@ -196,6 +210,7 @@
 			g.replaceInFlight(p, nil)
 		}
 		p.address, p.feedAddress, p.dataCentre, p.registered = d.Address, d.FeedAddress, d.DataCentre, true
+		p.setRelay(id, d.RelayAddress)
 	}
 	for id, p := range g.peers {
 		if _, ok := daemons[id]; !ok {
@@ -318,7 +333,7 @@
 func (g *Gossip) encodeDatagram(inFlight map[endpointHash]unit.Requests, toAll bool) ([]byte, []netip.AddrPort) {
 	m := message{
 		From: g.Self, Incarnation: g.Incarnation, CopyRevision: g.PlatformCopy.Revision(), CopyAge: g.PlatformCopy.Age(),
-		InFlight: inFlight, FailureAges: make(map[endpointHash]time.Duration),
+		InFlight: inFlight, FailureAges: make(map[endpointHash]time.Duration), CutOff: g.Links.CutOff(),
 		Crashes: g.Poison.LocalCrashes(crashReportTime), ClearedRequests: g.Poison.ClearedRequests(clearedReportTime),
 	}
 	m.PartCrashes, m.SoundParts = g.Parts.PartReport()
@@ -390,7 +405,7 @@
 	now := g.Clock.Now()
 	p.incarnation, p.sequence, p.lastDatagramAt = m.Incarnation, m.Sequence, now
 	g.replaceInFlight(p, m.InFlight)
-	p.copyAge = m.CopyAge
+	p.copyAge, p.cutOff = m.CopyAge, m.CutOff
 	for e := range m.FailureAges {
 		if now.Sub(p.reportedFailures[e]) > failureExpiry {
 			p.reportedFailures[e] = now
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -45,6 +45,11 @@
 	*l = append(*l, id)
 }
 
+// fakeLinks has the state of the daemon's links.
+type fakeLinks struct{ cutOff bool }
+
+func (l *fakeLinks) CutOff() bool { return l.cutOff }
+
 // soleDaemon is a list of one daemon.
 type soleDaemon struct{}
 
@@ -71,10 +76,10 @@
 	detector := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Minute, Limit: 16})
 	limits := ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "a", Daemons: soleDaemon{}, Catalog: cat})
 	parts := poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16})
-	g := New(Options{Poison: detector, Parts: parts, Limits: limits, Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
+	g := New(Options{Poison: detector, Parts: parts, Limits: limits, Links: new(fakeLinks), Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
 	daemons := map[ident.Instance]RegisteredDaemon{"a": {DataCentre: "z"}}
 	for id, dataCentre := range peers {
-		daemons[id] = RegisteredDaemon{Address: netip.MustParseAddrPort("127.0.0.1:9"), FeedAddress: string(id) + ":1", DataCentre: dataCentre}
+		daemons[id] = RegisteredDaemon{Address: netip.MustParseAddrPort("127.0.0.1:9"), FeedAddress: string(id) + ":1", RelayAddress: "relay-" + string(id), DataCentre: dataCentre}
 	}
 	g.SetDaemons(daemons)
 	return g, platformCopy, clk
@@ -378,6 +383,7 @@
 		FailureAges: map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
 		Crashes:     map[ident.Fingerprint][]ident.Crash{1 << 63: {12, 13}}, ClearedRequests: []ident.Fingerprint{7},
 		PartCrashes: map[ident.PromptPart][]ident.Crash{5: {8, 9}}, SoundParts: []ident.PromptPart{6},
+		CutOff:     true,
 		Limits:     []ratelimit.Observation{{Server: 10, Limit: 2.5, Age: 300 * time.Millisecond}, {Server: 11, Age: time.Second}},
 		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
 	}
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -44,6 +44,8 @@
 	// Limits says which endpoints named a limit of requests in their recent answers to the
 	// sender.
 	Limits []ratelimit.Observation
+	// CutOff says that the sender can't connect to any server.
+	CutOff bool
 	// Formations are replicas that serve, as their members reported to the sender.
 	Formations []cluster.Formation
 }
@@ -66,7 +68,7 @@
 func (m *message) encode() ([]byte, error) {
 	d := &Datagram{
 		From: string(m.From), Boot: uint64(m.Incarnation), Sequence: uint64(m.Sequence),
-		Revision: int64(m.CopyRevision), Age: encodeAge(m.CopyAge),
+		Revision: int64(m.CopyRevision), Age: encodeAge(m.CopyAge), CutOff: m.CutOff,
 	}
 	for e, n := range m.InFlight {
 		d.Endpoints = append(d.Endpoints, uint32(e))
@@ -214,6 +216,7 @@
 	for i, e := range d.GetFailed() {
 		m.FailureAges[endpointHash(e)] = time.Duration(d.GetFailedAges()[i]) * time.Millisecond
 	}
+	m.CutOff = d.GetCutOff()
 	m.Crashes = crashes
 	m.PartCrashes, m.SoundParts = decodeParts(d)
 	m.Limits = decodeLimits(d)
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -29,6 +29,8 @@
 	// Feed is the address at which other daemons read this daemon's copy of the
 	// platform's keys.
 	Feed string `json:"feed" validate:"omitempty,listen"`
+	// Relay is the address at which this daemon forwards requests for daemons that can't reach the servers; if it is empty, it forwards none.
+	Relay string `json:"relay" validate:"omitempty,listen"`
 	// Interval is the time between two rounds of datagrams, in a large fleet up to
 	// four times as long. Requests that another
 	// daemon started after its last datagram are not counted yet, so several daemons
@@ -60,6 +62,7 @@
 type registration struct {
 	Address    string           `json:"address"`
 	Feed       string           `json:"feed"`
+	Relay      string           `json:"relay,omitempty"`
 	DataCentre ident.DataCentre `json:"centre"`
 }
 
@@ -103,7 +106,7 @@
 
 // Start opens the socket, starts the exchange and registers the daemon.
 func (c *component) Start(ctx context.Context) error {
-	if err := errors.Join(c.deps.Resolve(&c.platform, &c.Poison, &c.Parts, &c.Limits), c.deps.ResolveAll(&c.listeners)); err != nil {
+	if err := errors.Join(c.deps.Resolve(&c.platform, &c.Poison, &c.Parts, &c.Limits, &c.Links), c.deps.ResolveAll(&c.listeners)); err != nil {
 		return err
 	}
 	var listenConfig net.ListenConfig
@@ -126,6 +129,7 @@
 			return
 		}
 		c.UpdatePeerInFlight()
+		c.updateRelays()
 		c.Limits.Refresh()
 		c.SendRound(current)
 	}
@@ -180,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(registration{Address: c.settings.Listen, Feed: c.settings.Feed, DataCentre: c.DataCentre})
+	value, err := json.Marshal(registration{Address: c.settings.Listen, Feed: c.settings.Feed, Relay: c.settings.Relay, DataCentre: c.DataCentre})
 	if err != nil {
 		return err
 	}
@@ -254,5 +258,5 @@
 	if err != nil {
 		return RegisteredDaemon{}, code.BadRecord.Wrap(err, "registration: parse address")
 	}
-	return RegisteredDaemon{Address: address, FeedAddress: r.Feed, DataCentre: r.DataCentre}, nil
+	return RegisteredDaemon{Address: address, FeedAddress: r.Feed, RelayAddress: r.Relay, DataCentre: r.DataCentre}, nil
 }
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -33,7 +33,7 @@
 		reply, err := x.fetchReply(ctx, e)
 		if err == nil {
 			lastReply = reply
-			if reply.head.Status < http.StatusInternalServerError || !x.mayRetryErrorStatus() {
+			if reply.head.Status < http.StatusInternalServerError || e.IsRelay || !x.mayRetryErrorStatus() {
 				return x.writeAnswer(lastReply, nil)
 			}
 			x.triedServers = append(x.triedServers, e.ID)
@@ -77,6 +77,8 @@
 	case code.Of(err) == code.EndpointUnreachable:
 		// Nothing was sent, so the retry does not count against the budget.
 		return true
+	case code.OutcomeOf(err) == code.NotRun && x.relayed:
+		return mayRelayAgain(err)
 	case code.OutcomeOf(err) == code.NotRun:
 		return len(x.triedServers) < x.maxTries() && x.RetryBudget.AllowRetry()
 	case !x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts:
@@ -137,6 +139,10 @@
 		return func(time.Duration) bool { return true }
 	}
 	stallTimeout := max(bufferedStallFactor*e.Load.MeanResponseTime(), bufferedMinStallTimeout, x.route.LatencyObjective/2)
+	if e.IsRelay {
+		// The other daemon tries another server first.
+		stallTimeout = maxStallTimeout
+	}
 	return func(time.Duration) bool { return x.Clock.Since(startedAt) < stallTimeout }
 }
 
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -50,6 +51,8 @@
 	retryAfter time.Duration
 	// leaving says that the reply says that the server leaves.
 	leaving bool
+	// err is the error of a daemon that a request was passed on to.
+	err error
 }
 
 // fakeSender sends the replies of each server in order and records the attempts.
@@ -72,6 +75,8 @@
 	r := replies[0]
 	s.replies[a.Server] = replies[1:]
 	switch {
+	case r.err != nil:
+		return nil, r.err
 	case r.unreachable:
 		return nil, code.EndpointUnreachable.New("server %s: connection refused", a.Server)
 	case r.closed:
@@ -82,19 +87,28 @@
 	if r.status == 0 {
 		r.status = 200
 	}
-	return &fakeReply{ctx: ctx, sender: s, script: r, keepWaiting: keepWaiting}, nil
+	return &fakeReply{ctx: ctx, sender: s, server: a.Server, script: r, keepWaiting: keepWaiting}, nil
 }
 
 type fakeReply struct {
 	ctx         context.Context
 	sender      *fakeSender
+	server      ident.Instance
 	script      scriptedReply
 	keepWaiting func(time.Duration) bool
 	bytesRead   int
 }
 
 func (r *fakeReply) Head() *proxy.Head {
-	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, RequestLimit: r.script.limit, Leaving: r.script.leaving, RetryAfter: r.script.retryAfter, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
+	return &proxy.Head{Status: r.script.status, Disposition: r.script.disposition, RequestLimit: r.script.limit, Leaving: r.leaving(), RetryAfter: r.script.retryAfter, Header: []proxy.Field{{Name: "Server-Mark", Value: r.script.body}}}
+}
+
+// leaving returns the server if it leaves.
+func (r *fakeReply) leaving() ident.Instance {
+	if r.script.leaving {
+		return r.server
+	}
+	return ""
 }
 
 func (r *fakeReply) ContentLength() int {
@@ -174,10 +188,23 @@
 func (fakeDaemons) PartsSuspected()                             {}
 
 // fakeLinks has the state of the daemon's links.
-type fakeLinks struct{}
+type fakeLinks struct{ cutOff bool }
 
+func (l *fakeLinks) CutOff() bool            { return l.cutOff }
 func (*fakeLinks) Suspect(*catalog.Endpoint) {}
 
+// fakeRelays are daemons that reach servers.
+type fakeRelays []ident.Instance
+
+func (r fakeRelays) PickRelay(tried []ident.Instance) *catalog.Endpoint {
+	for _, id := range r {
+		if !slices.Contains(tried, id) {
+			return &catalog.Endpoint{Server: &cluster.Server{ID: id, Address: string(id)}, Load: new(catalog.Load), IsRelay: true}
+		}
+	}
+	return nil
+}
+
 const (
 	testModel = ident.Model("m")
 	engines   = ident.Service("engines")
@@ -236,7 +263,7 @@
 		panic(err)
 	}
 	return New(Options{
-		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Links: new(fakeLinks), Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
+		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Self: "d", Links: new(fakeLinks), Relays: fakeRelays{}, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
 		RetryBudget: balance.NewRetryBudget(balance.RetryBudgetOptions{Clock: clk, Daemons: fakeDaemons{}, Ratio: 1, BaseRetries: 100, Window: 10 * time.Second}),
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
 		Limits:      ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -71,8 +71,13 @@
 	}
 	// linkMonitor finds out whether this daemon reaches endpoints.
 	linkMonitor interface {
+		CutOff() bool
 		Suspect(e *catalog.Endpoint)
 	}
+	// relayPicker chooses a daemon that reaches servers and was not tried.
+	relayPicker interface {
+		PickRelay(tried []ident.Instance) *catalog.Endpoint
+	}
 	// failureObserver is notified of endpoints that fail, and of prompt parts with a
 	// new crash.
 	failureObserver interface {
@@ -129,6 +134,7 @@
 type Options struct {
 	Clock       clock.Clock
 	Log         zerolog.Logger
+	Self        ident.Instance
 	Catalog     endpointCatalog
 	Picker      picker
 	RetryBudget retryBudget
@@ -137,6 +143,7 @@
 	Limits      requestLimits
 	Sender      Sender
 	Links       linkMonitor
+	Relays      relayPicker
 	Observer    failureObserver
 	Copy        platformCopy
 	Telemetry   *Telemetry
@@ -192,6 +199,12 @@
 	// the request.
 	possibleRuns int
 	attemptCount int
+	// relayCount counts the daemons to which the request was passed on, and relayed says that
+	// the last attempt was at one of them.
+	relayCount int
+	relayed    bool
+	// configVersion is the version of the configuration that has the route.
+	configVersion uint64
 	// needsNewConnection says that an endpoint closed an idle connection as an attempt used
 	// it. Others may do so too.
 	needsNewConnection bool
@@ -222,7 +235,10 @@
 		return err
 	}
 	defer x.admission.Release()
-	x.RetryBudget.RecordRequest()
+	if x.request.Relayed == nil {
+		// The daemon that passed a request on has counted it.
+		x.RetryBudget.RecordRequest()
+	}
 	ctx, cancel := clock.WithDeadline(ctx, x.Clock, x.deadline)
 	defer cancel()
 	if x.route.Kind == cluster.Stream {
@@ -238,6 +254,10 @@
 	if s.Config == nil {
 		return code.NotReady.New("resolve route: the daemon has not received any configuration yet")
 	}
+	if err := x.acceptRelayed(s.Config.Version); err != nil {
+		return err
+	}
+	x.configVersion = s.Config.Version
 	x.route = s.Route(r.Host, r.Path)
 	if x.route == nil {
 		return x.refuseUnknown(code.UnknownPath.New("resolve route: no route for host %q and path %q in configuration version %d", r.Host, r.Path, s.Config.Version))
@@ -330,10 +350,15 @@
 	if head.Disposition == proxy.Misdirected {
 		return head
 	}
-	x.Limits.Observe(e, head.RequestLimit)
-	x.Limits.Pause(e, head.RetryAfter)
-	if head.Leaving && x.Catalog.SetLeaving(e.Server) {
-		x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(e.ID)).Msg("server-leaving")
+	leaving := e.Server
+	if e.IsRelay {
+		leaving = x.Catalog.Current().Server(head.Leaving)
+	} else {
+		x.Limits.Observe(e, head.RequestLimit)
+		x.Limits.Pause(e, head.RetryAfter)
+	}
+	if head.Leaving != "" && leaving != nil && x.Catalog.SetLeaving(leaving) {
+		x.Log.Info().Str("request", string(x.request.ID)).Str("endpoint", string(leaving.ID)).Msg("server-leaving")
 	}
 	return head
 }
@@ -357,6 +382,10 @@
 	if x.organisation != nil {
 		a.Organisation = x.organisation.Name
 	}
+	if x.relayed = e.IsRelay; x.relayed {
+		a.Relay = &proxy.Relay{From: x.Self, ConfigVersion: x.configVersion, PossibleRuns: x.possibleRuns}
+		x.relayCount++
+	}
 	x.attemptCount++
 	x.attemptEvents = 0
 	x.lastEndpoint, x.lastInFlight = e.ID, e.Load.TotalInFlight()
@@ -372,6 +401,10 @@
 		x.possibleRunFailure = err
 		x.possibleRuns++
 	}
+	if e.IsRelay {
+		x.recordRelayFailure(e, err)
+		return
+	}
 	// An endpoint that closes idle connections can be tried again, unless it crashed.
 	crashed := cause == code.ConnectionClosed && x.hasCrashed(ctx, e)
 	if cause != code.ConnectionClosed || crashed {
--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -27,7 +27,7 @@
 func (x *exchange) pickEndpoint(ctx context.Context) (*catalog.Endpoint, error) {
 	var chosen *catalog.Endpoint
 	tryPick := func() bool {
-		chosen = x.Picker.Pick(x.Clock.Now(), x.candidates(), x.triedServers)
+		chosen = x.pick()
 		return chosen != nil
 	}
 	if x.attemptCount > 0 {
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -84,7 +84,7 @@
 	if err := c.limits.Register(deps.Metrics); err != nil {
 		return nil, err
 	}
-	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Telemetry: telemetry, Poison: detector, Parts: parts, Limits: c.limits})
+	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, Telemetry: telemetry, Poison: detector, Parts: parts, Limits: c.limits})
 	deps.Provide(c)
 	deps.Provide(detector)
 	deps.Provide(parts)
@@ -95,7 +95,7 @@
 // Start implements plugin.Plugin. It connects the forwarder to other plug-ins.
 func (c *component) Start(context.Context) error {
 	var daemons daemonCounter
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Links, &c.Observer, &c.Copy, &daemons, &c.limits.Daemons, &c.limits.Catalog); err != nil {
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
 	s := c.settings
--- /dev/null
+++ b/internal/serve/forward/relay.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// maxRelays bounds the daemons to which one request is passed on.
+const maxRelays = 3
+
+// pick returns an endpoint that has a free slot and was not tried. If there is none among those
+// that this daemon can connect to, it returns a daemon that may reach the others.
+func (x *exchange) pick() *catalog.Endpoint {
+	now, candidates := x.Clock.Now(), x.candidates()
+	reachable := x.reachable(candidates)
+	if e := x.Picker.Pick(now, reachable, x.triedServers); e != nil || len(reachable) == len(candidates) {
+		return e
+	}
+	if relay := x.pickRelay(); relay != nil {
+		return relay
+	}
+	return x.Picker.Pick(now, candidates, x.triedServers)
+}
+
+// reachable returns the endpoints that this daemon can connect to.
+func (x *exchange) reachable(endpoints []*catalog.Endpoint) []*catalog.Endpoint {
+	if x.Links.CutOff() {
+		return nil
+	}
+	for i, e := range endpoints {
+		if !e.Load.Unreachable() {
+			continue
+		}
+		reachable := append(make([]*catalog.Endpoint, 0, len(endpoints)), endpoints[:i]...)
+		for _, e := range endpoints[i+1:] {
+			if !e.Load.Unreachable() {
+				reachable = append(reachable, e)
+			}
+		}
+		return reachable
+	}
+	return endpoints
+}
+
+// pickRelay returns a daemon to pass the request on to, nil if there is none. A request is passed
+// on by one daemon only.
+func (x *exchange) pickRelay() *catalog.Endpoint {
+	if x.request.Relayed != nil || x.relayCount >= maxRelays {
+		return nil
+	}
+	return x.Relays.PickRelay(x.triedServers)
+}
+
+// acceptRelayed takes over what another daemon knows of a request that it has passed on. It
+// returns an error if the request has to go to a third one.
+//
+// Errors carry code.EndpointUnreachable or code.NotReady.
+func (x *exchange) acceptRelayed(configVersion uint64) error {
+	relayed := x.request.Relayed
+	switch {
+	case relayed == nil:
+		return nil
+	case x.Links.CutOff():
+		return code.EndpointUnreachable.New("accept request from daemon %s: this daemon reaches no server either", relayed.From)
+	case configVersion < relayed.ConfigVersion:
+		return code.NotReady.New("accept request from daemon %s: it has configuration version %d, later than %d", relayed.From, relayed.ConfigVersion, configVersion)
+	}
+	x.possibleRuns = relayed.PossibleRuns
+	return nil
+}
+
+// recordRelayFailure records the failure of an attempt at a daemon. It says nothing about the
+// server that the daemon has chosen.
+func (x *exchange) recordRelayFailure(relay *catalog.Endpoint, err error) {
+	if cause := code.Of(err); cause == code.ConnectionClosed {
+		x.needsNewConnection = true
+	} else {
+		x.triedServers = append(x.triedServers, relay.ID)
+	}
+	x.Log.Info().Str("request", string(x.request.ID)).Str("daemon", string(relay.ID)).Int("attempt", x.attemptCount).
+		Str("cause", code.Of(err).Spec().Name).Str("detail", code.Message(err)).Msg("relay-failed")
+}
+
+// mayRelayAgain reports whether a request that a daemon has rejected may be served through
+// another one. A rejection for lack of endpoints or slots is final, as all daemons have the same
+// ones.
+func mayRelayAgain(err error) bool {
+	switch code.Of(err) {
+	case code.EndpointUnreachable, code.NotReady, code.Draining:
+		return true
+	}
+	return false
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -100,7 +100,8 @@
 	if err != nil {
 		return code.CutOff.Wrap(err, "read reply of endpoint %s: the body was cut off after %d bytes", e.ID, len(body))
 	}
-	if x.sink.Started() || head.Status >= http.StatusInternalServerError && x.possibleRuns+1 < x.route.MaxAttempts {
+	mayRetry := head.Status >= http.StatusInternalServerError && !e.IsRelay && x.possibleRuns+1 < x.route.MaxAttempts
+	if x.sink.Started() || mayRetry {
 		return code.EndpointFailed.New("read reply of endpoint %s: got status %d instead of a stream", e.ID, head.Status)
 	}
 	return x.writeAnswer(&completeReply{head, body}, nil)
@@ -263,7 +264,7 @@
 		return false
 	}
 	endpointSilence := d.Clock.Since(d.endpoint.Load.LastProgress())
-	if !d.lastEventAt.IsZero() {
+	if !d.lastEventAt.IsZero() || d.Links.CutOff() {
 		return min(silence, endpointSilence) < d.nextEventTimeout()
 	}
 	return min(silence, endpointSilence) < d.firstEventTimeout()
