formation: Hand the term over if this daemon reaches no server

Callers of all daemons were served late for up to 15 s after the planner had lost its links: it took every server for dead and dissolved all 14 replicas, which all other daemons went on using until then.

Cause: a probe without an answer was proof that the server is down, wherever the fault was. The planner's lease at the store doesn't show lost links.

A probe that fails has a result only if another server accepts a connection then. A planner that reaches no server ends its term, releases the lease and doesn't compete for it, unless no other daemon says that it reaches servers.

TestLostLinks fails without either change (links of this daemon lost, links of all daemons lost).

--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -53,8 +53,13 @@
 		Changed() <-chan struct{}
 		ApplyReport(reported *cluster.Server) bool
 	}
-	formationAnnouncer interface {
+	peerDaemons interface {
 		AnnounceFormation(f cluster.Formation)
+		HasConnectedDaemon() bool
+	}
+	linkMonitor interface {
+		CutOff() bool
+		LinksWork(ctx context.Context) bool
 	}
 	serverClient interface {
 		SendOrder(ctx context.Context, s *cluster.Server, o *cluster.Order) cluster.OrderResult
@@ -86,7 +91,8 @@
 	servers serverClient
 	keys    keyMirror
 	traffic trafficMonitor
-	peers   formationAnnouncer
+	peers   peerDaemons
+	links   linkMonitor
 	// candidates says whether this daemon competes for the lease. In a large fleet, most
 	// daemons would find it taken.
 	candidates leaderCandidates
@@ -156,7 +162,7 @@
 
 // Start begins to compete for the planner lease and to plan.
 func (c *controller) Start(context.Context) error {
-	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic, &c.peers, &c.candidates); err != nil {
+	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic, &c.peers, &c.links, &c.candidates); err != nil {
 		return err
 	}
 	c.Go(c.holdLease)
@@ -208,6 +214,7 @@
 		if token != 0 && c.supersededBy(token) {
 			c.endSupersededTerm(token)
 		}
+		c.yieldTerm(token)
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
 			if current != 0 {
@@ -376,9 +383,14 @@
 }
 
 // probeServer probes whether this incarnation of the server runs, and wakes the
-// planner with the result.
+// planner with the result. While this daemon reaches no server, a probe has no result.
 func (c *controller) probeServer(ctx context.Context, s *cluster.Server) {
 	running := c.readReport(ctx, s)
+	if !running && !c.links.LinksWork(ctx) {
+		c.deps.Log.Info().Str("server", string(s.ID)).Msg("server-not-probed")
+		c.wakePlanner()
+		return
+	}
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/fleet/formation/term.go
+++ b/internal/fleet/formation/term.go
@@ -29,7 +29,7 @@
 		}
 	}()
 	for {
-		if l.IsHeld() || c.fencingToken.Load() != 0 || c.leaseAvailable(ctx) {
+		if l.IsHeld() || c.fencingToken.Load() != 0 || c.mayPlan() && c.leaseAvailable(ctx) {
 			c.renewLease(ctx, l)
 		}
 		if !plugin.Sleep(ctx, c.deps.Clock, c.settings.Lease.Duration/renewalsPerTTL) {
@@ -38,6 +38,20 @@
 	}
 }
 
+// mayPlan reports whether this daemon reaches servers. If it doesn't, and another daemon does, the
+// other one plans.
+func (c *controller) mayPlan() bool {
+	return !c.links.CutOff() || !c.peers.HasConnectedDaemon()
+}
+
+// yieldTerm ends the term with the token if another daemon has to plan.
+func (c *controller) yieldTerm(token int64) {
+	if token != 0 && !c.mayPlan() {
+		c.deps.Log.Warn().Stringer("fence", unit.Revision(token)).Msg("planner-cut-off")
+		c.endTerm(token)
+	}
+}
+
 // leaseAvailable reports whether the key mirror is connected and names no
 // leader, now and after a delay that differs between the daemons. The daemon with
 // the shortest delay usually acquires the lease, and the other daemons find it in
