forward: Don't take lost links for crashes or failures of servers

Cause: a server that accepts no connection was taken for down, wherever the fault was; the same class as in the planner.

A crash now counts only if another server accepts a connection, and a daemon that reaches no server neither reports nor avoids endpoints for it.

TestEndpointFailures fails without it (connection lost with all links, plain; kept connection lost with all links).

--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -346,7 +346,9 @@
 			delete(g.failures, e)
 			continue
 		}
-		m.FailureAges[e] = now.Sub(failedAt)
+		if !m.CutOff {
+			m.FailureAges[e] = now.Sub(failedAt)
+		}
 	}
 	m.Formations = g.announcedFormations(now)
 	targets := g.chooseTargets(toAll)
--- a/internal/serve/forward/failures_test.go
+++ b/internal/serve/forward/failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
@@ -11,6 +12,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/serve/poison"
 )
 
 // failedEndpoints records the endpoints that failed.
@@ -38,6 +40,7 @@
 		path           string
 		replies        map[ident.Instance][]scriptedReply
 		serversCrashed bool
+		cutOff         bool
 		wantFailed     []ident.Instance
 		wantAttempts   []sentAttempt
 	}{
@@ -61,6 +64,14 @@
 			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{closed: true}}, "y": {{body: eventA}}}, serversCrashed: true,
 			wantFailed: []ident.Instance{"x"}, wantAttempts: []sentAttempt{{"x", false}, {"y", true}},
 		},
+		"connection lost with all links, plain": {
+			path: "/safe/1", replies: map[ident.Instance][]scriptedReply{"a": {{reset: true}}, "b": {{reset: true}}}, serversCrashed: true, cutOff: true,
+			wantAttempts: []sentAttempt{{"a", false}, {"b", false}},
+		},
+		"kept connection lost with all links": {
+			path: "/stream/1", replies: map[ident.Instance][]scriptedReply{"x": {{closed: true}, {unreachable: true}}, "y": {{body: eventA}}}, serversCrashed: true, cutOff: true,
+			wantAttempts: []sentAttempt{{"x", false}, {"x", true}, {"y", true}},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -68,6 +79,7 @@
 			clk := clockwork.NewFakeClock()
 			sender := &fakeSender{clock: clk, replies: test.replies, serversCrashed: test.serversCrashed}
 			f := newTestForwarder(sender)
+			f.Links = &fakeLinks{cutOff: test.cutOff}
 			observer := new(failedEndpoints)
 			f.Observer = observer
 			// The result of the request is tested elsewhere.
@@ -75,6 +87,9 @@
 				ID: "r", Method: "POST", Host: "h", Target: test.path, Path: test.path, Credential: "k", Model: testModel, Received: clk.Now(),
 			}, new(fakeSink))
 			c.Check(observer.failed, qt.DeepEquals, test.wantFailed)
+			if test.cutOff {
+				c.Check(f.Poison.(*poison.Detector).LocalCrashes(time.Minute), qt.HasLen, 0, qt.Commentf("a lost link is taken for a crash during the request"))
+			}
 			var attempts []sentAttempt
 			for _, a := range sender.attempts {
 				attempts = append(attempts, sentAttempt{a.Server, a.NewConnection})
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -190,8 +190,9 @@
 // fakeLinks has the state of the daemon's links.
 type fakeLinks struct{ cutOff bool }
 
-func (l *fakeLinks) CutOff() bool            { return l.cutOff }
-func (*fakeLinks) Suspect(*catalog.Endpoint) {}
+func (l *fakeLinks) CutOff() bool                   { return l.cutOff }
+func (l *fakeLinks) LinksWork(context.Context) bool { return !l.cutOff }
+func (*fakeLinks) Suspect(*catalog.Endpoint)        {}
 
 // fakeRelays are daemons that reach servers.
 type fakeRelays []ident.Instance
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -72,6 +72,7 @@
 	// linkMonitor finds out whether this daemon reaches endpoints.
 	linkMonitor interface {
 		CutOff() bool
+		LinksWork(ctx context.Context) bool
 		Suspect(e *catalog.Endpoint)
 	}
 	// relayPicker chooses a daemon that reaches servers and was not tried.
@@ -416,9 +417,7 @@
 	x.needsNewConnection = x.needsNewConnection || cause == code.ConnectionClosed
 	avoidedFor := time.Duration(0)
 	if crashed || isEndpointFailure(err) {
-		x.Links.Suspect(e)
-		avoidedFor = e.Load.RecordFailure(x.Clock.Now())
-		x.Observer.EndpointFailed(e, cause)
+		avoidedFor = x.recordEndpointFailure(e, cause)
 	}
 	if crashed || cause == code.CutOff && x.hasCrashed(ctx, e) {
 		x.recordCrash(e)
@@ -430,6 +429,18 @@
 		Dur("avoided_ms", avoidedFor).Str("cause", cause.Spec().Name).Str("detail", code.Message(err)).Msg("attempt-failed")
 }
 
+// recordEndpointFailure has the endpoint avoided, here and at the other daemons, and returns for how
+// long it is avoided here. While this daemon reaches no server, the failure says nothing about the
+// endpoint.
+func (x *exchange) recordEndpointFailure(e *catalog.Endpoint, cause code.Code) time.Duration {
+	x.Links.Suspect(e)
+	if x.Links.CutOff() {
+		return 0
+	}
+	x.Observer.EndpointFailed(e, cause)
+	return e.Load.RecordFailure(x.Clock.Now())
+}
+
 // recordCrash records and logs that the endpoint's server crashed while it ran the request.
 func (x *exchange) recordCrash(e *catalog.Endpoint) {
 	x.Poison.RecordCrash(x.request.Fingerprint, crashOf(e))
@@ -471,11 +482,11 @@
 
 // hasCrashed reports whether the server of the endpoint has crashed after its reply was
 // cut off. A server that accepts a new connection has only lost or corrupted this
-// reply.
+// reply, and if no server accepts one, this daemon has lost its links.
 func (x *exchange) hasCrashed(ctx context.Context, e *catalog.Endpoint) bool {
-	ctx, cancel := clock.WithDeadline(ctx, x.Clock, x.Clock.Now().Add(crashCheckTimeout))
+	connectCtx, cancel := clock.WithDeadline(ctx, x.Clock, x.Clock.Now().Add(crashCheckTimeout))
 	defer cancel()
-	return !x.Sender.AcceptsConnection(ctx, e.Address)
+	return !x.Sender.AcceptsConnection(connectCtx, e.Address) && x.Links.LinksWork(ctx)
 }
 
 // contextError returns nil, or the error for the reason why the context ended: the
