balance: Count requests and retries by service

Cause: one budget for all services. Requests to the plain service, which needed no repeats, allowed 48 more of them at the model servers.

Each service has a budget of its own, with the same ratio and base. Before, TestRetryBudgetOfServices' quiet service would have got 178 retries, allowed 10.

--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -136,11 +136,11 @@
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			clk.Advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "request") {
-				b.RecordRequest()
+				b.RecordRequest("s")
 				events = append(events, event{clk.Now(), false})
 			}
 			for range rapid.IntRange(0, 5).Draw(t, "retries") {
-				if b.AllowRetry() {
+				if b.AllowRetry("s") {
 					events = append(events, event{clk.Now(), true})
 				}
 			}
@@ -167,6 +167,22 @@
 	})
 }
 
+// TestRetryBudgetOfServices guards against more retries to a service than the requests to it allow,
+// since another service gets many requests.
+func TestRetryBudgetOfServices(t *testing.T) {
+	c := qt.New(t)
+	b := NewRetryBudget(RetryBudgetOptions{Clock: clockwork.NewFakeClock(), Daemons: fixedDaemonCount(1), Ratio: 0.2, BaseRetries: 10, Window: 10 * time.Second})
+	for range 1000 {
+		b.RecordRequest("busy")
+	}
+	retries := 0
+	for b.AllowRetry("quiet") {
+		retries++
+	}
+	c.Check(retries > 0 && retries <= 10, qt.IsTrue, qt.Commentf("%d retries", retries))
+	c.Check(b.AllowRetry("busy"), qt.IsTrue)
+}
+
 // TestRetryBudgetOfManyDaemons guards against daemons that each use the base retries of
 // all daemons.
 func TestRetryBudgetOfManyDaemons(t *testing.T) {
@@ -175,7 +191,7 @@
 	total := 0
 	for range 8 {
 		b := NewRetryBudget(RetryBudgetOptions{Clock: clk, Daemons: fixedDaemonCount(8), Ratio: 0.2, BaseRetries: 80, Window: 10 * time.Second})
-		for b.AllowRetry() {
+		for b.AllowRetry("s") {
 			total++
 		}
 	}
--- a/internal/route/balance/retrybudget.go
+++ b/internal/route/balance/retrybudget.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/kernel/clock"
 )
 
@@ -11,20 +12,26 @@
 type RetryBudgetOptions struct {
 	Clock   clock.Clock
 	Daemons daemonCounter
-	// Ratio is the number of retries allowed for each request of this daemon.
-	// BaseRetries is the number that all daemons together may send in addition.
-	// Both count within Window.
+	// Ratio is the number of retries allowed for each request of this daemon to the same
+	// service. BaseRetries is the number that all daemons together may send to a service in
+	// addition. Both count within Window.
 	Ratio       float64
 	BaseRetries float64
 	Window      time.Duration
 }
 
-// RetryBudget bounds the retries of this daemon, so that all daemons together stay below
-// a ratio of their requests plus the base retries. It needs no communication.
+// RetryBudget bounds the retries of this daemon to each service, so that all daemons together
+// stay below a ratio of their requests to the service plus the base retries. It needs no
+// communication.
 type RetryBudget struct {
 	RetryBudgetOptions
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	windows map[ident.Service]*retryWindow
+}
+
+// retryWindow has the counts of one service.
+type retryWindow struct {
 	// buckets has the counts of the window by time, requests and retries have the
 	// sums of all buckets.
 	buckets  [windowBuckets + 1]windowBucket
@@ -51,43 +58,59 @@
 
 // NewRetryBudget returns a budget without counted requests and retries.
 func NewRetryBudget(o RetryBudgetOptions) *RetryBudget {
-	return &RetryBudget{RetryBudgetOptions: o}
+	return &RetryBudget{RetryBudgetOptions: o, windows: make(map[ident.Service]*retryWindow)}
 }
 
-// RecordRequest counts a request, which raises the budget by Ratio for one window.
-func (b *RetryBudget) RecordRequest() {
+// RecordRequest counts a request to the service, which raises its budget by Ratio for one window.
+func (b *RetryBudget) RecordRequest(service ident.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.currentBucket().requests++
-	b.requests++
+	w := b.windowOf(service)
+	w.bucketAt(b.currentIndex()).requests++
+	w.requests++
 }
 
-// AllowRetry reports whether one more retry may be sent, and counts that retry.
-func (b *RetryBudget) AllowRetry() bool {
+// AllowRetry reports whether one more retry may be sent to the service, and counts that retry.
+func (b *RetryBudget) AllowRetry(service ident.Service) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bucket := b.currentBucket()
-	allowed := budgetFraction * (b.Ratio*float64(b.requests) + b.BaseRetries/float64(max(b.Daemons.DaemonCount(), 1)))
-	if float64(b.retries+1) > allowed {
+	w := b.windowOf(service)
+	bucket := w.bucketAt(b.currentIndex())
+	allowed := budgetFraction * (b.Ratio*float64(w.requests) + b.BaseRetries/float64(max(b.Daemons.DaemonCount(), 1)))
+	if float64(w.retries+1) > allowed {
 		return false
 	}
 	bucket.retries++
-	b.retries++
+	w.retries++
 	return true
 }
 
-// currentBucket returns the bucket of the current time, after emptying the buckets that
-// are older than a window.
-func (b *RetryBudget) currentBucket() *windowBucket {
-	current := int64(clock.InstantOf(b.Clock.Now())) / int64(b.Window/windowBuckets)
-	for i := range b.buckets {
-		if bucket := &b.buckets[i]; bucket.index < current-windowBuckets && bucket.index != 0 {
-			b.requests -= bucket.requests
-			b.retries -= bucket.retries
+// windowOf returns the counts of the service. The caller holds the lock.
+func (b *RetryBudget) windowOf(service ident.Service) *retryWindow {
+	w := b.windows[service]
+	if w == nil {
+		w = new(retryWindow)
+		b.windows[service] = w
+	}
+	return w
+}
+
+// currentIndex returns the number of the current tenth of a window since 1970.
+func (b *RetryBudget) currentIndex() int64 {
+	return int64(clock.InstantOf(b.Clock.Now())) / int64(b.Window/windowBuckets)
+}
+
+// bucketAt returns the bucket with the index, after emptying the buckets that are older than a
+// window.
+func (w *retryWindow) bucketAt(current int64) *windowBucket {
+	for i := range w.buckets {
+		if bucket := &w.buckets[i]; bucket.index < current-windowBuckets && bucket.index != 0 {
+			w.requests -= bucket.requests
+			w.retries -= bucket.retries
 			*bucket = windowBucket{}
 		}
 	}
-	bucket := &b.buckets[current%(windowBuckets+1)]
+	bucket := &w.buckets[current%(windowBuckets+1)]
 	bucket.index = current
 	return bucket
 }
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -67,7 +67,7 @@
 // status, and reports whether the request may run again.
 func (x *exchange) mayRetryErrorStatus() bool {
 	x.possibleRuns++
-	return x.route.Kind == cluster.Safe && x.possibleRuns < x.route.MaxAttempts && x.RetryBudget.AllowRetry()
+	return x.route.Kind == cluster.Safe && x.possibleRuns < x.route.MaxAttempts && x.RetryBudget.AllowRetry(x.service)
 }
 
 // mayRetryFailed reports whether the request may be sent to another endpoint after the
@@ -80,11 +80,11 @@
 	case code.OutcomeOf(err) == code.NotRun && x.relayed:
 		return mayRelayAgain(err)
 	case code.OutcomeOf(err) == code.NotRun:
-		return len(x.triedServers) < x.maxTries() && x.RetryBudget.AllowRetry()
+		return len(x.triedServers) < x.maxTries() && x.RetryBudget.AllowRetry(x.service)
 	case !x.route.Repeatable() || x.possibleRuns >= x.route.MaxAttempts:
 		return false
 	}
-	return x.checkPoison() == nil && x.RetryBudget.AllowRetry()
+	return x.checkPoison() == nil && x.RetryBudget.AllowRetry(x.service)
 }
 
 // maxTriesAfterRun is the number of further servers that are tried if these reject a request
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -39,8 +39,8 @@
 	}
 	// retryBudget bounds the retries.
 	retryBudget interface {
-		RecordRequest()
-		AllowRetry() bool
+		RecordRequest(service ident.Service)
+		AllowRetry(service ident.Service) bool
 	}
 	// poisonDetector counts crashes of servers by request and refuses poison
 	// requests.
@@ -237,7 +237,7 @@
 	defer x.admission.Release()
 	if x.request.Relayed == nil {
 		// The daemon that passed a request on has counted it.
-		x.RetryBudget.RecordRequest()
+		x.RetryBudget.RecordRequest(x.service)
 	}
 	ctx, cancel := clock.WithDeadline(ctx, x.Clock, x.deadline)
 	defer cancel()
