balance: Allow no base retries in the first window after a start

Cause: what a daemon may do in a window was taken to begin with the process, not with the window.

TestRetryBudgetAfterRestart (four starts in a window) fails without it: 136 retries, allowed 40.

--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -171,7 +171,9 @@
 // since another service gets many requests.
 func TestRetryBudgetOfServices(t *testing.T) {
 	c := qt.New(t)
-	b := NewRetryBudget(RetryBudgetOptions{Clock: clockwork.NewFakeClock(), Daemons: fixedDaemonCount(1), Ratio: 0.2, BaseRetries: 10, Window: 10 * time.Second})
+	clk := clockwork.NewFakeClock()
+	b := NewRetryBudget(RetryBudgetOptions{Clock: clk, Daemons: fixedDaemonCount(1), Ratio: 0.2, BaseRetries: 10, Window: 10 * time.Second})
+	clk.Advance(10 * time.Second)
 	for range 1000 {
 		b.RecordRequest("busy")
 	}
@@ -183,6 +185,30 @@
 	c.Check(b.AllowRetry("busy"), qt.IsTrue)
 }
 
+// TestRetryBudgetAfterRestart guards against daemons that are killed again and again, and that use
+// the base retries of the window each time.
+func TestRetryBudgetAfterRestart(t *testing.T) {
+	const baseRetries, window = 40, 10 * time.Second
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	newBudget := func() *RetryBudget {
+		return NewRetryBudget(RetryBudgetOptions{Clock: clk, Daemons: fixedDaemonCount(1), Ratio: 0.2, BaseRetries: baseRetries, Window: window})
+	}
+	b := newBudget()
+	clk.Advance(window)
+	retries := 0
+	for range 4 {
+		for b.AllowRetry("s") {
+			retries++
+		}
+		clk.Advance(window / 5)
+		b = newBudget()
+	}
+	c.Check(retries > 0 && retries <= baseRetries, qt.IsTrue, qt.Commentf("%d retries", retries))
+	clk.Advance(window)
+	c.Check(b.AllowRetry("s"), qt.IsTrue)
+}
+
 // TestRetryBudgetOfManyDaemons guards against daemons that each use the base retries of
 // all daemons.
 func TestRetryBudgetOfManyDaemons(t *testing.T) {
@@ -191,6 +217,7 @@
 	total := 0
 	for range 8 {
 		b := NewRetryBudget(RetryBudgetOptions{Clock: clk, Daemons: fixedDaemonCount(8), Ratio: 0.2, BaseRetries: 80, Window: 10 * time.Second})
+		clk.Advance(10 * time.Second)
 		for b.AllowRetry("s") {
 			total++
 		}
--- a/internal/route/balance/retrybudget.go
+++ b/internal/route/balance/retrybudget.go
@@ -25,6 +25,9 @@
 // communication.
 type RetryBudget struct {
 	RetryBudgetOptions
+	// startedAt is the start of the first window. The daemon may have run before, so its part
+	// of the base retries of this window may be used up.
+	startedAt time.Time
 
 	mu      sync.Mutex
 	windows map[ident.Service]*retryWindow
@@ -58,7 +61,7 @@
 
 // NewRetryBudget returns a budget without counted requests and retries.
 func NewRetryBudget(o RetryBudgetOptions) *RetryBudget {
-	return &RetryBudget{RetryBudgetOptions: o, windows: make(map[ident.Service]*retryWindow)}
+	return &RetryBudget{RetryBudgetOptions: o, startedAt: o.Clock.Now(), windows: make(map[ident.Service]*retryWindow)}
 }
 
 // RecordRequest counts a request to the service, which raises its budget by Ratio for one window.
@@ -76,7 +79,7 @@
 	defer b.mu.Unlock()
 	w := b.windowOf(service)
 	bucket := w.bucketAt(b.currentIndex())
-	allowed := budgetFraction * (b.Ratio*float64(w.requests) + b.BaseRetries/float64(max(b.Daemons.DaemonCount(), 1)))
+	allowed := budgetFraction * (b.Ratio*float64(w.requests) + b.ownBaseRetries())
 	if float64(w.retries+1) > allowed {
 		return false
 	}
@@ -85,6 +88,14 @@
 	return true
 }
 
+// ownBaseRetries returns this daemon's part of the base retries.
+func (b *RetryBudget) ownBaseRetries() float64 {
+	if b.Clock.Since(b.startedAt) < b.Window {
+		return 0
+	}
+	return b.BaseRetries / float64(max(b.Daemons.DaemonCount(), 1))
+}
+
 // windowOf returns the counts of the service. The caller holds the lock.
 func (b *RetryBudget) windowOf(service ident.Service) *retryWindow {
 	w := b.windows[service]
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -253,6 +253,10 @@
 	return []*cluster.Server{newServer("a", ledger), newServer("b", ledger), newServer("x", engines), newServer("y", engines), newServer("z", engines)}
 }
 
+// retryWindow is the time over which retries are counted. In the first one after the start of a
+// daemon there are no base retries.
+const retryWindow = 10 * time.Second
+
 // newTestForwarder returns a forwarder to the test servers, which tries them in the order
 // of their names.
 func newTestForwarder(sender *fakeSender) *Forwarder {
@@ -263,9 +267,11 @@
 	if err != nil {
 		panic(err)
 	}
+	retryBudget := balance.NewRetryBudget(balance.RetryBudgetOptions{Clock: clk, Daemons: fakeDaemons{}, Ratio: 1, BaseRetries: 100, Window: retryWindow})
+	clk.Advance(retryWindow)
 	return New(Options{
 		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Self: "d", Links: new(fakeLinks), Relays: fakeRelays{}, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
-		RetryBudget: balance.NewRetryBudget(balance.RetryBudgetOptions{Clock: clk, Daemons: fakeDaemons{}, Ratio: 1, BaseRetries: 100, Window: 10 * time.Second}),
+		RetryBudget: retryBudget,
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
 		Limits:      ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
 		Parts:       poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
