stream: Discard a request that is given up

Cause: close keeps what is in the send buffer, and the kernel sends it until the link is back.

A connection whose exchange ends without a complete answer is reset, so that the kernel drops what is left.

--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -117,6 +117,16 @@
 	return errors.Join(os.ErrDeadlineExceeded, err)
 }
 
+// abort closes the connection and discards what was not delivered. Otherwise the kernel would
+// go on sending a request over a link that is cut, and the endpoint would get it long after the
+// exchange has ended.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Write writes with a new deadline.
 func (c *conn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(c.clock.Now().Add(c.ioTimeout)); err != nil {
--- a/internal/endpoint/stream/exchange.go
+++ b/internal/endpoint/stream/exchange.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	x := &Exchange{Response: response, pool: p, address: address, conn: c}
-	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stopCancelWatch = context.AfterFunc(ctx, c.abort)
 	if err := x.roundTrip(request); err != nil {
 		x.Close()
 		return nil, p.exchangeError(ctx, address, c, err)
@@ -129,5 +129,8 @@
 		x.pool.releaseConn(x.address, x.conn)
 		return
 	}
+	if !x.bodyRead {
+		x.conn.abort()
+	}
 	x.pool.discardConn(x.address, x.conn)
 }
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -98,7 +98,7 @@
 	}
 	r := &RawResponse{pool: p, address: request.Address, conn: c}
 	c.keepWaiting, c.silenceInterval = request.KeepWaiting, request.SilenceInterval
-	r.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	r.stopCancelWatch = context.AfterFunc(ctx, c.abort)
 	if err := r.roundTrip(request); err != nil {
 		r.Close()
 		return nil, p.exchangeError(ctx, request.Address, c, err)
@@ -281,6 +281,9 @@
 		r.pool.releaseConn(r.address, r.conn)
 		return
 	}
+	if !bodyComplete {
+		r.conn.abort()
+	}
 	r.pool.discardConn(r.address, r.conn)
 }
 
