formation: Ignore epochs that no planner can have given

Here, an entry with the epoch ended every planner's term as it began, so that no replica was repaired as long as the entry stayed (planner-superseded every 0.7 s).

Cause: an epoch of a later term was proof of a later planner, whoever had written it. A fencing token is a revision of the store, so no planner can have one far above all revisions.

The planner drops replicas with such epochs.

--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -129,6 +130,8 @@
 	// Superseded says that a server reports an epoch of a later term. Step then returns
 	// no orders any more.
 	Superseded bool
+	// LatestRevision is the latest revision of the platform that this daemon knows.
+	LatestRevision unit.Revision
 
 	// now and snapshot are the arguments of the current Step, commands its
 	// result.
@@ -230,6 +233,7 @@
 	}
 	p.indexServers()
 	p.reported = snapshot.Replicas()
+	p.dropImpossibleEpochs()
 	if p.isSuperseded() {
 		p.Superseded = true
 		return nil
@@ -254,6 +258,17 @@
 	return p.commands
 }
 
+// maxMissedRevisions bounds the revisions, over restorations of the platform too, that this daemon
+// doesn't know yet.
+const maxMissedRevisions = 2 * maxLostRevisions
+
+// dropImpossibleEpochs drops the replicas whose epochs no planner can have given, as its token
+// would be far above all revisions. The registration of such a server is another writer's.
+func (p *Planner) dropImpossibleEpochs() {
+	highest := firstEpoch(max(p.LatestRevision, p.fencingToken)) + maxMissedRevisions*epochsPerToken
+	maps.DeleteFunc(p.reported, func(key catalog.ReplicaKey, _ *catalog.Replica) bool { return key.Epoch > highest })
+}
+
 // isSuperseded reports whether a server reports an epoch of a later term.
 func (p *Planner) isSuperseded() bool {
 	firstLaterEpoch := firstEpoch(p.fencingToken + 1)
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -70,6 +70,7 @@
 		SourceConnected() bool
 		SetLowLatency(enabled bool)
 		Age() time.Duration
+		Revision() unit.Revision
 	}
 	leaderCandidates interface {
 		MayReadPlatform() bool
@@ -262,6 +263,7 @@
 	snapshot := c.catalog.Current()
 	c.applyResults(p)
 	c.probeSuspects(p, snapshot, now)
+	p.LatestRevision = c.keys.Revision()
 	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic())
 	for _, d := range p.Decisions {
 		c.deps.Log.Info().Str("replica", string(d.Replica)).Uint64("epoch", uint64(d.Epoch)).
--- a/internal/fleet/formation/term_test.go
+++ b/internal/fleet/formation/term_test.go
@@ -24,6 +24,7 @@
 func (fakeKeys) SourceConnected() bool     { return true }
 func (fakeKeys) SetLowLatency(bool)        {}
 func (fakeKeys) Age() time.Duration        { return 0 }
+func (fakeKeys) Revision() unit.Revision   { return 0 }
 
 // revokingStore is a store whose revisions rise with each write, and in which a key is
 // removed with its lease.
