httpserver, platform: Answer what is left before a planned stop ends

From other operators' reports: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated. Here too: a request that its server doesn't answer was cut as the process ended, and its caller couldn't tell it from a crash.

Cause: the end of the grace closed the connections that were left.

Answers that have begun go on to the end.

--- a/internal/caller/httpserver/conn.go
+++ b/internal/caller/httpserver/conn.go
@@ -38,6 +38,11 @@
 	reader  *bufio.Reader
 	phase   atomic.Int32
 
+	// ctx is the parent of the requests' contexts, and stop ends it.
+	ctx  context.Context
+	stop context.CancelCauseFunc
+	// hasAnswer says that the answer to the current request has begun.
+	hasAnswer atomic.Bool
 	// cancel cancels the current request. The channel answered is closed when
 	// the current request has been answered.
 	cancel   context.CancelFunc
@@ -47,7 +52,9 @@
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
-	return &conn{server: s, netConn: netConn, reader: bufio.NewReaderSize(netConn, initialBufferBytes)}
+	c := &conn{server: s, netConn: netConn, reader: bufio.NewReaderSize(netConn, initialBufferBytes)}
+	c.ctx, c.stop = context.WithCancelCause(context.Background())
+	return c
 }
 
 // closeIdle closes the connection if it is idle.
@@ -59,6 +66,7 @@
 
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
+	defer c.stop(nil)
 	defer c.netConn.Close() //nolint:errcheck // nothing is left to be sent
 	c.setIdleDeadline()
 	for {
@@ -129,7 +137,8 @@
 	w.isHTTP10 = !request.Header.IsHTTP11()
 	w.closeRequested = request.Header.ConnectionClose()
 	r := &Request{Header: &request.Header, Body: request.Body(), Received: c.server.Clock.Now()}
-	ctx, cancel := context.WithCancel(context.Background())
+	c.hasAnswer.Store(false)
+	ctx, cancel := context.WithCancel(c.ctx)
 	c.cancel, c.answered = cancel, make(chan struct{})
 	c.server.activeRequests.Add(1)
 	go c.serveRequest(ctx, r, w)
--- a/internal/caller/httpserver/server.go
+++ b/internal/caller/httpserver/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/plugin"
 )
@@ -153,6 +154,18 @@
 	}
 }
 
+// CancelUnanswered cancels the requests whose answers have not begun, with the cause
+// proxy.ErrStopping, so that the handler answers them before the stop ends.
+func (s *Server) CancelUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.hasAnswer.Load() {
+			c.stop(proxy.ErrStopping)
+		}
+	}
+}
+
 // Stop drains the server, closes the listener and waits until all connections
 // have ended. If the context ends first, Stop closes the remaining connections.
 func (s *Server) Stop(ctx context.Context) error {
--- a/internal/caller/httpserver/server_test.go
+++ b/internal/caller/httpserver/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -46,6 +47,22 @@
 		close(h.started)
 		<-ctx.Done()
 		close(h.cancelled)
+	case "/late":
+		close(h.started)
+		<-ctx.Done()
+		if errors.Is(context.Cause(ctx), proxy.ErrStopping) {
+			w.Start(http.StatusServiceUnavailable, fields, 0)
+			_ = w.End(nil)
+		}
+	case "/late-stream":
+		w.Start(http.StatusOK, fields, UnknownLength)
+		_ = w.Write([]byte("one"))
+		close(h.started)
+		select {
+		case <-ctx.Done():
+		case <-h.release:
+			_ = w.End([]byte("two"))
+		}
 	case "/panic":
 		panic("unexpected error")
 	case "/hold":
@@ -239,3 +256,33 @@
 	c.Assert(conn.Close(), qt.IsNil)
 	c.Check(<-stopped, qt.IsNil)
 }
+
+// TestCancelUnanswered guards against a request that is cut off without an answer at the end of a
+// stop, and against an answer that has begun and is cut off before that.
+func TestCancelUnanswered(t *testing.T) {
+	tests := map[string]struct {
+		path       string
+		wantStatus int
+		wantBody   string
+	}{
+		"not answered": {path: "/late", wantStatus: http.StatusServiceUnavailable},
+		"begun":        {path: "/late-stream", wantStatus: http.StatusOK, wantBody: "onetwo"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s, h, address := startServer(c, defaultLimits())
+			conn := dial(c, address, "GET "+test.path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+			<-h.started
+			s.Drain()
+			s.CancelUnanswered()
+			close(h.release)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			body, err := io.ReadAll(response.Body)
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.wantStatus)
+			c.Check(string(body), qt.Equals, test.wantBody)
+		})
+	}
+}
--- a/internal/caller/httpserver/writer.go
+++ b/internal/caller/httpserver/writer.go
@@ -38,6 +38,7 @@
 // as Connection.
 func (w *ResponseWriter) Start(status int, fields []proxy.Field, length int) {
 	w.started = true
+	w.conn.hasAnswer.Store(true)
 	w.closeRequested = w.closeRequested || w.conn.server.draining.Load()
 	noBody := w.isHead || status == http.StatusNoContent || status == http.StatusNotModified
 	w.chunked = length == UnknownLength && !w.isHTTP10 && !noBody
--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"errors"
 	"time"
 
 	"cuminbay/internal/domain/ident"
@@ -56,6 +57,10 @@
 	PossibleRuns int
 }
 
+// ErrStopping is the cause for which a request's context ends if its daemon stops before the
+// request is answered.
+var ErrStopping = errors.New("the daemon stops")
+
 // EventID numbers the events of a stream in ascending order.
 type EventID uint64
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
@@ -398,6 +399,9 @@
 	if ctx.Err() == nil {
 		return nil
 	}
+	if errors.Is(context.Cause(ctx), proxy.ErrStopping) {
+		return x.stopError()
+	}
 	if x.Clock.Now().Before(x.deadline) {
 		return code.CallerClosed.New("forward request: the caller closed the connection after %s", x.Clock.Since(x.request.Received))
 	}
@@ -407,6 +411,14 @@
 	return code.DeadlineExpired.New("forward request: no complete answer within %s", x.deadline.Sub(x.request.Received))
 }
 
+// stopError returns the error for a request that is not answered when the daemon stops.
+func (x *exchange) stopError() error {
+	if x.possibleRuns == 0 {
+		return code.Draining.New("forward request: the daemon stops before the request was sent to a server that answers")
+	}
+	return code.OutcomeUnknown.New("forward request: the daemon stops before a server has answered")
+}
+
 // callerError returns the error for the caller after the failure of the last attempt.
 // It never returns the outcome not-run after an attempt that may have run the
 // request.
