mirror: Call a source that failed sooner if all sources have failed

Cause: in an outage every call to every source fails, and each failure doubled the time for which that source was avoided, up to 9.6 s.

If no source can be used, the daemon with a recent copy that failed first is called again, 0.4 s after its failure.

--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,11 +73,11 @@
 	leftOldCopy bool
 }
 
-// sourceFailures counts the consecutive failures of a source. The source is not
-// used until avoidUntil.
+// sourceFailures counts the consecutive failures of a source, of which the last one was at
+// failedAt. The source is not used until avoidUntil.
 type sourceFailures struct {
-	consecutiveFailures int
-	avoidUntil          time.Time
+	consecutiveFailures  int
+	failedAt, avoidUntil time.Time
 }
 
 // A source that failed is avoided for minAvoidTime, doubled for each consecutive
@@ -90,6 +91,11 @@
 	platformSource       = ident.Instance("")
 )
 
+// minRecallTime is the time after its failure at which a daemon with a recent copy is called again
+// if no other source can be used. That all of them have failed is a sign of an outage of the
+// platform or of the network, which may be over, rather than of a fault of each.
+const minRecallTime = 400 * time.Millisecond
+
 // PreferPlatform sets whether this daemon reads from the platform even if it has a
 // parent, so that it gets changes sooner.
 func (u *Upstream) PreferPlatform(enabled bool) {
@@ -117,14 +123,32 @@
 	if (mayReadPlatform || u.preferPlatform || parentFailed) && usable(platformSource) {
 		return Peer{}, nil
 	}
-	for _, p := range u.Tree.FallbackPeers() {
+	peers := u.Tree.FallbackPeers()
+	for _, p := range peers {
 		if usable(p.Instance) {
 			return p, nil
 		}
 	}
+	if hasParent {
+		peers = append(peers, parent)
+	}
+	if p, found := u.failedFirst(peers); found && now.Sub(u.failures[p.Instance].failedAt) >= minRecallTime {
+		return p, nil
+	}
 	return Peer{}, code.PlatformUnavailable.New("choose a source of the copy: all sources have failed within %s", minAvoidTime<<maxAvoidDoublings)
 }
 
+// failedFirst returns the daemon whose last failure is the longest ago, and false without any
+// daemon. The caller holds the lock.
+func (u *Upstream) failedFirst(peers []Peer) (Peer, bool) {
+	if len(peers) == 0 {
+		return Peer{}, false
+	}
+	return slices.MinFunc(peers, func(a, b Peer) int {
+		return u.failures[a.Instance].failedAt.Compare(u.failures[b.Instance].failedAt)
+	}), true
+}
+
 // recordResult records the result of a call to a source.
 func (u *Upstream) recordResult(id ident.Instance, age time.Duration, err error) {
 	u.mu.Lock()
@@ -166,7 +190,8 @@
 	if id == platformSource {
 		doublings = maxPlatformDoublings
 	}
-	f.avoidUntil = u.Clock.Now().Add(clock.Jitter(minAvoidTime << min(f.consecutiveFailures, doublings)))
+	f.failedAt = u.Clock.Now()
+	f.avoidUntil = f.failedAt.Add(clock.Jitter(minAvoidTime << min(f.consecutiveFailures, doublings)))
 	f.consecutiveFailures++
 	u.failures[id] = f
 }
@@ -179,7 +204,8 @@
 	if u.failures == nil {
 		u.failures = make(map[ident.Instance]sourceFailures)
 	}
-	u.failures[p.Instance] = sourceFailures{avoidUntil: u.Clock.Now().Add(clock.Jitter(minAvoidTime))}
+	now := u.Clock.Now()
+	u.failures[p.Instance] = sourceFailures{failedAt: now, avoidUntil: now.Add(clock.Jitter(minAvoidTime))}
 	return err
 }
 
