forward: Pass a request on only if none of its endpoints is in reach

Found in reading: with one endpoint down and the others full, a request went to another daemon, which sees the same and rejects it after its own wait; and if all endpoints of a model were really down, up to three daemons tried them one after the other.

A request is passed on if this daemon reaches none of its endpoints, and to one daemon only while this daemon reaches other servers. A daemon that doesn't reach them either rejects it without trying.

--- a/internal/serve/forward/relay.go
+++ b/internal/serve/forward/relay.go
@@ -5,20 +5,27 @@
 	"cuminbay/internal/fleet/catalog"
 )
 
-// maxRelays bounds the daemons to which one request is passed on.
-const maxRelays = 3
+// maxRelays bounds the daemons to which one request is passed on. It is maxRelaysInReach if this
+// daemon reaches other servers, as the endpoints are then probably down.
+const (
+	maxRelays        = 3
+	maxRelaysInReach = 1
+)
 
-// pick returns an endpoint that has a free slot and was not tried. If there is none among those
-// that this daemon can connect to, it returns a daemon that may reach the others.
+// pick returns an endpoint that has a free slot and was not tried. If this daemon can connect to
+// none of the endpoints, it returns a daemon that may reach them.
 func (x *exchange) pick() *catalog.Endpoint {
 	now, candidates := x.Clock.Now(), x.candidates()
-	reachable := x.reachable(candidates)
-	if e := x.Picker.Pick(now, reachable, x.triedServers); e != nil || len(reachable) == len(candidates) {
-		return e
+	if reachable := x.reachable(candidates); len(reachable) > 0 {
+		return x.Picker.Pick(now, reachable, x.triedServers)
 	}
 	if relay := x.pickRelay(); relay != nil {
 		return relay
 	}
+	if x.request.Relayed != nil {
+		// The endpoints are probably down, as they are out of reach of two daemons.
+		return nil
+	}
 	return x.Picker.Pick(now, candidates, x.triedServers)
 }
 
@@ -45,7 +52,11 @@
 // pickRelay returns a daemon to pass the request on to, nil if there is none. A request is passed
 // on by one daemon only.
 func (x *exchange) pickRelay() *catalog.Endpoint {
-	if x.request.Relayed != nil || x.relayCount >= maxRelays {
+	limit := maxRelaysInReach
+	if x.Links.CutOff() {
+		limit = maxRelays
+	}
+	if x.request.Relayed != nil || x.relayCount >= limit || len(x.candidates()) == 0 {
 		return nil
 	}
 	return x.Relays.PickRelay(x.triedServers)
