stream: Add no Content-Type to answers that have none

A caller got 'Content-Type: text/plain; charset=utf-8' where the server had sent no such field: the library adds it when the fields are read. Found as TestRelayedRequest, without the field in its answer, got one more than was sent; it fails without this change.

--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -172,6 +172,7 @@
 // readHead reads the head of the answer. The connection's buffer bounds its size.
 func (r *RawResponse) readHead(request *RawRequest) error {
 	r.Header.Reset()
+	r.Header.SetNoDefaultContentType(true)
 	for range maxInterimResponses + 1 {
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return err
