--- a/internal/peer/gossip/relay.go
+++ b/internal/peer/gossip/relay.go
@@ -9,12 +9,11 @@
 	"cuminbay/internal/fleet/catalog"
 )
 
-// relayList has the daemons that can connect to servers and forward requests. Its parts are in
-// the order in which they are tried.
+// relayList has the daemons that can connect to servers and forward requests.
 type relayList struct {
-	// recent and remote have sent a datagram within inFlightExpiry, those in recent from this
-	// data centre. The others may have failed.
-	recent, remote, others []*catalog.Endpoint
+	// local and remote are daemons of this data centre and of others that have sent a
+	// datagram within inFlightExpiry. The silent ones may have failed.
+	local, remote, silent []*catalog.Endpoint
 }
 
 // setRelay sets the address at which the daemon forwards requests.
@@ -40,9 +39,9 @@
 		switch {
 		case p.relay == nil || p.cutOff || !p.isLive(now):
 		case now.Sub(p.lastDatagramAt) > inFlightExpiry:
-			list.others = append(list.others, p.relay)
+			list.silent = append(list.silent, p.relay)
 		case p.dataCentre == g.DataCentre:
-			list.recent = append(list.recent, p.relay)
+			list.local = append(list.local, p.relay)
 		default:
 			list.remote = append(list.remote, p.relay)
 		}
@@ -58,7 +57,7 @@
 	if list == nil {
 		return nil
 	}
-	for _, relays := range [][]*catalog.Endpoint{list.recent, list.remote, list.others} {
+	for _, relays := range [][]*catalog.Endpoint{list.local, list.remote, list.silent} {
 		if relay := pickUntried(relays, tried); relay != nil {
 			return relay
 		}
@@ -70,7 +69,7 @@
 // said recently.
 func (g *Gossip) HasConnectedDaemon() bool {
 	list := g.relays.Load()
-	return list != nil && len(list.recent)+len(list.remote) > 0
+	return list != nil && len(list.local)+len(list.remote) > 0
 }
 
 // pickUntried returns a random daemon that was not tried.
