--- a/internal/peer/gossip/relay.go
+++ b/internal/peer/gossip/relay.go
@@ -23,7 +23,7 @@
 		p.relay = nil
 	case p.relay == nil || p.relay.Address != address:
 		p.relay = &catalog.Endpoint{
-			Server:  &cluster.Server{ID: id, Address: address, DataCentre: p.dataCentre},
+			Server:  &cluster.Server{ID: id, Address: address},
 			Load:    new(catalog.Load),
 			IsRelay: true,
 		}
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -77,7 +77,7 @@
 	case code.Of(err) == code.EndpointUnreachable:
 		// Nothing was sent, so the retry does not count against the budget.
 		return true
-	case code.OutcomeOf(err) == code.NotRun && x.relayed:
+	case code.OutcomeOf(err) == code.NotRun && x.lastWasRelay:
 		return mayRelayAgain(err)
 	case code.OutcomeOf(err) == code.NotRun:
 		return len(x.triedServers) < x.maxTries() && x.RetryBudget.AllowRetry(x.service)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -200,10 +200,10 @@
 	// the request.
 	possibleRuns int
 	attemptCount int
-	// relayCount counts the daemons to which the request was passed on, and relayed says that
-	// the last attempt was at one of them.
-	relayCount int
-	relayed    bool
+	// relayCount counts the daemons to which the request was passed on, and lastWasRelay says
+	// that the last attempt was at one of them.
+	relayCount   int
+	lastWasRelay bool
 	// configVersion is the version of the configuration that has the route.
 	configVersion uint64
 	// needsNewConnection says that an endpoint closed an idle connection as an attempt used
@@ -383,7 +383,7 @@
 	if x.organisation != nil {
 		a.Organisation = x.organisation.Name
 	}
-	if x.relayed = e.IsRelay; x.relayed {
+	if x.lastWasRelay = e.IsRelay; x.lastWasRelay {
 		a.Relay = &proxy.Relay{From: x.Self, ConfigVersion: x.configVersion, PossibleRuns: x.possibleRuns}
 		x.relayCount++
 	}
