review: Add a case of a success that no server has signed

An answer that neither names the request nor has a signature is taken as the server's on a new connection.

--- a/review/harness/case_poison.go
+++ b/review/harness/case_poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -28,18 +29,9 @@
 		}
 		plain = append(plain, s)
 	}
-	var daemons []*daemon
-	for range 3 {
-		d, err := c.addDaemon("kirtipur")
-		if err != nil {
-			return false, err
-		}
-		daemons = append(daemons, d)
-	}
-	for _, d := range daemons {
-		if err := c.waitReady(d); err != nil {
-			return false, err
-		}
+	daemons, err := c.addDaemons("kirtipur", 3)
+	if err != nil {
+		return false, err
 	}
 	c.clock.Sleep(stableWindow)
 	p := &poisoner{cluster: c, servers: plain}
@@ -98,3 +90,22 @@
 	}
 	return count
 }
+
+// thirdArrival returns the time at which the request reached a server for the third time after the
+// start, and false if it has not.
+func (p *poisoner) thirdArrival(start time.Time) (time.Time, bool) {
+	const third = 3
+	var times []time.Time
+	for _, s := range p.servers {
+		for _, a := range s.arrivalsAfter(start) {
+			if a.body == poisonBody {
+				times = append(times, a.at)
+			}
+		}
+	}
+	if len(times) < third {
+		return time.Time{}, false
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times[third-1], true
+}
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -15,12 +15,14 @@
 	status int
 	// complete says that the whole answer arrived.
 	complete bool
-	body     string
-	err      error
+	// stamp is the signature of the server.
+	stamp string
+	body  string
+	err   error
 }
 
 func (a answer) String() string {
-	text := fmt.Sprintf("status %d complete %t bytes %d", a.status, a.complete, len(a.body))
+	text := fmt.Sprintf("status %d complete %t stamp %q bytes %d", a.status, a.complete, a.stamp, len(a.body))
 	if a.err != nil {
 		text += fmt.Sprintf(" error %q", a.err)
 	}
@@ -65,7 +67,7 @@
 		return answer{err: err}
 	}
 	raw, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, complete: err == nil, body: string(raw), err: err}
+	return answer{status: response.StatusCode, complete: err == nil, stamp: response.Header.Get("Server-Stamp"), body: string(raw), err: err}
 }
 
 func (ch *channel) close() {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -14,12 +15,25 @@
 // poisonBody is the body of a request that crashes each server that begins to run it.
 const poisonBody = "poison"
 
+// Versions of the servers' software. Servers of the robust version run the request with
+// poisonBody.
+const (
+	robustVersion = "v1"
+	usualVersion  = "v2"
+)
+
+// otherBytes are bytes that are no answer in the protocol.
+const otherBytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nIt works!"
+
 // plainServer is a stand-in of a server of the plain service.
 type plainServer struct {
 	cluster  *cluster
 	id, zone string
 	address  string
 	workTime time.Duration
+	version  string
+	// spoiled is the share of the answers in whose place the server sends other bytes.
+	spoiled float64
 	// downTime is the time for which the server is down after a crash.
 	downTime time.Duration
 
@@ -29,6 +43,7 @@
 	born       int64
 	lives      int
 	registered bool
+	draining   bool
 	arrivals   []arrival
 }
 
@@ -43,7 +58,12 @@
 const heartbeatInterval = 1200 * time.Millisecond
 
 func (c *cluster) addServer(id, zone string, workTime time.Duration) (*plainServer, error) {
-	s := &plainServer{cluster: c, id: id, zone: zone, workTime: workTime, downTime: 2 * time.Second}
+	return c.addServerOf(usualVersion, id, zone, workTime)
+}
+
+// addServerOf starts a server of a version of the software.
+func (c *cluster) addServerOf(version, id, zone string, workTime time.Duration) (*plainServer, error) {
+	s := &plainServer{cluster: c, id: id, zone: zone, workTime: workTime, version: version, downTime: 2 * time.Second}
 	if err := s.start(); err != nil {
 		return nil, err
 	}
@@ -88,8 +108,12 @@
 
 // writeEntry writes the server's entry. The caller holds the lock.
 func (s *plainServer) writeEntry() {
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
 	s.cluster.store.Put("servers/"+s.id, map[string]any{
-		"service": plainName, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": s.lives, "born": s.born,
+		"service": plainName, "address": s.address, "zone": s.zone, "version": s.version, "slots": 6, "state": state, "cold_left_ms": 0, "seq": s.lives, "born": s.born,
 	})
 }
 
@@ -116,6 +140,20 @@
 	s.cluster.record.printf("store: entry of server %s removed and acknowledged", s.id)
 }
 
+// drain reports that the server drains. It serves on for the drain time and a little longer, and
+// then exits.
+func (s *plainServer) drain() {
+	const longer = time.Second
+	s.mu.Lock()
+	s.draining = true
+	s.writeEntry()
+	s.mu.Unlock()
+	s.cluster.record.printf("server %s: drains", s.id)
+	s.cluster.clock.Sleep(drainTime + longer)
+	s.deregister()
+	s.exit("has drained, exits")
+}
+
 // crash ends the server and resets its connections. It is back after the down time.
 func (s *plainServer) crash() {
 	s.exit("crashes")
@@ -161,11 +199,15 @@
 	if r.URL.Path == "/health" {
 		return
 	}
+	if s.spoiled > 0 && rand.Float64() < s.spoiled {
+		s.sendOtherBytes(w, id)
+		return
+	}
 	s.cluster.record.printf("server %s: runs %s", s.id, id)
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{id, string(body), s.cluster.clock.Now()})
 	s.mu.Unlock()
-	if string(body) == poisonBody {
+	if string(body) == poisonBody && s.version != robustVersion {
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
@@ -174,6 +216,18 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.URL.Path, body)
 }
 
+// sendOtherBytes sends, instead of an answer, bytes that neither name the request nor have a
+// signature. The server doesn't run the request.
+func (s *plainServer) sendOtherBytes(w http.ResponseWriter, id string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	s.cluster.record.printf("server %s: doesn't run %s and sends bytes that are no answer", s.id, id)
+	_, _ = io.WriteString(conn, otherBytes)
+	_ = conn.Close()
+}
+
 // arrivalsAfter returns the requests that have reached the server after the time.
 func (s *plainServer) arrivalsAfter(t time.Time) []arrival {
 	s.mu.Lock()
--- a/review/harness/traffic.go
+++ b/review/harness/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 // traffic sends requests to daemons until it is stopped.
 type traffic struct {
 	cluster *cluster
+	// body is the body of all requests. If it is empty, each has its id as the body.
+	body    string
 	stopped chan struct{}
 	running sync.WaitGroup
 
@@ -36,9 +39,14 @@
 	received answer
 }
 
-// startTraffic sends a request to each daemon at each interval.
+// startTraffic sends requests with different bodies to each daemon, one in each interval.
 func (c *cluster) startTraffic(name, path string, interval time.Duration, daemons ...*daemon) *traffic {
-	t := &traffic{cluster: c, stopped: make(chan struct{}), sent: make(map[string]sentRequest)}
+	return c.startRepeats(name, path, "", interval, daemons...)
+}
+
+// startRepeats sends requests with the same body, unless it is empty, to each daemon.
+func (c *cluster) startRepeats(name, path, body string, interval time.Duration, daemons ...*daemon) *traffic {
+	t := &traffic{cluster: c, body: body, stopped: make(chan struct{}), sent: make(map[string]sentRequest)}
 	for _, d := range daemons {
 		t.running.Go(func() { t.send(d, name, path, interval) })
 	}
@@ -48,6 +56,8 @@
 func (t *traffic) send(d *daemon, name, path string, interval time.Duration) {
 	const budget = time.Second
 	clk := t.cluster.clock
+	// Callers don't send at the same moment.
+	clk.Sleep(rand.N(interval))
 	for n := 0; ; n++ {
 		select {
 		case <-t.stopped:
@@ -57,7 +67,11 @@
 		t.running.Go(func() {
 			id, at := fmt.Sprintf("%s-%s-%d", name, d.name, n), clk.Now()
 			t.note(id, sentRequest{at: at, daemon: d.name})
-			received := t.cluster.sendOnce(d, id, path, id, budget)
+			body := t.body
+			if body == "" {
+				body = id
+			}
+			received := t.cluster.sendOnce(d, id, path, body, budget)
 			t.note(id, sentRequest{at: at, daemon: d.name, received: received})
 		})
 	}
--- a/review/harness/zones.go
+++ b/review/harness/zones.go
@@ -20,18 +20,31 @@
 		}
 	}
 	for _, zone := range zones {
-		d, err := c.addDaemon(zone)
+		added, err := c.addDaemons(zone, 1)
 		if err != nil {
 			return nil, nil, err
 		}
+		daemons = append(daemons, added...)
+	}
+	return daemons, servers, nil
+}
+
+// addDaemons starts daemons in the zone and waits until they are ready.
+func (c *cluster) addDaemons(zone string, count int) ([]*daemon, error) {
+	var daemons []*daemon
+	for range count {
+		d, err := c.addDaemon(zone)
+		if err != nil {
+			return nil, err
+		}
 		daemons = append(daemons, d)
 	}
 	for _, d := range daemons {
 		if err := c.waitReady(d); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
-	return daemons, servers, nil
+	return daemons, nil
 }
 
 // countLate records and counts the requests that callers sent after the bound and that have
