--- a/review/harness/case_no_stamp.go
+++ b/review/harness/case_no_stamp.go
@@ -38,9 +38,13 @@
 	defer t.mu.Unlock()
 	count := 0
 	for id, r := range t.sent {
-		if r.received.status == http.StatusOK && r.received.stamp == "" {
+		switch {
+		case r.received.stamp != "":
+		case r.received.status == http.StatusOK:
 			count++
 			t.cluster.record.printf("MIXED: %s got a success without signature from %s: %q", id, r.daemon, r.received.body)
+		case r.received.body == "Unavailable":
+			t.cluster.record.printf("REFUSED (not judged here): %s ran and got status %d from %s", id, r.received.status, r.daemon)
 		}
 	}
 	return count
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -22,8 +22,12 @@
 	usualVersion  = "v2"
 )
 
-// otherBytes are bytes that are no answer in the protocol.
-const otherBytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nIt works!"
+// Bytes that are no answer in the protocol: the pages that a web server shows before its program
+// is loaded, and after its program took too long.
+const (
+	welcomePage     = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nIt works!"
+	unavailablePage = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 11\r\n\r\nUnavailable"
+)
 
 // plainServer is a stand-in of a server of the plain service.
 type plainServer struct {
@@ -200,7 +204,7 @@
 		return
 	}
 	if s.spoiled > 0 && rand.Float64() < s.spoiled {
-		s.sendOtherBytes(w, id)
+		s.sendPage(w, id, rand.IntN(2) == 0)
 		return
 	}
 	s.cluster.record.printf("server %s: runs %s", s.id, id)
@@ -216,15 +220,19 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.URL.Path, body)
 }
 
-// sendOtherBytes sends, instead of an answer, bytes that neither name the request nor have a
-// signature. The server doesn't run the request.
-func (s *plainServer) sendOtherBytes(w http.ResponseWriter, id string) {
+// sendPage sends, instead of an answer, bytes that neither name the request nor have a signature:
+// a success without running the request, or a refusal after running it.
+func (s *plainServer) sendPage(w http.ResponseWriter, id string, isRun bool) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
-	s.cluster.record.printf("server %s: doesn't run %s and sends bytes that are no answer", s.id, id)
-	_, _ = io.WriteString(conn, otherBytes)
+	page := welcomePage
+	if isRun {
+		page = unavailablePage
+	}
+	s.cluster.record.printf("server %s: runs %s: %t, sends %q", s.id, id, isRun, page)
+	_, _ = io.WriteString(conn, page)
 	_ = conn.Close()
 }
 
