--- a/review/harness/case_silent_server.go
+++ b/review/harness/case_silent_server.go
@@ -27,20 +27,11 @@
 	)
 	servers := addReplica(c)
 	c.configure(len(servers), route{name: "draft", kind: "stream", service: engineName, attempts: 2, timeout: budget})
-	var daemons []*daemon
-	for range 2 {
-		d, err := c.addDaemon("kirtipur")
-		if err != nil {
-			return false, err
-		}
-		daemons = append(daemons, d)
+	daemons, err := c.addDaemons("kirtipur", 2)
+	if err != nil {
+		return false, err
 	}
 	stopped := daemons[0]
-	for _, d := range daemons {
-		if err := c.waitReady(d); err != nil {
-			return false, err
-		}
-	}
 	if err := c.waitUntil("the replica serves", func() bool { return c.streamComplete(daemons[1], "first") }); err != nil {
 		return false, err
 	}
