review: Add a case of a server that is given to a second group

The planner of a new term takes entries from before an outage of the store for the state of the servers. The case of the deferred removal (DRAIN) makes place.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/harness ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec review/bin/harness no-stamp review/2
+exec review/bin/harness silent-server review/2
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/harness ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec review/bin/harness silent-store review/5
+exec review/bin/harness evacuation review/5
--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -279,3 +279,12 @@
 		"tenants": []any{map[string]any{"name": organiser, "api_keys": []string{callerKey}}},
 	})
 }
+
+// rewrite replaces a text in the daemon's settings. It counts from the next start.
+func (d *daemon) rewrite(before, after string) {
+	raw, err := os.ReadFile(d.settings)
+	if err != nil {
+		return
+	}
+	_ = os.WriteFile(d.settings, []byte(strings.ReplaceAll(string(raw), before, after)), 0o600)
+}
