--- a/review/harness/case_two_groups.go
+++ b/review/harness/case_two_groups.go
@@ -92,7 +92,7 @@
 	return f, daemons, err
 }
 
-// waitForSpare waits until the outage, if it begins now, ends soon after a heartbeat of the domain's
+// waitForSpare waits until an outage that begins now ends soon after a heartbeat of the domain's
 // spare server.
 func (f *fleet) waitForSpare(domain string, outage time.Duration) {
 	const afterBeat = 100 * time.Millisecond
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -84,8 +85,9 @@
 	return nil
 }
 
-// beat writes the entry at each heartbeat.
+// beat writes the entry at each heartbeat. Servers begin at different moments.
 func (s *engine) beat() {
+	s.fleet.cluster.clock.Sleep(rand.N(heartbeatInterval))
 	for {
 		s.fleet.mu.Lock()
 		s.nextBeat = s.fleet.cluster.clock.Now().Add(heartbeatInterval)
