review: Let entries lapse alike for all servers in the case of two groups

The stand-in removed only the entries of crashed servers during the outage, which no store would do.

--- a/review/harness/case_two_groups.go
+++ b/review/harness/case_two_groups.go
@@ -15,12 +15,13 @@
 // head of its own is open.
 func playTwoGroups(c *cluster, trouble bool) (bool, error) {
 	const (
-		domain      = "domain-1"
-		outage      = 4500 * time.Millisecond
+		domain = "domain-1"
+		// In this time no server that is alive is silent for three heartbeats.
+		outage      = 2350 * time.Millisecond
 		settle      = 5 * time.Second
 		betweenLoss = 900 * time.Millisecond
-		killBefore  = 400 * time.Millisecond
-		observation = 8 * time.Second
+		killBefore  = 100 * time.Millisecond
+		observation = 3 * time.Second
 	)
 	f, daemons, err := startFleet(c, domain)
 	if err != nil {
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -62,10 +62,15 @@
 	group          *group
 	crashed        bool
 	nextBeat       time.Time
+	// registered says that the store has the entry, which was written last at writtenAt.
+	registered bool
+	writtenAt  time.Time
 }
 
 func newFleet(c *cluster) *fleet {
-	return &fleet{cluster: c, servers: make(map[string]*engine)}
+	f := &fleet{cluster: c, servers: make(map[string]*engine)}
+	go f.removeLapsed()
+	return f
 }
 
 func (f *fleet) add(id, domain string) error {
@@ -108,6 +113,7 @@
 	if s.crashed || s.fleet.storeAway.Load() {
 		return
 	}
+	s.registered, s.writtenAt = true, s.fleet.cluster.clock.Now()
 	s.fleet.cluster.store.Put("servers/"+s.id, map[string]any{
 		"service": engineName, "address": s.address, "zone": "kirtipur", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 		"seq": s.seq, "born": s.born, "domain": s.domain, "staged": s.staged, "models": s.models(), "group": s.group,
@@ -121,8 +127,7 @@
 	return []map[string]any{{"name": modelName, "version": 1, "adapters": []string{}}}
 }
 
-// crash ends the server. Its entry is removed after three heartbeats of silence, also while the
-// store is away.
+// crash ends the server. Its entry lapses like that of any server that is silent.
 func (f *fleet) crash(id string) {
 	f.mu.Lock()
 	s := f.servers[id]
@@ -130,10 +135,24 @@
 	f.mu.Unlock()
 	f.cluster.record.printf("server %s: crashes", id)
 	_ = s.http.Close()
-	f.cluster.clock.AfterFunc(lapseTime, func() {
-		f.cluster.store.Remove("servers/" + id)
-		f.cluster.record.printf("store: entry of server %s has lapsed", id)
-	})
+}
+
+// removeLapsed removes the entries of servers that have been silent for the lapse time, for
+// whatever reason and also while the store is away.
+func (f *fleet) removeLapsed() {
+	const interval = 20 * time.Millisecond
+	for {
+		f.cluster.clock.Sleep(interval)
+		f.mu.Lock()
+		for _, s := range f.servers {
+			if s.registered && f.cluster.clock.Since(s.writtenAt) >= lapseTime {
+				s.registered = false
+				f.cluster.store.Remove("servers/" + s.id)
+				f.cluster.record.printf("store: entry of server %s has lapsed", s.id)
+			}
+		}
+		f.mu.Unlock()
+	}
 }
 
 // groups returns the members of each open group, the head first.
