platform: Take only answers that a server vouches for

Cause: an answer was discarded only if it named another request. One without a request id counted as the request's own on a new connection, which unsafe requests always use, and nothing asked for the signature.

Change: an answer is the request's own if it names it and its server has signed it or says that it rejected the request. A status that promises that the request did not run needs the server's word for that. All else ends the exchange with an unknown outcome, so that a safe request is sent again and an unsafe one is answered 502. Requests without an id use new connections, which makes the notion of a kept connection unnecessary.

--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -44,9 +44,6 @@
 	// readDeadline, if set, ends all reads.
 	readDeadline time.Time
 	reader       *bufio.Reader
-	// isKept says that the connection was kept after an earlier exchange, of which the
-	// endpoint may send an answer once more.
-	isKept bool
 	// wasIdle says that the connection was idle before the exchange, and hasReceived that
 	// a byte has arrived in it.
 	wasIdle, hasReceived bool
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -31,18 +31,20 @@
 	// exchange ends. It replaces the stall timeout for reads.
 	KeepWaiting     func(time.Duration) bool
 	SilenceInterval time.Duration
-	// MatchRequest says whether an answer belongs to the request. A late answer
-	// to an earlier request on the connection is skipped.
+	// MatchRequest says whether an answer belongs to the request. A late answer to an
+	// earlier request on the connection is skipped. With an answer of unknown origin the
+	// exchange fails.
 	MatchRequest func(*fasthttp.ResponseHeader) Match
 }
 
 // Match says whether an answer belongs to a request.
 type Match int
 
-// The values of Match. Unnamed means that the answer doesn't say which request it
-// answers. On a kept connection it may be an earlier one, so the exchange fails.
+// The values of Match. UnknownOrigin means that nothing shows that the endpoint gave the
+// answer to the request. It may be the page of a web server, or the answer to an earlier
+// request.
 const (
-	Unnamed Match = iota
+	UnknownOrigin Match = iota
 	Own
 	Foreign
 )
@@ -65,7 +67,7 @@
 	// errForeignAnswers says that the connection has answers to other requests
 	// only.
 	errForeignAnswers   = errors.New("connection returned only answers to other requests")
-	errUnnamedAnswer    = errors.New("connection that was kept returned an answer that names no request")
+	errUnknownOrigin    = errors.New("connection returned an answer that doesn't name the request or isn't signed")
 	errInterimResponses = fmt.Errorf("connection returned more than %d interim responses", maxInterimResponses)
 	errForeignBytes     = fmt.Errorf("connection returned an answer to another request with over %d bytes", maxForeignBytes)
 	errTrailerBytes     = fmt.Errorf("connection returned a trailer of over %d bytes", maxTrailerBytes)
@@ -153,10 +155,10 @@
 		return true, nil
 	}
 	match := request.MatchRequest(&r.Header)
-	if match == Unnamed && r.conn.isKept {
-		return false, errUnnamedAnswer
+	if match == UnknownOrigin {
+		return false, fmt.Errorf("%w: status %d", errUnknownOrigin, r.Header.StatusCode())
 	}
-	return match != Foreign, nil
+	return match == Own, nil
 }
 
 // skipBody reads the body of an answer to another request.
@@ -277,7 +279,6 @@
 	bodyComplete := r.bodyRead || r.body == http.NoBody
 	r.conn.keepWaiting = nil
 	if notCancelled && bodyComplete && !r.writing.Load() && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0 {
-		r.conn.isKept = true
 		r.conn.idleTimeout = parseKeepAlive(r.Header.Peek("Keep-Alive"))
 		r.pool.releaseConn(r.address, r.conn)
 		return
