forward: Give up a silent endpoint only if another one takes over

Cause: keepWaiting asked only whether the request may run again, and the reply was closed before it was known that an endpoint is free, has not failed lately, and that the retry budget allows one more attempt. The record shows the reset 1.4 s after the silence began: the stall timeout and 1 s of waiting for a slot elsewhere.

Change: the endpoint and the retry of the next attempt are reserved before the current attempt ends. Without them the daemon keeps waiting and asks again every 50 ms; the silence is reported meanwhile, so that others avoid the endpoint and the planner probes it. The same holds for safe requests, which ended as 502.

--- a/internal/route/balance/retrybudget.go
+++ b/internal/route/balance/retrybudget.go
@@ -73,14 +73,22 @@
 	w.requests++
 }
 
+// HasRetry reports whether AllowRetry would allow one more retry to the service now.
+func (b *RetryBudget) HasRetry(service ident.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.windowOf(service)
+	w.bucketAt(b.currentIndex())
+	return b.hasRetry(w)
+}
+
 // AllowRetry reports whether one more retry may be sent to the service, and counts that retry.
 func (b *RetryBudget) AllowRetry(service ident.Service) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowOf(service)
 	bucket := w.bucketAt(b.currentIndex())
-	allowed := budgetFraction * (b.Ratio*float64(w.requests) + b.ownBaseRetries())
-	if float64(w.retries+1) > allowed {
+	if !b.hasRetry(w) {
 		return false
 	}
 	bucket.retries++
@@ -88,6 +96,12 @@
 	return true
 }
 
+// hasRetry reports whether the budget of the window allows one more retry. The caller holds the
+// lock.
+func (b *RetryBudget) hasRetry(w *retryWindow) bool {
+	return float64(w.retries+1) <= budgetFraction*(b.Ratio*float64(w.requests)+b.ownBaseRetries())
+}
+
 // ownBaseRetries returns this daemon's part of the base retries.
 func (b *RetryBudget) ownBaseRetries() float64 {
 	if b.Clock.Since(b.startedAt) < b.Window {
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -74,6 +74,8 @@
 // failure. A retry is deducted from the budget unless nothing was sent.
 func (x *exchange) mayRetryFailed(err error) bool {
 	switch {
+	case x.successor != nil:
+		return true
 	case code.Of(err) == code.EndpointUnreachable:
 		// Nothing was sent, so the retry does not count against the budget.
 		return true
@@ -124,8 +126,8 @@
 	return &completeReply{head, body}, nil
 }
 
-// Stall timeouts of buffered replies. A safe request that may be tried at another
-// endpoint waits for a multiple of the mean response time, but at least for half of
+// Stall timeouts of buffered replies. A safe request that another endpoint takes over
+// waits for a multiple of the mean response time, but at least for half of
 // the route's latency objective.
 const (
 	bufferedStallFactor     = 4
@@ -143,7 +145,13 @@
 		// The other daemon tries another server first.
 		stallTimeout = maxStallTimeout
 	}
-	return func(time.Duration) bool { return x.Clock.Since(startedAt) < stallTimeout }
+	return func(time.Duration) bool {
+		if x.Clock.Since(startedAt) < stallTimeout {
+			return true
+		}
+		x.reportStall(e)
+		return !x.reserveSuccessor(e)
+	}
 }
 
 // dispositionError returns an error if the reply says that the server did not run the
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -38,6 +38,8 @@
 	// which the server sends nothing before the end of the body.
 	bodyCutOff bool
 	silence    time.Duration
+	// then is a body that follows the silence.
+	then string
 	// trickle is the time between two bytes that the server sends without end after
 	// the body, and flood says that it does so without a pause.
 	trickle time.Duration
@@ -131,6 +133,10 @@
 		}
 	}
 	switch {
+	case r.script.then != "":
+		n := copy(b, r.script.then)
+		r.script.silence, r.script.then = 0, r.script.then[n:]
+		return n, nil
 	case r.script.flood:
 		for i := range b {
 			b[i] = 'x'
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -41,6 +41,7 @@
 	// retryBudget bounds the retries.
 	retryBudget interface {
 		RecordRequest(service ident.Service)
+		HasRetry(service ident.Service) bool
 		AllowRetry(service ident.Service) bool
 	}
 	// poisonDetector counts crashes of servers by request and refuses poison
@@ -206,6 +207,10 @@
 	lastWasRelay bool
 	// configVersion is the version of the configuration that has the route.
 	configVersion uint64
+	// successor is the endpoint that is reserved for the next attempt, nil if none is.
+	successor *catalog.Endpoint
+	// stallReported says that the silence of the current attempt's endpoint was reported.
+	stallReported bool
 	// needsNewConnection says that an endpoint closed an idle connection as an attempt used
 	// it. Others may do so too.
 	needsNewConnection bool
@@ -389,6 +394,7 @@
 	}
 	x.attemptCount++
 	x.attemptEvents = 0
+	x.stallReported = false
 	x.lastEndpoint, x.lastInFlight = e.ID, e.Load.TotalInFlight()
 	return a
 }
--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -27,7 +27,7 @@
 func (x *exchange) pickEndpoint(ctx context.Context) (*catalog.Endpoint, error) {
 	var chosen *catalog.Endpoint
 	tryPick := func() bool {
-		chosen = x.pick()
+		chosen = x.pick(x.triedServers)
 		return chosen != nil
 	}
 	if x.attemptCount > 0 {
@@ -36,6 +36,9 @@
 			return nil, err
 		}
 	}
+	if successor := x.takeSuccessor(); successor != nil {
+		return successor, nil
+	}
 	if tryPick() {
 		return chosen, nil
 	}
--- a/internal/serve/forward/relay.go
+++ b/internal/serve/forward/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/fleet/catalog"
 )
 
@@ -14,19 +15,19 @@
 
 // pick returns an endpoint that has a free slot and was not tried. If this daemon can connect to
 // none of the endpoints, it returns a daemon that may reach them.
-func (x *exchange) pick() *catalog.Endpoint {
+func (x *exchange) pick(tried []ident.Instance) *catalog.Endpoint {
 	now, candidates := x.Clock.Now(), x.candidates()
 	if reachable := x.reachable(candidates); len(reachable) > 0 {
-		return x.Picker.Pick(now, reachable, x.triedServers)
+		return x.Picker.Pick(now, reachable, tried)
 	}
-	if relay := x.pickRelay(); relay != nil {
+	if relay := x.pickRelay(tried); relay != nil {
 		return relay
 	}
 	if x.request.Relayed != nil {
 		// The endpoints are probably down, as they are out of reach of two daemons.
 		return nil
 	}
-	return x.Picker.Pick(now, candidates, x.triedServers)
+	return x.Picker.Pick(now, candidates, tried)
 }
 
 // reachable returns the endpoints that this daemon can connect to.
@@ -51,7 +52,7 @@
 
 // pickRelay returns a daemon to pass the request on to, nil if there is none. A request is passed
 // on by one daemon only.
-func (x *exchange) pickRelay() *catalog.Endpoint {
+func (x *exchange) pickRelay(tried []ident.Instance) *catalog.Endpoint {
 	limit := maxRelaysInReach
 	if x.Links.CutOff() {
 		limit = maxRelays
@@ -59,7 +60,7 @@
 	if x.request.Relayed != nil || x.relayCount >= limit || len(x.candidates()) == 0 {
 		return nil
 	}
-	return x.Relays.PickRelay(x.triedServers)
+	return x.Relays.PickRelay(tried)
 }
 
 // acceptRelayed takes over what another daemon knows of a request that it has passed on. It
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -203,14 +203,24 @@
 	if since.IsZero() {
 		since = d.attemptStart
 	}
-	return !d.mustWait() && d.Clock.Since(since) >= maxStallTimeout
+	silence := d.Clock.Since(since)
+	return silence >= maxStallTimeout && d.mayGiveUp(silence)
 }
 
-// mustWait reports whether the stream can only continue at this endpoint, so that ending it for
-// the endpoint's silence would break the answer off. Before its first event, the caller of a
-// stream that may run again gets an error and tries elsewhere sooner.
-func (d *stallDetector) mustWait() bool {
-	return !d.route.Repeatable() || d.sink.Started() && d.possibleRuns+1 >= d.route.MaxAttempts
+// mayGiveUp reports whether the attempt may end for the endpoint's silence. An answer that has
+// begun would be broken off unless another endpoint takes the stream over; a sound endpoint may go
+// on. Before its first event, the caller of a stream gets an error and tries elsewhere, which helps
+// if this request may not be tried again, or after a longer silence than a sound endpoint's.
+func (d *stallDetector) mayGiveUp(silence time.Duration) bool {
+	switch {
+	case !d.route.Repeatable():
+		return false
+	case d.reserveSuccessor(d.endpoint):
+		return true
+	case d.sink.Started():
+		return false
+	}
+	return d.possibleRuns+1 >= d.route.MaxAttempts || silence >= maxStallTimeout
 }
 
 // Stall timeouts. In each pass, an engine sends the new tokens of all its streams. If
@@ -228,8 +238,8 @@
 	// engine has published.
 	passMargin = 60 * time.Millisecond
 	// maxStallTimeout is the stall timeout of one stream while the endpoint sends
-	// on other streams, or while the request may wait for a slot. Callers
-	// disconnect after 2 s.
+	// on other streams, or while the request may wait for a slot. It is longer than the
+	// second for which a sound endpoint may be silent. Callers disconnect after 2 s.
 	maxStallTimeout = 1500 * time.Millisecond
 )
 
@@ -257,15 +267,21 @@
 // keepWaiting reports whether to wait further for an attempt that has received nothing
 // for the given time.
 func (d *stallDetector) keepWaiting(silence time.Duration) bool {
-	if d.mustWait() {
+	if !d.hasStalled(silence) {
 		return true
 	}
+	d.reportStall(d.endpoint)
+	return !d.mayGiveUp(silence)
+}
+
+// hasStalled reports whether the endpoint counts as stalled after the silence of this attempt.
+func (d *stallDetector) hasStalled(silence time.Duration) bool {
 	if silence >= maxStallTimeout {
-		return false
+		return true
 	}
 	endpointSilence := d.Clock.Since(d.endpoint.Load.LastProgress())
 	if !d.lastEventAt.IsZero() || d.Links.CutOff() {
-		return min(silence, endpointSilence) < d.nextEventTimeout()
+		return min(silence, endpointSilence) >= d.nextEventTimeout()
 	}
-	return min(silence, endpointSilence) < d.firstEventTimeout()
+	return min(silence, endpointSilence) >= d.firstEventTimeout()
 }
