formation: Confirm the first order to join by the server's own report

Cause: the planner of a new term took the list of the store for the present state of the servers. An entry was true when it was written, and servers can't write while the store is away or while they are cut off from it. Fencing can't help, as the new planner's token is the higher one. The record shows the server joining at 9.4 s, the list from before that at 11.7 s, and the second join at 12.3 s.

Change: before the first order to join in a term, the server's report has to show the membership that the planner knew, and the order names the number of orders that the report shows, so that a server that has accepted another one rejects it. A report that shows something else is applied if it is later: epochs tell, or the time of the report less the age that it may have. A server that reports another replica belongs to that one, and a replica that servers report at a later epoch is adopted at that epoch.

--- a/internal/domain/cluster/config.go
+++ b/internal/domain/cluster/config.go
@@ -102,6 +102,8 @@
 	// store.
 	MaxLoadsPerSecond  float64
 	MaxConcurrentLoads int
+	// ReportAge is the highest age of the state in a server's report.
+	ReportAge time.Duration
 	// FormationTime is the time that a complete replica takes until it serves
 	// requests.
 	FormationTime time.Duration
--- a/internal/domain/cluster/server.go
+++ b/internal/domain/cluster/server.go
@@ -35,6 +35,21 @@
 	// Membership is the server's position in a replica, nil if the server is in
 	// no replica.
 	Membership *Membership
+	// AsOf is the time, by the local clock, at which StagedModels and Membership are known to
+	// have held. For a registration it is ReceivedAt, as its age is unknown.
+	AsOf time.Time
+	// Sequence is, in a server's own report, the number of orders that the incarnation has
+	// accepted. Registrations don't have it.
+	Sequence unit.Sequence
+}
+
+// SameMembership reports whether both servers are in the same replica at the same epoch, or
+// both in none.
+func (s *Server) SameMembership(other *Server) bool {
+	if s.Membership == nil || other.Membership == nil {
+		return s.Membership == other.Membership
+	}
+	return s.Membership.Replica == other.Membership.Replica && s.Membership.Epoch == other.Membership.Epoch
 }
 
 // IncarnationID identifies the server's incarnation.
@@ -112,22 +127,27 @@
 	Model        ident.Model
 	// Members lists the members of the replica, the head first.
 	Members []ident.Instance
+	// ExpectedSequence, if set, is the sequence at which the server has to be. At another
+	// one it rejects the order, as it has accepted an order that the planner doesn't know.
+	ExpectedSequence *unit.Sequence
 }
 
 // OrderResult is the result of sending an order to a server.
 type OrderResult int
 
 // The results. A server may still carry out an Unanswered order later. Fenced
-// means that the order came from a planner that has been replaced.
+// means that the order came from a planner that has been replaced. OutOfDate means that the order
+// was not sent, as the server reports another membership than the planner knew.
 const (
 	Unanswered OrderResult = iota
 	InProgress
 	Done
 	Rejected
 	Fenced
+	OutOfDate
 )
 
 // String returns the name of the result.
 func (r OrderResult) String() string {
-	return [...]string{"unanswered", "begun", "done", "rejected", "fenced"}[r]
+	return [...]string{"unanswered", "begun", "done", "rejected", "fenced", "out-of-date"}[r]
 }
--- a/internal/fleet/catalog/report.go
+++ b/internal/fleet/catalog/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/unit"
@@ -14,16 +15,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.servers.get(reported.ID)
-	if known == nil || known.Incarnation != reported.Incarnation || reported.Membership != nil && epochOf(reported) < epochOf(known) || hasSameState(reported, known) {
+	if known == nil || known.Incarnation != reported.Incarnation || hasSameState(reported, known) {
 		return false
 	}
 	updated := *known
 	updated.StagedModels, updated.Membership = reported.StagedModels, reported.Membership
+	updated.AsOf = reported.AsOf.Add(-c.reportAge(known))
+	if !isLaterState(&updated, known) {
+		return false
+	}
 	c.applyServers([]*cluster.Server{&updated}, nil)
 	c.publish()
 	return true
 }
 
+// reportAge returns the highest age of the state in the server's report. The caller holds the
+// lock.
+func (c *Catalog) reportAge(s *cluster.Server) time.Duration {
+	if c.config == nil || c.config.Services[s.Service] == nil || c.config.Services[s.Service].Engine == nil {
+		return 0
+	}
+	return c.config.Services[s.Service].Engine.ReportAge
+}
+
+// isLaterState reports whether the state follows the known one of the same incarnation. The epochs
+// of a server's memberships rise; where they don't tell, the time at which the state held does.
+func isLaterState(s, known *cluster.Server) bool {
+	if s.Membership != nil && known.Membership != nil && epochOf(s) != epochOf(known) {
+		return epochOf(s) > epochOf(known)
+	}
+	return !s.AsOf.Before(known.AsOf)
+}
+
 // epochOf returns the epoch of the server's membership, zero if it has none. The epochs of
 // a server's memberships rise.
 func epochOf(s *cluster.Server) unit.Epoch {
--- a/internal/fleet/formation/adopt.go
+++ b/internal/fleet/formation/adopt.go
@@ -9,12 +9,34 @@
 	"cuminbay/internal/fleet/catalog"
 )
 
+// releaseClaimedMembers removes servers that report another replica from the replicas of this
+// planner. It has taken them for spare servers by an entry that was older than their joining of
+// the other replica, which may serve.
+func (p *Planner) releaseClaimedMembers(service *cluster.Service) {
+	for _, r := range p.sortedReplicas(service) {
+		isClaimed := func(id ident.Instance) bool {
+			s := p.snapshot.Server(id)
+			return s != nil && s.Membership != nil && s.Membership.Replica != r.name
+		}
+		if r.phase == dissolving || !slices.ContainsFunc(r.members, isClaimed) {
+			continue
+		}
+		if r.phase != incomplete {
+			p.recordDecision("replica-broken", r, "phase %s, members are in another replica", r.phase)
+			r.setPhase(incomplete, p.now)
+		}
+		r.members = slices.DeleteFunc(r.members, isClaimed)
+		p.members = nil
+	}
+}
+
 // adoptReplicas adds the replicas that servers report and that this planner
-// doesn't have yet, because they were formed in an earlier term.
+// doesn't have yet, or has at an earlier epoch, because they were formed in an earlier term.
 func (p *Planner) adoptReplicas(service *cluster.Service) {
 	newestEpochs := make(map[ident.Replica]unit.Epoch)
 	for key, r := range p.reported {
-		if p.replicas[key.Replica] == nil && r.Members[0].Service == service.Name {
+		known := p.replicas[key.Replica]
+		if (known == nil || known.epoch < key.Epoch && known.phase != dissolving) && r.Members[0].Service == service.Name {
 			newestEpochs[key.Replica] = max(newestEpochs[key.Replica], key.Epoch)
 		}
 	}
@@ -44,8 +66,8 @@
 		r.setPhase(joining, p.now)
 	}
 	r.members = slices.DeleteFunc(members, func(id ident.Instance) bool {
-		_, assigned := p.ReplicaOf(id)
-		return assigned != nil
+		assigned, members := p.ReplicaOf(id)
+		return members != nil && assigned != name
 	})
 	if len(r.members) < model.ServersPerReplica {
 		r.setPhase(incomplete, p.now)
--- a/internal/fleet/formation/advance.go
+++ b/internal/fleet/formation/advance.go
@@ -29,7 +29,7 @@
 }
 
 // advanceJoining orders every member to join until all report that they are
-// ready. A server that reports another replica is first ordered to leave it.
+// ready.
 func (p *Planner) advanceJoining(r *replica) {
 	ready := 0
 	for _, id := range r.members {
@@ -40,10 +40,6 @@
 		m := s.Membership
 		switch {
 		case m == nil || m.Replica != r.name || m.Epoch != r.epoch:
-			if m != nil && m.Replica != r.name {
-				p.issueOrder(id, cluster.Order{Operation: cluster.LeaveReplica, Replica: m.Replica, Epoch: m.Epoch})
-				break
-			}
 			p.issueOrder(id, cluster.Order{Operation: cluster.JoinReplica, Replica: r.name, Epoch: r.epoch, Model: r.model.Name, Members: slices.Clone(r.members)})
 		case m.State == cluster.Ready, m.State == cluster.Open:
 			ready++
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -177,7 +177,7 @@
 		case late:
 			tc.lateOrders = append(tc.lateOrders, lateOrder{tc.now.Add(3 * time.Second), c.Server.ID, c.Order})
 		case !lost:
-			p.HandleResult(c, tc.executeOrder(c.Server.ID, &c.Order, bootstrap))
+			p.HandleResult(c, tc.sendCommand(&c, bootstrap))
 		}
 		if (lost || late) && tc.servers[c.Server.ID].failed {
 			p.MarkUnreachable(c.Server)
@@ -191,6 +191,22 @@
 	}
 }
 
+// sendCommand confirms the command by the server's report, if it has to be confirmed, and sends
+// the order. A report that doesn't confirm it is applied to the list of servers.
+func (tc *testCluster) sendCommand(command *Command, bootstrap bool) cluster.OrderResult {
+	server := tc.servers[command.Server.ID]
+	if !command.Confirm || server == nil || server.failed || server.cutOff {
+		return tc.executeOrder(command.Server.ID, &command.Order, bootstrap)
+	}
+	if command.IsConfirmedBy(server.report()) {
+		return tc.executeOrder(command.Server.ID, &command.Order, bootstrap)
+	}
+	if tc.listed != nil {
+		tc.listed.ApplyReport(server.report())
+	}
+	return cluster.OutOfDate
+}
+
 func (tc *testCluster) executeLateOrders() {
 	for _, l := range tc.lateOrders {
 		if !tc.now.Before(l.executeAt) {
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -19,8 +19,19 @@
 
 // Command is an order to send to a server.
 type Command struct {
+	// Server is the server as the planner knew it when it decided.
 	Server *cluster.Server
 	Order  cluster.Order
+	// Confirm says that the server's own report has to confirm what the planner knew, before
+	// the order is sent.
+	Confirm bool
+}
+
+// IsConfirmedBy reports whether the server's own report shows the membership that the planner
+// knew, or the one that the order brings about.
+func (c *Command) IsConfirmedBy(reported *cluster.Server) bool {
+	m := reported.Membership
+	return reported.SameMembership(c.Server) || m != nil && m.Replica == c.Order.Replica && m.Epoch == c.Order.Epoch
 }
 
 // phase is the state of a replica in its life cycle.
@@ -95,6 +106,14 @@
 	retryAt time.Time
 }
 
+// acceptedMembership is the membership of a server's incarnation after an order that it has
+// accepted. The replica is empty after an order to leave.
+type acceptedMembership struct {
+	incarnation unit.Incarnation
+	replica     ident.Replica
+	epoch       unit.Epoch
+}
+
 // Options are the planner's settings.
 type Options struct {
 	// RetryInterval is the time after which an order that showed no effect is
@@ -106,6 +125,8 @@
 	GrowthWindow time.Duration
 	// CloseTimeout bounds the wait for the requests of a closing replica.
 	CloseTimeout time.Duration
+	// Fenced says that servers refuse orders with an old fencing token.
+	Fenced bool
 }
 
 // Planner computes orders from snapshots of the servers. It is used by one
@@ -118,7 +139,11 @@
 	nameCount    int
 	unreachable  map[ident.Instance]unreachableServer
 	sentOrders   map[ident.Instance]map[cluster.Operation]sentOrder
-	loads        *loadLimiter
+	// accepted has the memberships that result from the last orders that servers have
+	// accepted in this term. The list of the platform may be older than what the other
+	// servers have done since.
+	accepted map[ident.Instance]acceptedMembership
+	loads    *loadLimiter
 	// growths has the growth of each domain.
 	growths map[ident.FabricDomain]growth
 	// Decisions collects the decisions to log. The caller of Step clears it.
@@ -184,6 +209,7 @@
 		replicas:    make(map[ident.Replica]*replica),
 		unreachable: make(map[ident.Instance]unreachableServer),
 		sentOrders:  make(map[ident.Instance]map[cluster.Operation]sentOrder),
+		accepted:    make(map[ident.Instance]acceptedMembership),
 		loads:       newLoadLimiter(now),
 		growths:     make(map[ident.FabricDomain]growth),
 	}
@@ -248,6 +274,7 @@
 			continue
 		}
 		p.loads.setLimits(service.Engine)
+		p.releaseClaimedMembers(service)
 		p.adoptReplicas(service)
 		p.checkMembers(service)
 		p.repairReplicas(service)
@@ -334,7 +361,35 @@
 		p.sentOrders[id] = make(map[cluster.Operation]sentOrder)
 	}
 	p.sentOrders[id][o.Operation] = sentOrder{o, p.now.Add(p.options.RetryInterval)}
-	p.commands = append(p.commands, Command{Server: s, Order: o})
+	p.commands = append(p.commands, Command{Server: s, Order: o, Confirm: o.Operation == cluster.JoinReplica && !p.knowsMembership(s)})
+}
+
+// reportDelay is the time after which a server's report shows an order that it has accepted.
+const reportDelay = 200 * time.Millisecond
+
+// knowsMembership reports whether the server's known membership is the one after the last order
+// that it has accepted in this term. Only orders of this term can have changed it since, if the
+// server checks fencing tokens.
+func (p *Planner) knowsMembership(s *cluster.Server) bool {
+	known := acceptedMembership{incarnation: s.Incarnation}
+	if s.Membership != nil {
+		known.replica, known.epoch = s.Membership.Replica, s.Membership.Epoch
+	}
+	accepted, found := p.accepted[s.ID]
+	return p.options.Fenced && found && accepted == known
+}
+
+// recordAccepted records the membership after an order that the server has accepted.
+func (p *Planner) recordAccepted(c *Command) {
+	switch c.Order.Operation {
+	case cluster.JoinReplica:
+		p.accepted[c.Server.ID] = acceptedMembership{c.Server.Incarnation, c.Order.Replica, c.Order.Epoch}
+	case cluster.LeaveReplica:
+		if m := c.Server.Membership; m != nil && m.Replica == c.Order.Replica && m.Epoch == c.Order.Epoch {
+			p.accepted[c.Server.ID] = acceptedMembership{incarnation: c.Server.Incarnation}
+		}
+	case cluster.OpenReplica, cluster.CloseReplica, cluster.StageModel:
+	}
 }
 
 // HandleResult applies a server's answer to an order. A load that the server
@@ -350,8 +405,18 @@
 		delete(p.sentOrders[c.Server.ID], cluster.StageModel)
 		return
 	}
+	isAccepted := result == cluster.InProgress || result == cluster.Done
+	switch {
+	case result == cluster.OutOfDate, result == cluster.Rejected && c.Confirm:
+		// The report or what the planner knew was out of date. Both will be up to date soon.
+		last.retryAt = p.now.Add(reportDelay)
+		p.sentOrders[c.Server.ID][c.Order.Operation] = last
+		return
+	case isAccepted:
+		p.recordAccepted(&c)
+	}
 	load, loading := p.loads.running[c.Server.ID]
-	if loading && (result == cluster.InProgress || result == cluster.Done) {
+	if loading && isAccepted {
 		last.retryAt = load.expectedEnd
 		p.sentOrders[c.Server.ID][c.Order.Operation] = last
 	}
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -14,7 +14,7 @@
 )
 
 func testOptions() Options {
-	return Options{RetryInterval: 700 * time.Millisecond, GrowthWindow: 200 * time.Millisecond, CloseTimeout: 3 * time.Second}
+	return Options{RetryInterval: 700 * time.Millisecond, GrowthWindow: 200 * time.Millisecond, CloseTimeout: 3 * time.Second, Fenced: true}
 }
 
 // testModels returns two models, large and small, that together fill the
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -232,7 +232,7 @@
 }
 
 func (c *controller) plannerOptions() Options {
-	return Options{RetryInterval: c.settings.Retry.Duration, GrowthWindow: c.settings.Gather.Duration, CloseTimeout: c.settings.Close.Duration}
+	return Options{RetryInterval: c.settings.Retry.Duration, GrowthWindow: c.settings.Gather.Duration, CloseTimeout: c.settings.Close.Duration, Fenced: c.settings.Fenced}
 }
 
 // waitForChange waits until there may be something to plan. It returns false
@@ -406,7 +406,12 @@
 // sendOrder sends an order. A server that doesn't answer is probed. If the
 // server refuses the fencing token, the term ends.
 func (c *controller) sendOrder(ctx context.Context, command Command) {
-	result := c.servers.SendOrder(ctx, command.Server, &command.Order)
+	result := cluster.Unanswered
+	if reported, confirmed := c.confirmState(ctx, &command); confirmed {
+		result = c.servers.SendOrder(ctx, command.Server, &command.Order)
+	} else if reported {
+		result = cluster.OutOfDate
+	}
 	c.orders.WithLabelValues(string(command.Order.Operation), result.String()).Inc()
 	c.deps.Log.Info().Str("server", string(command.Server.ID)).Str("operation", string(command.Order.Operation)).
 		Str("replica", string(command.Order.Replica)).Uint64("epoch", uint64(command.Order.Epoch)).Str("model", string(command.Order.Model)).
@@ -421,3 +426,25 @@
 		c.endTerm(int64(command.Order.FencingToken))
 	}
 }
+
+// confirmState reads the server's own report if the command has to be confirmed by it, and
+// reports whether the server answered and whether it confirms what the planner knew. The order is
+// then only carried out at the state of the report, which may be some hundred ms old. Otherwise
+// the catalog gets that state.
+func (c *controller) confirmState(ctx context.Context, command *Command) (reported, confirmed bool) {
+	if !command.Confirm {
+		return false, true
+	}
+	s := c.servers.ReadReport(ctx, command.Server)
+	if s == nil {
+		return false, false
+	}
+	if command.IsConfirmedBy(s) {
+		command.Order.ExpectedSequence = &s.Sequence
+		return true, true
+	}
+	if c.catalog.ApplyReport(s) {
+		logReport(c.deps.Log, s)
+	}
+	return true, false
+}
