catalog, platform: Keep the order of a data centre's changes in a batch

Cause: an update of the catalog had the drained and the restored data centres as two sets, of which the second one was applied last, whatever the order of the changes. The log shows both changes in order.

Change: an update has one state for each data centre, the last one of the batch.

--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -95,10 +95,8 @@
 	// Servers are new or changed servers, Removed the ids of removed ones.
 	Servers []*cluster.Server
 	Removed []ident.Instance
-	// Drained are data centres taken out of service, Restored those taken back
-	// into service.
-	Drained  []ident.DataCentre
-	Restored []ident.DataCentre
+	// Drained says of each data centre that was changed whether it is out of service now.
+	Drained map[ident.DataCentre]bool
 	// Synced says that the updates so far cover the platform's whole list of
 	// servers.
 	Synced bool
@@ -114,7 +112,7 @@
 		c.config = u.Config
 		c.routing = newRouting(u.Config)
 	}
-	drainedChanged := c.applyDrained(u.Drained, u.Restored)
+	drainedChanged := c.applyDrained(u.Drained)
 	c.applyServers(c.withLeaving(u.Servers), u.Removed)
 	if configReplaced || drainedChanged {
 		c.servers.each(c.index.markAffected)
@@ -142,13 +140,14 @@
 
 // applyDrained takes data centres out of service or back into service, and reports whether
 // that changed anything. The caller holds the lock.
-func (c *Catalog) applyDrained(drained, restored []ident.DataCentre) bool {
+func (c *Catalog) applyDrained(drained map[ident.DataCentre]bool) bool {
 	next := maps.Clone(c.drained)
-	for _, dc := range drained {
-		next[dc] = true
-	}
-	for _, dc := range restored {
-		delete(next, dc)
+	for dc, isDrained := range drained {
+		if isDrained {
+			next[dc] = true
+		} else {
+			delete(next, dc)
+		}
 	}
 	changed := !maps.Equal(c.drained, next)
 	c.drained = next
--- a/internal/fleet/catalog/catalog_test.go
+++ b/internal/fleet/catalog/catalog_test.go
@@ -123,9 +123,9 @@
 		"head closing":                {updates: []Update{{Servers: []*cluster.Server{memberServer("a", 1, 0, cluster.Closing), complete[1]}}}},
 		"head broken":                 {updates: []Update{{Servers: []*cluster.Server{memberServer("a", 1, 0, cluster.Broken), complete[1]}}}},
 		"head draining":               {updates: []Update{{Servers: []*cluster.Server{draining, complete[1]}}}},
-		"data centre drained":         {updates: []Update{{Servers: complete}, {Drained: []ident.DataCentre{"z"}}}},
-		"data centre restored":        {updates: []Update{{Servers: complete}, {Drained: []ident.DataCentre{"z"}}, {Restored: []ident.DataCentre{"z"}}}, want: []ident.Instance{"a"}},
-		"another data centre drained": {updates: []Update{{Servers: complete}, {Drained: []ident.DataCentre{"y"}}}, want: []ident.Instance{"a"}},
+		"data centre drained":         {updates: []Update{{Servers: complete}, {Drained: map[ident.DataCentre]bool{"z": true}}}},
+		"data centre restored":        {updates: []Update{{Servers: complete}, {Drained: map[ident.DataCentre]bool{"z": true}}, {Drained: map[ident.DataCentre]bool{"z": false}}}, want: []ident.Instance{"a"}},
+		"another data centre drained": {updates: []Update{{Servers: complete}, {Drained: map[ident.DataCentre]bool{"y": true}}}, want: []ident.Instance{"a"}},
 		"model no longer configured":  {updates: []Update{{Servers: complete}, {Config: &cluster.Config{Version: 9}}}},
 		"older configuration ignored": {updates: []Update{{Servers: complete}, {Config: &cluster.Config{Version: 1}}}, want: []ident.Instance{"a"}},
 	}
@@ -206,11 +206,8 @@
 				delete(servers, id)
 			case 1:
 				dc := ident.DataCentre(rapid.SampledFrom([]string{"y", "z"}).Draw(t, "drained"))
-				if drained[dc] = !drained[dc]; drained[dc] {
-					update.Drained = []ident.DataCentre{dc}
-				} else {
-					update.Restored = []ident.DataCentre{dc}
-				}
+				drained[dc] = !drained[dc]
+				update.Drained = map[ident.DataCentre]bool{dc: drained[dc]}
 			case 2:
 				config = newConfig(config.Version + 1)
 				if rapid.Bool().Draw(t, "withoutLedger") {
@@ -224,15 +221,10 @@
 				}
 			}
 			cat.Apply(update)
-			all := Update{Config: config}
+			all := Update{Config: config, Drained: drained}
 			for _, s := range servers {
 				all.Servers = append(all.Servers, s)
 			}
-			for dc, isDrained := range drained {
-				if isDrained {
-					all.Drained = append(all.Drained, dc)
-				}
-			}
 			fresh := New(clockwork.NewFakeClock())
 			fresh.Apply(all)
 			if got, want := describe(cat.Current()), describe(fresh.Current()); got != want {
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -139,7 +139,7 @@
 	catalogue := catalog.New(clockwork.NewFakeClock())
 	update := catalog.Update{Config: tc.config, Synced: true}
 	if tc.drainedDataCentre != "" {
-		update.Drained = []ident.DataCentre{tc.drainedDataCentre}
+		update.Drained = map[ident.DataCentre]bool{tc.drainedDataCentre: true}
 	}
 	for _, server := range tc.servers {
 		if server.cutOff {
