catalog: Keep reported epochs against older registrations

ApplyReport ignored earlier epochs, Apply did not.

A registration with an earlier epoch than its incarnation has reported does not replace the known state, and a report or an announcement of an earlier epoch than any known one is ignored. Registrations among themselves keep their order, so that one of another writer doesn't shut out the server's own.

--- a/internal/domain/cluster/server.go
+++ b/internal/domain/cluster/server.go
@@ -38,6 +38,10 @@
 	// AsOf is the time, by the local clock, at which StagedModels and Membership are known to
 	// have held. For a registration it is ReceivedAt, as its age is unknown.
 	AsOf time.Time
+	// HighestEpoch is the highest known epoch of the incarnation, from any source, and
+	// ReportedEpoch the highest one that it has reported itself.
+	HighestEpoch  unit.Epoch
+	ReportedEpoch unit.Epoch
 	// Sequence is, in a server's own report, the number of orders that the incarnation has
 	// accepted. Registrations don't have it.
 	Sequence unit.Sequence
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -113,7 +113,7 @@
 		c.routing = newRouting(u.Config)
 	}
 	drainedChanged := c.applyDrained(u.Drained)
-	c.applyServers(c.withLeaving(u.Servers), u.Removed)
+	c.applyServers(c.withLaterStates(c.withLeaving(u.Servers)), u.Removed)
 	if configReplaced || drainedChanged {
 		c.servers.each(c.index.markAffected)
 	}
--- a/internal/fleet/catalog/report.go
+++ b/internal/fleet/catalog/report.go
@@ -21,6 +21,8 @@
 	updated := *known
 	updated.StagedModels, updated.Membership = reported.StagedModels, reported.Membership
 	updated.AsOf = reported.AsOf.Add(-c.reportAge(known))
+	updated.ReportedEpoch = max(known.ReportedEpoch, epochOf(reported))
+	updated.HighestEpoch = max(known.HighestEpoch, epochOf(reported))
 	if !isLaterState(&updated, known) {
 		return false
 	}
@@ -38,24 +40,6 @@
 	return c.config.Services[s.Service].Engine.ReportAge
 }
 
-// isLaterState reports whether the state follows the known one of the same incarnation. The epochs
-// of a server's memberships rise; where they don't tell, the time at which the state held does.
-func isLaterState(s, known *cluster.Server) bool {
-	if s.Membership != nil && known.Membership != nil && epochOf(s) != epochOf(known) {
-		return epochOf(s) > epochOf(known)
-	}
-	return !s.AsOf.Before(known.AsOf)
-}
-
-// epochOf returns the epoch of the server's membership, zero if it has none. The epochs of
-// a server's memberships rise.
-func epochOf(s *cluster.Server) unit.Epoch {
-	if s.Membership == nil {
-		return 0
-	}
-	return s.Membership.Epoch
-}
-
 func hasSameState(a, b *cluster.Server) bool {
 	sameMembership := a.Membership == b.Membership || a.Membership != nil && b.Membership != nil && *a.Membership == *b.Membership
 	return sameMembership && slices.Equal(a.StagedModels, b.StagedModels)
@@ -85,7 +69,7 @@
 // state is the same or a later one. The caller holds the lock.
 func (c *Catalog) serverInFormation(f *cluster.Formation, rank unit.Rank, member cluster.FormationMember) *cluster.Server {
 	known := c.servers.get(member.ID)
-	if known == nil || known.Incarnation != member.Incarnation || epochOf(known) > f.Epoch {
+	if known == nil || known.Incarnation != member.Incarnation || known.HighestEpoch > f.Epoch {
 		return nil
 	}
 	state := cluster.Ready
@@ -97,5 +81,6 @@
 	}
 	updated := *known
 	updated.Membership = &cluster.Membership{Replica: f.Replica, Epoch: f.Epoch, Rank: rank, Model: f.Model, State: state}
+	updated.ReportedEpoch, updated.HighestEpoch = f.Epoch, f.Epoch
 	return &updated
 }
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -383,7 +383,8 @@
 // replicas, an epoch with two lists of members, and replicas that are not
 // complete again 35 s after the last fault. Servers fail, restart and drain,
 // heads report missing members, orders are lost or carried out late, and
-// planners replace each other, and servers are cut off and return.
+// planners replace each other, servers are cut off and return, and the store is away or has an old
+// list of the servers.
 func TestFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tc := newTestCluster(3, 9, testModels()...)
@@ -402,9 +403,10 @@
 			n := rapid.IntRange(0, 9).Draw(t, "order")
 			return n == 0, n == 1
 		}
+		old := tc.list()
 		for range rapid.IntRange(5, 25).Draw(t, "faults") {
 			id := rapid.SampledFrom(ids).Draw(t, "server")
-			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			switch rapid.IntRange(0, 8).Draw(t, "fault") {
 			case 0:
 				failServer(tc, p, id)
 			case 1:
@@ -420,6 +422,12 @@
 						p.MarkUnreachable(&s)
 					}
 				}
+			case 6:
+				tc.listed = tc.list()
+			case 7:
+				tc.listed = old
+			case 8:
+				tc.listed, old = nil, tc.list()
 			case 5:
 				tc.servers[id].cutOff = !tc.servers[id].cutOff
 			case 4:
@@ -431,7 +439,7 @@
 				tc.step(p, false)
 			}
 		}
-		tc.orderFault = nil
+		tc.orderFault, tc.listed = nil, nil
 		for _, id := range ids {
 			tc.servers[id].cutOff = false
 			tc.restartServer(id)
