mirror, feed, platform: Count the age of a copy from its confirmation

A daemon that has a copy of the configuration older than allowed refuses unknown paths for now, not for good. The age counted from the arrival of an answer, so that a list of many pages, a long transfer between daemons and the encoding of a copy were left out, at each step of the tree.

Change: a list counts from the call for its first page, a watch from the first bytes of its answer or the end of its wait, and daemons pass on the time of the confirmation that belongs to the copy that they send. The time on the way is added. The messages are unchanged.

TestSlowTransfer fails without the change.

--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -45,8 +45,9 @@
 	readDeadline time.Time
 	reader       *bufio.Reader
 	// wasIdle says that the connection was idle before the exchange, and hasReceived that
-	// a byte has arrived in it.
+	// a byte has arrived in it, the first one at beganAt.
 	wasIdle, hasReceived bool
+	beganAt              time.Time
 	// idleSince is the time at which the connection became idle.
 	idleSince time.Time
 	// idleTimeout is the idle time after which the connection is not reused.
@@ -64,7 +65,9 @@
 // Read reads with a new deadline.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.readOnce(b)
-	c.hasReceived = c.hasReceived || n > 0
+	if n > 0 && !c.hasReceived {
+		c.hasReceived, c.beganAt = true, c.clock.Now()
+	}
 	return n, err
 }
 
--- a/internal/endpoint/stream/exchange.go
+++ b/internal/endpoint/stream/exchange.go
@@ -34,13 +34,20 @@
 // Do sends the request and reads the whole answer. Do returns as soon as the
 // context ends.
 func (p *Pool) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+	_, err := p.DoTimed(ctx, request, response)
+	return err
+}
+
+// DoTimed is Do. It returns also the time at which the answer began to arrive.
+func (p *Pool) DoTimed(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) (time.Time, error) {
 	x, err := p.send(ctx, request, response)
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
+	beganAt := x.conn.beganAt
 	x.bodyRead = true
 	x.Close()
-	return nil
+	return beganAt, nil
 }
 
 // Open sends the request and reads the head of the answer. The end of the
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -162,13 +162,19 @@
 	}
 }
 
-// confirmationTime returns the time at which the platform confirmed what the last call
+// confirmer is a Source that knows the time at which the platform confirmed what the last call
+// read. It is earlier than the end of the call by the time that the answer took to arrive.
+type confirmer interface {
+	ConfirmedAt() time.Time
+}
+
+// confirmationTime returns the time at which the platform confirmed what the last call to the source
 // read.
-func (m *Mirror) confirmationTime() time.Time {
-	if u, ok := m.Source.(*Upstream); ok {
-		return u.ConfirmedAt()
+func confirmationTime(s Source, now time.Time) time.Time {
+	if c, ok := s.(confirmer); ok {
+		return c.ConfirmedAt()
 	}
-	return m.Clock.Now()
+	return now
 }
 
 func (m *Mirror) currentBatchTime() time.Duration {
@@ -372,7 +378,9 @@
 		m.history.completeAfter = m.Revision()
 	}
 	m.history.add(forwarded)
-	m.confirmedAt.Store(int64(clock.InstantOf(m.confirmationTime())))
+	// What was confirmed later stays so, although this answer is older.
+	confirmed := int64(clock.InstantOf(confirmationTime(m.Source, m.Clock.Now())))
+	m.confirmedAt.Store(max(m.confirmedAt.Load(), confirmed))
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.mu.Unlock()
--- a/internal/fleet/mirror/restore.go
+++ b/internal/fleet/mirror/restore.go
@@ -86,7 +86,7 @@
 	m.revision.Store(int64(revision))
 	// Followers have to read the list, since the history before belongs to the earlier era.
 	m.history = history{completeAfter: revision}
-	m.confirmedAt.Store(int64(clock.InstantOf(m.confirmationTime())))
+	m.confirmedAt.Store(int64(clock.InstantOf(confirmationTime(m.Source, m.Clock.Now()))))
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.mu.Unlock()
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -26,7 +26,8 @@
 type Feed interface {
 	List(ctx context.Context, p Peer) ([]store.Entry, unit.Revision, time.Duration, error)
 	// Changes waits for changes, or for a confirmation of the daemon's copy that is
-	// later than that of this daemon's copy of the age ownAge.
+	// later than that of this daemon's copy of the age ownAge. The returned age includes the
+	// time that the answer took to arrive, as that of List does.
 	Changes(ctx context.Context, p Peer, after unit.Revision, ownAge, wait time.Duration) (changes []store.Change, completeUpTo unit.Revision, compacted bool, age time.Duration, err error)
 	// Transferring reports whether a large answer is arriving.
 	Transferring() bool
@@ -235,7 +236,7 @@
 	}
 	if p.Instance == platformSource {
 		entries, revision, err := u.Platform.List(ctx, prefix)
-		u.recordResult(platformSource, 0, err)
+		u.recordResult(platformSource, u.platformAge(), err)
 		return entries, revision, err
 	}
 	entries, revision, age, err := u.Feed.List(ctx, p)
@@ -258,7 +259,7 @@
 		return u.changesOfPeer(ctx, p, after, wait)
 	}
 	changes, completeUpTo, compacted, err := u.Platform.Changes(ctx, prefix, after, wait)
-	u.recordResult(platformSource, 0, err)
+	u.recordResult(platformSource, u.platformAge(), err)
 	return changes, completeUpTo, compacted, err
 }
 
@@ -283,6 +284,12 @@
 	return changes, completeUpTo, compacted, err
 }
 
+// platformAge returns the time since the platform confirmed what the last call to it read.
+func (u *Upstream) platformAge() time.Duration {
+	now := u.Clock.Now()
+	return now.Sub(confirmationTime(u.Platform, now))
+}
+
 // setWaitingAt records at which daemon a call waits for changes, platformSource if the call
 // has ended. It reports whether LeaveOldCopy ended the call.
 func (u *Upstream) setWaitingAt(id ident.Instance) bool {
--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -47,14 +47,14 @@
 
 // platformCopy is this daemon's copy of the platform's keys.
 type platformCopy interface {
-	Entries() ([]store.Entry, unit.Revision, error)
-	WaitForChanges(ctx context.Context, after unit.Revision, age, wait time.Duration) ([]store.Change, unit.Revision, bool)
-	Age() time.Duration
+	Entries() (entries []store.Entry, revision unit.Revision, confirmedAt time.Time, err error)
+	WaitForChanges(ctx context.Context, after unit.Revision, age, wait time.Duration) (changes []store.Change, completeUpTo unit.Revision, confirmedAt time.Time, compacted bool)
 }
 
 // server answers the questions of this daemon's followers.
 type server struct {
 	self         ident.Instance
+	clock        clock.Clock
 	platformCopy platformCopy
 	// lastPayload is the last encoded answer with changes. Most followers ask for the
 	// same ones.
@@ -87,32 +87,33 @@
 	if question.GetTopic() != topic || question.GetTo() != string(s.self) {
 		return nil, code.BadMessage.New("question from %s to %s on topic %q is not for this daemon's feed", question.GetFrom(), question.GetTo(), question.GetTopic())
 	}
-	payload, err := s.payload(ctx, &request)
+	payload, confirmedAt, err := s.payload(ctx, &request)
 	if err != nil {
 		return nil, err
 	}
-	return appendAge(payload, s.platformCopy.Age()), nil
+	return appendAge(payload, s.clock.Since(confirmedAt)), nil
 }
 
-// payload returns the encoded response.
-func (s *server) payload(ctx context.Context, request *copyRequest) ([]byte, error) {
+// payload returns the encoded response, and the time at which the platform confirmed what it has.
+func (s *server) payload(ctx context.Context, request *copyRequest) ([]byte, time.Time, error) {
 	if request.List {
-		entries, revision, err := s.platformCopy.Entries()
+		entries, revision, confirmedAt, err := s.platformCopy.Entries()
 		if err != nil {
-			return nil, err
+			return nil, time.Time{}, err
 		}
-		return encodePayload(&copyResponse{Entries: entries, Revision: revision})
+		payload, err := encodePayload(&copyResponse{Entries: entries, Revision: revision})
+		return payload, confirmedAt, err
 	}
 	wait := min(time.Duration(request.Wait)*time.Millisecond, maxWait)
-	changes, revision, compacted := s.platformCopy.WaitForChanges(ctx, request.After, time.Duration(request.Age)*time.Millisecond, wait)
+	changes, revision, confirmedAt, compacted := s.platformCopy.WaitForChanges(ctx, request.After, time.Duration(request.Age)*time.Millisecond, wait)
 	if known := s.lastPayload.Load(); known != nil && !compacted && known.after == request.After && known.revision == revision {
-		return known.payload, nil
+		return known.payload, confirmedAt, nil
 	}
 	payload, err := encodePayload(&copyResponse{Changes: changes, Revision: revision, Compacted: compacted})
 	if err == nil && !compacted && len(changes) > 0 {
 		s.lastPayload.Store(&encodedChanges{request.After, revision, payload})
 	}
-	return payload, err
+	return payload, confirmedAt, err
 }
 
 // Exchange always returns an error: the protocol requires the method, but this listener
@@ -126,9 +127,10 @@
 	self  ident.Instance
 	clock clock.Clock
 
-	// received is the number of bytes of the current answer, and receivedAt the time
-	// of its last ones, as a clock.Instant.
+	// received is the number of bytes of the current answer, beganAt the time of its first
+	// bytes and receivedAt that of its last ones, as clock.Instants.
 	received   atomic.Int64
+	beganAt    atomic.Int64
 	receivedAt atomic.Int64
 
 	mu          sync.Mutex
@@ -200,7 +202,8 @@
 	if err != nil {
 		return nil, 0, code.BadMessage.Wrap(err, "decode copy of daemon %s at %s", p.Instance, p.Address)
 	}
-	return response, age, nil
+	// The other daemon told the age as it began to send the answer.
+	return response, age + c.clock.Since(clock.Instant(c.beganAt.Load()).Time()), nil
 }
 
 // List reads all entries of the daemon's copy. It also returns the copy's revision
--- a/internal/peer/feed/plugin.go
+++ b/internal/peer/feed/plugin.go
@@ -40,7 +40,7 @@
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
 	self := deps.Settings.Daemon.Instance
 	deps.Provide(newClient(self, deps.Clock))
-	return &component{deps: deps, settings: deps.Settings.Section(section).(*Settings), server: &server{self: self}}, nil
+	return &component{deps: deps, settings: deps.Settings.Section(section).(*Settings), server: &server{self: self, clock: deps.Clock}}, nil
 }
 
 // Start opens the listener and serves the copy in the background.
--- a/internal/peer/feed/progress.go
+++ b/internal/peer/feed/progress.go
@@ -17,8 +17,11 @@
 func (c *receivingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.client.received.Add(int64(n))
-		c.client.receivedAt.Store(int64(clock.InstantOf(c.client.clock.Now())))
+		now := int64(clock.InstantOf(c.client.clock.Now()))
+		if c.client.received.Add(int64(n)) == int64(n) {
+			c.client.beganAt.Store(now)
+		}
+		c.client.receivedAt.Store(now)
 	}
 	return n, err
 }
