mirror, platform: Tell a silent connection from an outage of the store

Cause: the store was avoided for 1.2 s after the failed call although new connections worked, and the removal was then deferred for 2.2 s as after an outage.

Removals are deferred only after two renewal intervals without the store, in less than which no live server's entry lapses. store-regained logs the age of the copy.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -296,12 +296,13 @@
 	if m.sourceConnected.Swap(true) {
 		return
 	}
-	if m.confirmedAt.Load() != 0 && m.Age() >= m.MinOutage {
+	isOutage := m.confirmedAt.Load() != 0 && m.Age() >= m.MinOutage
+	if isOutage {
 		m.mu.Lock()
 		m.deferUntil = m.Clock.Now().Add(m.SettleTime)
 		m.mu.Unlock()
 	}
-	m.Log.Info().Stringer("revision", m.Revision()).Msg("store-regained")
+	m.Log.Info().Stringer("revision", m.Revision()).Dur("age_ms", m.Age()).Bool("outage", isOutage).Msg("store-regained")
 }
 
 // readList reads the source's whole list and applies the differences from the copy.
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -19,6 +19,8 @@
 
 // sourceAnswer is the fake source's answer to one call.
 type sourceAnswer struct {
+	// silent says that the connection of the call goes silent.
+	silent    bool
 	list      []store.Entry
 	changes   []store.Change
 	revision  unit.Revision
@@ -46,6 +48,8 @@
 	a := s.answers[0]
 	s.answers = s.answers[1:]
 	switch {
+	case a.silent:
+		return a, code.WithOutcome(code.PlatformUnavailable.New("fake connection is silent"), code.Unknown)
 	case a.fails:
 		return a, errUnavailable
 	case a.malformed:
@@ -260,6 +264,13 @@
 			tree: fakeTree{parent: "p", followsOnly: true}, platform: []sourceAnswer{platformUp},
 			ages: map[ident.Instance]time.Duration{"p": 9 * time.Second}, calls: []string{"p"}, fails: true,
 		},
+		"connection to the platform silent, new ones work": {
+			tree: fakeTree{fallbacks: []Peer{{Instance: "q"}}}, platform: []sourceAnswer{{silent: true}, platformUp}, platformCalls: 2,
+		},
+		"platform silent": {
+			tree: fakeTree{fallbacks: []Peer{{Instance: "q"}}}, platform: []sourceAnswer{{silent: true}, {silent: true}},
+			ages: map[ident.Instance]time.Duration{"q": 0}, calls: []string{"q"}, platformCalls: 2,
+		},
 		"no parent, platform unavailable": {
 			tree: fakeTree{fallbacks: []Peer{{Instance: "q"}, {Instance: "r"}}}, platform: []sourceAnswer{{fails: true}},
 			ages: map[ident.Instance]time.Duration{"r": 0}, calls: []string{"q", "r"}, platformCalls: 1,
--- a/internal/fleet/mirror/plugin.go
+++ b/internal/fleet/mirror/plugin.go
@@ -18,7 +18,8 @@
 	// expired during the outage and the server may register again.
 	Settle settings.Duration `json:"settle" validate:"duration"`
 	// Outage is the shortest outage of the store in which leases of running
-	// servers may expire.
+	// servers may expire. It is at least two renewal intervals: an entry lapses after three
+	// intervals of silence, of which one may have passed before the outage.
 	Outage settings.Duration `json:"outage" validate:"duration"`
 	// Renewal is the interval at which servers renew the leases of their entries. The store
 	// removes the entry of a server that has missed three renewals.
@@ -31,7 +32,7 @@
 
 func init() {
 	settings.Register(section, func() any {
-		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(1500 * time.Millisecond), Renewal: settings.DurationOf(1200 * time.Millisecond), Within: settings.DurationOf(defaultWithin), Lapsing: "servers/"}
+		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(2400 * time.Millisecond), Renewal: settings.DurationOf(1200 * time.Millisecond), Within: settings.DurationOf(defaultWithin), Lapsing: "servers/"}
 	})
 	plugin.RegisterForAdapter("platform", plugin.Roster, "mirror", newPlugin)
 }
@@ -46,7 +47,7 @@
 	s := deps.Settings.Section(section).(*Settings)
 	m := New(Options{
 		Clock: deps.Clock, Log: deps.Log, LeasedPrefix: store.Key(s.Lapsing), Within: s.Within.Duration,
-		SettleTime: s.Settle.Duration, RenewInterval: s.Renewal.Duration, MinOutage: s.Outage.Duration,
+		SettleTime: s.Settle.Duration, RenewInterval: s.Renewal.Duration, MinOutage: max(s.Outage.Duration, 2*s.Renewal.Duration),
 	})
 	deps.Provide(m)
 	return &component{m, deps}, nil
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -84,7 +84,8 @@
 // A source that failed is avoided for minAvoidTime, doubled for each consecutive
 // failure up to maxAvoidDoublings times: a call to a stalled platform takes as long
 // as other daemons need to pass on changes. The platform is avoided for less time, as few
-// daemons call it and the others depend on them.
+// daemons call it and the others depend on them, and not for the first failure on an open
+// connection, which may have gone silent while new ones work.
 const (
 	minAvoidTime         = 1200 * time.Millisecond
 	maxAvoidDoublings    = 3
@@ -156,6 +157,10 @@
 	defer u.mu.Unlock()
 	now := u.Clock.Now()
 	if err != nil {
+		if id == platformSource && u.failures[id].consecutiveFailures == 0 && isConnectionLoss(err) {
+			u.recordFailure(id, 0)
+			return
+		}
 		u.avoidSource(id)
 		return
 	}
@@ -167,6 +172,12 @@
 	}
 }
 
+// isConnectionLoss reports whether a call to the platform failed after it had been sent, as when its
+// connection has gone silent.
+func isConnectionLoss(err error) bool {
+	return code.Of(err) == code.PlatformUnavailable && code.OutcomeOf(err) == code.Unknown
+}
+
 // CurrentSource returns the daemon that the last successful call read from, empty for
 // the platform.
 func (u *Upstream) CurrentSource() ident.Instance {
@@ -183,16 +194,22 @@
 }
 
 func (u *Upstream) avoidSource(id ident.Instance) {
-	if u.failures == nil {
-		u.failures = make(map[ident.Instance]sourceFailures)
-	}
-	f := u.failures[id]
 	doublings := maxAvoidDoublings
 	if id == platformSource {
 		doublings = maxPlatformDoublings
 	}
+	u.recordFailure(id, clock.Jitter(minAvoidTime<<min(u.failures[id].consecutiveFailures, doublings)))
+}
+
+// recordFailure counts a failure of the source, which is then avoided for the time. The caller holds
+// the lock.
+func (u *Upstream) recordFailure(id ident.Instance, avoidFor time.Duration) {
+	if u.failures == nil {
+		u.failures = make(map[ident.Instance]sourceFailures)
+	}
+	f := u.failures[id]
 	f.failedAt = u.Clock.Now()
-	f.avoidUntil = f.failedAt.Add(clock.Jitter(minAvoidTime << min(f.consecutiveFailures, doublings)))
+	f.avoidUntil = f.failedAt.Add(avoidFor)
 	f.consecutiveFailures++
 	u.failures[id] = f
 }
