platform, forward: Require keys also if nobody has one

A configuration whose list of organisations is empty opened every route to everyone. Cause: an empty list was taken for a missing one.

--- a/internal/domain/cluster/config.go
+++ b/internal/domain/cluster/config.go
@@ -19,7 +19,10 @@
 	Routes        []Route
 	Services      map[ident.Service]*Service
 	Organisations []Organisation
-	Limits        Limits
+	// KeysRequired says that routes that are not public need an organisation's key. It holds
+	// also if the last organisation was taken away.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // RouteKind says whether the daemons may repeat the requests of a route.
--- a/internal/fleet/catalog/routing.go
+++ b/internal/fleet/catalog/routing.go
@@ -31,7 +31,10 @@
 	for i := range config.Organisations {
 		o := &config.Organisations[i]
 		for _, key := range o.Keys {
-			r.organisationsByKey[key] = o
+			// A request without a key has none.
+			if key != "" {
+				r.organisationsByKey[key] = o
+			}
 		}
 	}
 	return r
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -243,7 +243,7 @@
 				Models: []cluster.Model{{Name: testModel, ServersPerReplica: 1, InitialShare: 1, TimeFactor: 1}},
 			}},
 		},
-		Organisations: []cluster.Organisation{{Name: "o", Keys: []string{"k"}}},
+		Organisations: []cluster.Organisation{{Name: "o", Keys: []string{"k"}}}, KeysRequired: true,
 	}
 }
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -269,7 +269,7 @@
 		return x.refuseUnknown(code.UnknownPath.New("resolve route: no route for host %q and path %q in configuration version %d", r.Host, r.Path, s.Config.Version))
 	}
 	x.organisation = s.Organisation(r.Credential)
-	if x.organisation == nil && !x.route.Public && len(s.Config.Organisations) > 0 {
+	if x.organisation == nil && !x.route.Public && s.Config.KeysRequired {
 		return x.refuseUnknown(code.UnknownOrganisation.New("authenticate for route %s: no organisation of configuration version %d has the caller's key", x.route.Name, s.Config.Version))
 	}
 	if err := x.checkPoison(); err != nil {
