--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -379,7 +379,7 @@
 		m.history.completeAfter = m.Revision()
 	}
 	m.history.add(forwarded)
-	// What was confirmed later stays so, although this answer is older.
+	// An answer that took long may be older than a confirmation from another source.
 	confirmed := int64(clock.InstantOf(confirmationTime(m.Source, m.Clock.Now())))
 	m.confirmedAt.Store(max(m.confirmedAt.Load(), confirmed))
 	close(m.changed)
