formation: Read no reports at the first start of the system

Change: the first orders to join are confirmed by reports only after the first start of the system, as no replica can have been formed without the store before it.

--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -369,8 +369,12 @@
 
 // knowsMembership reports whether the server's known membership is the one after the last order
 // that it has accepted in this term. Only orders of this term can have changed it since, if the
-// server checks fencing tokens.
+// server checks fencing tokens. At the first start of the system no replica can have been formed
+// without the store, and a thousand reports at once would keep the planner from its orders.
 func (p *Planner) knowsMembership(s *cluster.Server) bool {
+	if p.loads.bootstrap {
+		return true
+	}
 	known := acceptedMembership{incarnation: s.Incarnation}
 	if s.Membership != nil {
 		known.replica, known.epoch = s.Membership.Replica, s.Membership.Epoch
--- a/internal/fleet/formation/stalelist_test.go
+++ b/internal/fleet/formation/stalelist_test.go
@@ -74,13 +74,16 @@
 		// if it has accepted none. The known membership is none.
 		accepted *acceptedMembership
 		fenced   bool
-		want     bool
+		// firstStart says that the system starts for the first time.
+		firstStart bool
+		want       bool
 	}{
 		"first join of the term":          {operation: cluster.JoinReplica, fenced: true, want: true},
 		"left in this term":               {operation: cluster.JoinReplica, fenced: true, accepted: &acceptedMembership{incarnation: 7}},
 		"left before a restart":           {operation: cluster.JoinReplica, fenced: true, accepted: &acceptedMembership{incarnation: 6}, want: true},
 		"joined another one in this term": {operation: cluster.JoinReplica, fenced: true, accepted: &acceptedMembership{7, "s", 5}, want: true},
 		"tokens that servers don't check": {operation: cluster.JoinReplica, accepted: &acceptedMembership{incarnation: 7}, want: true},
+		"first start of the system":       {operation: cluster.JoinReplica, fenced: true, firstStart: true},
 		"order to leave":                  {operation: cluster.LeaveReplica, fenced: true},
 	}
 	for name, test := range tests {
@@ -90,6 +93,7 @@
 			tc.servers["d0-00"].Incarnation = 7
 			p := NewPlanner(Options{Fenced: test.fenced}, 10, tc.now)
 			p.snapshot = tc.snapshot()
+			p.loads.bootstrap = test.firstStart
 			if test.accepted != nil {
 				p.accepted["d0-00"] = *test.accepted
 			}
