--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -118,6 +118,7 @@
 	orderResults []orderResult
 
 	orders *prometheus.CounterVec
+	counts *countReporter
 }
 
 // suspect is a server that failed a request of a daemon while it was a member
@@ -156,9 +157,13 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminbay_formation_orders_total", Help: "Orders of the planner by operation and result.",
 		}, []string{"operation", "result"}),
+		counts: newCountReporter(),
 	}
 	deps.Provide(c)
-	return c, deps.Metrics.Register(c.orders)
+	if err := deps.Metrics.Register(c.orders); err != nil {
+		return nil, err
+	}
+	return c, deps.Metrics.Register(c.counts.gauge)
 }
 
 // Start begins to compete for the planner lease and to plan.
@@ -218,6 +223,7 @@
 		c.yieldTerm(token)
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
+			c.counts.reset()
 			if current != 0 {
 				planner = NewPlanner(c.plannerOptions(), unit.Revision(current), now)
 			}
@@ -270,6 +276,7 @@
 			Stringer("fence", p.fencingToken).Str("detail", d.Detail).Msg(d.Event)
 	}
 	p.Decisions = nil
+	c.counts.report(c.deps.Log, p, now)
 	if p.Superseded {
 		c.endSupersededTerm(int64(p.fencingToken))
 		return
