reach: Confirm lost links by a second round of connections

Cause: a round of connections that all took longer than 150 ms counted as lost links. That is a fault of the observer's own, not of what it observes.

Lost links now need a second round, to other servers and with twice the time. Daemons that are really cut off know it 0.3 s later, refused connections at once. TestLinks, "one round of connections is late", failed before.

--- a/internal/route/reach/reach.go
+++ b/internal/route/reach/reach.go
@@ -42,6 +42,9 @@
 	// connectTimeout bounds a connection. A server that works accepts it within the round
 	// trip time.
 	connectTimeout = 150 * time.Millisecond
+	// confirmTimeout bounds the connections that confirm lost links. A daemon that is short of
+	// processor time handles connections late that servers have accepted.
+	confirmTimeout = 2 * connectTimeout
 	// recheckInterval is the time between two rounds while endpoints are unreachable.
 	recheckInterval = 300 * time.Millisecond
 	// localSample and remoteSample are the numbers of other servers, in this daemon's data
@@ -154,57 +157,81 @@
 }
 
 // runRound connects to the suspects, to unreachable endpoints and to a sample of the other
-// servers at the same time.
+// servers at the same time. If none accepts, it tries others before it concludes that the links
+// are lost.
 func (m *Monitor) runRound(ctx context.Context, r *round) {
-	start := m.Clock.Now()
-	ctx, cancel := clock.WithDeadline(ctx, m.Clock, start.Add(connectTimeout))
-	defer cancel()
 	for _, e := range sample(m.unreachable(), maxRechecks) {
 		r.suspects[e.ID] = e
 	}
+	result := m.tryConnections(ctx, r, connectTimeout)
+	if result == silent && !m.CutOff() {
+		result = m.tryConnections(ctx, r, confirmTimeout)
+	}
+	if result == silent {
+		m.setCutOff(true)
+	}
+	if result != accepted {
+		close(r.decided)
+	}
+}
+
+// connectionResult is what the connections of a round show.
+type connectionResult int
+
+const (
+	// inconclusive connections failed during a pause of the process, or there is no server.
+	inconclusive connectionResult = iota
+	// accepted says that a server accepted a connection.
+	accepted
+	// silent says that no server accepted one.
+	silent
+)
+
+// tryConnections connects to the suspects of the round and to a sample of the other servers. The
+// first one that accepts decides the round.
+func (m *Monitor) tryConnections(ctx context.Context, r *round, timeout time.Duration) connectionResult {
+	start := m.Clock.Now()
+	ctx, cancel := clock.WithDeadline(ctx, m.Clock, start.Add(timeout))
+	defer cancel()
 	servers := m.sampleServers(r.suspects)
 	results := make(chan bool)
 	for _, s := range servers {
 		go func() { results <- m.Connector.AcceptsConnection(ctx, s.Address) }()
 	}
+	wasPaused := func() bool { return m.Clock.Since(start) > 2*timeout }
 	for _, e := range r.suspects {
 		go func() {
 			accepted := m.Connector.AcceptsConnection(ctx, e.Address)
-			if accepted || !m.wasPaused(start) {
+			if accepted || !wasPaused() {
 				e.Load.SetUnreachable(!accepted)
 			}
 			results <- accepted
 		}()
 	}
-	anyAccepted := false
+	result := silent
 	for range len(servers) + len(r.suspects) {
-		if accepted := <-results; accepted && !anyAccepted {
-			anyAccepted = true
-			m.setCutOff(false, len(servers))
+		if <-results && result != accepted {
+			result = accepted
+			m.setCutOff(false)
 			close(r.decided)
 		}
 	}
-	if anyAccepted {
-		return
-	}
-	if !m.wasPaused(start) {
-		m.setCutOff(len(servers) > 0, len(servers))
+	switch {
+	case result == silent && len(servers) == 0:
+		m.setCutOff(false)
+		return inconclusive
+	case result == silent && wasPaused():
+		return inconclusive
 	}
-	close(r.decided)
-}
-
-// wasPaused reports whether a round that began at the time has taken so long that the process
-// must have been paused. Its connections then failed for lack of time.
-func (m *Monitor) wasPaused(start time.Time) bool {
-	return m.Clock.Since(start) > 2*connectTimeout
+	return result
 }
 
-func (m *Monitor) setCutOff(cutOff bool, sampled int) {
+func (m *Monitor) setCutOff(cutOff bool) {
 	if m.cutOff.Swap(cutOff) == cutOff {
 		return
 	}
 	if cutOff {
-		m.Log.Warn().Int("sampled", sampled).Msg("links-lost")
+		m.Log.Warn().Msg("links-lost")
 		return
 	}
 	m.Log.Info().Msg("links-restored")
--- a/internal/route/reach/reach_test.go
+++ b/internal/route/reach/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,17 +22,18 @@
 const ledger = ident.Service("ledger")
 
 // fakeConnector reaches the servers that are up, unless the links are lost. Each connection
-// takes the pause.
+// takes the pause. The first connections are late.
 type fakeConnector struct {
 	clock     *clockwork.FakeClock
 	up        func(address string) bool
 	linksLost bool
 	pause     time.Duration
+	late      atomic.Int64
 }
 
 func (f *fakeConnector) AcceptsConnection(_ context.Context, address string) bool {
 	f.clock.Advance(f.pause)
-	return !f.linksLost && f.up(address)
+	return !f.linksLost && f.late.Add(-1) < 0 && f.up(address)
 }
 
 // newTestMonitor returns a monitor of two data centres with five servers each.
@@ -50,26 +52,30 @@
 }
 
 // TestLinks guards against taking lost links for servers that are down, and servers that are
-// down for lost links.
+// down, or connections that this daemon handles late, for lost links.
 func TestLinks(t *testing.T) {
 	tests := map[string]struct {
-		connector       fakeConnector
+		connector *fakeConnector
+		// late is the number of connections that time out at first.
+		late            int64
 		wantCutOff      bool
 		wantUnreachable bool
 	}{
-		"all is well":                  {connector: fakeConnector{up: func(string) bool { return true }}},
-		"the suspect is down":          {connector: fakeConnector{up: func(address string) bool { return address != "a0" }}, wantUnreachable: true},
-		"own data centre is down":      {connector: fakeConnector{up: func(address string) bool { return address[0] == 'b' }}, wantUnreachable: true},
-		"other data centre is cut":     {connector: fakeConnector{up: func(address string) bool { return address[0] == 'a' && address != "a0" }}, wantUnreachable: true},
-		"links are lost":               {connector: fakeConnector{linksLost: true}, wantCutOff: true, wantUnreachable: true},
-		"process was paused meanwhile": {connector: fakeConnector{linksLost: true, pause: time.Second}},
+		"all is well":                      {connector: &fakeConnector{up: func(string) bool { return true }}},
+		"the suspect is down":              {connector: &fakeConnector{up: func(address string) bool { return address != "a0" }}, wantUnreachable: true},
+		"own data centre is down":          {connector: &fakeConnector{up: func(address string) bool { return address[0] == 'b' }}, wantUnreachable: true},
+		"other data centre is cut":         {connector: &fakeConnector{up: func(address string) bool { return address[0] == 'a' && address != "a0" }}, wantUnreachable: true},
+		"links are lost":                   {connector: &fakeConnector{linksLost: true}, wantCutOff: true, wantUnreachable: true},
+		"one round of connections is late": {connector: &fakeConnector{up: func(string) bool { return true }}, late: 1 + localSample + remoteSample},
+		"process was paused meanwhile":     {connector: &fakeConnector{linksLost: true, pause: time.Second}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			f := test.connector
 			f.clock = clockwork.NewFakeClock()
-			m, endpoints := newTestMonitor(&f)
+			f.late.Store(test.late)
+			m, endpoints := newTestMonitor(f)
 			m.Suspect(endpoints[0])
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
