formation: End the term only of a planner that stays cut off

Even with links that are really lost, a term that ended at once cost more than it gained where the links came back soon: the successor begins 0.6 to 7 s later and has to learn what servers do not answer, what they load and which orders they have accepted. The planner now keeps its term for a second.

TestLostLinks, "links lost for a moment", fails with a delay of zero.

--- a/internal/fleet/formation/links_test.go
+++ b/internal/fleet/formation/links_test.go
@@ -34,15 +34,19 @@
 func (*fakeLinks) AnnounceFormation(_ cluster.Formation) {}
 
 // TestLostLinks guards against a planner that takes its own lost links for the death of all
-// servers, and against one that keeps its term although only others can plan.
+// servers, against one that keeps its term although only others can plan, and against a term that
+// ends for links that were lost for a moment.
 func TestLostLinks(t *testing.T) {
 	tests := map[string]struct {
-		links           fakeLinks
+		links fakeLinks
+		// restored says that the links work again before the end of yieldDelay.
+		restored        bool
 		wantUnreachable int
 		wantTerm        bool
 	}{
 		"links work":                  {wantUnreachable: 1, wantTerm: true},
 		"links of this daemon lost":   {links: fakeLinks{lost: true}},
+		"links lost for a moment":     {links: fakeLinks{lost: true}, restored: true, wantTerm: true},
 		"links of all daemons lost":   {links: fakeLinks{lost: true, lostElsewhere: true}, wantTerm: true},
 		"links of other daemons lost": {links: fakeLinks{lostElsewhere: true}, wantUnreachable: 1, wantTerm: true},
 	}
@@ -66,7 +70,13 @@
 			control.applyResults(p)
 			c.Check(p.unreachable, qt.HasLen, test.wantUnreachable)
 
-			control.yieldTerm(token)
+			control.yieldTerm(token, clk.Now())
+			clk.Advance(yieldDelay / 2)
+			c.Check(control.fencingToken.Load(), qt.Equals, token)
+			test.links.lost = test.links.lost && !test.restored
+			control.yieldTerm(token, clk.Now())
+			clk.Advance(yieldDelay / 2)
+			control.yieldTerm(token, clk.Now())
 			control.renewLease(context.Background(), l)
 			c.Check(control.fencingToken.Load() == token, qt.Equals, test.wantTerm)
 			c.Check(l.IsHeld(), qt.Equals, test.wantTerm)
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -107,6 +107,9 @@
 	// reportReadAt has the times of the reports that were read within reportInterval.
 	// Only the planner's goroutine uses it.
 	reportReadAt map[ident.Instance]time.Time
+	// cutOffSince is the time since which another daemon has had to plan, zero if this one
+	// may. Only the planner's goroutine uses it.
+	cutOffSince time.Time
 	// wake starts a round before the interval has passed.
 	wake chan struct{}
 
@@ -220,7 +223,7 @@
 		if token != 0 && c.supersededBy(token) {
 			c.endSupersededTerm(token)
 		}
-		c.yieldTerm(token)
+		c.yieldTerm(token, now)
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
 			c.counts.reset()
--- a/internal/fleet/formation/term.go
+++ b/internal/fleet/formation/term.go
@@ -44,9 +44,18 @@
 	return !c.links.CutOff() || !c.peers.HasConnectedDaemon()
 }
 
-// yieldTerm ends the term with the token if another daemon has to plan.
-func (c *controller) yieldTerm(token int64) {
-	if token != 0 && !c.mayPlan() {
+// yieldDelay is the time for which a planner that is cut off keeps its term. Its successor needs
+// about as long to begin and to learn the state of the servers.
+const yieldDelay = time.Second
+
+// yieldTerm ends the term with the token if another daemon has had to plan for yieldDelay.
+func (c *controller) yieldTerm(token int64, now time.Time) {
+	switch {
+	case token == 0 || c.mayPlan():
+		c.cutOffSince = time.Time{}
+	case c.cutOffSince.IsZero():
+		c.cutOffSince = now
+	case now.Sub(c.cutOffSince) >= yieldDelay:
 		c.deps.Log.Warn().Stringer("fence", unit.Revision(token)).Msg("planner-cut-off")
 		c.endTerm(token)
 	}
