layout, formation: Keep spare servers for the members that will fail

Callers of listing-draft at the large site are served late and refused, as replicas of 32 servers stand still: a domain of 73 had one of 32 and five of 8, and one spare server.

Cause: the layout used every server that a replica fits on. It counted what a loss of a whole domain or data centre leaves, not the members that fail one by one, nor that the loss of one stops all servers of its replica.

The layout now rates spare servers too: by the probability that more members of a domain fail than it has spare ones, it expects to lose a replica, which is of a model as often as its members are. Replicas are left out, at the start and later, where their servers lower the expected load of the models as spare ones.

--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -64,7 +64,7 @@
 	for _, id := range p.sortedDomains(service) {
 		fleet.Domains = append(fleet.Domains, layout.Domain{
 			ID: id, DataCentre: p.domainServers[domainKey{service.Name, id}][0].DataCentre,
-			FreeServers: p.freeServers(service, id), Replicas: replicas[id],
+			FreeServers: p.freeServers(service, id), Spares: len(p.spareServers(service, id, "")), Replicas: replicas[id],
 		})
 	}
 	return fleet
--- a/internal/fleet/layout/layout.go
+++ b/internal/fleet/layout/layout.go
@@ -29,6 +29,8 @@
 	// FreeServers has, for each model, the number of servers that can join a new
 	// replica of the model.
 	FreeServers map[ident.Model]int
+	// Spares is the number of servers that belong to no replica.
+	Spares int
 	// Replicas has the number of replicas of each model.
 	Replicas map[ident.Model]int
 }
@@ -46,9 +48,9 @@
 }
 
 // NextReplica returns the placement of the next replica, or false if no domain has
-// enough free servers for a replica of any model. The model with the least capacity
-// for its share after the worst loss comes first. It is placed where the loss of the
-// data centre, and then of the domain, costs the fewest replicas of the model.
+// enough free servers for a replica of any model that it doesn't need more as spare servers. The
+// model with the least capacity for its share after the worst loss comes first. It is placed where
+// the loss of the data centre, and then of the domain, costs the fewest replicas of the model.
 func (f *Fleet) NextReplica() (Placement, bool) {
 	for _, m := range f.modelsByCapacity() {
 		if d := f.chooseDomain(m); d != nil {
@@ -70,7 +72,7 @@
 
 // capacity returns the members of the model's replicas for its share.
 func (f *Fleet) capacity(m Model) float64 {
-	return perShare(m, f.replicas(m.Name))
+	return perShare(m, float64(f.replicas(m.Name)))
 }
 
 // capacityAfterLoss returns the members of the model's replicas for its share that
@@ -80,11 +82,11 @@
 	for _, n := range f.replicasByDataCentre(m.Name) {
 		worst = max(worst, n)
 	}
-	return perShare(m, f.replicas(m.Name)-worst)
+	return perShare(m, float64(f.replicas(m.Name)-worst))
 }
 
-func perShare(m Model, replicas int) float64 {
-	return float64(replicas*m.ServersPerReplica) / max(m.Share, minShare)
+func perShare(m Model, replicas float64) float64 {
+	return replicas * float64(m.ServersPerReplica) / max(m.Share, minShare)
 }
 
 // replicas returns the number of replicas of the model.
@@ -110,7 +112,7 @@
 	var best *Domain
 	for i := range f.Domains {
 		d := &f.Domains[i]
-		if d.FreeServers[m.Name] < m.ServersPerReplica {
+		if d.FreeServers[m.Name] < m.ServersPerReplica || !f.IsGain(Change{Domain: d.ID, Added: m.Name, Spares: -m.ServersPerReplica}) {
 			continue
 		}
 		if best == nil || cmp.Or(
--- a/internal/fleet/layout/plan.go
+++ b/internal/fleet/layout/plan.go
@@ -7,10 +7,16 @@
 	"cuminbay/internal/domain/ident"
 )
 
-// FirstReplicas returns the replicas to form in a fleet that has none. The layout is
+// FirstReplicas returns the replicas to form in a fleet that has none: those that use as many
+// servers as possible, without the ones whose servers are more useful as spare servers.
+func (f *Fleet) FirstReplicas() []Placement {
+	return f.withoutReserve(f.fullPlacements())
+}
+
+// fullPlacements returns replicas that leave no domain room for a further one. The layout is
 // the best one that a local search finds: from each start, the search changes the
 // compositions of two domains at a time as long as the score rises.
-func (f *Fleet) FirstReplicas() []Placement {
+func (f *Fleet) fullPlacements() []Placement {
 	s := newSearch(f)
 	if len(s.models) == 0 {
 		return nil
@@ -162,13 +168,13 @@
 	var withoutLoss, withoutDomain, withoutDataCentre float64
 	for model, m := range s.models {
 		total, inDomain, inDataCentre := s.replicaCounts(p, model)
-		if c := perShare(m, total); model == 0 || c < withoutLoss {
+		if c := perShare(m, float64(total)); model == 0 || c < withoutLoss {
 			withoutLoss = c
 		}
-		if c := perShare(m, total-inDomain); model == 0 || c < withoutDomain {
+		if c := perShare(m, float64(total-inDomain)); model == 0 || c < withoutDomain {
 			withoutDomain = c
 		}
-		if c := perShare(m, total-inDataCentre); model == 0 || c < withoutDataCentre {
+		if c := perShare(m, float64(total-inDataCentre)); model == 0 || c < withoutDataCentre {
 			withoutDataCentre = c
 		}
 		result.members += total * m.ServersPerReplica
