formation: Give up a smaller replica for one that can't be completed

If the fleet's expected load is lower then, a replica of a model with fewer members is now closed, when its requests have ended dissolved, and its servers load the larger model.

--- a/internal/fleet/formation/adopt.go
+++ b/internal/fleet/formation/adopt.go
@@ -23,7 +23,7 @@
 		}
 		if r.phase != incomplete {
 			p.recordDecision("replica-broken", r, "phase %s, members are in another replica", r.phase)
-			r.setPhase(incomplete, p.now)
+			r.setPhase(r.phaseAfterServing(), p.now)
 		}
 		r.members = slices.DeleteFunc(r.members, isClaimed)
 		p.members = nil
@@ -91,7 +91,7 @@
 				r.brokenSince = p.now
 			}
 			p.recordDecision("replica-broken", r, "phase %s, member %s: %s", r.phase, lost, reason)
-			r.setPhase(incomplete, p.now)
+			r.setPhase(r.phaseAfterServing(), p.now)
 		}
 	}
 }
--- a/internal/fleet/formation/advance.go
+++ b/internal/fleet/formation/advance.go
@@ -103,18 +103,26 @@
 
 // advanceClosing orders the head to close the replica until its requests have
 // ended or the time limit has passed. The replica is then incomplete, so that
-// the draining member is replaced.
+// the draining member is replaced, or dissolved if it was given up.
 func (p *Planner) advanceClosing(r *replica) {
 	head := p.snapshot.Server(r.members[0])
 	if head == nil || head.Membership == nil || p.now.Sub(r.phaseSince) >= p.options.CloseTimeout || head.Membership.State == cluster.Ready {
 		r.brokenSince = r.phaseSince
-		r.setPhase(incomplete, p.now)
+		r.setPhase(r.phaseAfterServing(), p.now)
 		return
 	}
 	p.issueOrder(head.ID, cluster.Order{Operation: cluster.CloseReplica, Replica: r.name, Epoch: r.epoch})
 	p.awaitEffect(r, head)
 }
 
+// phaseAfterServing returns the phase of a replica that has closed or lost a member.
+func (r *replica) phaseAfterServing() phase {
+	if r.released {
+		return dissolving
+	}
+	return incomplete
+}
+
 // advanceDissolving orders the members to leave, the head first. It removes the
 // replica when no reachable member reports it.
 func (p *Planner) advanceDissolving(r *replica) {
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -53,7 +53,7 @@
 }
 
 // fleetLayout returns the replicas and free servers of the service's domains. Replicas
-// that are incomplete, dissolving or in a drained data centre don't count.
+// that are incomplete, given up or in a drained data centre don't count.
 func (p *Planner) fleetLayout(service *cluster.Service) *layout.Fleet {
 	fleet := &layout.Fleet{}
 	for i := range service.Engine.Models {
@@ -75,7 +75,7 @@
 func (p *Planner) countedReplicas(service *cluster.Service) map[ident.FabricDomain]map[ident.Model]int {
 	counts := make(map[ident.FabricDomain]map[ident.Model]int)
 	for _, r := range p.replicas {
-		if r.service != service.Name || r.phase == incomplete || r.phase == dissolving || p.isDataCentreDrained(service, r.domain) {
+		if r.service != service.Name || r.phase == incomplete || r.phase == dissolving || r.released || p.isDataCentreDrained(service, r.domain) {
 			continue
 		}
 		if counts[r.domain] == nil {
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -79,6 +79,8 @@
 	// at which the replica was formed or stopped serving, zero while it serves.
 	phaseSince  time.Time
 	brokenSince time.Time
+	// released says that the replica is given up, and dissolved when it has closed.
+	released bool
 }
 
 func (r *replica) setPhase(p phase, now time.Time) {
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -93,49 +93,6 @@
 	p.recordDecision("replica-joining", r, "%s: members %v", reason, r.members)
 }
 
-// releaseDonors dissolves an incomplete replica whose members can complete
-// another one of the domain. The members first leave their replica: a server
-// must not join another replica while the head of its own may still serve.
-func (p *Planner) releaseDonors(service *cluster.Service) {
-	incompleteByDomain := make(map[ident.FabricDomain][]*replica)
-	for _, r := range p.sortedReplicas(service) {
-		if r.phase == incomplete {
-			incompleteByDomain[r.domain] = append(incompleteByDomain[r.domain], r)
-		}
-	}
-	for domain, replicas := range incompleteByDomain {
-		slices.SortStableFunc(replicas, func(a, b *replica) int {
-			return cmp.Compare(a.model.ServersPerReplica-len(a.members), b.model.ServersPerReplica-len(b.members))
-		})
-		for i, recipient := range replicas {
-			if donor := p.findDonor(service, domain, recipient, replicas[i+1:]); donor != nil {
-				p.recordDecision("replica-released", donor, "its %d members complete %s", len(donor.members), recipient.name)
-				donor.setPhase(dissolving, p.now)
-				break
-			}
-		}
-	}
-}
-
-// findDonor returns the replica of the same model with the fewest members that,
-// together with the spare servers, complete the recipient; nil if there is
-// none.
-func (p *Planner) findDonor(service *cluster.Service, domain ident.FabricDomain, recipient *replica, others []*replica) *replica {
-	staged := 0
-	for _, s := range p.spareServers(service, domain, recipient.model.Name) {
-		if s.HasStaged(recipient.model.Name) {
-			staged++
-		}
-	}
-	for i := len(others) - 1; i >= 0; i-- {
-		donor := others[i]
-		if donor.model.Name == recipient.model.Name && recipient.model.ServersPerReplica-len(recipient.members) <= staged+len(donor.members) {
-			return donor
-		}
-	}
-	return nil
-}
-
 // sortedDomains returns the fabric domains of the service in order of their
 // names.
 func (p *Planner) sortedDomains(service *cluster.Service) []ident.FabricDomain {
