catalog, formation: Keep replicas of members that only lost their registration

Cause: a registration that ends was taken for a member that has failed, by the planner, which broke up the replica, and by every daemon, which took its head out of service. It only says that the server didn't reach the store.

A member, not the head, whose registration ends is now kept while the head is registered and serves. The planner probes it, a few at a time, since 130 probes at once would be answered late; if it doesn't answer, the replica breaks as before, and if it says that it leaves, the replica closes first. Heads without registration get no requests, as before: they may have left.

--- a/internal/domain/cluster/server.go
+++ b/internal/domain/cluster/server.go
@@ -22,7 +22,10 @@
 	Incarnation unit.Incarnation
 	// Draining says that the server gets no new requests.
 	Draining bool
-	Slots    unit.Requests
+	// Unregistered says that the platform has removed the entry, and that the server is kept as a
+	// member of a replica that serves. It may have left, or have lost its link to the platform.
+	Unregistered bool
+	Slots        unit.Requests
 	// ColdFor is the time after ReceivedAt for which the server stays cold.
 	ColdFor time.Duration
 	// ReceivedAt is the time at which this daemon received the entry, by the
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -29,6 +29,8 @@
 	index   *endpointIndex
 	// leaving has the times at which incarnations of servers were last seen draining.
 	leaving map[ident.ServerIncarnation]time.Time
+	// unregistered has the servers that are kept although the platform has removed them.
+	unregistered map[ident.Instance]bool
 	// drained is replaced, not changed, since snapshots share it.
 	drained map[ident.DataCentre]bool
 	loads   map[loadKey]*Load
@@ -65,6 +67,9 @@
 		servers: new(serverSet),
 		index:   newEndpointIndex(),
 		leaving: make(map[ident.ServerIncarnation]time.Time),
+
+		unregistered: make(map[ident.Instance]bool),
+
 		drained: make(map[ident.DataCentre]bool),
 		loads:   make(map[loadKey]*Load),
 
@@ -126,18 +131,31 @@
 func (c *Catalog) applyServers(servers []*cluster.Server, removed []ident.Instance) {
 	edit := newServerSetEdit(c.servers)
 	for _, s := range servers {
-		c.index.replace(edit.get(s.ID), s)
-		edit.put(s.ID, s)
+		c.put(edit, s)
 	}
 	for _, id := range removed {
 		if s := edit.get(id); s != nil {
 			c.index.replace(s, nil)
 			edit.put(id, nil)
+			c.unregistered[id] = true
+			if !s.Draining {
+				c.put(edit, unregisteredCopy(s))
+			}
 		}
 	}
+	c.removeUnregistered(edit)
 	c.servers = edit.set()
 }
 
+// put adds or replaces a server. The caller holds the lock.
+func (c *Catalog) put(edit *serverSetEdit, s *cluster.Server) {
+	c.index.replace(edit.get(s.ID), s)
+	edit.put(s.ID, s)
+	if !s.Unregistered {
+		delete(c.unregistered, s.ID)
+	}
+}
+
 // applyDrained takes data centres out of service or back into service, and reports whether
 // that changed anything. The caller holds the lock.
 func (c *Catalog) applyDrained(drained map[ident.DataCentre]bool) bool {
--- /dev/null
+++ b/internal/fleet/catalog/unregistered.go
@@ -0,0 +1,45 @@
+package catalog
+
+import "cuminbay/internal/domain/cluster"
+
+func unregisteredCopy(s *cluster.Server) *cluster.Server {
+	unregistered := *s
+	unregistered.Unregistered = true
+	return &unregistered
+}
+
+// removeUnregistered removes the servers without an entry on the platform, except the members of
+// replicas whose heads serve. Requests go to the head only, and a member that works is still part
+// of its replica: an entry also ends if its server can't reach the platform. The planner finds out
+// whether the member answers. The caller holds the lock.
+func (c *Catalog) removeUnregistered(edit *serverSetEdit) {
+	for id := range c.unregistered {
+		s := edit.get(id)
+		if s != nil && c.index.servesWith(s) {
+			continue
+		}
+		delete(c.unregistered, id)
+		if s != nil {
+			c.index.replace(s, nil)
+			edit.put(id, nil)
+		}
+	}
+}
+
+// servesWith reports whether the server is a member, not the head, of a replica whose head is
+// registered and serves.
+func (x *endpointIndex) servesWith(s *cluster.Server) bool {
+	if s.Membership == nil || s.Membership.Rank == 0 {
+		return false
+	}
+	for _, member := range x.members[replicaKeyOf(s)] {
+		if member.Membership.Rank == 0 {
+			return isServingHead(member)
+		}
+	}
+	return false
+}
+
+func isServingHead(s *cluster.Server) bool {
+	return !s.Unregistered && s.Membership.State == cluster.Open
+}
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -154,6 +154,9 @@
 	Awaited []*cluster.Server
 	// Formed collects the replicas that began to serve. The caller of Step clears it.
 	Formed []cluster.Formation
+	// Unregistered has, after a Step, the members that the platform has removed and that are not
+	// known to be unreachable.
+	Unregistered []*cluster.Server
 	// Superseded says that a server reports an epoch of a later term. Step then returns
 	// no orders any more.
 	Superseded bool
@@ -311,9 +314,12 @@
 
 // indexServers groups the servers by their fabric domains.
 func (p *Planner) indexServers() {
-	p.members = nil
+	p.members, p.Unregistered = nil, nil
 	p.domainServers = make(map[domainKey][]*cluster.Server)
 	p.snapshot.EachServer(func(s *cluster.Server) {
+		if s.Unregistered && !p.IsUnreachable(s) {
+			p.Unregistered = append(p.Unregistered, s)
+		}
 		if s.Domain != "" {
 			key := domainKey{s.Service, s.Domain}
 			p.domainServers[key] = append(p.domainServers[key], s)
@@ -344,7 +350,7 @@
 
 // isUsable reports whether a server can become a member of a replica.
 func (p *Planner) isUsable(s *cluster.Server) bool {
-	return !s.Draining && !p.IsUnreachable(s) && s.Domain != ""
+	return !s.Draining && !s.Unregistered && !p.IsUnreachable(s) && s.Domain != ""
 }
 
 // issueOrder adds an order to the commands unless the same order was sent and
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -52,6 +52,7 @@
 		Current() *catalog.Snapshot
 		Changed() <-chan struct{}
 		ApplyReport(reported *cluster.Server) bool
+		SetLeaving(server *cluster.Server) bool
 	}
 	peerDaemons interface {
 		AnnounceFormation(f cluster.Formation)
@@ -107,6 +108,9 @@
 	// reportReadAt has the times of the reports that were read within reportInterval.
 	// Only the planner's goroutine uses it.
 	reportReadAt map[ident.Instance]time.Time
+	// checkedAt has the times at which unregistered members were probed. Only the planner's
+	// goroutine uses it.
+	checkedAt map[ident.Instance]time.Time
 	// cutOffSince is the time since which another daemon has had to plan, zero if this one
 	// may. Only the planner's goroutine uses it.
 	cutOffSince time.Time
@@ -157,6 +161,7 @@
 	c := &controller{
 		deps: deps, settings: deps.Settings.Section(section).(*Settings), self: deps.Settings.Daemon.Instance,
 		wake: make(chan struct{}, 1), suspects: make(map[suspect]time.Time), reportReadAt: make(map[ident.Instance]time.Time),
+		checkedAt: make(map[ident.Instance]time.Time),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminbay_formation_orders_total", Help: "Orders of the planner by operation and result.",
 		}, []string{"operation", "result"}),
@@ -285,6 +290,7 @@
 		return
 	}
 	c.replaceStore(p, now)
+	c.checkUnregistered(p, now)
 	for _, command := range commands {
 		c.Go(func(ctx context.Context) { c.sendOrder(ctx, command) })
 	}
@@ -326,12 +332,33 @@
 	if reported == nil {
 		return false
 	}
+	if reported.Draining && c.catalog.SetLeaving(s) {
+		c.deps.Log.Info().Str("endpoint", string(s.ID)).Msg("server-leaving")
+	}
 	if c.keys.Age() >= maxCopyAge && c.catalog.ApplyReport(reported) {
 		logReport(c.deps.Log, reported)
 	}
 	return true
 }
 
+// maxChecks bounds the unregistered members that are probed in one round. Hundreds of probes at
+// once would be answered late for lack of processor time.
+const maxChecks = 16
+
+// checkUnregistered probes members that the platform has removed, each once in probeInterval.
+func (c *controller) checkUnregistered(p *Planner, now time.Time) {
+	maps.DeleteFunc(c.checkedAt, func(_ ident.Instance, at time.Time) bool { return now.Sub(at) >= probeInterval })
+	checks := 0
+	for _, s := range p.Unregistered {
+		if _, recent := c.checkedAt[s.ID]; recent || checks == maxChecks {
+			continue
+		}
+		checks++
+		c.checkedAt[s.ID] = now
+		c.Go(func(ctx context.Context) { c.probeServer(ctx, s) })
+	}
+}
+
 func logReport(log zerolog.Logger, s *cluster.Server) {
 	event := log.Info().Str("server", string(s.ID))
 	if m := s.Membership; m != nil {
