--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -99,6 +99,8 @@
 	conn net.PacketConn
 	// hashed has the endpoints of the catalog's latest snapshot.
 	hashed atomic.Pointer[hashedEndpoints]
+	// registeredCount is the number of registered daemons other than this one.
+	registeredCount atomic.Int64
 	// relays has the daemons that can forward requests for this one.
 	relays atomic.Pointer[relayList]
 
@@ -235,6 +237,12 @@
 			g.remoteAddresses = append(g.remoteAddresses, p.address)
 		}
 	}
+	g.registeredCount.Store(int64(len(g.localAddresses) + len(g.remoteAddresses)))
+}
+
+// FleetSize returns the number of registered daemons, including this daemon. It takes no lock.
+func (g *Gossip) FleetSize() int {
+	return int(g.registeredCount.Load()) + 1
 }
 
 // mayRun reports whether the daemon may be running.
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -17,6 +17,11 @@
 	DaemonCount() int
 }
 
+// fleet has the number of daemons that choose among the same endpoints. Its method takes no lock.
+type fleet interface {
+	FleetSize() int
+}
+
 // limiter admits requests to endpoints that name a limit of requests.
 type limiter interface {
 	Available(now time.Time, e *catalog.Endpoint) bool
@@ -27,6 +32,7 @@
 type Options struct {
 	DataCentre ident.DataCentre
 	Daemons    daemonCounter
+	Fleet      fleet
 	Limits     limiter
 	// RemotePenalty is added to the utilisation of an endpoint in another data centre,
 	// as traffic between data centres is paid for.
@@ -53,10 +59,16 @@
 }
 
 // Pick returns the endpoint with the lowest utilisation that has a free slot and was not
-// tried, or nil if there is none. It returns an endpoint that is avoided after a failure
-// only if all endpoints are avoided, as the failures were then more likely caused by this
-// daemon.
+// tried, or nil if there is none. In a large fleet it prefers the best one of a sample. It returns
+// an endpoint that is avoided after a failure only if all endpoints are avoided, as the failures
+// were then more likely caused by this daemon.
 func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+	if b.Fleet.FleetSize() > maxInformedDaemons {
+		var sample [2 * sampleSize]*catalog.Endpoint
+		if e := b.pickLeastLoaded(now, b.sample(endpoints, sample[:0]), tried, false); e != nil {
+			return e
+		}
+	}
 	if e := b.pickLeastLoaded(now, endpoints, tried, false); e != nil {
 		return e
 	}
@@ -90,6 +102,37 @@
 	}
 }
 
+// Choice in a large fleet. With more than maxInformedDaemons daemons, the counts of the other
+// daemons' requests are up to seconds old. Daemons that all chose the endpoint with the lowest count
+// would meet there, so each one chooses among sampleSize endpoints of its data centre and as many of
+// any. From sampleDraws draws it gets that many of its own in up to eight data centres.
+const (
+	maxInformedDaemons = 100
+	sampleSize         = 3
+	sampleDraws        = 24
+)
+
+// sample appends random endpoints to the empty list. An endpoint may be drawn twice.
+func (b *Balancer) sample(endpoints, drawn []*catalog.Endpoint) []*catalog.Endpoint {
+	if len(endpoints) == 0 {
+		return drawn
+	}
+	local, other := 0, 0
+	for range sampleDraws {
+		e := endpoints[rand.IntN(len(endpoints))]
+		switch {
+		case e.DataCentre == b.DataCentre && local < sampleSize:
+			local++
+		case other < sampleSize:
+			other++
+		default:
+			continue
+		}
+		drawn = append(drawn, e)
+	}
+	return drawn
+}
+
 // tieBreakRange is the range of the random number added to a utilisation, so that daemons
 // with equal counts choose different endpoints.
 const tieBreakRange = 0.04
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -18,6 +19,11 @@
 
 func (d fixedDaemonCount) DaemonCount() int { return int(d) }
 
+// fleetSize is a fleet of a fixed size.
+type fleetSize int
+
+func (s fleetSize) FleetSize() int { return int(s) }
+
 // noLimits is a limiter for endpoints without limits.
 type noLimits struct{}
 
@@ -77,7 +83,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
+			b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), Fleet: fleetSize(1), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 			var endpoints []*catalog.Endpoint
 			for _, endpoint := range test.endpoints {
 				endpoints = append(endpoints, endpoint.build())
@@ -227,7 +233,7 @@
 
 // BenchmarkPick measures the choice among 50 endpoints with different loads.
 func BenchmarkPick(b *testing.B) {
-	balancer := New(Options{Daemons: fixedDaemonCount(8), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
+	balancer := New(Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 	var endpoints []*catalog.Endpoint
 	for i := range 50 {
 		endpoints = append(endpoints, testEndpoint{id: ident.Instance(rune('a' + i)), inFlight: i % 7}.build())
@@ -237,3 +243,62 @@
 		balancer.Pick(testStart, endpoints, nil)
 	}
 }
+
+// TestPickInLargeFleet guards against daemons that all send their requests to the endpoint with the
+// lowest count, which is old in a large fleet, and against a sample without a free slot that hides
+// the free ones.
+func TestPickInLargeFleet(t *testing.T) {
+	const endpoints, picks = 50, 2000
+	tests := map[string]struct {
+		daemons int
+		// full is the number of endpoints without a free slot.
+		full                int
+		wantLeast, maxLeast float64
+	}{
+		"small fleet":                {daemons: 8, wantLeast: 1, maxLeast: 1},
+		"large fleet":                {daemons: 295, wantLeast: 0.02, maxLeast: 0.3},
+		"large fleet, one is free":   {daemons: 295, full: endpoints - 1, wantLeast: 1, maxLeast: 1},
+		"large fleet, many are full": {daemons: 295, full: endpoints / 2, wantLeast: 0.02, maxLeast: 0.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var list []*catalog.Endpoint
+			for i := range endpoints {
+				e := testEndpoint{id: ident.Instance(fmt.Sprint(i)), inFlight: 5, dataCentre: ident.DataCentre(fmt.Sprint(i % 5))}
+				switch {
+				case i == 0:
+					e.inFlight = 0
+				case i <= test.full:
+					e.inFlight = 10
+				}
+				list = append(list, e.build())
+			}
+			b := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(test.daemons), Fleet: fleetSize(test.daemons), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9})
+			least := 0
+			for range picks {
+				e := b.Pick(testStart, list, nil)
+				c.Assert(e, qt.IsNotNil)
+				c.Assert(e.Load.InFlight() < 10, qt.IsTrue)
+				if e == list[0] {
+					least++
+				}
+			}
+			share := float64(least) / picks
+			c.Check(share >= test.wantLeast && share <= test.maxLeast, qt.IsTrue, qt.Commentf("%.3f of the requests", share))
+		})
+	}
+}
+
+// BenchmarkPickInLargeFleet measures the choice among 12,000 endpoints in a large fleet.
+func BenchmarkPickInLargeFleet(b *testing.B) {
+	var list []*catalog.Endpoint
+	for i := range 12000 {
+		list = append(list, testEndpoint{id: ident.Instance(fmt.Sprint(i)), inFlight: i % 8, dataCentre: ident.DataCentre(fmt.Sprint(i % 14))}.build())
+	}
+	balancer := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(840), Fleet: fleetSize(840), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9})
+	b.ReportAllocs()
+	for b.Loop() {
+		balancer.Pick(testStart, list, nil)
+	}
+}
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -57,6 +57,11 @@
 	DaemonCount() int
 }
 
+// fleetSizer returns the number of registered daemons without a lock.
+type fleetSizer interface {
+	FleetSize() int
+}
+
 // component is the forwarder as a plug-in.
 type component struct {
 	plugin.NoLifecycle
@@ -95,12 +100,13 @@
 // Start implements plugin.Plugin. It connects the forwarder to other plug-ins.
 func (c *component) Start(context.Context) error {
 	var daemons daemonCounter
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &c.limits.Daemons, &c.limits.Catalog); err != nil {
+	var fleet fleetSizer
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
 	s := c.settings
 	c.Picker = balance.New(balance.Options{
-		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Limits: c.limits, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
