layout: Rate spare servers in the search itself

Cause: replicas were removed from a layout that a search had found without regard to spare servers. Domains with a replica of 32 each are the worst for them: each one has to hold spare servers.

The search now rates the replicas that a domain is expected to keep, and may leave one out of each domain. The rating is the lowest capacity of a model, with less weight after the worst loss of a domain or data centre, as these are rare, and of the mean capacity, so that a model which isn't the lowest may grow.

--- a/internal/fleet/layout/plan.go
+++ b/internal/fleet/layout/plan.go
@@ -1,34 +1,28 @@
 package layout
 
 import (
-	"cmp"
+	"math"
 	"slices"
 
 	"cuminbay/internal/domain/ident"
 )
 
-// FirstReplicas returns the replicas to form in a fleet that has none: those that use as many
-// servers as possible, without the ones whose servers are more useful as spare servers.
-func (f *Fleet) FirstReplicas() []Placement {
-	return f.withoutReserve(f.fullPlacements())
-}
-
-// fullPlacements returns replicas that leave no domain room for a further one. The layout is
+// FirstReplicas returns the replicas to form in a fleet that has none. The layout is
 // the best one that a local search finds: from each start, the search changes the
-// compositions of two domains at a time as long as the score rises.
-func (f *Fleet) fullPlacements() []Placement {
+// compositions of two domains at a time as long as the rating rises.
+func (f *Fleet) FirstReplicas() []Placement {
 	s := newSearch(f)
 	if len(s.models) == 0 {
 		return nil
 	}
 	var best plan
-	var highest score
-	for start := range maxCompositions {
+	var highest float64
+	for start := range maxStarts {
 		p, ok := s.startPlan(start)
 		if !ok {
 			break
 		}
-		if found := s.improve(p); best == nil || found.compare(highest) > 0 {
+		if found := s.improve(p); best == nil || found > highest {
 			best, highest = p, found
 		}
 	}
@@ -44,21 +38,37 @@
 	dataCentres []int
 	// compositions has the compositions that each domain may get.
 	compositions [][]composition
-	// byDataCentre has the replicas of one model in each data centre.
-	byDataCentre []int
+	// byDataCentre has the expected replicas of one model in each data centre.
+	byDataCentre []float64
 }
 
-// composition is the number of replicas of each model in a domain, in the order of the
-// search's models.
-type composition []int
+// composition is what a domain holds.
+type composition struct {
+	// replicas has the number of replicas of each model, in the order of the search's models, and
+	// expected the number that the domain keeps when members fail.
+	replicas []int
+	expected []float64
+}
 
 // plan is a composition for each domain of the search.
 type plan []composition
 
 func newSearch(f *Fleet) *search {
+	hasRoom := func(m Model) bool {
+		return slices.ContainsFunc(f.Domains, func(d Domain) bool { return d.FreeServers[m.Name] >= m.ServersPerReplica })
+	}
+	s := newRating(f, hasRoom)
+	for i := range f.Domains {
+		s.compositions = append(s.compositions, s.compositionsOf(&f.Domains[i]))
+	}
+	return s
+}
+
+// newRating returns a search that rates plans of the included models and has no compositions.
+func newRating(f *Fleet, included func(Model) bool) *search {
 	s := &search{domains: f.Domains}
 	for _, m := range f.Models {
-		if slices.ContainsFunc(f.Domains, func(d Domain) bool { return d.FreeServers[m.Name] >= m.ServersPerReplica }) {
+		if included(m) {
 			s.models = append(s.models, m)
 		}
 	}
@@ -69,21 +79,49 @@
 			indexes[d.DataCentre] = len(indexes)
 		}
 		s.dataCentres = append(s.dataCentres, indexes[d.DataCentre])
-		s.compositions = append(s.compositions, s.compositionsOf(d))
 	}
-	s.byDataCentre = make([]int, len(indexes))
+	s.byDataCentre = make([]float64, len(indexes))
 	return s
 }
 
-// maxCompositions bounds the compositions of a domain that the search considers, and
-// so its time in a fleet with many models.
-const maxCompositions = 12
+// newComposition returns the composition of the replicas and the spare servers.
+func (s *search) newComposition(replicas []int, spares int) composition {
+	return composition{replicas, expectedReplicas(s.models, replicas, spares)}
+}
+
+// Bounds of the search, and so of its time in a fleet with many models: the compositions without
+// room for a further replica that are considered in a domain, and the plans that are improved.
+const (
+	maxCompositions = 12
+	maxStarts       = 4
+)
 
 // compositionsOf returns compositions of the domain that leave too few servers for a
-// further replica, those with the most replicas of the first models first.
+// further replica, those with the most replicas of the first models first, and then those with
+// one replica less, whose servers are spare.
 func (s *search) compositionsOf(d *Domain) []composition {
-	var found []composition
-	current := make(composition, len(s.models))
+	counts := s.fullCounts(d)
+	for _, replicas := range slices.Clone(counts) {
+		for model, n := range replicas {
+			fewer := slices.Clone(replicas)
+			fewer[model]--
+			isKnown := slices.ContainsFunc(counts, func(o []int) bool { return slices.Equal(o, fewer) })
+			if n > 0 && !isKnown {
+				counts = append(counts, fewer)
+			}
+		}
+	}
+	var compositions []composition
+	for _, replicas := range counts {
+		compositions = append(compositions, s.newComposition(replicas, d.Spares-memberCount(s.models, replicas)))
+	}
+	return compositions
+}
+
+// fullCounts returns the numbers of replicas with which the domain has no room for a further one.
+func (s *search) fullCounts(d *Domain) [][]int {
+	var found [][]int
+	current := make([]int, len(s.models))
 	var extend func(model, used int)
 	extend = func(model, used int) {
 		if len(found) == maxCompositions {
@@ -115,15 +153,15 @@
 	return p, ok
 }
 
-// improve changes the plan until no change of two domains raises the score, and
-// returns the score.
-func (s *search) improve(p plan) score {
-	highest := s.score(p)
+// improve changes the plan until no change of two domains raises the rating, and
+// returns the rating.
+func (s *search) improve(p plan) float64 {
+	highest := s.rate(p)
 	for improved := true; improved; {
 		improved = false
 		for i := range p {
 			for j := i; j < len(p); j++ {
-				if found := s.improvePair(p, i, j, highest); found.compare(highest) > 0 {
+				if found := s.improvePair(p, i, j, highest); found > highest {
 					highest, improved = found, true
 				}
 			}
@@ -133,13 +171,13 @@
 }
 
 // improvePair gives the domains i and j, which may be the same one, the compositions
-// with the highest score, and returns that score.
-func (s *search) improvePair(p plan, i, j int, highest score) score {
+// with the highest rating, and returns that rating.
+func (s *search) improvePair(p plan, i, j int, highest float64) float64 {
 	bestI, bestJ := p[i], p[j]
 	for _, a := range s.compositions[i] {
 		for _, b := range s.compositions[j] {
 			p[i], p[j] = a, b
-			if found := s.score(p); found.compare(highest) > 0 {
+			if found := s.rate(p); found > highest {
 				bestI, bestJ, highest = p[i], p[j], found
 			}
 		}
@@ -148,47 +186,33 @@
 	return highest
 }
 
-// score rates a plan; a higher one is better. The capacity of a plan is the lowest
-// capacity of a model for its share.
-type score struct {
-	// sum adds up the capacities without a loss, after the worst loss of a domain
-	// and after the worst loss of a data centre.
-	sum         float64
-	withoutLoss float64
-	// members is the number of members of all replicas.
-	members int
-}
-
-func (s score) compare(o score) int {
-	return cmp.Or(cmp.Compare(s.sum, o.sum), cmp.Compare(s.withoutLoss, o.withoutLoss), cmp.Compare(s.members, o.members))
-}
+// Weights beside the lowest capacity of a model without a loss of a domain or data centre: of the
+// lowest capacity after the worst loss of each, which are rare, and of the mean capacity of the
+// models.
+const (
+	lossWeight = 0.1
+	meanWeight = 0.1
+)
 
-func (s *search) score(p plan) score {
-	var result score
-	var withoutLoss, withoutDomain, withoutDataCentre float64
+// rate rates a plan by the expected capacities of the models; a higher rating is better.
+func (s *search) rate(p plan) float64 {
+	lowest, afterDomain, afterDataCentre, sum := math.Inf(1), math.Inf(1), math.Inf(1), 0.0
 	for model, m := range s.models {
-		total, inDomain, inDataCentre := s.replicaCounts(p, model)
-		if c := perShare(m, float64(total)); model == 0 || c < withoutLoss {
-			withoutLoss = c
-		}
-		if c := perShare(m, float64(total-inDomain)); model == 0 || c < withoutDomain {
-			withoutDomain = c
-		}
-		if c := perShare(m, float64(total-inDataCentre)); model == 0 || c < withoutDataCentre {
-			withoutDataCentre = c
-		}
-		result.members += total * m.ServersPerReplica
+		total, inDomain, inDataCentre := s.expectedOf(p, model)
+		lowest = min(lowest, perShare(m, total))
+		afterDomain = min(afterDomain, perShare(m, total-inDomain))
+		afterDataCentre = min(afterDataCentre, perShare(m, total-inDataCentre))
+		sum += perShare(m, total)
 	}
-	result.sum, result.withoutLoss = withoutLoss+withoutDomain+withoutDataCentre, withoutLoss
-	return result
+	return lowest + lossWeight*(afterDomain+afterDataCentre) + meanWeight*sum/float64(len(s.models))
 }
 
-// replicaCounts returns the number of replicas of the model with the index, and the
-// highest number in a domain and in a data centre.
-func (s *search) replicaCounts(p plan, model int) (total, inDomain, inDataCentre int) {
+// expectedOf returns the expected replicas of the model with the index, and the most in a domain
+// and in a data centre.
+func (s *search) expectedOf(p plan, model int) (total, inDomain, inDataCentre float64) {
 	clear(s.byDataCentre)
-	for i, c := range p {
-		n, dc := c[model], s.dataCentres[i]
+	for i := range p {
+		n, dc := p[i].expected[model], s.dataCentres[i]
 		total += n
 		s.byDataCentre[dc] += n
 		inDomain, inDataCentre = max(inDomain, n), max(inDataCentre, s.byDataCentre[dc])
@@ -200,7 +224,7 @@
 func (s *search) placements(p plan) []Placement {
 	var placements []Placement
 	for i, c := range p {
-		for model, n := range c {
+		for model, n := range c.replicas {
 			for range n {
 				placements = append(placements, Placement{s.models[model].Name, s.domains[i].ID})
 			}
