formation: Rest between two rounds of the planner

It now rests four times as long as its last round took, at most 100 ms, so that changes that come meanwhile share a round.

--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -238,6 +238,9 @@
 		}
 		if planner != nil {
 			c.runRound(planner, now)
+			if !plugin.Sleep(ctx, c.deps.Clock, restAfter(c.deps.Clock.Since(now))) {
+				return
+			}
 		}
 		if !c.waitForChange(ctx, changed, planner != nil) {
 			return
@@ -245,6 +248,18 @@
 	}
 }
 
+// Rest between two rounds of the planner. Each change of a server starts a round, and hundreds of
+// them in a second would leave the daemon no time for its probes, orders and requests.
+const (
+	restFactor = 4
+	maxRest    = 100 * time.Millisecond
+)
+
+// restAfter returns the least time between the end of a round that took the time and the next one.
+func restAfter(round time.Duration) time.Duration {
+	return min(restFactor*round, maxRest)
+}
+
 func (c *controller) plannerOptions() Options {
 	return Options{RetryInterval: c.settings.Retry.Duration, GrowthWindow: c.settings.Gather.Duration, CloseTimeout: c.settings.Close.Duration, Fenced: c.settings.Fenced}
 }
