--- a/internal/fleet/formation/adopt.go
+++ b/internal/fleet/formation/adopt.go
@@ -26,7 +26,7 @@
 			r.setPhase(r.phaseAfterServing(), p.now)
 		}
 		r.members = slices.DeleteFunc(r.members, isClaimed)
-		p.members = nil
+		p.membersChanged()
 	}
 }
 
@@ -73,7 +73,7 @@
 		r.setPhase(incomplete, p.now)
 	}
 	p.replicas[name] = r
-	p.members = nil
+	p.membersChanged()
 	p.recordDecision("replica-adopted", r, "members %v", r.members)
 }
 
--- a/internal/fleet/formation/advance.go
+++ b/internal/fleet/formation/advance.go
@@ -138,7 +138,7 @@
 	}
 	if remaining == 0 {
 		delete(p.replicas, r.name)
-		p.members = nil
+		p.membersChanged()
 	}
 }
 
--- a/internal/fleet/formation/donors.go
+++ b/internal/fleet/formation/donors.go
@@ -58,7 +58,7 @@
 // none.
 func (p *Planner) findDonor(service *cluster.Service, domain ident.FabricDomain, recipient *replica, others []*replica) *replica {
 	staged := 0
-	for _, s := range p.spareServers(service, domain, recipient.model.Name) {
+	for _, s := range p.sparesOf(service, domain) {
 		if s.HasStaged(recipient.model.Name) {
 			staged++
 		}
@@ -96,7 +96,7 @@
 // availableServers returns the number of servers of the domain that can join an incomplete replica
 // now or later: spare servers, members of replicas that are given up, and servers that may return.
 func (p *Planner) availableServers(service *cluster.Service, domain ident.FabricDomain) int {
-	n := len(p.spareServers(service, domain, ""))
+	n := len(p.sparesOf(service, domain))
 	for _, r := range p.replicas {
 		if r.domain == domain && (r.phase == dissolving || r.released) {
 			n += len(r.members)
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -48,7 +48,7 @@
 		r.members = append(r.members, s.ID)
 	}
 	p.replicas[r.name] = r
-	p.members = nil
+	p.membersChanged()
 	p.startJoining(r, fmt.Sprintf("new in domain %s", domain))
 }
 
@@ -64,7 +64,7 @@
 	for _, id := range p.sortedDomains(service) {
 		fleet.Domains = append(fleet.Domains, layout.Domain{
 			ID: id, DataCentre: p.domainServers[domainKey{service.Name, id}][0].DataCentre,
-			FreeServers: p.freeServers(service, id), Spares: len(p.spareServers(service, id, "")), Replicas: replicas[id],
+			FreeServers: p.freeServers(service, id), Spares: len(p.sparesOf(service, id)), Replicas: replicas[id],
 		})
 	}
 	return fleet
@@ -95,7 +95,7 @@
 	if p.hasIncompleteOrDissolvingReplica(domain) {
 		return free
 	}
-	spares := p.spareServers(service, domain, "")
+	spares := p.sparesOf(service, domain)
 	for i := range service.Engine.Models {
 		m := &service.Engine.Models[i]
 		for _, s := range spares {
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -173,9 +173,11 @@
 	domainServers map[domainKey][]*cluster.Server
 	// reported has the replicas as the servers report them.
 	reported map[catalog.ReplicaKey]*catalog.Replica
-	// members has the members of all replicas. It is nil after a change and
-	// built again when it is needed.
+	// members has the members of all replicas, and spares the usable servers of each domain that
+	// belong to none, in order of their ids. Both are empty after a change and built again when
+	// they are needed.
 	members map[ident.Instance]bool
+	spares  map[domainKey][]*cluster.Server
 }
 
 // domainKey identifies a fabric domain of a service.
@@ -217,6 +219,7 @@
 		accepted:    make(map[ident.Instance]acceptedMembership),
 		loads:       newLoadLimiter(now),
 		growths:     make(map[ident.FabricDomain]growth),
+		spares:      make(map[domainKey][]*cluster.Server),
 	}
 }
 
@@ -314,7 +317,8 @@
 
 // indexServers groups the servers by their fabric domains.
 func (p *Planner) indexServers() {
-	p.members, p.Unregistered = nil, nil
+	p.membersChanged()
+	p.Unregistered = nil
 	p.domainServers = make(map[domainKey][]*cluster.Server)
 	p.snapshot.EachServer(func(s *cluster.Server) {
 		if s.Unregistered && !p.IsUnreachable(s) {
@@ -330,8 +334,13 @@
 	}
 }
 
-// isMember reports whether the server is a member of a replica. Code that
-// changes members must set p.members to nil.
+// membersChanged must be called after a change of a replica's members.
+func (p *Planner) membersChanged() {
+	p.members = nil
+	clear(p.spares)
+}
+
+// isMember reports whether the server is a member of a replica.
 func (p *Planner) isMember(id ident.Instance) bool {
 	if p.members == nil {
 		p.members = make(map[ident.Instance]bool)
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -10,15 +10,27 @@
 	"cuminbay/internal/domain/ident"
 )
 
-// spareServers returns the usable servers of the domain that belong to no
-// replica. Servers that can join a replica of the model soonest come first.
-func (p *Planner) spareServers(service *cluster.Service, domain ident.FabricDomain, model ident.Model) []*cluster.Server {
-	var spares []*cluster.Server
-	for _, s := range p.domainServers[domainKey{service.Name, domain}] {
+// sparesOf returns the usable servers of the domain that belong to no replica. The caller must not
+// change the list.
+func (p *Planner) sparesOf(service *cluster.Service, domain ident.FabricDomain) []*cluster.Server {
+	key := domainKey{service.Name, domain}
+	spares, known := p.spares[key]
+	if known {
+		return spares
+	}
+	for _, s := range p.domainServers[key] {
 		if s.Membership == nil && p.isUsable(s) && !p.isMember(s.ID) {
 			spares = append(spares, s)
 		}
 	}
+	p.spares[key] = spares
+	return spares
+}
+
+// spareServers returns the spare servers of the domain. Those that can join a replica of the model
+// soonest come first.
+func (p *Planner) spareServers(service *cluster.Service, domain ident.FabricDomain, model ident.Model) []*cluster.Server {
+	spares := slices.Clone(p.sparesOf(service, domain))
 	slices.SortFunc(spares, func(a, b *cluster.Server) int {
 		return cmp.Or(cmp.Compare(p.joinCost(a, model), p.joinCost(b, model)), cmp.Compare(a.ID, b.ID))
 	})
@@ -49,7 +61,7 @@
 				s := p.snapshot.Server(id)
 				return s == nil || !p.isUsable(s)
 			})
-			p.members = nil
+			p.membersChanged()
 			broken = append(broken, r)
 		}
 	}
@@ -77,7 +89,7 @@
 	for _, s := range spares[:missing] {
 		r.members = append(r.members, s.ID)
 	}
-	p.members = nil
+	p.membersChanged()
 	p.startJoining(r, fmt.Sprintf("%d new members", missing))
 }
 
--- a/internal/fleet/formation/restore.go
+++ b/internal/fleet/formation/restore.go
@@ -25,7 +25,7 @@
 		if len(r.members) < r.model.ServersPerReplica && p.isUsable(s) && !p.isMember(s.ID) {
 			r.members = append(r.members, s.ID)
 			r.lastReturn = p.now
-			p.members = nil
+			p.membersChanged()
 		}
 	}
 	if !p.isIntact(r, reported) {
@@ -36,7 +36,7 @@
 	for _, s := range reported.Members {
 		r.members[s.Membership.Rank] = s.ID
 	}
-	p.members = nil
+	p.membersChanged()
 	p.recordDecision("replica-restored", r, "its members can be reached again after %s", p.now.Sub(r.brokenSince).Round(time.Millisecond))
 	p.startServing(r)
 	return true
