platform, reach: Take no conclusion from calls that this daemon ended late

Cause: a call that ends 300 ms after its start counts as no answer, also if the daemon, with 0.192 of a core, had no time to handle the answer. The same holds for connections that are to show whether links work.

A report is now read again if its calls ended more than 0.1 s after their time limits, and such a round of connections says nothing (before: one that took twice its time). Members without registration are probed four in a round in place of 16.

--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -358,7 +358,7 @@
 
 // maxChecks bounds the unregistered members that are probed in one round. Hundreds of probes at
 // once would be answered late for lack of processor time.
-const maxChecks = 16
+const maxChecks = 4
 
 // checkUnregistered probes members that the platform has removed, each once in probeInterval.
 func (c *controller) checkUnregistered(p *Planner, now time.Time) {
--- a/internal/route/reach/reach.go
+++ b/internal/route/reach/reach.go
@@ -42,6 +42,9 @@
 	// connectTimeout bounds a connection. A server that works accepts it within the round
 	// trip time.
 	connectTimeout = 150 * time.Millisecond
+	// lateMargin is the time by which connections may exceed their timeout. A process that was
+	// paused or is short of processor time ends them later, and they say nothing.
+	lateMargin = 100 * time.Millisecond
 	// confirmTimeout bounds the connections that confirm lost links. A daemon that is short of
 	// processor time handles connections late that servers have accepted.
 	confirmTimeout = 2 * connectTimeout
@@ -179,7 +182,7 @@
 type connectionResult int
 
 const (
-	// inconclusive connections failed during a pause of the process, or there is no server.
+	// inconclusive connections ended late, or there is no server.
 	inconclusive connectionResult = iota
 	// accepted says that a server accepted a connection.
 	accepted
@@ -198,11 +201,11 @@
 	for _, s := range servers {
 		go func() { results <- m.Connector.AcceptsConnection(ctx, s.Address) }()
 	}
-	wasPaused := func() bool { return m.Clock.Since(start) > 2*timeout }
+	isLate := func() bool { return m.Clock.Since(start) > timeout+lateMargin }
 	for _, e := range r.suspects {
 		go func() {
 			accepted := m.Connector.AcceptsConnection(ctx, e.Address)
-			if accepted || !wasPaused() {
+			if accepted || !isLate() {
 				e.Load.SetUnreachable(!accepted)
 			}
 			results <- accepted
@@ -220,7 +223,7 @@
 	case result == silent && len(servers) == 0:
 		m.setCutOff(false)
 		return inconclusive
-	case result == silent && wasPaused():
+	case result == silent && isLate():
 		return inconclusive
 	}
 	return result
