formation: Prefer daemons with a fast processor as the planner

Fifteen of the 295 machines have 0.8 of a core. Daemons with half a core or more now compete for the lease, wherever they are in the tree, and those with less than a quarter wait 0.25 s longer. The share comes from the environment, since daemons of earlier builds refuse unknown fields of the settings.

--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -98,6 +98,8 @@
 	// candidates says whether this daemon competes for the lease. In a large fleet, most
 	// daemons would find it taken.
 	candidates leaderCandidates
+	// processor is the share of a processor core that this daemon may use, zero if it is not known.
+	processor float64
 
 	// fencingToken is the token of the current term, zero if this daemon is not
 	// the leader.
@@ -158,8 +160,12 @@
 }
 
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
+	processor, err := settings.ProcessorShare()
+	if err != nil {
+		return nil, err
+	}
 	c := &controller{
-		deps: deps, settings: deps.Settings.Section(section).(*Settings), self: deps.Settings.Daemon.Instance,
+		deps: deps, processor: processor, settings: deps.Settings.Section(section).(*Settings), self: deps.Settings.Daemon.Instance,
 		wake: make(chan struct{}, 1), suspects: make(map[suspect]time.Time), reportReadAt: make(map[ident.Instance]time.Time),
 		checkedAt: make(map[ident.Instance]time.Time),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/internal/fleet/formation/term.go
+++ b/internal/fleet/formation/term.go
@@ -29,7 +29,7 @@
 		}
 	}()
 	for {
-		if l.IsHeld() || c.fencingToken.Load() != 0 || c.mayPlan() && c.leaseAvailable(ctx) {
+		if l.IsHeld() || c.fencingToken.Load() != 0 || c.mayPlan() && c.mayCompete() && c.leaseAvailable(ctx) {
 			c.renewLease(ctx, l)
 		}
 		if !plugin.Sleep(ctx, c.deps.Clock, c.settings.Lease.Duration/renewalsPerTTL) {
@@ -61,17 +61,39 @@
 	}
 }
 
+// Daemons with fastProcessor of a core or more compete for the lease wherever they are in the tree,
+// and those with less than slowProcessor wait for them: a planner probes and orders a hundred
+// servers at once, for which a slow processor takes a second.
+const (
+	fastProcessor = 0.5
+	slowProcessor = 0.25
+	slowDelay     = 250 * time.Millisecond
+)
+
+// mayCompete reports whether this daemon competes for the lease when it is free.
+func (c *controller) mayCompete() bool {
+	return c.processor >= fastProcessor || c.candidates.MayReadPlatform()
+}
+
+// competeDelay returns the time for which this daemon waits before it acquires a free lease.
+func (c *controller) competeDelay() time.Duration {
+	const maxDelay = 150 * time.Millisecond
+	delay := time.Duration(float64(xxhash.Sum64String(string(c.self))) / math.MaxUint64 * float64(maxDelay))
+	if c.processor > 0 && c.processor < slowProcessor {
+		delay += slowDelay
+	}
+	return delay
+}
+
 // leaseAvailable reports whether the key mirror is connected and names no
 // leader, now and after a delay that differs between the daemons. The daemon with
 // the shortest delay usually acquires the lease, and the other daemons find it in
 // their mirrors before their own delays end.
 func (c *controller) leaseAvailable(ctx context.Context) bool {
-	if !c.keys.SourceConnected() || c.keys.Get(mirror.LeaderKey).Revision != 0 || !c.candidates.MayReadPlatform() {
+	if !c.keys.SourceConnected() || c.keys.Get(mirror.LeaderKey).Revision != 0 {
 		return false
 	}
-	const maxDelay = 150 * time.Millisecond
-	delay := time.Duration(float64(xxhash.Sum64String(string(c.self))) / math.MaxUint64 * float64(maxDelay))
-	return plugin.Sleep(ctx, c.deps.Clock, delay) && c.keys.Get(mirror.LeaderKey).Revision == 0
+	return plugin.Sleep(ctx, c.deps.Clock, c.competeDelay()) && c.keys.Get(mirror.LeaderKey).Revision == 0
 }
 
 // renewLease acquires or renews the lease and begins or ends a term
