poison: Bound what a completion says, and keep refusals over restarts

Cause: a completion cleared a request for good, also one with status 500. It says something of one version of the endpoints at one time. And only the daemon that observed a crash reported it, for 3 s.

A completion without a server's error removes the crashes before it, and none is counted within 5 s after it, here or, as reported, at other daemons. Every daemon reports the crashes of requests that it refuses, eight at most in a datagram; a report of known crashes prolongs nothing, so that refusals end. After the lifetime of a minute one more crash suffices for ten minutes, as it does for prompt parts.

TestErrorIsNoCompletion, TestCompletion, TestRefusalOutlivesRestarts fail before. TestMergeAfterLifetime expected that crashes which a peer tells again after their lifetime count anew; that holds for numbers of crashes, which it now tells apart, and would let daemons prolong a refusal for ever by telling each other.

--- a/internal/peer/gossip/crashes_test.go
+++ b/internal/peer/gossip/crashes_test.go
@@ -49,9 +49,9 @@
 func TestClearedRequests(t *testing.T) {
 	c := qt.New(t)
 	running, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
-	running.Poison.RecordCompletion(7)
+	running.Poison.(*poison.Detector).RecordCompletion(7)
 	running.Poison.(*poison.Detector).RecordCrash(7, 1)
-	c.Check(running.Poison.LocalCrashes(crashReportTime), qt.HasLen, 0, qt.Commentf("a completed request is suspected"))
+	c.Check(running.Poison.CrashReport(crashReportTime), qt.HasLen, 0, qt.Commentf("a completed request is suspected"))
 	restarted, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
 	detector := restarted.Poison.(*poison.Detector)
 	for crash := range ident.Crash(3) {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -53,10 +53,10 @@
 
 // poisonDetector counts the endpoints that crashed while they ran a request.
 type poisonDetector interface {
-	LocalCrashes(within time.Duration) map[ident.Fingerprint][]ident.Crash
+	CrashReport(within time.Duration) map[ident.Fingerprint][]ident.Crash
 	MergeCrashes(from ident.Instance, crashes map[ident.Fingerprint][]ident.Crash) int
 	ClearedRequests(within time.Duration) []ident.Fingerprint
-	RecordCompletion(f ident.Fingerprint)
+	MergeCleared(f ident.Fingerprint)
 }
 
 // partDetector counts the endpoints that crashed by prompt part.
@@ -342,7 +342,7 @@
 	m := message{
 		From: g.Self, Incarnation: g.Incarnation, CopyRevision: g.PlatformCopy.Revision(), CopyAge: g.PlatformCopy.Age(),
 		InFlight: inFlight, FailureAges: make(map[endpointHash]time.Duration), CutOff: g.Links.CutOff(),
-		Crashes: g.Poison.LocalCrashes(crashReportTime), ClearedRequests: g.Poison.ClearedRequests(clearedReportTime),
+		Crashes: g.Poison.CrashReport(crashReportTime), ClearedRequests: g.Poison.ClearedRequests(clearedReportTime),
 	}
 	m.PartCrashes, m.SoundParts = g.Parts.PartReport()
 	m.Limits = g.Limits.Observations()
@@ -433,7 +433,7 @@
 		g.Catalog.ApplyFormations(m.Formations)
 	}
 	for _, f := range m.ClearedRequests {
-		g.Poison.RecordCompletion(f)
+		g.Poison.MergeCleared(f)
 	}
 	if len(m.Crashes) > 0 {
 		if count := g.Poison.MergeCrashes(m.From, m.Crashes); count > 0 {
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -122,7 +122,9 @@
 		return nil, code.CutOff.Wrap(err, "read reply of endpoint %s: the body was cut off after %d bytes", e.ID, len(body))
 	}
 	e.Load.RecordSuccess(x.Clock.Since(startedAt))
-	x.Poison.RecordCompletion(x.request.Fingerprint)
+	if head.Status < http.StatusInternalServerError {
+		x.Poison.RecordCompletion(x.request.Fingerprint)
+	}
 	return &completeReply{head, body}, nil
 }
 
--- a/internal/serve/forward/failures_test.go
+++ b/internal/serve/forward/failures_test.go
@@ -88,7 +88,7 @@
 			}, new(fakeSink))
 			c.Check(observer.failed, qt.DeepEquals, test.wantFailed)
 			if test.cutOff {
-				c.Check(f.Poison.(*poison.Detector).LocalCrashes(time.Minute), qt.HasLen, 0, qt.Commentf("a lost link is taken for a crash during the request"))
+				c.Check(f.Poison.(*poison.Detector).CrashReport(time.Minute), qt.HasLen, 0, qt.Commentf("a lost link is taken for a crash during the request"))
 			}
 			var attempts []sentAttempt
 			for _, a := range sender.attempts {
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,16 +39,16 @@
 	observer    ident.Instance
 }
 
-// snapshot holds immutable crash sets. totals has the numbers of different crashes that
-// daemons observed, which requests are checked against.
+// snapshot holds immutable crash sets. totals has the different crashes that daemons observed,
+// which requests are checked against.
 type snapshot struct {
 	sets   map[setKey]crashSet
-	totals map[ident.Fingerprint]totalCount
+	totals map[ident.Fingerprint]totalCrashes
 }
 
-// totalCount is the number of different crashes during equal requests.
-type totalCount struct {
-	count   uint32
+// totalCrashes has the different crashes during equal requests.
+type totalCrashes struct {
+	crashes []ident.Crash
 	expires time.Time
 }
 
@@ -57,13 +58,34 @@
 	Options
 	mu      sync.Mutex
 	current atomic.Pointer[snapshot]
-	// clearedRequests has the fingerprints of requests that ran to their end, each
-	// in the element given by its remainder modulo clearedLimit.
-	clearedRequests [clearedLimit]atomic.Uint64
+	// completions has the latest completions of requests, each in the element given by the
+	// fingerprint's remainder modulo completionLimit.
+	completions [completionLimit]atomic.Pointer[completion]
 }
 
-// clearedLimit bounds the number of cleared requests that are recorded.
-const clearedLimit = 1 << 12
+// completion says that a request ran to its end.
+type completion struct {
+	fingerprint ident.Fingerprint
+	at          time.Time
+	// local says that it did so at this daemon.
+	local bool
+}
+
+// Bounds of the state of a Detector, and its times.
+const (
+	// completionLimit bounds the number of completions that are recorded.
+	completionLimit = 1 << 12
+	// clearTime is the time after a request's completion for which crashes are not counted
+	// for it: endpoints that crash for another reason do so during requests that complete
+	// elsewhere. A completion says nothing of the endpoints' next version.
+	clearTime = 5 * time.Second
+	// forgetRequestLifetimes is the number of lifetimes after a request's last crash at which
+	// its crashes are removed. After one lifetime the request is run again, and one more crash
+	// suffices to refuse it.
+	forgetRequestLifetimes = 10
+	// maxReportedRequests bounds the refused requests in one report, and so its size.
+	maxReportedRequests = 8
+)
 
 // Options are the dependencies and settings of a Detector.
 type Options struct {
@@ -90,32 +112,69 @@
 }
 
 // Check returns an error for a poison request: endpoints crashed during equal requests
-// as often as the threshold, and no equal request ran to its end.
+// as often as the threshold, and no equal request ran to its end since.
 //
 // Errors carry code.PoisonRequest.
 func (d *Detector) Check(f ident.Fingerprint) error {
 	t, found := d.current.Load().totals[f]
-	if !found || t.count < d.Threshold || d.isCleared(f) || !d.Clock.Now().Before(t.expires) {
+	if !found || !d.isRefused(f, &t, d.Clock.Now()) {
 		return nil
 	}
-	return code.PoisonRequest.New("check request with fingerprint %s: endpoints crashed %d times while they ran such a request", f, t.count)
+	return code.PoisonRequest.New("check request with fingerprint %s: endpoints crashed %d times while they ran such a request", f, len(t.crashes))
+}
+
+func (d *Detector) isRefused(f ident.Fingerprint, t *totalCrashes, now time.Time) bool {
+	return d.reachesThreshold(t) && now.Before(t.expires) && !d.isCleared(f, now)
+}
+
+func (d *Detector) reachesThreshold(t *totalCrashes) bool {
+	return len(t.crashes) >= int(d.Threshold)
 }
 
-// RecordCompletion records that the request ran to its end, which clears equal requests.
-// Callers may send many equal requests, such as reads of one resource. A crash during
-// several of them is then not attributed to them.
+// RecordCompletion records that the request ran to its end without an error of the endpoint, which
+// clears equal requests. Callers may send many equal requests, such as reads of one resource. A
+// crash during several of them is then not attributed to them.
 func (d *Detector) RecordCompletion(f ident.Fingerprint) {
-	d.clearedRequests[f%clearedLimit].Store(uint64(f))
+	d.clear(completion{f, d.Clock.Now(), true})
+}
+
+// MergeCleared records that the request ran to its end at another daemon.
+func (d *Detector) MergeCleared(f ident.Fingerprint) {
+	now := d.Clock.Now()
+	if c := d.completionOf(f, now); c != nil && c.local {
+		return
+	}
+	d.clear(completion{f, now, false})
+}
+
+// clear records the completion and removes the crashes before it.
+func (d *Detector) clear(c completion) {
+	d.completions[c.fingerprint%completionLimit].Store(&c)
+	if _, suspected := d.current.Load().totals[c.fingerprint]; !suspected {
+		return
+	}
+	d.updateSets(func(sets map[setKey]crashSet, _ time.Time) {
+		maps.DeleteFunc(sets, func(k setKey, _ crashSet) bool { return k.fingerprint == c.fingerprint })
+	})
+}
+
+// completionOf returns the completion of the request within clearTime, nil if there is none.
+func (d *Detector) completionOf(f ident.Fingerprint, now time.Time) *completion {
+	c := d.completions[f%completionLimit].Load()
+	if c == nil || c.fingerprint != f || now.Sub(c.at) >= clearTime {
+		return nil
+	}
+	return c
 }
 
-func (d *Detector) isCleared(f ident.Fingerprint) bool {
-	return d.clearedRequests[f%clearedLimit].Load() == uint64(f)
+func (d *Detector) isCleared(f ident.Fingerprint, now time.Time) bool {
+	return d.completionOf(f, now) != nil
 }
 
 // RecordCrash records that an endpoint crashed while it ran the request, unless the
 // request is cleared. One crash counts once, however many equal requests it ended.
 func (d *Detector) RecordCrash(f ident.Fingerprint, crash ident.Crash) {
-	if d.isCleared(f) {
+	if d.isCleared(f, d.Clock.Now()) {
 		return
 	}
 	d.updateSets(func(sets map[setKey]crashSet, now time.Time) {
@@ -136,25 +195,28 @@
 	return result
 }
 
-// updateSets publishes a new snapshot: a copy of the crash sets without expired ones,
+// updateSets publishes a new snapshot: a copy of the crash sets without those to forget,
 // after calling change with the copy.
 func (d *Detector) updateSets(change func(sets map[setKey]crashSet, now time.Time)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	next := &snapshot{sets: make(map[setKey]crashSet), totals: make(map[ident.Fingerprint]totalCount)}
-	for k, v := range d.current.Load().sets {
-		if now.Before(v.expires) {
+	now, known := d.Clock.Now(), d.current.Load()
+	next := &snapshot{sets: make(map[setKey]crashSet), totals: make(map[ident.Fingerprint]totalCrashes)}
+	for k, v := range known.sets {
+		t := known.totals[k.fingerprint]
+		forgetAt := v.expires
+		if d.reachesThreshold(&t) {
+			forgetAt = forgetAt.Add((forgetRequestLifetimes - 1) * d.Lifetime)
+		}
+		if now.Before(forgetAt) {
 			next.sets[k] = v
 		}
 	}
 	change(next.sets, now)
 	d.evictFirstToExpire(next.sets)
-	different := make(map[ident.Fingerprint][]ident.Crash)
 	for k, v := range next.sets {
-		different[k.fingerprint] = addCrashes(different[k.fingerprint], v.crashes...)
 		t := next.totals[k.fingerprint]
-		t.count = uint32(len(different[k.fingerprint]))
+		t.crashes = addCrashes(t.crashes, v.crashes...)
 		if v.expires.After(t.expires) {
 			t.expires = v.expires
 		}
@@ -178,29 +240,36 @@
 	}
 }
 
-// LocalCrashes returns the crashes that this daemon observed, by request. It includes
-// requests whose last crash was within the given time and that are not cleared.
-func (d *Detector) LocalCrashes(within time.Duration) map[ident.Fingerprint][]ident.Crash {
-	var crashes map[ident.Fingerprint][]ident.Crash
-	d.forEachRecent(within, func(k setKey, v crashSet) {
-		if k.observer != d.Self || d.isCleared(k.fingerprint) {
-			return
+// CrashReport returns what peers have to be told, by request: the crashes that this daemon
+// observed within the given time, unless the request is cleared, and the crashes of requests that
+// are refused, which a peer that has just started lacks.
+func (d *Detector) CrashReport(within time.Duration) map[ident.Fingerprint][]ident.Crash {
+	current, now := d.current.Load(), d.Clock.Now()
+	if len(current.sets) == 0 {
+		return nil
+	}
+	report := make(map[ident.Fingerprint][]ident.Crash)
+	for f, t := range current.totals {
+		if len(report) < maxReportedRequests && d.isRefused(f, &t, now) {
+			report[f] = t.crashes[:min(len(t.crashes), int(d.Threshold))]
 		}
-		if crashes == nil {
-			crashes = make(map[ident.Fingerprint][]ident.Crash)
+	}
+	d.forEachRecent(within, func(k setKey, v crashSet) {
+		if k.observer == d.Self && !d.isCleared(k.fingerprint, now) {
+			report[k.fingerprint] = addCrashes(v.crashes, report[k.fingerprint]...)
 		}
-		crashes[k.fingerprint] = v.crashes
 	})
-	return crashes
+	return report
 }
 
-// ClearedRequests returns the requests that are cleared at this daemon and during which
-// other daemons observed a crash within the given time. It returns a request once for each
-// of these daemons.
+// ClearedRequests returns the requests that ran to their end at this daemon within clearTime and
+// during which other daemons observed a crash within the given time. It returns a request once for
+// each of these daemons.
 func (d *Detector) ClearedRequests(within time.Duration) []ident.Fingerprint {
 	var cleared []ident.Fingerprint
+	now := d.Clock.Now()
 	d.forEachRecent(within, func(k setKey, _ crashSet) {
-		if k.observer != d.Self && d.isCleared(k.fingerprint) {
+		if c := d.completionOf(k.fingerprint, now); k.observer != d.Self && c != nil && c.local {
 			cleared = append(cleared, k.fingerprint)
 		}
 	})
@@ -229,10 +298,12 @@
 
 // mergeEntries merges the entries with a crash that is unknown, and returns their number.
 func (d *Detector) mergeEntries(entries []crashEntry) int {
-	known, now := d.current.Load().sets, d.Clock.Now()
+	known, now := d.current.Load(), d.Clock.Now()
 	entries = slices.DeleteFunc(entries, func(e crashEntry) bool {
-		v := known[setKey{e.Fingerprint, e.Observer}]
-		return now.Before(v.expires) && slices.Equal(e.mergedWith(v.crashes), v.crashes)
+		if v := known.sets[setKey{e.Fingerprint, e.Observer}]; now.Before(v.expires) && slices.Equal(e.mergedWith(v.crashes), v.crashes) {
+			return true
+		}
+		return e.isKnownIn(known.totals[e.Fingerprint].crashes)
 	})
 	if len(entries) == 0 {
 		return 0
@@ -257,6 +328,15 @@
 	Crashes []ident.Crash `json:"c,omitempty"`
 }
 
+// isKnownIn reports whether the entry tells no crash that is not among the known ones. The report of
+// a daemon that has heard of a crash must not prolong its lifetime. Numbers of crashes don't tell
+// whether these are known.
+func (e *crashEntry) isKnownIn(known []ident.Crash) bool {
+	unnamed := ident.UnnamedCrashes(e.Observer, ident.MaxCrashes)
+	isUnknown := func(crash ident.Crash) bool { return !slices.Contains(known, crash) || slices.Contains(unnamed, crash) }
+	return len(e.Crashes) > 0 && !slices.ContainsFunc(e.Crashes, isUnknown)
+}
+
 // mergedWith returns the known crashes of the entry's observer and those of the entry. A peer
 // of an earlier version may tell only the number of crashes that others tell by identity.
 func (e *crashEntry) mergedWith(known []ident.Crash) []ident.Crash {
--- a/internal/serve/poison/poison_test.go
+++ b/internal/serve/poison/poison_test.go
@@ -129,18 +129,106 @@
 }
 
 // TestMergeAfterLifetime guards against crash counts that are dropped because an expired
-// count of the same request was as high.
+// count of the same request was as high, and against daemons that prolong a refusal for ever by
+// telling each other the same crashes.
 func TestMergeAfterLifetime(t *testing.T) {
+	tests := map[string]struct {
+		first, later []ident.Crash
+		from         ident.Instance
+		wantUnknown  int
+	}{
+		"numbers of crashes":              {first: ident.UnnamedCrashes("b", 2), later: ident.UnnamedCrashes("b", 2), from: "b", wantUnknown: 1},
+		"one more crash":                  {first: []ident.Crash{1, 2}, later: []ident.Crash{3}, from: "b", wantUnknown: 1},
+		"the same crashes":                {first: []ident.Crash{1, 2}, later: []ident.Crash{1, 2}, from: "b"},
+		"the same crashes, heard by them": {first: []ident.Crash{1, 2}, later: []ident.Crash{2, 1}, from: "c"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clockwork.NewFakeClock()
+			d := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Hour, Limit: 2})
+			first := map[ident.Fingerprint][]ident.Crash{7: test.first}
+			c.Check(d.MergeCrashes("b", first), qt.Equals, 1)
+			c.Check(d.MergeCrashes("b", first), qt.Equals, 0)
+			clk.Advance(time.Hour)
+			c.Check(d.Check(7), qt.IsNil)
+			c.Check(d.MergeCrashes(test.from, map[ident.Fingerprint][]ident.Crash{7: test.later}), qt.Equals, test.wantUnknown)
+			c.Check(code.Of(d.Check(7)) == code.PoisonRequest, qt.Equals, test.wantUnknown > 0)
+		})
+	}
+}
+
+// TestCompletion guards against a request that is never refused since it ran to its end once, before
+// its endpoints were replaced, and against one that is refused for crashes beside its completions.
+func TestCompletion(t *testing.T) {
+	tests := map[string]struct {
+		// completed has the time from each completion to the crashes that follow it.
+		completed   []time.Duration
+		remote      bool
+		wantRefused bool
+	}{
+		"never completed":                   {completed: []time.Duration{}, wantRefused: true},
+		"completed just before":             {completed: []time.Duration{time.Second}},
+		"completed at another daemon":       {completed: []time.Duration{time.Second}, remote: true},
+		"completed long ago":                {completed: []time.Duration{time.Minute}, wantRefused: true},
+		"completed elsewhere long ago":      {completed: []time.Duration{time.Minute}, remote: true, wantRefused: true},
+		"completed between crashes":         {completed: []time.Duration{time.Second, time.Second}},
+		"completed long ago, then just now": {completed: []time.Duration{time.Minute, time.Second}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clockwork.NewFakeClock()
+			d := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Hour, Limit: 4, Threshold: 2})
+			crash := ident.Crash(0)
+			recordCrashes := func() {
+				for range 3 {
+					crash++
+					d.RecordCrash(7, crash)
+				}
+			}
+			for _, elapsed := range test.completed {
+				if test.remote {
+					d.MergeCleared(7)
+				} else {
+					d.RecordCompletion(7)
+				}
+				clk.Advance(elapsed)
+				recordCrashes()
+			}
+			if len(test.completed) == 0 {
+				recordCrashes()
+			}
+			c.Check(code.Of(d.Check(7)) == code.PoisonRequest, qt.Equals, test.wantRefused)
+		})
+	}
+}
+
+// TestRefusalOutlivesRestarts guards against a request that crashes servers again after each daemon
+// was restarted in turn, and after the lifetime of its crashes.
+func TestRefusalOutlivesRestarts(t *testing.T) {
 	c := qt.New(t)
 	clk := clockwork.NewFakeClock()
-	d := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Hour, Limit: 2})
-	crashes := map[ident.Fingerprint][]ident.Crash{7: {1, 2}}
-	c.Check(d.MergeCrashes("b", crashes), qt.Equals, 1)
-	c.Check(d.MergeCrashes("b", crashes), qt.Equals, 0)
-	clk.Advance(time.Hour)
-	c.Check(d.Check(7), qt.IsNil)
-	c.Check(d.MergeCrashes("b", crashes), qt.Equals, 1)
-	c.Check(code.Of(d.Check(7)), qt.Equals, code.PoisonRequest)
+	newDetector := func(self ident.Instance) *poison.Detector {
+		return poison.New(poison.Options{Clock: clk, Self: self, Lifetime: time.Hour, Limit: 10, Threshold: 3})
+	}
+	daemons := []*poison.Detector{newDetector("a"), newDetector("b")}
+	for crash := range ident.Crash(3) {
+		daemons[0].RecordCrash(7, crash)
+	}
+	daemons[1].MergeCrashes("a", daemons[0].CrashReport(time.Second))
+	for i, id := range []ident.Instance{"a", "b"} {
+		clk.Advance(time.Minute)
+		daemons[i] = newDetector(id)
+		other := daemons[1-i]
+		daemons[i].MergeCrashes("other", other.CrashReport(time.Second))
+		c.Check(code.Of(daemons[i].Check(7)), qt.Equals, code.PoisonRequest, qt.Commentf("after the restart of %s", id))
+	}
+	clk.Advance(2 * time.Hour)
+	c.Check(daemons[0].Check(7), qt.IsNil)
+	c.Check(daemons[0].CrashReport(time.Second), qt.HasLen, 0)
+	daemons[0].RecordCrash(7, 9)
+	c.Check(code.Of(daemons[0].Check(7)), qt.Equals, code.PoisonRequest)
 }
 
 // TestLimit guards against an unbounded number of crash counts.
