--- a/internal/route/reach/reach.go
+++ b/internal/route/reach/reach.go
@@ -204,11 +204,11 @@
 	isLate := func() bool { return m.Clock.Since(start) > timeout+lateMargin }
 	for _, e := range r.suspects {
 		go func() {
-			accepted := m.Connector.AcceptsConnection(ctx, e.Address)
-			if accepted || !isLate() {
-				e.Load.SetUnreachable(!accepted)
+			reachable := m.Connector.AcceptsConnection(ctx, e.Address)
+			if reachable || !isLate() {
+				e.Load.SetUnreachable(!reachable)
 			}
-			results <- accepted
+			results <- reachable
 		}()
 	}
 	result := silent
