--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -118,7 +118,7 @@
 		return drawn
 	}
 	local, other := 0, 0
-	for range sampleDraws {
+	for draws := 0; draws < sampleDraws && local+other < 2*sampleSize; draws++ {
 		e := endpoints[rand.IntN(len(endpoints))]
 		switch {
 		case e.DataCentre == b.DataCentre && local < sampleSize:
