formation, catalog: Say once what replicas lack and which spare servers are staged

The catalogue removes a server in one place, in place of two, and marks a server without registration where it is put.

--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -67,12 +67,10 @@
 		servers: new(serverSet),
 		index:   newEndpointIndex(),
 		leaving: make(map[ident.ServerIncarnation]time.Time),
-
-		unregistered: make(map[ident.Instance]bool),
-
 		drained: make(map[ident.DataCentre]bool),
 		loads:   make(map[loadKey]*Load),
 
+		unregistered:  make(map[ident.Instance]bool),
 		replacedLoads: make(map[loadKey]bool),
 		changed:       make(chan struct{}),
 	}
@@ -134,13 +132,12 @@
 		c.put(edit, s)
 	}
 	for _, id := range removed {
-		if s := edit.get(id); s != nil {
-			c.index.replace(s, nil)
-			edit.put(id, nil)
-			c.unregistered[id] = true
-			if !s.Draining {
-				c.put(edit, unregisteredCopy(s))
-			}
+		switch s := edit.get(id); {
+		case s == nil:
+		case s.Draining:
+			c.remove(edit, s)
+		default:
+			c.put(edit, unregisteredCopy(s))
 		}
 	}
 	c.removeUnregistered(edit)
@@ -151,11 +148,20 @@
 func (c *Catalog) put(edit *serverSetEdit, s *cluster.Server) {
 	c.index.replace(edit.get(s.ID), s)
 	edit.put(s.ID, s)
-	if !s.Unregistered {
+	if s.Unregistered {
+		c.unregistered[s.ID] = true
+	} else {
 		delete(c.unregistered, s.ID)
 	}
 }
 
+// remove removes a server. The caller holds the lock.
+func (c *Catalog) remove(edit *serverSetEdit, s *cluster.Server) {
+	c.index.replace(s, nil)
+	edit.put(s.ID, nil)
+	delete(c.unregistered, s.ID)
+}
+
 // applyDrained takes data centres out of service or back into service, and reports whether
 // that changed anything. The caller holds the lock.
 func (c *Catalog) applyDrained(drained map[ident.DataCentre]bool) bool {
--- a/internal/fleet/catalog/unregistered.go
+++ b/internal/fleet/catalog/unregistered.go
@@ -14,14 +14,8 @@
 // whether the member answers. The caller holds the lock.
 func (c *Catalog) removeUnregistered(edit *serverSetEdit) {
 	for id := range c.unregistered {
-		s := edit.get(id)
-		if s != nil && c.index.servesWith(s) {
-			continue
-		}
-		delete(c.unregistered, id)
-		if s != nil {
-			c.index.replace(s, nil)
-			edit.put(id, nil)
+		if s := edit.get(id); !c.index.servesWith(s) {
+			c.remove(edit, s)
 		}
 	}
 }
--- a/internal/fleet/formation/counts.go
+++ b/internal/fleet/formation/counts.go
@@ -33,11 +33,7 @@
 			}
 		}
 		for _, domain := range p.sortedDomains(service) {
-			for _, s := range p.sparesOf(service, domain) {
-				if s.HasStaged(m.Name) {
-					counts[i].Staged++
-				}
-			}
+			counts[i].Staged += p.stagedSpares(service, domain, m.Name)
 		}
 	}
 	return counts
--- a/internal/fleet/formation/donors.go
+++ b/internal/fleet/formation/donors.go
@@ -22,7 +22,7 @@
 	}
 	for domain, replicas := range incompleteByDomain {
 		slices.SortStableFunc(replicas, func(a, b *replica) int {
-			return cmp.Compare(a.model.ServersPerReplica-len(a.members), b.model.ServersPerReplica-len(b.members))
+			return cmp.Compare(a.missing(), b.missing())
 		})
 		if !p.releaseIncomplete(service, domain, replicas) {
 			p.releaseSmaller(service, domain, replicas)
@@ -57,15 +57,10 @@
 // together with the spare servers, complete the recipient; nil if there is
 // none.
 func (p *Planner) findDonor(service *cluster.Service, domain ident.FabricDomain, recipient *replica, others []*replica) *replica {
-	staged := 0
-	for _, s := range p.sparesOf(service, domain) {
-		if s.HasStaged(recipient.model.Name) {
-			staged++
-		}
-	}
+	staged := p.stagedSpares(service, domain, recipient.model.Name)
 	for i := len(others) - 1; i >= 0; i-- {
 		donor := others[i]
-		if donor.model.Name == recipient.model.Name && recipient.model.ServersPerReplica-len(recipient.members) <= staged+len(donor.members) {
+		if donor.model.Name == recipient.model.Name && recipient.missing() <= staged+len(donor.members) {
 			return donor
 		}
 	}
@@ -81,7 +76,7 @@
 	}
 	available := p.availableServers(service, domain)
 	for _, recipient := range incompleteReplicas {
-		missing := recipient.model.ServersPerReplica - len(recipient.members)
+		missing := recipient.missing()
 		if missing <= available {
 			available -= missing
 			continue
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -95,13 +95,12 @@
 	if p.hasIncompleteOrDissolvingReplica(domain) {
 		return free
 	}
-	spares := p.sparesOf(service, domain)
 	for i := range service.Engine.Models {
-		m := &service.Engine.Models[i]
-		for _, s := range spares {
-			if p.loads.bootstrap || s.HasStaged(m.Name) {
-				free[m.Name]++
-			}
+		m := service.Engine.Models[i].Name
+		if p.loads.bootstrap {
+			free[m] = len(p.sparesOf(service, domain))
+		} else {
+			free[m] = p.stagedSpares(service, domain, m)
 		}
 	}
 	return free
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -83,6 +83,11 @@
 	released bool
 }
 
+// missing returns the number of members that the replica lacks.
+func (r *replica) missing() int {
+	return r.model.ServersPerReplica - len(r.members)
+}
+
 func (r *replica) setPhase(p phase, now time.Time) {
 	r.phase, r.phaseSince = p, now
 }
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -27,6 +27,17 @@
 	return spares
 }
 
+// stagedSpares returns the number of spare servers of the domain that have the model's weights.
+func (p *Planner) stagedSpares(service *cluster.Service, domain ident.FabricDomain, model ident.Model) int {
+	n := 0
+	for _, s := range p.sparesOf(service, domain) {
+		if s.HasStaged(model) {
+			n++
+		}
+	}
+	return n
+}
+
 // spareServers returns the spare servers of the domain. Those that can join a replica of the model
 // soonest come first.
 func (p *Planner) spareServers(service *cluster.Service, domain ident.FabricDomain, model ident.Model) []*cluster.Server {
@@ -66,7 +77,7 @@
 		}
 	}
 	slices.SortStableFunc(broken, func(a, b *replica) int {
-		return cmp.Compare(a.model.ServersPerReplica-len(a.members), b.model.ServersPerReplica-len(b.members))
+		return cmp.Compare(a.missing(), b.missing())
 	})
 	for _, r := range broken {
 		if p.now.Sub(r.lastReturn) >= returnWindow {
@@ -81,7 +92,7 @@
 // delay the replica for the time of a load, while its members may be useful in
 // other replicas. Such a server first stages the weights.
 func (p *Planner) completeReplica(service *cluster.Service, r *replica) {
-	missing := r.model.ServersPerReplica - len(r.members)
+	missing := r.missing()
 	spares := p.spareServers(service, r.domain, r.model.Name)
 	if len(spares) < missing || missing > 0 && !spares[missing-1].HasStaged(r.model.Name) {
 		return
--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -94,18 +94,18 @@
 	var incompleteReplicas []*replica
 	for _, r := range p.replicas {
 		if r.domain == domain && r.phase == incomplete {
-			needed[r.model.Name] += r.model.ServersPerReplica - len(r.members)
+			needed[r.model.Name] += r.missing()
 			incompleteReplicas = append(incompleteReplicas, r)
 		}
 	}
 	slices.SortFunc(incompleteReplicas, func(a, b *replica) int {
-		return cmp.Or(cmp.Compare(a.model.ServersPerReplica-len(a.members), b.model.ServersPerReplica-len(b.members)), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.missing(), b.missing()), cmp.Compare(a.name, b.name))
 	})
 	var candidates []stagingCandidate
 	for _, r := range incompleteReplicas {
 		name := r.model.Name
-		missing := r.model.ServersPerReplica - len(r.members) - staged[name]
-		staged[name] = max(0, staged[name]-(r.model.ServersPerReplica-len(r.members)))
+		missing := r.missing() - staged[name]
+		staged[name] = max(0, staged[name]-r.missing())
 		for loads := float64(missing); missing > 0; missing-- {
 			var s *cluster.Server
 			if len(*unstaged) > 0 {
