formation: Give up no replica that is known only in part

The new planner adopted the replica at the epoch that the first of its members reported. The other members were still listed as before the outage, so the replica looked incomplete and was dissolved to complete another one. Only orders to join are confirmed by the server's report, not the decision to give a replica up.

An adopted replica with unknown members now counts as not settled for the time that returning members already had, and the reports of its possible members are read meanwhile.

--- a/internal/fleet/formation/adopt.go
+++ b/internal/fleet/formation/adopt.go
@@ -46,7 +46,9 @@
 }
 
 // adoptReplica adds a reported replica. It is joining if every rank is reported
-// by a server that is in no other replica, else incomplete.
+// by a server that is in no other replica, else incomplete. The other members may then still be
+// known by older entries, so the replica is neither completed nor given up before returnWindow has
+// passed.
 func (p *Planner) adoptReplica(service *cluster.Service, name ident.Replica, epoch unit.Epoch, reported *catalog.Replica) {
 	first := reported.Members[0]
 	model := service.Engine.Model(first.Membership.Model)
@@ -71,6 +73,7 @@
 	})
 	if len(r.members) < model.ServersPerReplica {
 		r.setPhase(incomplete, p.now)
+		r.lastReturn = p.now
 	}
 	p.replicas[name] = r
 	p.membersChanged()
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -68,6 +68,9 @@
 	// listed has the servers as the platform listed them before its store failed, and
 	// as they have reported since; nil while the store works.
 	listed *catalog.Catalog
+	// strictLeave says that an order to leave a replica that serves is a violation. It isn't
+	// where orders are lost, as a replica is given up in the end though its head has not closed.
+	strictLeave bool
 	// lateOrders are carried out when their time has come.
 	lateOrders []lateOrder
 	// orderFault, if set, says whether an order is lost or carried out late.
@@ -184,7 +187,7 @@
 		}
 	}
 	p.Decisions = nil
-	for _, s := range p.Awaited {
+	for _, s := range slices.Concat(p.Awaited, p.Unconfirmed) {
 		if server := tc.servers[s.ID]; tc.listed != nil && !server.failed {
 			tc.listed.ApplyReport(server.report())
 		}
@@ -312,6 +315,9 @@
 		return cluster.InProgress
 	case cluster.LeaveReplica:
 		if server.Membership != nil && server.Membership.Replica == o.Replica && server.Membership.Epoch == o.Epoch {
+			if tc.strictLeave {
+				tc.checkNotServing(server)
+			}
 			server.Membership, server.nextState, server.members = nil, "", nil
 		}
 		return cluster.Done
@@ -377,6 +383,18 @@
 	}
 }
 
+// checkNotServing records a violation if a server is ordered to leave a replica that is open and
+// complete. A replica that is given up is closed first.
+func (tc *testCluster) checkNotServing(server *fakeServer) {
+	head := tc.servers[server.members[0]]
+	if head.failed || head.Membership == nil || head.Membership.State != cluster.Open || !head.stalledSince.IsZero() {
+		return
+	}
+	if head.Membership.Replica == server.Membership.Replica && head.Membership.Epoch == server.Membership.Epoch {
+		tc.violations = append(tc.violations, fmt.Sprintf("%s has to leave %s, which serves", server.ID, server.Membership.Replica))
+	}
+}
+
 // servingReplicas counts the complete and open replicas of each model.
 func (tc *testCluster) servingReplicas() map[ident.Model]int {
 	counts := make(map[ident.Model]int)
--- a/internal/fleet/formation/donors.go
+++ b/internal/fleet/formation/donors.go
@@ -16,7 +16,7 @@
 func (p *Planner) releaseDonors(service *cluster.Service) {
 	incompleteByDomain := make(map[ident.FabricDomain][]*replica)
 	for _, r := range p.sortedReplicas(service) {
-		if r.phase == incomplete {
+		if r.phase == incomplete && r.isSettled(p.now) {
 			incompleteByDomain[r.domain] = append(incompleteByDomain[r.domain], r)
 		}
 	}
@@ -113,7 +113,7 @@
 	var best *replica
 	for _, r := range p.sortedReplicas(service) {
 		isSmaller := r.model.ServersPerReplica < recipient.model.ServersPerReplica
-		isReleasable := r.phase == serving || r.phase == incomplete
+		isReleasable := r.phase == serving || r.phase == incomplete && r.isSettled(p.now)
 		if r.domain != recipient.domain || !isSmaller || !isReleasable || len(r.members)+available < missing {
 			continue
 		}
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -72,7 +72,8 @@
 	members []ident.Instance
 	phase   phase
 	// servedEpoch is the epoch at which the replica last served. lastReturn is the
-	// time at which a member of that epoch last became usable again.
+	// time at which a member of that epoch last became usable again, or at which the replica
+	// was adopted with a part of its members.
 	servedEpoch unit.Epoch
 	lastReturn  time.Time
 	// phaseSince is the time at which the phase began. brokenSince is the time
@@ -157,6 +158,9 @@
 	Decisions []Decision
 	// Awaited has, after a Step, the servers whose orders should have taken effect.
 	Awaited []*cluster.Server
+	// Unconfirmed has, after a Step, the servers that may belong to replicas of which only some
+	// members are known. Their own reports tell.
+	Unconfirmed []*cluster.Server
 	// Formed collects the replicas that began to serve. The caller of Step clears it.
 	Formed []cluster.Formation
 	// Unregistered has, after a Step, the members that the platform has removed and that are not
@@ -260,7 +264,7 @@
 // It returns none before the configuration and the whole server list are known, and none
 // after a server has reported an epoch of a later term.
 func (p *Planner) Step(now time.Time, snapshot *catalog.Snapshot, bootstrap bool) []Command {
-	p.now, p.snapshot, p.commands, p.Awaited = now, snapshot, nil, nil
+	p.now, p.snapshot, p.commands, p.Awaited, p.Unconfirmed = now, snapshot, nil, nil, nil
 	if snapshot.Config == nil || !snapshot.Synced {
 		return nil
 	}
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -106,7 +106,8 @@
 	// endedToken is the token of the last term that ended. A term is not resumed with
 	// its token, since a new planner would use its epochs and names again.
 	endedToken atomic.Int64
-	// reportReadAt has the times of the reports that were read within reportInterval.
+	// reportReadAt has the times of the reports that were read within reportInterval, for lack
+	// of a recent copy of the store or to confirm members.
 	// Only the planner's goroutine uses it.
 	reportReadAt map[ident.Instance]time.Time
 	// checkedAt has the times at which unregistered members were probed. Only the planner's
@@ -283,6 +284,7 @@
 	}
 	c.replaceStore(p, now)
 	c.checkUnregistered(p, now)
+	c.confirmMembers(p, now)
 	for _, command := range commands {
 		c.Go(func(ctx context.Context) { c.sendOrder(ctx, command) })
 	}
@@ -304,10 +306,8 @@
 	if c.keys.Age() < maxCopyAge {
 		return
 	}
-	maps.DeleteFunc(c.reportReadAt, func(_ ident.Instance, at time.Time) bool { return now.Sub(at) >= reportInterval })
 	for _, s := range p.Awaited {
-		if _, recent := c.reportReadAt[s.ID]; !recent {
-			c.reportReadAt[s.ID] = now
+		if c.mayReadReport(s.ID, now) {
 			c.Go(func(ctx context.Context) { c.readReport(ctx, s) })
 		}
 	}
@@ -316,6 +316,17 @@
 	}
 }
 
+// mayReadReport reports whether the server's report was not read within reportInterval, and counts
+// it as read now.
+func (c *controller) mayReadReport(id ident.Instance, now time.Time) bool {
+	maps.DeleteFunc(c.reportReadAt, func(_ ident.Instance, at time.Time) bool { return now.Sub(at) >= reportInterval })
+	if _, recent := c.reportReadAt[id]; recent {
+		return false
+	}
+	c.reportReadAt[id] = now
+	return true
+}
+
 // applyResults passes the results of probes and orders to the planner.
 func (c *controller) applyResults(p *Planner) {
 	c.mu.Lock()
@@ -374,8 +385,6 @@
 		command.Order.ExpectedSequence = &s.Sequence
 		return true, true
 	}
-	if c.catalog.ApplyReport(s) {
-		logReport(c.deps.Log, s)
-	}
+	c.applyReport(s)
 	return true, false
 }
--- a/internal/fleet/formation/probes.go
+++ b/internal/fleet/formation/probes.go
@@ -5,8 +5,6 @@
 	"maps"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
@@ -107,22 +105,27 @@
 	if reported.Draining && c.catalog.SetLeaving(s) {
 		c.deps.Log.Info().Str("endpoint", string(s.ID)).Msg("server-leaving")
 	}
-	if c.keys.Age() >= maxCopyAge && c.catalog.ApplyReport(reported) {
-		logReport(c.deps.Log, reported)
+	if c.keys.Age() >= maxCopyAge {
+		c.applyReport(reported)
 	}
 	return true
 }
 
-func logReport(log zerolog.Logger, s *cluster.Server) {
-	event := log.Info().Str("server", string(s.ID))
+// applyReport gives the catalog the state that a server has reported.
+func (c *controller) applyReport(s *cluster.Server) {
+	if !c.catalog.ApplyReport(s) {
+		return
+	}
+	event := c.deps.Log.Info().Str("server", string(s.ID))
 	if m := s.Membership; m != nil {
 		event = event.Str("replica", string(m.Replica)).Uint64("epoch", uint64(m.Epoch)).Str("state", string(m.State))
 	}
 	event.Msg("server-reported")
 }
 
-// maxChecks bounds the unregistered members that are probed in one round. Hundreds of probes at
-// once would be answered late for lack of processor time.
+// maxChecks bounds the unregistered members that are probed in one round, and the possible members
+// whose reports are read. Hundreds of probes at once would be answered late for lack of processor
+// time.
 const maxChecks = 4
 
 // checkUnregistered probes members that the platform has removed, each once in probeInterval.
@@ -138,3 +141,23 @@
 		c.Go(func(ctx context.Context) { c.probeServer(ctx, s) })
 	}
 }
+
+// confirmMembers applies the reports of servers that may belong to replicas of which only some
+// members are known, each at most once in reportInterval.
+func (c *controller) confirmMembers(p *Planner, now time.Time) {
+	checks := 0
+	for _, s := range p.Unconfirmed {
+		if checks == maxChecks {
+			return
+		}
+		if !c.mayReadReport(s.ID, now) {
+			continue
+		}
+		checks++
+		c.Go(func(ctx context.Context) {
+			if reported := c.servers.ReadReport(ctx, s); reported != nil {
+				c.applyReport(reported)
+			}
+		})
+	}
+}
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -80,8 +80,10 @@
 		return cmp.Compare(a.missing(), b.missing())
 	})
 	for _, r := range broken {
-		if p.now.Sub(r.lastReturn) >= returnWindow {
+		if r.isSettled(p.now) {
 			p.completeReplica(service, r)
+		} else {
+			p.Unconfirmed = append(p.Unconfirmed, p.possibleMembers(r)...)
 		}
 	}
 	p.releaseDonors(service)
--- a/internal/fleet/formation/restore.go
+++ b/internal/fleet/formation/restore.go
@@ -13,6 +13,25 @@
 // their entries reach the server list.
 const returnWindow = time.Second
 
+// isSettled reports whether no further members of the replica's last epoch are expected to return.
+func (r *replica) isSettled(now time.Time) bool {
+	return now.Sub(r.lastReturn) >= returnWindow
+}
+
+// possibleMembers returns the servers that may be members of a replica that isn't settled, although
+// their known states are of earlier epochs: a server that can't reach the platform doesn't
+// register what it has joined.
+func (p *Planner) possibleMembers(r *replica) []*cluster.Server {
+	var servers []*cluster.Server
+	for _, s := range p.domainServers[domainKey{r.service, r.domain}] {
+		isFree := s.Membership == nil || s.Membership.Replica == r.name
+		if isFree && s.HighestEpoch < r.epoch && p.isUsable(s) {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
 // restoreReplica returns members to the incomplete replica that could not be reached and
 // have not noticed it. The replica serves again, without a new epoch, if it is still
 // complete and open.
--- a/internal/fleet/formation/stalelist_test.go
+++ b/internal/fleet/formation/stalelist_test.go
@@ -1,17 +1,22 @@
 package formation
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/fleet/catalog"
 )
 
 // TestStaleList guards against a planner of a new term that takes the list of the platform for the
 // present state of the servers, and joins a server to a replica while the one that it has joined
-// since, during an outage of the platform, serves.
+// since, during an outage of the platform, serves. It also guards against one that knows a replica
+// that serves by one of its members only, and dissolves it to complete another one.
 func TestStaleList(t *testing.T) {
 	tests := map[string]struct {
 		// noticed are the replicas whose lost heads the new planner knows of at first.
@@ -44,7 +49,7 @@
 			}
 			failServer(tc, p, lostHeads[0])
 
-			tc.listed = stale
+			tc.listed, tc.strictLeave = stale, true
 			next := NewPlanner(testOptions(), 11, tc.now)
 			for _, i := range test.noticed {
 				next.MarkUnreachable(&cluster.Server{ID: lostHeads[i], Incarnation: tc.servers[lostHeads[i]].Incarnation})
@@ -103,3 +108,46 @@
 		})
 	}
 }
+
+// TestStaleListInAnyOrder is TestStaleList with servers that register again, and losses that are
+// noticed, in any order within the time of a heartbeat and more.
+func TestStaleListInAnyOrder(t *testing.T) {
+	const steps = 30
+	rapid.Check(t, func(t *rapid.T) {
+		tc := newTestCluster(1, 7, testModels()[1])
+		p := NewPlanner(testOptions(), 10, tc.now)
+		for range 80 {
+			tc.step(p, true)
+		}
+		replicas := replicasOfOneDomain(p, "small")
+		lostHeads := []ident.Instance{replicas[0].members[0], replicas[1].members[0]}
+		tc.listed = tc.list()
+		stale := tc.list()
+		failServer(tc, p, lostHeads[1])
+		for range 100 {
+			tc.step(p, false)
+		}
+		failServer(tc, p, lostHeads[0])
+
+		tc.listed, tc.strictLeave = stale, true
+		due := make(map[int][]ident.Instance)
+		for _, id := range slices.Sorted(maps.Keys(tc.servers)) {
+			at := rapid.IntRange(0, steps-1).Draw(t, "step of "+string(id))
+			due[at] = append(due[at], id)
+		}
+		next := NewPlanner(testOptions(), 11, tc.now)
+		for i := range steps {
+			for _, id := range due[i] {
+				if slices.Contains(lostHeads, id) {
+					next.MarkUnreachable(&cluster.Server{ID: id, Incarnation: tc.servers[id].Incarnation})
+				} else {
+					tc.listed.Apply(catalog.Update{Servers: []*cluster.Server{tc.servers[id].report()}})
+				}
+			}
+			tc.step(next, false)
+		}
+		if len(tc.violations) > 0 {
+			t.Fatalf("violated rules: %v", tc.violations)
+		}
+	})
+}
