--- a/cmd/cuminbay/plugins.go
+++ b/cmd/cuminbay/plugins.go
@@ -24,6 +24,7 @@
 	_ "cuminbay/internal/peer/twirp"
 	_ "cuminbay/internal/platform/etcd"
 	_ "cuminbay/internal/platform/roster"
+	_ "cuminbay/internal/route/cost"
 	_ "cuminbay/internal/route/policy"
 	_ "cuminbay/internal/route/reach"
 	_ "cuminbay/internal/route/table"
--- a/internal/domain/cluster/config.go
+++ b/internal/domain/cluster/config.go
@@ -105,6 +105,18 @@
 	// store.
 	MaxLoadsPerSecond  float64
 	MaxConcurrentLoads int
+	// ContextTime is the time that each 1,000 tokens of the context of a running request add to
+	// a token step, and AttentionTime the prefill time of a million pairs of a prompt token and
+	// an earlier one.
+	ContextTime   time.Duration
+	AttentionTime time.Duration
+	// MeanPrompt and MeanOutput are the published mean numbers of tokens of a request; zero
+	// means unknown.
+	MeanPrompt unit.Tokens
+	MeanOutput unit.Tokens
+	// KVCapacity is the number of tokens that fit in the KV cache of a replica; zero means
+	// unknown.
+	KVCapacity unit.Tokens
 	// ReportAge is the highest age of the state in a server's report.
 	ReportAge time.Duration
 	// FormationTime is the time that a complete replica takes until it serves
--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -35,8 +35,11 @@
 	PromptTokens unit.Tokens
 	// SharedParts are the parts of the prompt that other requests may share. The last
 	// part of a prompt is the request's own and is left out.
-	SharedParts  []ident.PromptPart
+	SharedParts []ident.PromptPart
+	// OutputTokens is the caller's upper bound for the tokens of the answer, and LengthHint its own
+	// estimate of them; zero if it gives none.
 	OutputTokens unit.Tokens
+	LengthHint   unit.Tokens
 	// LastEventID is the id of the last event that the caller received before
 	// it resumed the stream; zero means that the caller starts a stream.
 	LastEventID EventID
--- /dev/null
+++ b/internal/route/cost/plugin.go
@@ -0,0 +1,19 @@
+package cost
+
+import "cuminbay/internal/kernel/plugin"
+
+func init() {
+	plugin.RegisterForAdapter("platform", plugin.Decision, "cost", newPlugin)
+}
+
+// component is the model as a plug-in.
+type component struct {
+	plugin.NoLifecycle
+	*Model
+}
+
+func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
+	c := &component{Model: New()}
+	deps.Provide(c)
+	return c, nil
+}
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -20,6 +20,7 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/route/balance"
+	"cuminbay/internal/route/cost"
 	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
 )
@@ -280,6 +281,7 @@
 		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Self: "d", Links: new(fakeLinks), Relays: fakeRelays{}, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
 		RetryBudget: retryBudget,
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
+		Costs:       cost.New(),
 		Limits:      ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
 		Parts:       poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
 	})
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -24,6 +24,7 @@
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/admit"
+	"cuminbay/internal/route/cost"
 	"cuminbay/internal/route/ratelimit"
 )
 
@@ -76,6 +77,10 @@
 		LinksWork(ctx context.Context) bool
 		Suspect(e *catalog.Endpoint)
 	}
+	// costModel estimates what a request costs before it runs.
+	costModel interface {
+		Predict(p cost.Profile, engine *cluster.Engine) cost.Estimate
+	}
 	// relayPicker chooses a daemon that reaches servers and was not tried.
 	relayPicker interface {
 		PickRelay(tried []ident.Instance) *catalog.Endpoint
@@ -143,6 +148,7 @@
 	Poison      poisonDetector
 	Parts       partDetector
 	Limits      requestLimits
+	Costs       costModel
 	Sender      Sender
 	Links       linkMonitor
 	Relays      relayPicker
@@ -195,6 +201,8 @@
 	organisation *cluster.Organisation
 	// deadline is the earlier of the request's deadline and the route's timeout.
 	deadline time.Time
+	// estimate is the expected cost of the request.
+	estimate cost.Estimate
 
 	triedServers []ident.Instance
 	// possibleRuns counts the attempts that reached a server and that may have run
@@ -276,6 +284,7 @@
 		return err
 	}
 	x.service = x.chooseService()
+	x.estimate = x.predictCost(s)
 	x.deadline = r.Received.Add(x.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
 		x.deadline = r.Deadline
@@ -283,6 +292,19 @@
 	return nil
 }
 
+// predictCost returns the expected cost of the request by the configuration of the snapshot.
+func (x *exchange) predictCost(s *catalog.Snapshot) cost.Estimate {
+	var engine *cluster.Engine
+	if service := s.Config.Services[x.service]; service != nil {
+		engine = service.Engine
+	}
+	r := x.request
+	return x.Costs.Predict(cost.Profile{
+		Service: x.service, Model: r.Model, Route: x.route.Name,
+		PromptTokens: r.PromptTokens, MaxOutputTokens: r.OutputTokens, LengthHint: r.LengthHint,
+	}, engine)
+}
+
 // checkPoison returns an error if equal requests or requests with a part of this prompt have
 // crashed servers.
 //
