--- a/internal/domain/unit/unit.go
+++ b/internal/domain/unit/unit.go
@@ -11,6 +11,9 @@
 	Requests int64
 	// RequestRate counts requests a second.
 	RequestRate float64
+	// Slots measures offered load: the slots of idle replicas that it occupies on average, in
+	// slot-seconds a second.
+	Slots float64
 	// Epoch numbers the assignments of a fabric domain. It is the fencing token
 	// of orders: an order with a lower epoch is out of date.
 	Epoch uint64
