mirror, formation: Batch the planner's watch while it awaits no change

The planner's watch returned every 20 ms, as a hundred servers renew their entries all the time, and each call to the store has a price. It now waits 100 ms between calls unless a replica joins, opens, closes or is dissolved.

--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -69,6 +69,7 @@
 		Get(key store.Key) store.Entry
 		SourceConnected() bool
 		SetLowLatency(enabled bool)
+		SetAwaitsChange(awaits bool)
 		Age() time.Duration
 		Revision() unit.Revision
 	}
@@ -272,6 +273,7 @@
 	c.probeSuspects(p, snapshot, now)
 	p.LatestRevision = c.keys.Revision()
 	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic())
+	c.keys.SetAwaitsChange(p.AwaitsChange())
 	for _, d := range p.Decisions {
 		c.deps.Log.Info().Str("replica", string(d.Replica)).Uint64("epoch", uint64(d.Epoch)).
 			Stringer("fence", p.fencingToken).Str("detail", d.Detail).Msg(d.Event)
--- a/internal/fleet/formation/term_test.go
+++ b/internal/fleet/formation/term_test.go
@@ -23,6 +23,7 @@
 func (fakeKeys) Get(store.Key) store.Entry { return store.Entry{} }
 func (fakeKeys) SourceConnected() bool     { return true }
 func (fakeKeys) SetLowLatency(bool)        {}
+func (fakeKeys) SetAwaitsChange(bool)      {}
 func (fakeKeys) Age() time.Duration        { return 0 }
 func (fakeKeys) Revision() unit.Revision   { return 0 }
 
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -70,6 +70,7 @@
 	handlers        []ChangeHandler
 	sourceConnected atomic.Bool
 	lowLatency      atomic.Bool
+	awaitsChange    atomic.Bool
 	revision        atomic.Int64
 	// confirmedAt is the time at which the platform last confirmed the copy, as a
 	// clock.Instant.
@@ -143,13 +144,15 @@
 // After a failed call the mirror waits from minRetryDelay up to maxRetryDelay.
 // After a successful call it waits for a batch time, so that a burst of changes
 // takes one call: each call to the platform has a cost. The batch time is shorter
-// for a daemon that needs changes with low latency and for a daemon that follows
-// another daemon.
+// for a daemon that needs changes with low latency, even more while it awaits one, and for
+// a daemon that follows another daemon. A hundred servers renew their entries so often that
+// without a batch time each call would return at once.
 const (
 	minRetryDelay       = 50 * time.Millisecond
 	maxRetryDelay       = 500 * time.Millisecond
 	batchTime           = 300 * time.Millisecond
-	lowLatencyBatchTime = 20 * time.Millisecond
+	lowLatencyBatchTime = 100 * time.Millisecond
+	awaitedBatchTime    = 20 * time.Millisecond
 	followerBatchTime   = 20 * time.Millisecond
 )
 
@@ -162,6 +165,11 @@
 	}
 }
 
+// SetAwaitsChange sets whether a daemon that needs changes with low latency awaits one now.
+func (m *Mirror) SetAwaitsChange(awaits bool) {
+	m.awaitsChange.Store(awaits)
+}
+
 // confirmer is a Source that knows the time at which the platform confirmed what the last call
 // read. It is earlier than the end of the call by the time that the answer took to arrive.
 type confirmer interface {
@@ -180,6 +188,8 @@
 func (m *Mirror) currentBatchTime() time.Duration {
 	u, ok := m.Source.(*Upstream)
 	switch {
+	case m.lowLatency.Load() && m.awaitsChange.Load():
+		return awaitedBatchTime
 	case m.lowLatency.Load():
 		return lowLatencyBatchTime
 	case ok && u.CurrentSource() != platformSource:
