demand: Measure the offered load by model and exchange it

The planner divides servers by configured shares because nothing measures what callers ask for. Package demand counts arrivals, refusals and waits at each daemon, as means over 2 to 8 s in slots of idle replicas, and adds up what the other daemons report in datagrams (fields 22 to 29). OfferedLoad gives the sum to the planner; with fewer than half of the live daemons heard from, the last known value counts for 30 s. Contended names the highest priority whose requests waited or were refused within 2 s at any daemon. Nothing uses either yet, so callers see no change.

--- a/cmd/cuminbay/plugins.go
+++ b/cmd/cuminbay/plugins.go
@@ -11,6 +11,7 @@
 	_ "cuminbay/internal/fleet/catalog"
 	_ "cuminbay/internal/fleet/cold"
 	_ "cuminbay/internal/fleet/config"
+	_ "cuminbay/internal/fleet/demand"
 	_ "cuminbay/internal/fleet/drain"
 	_ "cuminbay/internal/fleet/formation"
 	_ "cuminbay/internal/fleet/member"
--- /dev/null
+++ b/internal/fleet/demand/plugin.go
@@ -0,0 +1,46 @@
+package demand
+
+import (
+	"context"
+	"time"
+
+	"cuminbay/internal/kernel/plugin"
+)
+
+func init() {
+	plugin.RegisterForAdapter("platform", plugin.Decision, "demand", newPlugin)
+}
+
+// observeInterval is the time between two updates of the metrics.
+const observeInterval = time.Second
+
+// component is the meter as a plug-in.
+type component struct {
+	plugin.BackgroundTasks
+	*Meter
+	deps *plugin.Deps
+}
+
+func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
+	telemetry, err := NewTelemetry(deps.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	c := &component{deps: deps, Meter: New(Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, Telemetry: telemetry})}
+	// The daemons' datagrams may arrive before this plug-in has started.
+	if err := deps.Resolve(&c.Catalog); err != nil {
+		return nil, err
+	}
+	deps.Provide(c.Meter)
+	return c, nil
+}
+
+// Start implements plugin.Plugin. It begins to sample the counters.
+func (c *component) Start(context.Context) error {
+	if err := c.deps.Resolve(&c.Daemons); err != nil {
+		return err
+	}
+	c.Every(c.Clock, SampleInterval, func(context.Context) { c.Sample() })
+	c.Every(c.Clock, observeInterval, func(context.Context) { c.Observe() })
+	return nil
+}
--- a/internal/peer/gossip/bench_test.go
+++ b/internal/peer/gossip/bench_test.go
@@ -42,7 +42,7 @@
 	g := New(Options{
 		Poison: poison.New(poison.Options{Clock: clk, Self: "d0", Lifetime: time.Minute, Limit: 16}),
 		Parts:  poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
-		Links:  new(fakeLinks), Limits: ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d0", Daemons: soleDaemon{}, Catalog: cat}), Clock: clk, Log: zerolog.Nop(), Self: "d0", DataCentre: "0", Incarnation: 1, Catalog: cat, PlatformCopy: &fakeCopy{revision: 5},
+		Demand: new(fakeDemand), Links: new(fakeLinks), Limits: ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d0", Daemons: soleDaemon{}, Catalog: cat}), Clock: clk, Log: zerolog.Nop(), Self: "d0", DataCentre: "0", Incarnation: 1, Catalog: cat, PlatformCopy: &fakeCopy{revision: 5},
 	}, conn)
 	daemons := make(map[ident.Instance]RegisteredDaemon)
 	for d := range 295 {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -24,6 +24,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/fleet/demand"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/ratelimit"
 )
@@ -78,6 +79,12 @@
 	CutOff() bool
 }
 
+// demandMeter measures the load that callers offer, and adds up what other daemons report.
+type demandMeter interface {
+	DemandReport(now time.Time) demand.Report
+	MergeDemand(from ident.Instance, r demand.Report)
+}
+
 // Options configure a Gossip.
 type Options struct {
 	Clock        clock.Clock
@@ -91,6 +98,7 @@
 	Parts        partDetector
 	Limits       requestLimits
 	Links        linkMonitor
+	Demand       demandMeter
 }
 
 // Gossip sends and receives the datagrams of one daemon.
@@ -276,6 +284,20 @@
 	return daemons
 }
 
+// EachLiveDaemon calls f with each daemon that is registered and has sent a datagram recently, and
+// with this daemon.
+func (g *Gossip) EachLiveDaemon(f func(id ident.Instance, dataCentre ident.DataCentre)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.Self, g.DataCentre)
+	now := g.Clock.Now()
+	for id, p := range g.peers {
+		if p.isLive(now) {
+			f(id, p.dataCentre)
+		}
+	}
+}
+
 // SendRound sends a datagram to some of the daemons. It is called once per interval of the
 // pace. In most rounds an idle daemon sends nothing.
 func (g *Gossip) SendRound(p pace) {
@@ -346,6 +368,7 @@
 	}
 	m.PartCrashes, m.SoundParts = g.Parts.PartReport()
 	m.Limits = g.Limits.Observations()
+	m.Demand = g.Demand.DemandReport(g.Clock.Now())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -442,6 +465,7 @@
 	}
 	g.handleParts(m)
 	g.Limits.Merge(m.From, m.Limits)
+	g.Demand.MergeDemand(m.From, m.Demand)
 	g.handlePeerFailures(newFailures, m.From)
 }
 
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -19,6 +19,7 @@
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/fleet/demand"
 	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
 )
@@ -50,6 +51,20 @@
 
 func (l *fakeLinks) CutOff() bool { return l.cutOff }
 
+// fakeDemand has a report for the datagrams, and keeps those of other daemons.
+type fakeDemand struct {
+	own      demand.Report
+	received map[ident.Instance]demand.Report
+}
+
+func (d *fakeDemand) DemandReport(time.Time) demand.Report { return d.own }
+func (d *fakeDemand) MergeDemand(from ident.Instance, r demand.Report) {
+	if d.received == nil {
+		d.received = make(map[ident.Instance]demand.Report)
+	}
+	d.received[from] = r
+}
+
 // soleDaemon is a list of one daemon.
 type soleDaemon struct{}
 
@@ -76,7 +91,7 @@
 	detector := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Minute, Limit: 16})
 	limits := ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "a", Daemons: soleDaemon{}, Catalog: cat})
 	parts := poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16})
-	g := New(Options{Poison: detector, Parts: parts, Limits: limits, Links: new(fakeLinks), Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
+	g := New(Options{Demand: new(fakeDemand), Poison: detector, Parts: parts, Limits: limits, Links: new(fakeLinks), Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
 	daemons := map[ident.Instance]RegisteredDaemon{"a": {DataCentre: "z"}}
 	for id, dataCentre := range peers {
 		daemons[id] = RegisteredDaemon{Address: netip.MustParseAddrPort("127.0.0.1:9"), FeedAddress: string(id) + ":1", RelayAddress: "relay-" + string(id), DataCentre: dataCentre}
@@ -383,7 +398,12 @@
 		FailureAges: map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
 		Crashes:     map[ident.Fingerprint][]ident.Crash{1 << 63: {12, 13}}, ClearedRequests: []ident.Fingerprint{7},
 		PartCrashes: map[ident.PromptPart][]ident.Crash{5: {8, 9}}, SoundParts: []ident.PromptPart{6},
-		CutOff:     true,
+		CutOff: true,
+		Demand: demand.Report{
+			Window:     2500 * time.Millisecond,
+			Loads:      []demand.ModelLoad{{Model: 1 << 31, Offered: 7.25, Refused: 0.125, Waiting: 3}, {Model: 2, Offered: 0.001}},
+			Contention: []demand.Contention{{Model: 2, Priority: -1, Age: 40 * time.Millisecond}, {Model: 2}},
+		},
 		Limits:     []ratelimit.Observation{{Server: 10, Limit: 2.5, Age: 300 * time.Millisecond}, {Server: 11, Age: time.Second}},
 		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
 	}
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -12,6 +12,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/fleet/demand"
 	"cuminbay/internal/route/ratelimit"
 )
 
@@ -46,6 +47,8 @@
 	Limits []ratelimit.Observation
 	// CutOff says that the sender can't connect to any server.
 	CutOff bool
+	// Demand is the load that callers offer to the sender.
+	Demand demand.Report
 	// Formations are replicas that serve, as their members reported to the sender.
 	Formations []cluster.Formation
 }
@@ -102,6 +105,7 @@
 		d.Limits = append(d.Limits, uint32(math.Round(float64(o.Limit)*limitScale)))
 		d.LimitAges = append(d.LimitAges, encodeAge(o.Age))
 	}
+	encodeDemand(d, &m.Demand)
 	for i := range m.Formations {
 		d.Formations = append(d.Formations, encodeFormation(&m.Formations[i]))
 	}
@@ -220,6 +224,9 @@
 	m.Crashes = crashes
 	m.PartCrashes, m.SoundParts = decodeParts(d)
 	m.Limits = decodeLimits(d)
+	if m.Demand, err = decodeDemand(d); err != nil {
+		return nil, err
+	}
 	for _, f := range d.GetProven() {
 		m.ClearedRequests = append(m.ClearedRequests, ident.Fingerprint(f))
 	}
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -106,7 +106,7 @@
 
 // Start opens the socket, starts the exchange and registers the daemon.
 func (c *component) Start(ctx context.Context) error {
-	if err := errors.Join(c.deps.Resolve(&c.platform, &c.Poison, &c.Parts, &c.Limits, &c.Links), c.deps.ResolveAll(&c.listeners)); err != nil {
+	if err := errors.Join(c.deps.Resolve(&c.platform, &c.Poison, &c.Parts, &c.Limits, &c.Links, &c.Demand), c.deps.ResolveAll(&c.listeners)); err != nil {
 		return err
 	}
 	var listenConfig net.ListenConfig
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -282,11 +282,30 @@
 		RetryBudget: retryBudget,
 		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
 		Costs:       cost.New(),
+		Demand:      new(fakeDemand),
 		Limits:      ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
 		Parts:       poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
 	})
 }
 
+// fakeDemand counts what it is told.
+type fakeDemand struct {
+	arrivals, refusals, waits int
+	work                      time.Duration
+}
+
+func (d *fakeDemand) RecordArrival(_ ident.Service, _ ident.Model, work time.Duration) {
+	d.arrivals++
+	d.work += work
+}
+
+func (d *fakeDemand) RecordRefusal(ident.Service, ident.Model, unit.Priority, time.Duration) {
+	d.refusals++
+}
+func (d *fakeDemand) RecordWaitStart(ident.Service, ident.Model, unit.Priority) { d.waits++ }
+func (d *fakeDemand) RecordWaitEnd(ident.Service, ident.Model, unit.Priority, time.Duration) {
+}
+
 // fakeCopy is a copy of the platform's keys with a fixed status.
 type fakeCopy store.CopyStatus
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -149,6 +149,7 @@
 	Parts       partDetector
 	Limits      requestLimits
 	Costs       costModel
+	Demand      demandMeter
 	Sender      Sender
 	Links       linkMonitor
 	Relays      relayPicker
@@ -187,6 +188,7 @@
 func (f *Forwarder) Forward(ctx context.Context, r *proxy.Request, s Sink) error {
 	ex := &exchange{Forwarder: f, request: r, sink: s}
 	err := ex.runRequest(ctx)
+	ex.recordRefusal(err)
 	f.Telemetry.requestEnded(ex, err, f.Clock.Now())
 	return err
 }
@@ -252,6 +254,7 @@
 	if x.request.Relayed == nil {
 		// The daemon that passed a request on has counted it.
 		x.RetryBudget.RecordRequest(x.service)
+		x.Demand.RecordArrival(x.service, x.request.Model, x.estimate.Work)
 	}
 	ctx, cancel := clock.WithDeadline(ctx, x.Clock, x.deadline)
 	defer cancel()
--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -53,8 +53,11 @@
 		return nil, err
 	}
 	waitStart := x.Clock.Now()
+	x.Demand.RecordWaitStart(x.service, x.request.Model, x.priority())
 	x.queue.Wait(ctx, admit.WaitRequest{Key: x.queueKey(), Priority: x.priority(), Received: x.request.Received, Admission: x.admission, Deadline: waitDeadline}, tryPick)
-	x.queueTime += x.Clock.Since(waitStart)
+	waited := x.Clock.Since(waitStart)
+	x.Demand.RecordWaitEnd(x.service, x.request.Model, x.priority(), waited)
+	x.queueTime += waited
 	if chosen != nil {
 		return chosen, x.checkPoison()
 	}
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -101,7 +101,7 @@
 func (c *component) Start(context.Context) error {
 	var daemons daemonCounter
 	var fleet fleetSizer
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &c.limits.Daemons, &c.limits.Catalog); err != nil {
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Demand, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
 	s := c.settings
