gossip: Send sums of a data centre's load, and counts more often within it

At 111 daemons, what a daemon knows of the requests of another one is 0.34 s old in its own data centre and older than the 1.5 s for which it counts for most daemons elsewhere, so endpoints with 20 to 40 requests count 12 to 14.

Datagrams to other data centres now have the sum of the sender's data centre with its age (fields 32 to 36); the most recent sum replaces the addition of single daemons. Targets take turns instead of being drawn at random, and a busy daemon sends to 7 local daemons per 40 ms also where the rounds are longer. Loads also have unread prompt tokens and expected work (30, 31).

Tests that named the map of requests name the loads now, with the same expectations; TestPace checks the new fanout and a bound of datagrams too.

--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -15,6 +15,11 @@
 	inFlight atomic.Int64
 	// peerInFlight is the number of requests that the peers have in flight.
 	peerInFlight atomic.Int64
+	// unreadPrompt counts the prompt tokens of this daemon's requests whose first event has not
+	// arrived, and work adds up the expected work of its requests, in nanoseconds. The others
+	// are those of the peers.
+	unreadPrompt, work         atomic.Int64
+	peerUnreadPrompt, peerWork atomic.Int64
 	// lastProgress is the time at which the last complete event of any stream
 	// arrived, as a clock.Instant.
 	lastProgress atomic.Int64
@@ -64,6 +69,47 @@
 	l.peerInFlight.Store(int64(n))
 }
 
+// WorkStarted adds a request of this daemon to the unread prompts and to the expected work, which
+// is the time for which it would occupy a slot of an idle replica.
+func (l *Load) WorkStarted(prompt unit.Tokens, work time.Duration) {
+	l.unreadPrompt.Add(int64(prompt))
+	l.work.Add(int64(work))
+}
+
+// PromptRead removes a prompt of this daemon from the unread ones.
+func (l *Load) PromptRead(prompt unit.Tokens) {
+	l.unreadPrompt.Add(-int64(prompt))
+}
+
+// WorkEnded removes the work of a request of this daemon.
+func (l *Load) WorkEnded(work time.Duration) {
+	l.work.Add(-int64(work))
+}
+
+// OwnWork returns the unread prompt tokens and the expected work of this daemon's requests in
+// flight.
+func (l *Load) OwnWork() (unread unit.Tokens, work time.Duration) {
+	return unit.Tokens(l.unreadPrompt.Load()), time.Duration(l.work.Load())
+}
+
+// SetPeerWork sets the unread prompt tokens and the expected work of all peers together.
+func (l *Load) SetPeerWork(unread unit.Tokens, work time.Duration) {
+	l.peerUnreadPrompt.Store(int64(unread))
+	l.peerWork.Store(int64(work))
+}
+
+// UnreadPrompt returns the prompt tokens of requests without a first event, of this daemon and, as
+// last reported, of its peers.
+func (l *Load) UnreadPrompt() unit.Tokens {
+	return unit.Tokens(l.unreadPrompt.Load() + l.peerUnreadPrompt.Load())
+}
+
+// ExpectedWork returns the work of the requests in flight from their beginning, of this daemon and,
+// as last reported, of its peers. Work that is already done is not deducted.
+func (l *Load) ExpectedWork() time.Duration {
+	return time.Duration(l.work.Load() + l.peerWork.Load())
+}
+
 // RecordProgress records that a complete event of a stream arrived now.
 func (l *Load) RecordProgress(now time.Time) {
 	l.lastProgress.Store(int64(clock.InstantOf(now)))
--- a/internal/peer/gossip/bench_test.go
+++ b/internal/peer/gossip/bench_test.go
@@ -42,7 +42,7 @@
 	g := New(Options{
 		Poison: poison.New(poison.Options{Clock: clk, Self: "d0", Lifetime: time.Minute, Limit: 16}),
 		Parts:  poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
-		Demand: new(fakeDemand), Links: new(fakeLinks), Limits: ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d0", Daemons: soleDaemon{}, Catalog: cat}), Clock: clk, Log: zerolog.Nop(), Self: "d0", DataCentre: "0", Incarnation: 1, Catalog: cat, PlatformCopy: &fakeCopy{revision: 5},
+		Demand: new(fakeDemand), Telemetry: newTestTelemetry(), Links: new(fakeLinks), Limits: ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d0", Daemons: soleDaemon{}, Catalog: cat}), Clock: clk, Log: zerolog.Nop(), Self: "d0", DataCentre: "0", Incarnation: 1, Catalog: cat, PlatformCopy: &fakeCopy{revision: 5},
 	}, conn)
 	daemons := make(map[ident.Instance]RegisteredDaemon)
 	for d := range 295 {
@@ -56,7 +56,7 @@
 		}
 	})
 	for d := 1; d < 295; d++ {
-		g.handleMessage(&message{From: ident.Instance(fmt.Sprintf("d%d", d)), Incarnation: 1, Sequence: 1, InFlight: map[endpointHash]unit.Requests{1: 1, 2: 2, 3: 1}})
+		g.handleMessage(&message{From: ident.Instance(fmt.Sprintf("d%d", d)), Incarnation: 1, Sequence: 1, Loads: map[endpointHash]endpointLoad{1: {Requests: 1}, 2: {Requests: 2}, 3: {Requests: 1}}})
 	}
 	return g
 }
@@ -80,7 +80,7 @@
 func BenchmarkReceive(b *testing.B) {
 	g := newLargeGossip(b)
 	var raws [][]byte
-	m := message{From: "d7", Incarnation: 1, CopyRevision: 1, InFlight: map[endpointHash]unit.Requests{1: 1, 2: 2, 3: 1}}
+	m := message{From: "d7", Incarnation: 1, CopyRevision: 1, Loads: map[endpointHash]endpointLoad{1: {Requests: 1}, 2: {Requests: 2}, 3: {Requests: 1}}}
 	for i := range 1000 {
 		m.Sequence = unit.Sequence(i + 2)
 		raw, _ := m.encode()
--- a/internal/peer/gossip/crashes_test.go
+++ b/internal/peer/gossip/crashes_test.go
@@ -19,12 +19,12 @@
 	c := qt.New(t)
 	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "d": "z"})
 	g.Poison.(*poison.Detector).RecordCrash(7, 1)
-	raw, _ := g.encodeDatagram(g.ownInFlight(), false)
+	raw := g.encodeDatagrams(g.ownLoads(), targets{localCount: localFanout})[0].raw
 	m, err := decodeMessage(raw)
 	c.Assert(err, qt.IsNil)
 	c.Check(m.Crashes, qt.DeepEquals, map[ident.Fingerprint][]ident.Crash{7: {1}})
 	clk.Advance(crashReportTime + time.Second)
-	raw, _ = g.encodeDatagram(g.ownInFlight(), false)
+	raw = g.encodeDatagrams(g.ownLoads(), targets{localCount: localFanout})[0].raw
 	m, err = decodeMessage(raw)
 	c.Assert(err, qt.IsNil)
 	c.Check(m.Crashes, qt.HasLen, 0, qt.Commentf("crash reported for longer than crashReportTime"))
@@ -59,7 +59,7 @@
 	}
 	c.Assert(code.Of(detector.Check(7)), qt.Equals, code.PoisonRequest)
 	send := func(from, to *Gossip, sequence unit.Sequence) {
-		raw, _ := from.encodeDatagram(from.ownInFlight(), false)
+		raw := from.encodeDatagrams(from.ownLoads(), targets{localCount: localFanout})[0].raw
 		m, err := decodeMessage(raw)
 		c.Assert(err, qt.IsNil)
 		m.From, m.Sequence = "b", sequence
@@ -84,9 +84,10 @@
 	sequence := g.sequence
 	g.PartsSuspected()
 	c.Check(g.sequence, qt.Equals, sequence+1, qt.Commentf("the crashes were not sent immediately"))
-	raw, targets := g.encodeDatagram(nil, true)
-	c.Check(targets, qt.HasLen, 2)
-	m, err := decodeMessage(raw)
+	datagrams := g.encodeDatagrams(nil, allDaemons)
+	c.Assert(datagrams, qt.HasLen, 1)
+	c.Check(datagrams[0].addresses, qt.HasLen, 2)
+	m, err := decodeMessage(datagrams[0].raw)
 	c.Assert(err, qt.IsNil)
 	m.From = "b"
 	receiver.handleMessage(m)
--- a/internal/peer/gossip/demand_test.go
+++ b/internal/peer/gossip/demand_test.go
@@ -20,7 +20,7 @@
 	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "far": "y"})
 	meter := g.Demand.(*fakeDemand)
 	meter.own = demand.Report{Window: 3 * time.Second, Loads: []demand.ModelLoad{{Model: 5, Offered: 2}}}
-	raw, _ := g.encodeDatagram(nil, true)
+	raw := g.encodeDatagrams(nil, allDaemons)[0].raw
 	sent, err := decodeMessage(raw)
 	c.Assert(err, qt.IsNil)
 	c.Check(sent.Demand, qt.DeepEquals, meter.own)
--- a/internal/peer/gossip/failure.go
+++ b/internal/peer/gossip/failure.go
@@ -22,14 +22,14 @@
 	reported := g.reportedByPeer(hashOf(e), now)
 	g.mu.Unlock()
 	if !reported && (!repeated || now.Sub(previous) > failureRepeatTime) {
-		g.send(g.ownInFlight(), true)
+		g.sendToAll()
 	}
 }
 
 // PartsSuspected sends the latest crashes of prompt parts to all daemons immediately, since
 // requests with such a part may arrive at any of them.
 func (g *Gossip) PartsSuspected() {
-	g.send(g.ownInFlight(), true)
+	g.sendToAll()
 }
 
 // reportedByPeer reports whether another daemon has reported the failure within
--- a/internal/peer/gossip/formation.go
+++ b/internal/peer/gossip/formation.go
@@ -35,7 +35,7 @@
 	g.announcements = append(g.announcements, announcement{f, now})
 	g.announcements = g.announcements[max(0, len(g.announcements)-maxAnnouncements):]
 	g.mu.Unlock()
-	g.send(g.ownInFlight(), true)
+	g.sendToAll()
 }
 
 // announcedFormations returns the formations of the next datagram. The caller holds the
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,6 +98,7 @@
 	Limits       requestLimits
 	Links        linkMonitor
 	Demand       demandMeter
+	Telemetry    *Telemetry
 }
 
 // Gossip sends and receives the datagrams of one daemon.
@@ -117,9 +117,10 @@
 	sequence unit.Sequence
 	peers    map[ident.Instance]*peer
 	failures map[endpointHash]time.Time
-	// localAddresses and remoteAddresses are those of the registered daemons of this
-	// and of other data centres.
-	localAddresses, remoteAddresses []netip.AddrPort
+	// local and remote are the registered daemons of this and of other data centres.
+	local, remote rotation
+	// nextSumAt is the time from which a datagram may have a sum.
+	nextSumAt time.Time
 	// loads has the load of the other daemons of each data centre.
 	loads     map[ident.DataCentre]*dataCentreLoad
 	listeners []failureListener
@@ -149,7 +150,9 @@
 	// lastDatagramAt is the time of the daemon's latest datagram, or of its first
 	// registration if it has sent none.
 	lastDatagramAt time.Time
-	inFlight       map[endpointHash]unit.Requests
+	// loads is the daemon's load by endpoint, and requests the sum of its requests in flight.
+	loads    map[endpointHash]endpointLoad
+	requests unit.Requests
 	// reportedFailures has the endpoint failures that the daemon reported, with
 	// the time at which the listeners were notified.
 	reportedFailures map[endpointHash]time.Time
@@ -216,8 +219,8 @@
 			p = &peer{lastDatagramAt: now, reportedFailures: make(map[endpointHash]time.Time)}
 			g.peers[id] = p
 		}
-		if p.dataCentre != d.DataCentre && len(p.inFlight) > 0 {
-			g.replaceInFlight(p, nil)
+		if p.dataCentre != d.DataCentre && len(p.loads) > 0 {
+			g.replaceLoads(p, nil)
 		}
 		p.address, p.feedAddress, p.dataCentre, p.registered = d.Address, d.FeedAddress, d.DataCentre, true
 		p.setRelay(id, d.RelayAddress)
@@ -235,17 +238,19 @@
 
 // listAddresses lists the addresses of the registered daemons. The caller holds the lock.
 func (g *Gossip) listAddresses() {
-	g.localAddresses, g.remoteAddresses = nil, nil
+	var local, remote []netip.AddrPort
 	for _, p := range g.peers {
 		switch {
 		case !p.registered:
 		case p.dataCentre == g.DataCentre:
-			g.localAddresses = append(g.localAddresses, p.address)
+			local = append(local, p.address)
 		default:
-			g.remoteAddresses = append(g.remoteAddresses, p.address)
+			remote = append(remote, p.address)
 		}
 	}
-	g.registeredCount.Store(int64(len(g.localAddresses) + len(g.remoteAddresses)))
+	g.local.replace(local, g.random)
+	g.remote.replace(remote, g.random)
+	g.registeredCount.Store(int64(len(local) + len(remote)))
 }
 
 // FleetSize returns the number of registered daemons, including this daemon. It takes no lock.
@@ -301,69 +306,58 @@
 // SendRound sends a datagram to some of the daemons. It is called once per interval of the
 // pace. In most rounds an idle daemon sends nothing.
 func (g *Gossip) SendRound(p pace) {
-	inFlight := g.ownInFlight()
+	own := g.ownLoads()
 	g.mu.Lock()
 	g.rounds++
 	g.idleRounds++
-	if len(inFlight) > 0 {
+	if len(own) > 0 {
 		g.idleRounds = 0
 	}
-	skip := g.idleRounds > 1 && g.idleRounds%p.idleRoundsPerSend != 0
+	// After the last request, all daemons of the data centre are told that it has ended.
+	idle := g.idleRounds > g.local.roundsPerCycle(p.localFanout)
+	skip := idle && g.idleRounds%p.idleRoundsPerSend != 0
+	withRemote := g.idleRounds > 0 || g.rounds%remoteRoundInterval == 0
 	g.mu.Unlock()
-	if !skip {
-		g.send(inFlight, false)
-	}
-}
-
-func (g *Gossip) send(inFlight map[endpointHash]unit.Requests, toAll bool) {
-	raw, targets := g.encodeDatagram(inFlight, toAll)
-	if raw == nil {
+	if skip {
 		return
 	}
-	for _, address := range targets {
-		// A failed send has the same effect as a lost datagram.
-		_, _ = g.conn.WriteTo(raw, net.UDPAddrFromAddrPort(address))
+	targets := targets{localCount: p.localFanout}
+	if idle {
+		targets.localCount = localFanout
 	}
+	if withRemote {
+		targets.remoteCount = remoteFanout
+	}
+	g.send(own, targets)
 }
 
-// A round sends to localFanout daemons of this daemon's data centre, which use mostly
-// the same endpoints. Every second round also sends to remoteFanout daemons of
-// other data centres, since traffic between data centres is expensive. The rare
-// datagrams of an idle daemon always go to other data centres too.
-const (
-	localFanout         = 7
-	remoteFanout        = 5
-	remoteRoundInterval = 2
-)
+// sendToAll sends a datagram to all daemons.
+func (g *Gossip) sendToAll() {
+	g.send(g.ownLoads(), allDaemons)
+}
 
-// chooseTargets returns the addresses for the next datagram.
-func (g *Gossip) chooseTargets(toAll bool) []netip.AddrPort {
-	if toAll {
-		return slices.Concat(g.localAddresses, g.remoteAddresses)
-	}
-	targets := g.sample(g.localAddresses, localFanout)
-	if g.idleRounds == 0 && g.rounds%remoteRoundInterval != 0 {
-		return slices.Clone(targets)
+func (g *Gossip) send(own map[endpointHash]endpointLoad, to targets) {
+	for _, d := range g.encodeDatagrams(own, to) {
+		for _, address := range d.addresses {
+			g.Telemetry.sent(len(d.raw))
+			// A failed send has the same effect as a lost datagram.
+			_, _ = g.conn.WriteTo(d.raw, net.UDPAddrFromAddrPort(address))
+		}
 	}
-	return slices.Concat(targets, g.sample(g.remoteAddresses, remoteFanout))
 }
 
-// sample returns random addresses, which it moves to the start of the list.
-func (g *Gossip) sample(addresses []netip.AddrPort, size int) []netip.AddrPort {
-	size = min(size, len(addresses))
-	for i := range size {
-		j := i + g.random.IntN(len(addresses)-i)
-		addresses[i], addresses[j] = addresses[j], addresses[i]
-	}
-	return addresses[:size]
+// outgoing is an encoded datagram with the addresses that it is sent to.
+type outgoing struct {
+	raw       []byte
+	addresses []netip.AddrPort
 }
 
-// encodeDatagram returns the next datagram and its targets, or nil if there are no
-// targets.
-func (g *Gossip) encodeDatagram(inFlight map[endpointHash]unit.Requests, toAll bool) ([]byte, []netip.AddrPort) {
+// encodeDatagrams returns the next datagrams. Those to other data centres may have the sum of
+// this one.
+func (g *Gossip) encodeDatagrams(own map[endpointHash]endpointLoad, to targets) []outgoing {
 	m := message{
 		From: g.Self, Incarnation: g.Incarnation, CopyRevision: g.PlatformCopy.Revision(), CopyAge: g.PlatformCopy.Age(),
-		InFlight: inFlight, FailureAges: make(map[endpointHash]time.Duration), CutOff: g.Links.CutOff(),
+		Loads: own, FailureAges: make(map[endpointHash]time.Duration), CutOff: g.Links.CutOff(),
 		Crashes: g.Poison.CrashReport(crashReportTime), ClearedRequests: g.Poison.ClearedRequests(clearedReportTime),
 	}
 	m.PartCrashes, m.SoundParts = g.Parts.PartReport()
@@ -382,18 +376,55 @@
 		}
 	}
 	m.Formations = g.announcedFormations(now)
-	targets := g.chooseTargets(toAll)
-	if len(targets) == 0 {
-		return nil, nil
+	local, remote := g.local.next(to.localCount), g.remote.next(to.remoteCount)
+	if len(local)+len(remote) == 0 {
+		return nil
 	}
 	g.sequence++
 	m.Sequence = g.sequence
+	datagrams := g.appendDatagram(nil, &m, local)
+	if len(remote) > 0 && to != allDaemons {
+		m.DataCentreSum = g.nextSum(own, len(remote), now)
+	}
+	if m.DataCentreSum == nil && len(datagrams) > 0 {
+		datagrams[0].addresses = append(datagrams[0].addresses, remote...)
+		return datagrams
+	}
+	return g.appendDatagram(datagrams, &m, remote)
+}
+
+// appendDatagram appends the encoded message, if there are addresses.
+func (g *Gossip) appendDatagram(datagrams []outgoing, m *message, addresses []netip.AddrPort) []outgoing {
+	if len(addresses) == 0 {
+		return datagrams
+	}
 	raw, err := m.encode()
 	if err != nil {
 		g.Log.Error().Err(err).Msg("datagram-not-written")
-		return nil, nil
+		return datagrams
+	}
+	return append(datagrams, outgoing{raw, addresses})
+}
+
+// Sums of a large deployment are sent less often, so that they take at most sumBytesPerSecond of
+// the link of a small machine. sumEndpointBytes is the usual size of an endpoint in a sum.
+const (
+	sumBytesPerSecond = 16 << 10
+	sumEndpointBytes  = 8
+)
+
+// nextSum returns the sum for a datagram to the number of daemons, nil if a sum was sent too
+// recently. The caller holds the lock.
+func (g *Gossip) nextSum(own map[endpointHash]endpointLoad, daemons int, now time.Time) *dataCentreSum {
+	if now.Before(g.nextSumAt) {
+		return nil
+	}
+	sum := g.ownDataCentreSum(own)
+	if sum != nil {
+		size := daemons * len(sum.Loads) * sumEndpointBytes
+		g.nextSumAt = now.Add(time.Duration(size) * time.Second / sumBytesPerSecond)
 	}
-	return raw, targets
+	return sum
 }
 
 // Receive reads and handles datagrams until the connection is closed.
@@ -405,6 +436,7 @@
 		if err != nil {
 			return
 		}
+		g.Telemetry.received(n)
 		g.handleDatagram(buffer[:n])
 	}
 }
@@ -437,7 +469,8 @@
 	}
 	now := g.Clock.Now()
 	p.incarnation, p.sequence, p.lastDatagramAt = m.Incarnation, m.Sequence, now
-	g.replaceInFlight(p, m.InFlight)
+	g.replaceLoads(p, m.Loads)
+	g.replaceSum(p, m.DataCentreSum, now)
 	p.copyAge, p.cutOff = m.CopyAge, m.CutOff
 	for e := range m.FailureAges {
 		if now.Sub(p.reportedFailures[e]) > failureExpiry {
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
@@ -65,6 +66,14 @@
 	d.received[from] = r
 }
 
+func newTestTelemetry() *Telemetry {
+	t, err := NewTelemetry(prometheus.NewRegistry())
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
 // soleDaemon is a list of one daemon.
 type soleDaemon struct{}
 
@@ -91,7 +100,7 @@
 	detector := poison.New(poison.Options{Clock: clk, Self: "a", Lifetime: time.Minute, Limit: 16})
 	limits := ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "a", Daemons: soleDaemon{}, Catalog: cat})
 	parts := poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16})
-	g := New(Options{Demand: new(fakeDemand), Poison: detector, Parts: parts, Limits: limits, Links: new(fakeLinks), Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
+	g := New(Options{Demand: new(fakeDemand), Telemetry: newTestTelemetry(), Poison: detector, Parts: parts, Limits: limits, Links: new(fakeLinks), Clock: clk, Log: zerolog.Nop(), Self: "a", DataCentre: "z", Incarnation: 1, Catalog: cat, PlatformCopy: platformCopy}, conn)
 	daemons := map[ident.Instance]RegisteredDaemon{"a": {DataCentre: "z"}}
 	for id, dataCentre := range peers {
 		daemons[id] = RegisteredDaemon{Address: netip.MustParseAddrPort("127.0.0.1:9"), FeedAddress: string(id) + ":1", RelayAddress: "relay-" + string(id), DataCentre: dataCentre}
@@ -108,7 +117,7 @@
 // out of date, or that are left out because a daemon sent no recent datagram.
 func TestPeerInFlight(t *testing.T) {
 	inFlightMessage := func(from ident.Instance, incarnation unit.Incarnation, sequence unit.Sequence, n unit.Requests) *message {
-		return &message{From: from, Incarnation: incarnation, Sequence: sequence, InFlight: map[endpointHash]unit.Requests{hashEndpoint("i", 3): n}}
+		return &message{From: from, Incarnation: incarnation, Sequence: sequence, Loads: map[endpointHash]endpointLoad{hashEndpoint("i", 3): {Requests: n}}}
 	}
 	tests := map[string]struct {
 		// before is the time that passes before the messages, and after the time
@@ -126,8 +135,8 @@
 		"expired":                      {messages: []*message{inFlightMessage("b", 1, 1, 3)}, after: 2 * time.Second},
 		"one of two peers failed":      {messages: []*message{inFlightMessage("b", 1, 1, 3)}, before: 7 * time.Second, want: 3},
 		"unregistered daemon":          {messages: []*message{inFlightMessage("x", 1, 1, 3)}},
-		"another epoch of the replica": {messages: []*message{{From: "b", Incarnation: 1, Sequence: 1, InFlight: map[endpointHash]unit.Requests{hashEndpoint("i", 2): 5}}}},
-		"another server":               {messages: []*message{{From: "b", Incarnation: 1, Sequence: 1, InFlight: map[endpointHash]unit.Requests{hashEndpoint("j", 3): 5}}}},
+		"another epoch of the replica": {messages: []*message{{From: "b", Incarnation: 1, Sequence: 1, Loads: map[endpointHash]endpointLoad{hashEndpoint("i", 2): {Requests: 5}}}}},
+		"another server":               {messages: []*message{{From: "b", Incarnation: 1, Sequence: 1, Loads: map[endpointHash]endpointLoad{hashEndpoint("j", 3): {Requests: 5}}}}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -175,7 +184,7 @@
 	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
 	receiver, _, _ := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z"})
 	sent := func() []cluster.Formation {
-		raw, _ := g.encodeDatagram(g.ownInFlight(), false)
+		raw := g.encodeDatagrams(g.ownLoads(), targets{localCount: localFanout})[0].raw
 		m, err := decodeMessage(raw)
 		c.Assert(err, qt.IsNil)
 		m.From = "b"
@@ -210,20 +219,23 @@
 		peers, localPeers int
 		want              pace
 	}{
-		"alone":                {want: pace{base, 6}},
-		"small fleet":          {peers: 8, localPeers: 2, want: pace{base, 6}},
-		"75 in three centres":  {peers: 74, localPeers: 24, want: pace{base, 6}},
-		"295 in five centres":  {peers: 294, localPeers: 58, want: pace{3 * base, 1}},
-		"840 in 14 centres":    {peers: 839, localPeers: 59, want: pace{4 * base, 1}},
-		"one large centre":     {peers: 199, localPeers: 199, want: pace{2 * base, 1}},
-		"two centres, 99 each": {peers: 99, localPeers: 49, want: pace{base, 3}},
+		"alone":                {want: pace{interval: base, localFanout: 7, idleRoundsPerSend: 6}},
+		"small fleet":          {peers: 8, localPeers: 2, want: pace{interval: base, localFanout: 7, idleRoundsPerSend: 6}},
+		"75 in three centres":  {peers: 74, localPeers: 24, want: pace{interval: base, localFanout: 7, idleRoundsPerSend: 6}},
+		"295 in five centres":  {peers: 294, localPeers: 58, want: pace{interval: 3 * base, localFanout: 21, idleRoundsPerSend: 1}},
+		"840 in 14 centres":    {peers: 839, localPeers: 59, want: pace{interval: 4 * base, localFanout: 28, idleRoundsPerSend: 1}},
+		"one large centre":     {peers: 199, localPeers: 199, want: pace{interval: 2 * base, localFanout: 14, idleRoundsPerSend: 1}},
+		"two centres, 99 each": {peers: 99, localPeers: 49, want: pace{interval: base, localFanout: 7, idleRoundsPerSend: 3}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			got := paceFor(base, test.peers, test.localPeers)
 			c.Check(got.interval, qt.Equals, test.want.interval)
+			c.Check(got.localFanout, qt.Equals, test.want.localFanout)
 			c.Check(got.idleRoundsPerSend, qt.Equals, test.want.idleRoundsPerSend)
+			perSecond := float64(min(test.localPeers, got.localFanout)+remoteFanout/remoteRoundInterval) / got.interval.Seconds()
+			c.Check(perSecond < 240, qt.IsTrue, qt.Commentf("%v datagrams a second", perSecond))
 		})
 	}
 }
@@ -394,9 +406,10 @@
 	c := qt.New(t)
 	m := &message{
 		From: "b", Incarnation: 1_700_000_000_000, Sequence: 7, CopyRevision: 9, CopyAge: 40 * time.Millisecond,
-		InFlight:    map[endpointHash]unit.Requests{hashEndpoint("i", 3): 4, hashEndpoint("j", 1): 1},
-		FailureAges: map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
-		Crashes:     map[ident.Fingerprint][]ident.Crash{1 << 63: {12, 13}}, ClearedRequests: []ident.Fingerprint{7},
+		Loads:         map[endpointHash]endpointLoad{hashEndpoint("i", 3): {4, 128, 640 * time.Millisecond}, hashEndpoint("j", 1): {Requests: 1}},
+		DataCentreSum: &dataCentreSum{Age: 90 * time.Millisecond, Loads: map[endpointHash]endpointLoad{hashEndpoint("i", 3): {19, 64, 6400 * time.Millisecond}}},
+		FailureAges:   map[endpointHash]time.Duration{hashEndpoint("i", 2): 300 * time.Millisecond},
+		Crashes:       map[ident.Fingerprint][]ident.Crash{1 << 63: {12, 13}}, ClearedRequests: []ident.Fingerprint{7},
 		PartCrashes: map[ident.PromptPart][]ident.Crash{5: {8, 9}}, SoundParts: []ident.PromptPart{6},
 		CutOff: true,
 		Demand: demand.Report{
--- a/internal/peer/gossip/inflight.go
+++ b/internal/peer/gossip/inflight.go
@@ -35,85 +35,160 @@
 	return computed.endpoints
 }
 
-// ownInFlight returns the numbers of this daemon's requests in flight by endpoint.
-func (g *Gossip) ownInFlight() map[endpointHash]unit.Requests {
-	inFlight := make(map[endpointHash]unit.Requests)
+// ownLoads returns the load of this daemon's requests in flight by endpoint.
+func (g *Gossip) ownLoads() map[endpointHash]endpointLoad {
+	loads := make(map[endpointHash]endpointLoad)
 	for _, e := range g.currentEndpoints() {
 		if n := e.Load.InFlight(); n > 0 {
-			inFlight[e.hash] = n
+			unread, work := e.Load.OwnWork()
+			loads[e.hash] = endpointLoad{n, unread, work}
 		}
 	}
-	return inFlight
+	return loads
 }
 
 // dataCentreLoad is the load that the other daemons of a data centre report.
 type dataCentreLoad struct {
-	// inFlight adds up the requests of the daemons that count.
-	inFlight map[endpointHash]unit.Requests
+	// loads adds up the load of the daemons that count, and requests the requests in it.
+	loads    map[endpointHash]endpointLoad
+	requests unit.Requests
 	// reportingDaemons counts the daemons with a recent datagram, liveDaemons
-	// all live ones.
-	reportingDaemons int
-	liveDaemons      int
+	// all live ones, and heardDaemons the live ones that have sent a recent datagram; one that
+	// has just registered is only assumed to report.
+	reportingDaemons, heardDaemons, liveDaemons int
+	// age is the mean time since the daemons reported their requests.
+	age time.Duration
+	// sum has the most recent sum of the data centre, and sumAt the time at which it was so.
+	sum    map[endpointHash]endpointLoad
+	sumAt  time.Time
+	source loadSource
 }
 
+// loadSource says from what the load of a data centre is known.
+type loadSource string
+
+const (
+	// fromNothing means that no daemon of the data centre has sent a recent datagram.
+	fromNothing loadSource = "nothing"
+	// fromDaemons adds up the load of single daemons: of this data centre, or of another one
+	// that sends no sums.
+	fromDaemons loadSource = "daemons"
+	// fromSums uses the most recent sum that a daemon of the data centre has sent.
+	fromSums loadSource = "sums"
+)
+
 // loadOf returns the load of the data centre. The caller holds the lock.
 func (g *Gossip) loadOf(dc ident.DataCentre) *dataCentreLoad {
 	load := g.loads[dc]
 	if load == nil {
-		load = &dataCentreLoad{inFlight: make(map[endpointHash]unit.Requests)}
+		load = &dataCentreLoad{loads: make(map[endpointHash]endpointLoad), source: fromNothing}
 		g.loads[dc] = load
 	}
 	return load
 }
 
-// replaceInFlight replaces the requests in flight of the peer in its data centre's load.
-// The caller holds the lock.
-func (g *Gossip) replaceInFlight(p *peer, inFlight map[endpointHash]unit.Requests) {
-	load := g.loadOf(p.dataCentre)
-	for e, n := range p.inFlight {
-		if load.inFlight[e] -= n; load.inFlight[e] == 0 {
-			delete(load.inFlight, e)
+// replaceLoads replaces the load of the peer in that of its data centre. The caller holds the lock.
+func (g *Gossip) replaceLoads(p *peer, loads map[endpointHash]endpointLoad) {
+	dc := g.loadOf(p.dataCentre)
+	for e, l := range p.loads {
+		if rest := dc.loads[e].minus(l); rest == (endpointLoad{}) {
+			delete(dc.loads, e)
+		} else {
+			dc.loads[e] = rest
 		}
 	}
-	for e, n := range inFlight {
-		load.inFlight[e] += n
+	dc.requests -= p.requests
+	p.requests = 0
+	for e, l := range loads {
+		dc.loads[e] = dc.loads[e].plus(l)
+		p.requests += l.Requests
 	}
-	p.inFlight = inFlight
+	dc.requests += p.requests
+	p.loads = loads
 }
 
-// UpdatePeerInFlight sets, for each endpoint, the number of requests that the other
-// daemons have in flight. A live daemon without a recent datagram is assumed to have
-// the mean of the other daemons of its data centre.
+// replaceSum takes over the sum that the peer has sent, if it is more recent than the known one.
+// The caller holds the lock.
+func (g *Gossip) replaceSum(p *peer, sum *dataCentreSum, now time.Time) {
+	if sum == nil || p.dataCentre == g.DataCentre {
+		return
+	}
+	if dc, at := g.loadOf(p.dataCentre), now.Add(-sum.Age); at.After(dc.sumAt) {
+		dc.sum, dc.sumAt = sum.Loads, at
+	}
+}
+
+// UpdatePeerInFlight sets the load that the other daemons have at each endpoint. Of another data
+// centre, it uses the most recent sum, as a single daemon of it is rarely heard from in a large
+// fleet. Otherwise it adds up single daemons; a live daemon without a recent datagram is assumed
+// to have the mean of the other daemons of its data centre.
 func (g *Gossip) UpdatePeerInFlight() {
 	endpoints := g.currentEndpoints()
-	totals := make([]float64, len(endpoints))
+	totals := make([]endpointLoad, len(endpoints))
 	g.mu.Lock()
-	g.countDaemons(g.Clock.Now())
-	for _, load := range g.loads {
-		if load.reportingDaemons == 0 {
-			continue
+	now := g.Clock.Now()
+	g.countDaemons(now)
+	for dc, load := range g.loads {
+		loads, scale := load.loads, 1.0
+		source := load.currentSource(now)
+		switch source {
+		case fromSums:
+			loads = load.sum
+		case fromDaemons:
+			scale = float64(max(load.liveDaemons, load.reportingDaemons)) / float64(load.reportingDaemons)
+		case fromNothing:
+			loads = nil
 		}
-		scale := float64(max(load.liveDaemons, load.reportingDaemons)) / float64(load.reportingDaemons)
 		for i := range endpoints {
-			totals[i] += float64(load.inFlight[endpoints[i].hash]) * scale
+			if l, ok := loads[endpoints[i].hash]; ok {
+				totals[i] = totals[i].plus(l.scaled(scale))
+			}
 		}
+		g.observeLoad(dc, load, source, now)
 	}
 	g.mu.Unlock()
 	for i, e := range endpoints {
-		e.Load.SetPeerInFlight(unit.Requests(totals[i] + 0.5))
+		e.Load.SetPeerInFlight(totals[i].Requests)
+		e.Load.SetPeerWork(totals[i].Unread, totals[i].Work)
+	}
+}
+
+// currentSource returns from what the load of the data centre is known.
+func (l *dataCentreLoad) currentSource(now time.Time) loadSource {
+	switch {
+	case now.Sub(l.sumAt) <= inFlightExpiry:
+		return fromSums
+	case l.reportingDaemons > 0:
+		return fromDaemons
 	}
+	return fromNothing
+}
+
+// observeLoad updates the metrics and the log. The caller holds the lock.
+func (g *Gossip) observeLoad(dc ident.DataCentre, load *dataCentreLoad, source loadSource, now time.Time) {
+	age := load.age
+	if source == fromSums {
+		age = now.Sub(load.sumAt)
+	}
+	g.Telemetry.loadAge.WithLabelValues(string(dc)).Set(age.Seconds())
+	if source == load.source {
+		return
+	}
+	load.source = source
+	g.Log.Info().Str("datacentre", string(dc)).Str("source", string(source)).Int("heard", load.heardDaemons).
+		Int("live", load.liveDaemons).Int64("age_ms", age.Milliseconds()).Msg("load-source")
 }
 
 // countDaemons counts the daemons of each data centre, and removes the requests of daemons
 // without a recent datagram. The caller holds the lock.
 func (g *Gossip) countDaemons(now time.Time) {
 	for _, load := range g.loads {
-		load.reportingDaemons, load.liveDaemons = 0, 0
+		load.reportingDaemons, load.heardDaemons, load.liveDaemons, load.age = 0, 0, 0, 0
 	}
 	for _, p := range g.peers {
 		silence := now.Sub(p.lastDatagramAt)
-		if silence > inFlightExpiry && len(p.inFlight) > 0 {
-			g.replaceInFlight(p, nil)
+		if silence > inFlightExpiry && len(p.loads) > 0 {
+			g.replaceLoads(p, nil)
 		}
 		load := g.loadOf(p.dataCentre)
 		if p.isLive(now) {
@@ -121,12 +196,46 @@
 		}
 		if silence <= inFlightExpiry {
 			load.reportingDaemons++
+			if p.sequence > 0 && p.registered {
+				load.heardDaemons++
+			}
 		}
+		load.age += silence * time.Duration(p.requests)
+	}
+	for _, load := range g.loads {
+		load.age /= time.Duration(max(load.requests, 1))
+	}
+}
+
+// ownDataCentreSum returns the load of all daemons of this data centre, nil if too few of them were
+// heard from. The caller holds the lock.
+func (g *Gossip) ownDataCentreSum(own map[endpointHash]endpointLoad) *dataCentreSum {
+	dc := g.loadOf(g.DataCentre)
+	if 2*dc.heardDaemons < dc.liveDaemons {
+		return nil
+	}
+	scale := 1.0
+	if dc.heardDaemons > 0 {
+		scale = float64(max(dc.liveDaemons, dc.heardDaemons)) / float64(dc.heardDaemons)
+	}
+	sum := &dataCentreSum{Loads: make(map[endpointHash]endpointLoad, len(dc.loads)+len(own))}
+	var ownRequests, otherRequests unit.Requests
+	for e, l := range dc.loads {
+		sum.Loads[e] = l.scaled(scale)
+		otherRequests += sum.Loads[e].Requests
+	}
+	for e, l := range own {
+		sum.Loads[e] = sum.Loads[e].plus(l)
+		ownRequests += l.Requests
+	}
+	if all := ownRequests + otherRequests; all > 0 {
+		sum.Age = time.Duration(float64(dc.age) * float64(otherRequests) / float64(all))
 	}
+	return sum
 }
 
 // removePeer removes a daemon. The caller holds the lock.
 func (g *Gossip) removePeer(id ident.Instance) {
-	g.replaceInFlight(g.peers[id], nil)
+	g.replaceLoads(g.peers[id], nil)
 	delete(g.peers, id)
 }
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -25,8 +25,11 @@
 	// and CopyAge the time since the platform confirmed that copy.
 	CopyRevision unit.Revision
 	CopyAge      time.Duration
-	// InFlight has the numbers of the sender's requests in flight by endpoint.
-	InFlight map[endpointHash]unit.Requests
+	// Loads has the load of the sender's requests in flight by endpoint.
+	Loads map[endpointHash]endpointLoad
+	// DataCentreSum is the load of all daemons of the sender's data centre, nil if the datagram
+	// has none.
+	DataCentreSum *dataCentreSum
 	// FailureAges has the endpoints whose failure the sender observed recently, with
 	// the time since the last failure.
 	FailureAges map[endpointHash]time.Duration
@@ -73,9 +76,10 @@
 		From: string(m.From), Boot: uint64(m.Incarnation), Sequence: uint64(m.Sequence),
 		Revision: int64(m.CopyRevision), Age: encodeAge(m.CopyAge), CutOff: m.CutOff,
 	}
-	for e, n := range m.InFlight {
-		d.Endpoints = append(d.Endpoints, uint32(e))
-		d.Requests = append(d.Requests, uint32(n))
+	d.Endpoints, d.Requests, d.UnreadPrompts, d.Work = encodeLoads(m.Loads)
+	if m.DataCentreSum != nil {
+		d.SumAge = encodeAge(m.DataCentreSum.Age) + 1
+		d.SumEndpoints, d.SumRequests, d.SumUnreadPrompts, d.SumWork = encodeLoads(m.DataCentreSum.Loads)
 	}
 	for e, age := range m.FailureAges {
 		d.Failed = append(d.Failed, uint32(e))
@@ -193,9 +197,6 @@
 	if err := ident.CheckName(d.GetFrom()); err != nil {
 		return nil, code.BadMessage.Wrap(err, "datagram: field from")
 	}
-	if len(d.GetEndpoints()) != len(d.GetRequests()) {
-		return nil, code.BadMessage.New("datagram: field requests has %d values for %d endpoints", len(d.GetRequests()), len(d.GetEndpoints()))
-	}
 	if len(d.GetFailed()) != len(d.GetFailedAges()) {
 		return nil, code.BadMessage.New("datagram: field failed_ages has %d values for %d endpoints", len(d.GetFailedAges()), len(d.GetFailed()))
 	}
@@ -212,10 +213,13 @@
 	m := &message{
 		From: ident.Instance(d.GetFrom()), Incarnation: unit.Incarnation(d.GetBoot()), Sequence: unit.Sequence(d.GetSequence()),
 		CopyRevision: unit.Revision(d.GetRevision()), CopyAge: time.Duration(d.GetAge()) * time.Millisecond,
-		InFlight: make(map[endpointHash]unit.Requests, len(d.GetEndpoints())), FailureAges: make(map[endpointHash]time.Duration, len(d.GetFailed())),
+		FailureAges: make(map[endpointHash]time.Duration, len(d.GetFailed())),
+	}
+	if m.Loads, err = decodeLoads(d.GetEndpoints(), d.GetRequests(), d.GetUnreadPrompts(), d.GetWork()); err != nil {
+		return nil, err
 	}
-	for i, e := range d.GetEndpoints() {
-		m.InFlight[endpointHash(e)] += unit.Requests(d.GetRequests()[i])
+	if m.DataCentreSum, err = decodeSum(d); err != nil {
+		return nil, err
 	}
 	for i, e := range d.GetFailed() {
 		m.FailureAges[endpointHash(e)] = time.Duration(d.GetFailedAges()[i]) * time.Millisecond
--- a/internal/peer/gossip/pace.go
+++ b/internal/peer/gossip/pace.go
@@ -8,6 +8,10 @@
 type pace struct {
 	// interval is the time between two rounds.
 	interval time.Duration
+	// localFanout is the number of daemons of this data centre that get a busy daemon's datagram
+	// in a round. It is in proportion to the interval, so that its load reaches all of them as
+	// soon as in a small fleet.
+	localFanout int
 	// idleRoundsPerSend is the number of rounds per datagram of a daemon without
 	// requests in flight. Peers then only need the revision and age of its copy of
 	// the platform's keys.
@@ -30,7 +34,7 @@
 // paceFor returns the pace in a fleet with the given numbers of other daemons.
 func paceFor(base time.Duration, peers, localPeers int) pace {
 	factor := min(max((peers+daemonsPerInterval)/daemonsPerInterval, 1), maxIntervalFactor)
-	p := pace{interval: base * time.Duration(factor), idleRoundsPerSend: maxIdleRoundsPerSend}
+	p := pace{interval: base * time.Duration(factor), localFanout: localFanout * factor, idleRoundsPerSend: maxIdleRoundsPerSend}
 	if localPeers > 0 {
 		rounds := int(maxHearInterval * localFanout / (p.interval * time.Duration(localPeers)))
 		p.idleRoundsPerSend = min(max(rounds, 1), maxIdleRoundsPerSend)
@@ -42,5 +46,5 @@
 func (g *Gossip) currentPace(base time.Duration) pace {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return paceFor(base, len(g.localAddresses)+len(g.remoteAddresses), len(g.localAddresses))
+	return paceFor(base, len(g.local.addresses)+len(g.remote.addresses), len(g.local.addresses))
 }
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -89,11 +89,15 @@
 }
 
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
+	telemetry, err := NewTelemetry(deps.Metrics)
+	if err != nil {
+		return nil, err
+	}
 	s := deps.Settings.Section(section).(*Settings)
 	c := &component{deps: deps, settings: s, registrations: make(map[store.Key]storedRegistration), registrationLost: make(chan struct{}, 1)}
 	c.Gossip = New(Options{
 		Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, DataCentre: deps.Settings.Daemon.DataCentre,
-		Incarnation: unit.Incarnation(deps.Clock.Now().UnixMilli()),
+		Incarnation: unit.Incarnation(deps.Clock.Now().UnixMilli()), Telemetry: telemetry,
 	}, nil)
 	// The mirror calls Parent as soon as it has started, before this plug-in
 	// starts.
--- a/internal/serve/forward/demand_test.go
+++ b/internal/serve/forward/demand_test.go
@@ -10,6 +10,7 @@
 
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 )
 
@@ -62,6 +63,81 @@
 	}
 }
 
+// TestWorkAtEndpoint guards against prompts that count as unread after the first event, and against
+// work that still counts after the end of a request, however it ends.
+func TestWorkAtEndpoint(t *testing.T) {
+	tests := map[string]map[ident.Instance][]scriptedReply{
+		"served":                   {"x": {{body: eventA}}},
+		"ends before an event":     {"x": {{}}},
+		"resumed elsewhere":        {"x": {{body: eventA, bodyCutOff: true}}, "y": {{body: eventB}}},
+		"cut off without an event": {"x": {{bodyCutOff: true}}, "y": {{body: eventB}}},
+		"unreachable":              {"x": {{unreachable: true}}, "y": {{body: eventA}}},
+		"refused":                  {"x": {{status: 503, disposition: proxy.Refused}}, "y": {{status: 503, disposition: proxy.Refused}}},
+		"no stream":                {"x": {{status: 400, body: "bad"}}},
+	}
+	for name, replies := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clockwork.NewFakeClock()
+			sender := &loadCheckingSender{fakeSender: &fakeSender{clock: clk, replies: replies}}
+			f := newTestForwarder(sender.fakeSender)
+			f.Sender, sender.endpoints = sender, f.Catalog.Current().ModelEndpoints(engines, testModel)
+			sink := &loadCheckingSink{sender: sender}
+			_ = f.Forward(context.Background(), &proxy.Request{
+				ID: "r", Method: "POST", Host: "h", Target: "/stream/1", Path: "/stream/1", Credential: "k", Model: testModel,
+				PromptTokens: 100, OutputTokens: 10, Received: clk.Now(), Deadline: clk.Now().Add(4 * time.Second),
+			}, sink)
+			c.Check(len(sender.unread) > 0, qt.IsTrue)
+			for i := range sender.unread {
+				c.Check(sender.unread[i], qt.Equals, unit.Tokens(100))
+				c.Check(sender.work[i], qt.Equals, 62*time.Millisecond)
+			}
+			if len(sink.body) > 0 && sink.status == 200 {
+				c.Check(sink.unread, qt.Equals, unit.Tokens(0))
+				c.Check(sink.work, qt.Equals, 62*time.Millisecond)
+			}
+			unread, work := sender.load()
+			c.Check(unread, qt.Equals, unit.Tokens(0))
+			c.Check(work, qt.Equals, time.Duration(0))
+		})
+	}
+}
+
+// loadCheckingSender records the load of the endpoints at each attempt.
+type loadCheckingSender struct {
+	*fakeSender
+	endpoints []*catalog.Endpoint
+	unread    []unit.Tokens
+	work      []time.Duration
+}
+
+func (s *loadCheckingSender) load() (unread unit.Tokens, work time.Duration) {
+	for _, e := range s.endpoints {
+		unread += e.Load.UnreadPrompt()
+		work += e.Load.ExpectedWork()
+	}
+	return unread, work
+}
+
+func (s *loadCheckingSender) Send(ctx context.Context, a *proxy.Attempt, keepWaiting func(time.Duration) bool) (Reply, error) {
+	unread, work := s.load()
+	s.unread, s.work = append(s.unread, unread), append(s.work, work)
+	return s.fakeSender.Send(ctx, a, keepWaiting)
+}
+
+// loadCheckingSink records the load of the endpoints when an event is written.
+type loadCheckingSink struct {
+	fakeSink
+	sender *loadCheckingSender
+	unread unit.Tokens
+	work   time.Duration
+}
+
+func (s *loadCheckingSink) Write(p []byte) error {
+	s.unread, s.work = s.sender.load()
+	return s.fakeSink.Write(p)
+}
+
 // emptyPicker picks no endpoint.
 type emptyPicker struct{}
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -228,6 +228,10 @@
 	// request.
 	possibleRunFailure error
 	admission          admit.Admission
+	// attemptWork is the expected work of the current attempt, and unreadPrompt the tokens of
+	// its prompt until its first event.
+	attemptWork  time.Duration
+	unreadPrompt unit.Tokens
 	// attemptEvents counts the reads of the current attempt that completed an event.
 	attemptEvents int
 
@@ -398,8 +402,10 @@
 // function is called.
 func (x *exchange) countInFlight(e *catalog.Endpoint) func() {
 	e.Load.RequestStarted()
+	x.startWork(e)
 	return func() {
 		e.Load.RequestEnded()
+		x.endWork(e)
 		x.queue.Wake(x.queueKey())
 	}
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -186,6 +186,7 @@
 func (d *stallDetector) recordEvent() {
 	now := d.Clock.Now()
 	d.endpoint.Load.RecordProgress(now)
+	d.promptRead(d.endpoint)
 	if d.attemptEvents++; d.attemptEvents == startedEvents {
 		d.Parts.RecordPartStart(d.request.SharedParts)
 	}
