--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -149,6 +149,7 @@
 	Parts       partDetector
 	Limits      requestLimits
 	Costs       costModel
+	Demand      demandMeter
 	Sender      Sender
 	Links       linkMonitor
 	Relays      relayPicker
@@ -187,6 +188,7 @@
 func (f *Forwarder) Forward(ctx context.Context, r *proxy.Request, s Sink) error {
 	ex := &exchange{Forwarder: f, request: r, sink: s}
 	err := ex.runRequest(ctx)
+	ex.recordRefusal(err)
 	f.Telemetry.requestEnded(ex, err, f.Clock.Now())
 	return err
 }
@@ -226,6 +228,10 @@
 	// request.
 	possibleRunFailure error
 	admission          admit.Admission
+	// attemptWork is the expected work of the current attempt, and unreadPrompt the tokens of
+	// its prompt until its first event.
+	attemptWork  time.Duration
+	unreadPrompt unit.Tokens
 	// attemptEvents counts the reads of the current attempt that completed an event.
 	attemptEvents int
 
@@ -252,6 +258,7 @@
 	if x.request.Relayed == nil {
 		// The daemon that passed a request on has counted it.
 		x.RetryBudget.RecordRequest(x.service)
+		x.Demand.RecordArrival(x.service, x.request.Model, x.estimate.Work)
 	}
 	ctx, cancel := clock.WithDeadline(ctx, x.Clock, x.deadline)
 	defer cancel()
@@ -395,8 +402,10 @@
 // function is called.
 func (x *exchange) countInFlight(e *catalog.Endpoint) func() {
 	e.Load.RequestStarted()
+	x.startWork(e)
 	return func() {
 		e.Load.RequestEnded()
+		x.endWork(e)
 		x.queue.Wake(x.queueKey())
 	}
 }
