demand: Begin the mean at the first request to the daemon

Daemons start long before callers do. The idle time lowered the means of the first seconds, so that the planner saw a third of the demand and waited with its first conversions.

--- a/internal/fleet/demand/average.go
+++ b/internal/fleet/demand/average.go
@@ -7,7 +7,8 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-// A mean covers the time since the start of the daemon, from minWindow to maxWindow. In less than
+// A mean covers the time since the first request to the daemon, from minWindow to maxWindow. The
+// idle time before it would lower the first means, by which the planner corrects the layout. In less than
 // minWindow, a few long requests would decide it. maxWindow is longer than the bursts of callers,
 // of 3 to 4 s, and short enough that a lasting change counts in full before a conversion of
 // replicas has ended.
@@ -73,6 +74,10 @@
 	if m.Catalog.Current().Config != nil {
 		m.updateModels()
 	}
+	if !m.hasArrivals() {
+		m.sampleIdle(now)
+		return
+	}
 	begin, window, ok := m.history.begin(instant)
 	next := m.history.count % sampleCount
 	report := &Report{Window: window}
@@ -91,6 +96,28 @@
 	m.history.count++
 }
 
+// hasArrivals reports whether any request has arrived since the start of the daemon.
+func (m *Meter) hasArrivals() bool {
+	for _, meter := range m.models.Load().byKey {
+		if meter.arrivedWork.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// sampleIdle begins the history anew before the first request, and reports that callers ask for
+// nothing. The caller holds the lock.
+func (m *Meter) sampleIdle(now time.Time) {
+	for _, meter := range m.models.Load().byKey {
+		meter.samples[0] = counters{}
+	}
+	m.history.times[0], m.history.count = clock.InstantOf(now), 1
+	if window := min(now.Sub(m.startedAt), maxWindow); window >= minWindow {
+		m.own.Store(&Report{Window: window})
+	}
+}
+
 // meanLoad returns the mean load between two readings of the counters.
 func meanLoad(end, begin counters, window time.Duration) ModelLoad {
 	mean := func(total time.Duration) unit.Slots {
--- a/internal/fleet/demand/demand.go
+++ b/internal/fleet/demand/demand.go
@@ -50,6 +50,7 @@
 // called during a request take no lock.
 type Meter struct {
 	Options
+	startedAt time.Time
 	// models has the models of the current configuration.
 	models atomic.Pointer[modelTable]
 	// own is this daemon's demand at the latest sample, nil before the first mean.
@@ -67,7 +68,7 @@
 // New returns a Meter that has measured nothing.
 func New(o Options) *Meter {
 	m := &Meter{
-		Options: o, reports: make(map[ident.Instance]receivedReport),
+		Options: o, startedAt: o.Clock.Now(), reports: make(map[ident.Instance]receivedReport),
 		lastKnown: make(map[ident.Service]Demand), states: make(map[ident.Service]state),
 	}
 	m.models.Store(new(modelTable))
