formation: Convert replicas to the model in demand

Cause: the layout kept the configured shares. A model that gets 0.73 of the work with a share of 0.5 had full replicas while those of the other model ran 6 of 34 requests.

Change: a model's share is its share of the servers that the demand asks for. At most a third of a model's replicas are out of service then. The demand comes from a plug-in with OfferedLoad; without one the shares stay as configured.

--- a/internal/fleet/formation/advance.go
+++ b/internal/fleet/formation/advance.go
@@ -106,7 +106,7 @@
 // the draining member is replaced, or dissolved if it was given up.
 func (p *Planner) advanceClosing(r *replica) {
 	head := p.snapshot.Server(r.members[0])
-	if head == nil || head.Membership == nil || p.now.Sub(r.phaseSince) >= p.options.CloseTimeout || head.Membership.State == cluster.Ready {
+	if head == nil || head.Membership == nil || p.now.Sub(r.phaseSince) >= max(p.options.CloseTimeout, r.closeTimeout) || head.Membership.State == cluster.Ready {
 		r.brokenSince = r.phaseSince
 		r.setPhase(r.phaseAfterServing(), p.now)
 		return
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -73,6 +73,10 @@
 	strictLeave bool
 	// lateOrders are carried out when their time has come.
 	lateOrders []lateOrder
+	// demand is the offered load that the planner gets, nil if it is unknown.
+	demand map[ident.Model]unit.Slots
+	// decisions has the decisions of the last step.
+	decisions []Decision
 	// orderFault, if set, says whether an order is lost or carried out late.
 	orderFault func() (lost, late bool)
 }
@@ -171,6 +175,10 @@
 	for _, server := range tc.servers {
 		tc.progressServer(server, bootstrap)
 	}
+	p.Demand, p.StoreAway = nil, tc.listed != nil
+	if tc.demand != nil {
+		p.Demand = Demand{"llm": tc.demand}
+	}
 	for _, c := range p.Step(tc.now, tc.snapshot(), bootstrap) {
 		lost, late := false, false
 		if tc.orderFault != nil {
@@ -186,7 +194,7 @@
 			p.MarkUnreachable(c.Server)
 		}
 	}
-	p.Decisions = nil
+	tc.decisions, p.Decisions = p.Decisions, nil
 	for _, s := range slices.Concat(p.Awaited, p.Unconfirmed) {
 		if server := tc.servers[s.ID]; tc.listed != nil && !server.failed {
 			tc.listed.ApplyReport(server.report())
@@ -358,7 +366,11 @@
 	joinTime := tc.loadDuration(bootstrap)
 	switch {
 	case server.lastModel == o.Model:
+		// Whatever is staged or loaded stays so.
 		joinTime = rejoinTime
+		server.Membership = &cluster.Membership{Replica: o.Replica, Epoch: o.Epoch, Rank: unit.Rank(slices.Index(o.Members, server.ID)), Model: o.Model, State: cluster.Joining}
+		server.members, server.nextState, server.nextStateAt = o.Members, cluster.Ready, tc.now.Add(joinTime)
+		return cluster.InProgress
 	case server.HasStaged(o.Model):
 		joinTime = stagedLoadTime
 	}
--- /dev/null
+++ b/internal/fleet/formation/convert.go
@@ -0,0 +1,458 @@
+package formation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/layout"
+)
+
+// Demand is the offered load of each service's models. A service without an entry has an unknown
+// demand.
+type Demand map[ident.Service]map[ident.Model]unit.Slots
+
+// Times of the decisions on conversions.
+const (
+	// gainDelay is the time for which a conversion has to be a gain before it begins, so that a
+	// burst of 3 s begins none.
+	gainDelay = 3 * time.Second
+	// reverseDelay is the time after a conversion in which the models aren't converted the other
+	// way.
+	reverseDelay = 30 * time.Second
+	// conversionInterval is the least time between two decisions. Rounds may be 10 ms apart.
+	conversionInterval = 250 * time.Millisecond
+	// recognitionTime is the time after the first decision of a term in which members with another
+	// model's weights count as those of a conversion that an earlier planner began.
+	recognitionTime = 3 * time.Second
+)
+
+// maxGivenUp is the share of a model's replicas that may be out of service when a conversion
+// closes further ones.
+const maxGivenUp = 1.0 / 3
+
+// conversionLoads is the share of the weight store's concurrent loads that conversions use. The
+// others are left for repairs.
+const conversionLoads = 0.8
+
+// conversion is a conversion in progress.
+type conversion struct {
+	service ident.Service
+	domain  ident.FabricDomain
+	from    ident.Model
+	to      *cluster.Model
+	// donors are the replicas that are given up, and added is the number of replicas that are
+	// formed.
+	donors []*replica
+	added  int
+	// closedAt is the time at which the donors were given up, zero while they can still be kept.
+	closedAt time.Time
+	// formed are the new replicas, once the donors' members have left.
+	formed    []*replica
+	startedAt time.Time
+}
+
+// servers returns the number of servers that the new replicas need.
+func (c *conversion) servers() int {
+	return c.added * c.to.ServersPerReplica
+}
+
+// modelPair is a direction of conversions.
+type modelPair struct {
+	from, to ident.Model
+}
+
+// modelChange has the times at which a model's replicas were last given up and formed by a
+// conversion.
+type modelChange struct {
+	givenUpAt, gainedAt time.Time
+}
+
+// conversionState is the state of a service's conversions.
+type conversionState struct {
+	running []*conversion
+	// decidedAt is the time of the last decision, and firstDecision that of the first one in
+	// this term.
+	decidedAt, firstDecision time.Time
+	// wanted is the direction that is a gain, since wantedSince.
+	wanted      modelPair
+	wantedSince time.Time
+	changes     map[ident.Model]modelChange
+}
+
+// ConversionEvent is the start or the end of a conversion.
+type ConversionEvent struct {
+	From, To ident.Model
+	// Result is begun, converted, cancelled or incomplete.
+	Result string
+}
+
+// convertReplicas carries on the service's conversions and begins further ones.
+func (p *Planner) convertReplicas(service *cluster.Service) {
+	state := p.conversions[service.Name]
+	if state == nil {
+		state = &conversionState{changes: make(map[ident.Model]modelChange)}
+		p.conversions[service.Name] = state
+	}
+	state.running = slices.DeleteFunc(state.running, func(c *conversion) bool { return !p.continueConversion(service, state, c) })
+	if p.loads.bootstrap || p.now.Sub(state.decidedAt) < conversionInterval || !p.hasDemand(service) {
+		if !p.hasDemand(service) {
+			state.wanted = modelPair{}
+		}
+		return
+	}
+	state.decidedAt = p.now
+	if state.firstDecision.IsZero() {
+		state.firstDecision = p.now
+	}
+	fleet := p.fleetLayout(service)
+	p.cancelConversions(service, state, fleet)
+	if !p.StoreAway {
+		p.beginConversions(service, state, fleet)
+	}
+}
+
+// hasDemand reports whether the demand for the service's models is known.
+func (p *Planner) hasDemand(service *cluster.Service) bool {
+	for _, slots := range p.Demand[service.Name] {
+		if slots > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// layoutChange returns what the conversion still changes in the layout.
+func (p *Planner) layoutChange(c *conversion) layout.Conversion {
+	change := layout.Conversion{Domain: c.domain, From: c.from, To: c.to.Name, Added: c.added - len(c.formed)}
+	if len(c.formed) > 0 {
+		return change
+	}
+	for _, r := range c.donors {
+		if p.replicas[r.name] != r {
+			continue
+		}
+		change.Spares += len(r.members)
+		if p.isCounted(r) {
+			change.Released++
+		}
+	}
+	change.Spares -= c.servers()
+	return change
+}
+
+// cancelConversions ends the conversions that are no gain any more and whose replicas haven't been
+// closed. It applies the others to the fleet.
+func (p *Planner) cancelConversions(service *cluster.Service, state *conversionState, fleet *layout.Fleet) {
+	slices.SortStableFunc(state.running, func(a, b *conversion) int { return cmp.Compare(closedRank(a), closedRank(b)) })
+	state.running = slices.DeleteFunc(state.running, func(c *conversion) bool {
+		change := p.layoutChange(c)
+		if c.closedAt.IsZero() && !p.StoreAway && fleet.Gain(&change) <= 0 {
+			p.endConversion(service, c, "cancelled", "replica-conversion-cancelled", "no gain any more")
+			return true
+		}
+		fleet.Apply(&change)
+		return false
+	})
+}
+
+// closedRank orders conversions by whether their donors have been given up.
+func closedRank(c *conversion) int {
+	if c.closedAt.IsZero() {
+		return 1
+	}
+	return 0
+}
+
+// endConversion records the end of a conversion.
+func (p *Planner) endConversion(service *cluster.Service, c *conversion, result, event, reason string) {
+	p.ConversionEvents = append(p.ConversionEvents, ConversionEvent{c.from, c.to.Name, result})
+	p.recordDecision(event, c.donors[0], "%s to %d replicas of %s after %s, %s: %s", c.from, c.added, c.to.Name,
+		p.now.Sub(c.startedAt).Round(time.Millisecond), reason, p.describeDemand(service, c.from, c.to.Name))
+}
+
+// beginConversions begins the conversions that are a gain for the fleet.
+func (p *Planner) beginConversions(service *cluster.Service, state *conversionState, fleet *layout.Fleet) {
+	isRecognising := p.now.Sub(state.firstDecision) < recognitionTime
+	for {
+		minGain := layout.MinGain
+		if isRecognising {
+			minGain = 0
+		}
+		next, found := fleet.NextConversion(minGain, func(c *layout.Conversion) (int, bool) {
+			return p.conversionCost(service, state, c, isRecognising)
+		})
+		if !found && isRecognising {
+			isRecognising = false
+			continue
+		}
+		pair := modelPair{next.From, next.To}
+		switch {
+		case !found:
+			state.wanted = modelPair{}
+			return
+		case isRecognising:
+		case state.wanted != pair:
+			state.wanted, state.wantedSince = pair, p.now
+			return
+		case p.now.Sub(state.wantedSince) < gainDelay:
+			return
+		}
+		c := p.newConversion(service, &next)
+		if !p.allowsConversionLoads(service, state, c) {
+			return
+		}
+		state.running = append(state.running, c)
+		fleet.Apply(&next)
+		p.recordBegin(service, c)
+		p.continueConversion(service, state, c)
+	}
+}
+
+// recordBegin records the beginning of a conversion.
+func (p *Planner) recordBegin(service *cluster.Service, c *conversion) {
+	p.ConversionEvents = append(p.ConversionEvents, ConversionEvent{c.from, c.to.Name, "begun"})
+	p.recordDecision("replica-converting", c.donors[0], "%s to %d replicas of %s in domain %s, %d of %d loads done: %s", c.from, c.added, c.to.Name,
+		c.domain, c.servers()-p.missingLoads(c), c.servers(), p.describeDemand(service, c.from, c.to.Name))
+}
+
+// conversionCost returns the number of loads that the conversion needs, and whether it may begin.
+// A conversion that an earlier planner began has at least half of the weights.
+func (p *Planner) conversionCost(service *cluster.Service, state *conversionState, change *layout.Conversion, isRecognising bool) (int, bool) {
+	isReverse := p.now.Sub(state.changes[change.From].gainedAt) < reverseDelay || p.now.Sub(state.changes[change.To].givenUpAt) < reverseDelay
+	isBusy := slices.ContainsFunc(state.running, func(c *conversion) bool { return c.domain == change.Domain })
+	if isReverse || isBusy || p.isDataCentreDrained(service, change.Domain) || !p.needsCapacity(service, change.To) {
+		return 0, false
+	}
+	c := p.newConversion(service, change)
+	if c == nil {
+		return 0, false
+	}
+	missing := p.missingLoads(c)
+	return missing, !isRecognising || 2*missing <= c.servers()
+}
+
+// newConversion returns the conversion with the donors whose members have most of the weights, nil
+// if there are too few replicas that may be given up.
+func (p *Planner) newConversion(service *cluster.Service, change *layout.Conversion) *conversion {
+	to := service.Engine.Model(change.To)
+	var donors []*replica
+	for _, r := range p.sortedReplicas(service) {
+		if r.domain == change.Domain && r.model.Name == change.From && p.canBeGivenUp(r) {
+			donors = append(donors, r)
+		}
+	}
+	if len(donors) < change.Released {
+		return nil
+	}
+	slices.SortStableFunc(donors, func(a, b *replica) int {
+		return cmp.Compare(p.stagedMembers(b, to.Name), p.stagedMembers(a, to.Name))
+	})
+	return &conversion{
+		service: service.Name, domain: change.Domain, from: change.From, to: to, donors: donors[:change.Released], added: change.Added, startedAt: p.now,
+	}
+}
+
+// canBeGivenUp reports whether the replica is complete and known for certain. A replica that a
+// new planner has adopted while it is closed counts as joining.
+func (p *Planner) canBeGivenUp(r *replica) bool {
+	return !r.released && r.isSettled(p.now) && (r.phase == serving || p.wasClosed(r))
+}
+
+// wasClosed reports whether the replica was closed by an earlier planner.
+func (p *Planner) wasClosed(r *replica) bool {
+	if r.phase != joining || r.epoch != r.servedEpoch || len(r.members) < r.model.ServersPerReplica {
+		return false
+	}
+	head := p.snapshot.Server(r.members[0])
+	return head != nil && head.Membership != nil && (head.Membership.State == cluster.Closing || head.Membership.State == cluster.Ready)
+}
+
+// stagedMembers returns the number of members of the replica that have the model's weights.
+func (p *Planner) stagedMembers(r *replica, model ident.Model) int {
+	n := 0
+	for _, id := range r.members {
+		if s := p.snapshot.Server(id); s != nil && s.HasStaged(model) {
+			n++
+		}
+	}
+	return n
+}
+
+// missingLoads returns the number of servers of the new replicas that don't have the weights.
+func (p *Planner) missingLoads(c *conversion) int {
+	missing := c.servers()
+	for _, r := range c.donors {
+		missing -= p.stagedMembers(r, c.to.Name)
+	}
+	return max(0, missing)
+}
+
+// allowsConversionLoads reports whether the loads of the conversion can begin beside those of the
+// others.
+func (p *Planner) allowsConversionLoads(service *cluster.Service, state *conversionState, next *conversion) bool {
+	loads := 0
+	for _, c := range state.running {
+		if c.closedAt.IsZero() {
+			loads += p.missingLoads(c)
+		}
+	}
+	limit := maxConversionLoads(service.Engine)
+	return loads == 0 || limit == 0 || loads+p.missingLoads(next) <= limit
+}
+
+// maxConversionLoads returns the number of loads that conversions may run at once, zero for any.
+func maxConversionLoads(e *cluster.Engine) int {
+	if e.MaxConcurrentLoads == 0 {
+		return 0
+	}
+	return max(1, int(conversionLoads*float64(e.MaxConcurrentLoads)))
+}
+
+// continueConversion brings the conversion to its next step. It returns false when the conversion
+// has ended.
+func (p *Planner) continueConversion(service *cluster.Service, state *conversionState, c *conversion) bool {
+	switch {
+	case len(c.formed) > 0:
+		return p.continueForming(service, c)
+	case !c.closedAt.IsZero():
+		return p.formConverted(service, state, c)
+	}
+	for _, r := range c.donors {
+		if p.replicas[r.name] != r || r.released || r.phase == dissolving {
+			p.endConversion(service, c, "cancelled", "replica-conversion-cancelled", "the replica is given up for another one")
+			return false
+		}
+	}
+	p.limitToServers(service, c)
+	if c.added == 0 {
+		p.endConversion(service, c, "cancelled", "replica-conversion-cancelled", "too few members are left")
+		return false
+	}
+	if p.isStaged(service, c) && p.mayClose(service, c) {
+		p.closeDonors(service, state, c)
+	}
+	return true
+}
+
+// limitToServers reduces the new replicas of a conversion whose donors have lost members.
+func (p *Planner) limitToServers(service *cluster.Service, c *conversion) {
+	servers, isBroken := p.stagedSpares(service, c.domain, c.to.Name), false
+	for _, r := range c.donors {
+		servers += len(r.members)
+		isBroken = isBroken || r.phase == incomplete && r.isSettled(p.now)
+	}
+	if isBroken {
+		c.added = min(c.added, servers/c.to.ServersPerReplica)
+	}
+}
+
+// isStaged reports whether the new replicas can be formed without a load of weights. Spare servers
+// replace members that were lost or whose loads take longer.
+func (p *Planner) isStaged(service *cluster.Service, c *conversion) bool {
+	return p.missingLoads(c) <= p.stagedSpares(service, c.domain, c.to.Name)
+}
+
+// mayClose reports whether the donors may be closed now. Repairs in the domain come first, and
+// enough replicas of the model have to serve meanwhile.
+func (p *Planner) mayClose(service *cluster.Service, c *conversion) bool {
+	total, out, donorsServing := 0, 0, 0
+	for _, r := range p.replicas {
+		if r.service != service.Name {
+			continue
+		}
+		isDonor := slices.Contains(c.donors, r)
+		if !isDonor && r.domain == c.domain && (r.phase == incomplete || r.phase == dissolving) {
+			return false
+		}
+		isBroken := r.phase == incomplete && r.isSettled(p.now)
+		if isDonor && !isBroken && !p.canBeGivenUp(r) {
+			return false
+		}
+		if r.model.Name != c.from {
+			continue
+		}
+		total++
+		switch {
+		case r.phase != serving:
+			out++
+		case isDonor:
+			donorsServing++
+		}
+	}
+	return donorsServing == 0 || float64(out+donorsServing) <= maxGivenUp*float64(total)
+}
+
+// closeDonors gives the donors up. They finish their requests first.
+func (p *Planner) closeDonors(service *cluster.Service, state *conversionState, c *conversion) {
+	for _, r := range c.donors {
+		p.recordDecision("replica-released", r, "phase %s, its %d members form replicas of %s", r.phase, len(r.members), c.to.Name)
+		if r.phase == incomplete {
+			r.setPhase(dissolving, p.now)
+			continue
+		}
+		r.released, r.closeTimeout = true, p.drainTimeout(service)
+		r.setPhase(closing, p.now)
+	}
+	c.closedAt = p.now
+	state.recordChange(c, p.now)
+}
+
+// recordChange records a conversion, after which the models aren't converted the other way for a
+// time.
+func (s *conversionState) recordChange(c *conversion, now time.Time) {
+	from, to := s.changes[c.from], s.changes[c.to.Name]
+	from.givenUpAt, to.gainedAt = now, now
+	s.changes[c.from], s.changes[c.to.Name] = from, to
+}
+
+// maxDrainFactor bounds the wait for the requests of a replica that is converted, in CloseTimeouts.
+const maxDrainFactor = 3
+
+// drainTimeout returns the time for which a replica that is converted finishes its requests. No
+// caller waits longer than the timeout of its route.
+func (p *Planner) drainTimeout(service *cluster.Service) time.Duration {
+	longest := p.options.CloseTimeout
+	for i := range p.snapshot.Config.Routes {
+		r := &p.snapshot.Config.Routes[i]
+		if slices.ContainsFunc(r.Targets, func(t cluster.Target) bool { return t.Service == service.Name }) {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return min(longest, maxDrainFactor*p.options.CloseTimeout)
+}
+
+// formConverted forms the new replicas when the donors' members have left. It returns false if
+// too few servers are left for any of them.
+func (p *Planner) formConverted(service *cluster.Service, state *conversionState, c *conversion) bool {
+	for _, r := range c.donors {
+		if p.replicas[r.name] == r {
+			return true
+		}
+	}
+	state.recordChange(c, p.now)
+	for range c.added {
+		if p.stagedSpares(service, c.domain, c.to.Name) >= c.to.ServersPerReplica {
+			c.formed = append(c.formed, p.createReplica(service, c.domain, c.to))
+		}
+	}
+	if len(c.formed) == 0 {
+		p.endConversion(service, c, "incomplete", "replica-conversion-incomplete", "too few members are left")
+		return false
+	}
+	return true
+}
+
+// continueForming waits until the new replicas serve, and returns false then.
+func (p *Planner) continueForming(service *cluster.Service, c *conversion) bool {
+	for _, r := range c.formed {
+		if p.replicas[r.name] == r && r.servedEpoch == 0 {
+			return true
+		}
+	}
+	p.endConversion(service, c, "converted", "replica-converted", "out of service for "+p.now.Sub(c.closedAt).Round(time.Millisecond).String())
+	return false
+}
--- /dev/null
+++ b/internal/fleet/formation/demand.go
@@ -0,0 +1,129 @@
+package formation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// burstFactor is the load of a burst in relation to the mean load.
+const burstFactor = 1.7
+
+// needsCapacity reports whether a burst of the model's demand would fill its replicas. The demand
+// counts the slots of idle replicas; with all slots in use, requests take longer by fullSlowdown.
+// If the engine's times aren't published, any model may need capacity.
+func (p *Planner) needsCapacity(service *cluster.Service, model ident.Model) bool {
+	slowdown := fullSlowdown(service.Engine, service.Engine.Model(model))
+	if slowdown == 0 {
+		return true
+	}
+	demand := float64(p.Demand[service.Name][model])
+	return demand*slowdown*burstFactor >= p.capacity(service, model)
+}
+
+// fullSlowdown returns the time of a token step in a full replica of the model in relation to an
+// idle one, zero if it isn't known.
+func fullSlowdown(e *cluster.Engine, m *cluster.Model) float64 {
+	if e.StepTime <= 0 || e.Slots <= 0 {
+		return 0
+	}
+	idle := time.Duration(float64(max(e.StepsPerPass, 1)) * float64(e.StepTime) * m.TimeFactor)
+	return float64(e.MaxPassInterval(m)) / float64(max(idle, 1))
+}
+
+// capacity returns the slots of the model's replicas that serve.
+func (p *Planner) capacity(service *cluster.Service, model ident.Model) float64 {
+	replicas := 0
+	for _, r := range p.replicas {
+		if r.service == service.Name && r.model.Name == model && r.phase == serving {
+			replicas++
+		}
+	}
+	return float64(replicas) * float64(service.Engine.Slots)
+}
+
+// describeDemand returns the demand and the capacity of both models for the log.
+func (p *Planner) describeDemand(service *cluster.Service, from, to ident.Model) string {
+	demand := p.Demand[service.Name]
+	return fmt.Sprintf("demand %.1f and %.1f slots, capacity %.0f and %.0f", float64(demand[from]), float64(demand[to]), p.capacity(service, from), p.capacity(service, to))
+}
+
+// offeredLoad returns the demand for the models of the services that have model servers.
+func (c *controller) offeredLoad(snapshot *catalog.Snapshot, now time.Time) Demand {
+	if c.demand == nil || snapshot.Config == nil {
+		return nil
+	}
+	demand := make(Demand)
+	for name, service := range snapshot.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		if offered, known := c.demand.OfferedLoad(now, name); known {
+			demand[name] = offered
+		}
+	}
+	return demand
+}
+
+// conversionReporter has the demand, the capacity and the conversions as metrics.
+type conversionReporter struct {
+	demand, capacity *prometheus.GaugeVec
+	conversions      *prometheus.CounterVec
+	reportedAt       time.Time
+}
+
+func newConversionReporter() *conversionReporter {
+	return &conversionReporter{
+		demand: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cuminbay_formation_demand_slots", Help: "Offered load by model in slots of idle replicas, while this daemon is the planner.",
+		}, []string{"model"}),
+		capacity: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cuminbay_formation_capacity_slots", Help: "Slots of the replicas that serve by model, while this daemon is the planner.",
+		}, []string{"model"}),
+		conversions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminbay_formation_conversions_total", Help: "Conversions of replicas by their models and result.",
+		}, []string{"from", "to", "result"}),
+	}
+}
+
+func (r *conversionReporter) register(registerer prometheus.Registerer) error {
+	for _, collector := range []prometheus.Collector{r.demand, r.capacity, r.conversions} {
+		if err := registerer.Register(collector); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// report counts the conversions, and sets the gauges at most once in countInterval.
+func (r *conversionReporter) report(p *Planner, now time.Time) {
+	for _, e := range p.ConversionEvents {
+		r.conversions.WithLabelValues(string(e.From), string(e.To), e.Result).Inc()
+	}
+	p.ConversionEvents = nil
+	if p.snapshot.Config == nil || now.Sub(r.reportedAt) < countInterval {
+		return
+	}
+	r.reportedAt = now
+	for name, service := range p.snapshot.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for i := range service.Engine.Models {
+			m := service.Engine.Models[i].Name
+			r.demand.WithLabelValues(string(m)).Set(float64(p.Demand[name][m]))
+			r.capacity.WithLabelValues(string(m)).Set(p.capacity(service, m))
+		}
+	}
+}
+
+// reset forgets the demand and capacity of a term that has ended.
+func (r *conversionReporter) reset() {
+	r.demand.Reset()
+	r.capacity.Reset()
+}
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -41,7 +41,7 @@
 
 // createReplica forms a replica of the domain's spare servers that can join it
 // soonest. There must be enough of them.
-func (p *Planner) createReplica(service *cluster.Service, domain ident.FabricDomain, m *cluster.Model) {
+func (p *Planner) createReplica(service *cluster.Service, domain ident.FabricDomain, m *cluster.Model) *replica {
 	spares := p.spareServers(service, domain, m.Name)[:m.ServersPerReplica]
 	r := &replica{name: p.newName(), service: service.Name, domain: domain, model: m, brokenSince: p.now}
 	for _, s := range spares {
@@ -50,6 +50,7 @@
 	p.replicas[r.name] = r
 	p.membersChanged()
 	p.startJoining(r, fmt.Sprintf("new in domain %s", domain))
+	return r
 }
 
 // fleetLayout returns the replicas and free servers of the service's domains. Replicas
@@ -67,15 +68,23 @@
 			FreeServers: p.freeServers(service, id), Spares: len(p.sparesOf(service, id)), Replicas: replicas[id],
 		})
 	}
+	if !p.loads.bootstrap {
+		fleet.ApplyDemand(p.Demand[service.Name])
+	}
 	return fleet
 }
 
+// isCounted reports whether the replica counts in the layout.
+func (p *Planner) isCounted(r *replica) bool {
+	return r.phase != incomplete && r.phase != dissolving && !r.released
+}
+
 // countedReplicas returns the number of replicas of each model by domain, for
 // fleetLayout.
 func (p *Planner) countedReplicas(service *cluster.Service) map[ident.FabricDomain]map[ident.Model]int {
 	counts := make(map[ident.FabricDomain]map[ident.Model]int)
 	for _, r := range p.replicas {
-		if r.service != service.Name || r.phase == incomplete || r.phase == dissolving || r.released || p.isDataCentreDrained(service, r.domain) {
+		if r.service != service.Name || !p.isCounted(r) || p.isDataCentreDrained(service, r.domain) {
 			continue
 		}
 		if counts[r.domain] == nil {
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -80,8 +80,10 @@
 	// at which the replica was formed or stopped serving, zero while it serves.
 	phaseSince  time.Time
 	brokenSince time.Time
-	// released says that the replica is given up, and dissolved when it has closed.
-	released bool
+	// released says that the replica is given up, and dissolved when it has closed. closeTimeout
+	// bounds the wait for its requests if that is longer than CloseTimeout.
+	released     bool
+	closeTimeout time.Duration
 }
 
 // missing returns the number of members that the replica lacks.
@@ -171,6 +173,14 @@
 	Superseded bool
 	// LatestRevision is the latest revision of the platform that this daemon knows.
 	LatestRevision unit.Revision
+	// Demand is the offered load, and StoreAway says that the platform's store can't be read.
+	// Conversions in progress are then finished and none is begun.
+	Demand    Demand
+	StoreAway bool
+	// ConversionEvents collects the conversions begun and ended. The caller of Step clears it.
+	ConversionEvents []ConversionEvent
+	// conversions has the conversions of each service.
+	conversions map[ident.Service]*conversionState
 
 	// now and snapshot are the arguments of the current Step, commands its
 	// result.
@@ -229,6 +239,7 @@
 		loads:       newLoadLimiter(now),
 		growths:     make(map[ident.FabricDomain]growth),
 		spares:      make(map[domainKey][]*cluster.Server),
+		conversions: make(map[ident.Service]*conversionState),
 	}
 }
 
@@ -295,6 +306,7 @@
 		p.adoptReplicas(service)
 		p.checkMembers(service)
 		p.repairReplicas(service)
+		p.convertReplicas(service)
 		p.formReplicas(service)
 		p.advanceReplicas(service)
 		p.stageWeights(service)
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -78,6 +78,11 @@
 	trafficMonitor interface {
 		HasTraffic() bool
 	}
+	demandSource interface {
+		// OfferedLoad returns the load of each model of the service that its callers offer, and
+		// false if it isn't known.
+		OfferedLoad(now time.Time, service ident.Service) (map[ident.Model]unit.Slots, bool)
+	}
 )
 
 // controller runs the planner while this daemon holds the planner lease.
@@ -94,6 +99,9 @@
 	traffic trafficMonitor
 	peers   peerDaemons
 	links   linkMonitor
+	// demand is nil if no plug-in measures the demand. The layout then follows the configured
+	// shares.
+	demand demandSource
 	// candidates says whether this daemon competes for the lease. In a large fleet, most
 	// daemons would find it taken.
 	candidates leaderCandidates
@@ -126,8 +134,9 @@
 	probeResults []probeResult
 	orderResults []orderResult
 
-	orders *prometheus.CounterVec
-	counts *countReporter
+	orders      *prometheus.CounterVec
+	counts      *countReporter
+	conversions *conversionReporter
 }
 
 // orderResult is a server's answer to an order.
@@ -158,12 +167,15 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminbay_formation_orders_total", Help: "Orders of the planner by operation and result.",
 		}, []string{"operation", "result"}),
-		counts: newCountReporter(),
+		counts: newCountReporter(), conversions: newConversionReporter(),
 	}
 	deps.Provide(c)
 	if err := deps.Metrics.Register(c.orders); err != nil {
 		return nil, err
 	}
+	if err := c.conversions.register(deps.Metrics); err != nil {
+		return nil, err
+	}
 	return c, deps.Metrics.Register(c.counts.gauge)
 }
 
@@ -172,6 +184,13 @@
 	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic, &c.peers, &c.links, &c.candidates); err != nil {
 		return err
 	}
+	var sources []demandSource
+	if err := c.deps.ResolveAll(&sources); err != nil {
+		return err
+	}
+	if len(sources) > 0 {
+		c.demand = sources[0]
+	}
 	c.Go(c.holdLease)
 	c.Go(c.runPlanner)
 	return nil
@@ -210,6 +229,7 @@
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
 			c.counts.reset()
+			c.conversions.reset()
 			if current != 0 {
 				planner = NewPlanner(c.plannerOptions(), unit.Revision(current), now)
 			}
@@ -271,6 +291,7 @@
 	c.applyResults(p)
 	c.probeSuspects(p, snapshot, now)
 	p.LatestRevision = c.keys.Revision()
+	p.Demand, p.StoreAway = c.offeredLoad(snapshot, now), c.keys.Age() >= maxCopyAge
 	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic())
 	for _, d := range p.Decisions {
 		c.deps.Log.Info().Str("replica", string(d.Replica)).Uint64("epoch", uint64(d.Epoch)).
@@ -278,6 +299,7 @@
 	}
 	p.Decisions = nil
 	c.counts.report(c.deps.Log, p, now)
+	c.conversions.report(p, now)
 	if p.Superseded {
 		c.endSupersededTerm(int64(p.fencingToken))
 		return
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -111,7 +111,9 @@
 	r.epoch = p.nextEpoch()
 	r.setPhase(joining, p.now)
 	for _, id := range r.members {
-		if s := p.snapshot.Server(id); s != nil && !s.HasStaged(r.model.Name) {
+		s := p.snapshot.Server(id)
+		// A server that was a member of a replica of the model rejoins without a load.
+		if s != nil && !s.HasStaged(r.model.Name) && (s.Membership == nil || s.Membership.Model != r.model.Name) {
 			p.loads.addLoad(id, r.model.Name, p.now.Add(r.model.LoadTime))
 		}
 	}
--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
@@ -40,6 +41,7 @@
 		}
 		candidates = append(candidates, p.stagingCandidates(service, fleet, domain)...)
 	}
+	candidates = append(candidates, p.conversionCandidates(service)...)
 	slices.SortStableFunc(candidates, func(a, b stagingCandidate) int { return cmp.Compare(a.loadsToComplete, b.loadsToComplete) })
 	for _, c := range candidates {
 		if p.loads.loadingModel(c.server.ID) != "" || !p.loads.allowsLoads(1) {
@@ -50,6 +52,69 @@
 	}
 }
 
+// conversionRank replaces loadsToComplete for the members of replicas that are converted. Their
+// loads come after those that complete a replica with two loads, and before precautionary ones.
+const conversionRank = 2.4
+
+// conversionCandidates returns the loads of the conversions in progress, and issues the orders of
+// running loads again.
+func (p *Planner) conversionCandidates(service *cluster.Service) []stagingCandidate {
+	var candidates []stagingCandidate
+	running, limit := 0, maxConversionLoads(service.Engine)
+	for _, c := range p.conversions[service.Name].running {
+		if !c.closedAt.IsZero() {
+			continue
+		}
+		missing := c.servers()
+		var unstaged []*cluster.Server
+		for _, s := range p.donorMembers(c) {
+			model := p.loads.loadingModel(s.ID)
+			switch {
+			case s.HasStaged(c.to.Name):
+				missing--
+			case model != "":
+				missing--
+				running++
+				p.issueOrder(s.ID, cluster.Order{Operation: cluster.StageModel, Model: model})
+				p.awaitLoad(s)
+			case !p.loads.isBusy(s.ID):
+				unstaged = append(unstaged, s)
+			}
+		}
+		for _, s := range unstaged[:min(len(unstaged), max(0, missing))] {
+			candidates = append(candidates, stagingCandidate{s, c.to, conversionRank})
+		}
+	}
+	if limit > 0 {
+		candidates = candidates[:min(len(candidates), max(0, limit-running))]
+	}
+	return candidates
+}
+
+// donorMembers returns the usable members of the replicas that the conversion gives up.
+func (p *Planner) donorMembers(c *conversion) []*cluster.Server {
+	var servers []*cluster.Server
+	for _, r := range c.donors {
+		for _, id := range r.members {
+			if s := p.snapshot.Server(id); s != nil && p.isUsable(s) {
+				servers = append(servers, s)
+			}
+		}
+	}
+	return servers
+}
+
+// loadMargin is the time before the expected end of a load from which on the weights may be there.
+const loadMargin = time.Second
+
+// awaitLoad adds the server to those whose orders should have taken effect, if its load should have
+// ended.
+func (p *Planner) awaitLoad(s *cluster.Server) {
+	if p.loads.running[s.ID].expectedEnd.Sub(p.now) <= loadMargin {
+		p.Awaited = append(p.Awaited, s)
+	}
+}
+
 // stagingCandidates returns the useful loads in the domain, and issues the
 // orders of running loads again.
 func (p *Planner) stagingCandidates(service *cluster.Service, fleet *layout.Fleet, domain ident.FabricDomain) []stagingCandidate {
--- a/internal/fleet/layout/plan.go
+++ b/internal/fleet/layout/plan.go
@@ -196,15 +196,25 @@
 
 // rate rates a plan by the expected capacities of the models; a higher rating is better.
 func (s *search) rate(p plan) float64 {
-	lowest, afterDomain, afterDataCentre, sum := math.Inf(1), math.Inf(1), math.Inf(1), 0.0
+	sum := 0.0
+	for model, m := range s.models {
+		total, _, _ := s.expectedOf(p, model)
+		sum += perShare(m, total)
+	}
+	return s.rateLowest(p) + meanWeight*sum/float64(len(s.models))
+}
+
+// rateLowest rates a plan by the lowest capacities of a model alone. The mean of the models would
+// keep a model of little demand from giving up replicas, as its capacity for its share is high.
+func (s *search) rateLowest(p plan) float64 {
+	lowest, afterDomain, afterDataCentre := math.Inf(1), math.Inf(1), math.Inf(1)
 	for model, m := range s.models {
 		total, inDomain, inDataCentre := s.expectedOf(p, model)
 		lowest = min(lowest, perShare(m, total))
 		afterDomain = min(afterDomain, perShare(m, total-inDomain))
 		afterDataCentre = min(afterDataCentre, perShare(m, total-inDataCentre))
-		sum += perShare(m, total)
 	}
-	return lowest + lossWeight*(afterDomain+afterDataCentre) + meanWeight*sum/float64(len(s.models))
+	return lowest + lossWeight*(afterDomain+afterDataCentre)
 }
 
 // expectedOf returns the expected replicas of the model with the index, and the most in a domain
