formation: Prepare conversions at the first start, and restage spares

Cause: a conversion waits for a load of 12 s, during which the model in demand lacks capacity. After a conversion, spare servers keep weights that no replica of their domain uses. A conversion with spare servers took them from a repair (TestFaults found this).

Change: at the first start, where loads are quick, the members of half of each model's replicas (setting prepared) stage the other model, if a plug-in measures the demand. Spare servers are converted too where that completes a replica, and replace weights that their domain has too many of. A member that restarted without its model's weights is replaced. A conversion begins only if a burst would use half of the model's slots.

TestDemandShifts, TestWave, TestConversionFaults, TestDataCentreCutOffWhileConverting; TestFaults changes the demand at random, and then lets a conversion that has just closed a replica end before it counts the replicas.

--- a/internal/fleet/formation/convert.go
+++ b/internal/fleet/formation/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -25,8 +26,8 @@
 	reverseDelay = 30 * time.Second
 	// conversionInterval is the least time between two decisions. Rounds may be 10 ms apart.
 	conversionInterval = 250 * time.Millisecond
-	// recognitionTime is the time after the first decision of a term in which members with another
-	// model's weights count as those of a conversion that an earlier planner began.
+	// recognitionTime is the time after the first decision of a term in which closed replicas whose
+	// members have another model's weights count as those of a conversion of an earlier planner.
 	recognitionTime = 3 * time.Second
 )
 
@@ -44,8 +45,8 @@
 	domain  ident.FabricDomain
 	from    ident.Model
 	to      *cluster.Model
-	// donors are the replicas that are given up, and added is the number of replicas that are
-	// formed.
+	// donors are the replicas that are given up, none if only spare servers are used. added is the
+	// number of replicas that are formed.
 	donors []*replica
 	added  int
 	// closedAt is the time at which the donors were given up, zero while they can still be kept.
@@ -170,8 +171,19 @@
 // endConversion records the end of a conversion.
 func (p *Planner) endConversion(service *cluster.Service, c *conversion, result, event, reason string) {
 	p.ConversionEvents = append(p.ConversionEvents, ConversionEvent{c.from, c.to.Name, result})
-	p.recordDecision(event, c.donors[0], "%s to %d replicas of %s after %s, %s: %s", c.from, c.added, c.to.Name,
-		p.now.Sub(c.startedAt).Round(time.Millisecond), reason, p.describeDemand(service, c.from, c.to.Name))
+	p.recordConversion(event, service, c, fmt.Sprintf("after %s, %s", p.now.Sub(c.startedAt).Round(time.Millisecond), reason))
+}
+
+// recordConversion records a decision on a conversion with the demand and capacity of its models.
+func (p *Planner) recordConversion(event string, service *cluster.Service, c *conversion, detail string) {
+	d := Decision{Event: event}
+	models := fmt.Sprintf("spare servers to %d replicas of %s", c.added, c.to.Name)
+	if len(c.donors) > 0 {
+		d.Replica, d.Epoch = c.donors[0].name, c.donors[0].epoch
+		models = fmt.Sprintf("%d replicas of %s to %d of %s", len(c.donors), c.from, c.added, c.to.Name)
+	}
+	d.Detail = fmt.Sprintf("%s in domain %s, %s: %s", models, c.domain, detail, p.describeDemand(service))
+	p.Decisions = append(p.Decisions, d)
 }
 
 // beginConversions begins the conversions that are a gain for the fleet.
@@ -215,29 +227,41 @@
 // recordBegin records the beginning of a conversion.
 func (p *Planner) recordBegin(service *cluster.Service, c *conversion) {
 	p.ConversionEvents = append(p.ConversionEvents, ConversionEvent{c.from, c.to.Name, "begun"})
-	p.recordDecision("replica-converting", c.donors[0], "%s to %d replicas of %s in domain %s, %d of %d loads done: %s", c.from, c.added, c.to.Name,
-		c.domain, c.servers()-p.missingLoads(c), c.servers(), p.describeDemand(service, c.from, c.to.Name))
+	p.recordConversion("replica-converting", service, c, fmt.Sprintf("%d of %d loads done", c.servers()-p.missingLoads(service, c), c.servers()))
 }
 
 // conversionCost returns the number of loads that the conversion needs, and whether it may begin.
-// A conversion that an earlier planner began has at least half of the weights.
+// One that an earlier planner began is recognised by replicas that are closed and whose members have
+// at least half of the weights.
 func (p *Planner) conversionCost(service *cluster.Service, state *conversionState, change *layout.Conversion, isRecognising bool) (int, bool) {
 	isReverse := p.now.Sub(state.changes[change.From].gainedAt) < reverseDelay || p.now.Sub(state.changes[change.To].givenUpAt) < reverseDelay
-	isBusy := slices.ContainsFunc(state.running, func(c *conversion) bool { return c.domain == change.Domain })
-	if isReverse || isBusy || p.isDataCentreDrained(service, change.Domain) || !p.needsCapacity(service, change.To) {
+	if isReverse || p.isConverting(service, change.Domain) || p.isDataCentreDrained(service, change.Domain) || !p.needsCapacity(service, change.To) {
 		return 0, false
 	}
 	c := p.newConversion(service, change)
 	if c == nil {
 		return 0, false
 	}
-	missing := p.missingLoads(c)
-	return missing, !isRecognising || 2*missing <= c.servers()
+	missing := p.missingLoads(service, c)
+	if isRecognising {
+		areClosed := len(c.donors) > 0 && !slices.ContainsFunc(c.donors, func(r *replica) bool { return !p.wasClosed(r) })
+		return missing, areClosed && 2*missing <= c.servers()
+	}
+	return missing, true
+}
+
+// isConverting reports whether a conversion is in progress in the domain.
+func (p *Planner) isConverting(service *cluster.Service, domain ident.FabricDomain) bool {
+	return slices.ContainsFunc(p.conversions[service.Name].running, func(c *conversion) bool { return c.domain == domain })
 }
 
 // newConversion returns the conversion with the donors whose members have most of the weights, nil
 // if there are too few replicas that may be given up.
 func (p *Planner) newConversion(service *cluster.Service, change *layout.Conversion) *conversion {
+	if change.Spares < 0 && p.hasIncompleteOrDissolvingReplica(change.Domain) {
+		// The spare servers are left for repairs.
+		return nil
+	}
 	to := service.Engine.Model(change.To)
 	var donors []*replica
 	for _, r := range p.sortedReplicas(service) {
@@ -283,11 +307,14 @@
 }
 
 // missingLoads returns the number of servers of the new replicas that don't have the weights.
-func (p *Planner) missingLoads(c *conversion) int {
+func (p *Planner) missingLoads(service *cluster.Service, c *conversion) int {
 	missing := c.servers()
 	for _, r := range c.donors {
 		missing -= p.stagedMembers(r, c.to.Name)
 	}
+	if len(c.donors) == 0 {
+		missing -= p.stagedSpares(service, c.domain, c.to.Name)
+	}
 	return max(0, missing)
 }
 
@@ -297,11 +324,11 @@
 	loads := 0
 	for _, c := range state.running {
 		if c.closedAt.IsZero() {
-			loads += p.missingLoads(c)
+			loads += p.missingLoads(service, c)
 		}
 	}
 	limit := maxConversionLoads(service.Engine)
-	return loads == 0 || limit == 0 || loads+p.missingLoads(next) <= limit
+	return loads == 0 || limit == 0 || loads+p.missingLoads(service, next) <= limit
 }
 
 // maxConversionLoads returns the number of loads that conversions may run at once, zero for any.
@@ -328,8 +355,8 @@
 		}
 	}
 	p.limitToServers(service, c)
-	if c.added == 0 {
-		p.endConversion(service, c, "cancelled", "replica-conversion-cancelled", "too few members are left")
+	if c.added == 0 || len(c.donors) == 0 && p.hasIncompleteOrDissolvingReplica(c.domain) {
+		p.endConversion(service, c, "cancelled", "replica-conversion-cancelled", "too few servers are left")
 		return false
 	}
 	if p.isStaged(service, c) && p.mayClose(service, c) {
@@ -338,14 +365,14 @@
 	return true
 }
 
-// limitToServers reduces the new replicas of a conversion whose donors have lost members.
+// limitToServers reduces the new replicas of a conversion whose donors or spare servers are too few.
 func (p *Planner) limitToServers(service *cluster.Service, c *conversion) {
-	servers, isBroken := p.stagedSpares(service, c.domain, c.to.Name), false
+	servers, isBroken := len(p.sparesOf(service, c.domain)), false
 	for _, r := range c.donors {
 		servers += len(r.members)
 		isBroken = isBroken || r.phase == incomplete && r.isSettled(p.now)
 	}
-	if isBroken {
+	if isBroken || len(c.donors) == 0 {
 		c.added = min(c.added, servers/c.to.ServersPerReplica)
 	}
 }
@@ -353,7 +380,11 @@
 // isStaged reports whether the new replicas can be formed without a load of weights. Spare servers
 // replace members that were lost or whose loads take longer.
 func (p *Planner) isStaged(service *cluster.Service, c *conversion) bool {
-	return p.missingLoads(c) <= p.stagedSpares(service, c.domain, c.to.Name)
+	staged := p.stagedSpares(service, c.domain, c.to.Name)
+	for _, r := range c.donors {
+		staged += p.stagedMembers(r, c.to.Name)
+	}
+	return staged >= c.servers()
 }
 
 // mayClose reports whether the donors may be closed now. Repairs in the domain come first, and
--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,16 +15,20 @@
 // burstFactor is the load of a burst in relation to the mean load.
 const burstFactor = 1.7
 
-// needsCapacity reports whether a burst of the model's demand would fill its replicas. The demand
-// counts the slots of idle replicas; with all slots in use, requests take longer by fullSlowdown.
-// If the engine's times aren't published, any model may need capacity.
+// busyShare is the share of its slots from which on a burst makes a model's callers wait longer.
+// Below it, a conversion would take capacity away for nothing.
+const busyShare = 0.5
+
+// needsCapacity reports whether a burst of the model's demand would use more than busyShare of its
+// slots. The demand counts the slots of idle replicas; in a full replica, requests take longer by
+// fullSlowdown. If the engine's times aren't published, any model may need capacity.
 func (p *Planner) needsCapacity(service *cluster.Service, model ident.Model) bool {
 	slowdown := fullSlowdown(service.Engine, service.Engine.Model(model))
 	if slowdown == 0 {
 		return true
 	}
 	demand := float64(p.Demand[service.Name][model])
-	return demand*slowdown*burstFactor >= p.capacity(service, model)
+	return demand*slowdown*burstFactor >= busyShare*p.capacity(service, model)
 }
 
 // fullSlowdown returns the time of a token step in a full replica of the model in relation to an
@@ -32,8 +37,9 @@
 	if e.StepTime <= 0 || e.Slots <= 0 {
 		return 0
 	}
-	idle := time.Duration(float64(max(e.StepsPerPass, 1)) * float64(e.StepTime) * m.TimeFactor)
-	return float64(e.MaxPassInterval(m)) / float64(max(idle, 1))
+	context := float64(e.Slots) * float64(e.MeanPrompt+e.MeanOutput) / 1000 * float64(e.ContextTime)
+	passes := float64(max(e.StepsPerPass, 1)) * float64(e.StepTime) * m.TimeFactor
+	return float64(e.MaxPassInterval(m))/passes + context/float64(e.StepTime)
 }
 
 // capacity returns the slots of the model's replicas that serve.
@@ -47,10 +53,14 @@
 	return float64(replicas) * float64(service.Engine.Slots)
 }
 
-// describeDemand returns the demand and the capacity of both models for the log.
-func (p *Planner) describeDemand(service *cluster.Service, from, to ident.Model) string {
-	demand := p.Demand[service.Name]
-	return fmt.Sprintf("demand %.1f and %.1f slots, capacity %.0f and %.0f", float64(demand[from]), float64(demand[to]), p.capacity(service, from), p.capacity(service, to))
+// describeDemand returns the demand and the capacity of all models for the log.
+func (p *Planner) describeDemand(service *cluster.Service) string {
+	var models []string
+	for i := range service.Engine.Models {
+		m := service.Engine.Models[i].Name
+		models = append(models, fmt.Sprintf("%s demand %.1f of %.0f slots", m, float64(p.Demand[service.Name][m]), p.capacity(service, m)))
+	}
+	return strings.Join(models, ", ")
 }
 
 // offeredLoad returns the demand for the models of the services that have model servers.
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -137,6 +137,9 @@
 	CloseTimeout time.Duration
 	// Fenced says that servers refuse orders with an old fencing token.
 	Fenced bool
+	// PreparedShare is the share of each model's replicas whose members stage another model's
+	// weights at the first start, so that they can be converted without a load.
+	PreparedShare float64
 }
 
 // Planner computes orders from snapshots of the servers. It is used by one
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -383,13 +383,14 @@
 // replicas, an epoch with two lists of members, and replicas that are not
 // complete again 35 s after the last fault. Servers fail, restart and drain,
 // heads report missing members, orders are lost or carried out late, and
-// planners replace each other, servers are cut off and return, and the store is away or has an old
-// list of the servers.
+// planners replace each other, servers are cut off and return, the store is away or has an old
+// list of the servers, and the demand changes or is unknown.
 func TestFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tc := newTestCluster(3, 9, testModels()...)
-		token := unit.Revision(10)
-		p := NewPlanner(testOptions(), token, tc.now)
+		token, options := unit.Revision(10), testOptions()
+		options.PreparedShare = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "prepared")
+		p := NewPlanner(options, token, tc.now)
 		for range 80 {
 			tc.step(p, true)
 		}
@@ -406,7 +407,7 @@
 		old := tc.list()
 		for range rapid.IntRange(5, 25).Draw(t, "faults") {
 			id := rapid.SampledFrom(ids).Draw(t, "server")
-			switch rapid.IntRange(0, 8).Draw(t, "fault") {
+			switch rapid.IntRange(0, 10).Draw(t, "fault") {
 			case 0:
 				failServer(tc, p, id)
 			case 1:
@@ -415,7 +416,7 @@
 				tc.servers[id].Draining = true
 			case 3:
 				token++
-				p = NewPlanner(testOptions(), token, tc.now)
+				p = NewPlanner(options, token, tc.now)
 				for _, server := range tc.servers {
 					if server.failed {
 						s := server.Server
@@ -428,6 +429,12 @@
 				tc.listed = old
 			case 8:
 				tc.listed, old = nil, tc.list()
+			case 9:
+				tc.demand = map[ident.Model]unit.Slots{
+					"large": unit.Slots(rapid.IntRange(0, 100).Draw(t, "large")), "small": unit.Slots(rapid.IntRange(0, 100).Draw(t, "small")),
+				}
+			case 10:
+				tc.demand = nil
 			case 5:
 				tc.servers[id].cutOff = !tc.servers[id].cutOff
 			case 4:
@@ -437,6 +444,7 @@
 			}
 			for range rapid.IntRange(0, 40).Draw(t, "steps") {
 				tc.step(p, false)
+				tc.checkGivenUp(p)
 			}
 		}
 		tc.orderFault, tc.listed = nil, nil
@@ -446,6 +454,11 @@
 		}
 		for range 700 {
 			tc.step(p, false)
+			tc.checkGivenUp(p)
+		}
+		// A conversion may have closed a replica a moment ago. It ends within 5 s.
+		for steps := 0; steps < 100 && p.hasClosedDonor(); steps++ {
+			tc.step(p, false)
 		}
 		if len(tc.violations) > 0 {
 			t.Fatalf("violated rules: %v", tc.violations)
@@ -458,18 +471,32 @@
 }
 
 // BenchmarkStep296 measures a step of the planner with 296 servers in 8
-// domains.
+// domains, without a demand and with one that raises no conversion. The clock
+// advances by the shortest time between two rounds.
 func BenchmarkStep296(b *testing.B) {
-	models := testModels()
-	models[0].ServersPerReplica, models[1].ServersPerReplica = 16, 4
-	tc := newTestCluster(8, 37, models...)
-	p := NewPlanner(testOptions(), 10, tc.now)
-	for range 80 {
-		tc.step(p, true)
+	const round = 10 * time.Millisecond
+	tests := map[string]map[ident.Model]unit.Slots{
+		"configured shares": nil,
+		"demand":            {"large": 57.0 / 16, "small": 43.0 / 4},
 	}
-	snapshot := tc.snapshot()
-	b.ReportAllocs()
-	for b.Loop() {
-		p.Step(tc.now, snapshot, false)
+	for name, demand := range tests {
+		b.Run(name, func(b *testing.B) {
+			models := testModels()
+			models[0].ServersPerReplica, models[1].ServersPerReplica = 16, 4
+			tc := newTestCluster(8, 37, models...)
+			p := NewPlanner(testOptions(), 10, tc.now)
+			for range 80 {
+				tc.step(p, true)
+			}
+			if demand != nil {
+				p.Demand = Demand{"llm": demand}
+			}
+			snapshot, now := tc.snapshot(), tc.now
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(round)
+				p.Step(now, snapshot, false)
+			}
+		})
 	}
 }
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -43,6 +43,10 @@
 	// Fenced says that servers refuse orders with an old fencing token. A
 	// planner then continues while the platform can't renew its lease.
 	Fenced bool `json:"fenced"`
+	// Prepared is the share of each model's replicas whose members load another
+	// model's weights at the first start of the system, after the replicas were
+	// formed. They can then follow the demand without a load.
+	Prepared float64 `json:"prepared" validate:"gte=0,lte=1"`
 }
 
 // The operations of other plug-ins that the planner uses.
@@ -150,6 +154,7 @@
 		return &Settings{
 			Lease: settings.DurationOf(1500 * time.Millisecond), Interval: settings.DurationOf(200 * time.Millisecond),
 			Retry: settings.DurationOf(700 * time.Millisecond), Gather: settings.DurationOf(time.Second), Close: settings.DurationOf(3 * time.Second),
+			Prepared: 0.5,
 		}
 	})
 	plugin.RegisterForAdapter("platform", plugin.Controller, "formation", newPlugin)
@@ -259,7 +264,11 @@
 }
 
 func (c *controller) plannerOptions() Options {
-	return Options{RetryInterval: c.settings.Retry.Duration, GrowthWindow: c.settings.Gather.Duration, CloseTimeout: c.settings.Close.Duration, Fenced: c.settings.Fenced}
+	preparedShare := c.settings.Prepared
+	if c.demand == nil {
+		preparedShare = 0
+	}
+	return Options{RetryInterval: c.settings.Retry.Duration, GrowthWindow: c.settings.Gather.Duration, CloseTimeout: c.settings.Close.Duration, Fenced: c.settings.Fenced, PreparedShare: preparedShare}
 }
 
 // waitForChange waits until there may be something to plan. It returns false
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -70,7 +70,7 @@
 		if r.phase == incomplete && !p.restoreReplica(r) {
 			r.members = slices.DeleteFunc(r.members, func(id ident.Instance) bool {
 				s := p.snapshot.Server(id)
-				return s == nil || !p.isUsable(s)
+				return s == nil || !p.isUsable(s) || p.needsLoad(s, r.model.Name)
 			})
 			p.membersChanged()
 			broken = append(broken, r)
@@ -89,6 +89,12 @@
 	p.releaseDonors(service)
 }
 
+// needsLoad reports whether the server has restarted without the model's weights, as it had staged
+// another model's. It would delay the replica as much as any spare server without the weights.
+func (p *Planner) needsLoad(s *cluster.Server, model ident.Model) bool {
+	return !p.loads.bootstrap && s.Membership == nil && !s.HasStaged(model) && len(s.StagedModels) > 0 && p.loads.loadingModel(s.ID) != model
+}
+
 // completeReplica adds the missing members to an incomplete replica if enough
 // spare servers have staged its weights. A server without the weights would
 // delay the replica for the time of a load, while its members may be useful in
--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -42,6 +42,7 @@
 		candidates = append(candidates, p.stagingCandidates(service, fleet, domain)...)
 	}
 	candidates = append(candidates, p.conversionCandidates(service)...)
+	candidates = append(candidates, p.preparedCandidates(service)...)
 	slices.SortStableFunc(candidates, func(a, b stagingCandidate) int { return cmp.Compare(a.loadsToComplete, b.loadsToComplete) })
 	for _, c := range candidates {
 		if p.loads.loadingModel(c.server.ID) != "" || !p.loads.allowsLoads(1) {
@@ -67,17 +68,17 @@
 		}
 		missing := c.servers()
 		var unstaged []*cluster.Server
-		for _, s := range p.donorMembers(c) {
+		for _, s := range p.conversionServers(service, c) {
 			model := p.loads.loadingModel(s.ID)
 			switch {
 			case s.HasStaged(c.to.Name):
 				missing--
-			case model != "":
+			case model == c.to.Name:
 				missing--
 				running++
 				p.issueOrder(s.ID, cluster.Order{Operation: cluster.StageModel, Model: model})
 				p.awaitLoad(s)
-			case !p.loads.isBusy(s.ID):
+			case model == "" && !p.loads.isBusy(s.ID):
 				unstaged = append(unstaged, s)
 			}
 		}
@@ -91,6 +92,16 @@
 	return candidates
 }
 
+// conversionServers returns the servers that may load the weights for the conversion: the members
+// of the replicas that it gives up, and spare servers if these are too few and no repair needs them.
+func (p *Planner) conversionServers(service *cluster.Service, c *conversion) []*cluster.Server {
+	servers := p.donorMembers(c)
+	if len(servers) < c.servers() && !p.hasIncompleteOrDissolvingReplica(c.domain) {
+		servers = append(servers, p.spareServers(service, c.domain, c.to.Name)...)
+	}
+	return servers
+}
+
 // donorMembers returns the usable members of the replicas that the conversion gives up.
 func (p *Planner) donorMembers(c *conversion) []*cluster.Server {
 	var servers []*cluster.Server
@@ -147,9 +158,37 @@
 		staged[m.Name]++
 		candidates = append(candidates, stagingCandidate{s, m, loads})
 	}
+	if c, found := p.restagingCandidate(service, domain, staged, stagedServers); found {
+		candidates = append(candidates, c)
+	}
 	return candidates
 }
 
+// restagingRank replaces loadsToComplete for spare servers that replace their weights. All other
+// loads but those at the first start come first.
+const restagingRank = 100
+
+// restagingCandidate returns the load for a model of the domain without a staged spare server, on
+// one of several servers of another model or of a model that the domain has no replica of. Where
+// replicas are converted, members leave their weights behind. false means that there is none.
+func (p *Planner) restagingCandidate(service *cluster.Service, domain ident.FabricDomain, staged map[ident.Model]int, stagedServers []*cluster.Server) (stagingCandidate, bool) {
+	if !p.hasDemand(service) || p.hasIncompleteOrDissolvingReplica(domain) || p.isConverting(service, domain) {
+		return stagingCandidate{}, false
+	}
+	for i := range service.Engine.Models {
+		m := &service.Engine.Models[i]
+		if staged[m.Name] > 0 || !p.hasReplicaOf(domain, m.Name) {
+			continue
+		}
+		for _, s := range stagedServers {
+			if other := s.StagedModels[0]; staged[other] > 1 || !p.hasReplicaOf(domain, other) {
+				return stagingCandidate{s, m, restagingRank}, true
+			}
+		}
+	}
+	return stagingCandidate{}, false
+}
+
 // candidatesForIncomplete returns the loads that complete the domain's
 // incomplete replicas. Servers without weights are used first, then servers
 // with another model that no incomplete replica needs. The servers used are
--- a/internal/fleet/layout/conversion.go
+++ b/internal/fleet/layout/conversion.go
@@ -57,7 +57,8 @@
 
 // Conversion gives up replicas of one model for replicas of another one in the same domain.
 type Conversion struct {
-	Domain   ident.FabricDomain
+	Domain ident.FabricDomain
+	// From is empty if the new replicas are formed of spare servers alone.
 	From, To ident.Model
 	// Released is the number of replicas given up, and Added the number of those formed.
 	Released, Added int
@@ -133,6 +134,11 @@
 	var found []Conversion
 	for i := range f.Domains {
 		d := &f.Domains[i]
+		for _, to := range f.Models {
+			if d.Spares >= to.ServersPerReplica {
+				found = append(found, Conversion{Domain: d.ID, To: to.Name, Added: 1, Spares: -to.ServersPerReplica})
+			}
+		}
 		for _, from := range f.Models {
 			if d.Replicas[from.Name] == 0 {
 				continue
