--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -43,6 +43,10 @@
 	// Fenced says that servers refuse orders with an old fencing token. A
 	// planner then continues while the platform can't renew its lease.
 	Fenced bool `json:"fenced"`
+	// Prepared is the share of each model's replicas whose members load another
+	// model's weights at the first start of the system, after the replicas were
+	// formed. They can then follow the demand without a load.
+	Prepared float64 `json:"prepared" validate:"gte=0,lte=1"`
 }
 
 // The operations of other plug-ins that the planner uses.
@@ -79,6 +83,11 @@
 	trafficMonitor interface {
 		HasTraffic() bool
 	}
+	demandSource interface {
+		// OfferedLoad returns the load of each model of the service that its callers offer, and
+		// false if it isn't known.
+		OfferedLoad(now time.Time, service ident.Service) (map[ident.Model]unit.Slots, bool)
+	}
 )
 
 // controller runs the planner while this daemon holds the planner lease.
@@ -95,6 +104,9 @@
 	traffic trafficMonitor
 	peers   peerDaemons
 	links   linkMonitor
+	// demand is nil if no plug-in measures the demand. The layout then follows the configured
+	// shares.
+	demand demandSource
 	// candidates says whether this daemon competes for the lease. In a large fleet, most
 	// daemons would find it taken.
 	candidates leaderCandidates
@@ -127,8 +139,9 @@
 	probeResults []probeResult
 	orderResults []orderResult
 
-	orders *prometheus.CounterVec
-	counts *countReporter
+	orders      *prometheus.CounterVec
+	counts      *countReporter
+	conversions *conversionReporter
 }
 
 // orderResult is a server's answer to an order.
@@ -142,6 +155,7 @@
 		return &Settings{
 			Lease: settings.DurationOf(1500 * time.Millisecond), Interval: settings.DurationOf(200 * time.Millisecond),
 			Retry: settings.DurationOf(700 * time.Millisecond), Gather: settings.DurationOf(time.Second), Close: settings.DurationOf(3 * time.Second),
+			Prepared: 0.5,
 		}
 	})
 	plugin.RegisterForAdapter("platform", plugin.Controller, "formation", newPlugin)
@@ -159,12 +173,15 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminbay_formation_orders_total", Help: "Orders of the planner by operation and result.",
 		}, []string{"operation", "result"}),
-		counts: newCountReporter(),
+		counts: newCountReporter(), conversions: newConversionReporter(),
 	}
 	deps.Provide(c)
 	if err := deps.Metrics.Register(c.orders); err != nil {
 		return nil, err
 	}
+	if err := c.conversions.register(deps.Metrics); err != nil {
+		return nil, err
+	}
 	return c, deps.Metrics.Register(c.counts.gauge)
 }
 
@@ -173,6 +190,13 @@
 	if err := c.deps.Resolve(&c.store, &c.catalog, &c.servers, &c.keys, &c.traffic, &c.peers, &c.links, &c.candidates); err != nil {
 		return err
 	}
+	var sources []demandSource
+	if err := c.deps.ResolveAll(&sources); err != nil {
+		return err
+	}
+	if len(sources) > 0 {
+		c.demand = sources[0]
+	}
 	c.Go(c.holdLease)
 	c.Go(c.runPlanner)
 	return nil
@@ -211,6 +235,7 @@
 		if current := c.fencingToken.Load(); current != token {
 			planner, token = nil, current
 			c.counts.reset()
+			c.conversions.reset()
 			if current != 0 {
 				planner = NewPlanner(c.plannerOptions(), unit.Revision(current), now)
 			}
@@ -240,7 +265,11 @@
 }
 
 func (c *controller) plannerOptions() Options {
-	return Options{RetryInterval: c.settings.Retry.Duration, GrowthWindow: c.settings.Gather.Duration, CloseTimeout: c.settings.Close.Duration, Fenced: c.settings.Fenced}
+	preparedShare := c.settings.Prepared
+	if c.demand == nil {
+		preparedShare = 0
+	}
+	return Options{RetryInterval: c.settings.Retry.Duration, GrowthWindow: c.settings.Gather.Duration, CloseTimeout: c.settings.Close.Duration, Fenced: c.settings.Fenced, PreparedShare: preparedShare}
 }
 
 // waitForChange waits until there may be something to plan. It returns false
@@ -272,6 +301,7 @@
 	c.applyResults(p)
 	c.probeSuspects(p, snapshot, now)
 	p.LatestRevision = c.keys.Revision()
+	p.Demand, p.StoreAway = c.offeredLoad(snapshot, now), c.keys.Age() >= maxCopyAge
 	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic())
 	c.keys.SetAwaitsChange(p.AwaitsChange())
 	for _, d := range p.Decisions {
@@ -280,6 +310,7 @@
 	}
 	p.Decisions = nil
 	c.counts.report(c.deps.Log, p, now)
+	c.conversions.report(p, now)
 	if p.Superseded {
 		c.endSupersededTerm(int64(p.fencingToken))
 		return
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -70,7 +70,7 @@
 		if r.phase == incomplete && !p.restoreReplica(r) {
 			r.members = slices.DeleteFunc(r.members, func(id ident.Instance) bool {
 				s := p.snapshot.Server(id)
-				return s == nil || !p.isUsable(s)
+				return s == nil || !p.isUsable(s) || p.needsLoad(s, r.model.Name)
 			})
 			p.membersChanged()
 			broken = append(broken, r)
@@ -89,6 +89,12 @@
 	p.releaseDonors(service)
 }
 
+// needsLoad reports whether the server has restarted without the model's weights, as it had staged
+// another model's. It would delay the replica as much as any spare server without the weights.
+func (p *Planner) needsLoad(s *cluster.Server, model ident.Model) bool {
+	return !p.loads.bootstrap && s.Membership == nil && !s.HasStaged(model) && len(s.StagedModels) > 0 && p.loads.loadingModel(s.ID) != model
+}
+
 // completeReplica adds the missing members to an incomplete replica if enough
 // spare servers have staged its weights. A server without the weights would
 // delay the replica for the time of a load, while its members may be useful in
@@ -111,7 +117,9 @@
 	r.epoch = p.nextEpoch()
 	r.setPhase(joining, p.now)
 	for _, id := range r.members {
-		if s := p.snapshot.Server(id); s != nil && !s.HasStaged(r.model.Name) {
+		s := p.snapshot.Server(id)
+		// A server that was a member of a replica of the model rejoins without a load.
+		if s != nil && !s.HasStaged(r.model.Name) && (s.Membership == nil || s.Membership.Model != r.model.Name) {
 			p.loads.addLoad(id, r.model.Name, p.now.Add(r.model.LoadTime))
 		}
 	}
