cost: Learn output tokens and the time to the first event

Cause: the work of a request was estimated from the published mean alone, and nothing estimated when the first event of a request would arrive at a replica.

The time to the first event is computed from the published times, the requests and unread prompts at the endpoint, and a learned time that is added: about 120 ms are not published at any load, so a factor that is learned without load would predict three times the wait for a slot.

--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -36,6 +36,8 @@
 	// nextColdRequest is the earliest time of the next request while the server
 	// is cold, in nanoseconds since 1970 of the local clock.
 	nextColdRequest atomic.Int64
+
+	workLoad
 }
 
 // RequestStarted adds a request of this daemon to those in flight.
--- a/internal/route/cost/cost.go
+++ b/internal/route/cost/cost.go
@@ -1,7 +1,8 @@
-// Package cost estimates what a request will cost before it runs: the tokens of its answer
-// and the work that it causes at a replica. Package forward uses the estimates to admit
-// requests, package demand to measure what callers ask for, and package balance to choose
-// an endpoint. Estimates use this daemon's own observations, without querying other daemons.
+// Package cost estimates what a request will cost before it runs: the tokens of its answer, the
+// work that it causes at a replica, and the time to its first event there. Package forward uses the
+// estimates to admit requests, package demand to measure what callers ask for, and package balance
+// to choose an endpoint. Estimates use this daemon's own observations, without querying other
+// daemons.
 package cost
 
 import (
@@ -27,16 +28,23 @@
 
 // Estimate is the expected cost of a request.
 type Estimate struct {
-	// OutputTokens is the expected number of output tokens.
+	// OutputTokens is the expected number of output tokens, MedianOutput its median and
+	// HighOutput its 90th percentile.
 	OutputTokens unit.Tokens
+	MedianOutput unit.Tokens
+	HighOutput   unit.Tokens
 	// Work is the time for which the request occupies a slot of an idle replica; zero if the
 	// service publishes no engine times.
 	Work time.Duration
 }
 
-// Model estimates the costs of requests. Its methods may be called from several goroutines and
-// take no lock.
-type Model struct{}
+// Model estimates the costs of requests. Its methods may be called from several goroutines, and
+// estimates take no lock.
+type Model struct {
+	outputs outputTable
+	times   timesTable
+	errors  errorMeasures
+}
 
 // New returns a Model without observations.
 func New() *Model {
@@ -46,19 +54,36 @@
 // Predict returns the expected cost of a request to a replica of the engine. The engine is nil for
 // a plain service.
 func (m *Model) Predict(p Profile, engine *cluster.Engine) Estimate {
-	e := Estimate{OutputTokens: expectedOutput(p, engine)}
+	output := m.outputs.predict(p, expectedOutput(p, engine))
+	e := Estimate{
+		OutputTokens: tokens(output.mean), MedianOutput: tokens(output.median), HighOutput: tokens(output.high),
+	}
 	if engine == nil {
 		return e
 	}
 	if model := engine.Model(p.Model); model != nil {
-		steps := time.Duration(float64(engine.StepTime) * float64(e.OutputTokens) * model.TimeFactor)
+		steps := time.Duration(float64(engine.StepTime) * output.mean * model.TimeFactor)
 		e.Work = engine.PrefillTime(model, p.PromptTokens) + steps
 	}
 	return e
 }
 
+// tokens rounds to whole tokens.
+func tokens(n float64) unit.Tokens {
+	return unit.Tokens(n + 0.5)
+}
+
+// Record records the output tokens of a request whose stream has ended.
+func (m *Model) Record(now time.Time, p Profile, predicted Estimate, output unit.Tokens) {
+	if output <= 0 {
+		return
+	}
+	m.outputs.record(now, p, output)
+	m.errors.output.record(float64(predicted.MedianOutput), float64(output))
+}
+
 // expectedOutput returns the caller's own estimate, else the published mean, else the caller's
-// bound.
+// bound. It is used before there are observations.
 func expectedOutput(p Profile, engine *cluster.Engine) unit.Tokens {
 	switch {
 	case p.LengthHint > 0:
@@ -68,3 +93,13 @@
 	}
 	return p.MaxOutputTokens
 }
+
+// StreamTokens returns the number of output tokens in a stream of the given number of events. An
+// engine sends an event for each pass, which has a token of each of its steps; the last pass is on
+// average half used.
+func StreamTokens(engine *cluster.Engine, events int) unit.Tokens {
+	if engine == nil || engine.StepsPerPass <= 1 || events == 0 {
+		return unit.Tokens(events)
+	}
+	return unit.Tokens(events*engine.StepsPerPass - engine.StepsPerPass/2)
+}
--- a/internal/route/cost/plugin.go
+++ b/internal/route/cost/plugin.go
@@ -14,6 +14,9 @@
 
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
 	c := &component{Model: New()}
+	if err := c.Register(deps.Metrics); err != nil {
+		return nil, err
+	}
 	deps.Provide(c)
 	return c, nil
 }
--- /dev/null
+++ b/internal/route/cost/run.go
@@ -0,0 +1,110 @@
+package cost
+
+import (
+	"time"
+
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// Run is one attempt of a request at an endpoint. It keeps the attempt's cost in the endpoint's load,
+// and compares the estimates with what happens. A Run is used by one goroutine.
+type Run struct {
+	model     *Model
+	endpoint  *catalog.Endpoint
+	estimate  Estimate
+	startedAt time.Time
+	// firstEventAt is zero before the first event.
+	firstEventAt time.Time
+	// published and expected are the time to the first event without and with the correction.
+	published time.Duration
+	expected  time.Duration
+	// unread and reserved are the tokens of this attempt that are in the load.
+	unread   unit.Tokens
+	reserved unit.Tokens
+	// learns says that the attempt's times are recorded. A daemon that a request is passed on to
+	// is not a replica.
+	learns bool
+}
+
+// StartRun records the start of an attempt. The request itself must not be counted in the endpoint's
+// load yet. End must be called.
+func (m *Model) StartRun(now time.Time, e *catalog.Endpoint, p Profile, estimate Estimate) Run {
+	r := Run{
+		model: m, endpoint: e, estimate: estimate, startedAt: now, learns: !e.IsRelay,
+		unread: p.PromptTokens, reserved: p.PromptTokens + estimate.OutputTokens,
+	}
+	if r.learns {
+		times := m.Times(e.Service, e.Engine, e.Model)
+		state := times.StateOf(now, e)
+		r.published = times.published(state, p.PromptTokens).Mean
+		r.expected = times.FirstEvent(state, p.PromptTokens).Mean
+	}
+	e.Load.AddUnread(r.unread)
+	e.Load.AddReserved(r.reserved)
+	e.Load.AddWork(estimate.Work)
+	return r
+}
+
+// Expected returns the expected time to the first event.
+func (r *Run) Expected() time.Duration {
+	return r.expected
+}
+
+// FirstEvent records that an event has arrived. Only the first call has an effect.
+func (r *Run) FirstEvent(now time.Time) {
+	if !r.firstEventAt.IsZero() {
+		return
+	}
+	r.firstEventAt = now
+	r.endpoint.Load.AddUnread(-r.unread)
+	r.unread = 0
+	if !r.learns {
+		return
+	}
+	observed := now.Sub(r.startedAt)
+	r.model.errors.firstEvent.record(float64(r.expected), float64(observed))
+	// An endpoint counts as at most twice as quick as published.
+	excess := min(max(observed-r.published, -r.published/2), maxCorrection)
+	learned := r.model.times.of(r.modelKey())
+	if learned == nil {
+		return
+	}
+	usual := excess
+	if learned.corrections.Load() > 0 {
+		usual = time.Duration(learned.correction.Load())
+	}
+	r.endpoint.Load.RecordCorrection(now, excess, usual)
+	average(&learned.corrections, &learned.correction, int64(excess))
+}
+
+// End removes the attempt from the endpoint's load.
+func (r *Run) End() {
+	r.endpoint.Load.AddUnread(-r.unread)
+	r.endpoint.Load.AddReserved(-r.reserved)
+	r.endpoint.Load.AddWork(-r.estimate.Work)
+	r.unread, r.reserved, r.estimate.Work = 0, 0, 0
+}
+
+// Completed records that the attempt's answer is complete. It is called before End.
+func (r *Run) Completed(now time.Time) {
+	if !r.learns || r.firstEventAt.IsZero() {
+		return
+	}
+	learned := r.model.times.of(r.modelKey())
+	if learned == nil {
+		return
+	}
+	average(&learned.slotTimes, &learned.slotTime, int64(now.Sub(r.firstEventAt)))
+	if r.estimate.Work > 0 {
+		average(&learned.works, &learned.work, int64(r.estimate.Work))
+	}
+}
+
+func (r *Run) modelKey() modelKey {
+	key := modelKey{service: r.endpoint.Service}
+	if r.endpoint.Model != nil {
+		key.model = r.endpoint.Model.Name
+	}
+	return key
+}
--- /dev/null
+++ b/internal/route/cost/times.go
@@ -0,0 +1,235 @@
+package cost
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// Bounds of the correction of the time to the first event. It is an added time rather than a factor:
+// with published times of 45 to 165 ms, depending on the load, first events were observed 120 ms
+// later throughout, as an engine has fixed times that it doesn't publish. A factor learned without
+// load would predict three times the wait for a slot.
+const (
+	// maxCorrection is half of the 2 s without an event after which callers disconnect. No
+	// request that waits for longer meets its objective.
+	maxCorrection = time.Second
+	// usualDivisor weights the moving averages over all endpoints of a model: a new observation
+	// counts for 1/32.
+	usualDivisor = 32
+	// maxLearnedModels bounds the number of models that are learned.
+	maxLearnedModels = 256
+)
+
+// Time to the first event near full use of the slots. Requests end at random times, so that some
+// requests wait before all slots are in use, and some find a slot free after that. At replicas of 34
+// and 20 slots, the observed waits fit a smooth bend of queueSoftness times the square root of the
+// number of slots, and the spread (standard deviation) fits one and a half passes and nine tenths of
+// the wait.
+const (
+	queueSoftness = 0.345
+	spreadPasses  = 1.5
+	spreadOfWait  = 0.9
+)
+
+// workWeight is the number of requests of the usual work that count beside those at an endpoint, of
+// which this daemon may know only a few.
+const workWeight = 8
+
+// EndpointState is the load of an endpoint that a further request would see.
+type EndpointState struct {
+	// InFlight counts the requests that run or wait there.
+	InFlight unit.Requests
+	Slots    unit.Requests
+	// Unread counts the prompt tokens that are not prefilled yet.
+	Unread unit.Tokens
+	// Work is the expected slot time of the requests that WorkOf counts. Peers that don't report
+	// work are in neither.
+	Work   time.Duration
+	WorkOf unit.Requests
+	// Correction is added to the published time to the first event.
+	Correction time.Duration
+}
+
+// Forecast is the expected time to the first event of a request and its standard deviation.
+type Forecast struct {
+	Mean   time.Duration
+	Spread time.Duration
+	// PerRequest is the time that a further request at the endpoint adds to Mean.
+	PerRequest time.Duration
+}
+
+// Times are the published and learned times of the replicas of a model. They are computed once for a
+// decision and used for all its candidates. Durations are in nanoseconds.
+type Times struct {
+	// passStep is the time of a pass without requests, and passPerRequest the time that each
+	// running request adds.
+	passStep       float64
+	passPerRequest float64
+	prefillToken   float64
+	// attention is the prefill time of a pair of a prompt token and an earlier one.
+	attention float64
+	// slotTime is the mean time for which a request holds a slot, and meanWork the mean of the
+	// expected work.
+	slotTime float64
+	meanWork float64
+	usual    time.Duration
+}
+
+// modelKey identifies a model of a service.
+type modelKey struct {
+	service ident.Service
+	model   ident.Model
+}
+
+// learnedTimes are the moving averages of a model over all endpoints, in nanoseconds.
+type learnedTimes struct {
+	corrections atomic.Int64
+	correction  atomic.Int64
+	slotTimes   atomic.Int64
+	slotTime    atomic.Int64
+	works       atomic.Int64
+	work        atomic.Int64
+}
+
+// timesTable has the learned times of each model. Changes replace the map.
+type timesTable struct {
+	current atomic.Pointer[map[modelKey]*learnedTimes]
+	mu      sync.Mutex
+}
+
+// find returns the learned times of the model, nil if there are none.
+func (t *timesTable) find(key modelKey) *learnedTimes {
+	current := t.current.Load()
+	if current == nil {
+		return nil
+	}
+	return (*current)[key]
+}
+
+// of returns the learned times of the model, and nil if there are too many models.
+func (t *timesTable) of(key modelKey) *learnedTimes {
+	if learned := t.find(key); learned != nil {
+		return learned
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if learned := t.find(key); learned != nil {
+		return learned
+	}
+	next := make(map[modelKey]*learnedTimes)
+	if current := t.current.Load(); current != nil {
+		next = maps.Clone(*current)
+	}
+	if len(next) >= maxLearnedModels {
+		return nil
+	}
+	learned := new(learnedTimes)
+	next[key] = learned
+	t.current.Store(&next)
+	return learned
+}
+
+// average adds a value to a moving average. Two concurrent values may overwrite each other, which an
+// average tolerates.
+func average(count, mean *atomic.Int64, value int64) {
+	n := min(count.Add(1), usualDivisor)
+	current := mean.Load()
+	mean.Store(current + (value-current)/n)
+}
+
+// Times returns the times of the replicas of the model. The engine and the model are nil for a plain
+// service.
+func (m *Model) Times(service ident.Service, engine *cluster.Engine, model *cluster.Model) Times {
+	var t Times
+	key := modelKey{service: service}
+	if engine != nil && model != nil {
+		key.model = model.Name
+		t = publishedTimes(engine, model)
+	}
+	learned := m.times.find(key)
+	if learned == nil {
+		return t
+	}
+	t.usual = time.Duration(learned.correction.Load())
+	t.meanWork = float64(learned.work.Load())
+	if learned.slotTimes.Load() > 0 {
+		t.slotTime = float64(learned.slotTime.Load())
+	}
+	return t
+}
+
+// publishedTimes returns the times that the configuration has.
+func publishedTimes(engine *cluster.Engine, model *cluster.Model) Times {
+	const thousand, million = 1e3, 1e6
+	steps, factor := float64(max(engine.StepsPerPass, 1)), model.TimeFactor
+	// A running request has its prompt and on average half of its answer as context.
+	meanContext := float64(engine.MeanPrompt) + float64(engine.MeanOutput)/2
+	perRequest := float64(engine.StepTimePerSequence) + float64(engine.ContextTime)*meanContext/thousand
+	t := Times{
+		passStep:       steps * float64(engine.StepTime) * factor,
+		passPerRequest: steps * perRequest * factor,
+		attention:      float64(engine.AttentionTime) / million * factor,
+		slotTime:       float64(engine.MeanOutput) * (float64(engine.StepTime) + float64(engine.Slots)*perRequest) * factor,
+	}
+	if engine.PrefillRate > 0 {
+		t.prefillToken = float64(time.Second) / engine.PrefillRate * factor
+	}
+	return t
+}
+
+// StateOf returns the state of an endpoint of the model.
+func (t *Times) StateOf(now time.Time, e *catalog.Endpoint) EndpointState {
+	s := EndpointState{
+		InFlight: e.Load.TotalInFlight(), Slots: e.Slots, Unread: e.Load.TotalUnread(), Work: e.Load.TotalWork(),
+		Correction: e.Load.Correction(now, t.usual),
+	}
+	s.WorkOf = s.InFlight
+	if s.Work == e.Load.Work() {
+		s.WorkOf = e.Load.InFlight()
+	}
+	return s
+}
+
+// FirstEvent returns the expected time to the first event of a request with the prompt at an endpoint
+// in the state: the rest of the running pass, the prefill of the unread prompts or the wait for a
+// slot, the request's own prefill and pass, and the correction.
+func (t *Times) FirstEvent(s EndpointState, prompt unit.Tokens) Forecast {
+	f := t.published(s, prompt)
+	f.Mean = max(f.Mean+s.Correction, 0)
+	return f
+}
+
+// published is FirstEvent without the correction.
+func (t *Times) published(s EndpointState, prompt unit.Tokens) Forecast {
+	running := float64(min(s.InFlight, max(s.Slots, 1)))
+	pass := t.passStep + t.passPerRequest*running
+	wait, perRequest := t.wait(s)
+	// Queued prompts are prefilled while slots become free, so the two times don't add up.
+	unread := float64(max(s.Unread, 0)) * t.prefillToken
+	own := float64(prompt)*t.prefillToken + float64(prompt)*float64(prompt)/2*t.attention
+	return Forecast{
+		Mean:       time.Duration(pass/2 + max(wait, unread) + own + pass),
+		Spread:     time.Duration(spreadPasses*pass + spreadOfWait*wait),
+		PerRequest: time.Duration(perRequest + t.passPerRequest),
+	}
+}
+
+// wait returns the expected wait for a slot, and the time that a further request adds to it.
+func (t *Times) wait(s EndpointState) (wait, perRequest float64) {
+	slots := float64(max(s.Slots, 1))
+	interval := t.slotTime / slots
+	if t.meanWork > 0 {
+		interval *= (float64(s.Work) + workWeight*t.meanWork) / ((float64(s.WorkOf) + workWeight) * t.meanWork)
+	}
+	excess := float64(s.InFlight) - slots
+	bend := math.Sqrt(excess*excess + 4*queueSoftness*queueSoftness*slots)
+	return interval * (excess + bend) / 2, interval * (1 + excess/bend) / 2
+}
