balance: Choose replicas by expected harm, without herding

Cause: daemons know counts of each other's requests that are 0.3 to 1 s old, and all choose the replica with the lowest count, so that they meet there.

Change: with forward.choice "cost", the default where engine times are published, a daemon takes 12 candidates, computes up to which level the requests that arrive while the counts grow old fill them, and draws one with the probability of the requests that are to go there. The draw prefers replicas at which the request is more likely to meet its objective, by unread prompts and the learned correction. Replicas without room in the KV cache are left out. The forwarder records each attempt with the cost model. The log has expected_ms.

--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -8,8 +8,11 @@
 	"slices"
 	"time"
 
+	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/cost"
 )
 
 // daemonCounter returns the number of daemons among which shared budgets are divided.
@@ -28,12 +31,42 @@
 	Admit(now time.Time, e *catalog.Endpoint) bool
 }
 
+// timeModel has the published and learned times of a model's replicas. Its method takes no lock.
+type timeModel interface {
+	Times(service ident.Service, engine *cluster.Engine, model *cluster.Model) cost.Times
+}
+
+// Choice says how endpoints with published engine times are compared.
+type Choice string
+
+// The choices: by the expected harm to callers, or by the number of requests in flight.
+const (
+	ByCost  Choice = "cost"
+	ByCount Choice = "count"
+)
+
+// Request is what the choice of an endpoint depends on.
+type Request struct {
+	// Tried are the servers that are not chosen.
+	Tried        []ident.Instance
+	PromptTokens unit.Tokens
+	// OutputTokens is the expected number of output tokens.
+	OutputTokens unit.Tokens
+	// Objective is the time to the first event that callers want, and ObjectiveAt the time until
+	// which this request meets it.
+	Objective   time.Duration
+	ObjectiveAt time.Time
+}
+
 // Options are the dependencies and settings of a Balancer.
 type Options struct {
 	DataCentre ident.DataCentre
 	Daemons    daemonCounter
 	Fleet      fleet
 	Limits     limiter
+	// Times is used for ByCost only.
+	Times  timeModel
+	Choice Choice
 	// RemotePenalty is added to the utilisation of an endpoint in another data centre,
 	// as traffic between data centres is paid for.
 	RemotePenalty float64
@@ -58,18 +91,29 @@
 	return &Balancer{Options: o}
 }
 
-// Pick returns the endpoint with the lowest utilisation that has a free slot and was not
-// tried, or nil if there is none. In a large fleet it prefers the best one of a sample. It returns
-// an endpoint that is avoided after a failure only if all endpoints are avoided, as the failures
-// were then more likely caused by this daemon.
-func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
-	if b.Fleet.FleetSize() > maxInformedDaemons {
-		var sample [2 * sampleSize]*catalog.Endpoint
-		if e := b.pickLeastLoaded(now, b.sample(endpoints, sample[:0]), tried, false); e != nil {
+// Pick returns an endpoint that has a free slot and was not tried, or nil if there is none. By
+// expected harm it is drawn from a sample so that all daemons together spread their requests. By
+// count it is the one with the lowest utilisation, in a large fleet of a sample. An endpoint that is
+// avoided after a failure is returned only if all endpoints are avoided, as the failures were then
+// more likely caused by this daemon.
+func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, r Request) *catalog.Endpoint {
+	p := b.newPick(now, endpoints, r)
+	var drawn [maxCandidates]*catalog.Endpoint
+	switch {
+	case p.byCost && len(endpoints) <= maxCandidates:
+		if e := p.drawByHarm(endpoints); e != nil {
+			return e
+		}
+	case p.byCost:
+		if e := p.drawByHarm(b.sample(endpoints, drawn[:0], maxCandidates/2)); e != nil {
+			return e
+		}
+	case b.Fleet.FleetSize() > maxInformedDaemons:
+		if e := p.leastUtilised(b.sample(endpoints, drawn[:0], sampleSize)); e != nil {
 			return e
 		}
 	}
-	if e := b.pickLeastLoaded(now, endpoints, tried, false); e != nil {
+	if e := p.leastUtilised(endpoints); e != nil {
 		return e
 	}
 	for _, e := range endpoints {
@@ -77,32 +121,74 @@
 			return nil
 		}
 	}
-	return b.pickLeastLoaded(now, endpoints, tried, true)
+	p.includeAvoided = true
+	return p.leastUtilised(endpoints)
 }
 
-// pickLeastLoaded implements Pick for the endpoints that are not avoided, or for all
-// endpoints if includeAvoided is set.
-func (b *Balancer) pickLeastLoaded(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, includeAvoided bool) *catalog.Endpoint {
+// pick is the state of one choice.
+type pick struct {
+	*Balancer
+	request Request
+	now     time.Time
+	// byCost says that endpoints are compared by expected harm, of which times and timeLeft, the
+	// time until the request misses its objective, are set.
+	byCost   bool
+	times    cost.Times
+	timeLeft time.Duration
+	// includeAvoided says that endpoints that are avoided after a failure may be chosen.
+	includeAvoided bool
+}
+
+func (b *Balancer) newPick(now time.Time, endpoints []*catalog.Endpoint, r Request) pick {
+	p := pick{Balancer: b, request: r, now: now}
+	if b.Choice != ByCost || len(endpoints) == 0 || !hasTimes(endpoints[0].Engine) {
+		return p
+	}
+	e := endpoints[0]
+	p.byCost, p.times, p.timeLeft = true, b.Times.Times(e.Service, e.Engine, e.Model), r.ObjectiveAt.Sub(now)
+	return p
+}
+
+// hasTimes reports whether the engine publishes the times from which first events are predicted.
+func hasTimes(engine *cluster.Engine) bool {
+	return engine != nil && engine.StepTime > 0
+}
+
+// leastUtilised returns the endpoint with the lowest utilisation that may be chosen and admits the
+// request.
+func (p *pick) leastUtilised(endpoints []*catalog.Endpoint) *catalog.Endpoint {
 	for excluded := []ident.Instance(nil); ; {
 		var best *catalog.Endpoint
 		var lowest float64
 		for _, e := range endpoints {
-			if !includeAvoided && e.Load.Avoided(now) || slices.Contains(tried, e.ID) || slices.Contains(excluded, e.ID) || !b.Limits.Available(now, e) {
+			if !p.mayChoose(e) || slices.Contains(excluded, e.ID) {
 				continue
 			}
-			utilisation, hasFreeSlot := b.utilisation(e)
-			if hasFreeSlot && (best == nil || utilisation < lowest) {
-				best, lowest = e, utilisation
+			if used := p.utilisation(e); best == nil || used < lowest {
+				best, lowest = e, used
 			}
 		}
-		if best == nil || b.admitCold(now, best) && b.Limits.Admit(now, best) {
+		if best == nil || p.admits(best) {
 			return best
 		}
 		excluded = append(excluded, best.ID)
 	}
 }
 
-// Choice in a large fleet. With more than maxInformedDaemons daemons, the counts of the other
+// mayChoose reports whether the endpoint has room for the request and wasn't tried, and isn't
+// avoided or at a limit that it names.
+func (p *pick) mayChoose(e *catalog.Endpoint) bool {
+	return (p.includeAvoided || !e.Load.Avoided(p.now)) && !slices.Contains(p.request.Tried, e.ID) &&
+		p.Limits.Available(p.now, e) && p.hasFreeSlot(e) && (!p.byCost || p.fitsCache(e))
+}
+
+// admits reports whether the endpoint takes the request within its cold rate and the limit that it
+// names, and counts the request against them.
+func (p *pick) admits(e *catalog.Endpoint) bool {
+	return p.admitCold(p.now, e) && p.Limits.Admit(p.now, e)
+}
+
+// Choice by count in a large fleet. With more than maxInformedDaemons daemons, the counts of the other
 // daemons' requests are up to seconds old. Daemons that all chose the endpoint with the lowest count
 // would meet there, so each one chooses among sampleSize endpoints of its data centre and as many of
 // any. From sampleDraws draws it gets that many of its own in up to eight data centres.
@@ -112,18 +198,19 @@
 	sampleDraws        = 24
 )
 
-// sample appends random endpoints to the empty list. An endpoint may be drawn twice.
-func (b *Balancer) sample(endpoints, drawn []*catalog.Endpoint) []*catalog.Endpoint {
+// sample appends random endpoints to the empty list, size of this data centre and as many of any. An
+// endpoint may be drawn twice.
+func (b *Balancer) sample(endpoints, drawn []*catalog.Endpoint, size int) []*catalog.Endpoint {
 	if len(endpoints) == 0 {
 		return drawn
 	}
 	local, other := 0, 0
-	for draws := 0; draws < sampleDraws && local+other < 2*sampleSize; draws++ {
+	for draws := 0; draws < sampleDraws && local+other < 2*size; draws++ {
 		e := endpoints[rand.IntN(len(endpoints))]
 		switch {
-		case e.DataCentre == b.DataCentre && local < sampleSize:
+		case e.DataCentre == b.DataCentre && local < size:
 			local++
-		case other < sampleSize:
+		case other < size:
 			other++
 		default:
 			continue
@@ -138,18 +225,22 @@
 const tieBreakRange = 0.04
 
 // utilisation returns the share of the endpoint's slots that is in use, plus the penalty for
-// another data centre and the tie-break. It also reports whether there is a free slot.
-func (b *Balancer) utilisation(e *catalog.Endpoint) (float64, bool) {
-	slots := float64(max(e.Slots, 1))
-	used := float64(e.Load.TotalInFlight()) / slots
-	hasFreeSlot := used < b.MaxUtilisation
-	if e.Engine == nil {
-		hasFreeSlot = used < 1+b.PlainQueueRatio
-	}
+// another data centre and the tie-break.
+func (b *Balancer) utilisation(e *catalog.Endpoint) float64 {
+	used := float64(e.Load.TotalInFlight()) / float64(max(e.Slots, 1))
 	if e.DataCentre != b.DataCentre {
 		used += b.RemotePenalty
 	}
-	return used + tieBreakRange*rand.Float64(), hasFreeSlot
+	return used + tieBreakRange*rand.Float64()
+}
+
+// hasFreeSlot reports whether the endpoint may get another request.
+func (b *Balancer) hasFreeSlot(e *catalog.Endpoint) bool {
+	used := float64(e.Load.TotalInFlight()) / float64(max(e.Slots, 1))
+	if e.Engine == nil {
+		return used < 1+b.PlainQueueRatio
+	}
+	return used < b.MaxUtilisation
 }
 
 // admitCold reports whether this daemon may send another request to a server. It counts
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -12,6 +12,7 @@
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/cost"
 )
 
 // fixedDaemonCount is a daemonCounter with a fixed number.
@@ -32,6 +33,11 @@
 
 var testStart = time.Unix(1_000_000, 0)
 
+var testEngine = &cluster.Engine{
+	StepTime: 6 * time.Millisecond, StepTimePerSequence: 45 * time.Microsecond, StepsPerPass: 7, PrefillRate: 50_000, KVCapacity: 40_000, MeanPrompt: 674, MeanOutput: 116,
+	Models: []cluster.Model{{Name: "m", TimeFactor: 0.6}},
+}
+
 // testEndpoint describes an endpoint with 10 slots.
 type testEndpoint struct {
 	id         ident.Instance
@@ -45,7 +51,7 @@
 func (t testEndpoint) build() *catalog.Endpoint {
 	e := &catalog.Endpoint{
 		Server: &cluster.Server{ID: t.id, DataCentre: t.dataCentre, Slots: 10, ColdFor: t.coldFor, ReceivedAt: testStart},
-		Engine: new(cluster.Engine), ColdRate: 10, Load: new(catalog.Load),
+		Engine: testEngine, Model: &testEngine.Models[0], ColdRate: 10, Load: new(catalog.Load),
 	}
 	if t.plain {
 		e.Engine = nil
@@ -89,7 +95,7 @@
 				endpoints = append(endpoints, endpoint.build())
 			}
 			var picked ident.Instance
-			if e := b.Pick(testStart, endpoints, test.tried); e != nil {
+			if e := b.Pick(testStart, endpoints, Request{Tried: test.tried}); e != nil {
 				picked = e.ID
 			}
 			c.Check(picked, qt.Equals, test.want)
@@ -231,17 +237,28 @@
 	c.Check(total > 0 && total <= 80, qt.IsTrue, qt.Commentf("%d retries of all daemons", total))
 }
 
+// benchmarkPick measures each choice among the endpoints.
+func benchmarkPick(b *testing.B, o Options, endpoints []*catalog.Endpoint) {
+	for _, choice := range []Choice{ByCount, ByCost} {
+		b.Run(string(choice), func(b *testing.B) {
+			o.Choice, o.Times, o.Limits = choice, cost.New(), noLimits{}
+			balancer := New(o)
+			r := Request{PromptTokens: 674, OutputTokens: 116, Objective: 250 * time.Millisecond, ObjectiveAt: testStart.Add(240 * time.Millisecond)}
+			b.ReportAllocs()
+			for b.Loop() {
+				balancer.Pick(testStart, endpoints, r)
+			}
+		})
+	}
+}
+
 // BenchmarkPick measures the choice among 50 endpoints with different loads.
 func BenchmarkPick(b *testing.B) {
-	balancer := New(Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 	var endpoints []*catalog.Endpoint
 	for i := range 50 {
 		endpoints = append(endpoints, testEndpoint{id: ident.Instance(rune('a' + i)), inFlight: i % 7}.build())
 	}
-	b.ReportAllocs()
-	for b.Loop() {
-		balancer.Pick(testStart, endpoints, nil)
-	}
+	benchmarkPick(b, Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9}, endpoints)
 }
 
 // TestPickInLargeFleet guards against daemons that all send their requests to the endpoint with the
@@ -277,7 +294,7 @@
 			b := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(test.daemons), Fleet: fleetSize(test.daemons), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9})
 			least := 0
 			for range picks {
-				e := b.Pick(testStart, list, nil)
+				e := b.Pick(testStart, list, Request{})
 				c.Assert(e, qt.IsNotNil)
 				c.Assert(e.Load.InFlight() < 10, qt.IsTrue)
 				if e == list[0] {
@@ -296,9 +313,5 @@
 	for i := range 12000 {
 		list = append(list, testEndpoint{id: ident.Instance(fmt.Sprint(i)), inFlight: i % 8, dataCentre: ident.DataCentre(fmt.Sprint(i % 14))}.build())
 	}
-	balancer := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(840), Fleet: fleetSize(840), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9})
-	b.ReportAllocs()
-	for b.Loop() {
-		balancer.Pick(testStart, list, nil)
-	}
+	benchmarkPick(b, Options{DataCentre: "0", Daemons: fixedDaemonCount(840), Fleet: fleetSize(840), RemotePenalty: 0.3, MaxUtilisation: 0.9}, list)
 }
--- /dev/null
+++ b/internal/route/balance/harm.go
@@ -0,0 +1,159 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/cost"
+)
+
+// Choice by expected harm. The counts of the other daemons' requests are old, and the other daemons
+// have the same ones. If each daemon chose the replica with the least harm by these counts, all would
+// meet there. Each daemon therefore computes how all requests that arrive while the counts grow old
+// should be spread, which is up to a level of equal load, and draws a replica with the probability of
+// the requests that are to go there.
+const (
+	// maxCandidates is the number of candidates of a draw.
+	maxCandidates = 12
+	// arrivalShare is the number of requests that other daemons are expected to start while their
+	// counts grow old, as a share of their requests in flight. It is the ratio of the age of the
+	// counts, 0.3 to 1 s, to the time of a request, about 0.6 s.
+	arrivalShare = 1.5
+	// harmScale is the difference in harm that makes a replica e times less likely to be chosen.
+	harmScale = 0.1
+	// delayHarm is the harm of a second until the first event, in requests that miss their
+	// objective. It tells replicas apart at which the objective is met, or missed, in any case.
+	delayHarm = 0.05
+	// logisticScale is the scale of a logistic distribution with a standard deviation of one.
+	logisticScale = 0.55
+)
+
+// drawByHarm returns a random candidate that may be chosen and admits the request, nil if there is
+// none.
+func (p *pick) drawByHarm(candidates []*catalog.Endpoint) *catalog.Endpoint {
+	var weights [maxCandidates]float64
+	p.weigh(candidates, weights[:len(candidates)])
+	for range candidates {
+		i := drawIndex(weights[:len(candidates)])
+		if i < 0 {
+			return nil
+		}
+		if p.admits(candidates[i]) {
+			return candidates[i]
+		}
+		weights[i] = 0
+	}
+	return nil
+}
+
+// drawIndex returns a random index with a probability in proportion to its weight, negative if all
+// weights are zero.
+func drawIndex(weights []float64) int {
+	sum := 0.0
+	for _, weight := range weights {
+		sum += weight
+	}
+	point, last := sum*rand.Float64(), -1
+	for i, weight := range weights {
+		if weight <= 0 {
+			continue
+		}
+		if point -= weight; point < 0 {
+			return i
+		}
+		last = i
+	}
+	return last
+}
+
+// weigh sets the weight of each candidate, zero for those that may not be chosen: the requests by
+// which it is below the level, reduced by the harm that the request would see there.
+func (p *pick) weigh(candidates []*catalog.Endpoint, weights []float64) {
+	var loads, harms [maxCandidates]float64
+	arrivals := 1.0
+	for i, e := range candidates {
+		if loads[i] = math.Inf(1); p.mayChoose(e) {
+			loads[i] = p.load(e)
+			arrivals += arrivalShare * float64(e.Load.TotalInFlight()-e.Load.InFlight())
+		}
+	}
+	level := levelOf(loads[:len(candidates)], arrivals)
+	least := math.Inf(1)
+	for i, e := range candidates {
+		if weights[i] = max(level-loads[i], 0); weights[i] > 0 {
+			harms[i] = p.harm(e, level)
+			least = min(least, harms[i])
+		}
+	}
+	for i := range candidates {
+		if weights[i] > 0 {
+			weights[i] *= math.Exp((least - harms[i]) / harmScale)
+		}
+	}
+}
+
+// load returns the requests at the endpoint. At one in another data centre, the penalty is added as a
+// share of the slots that are free, as a request that waits for a slot is worse than one that goes to
+// another data centre.
+func (p *pick) load(e *catalog.Endpoint) float64 {
+	load := float64(e.Load.TotalInFlight())
+	if e.DataCentre != p.DataCentre {
+		load += p.RemotePenalty * max(float64(e.Slots)-load, 0)
+	}
+	return load
+}
+
+// levelOf returns the load up to which the arrivals fill the candidates.
+func levelOf(loads []float64, arrivals float64) float64 {
+	const halvings = 12
+	low := math.Inf(1)
+	for _, load := range loads {
+		low = min(low, load)
+	}
+	high := low + arrivals
+	for range halvings {
+		level, filled := (low+high)/2, 0.0
+		for _, load := range loads {
+			filled += max(level-load, 0)
+		}
+		if filled < arrivals {
+			low = level
+		} else {
+			high = level
+		}
+	}
+	return high
+}
+
+// harm returns the probability that the request misses its objective at the endpoint when that has as
+// many requests as the level says, and a small part for the delay. The level is the same for all
+// candidates, which differ in unread prompts, in the work of their requests and in the correction.
+func (p *pick) harm(e *catalog.Endpoint, level float64) float64 {
+	state := p.times.StateOf(p.now, e)
+	state.InFlight = unit.Requests(level)
+	f := p.times.FirstEvent(state, p.request.PromptTokens)
+	return missProbability(f, float64(p.timeLeft)) + delayHarm*f.Mean.Seconds()
+}
+
+// missProbability returns the probability that the time to the first event, which has about a logistic
+// distribution, exceeds the limit in nanoseconds.
+func missProbability(f cost.Forecast, limit float64) float64 {
+	scale := max(float64(f.Spread)*logisticScale, 1)
+	return 1 / (1 + math.Exp((limit-float64(f.Mean))/scale))
+}
+
+// fitsCache reports whether the KV cache of the endpoint has room for the request and for all that
+// the accepted requests will still grow to. The sizes of the peers' requests are taken as the usual
+// ones. A request that is larger than the cache may run alone.
+func (p *pick) fitsCache(e *catalog.Endpoint) bool {
+	capacity := e.Engine.KVCapacity
+	inFlight := e.Load.TotalInFlight()
+	if capacity <= 0 || inFlight == 0 {
+		return true
+	}
+	usual := e.Engine.MeanPrompt + e.Engine.MeanOutput
+	held := e.Load.Reserved() + unit.Tokens(inFlight-e.Load.InFlight())*usual
+	return held+p.request.PromptTokens+p.request.OutputTokens <= capacity
+}
--- a/internal/serve/forward/events.go
+++ b/internal/serve/forward/events.go
@@ -16,6 +16,10 @@
 	// hasLastID says that lastID is set, because an event with an id was
 	// forwarded or because the caller has named the last event that it received.
 	hasLastID bool
+	// count is the number of events with content. isWhole says that they are of one attempt that
+	// began the answer.
+	count   int
+	isWhole bool
 	// unforwarded has the bytes that were read and not forwarded.
 	unforwarded []byte
 }
@@ -37,7 +41,9 @@
 		switch {
 		case !numbered && ev.hasLastID && !isComment(ev.unforwarded[length:length+n]):
 			return ev.unforwarded[:length], code.ForeignAnswer.New("read stream: got text without an event id after event %d", ev.lastID)
+		case !numbered && isComment(ev.unforwarded[length:length+n]):
 		case !numbered:
+			ev.count++
 		case ev.hasLastID && id <= ev.lastID:
 			// The caller already has this event.
 			ev.unforwarded = append(ev.unforwarded[:length], ev.unforwarded[length+n:]...)
@@ -46,6 +52,7 @@
 			return ev.unforwarded[:length], code.ForeignAnswer.New("read stream: got event %d after event %d, expected the next id", id, ev.lastID)
 		default:
 			ev.lastID, ev.hasLastID = id, true
+			ev.count++
 		}
 		length += n
 	}
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -295,10 +295,10 @@
 // firstPicker picks the first endpoint that was not tried.
 type firstPicker struct{}
 
-func (firstPicker) Pick(_ time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+func (firstPicker) Pick(_ time.Time, endpoints []*catalog.Endpoint, r balance.Request) *catalog.Endpoint {
 	for _, e := range endpoints {
 		wasTried := false
-		for _, id := range tried {
+		for _, id := range r.Tried {
 			wasTried = wasTried || id == e.ID
 		}
 		if !wasTried {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -24,6 +24,7 @@
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/admit"
+	"cuminbay/internal/route/balance"
 	"cuminbay/internal/route/cost"
 	"cuminbay/internal/route/ratelimit"
 )
@@ -37,7 +38,7 @@
 	}
 	// picker chooses an endpoint.
 	picker interface {
-		Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint
+		Pick(now time.Time, endpoints []*catalog.Endpoint, r balance.Request) *catalog.Endpoint
 	}
 	// retryBudget bounds the retries.
 	retryBudget interface {
@@ -77,9 +78,11 @@
 		LinksWork(ctx context.Context) bool
 		Suspect(e *catalog.Endpoint)
 	}
-	// costModel estimates what a request costs before it runs.
+	// costModel estimates what a request costs before it runs, and learns from what it did.
 	costModel interface {
 		Predict(p cost.Profile, engine *cluster.Engine) cost.Estimate
+		StartRun(now time.Time, e *catalog.Endpoint, p cost.Profile, estimate cost.Estimate) cost.Run
+		Record(now time.Time, p cost.Profile, predicted cost.Estimate, output unit.Tokens)
 	}
 	// relayPicker chooses a daemon that reaches servers and was not tried.
 	relayPicker interface {
@@ -201,8 +204,9 @@
 	organisation *cluster.Organisation
 	// deadline is the earlier of the request's deadline and the route's timeout.
 	deadline time.Time
-	// estimate is the expected cost of the request.
+	// estimate is the expected cost of the request, and engine is nil for a plain service.
 	estimate cost.Estimate
+	engine   *cluster.Engine
 
 	triedServers []ident.Instance
 	// possibleRuns counts the attempts that reached a server and that may have run
@@ -229,11 +233,12 @@
 	// attemptEvents counts the reads of the current attempt that completed an event.
 	attemptEvents int
 
-	// For the log: the last endpoint and its requests in flight when it was
-	// chosen, the time in the queue, the time to the first byte, and the longest
+	// For the log: the last endpoint and its requests in flight and the expected time to the
+	// first event when it was chosen, the time in the queue, the time to the first byte, and the longest
 	// pause between two events.
 	lastEndpoint    ident.Instance
 	lastInFlight    unit.Requests
+	expectedFirst   time.Duration
 	queueTime       time.Duration
 	timeToFirstByte time.Duration
 	longestPause    time.Duration
@@ -294,15 +299,19 @@
 
 // predictCost returns the expected cost of the request by the configuration of the snapshot.
 func (x *exchange) predictCost(s *catalog.Snapshot) cost.Estimate {
-	var engine *cluster.Engine
 	if service := s.Config.Services[x.service]; service != nil {
-		engine = service.Engine
+		x.engine = service.Engine
 	}
+	return x.Costs.Predict(x.profile(), x.engine)
+}
+
+// profile returns what is known of the request before it runs.
+func (x *exchange) profile() cost.Profile {
 	r := x.request
-	return x.Costs.Predict(cost.Profile{
+	return cost.Profile{
 		Service: x.service, Model: r.Model, Route: x.route.Name,
 		PromptTokens: r.PromptTokens, MaxOutputTokens: r.OutputTokens, LengthHint: r.LengthHint,
-	}, engine)
+	}
 }
 
 // checkPoison returns an error if equal requests or requests with a part of this prompt have
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -5,10 +5,13 @@
 	"sync/atomic"
 	"time"
 
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/route/balance"
+	"cuminbay/internal/route/cost"
 	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
 )
@@ -27,6 +30,8 @@
 	Away float64 `json:"away" validate:"min=0"`
 	// Fill is the share of a replica's slots that is used.
 	Fill float64 `json:"fill" validate:"gt=0"`
+	// Choice is how a replica is chosen where the service publishes engine times. With `cost` it is that with the least expected harm to callers: requests that miss their objective, here and at the replica, by the expected time to the first event. With `count`, and where no times are published, it is that with the fewest requests in flight for its slots.
+	Choice balance.Choice `json:"choice" validate:"oneof=cost count"`
 	// Queue bounds the requests queued at a plain server, as a share of its slots.
 	Queue float64 `json:"queue" validate:"min=0"`
 	// Cold is the share of a cold server's request rate that all daemons together use.
@@ -40,7 +45,7 @@
 func init() {
 	settings.Register(section, func() any {
 		return &Settings{
-			Ratio: 0.2, Slack: 100, Window: settings.DurationOf(10 * time.Second), Away: 0.3, Fill: 0.95, Queue: 1, Cold: 0.9,
+			Ratio: 0.2, Slack: 100, Window: settings.DurationOf(10 * time.Second), Away: 0.3, Fill: 0.95, Choice: balance.ByCost, Queue: 1, Cold: 0.9,
 			Suspicion: settings.DurationOf(time.Minute), Suspects: 1024,
 		}
 	})
@@ -62,6 +67,11 @@
 	FleetSize() int
 }
 
+// timeModel has the times of models' replicas.
+type timeModel interface {
+	Times(service ident.Service, engine *cluster.Engine, model *cluster.Model) cost.Times
+}
+
 // component is the forwarder as a plug-in.
 type component struct {
 	plugin.NoLifecycle
@@ -101,12 +111,13 @@
 func (c *component) Start(context.Context) error {
 	var daemons daemonCounter
 	var fleet fleetSizer
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &c.limits.Daemons, &c.limits.Catalog); err != nil {
+	var times timeModel
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &times, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
 	s := c.settings
 	c.Picker = balance.New(balance.Options{
-		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Choice: s.Choice, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
--- a/internal/serve/forward/relay.go
+++ b/internal/serve/forward/relay.go
@@ -4,6 +4,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/balance"
 )
 
 // maxRelays bounds the daemons to which one request is passed on. It is maxRelaysInReach if this
@@ -18,7 +19,7 @@
 func (x *exchange) pick(tried []ident.Instance) *catalog.Endpoint {
 	now, candidates := x.Clock.Now(), x.candidates()
 	if reachable := x.reachable(candidates); len(reachable) > 0 {
-		return x.Picker.Pick(now, reachable, tried)
+		return x.Picker.Pick(now, reachable, x.balanceRequest(tried))
 	}
 	if relay := x.pickRelay(tried); relay != nil {
 		return relay
@@ -27,7 +28,15 @@
 		// The endpoints are probably down, as they are out of reach of two daemons.
 		return nil
 	}
-	return x.Picker.Pick(now, candidates, tried)
+	return x.Picker.Pick(now, candidates, x.balanceRequest(tried))
+}
+
+// balanceRequest returns what the choice of an endpoint depends on.
+func (x *exchange) balanceRequest(tried []ident.Instance) balance.Request {
+	return balance.Request{
+		Tried: tried, PromptTokens: x.request.PromptTokens, OutputTokens: x.estimate.OutputTokens,
+		Objective: x.route.LatencyObjective, ObjectiveAt: x.request.Received.Add(x.route.LatencyObjective),
+	}
 }
 
 // reachable returns the endpoints that this daemon can connect to.
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -12,6 +12,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/cost"
 )
 
 // bufferPool has buffers for events that are forwarded.
@@ -23,7 +24,7 @@
 // fails, a resumable stream is continued at another endpoint.
 func (x *exchange) runStream(ctx context.Context) error {
 	b := bufferPool.Get().(*[]byte)
-	ev := &eventBuffer{lastID: x.request.LastEventID, hasLastID: x.request.LastEventID > 0, unforwarded: (*b)[:0]}
+	ev := &eventBuffer{lastID: x.request.LastEventID, hasLastID: x.request.LastEventID > 0, isWhole: x.request.LastEventID == 0, unforwarded: (*b)[:0]}
 	defer func() {
 		*b = ev.unforwarded[:0]
 		bufferPool.Put(b)
@@ -45,6 +46,7 @@
 			return x.abortStream(x.callerError(err))
 		}
 		ev.dropIncomplete()
+		ev.isWhole = ev.isWhole && ev.count == 0
 	}
 }
 
@@ -67,8 +69,11 @@
 	if ev.hasLastID {
 		a.ResumeAfter = ev.lastID
 	}
-	defer x.countInFlight(e)()
 	detector := &stallDetector{exchange: x, endpoint: e, attemptStart: x.Clock.Now()}
+	detector.run = x.Costs.StartRun(detector.attemptStart, e, x.profile(), x.estimate)
+	defer detector.run.End()
+	x.expectedFirst = detector.run.Expected()
+	defer x.countInFlight(e)()
 	reply, err := x.Sender.Send(ctx, a, detector.keepWaiting)
 	if err != nil {
 		return err
@@ -85,6 +90,11 @@
 		return err
 	}
 	e.Load.RecordSuccess(x.Clock.Since(detector.attemptStart))
+	if ev.isWhole {
+		now := x.Clock.Now()
+		detector.run.Completed(now)
+		x.Costs.Record(now, x.profile(), x.estimate, cost.StreamTokens(x.engine, ev.count))
+	}
 	x.Poison.RecordCompletion(x.request.Fingerprint)
 	if x.attemptEvents < startedEvents {
 		x.Parts.RecordPartStart(x.request.SharedParts)
@@ -180,12 +190,15 @@
 	// lastEventAt is the time at which this attempt last received a complete event,
 	// zero before the first one.
 	lastEventAt time.Time
+	// run keeps the cost of the attempt in the endpoint's load.
+	run cost.Run
 }
 
 // recordEvent records that complete events have arrived.
 func (d *stallDetector) recordEvent() {
 	now := d.Clock.Now()
 	d.endpoint.Load.RecordProgress(now)
+	d.run.FirstEvent(now)
 	if d.attemptEvents++; d.attemptEvents == startedEvents {
 		d.Parts.RecordPartStart(d.request.SharedParts)
 	}
--- a/internal/serve/forward/successor_test.go
+++ b/internal/serve/forward/successor_test.go
@@ -12,6 +12,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/balance"
 )
 
 // slotPicker picks the first endpoint that was not tried and has a free slot.
@@ -21,14 +22,14 @@
 	start    time.Time
 }
 
-func (p slotPicker) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+func (p slotPicker) Pick(now time.Time, endpoints []*catalog.Endpoint, r balance.Request) *catalog.Endpoint {
 	var free []*catalog.Endpoint
 	for _, e := range endpoints {
 		if from, hasSlots := p.freeFrom[e.ID]; hasSlots && now.Sub(p.start) >= from {
 			free = append(free, e)
 		}
 	}
-	return firstPicker{}.Pick(now, free, tried)
+	return firstPicker{}.Pick(now, free, r)
 }
 
 // noRetries is a retry budget that is used up.
--- a/internal/serve/forward/telemetry.go
+++ b/internal/serve/forward/telemetry.go
@@ -56,7 +56,7 @@
 	}
 	logEvent := x.Log.Info().Str("request", string(x.request.ID)).Str("route", route).
 		Str("model", string(x.request.Model)).Int64("prompt", int64(x.request.PromptTokens)).
-		Int64("work_ms", x.estimate.Work.Milliseconds()).Str("endpoint", string(x.lastEndpoint)).Int64("inflight", int64(x.lastInFlight)).Int("attempts", x.attemptCount).
+		Int64("work_ms", x.estimate.Work.Milliseconds()).Int64("expected_ms", x.expectedFirst.Milliseconds()).Str("endpoint", string(x.lastEndpoint)).Int64("inflight", int64(x.lastInFlight)).Int("attempts", x.attemptCount).
 		Int64("waited_ms", x.queueTime.Milliseconds()).Int64("first_ms", x.timeToFirstByte.Milliseconds()).
 		Int64("pause_ms", x.longestPause.Milliseconds()).Int64("took_ms", duration.Milliseconds()).
 		Str("code", c.String()).Str("outcome", string(code.OutcomeOf(err)))
