--- a/internal/peer/gossip/inflight.go
+++ b/internal/peer/gossip/inflight.go
@@ -40,8 +40,7 @@
 	loads := make(map[endpointHash]endpointLoad)
 	for _, e := range g.currentEndpoints() {
 		if n := e.Load.InFlight(); n > 0 {
-			unread, work := e.Load.OwnWork()
-			loads[e.hash] = endpointLoad{n, unread, work}
+			loads[e.hash] = endpointLoad{n, e.Load.Unread(), e.Load.Work()}
 		}
 	}
 	return loads
@@ -149,7 +148,8 @@
 	g.mu.Unlock()
 	for i, e := range endpoints {
 		e.Load.SetPeerInFlight(totals[i].Requests)
-		e.Load.SetPeerWork(totals[i].Unread, totals[i].Work)
+		e.Load.SetPeerUnread(totals[i].Unread)
+		e.Load.SetPeerWork(totals[i].Work)
 	}
 }
 
--- a/internal/peer/gossip/load_test.go
+++ b/internal/peer/gossip/load_test.go
@@ -55,8 +55,8 @@
 			g.UpdatePeerInFlight()
 			load := testEndpoint(g).Load
 			c.Check(load.TotalInFlight(), qt.Equals, test.want)
-			c.Check(load.UnreadPrompt(), qt.Equals, unit.Tokens(test.want)*10)
-			c.Check(load.ExpectedWork(), qt.Equals, time.Duration(test.want)*time.Second)
+			c.Check(load.TotalUnread(), qt.Equals, unit.Tokens(test.want)*10)
+			c.Check(load.TotalWork(), qt.Equals, time.Duration(test.want)*time.Second)
 		})
 	}
 }
--- a/internal/serve/forward/demand_test.go
+++ b/internal/serve/forward/demand_test.go
@@ -12,6 +12,7 @@
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/balance"
 )
 
 // TestDemand guards against demand that counts a request again when it is passed on, resumed or
@@ -113,8 +114,8 @@
 
 func (s *loadCheckingSender) load() (unread unit.Tokens, work time.Duration) {
 	for _, e := range s.endpoints {
-		unread += e.Load.UnreadPrompt()
-		work += e.Load.ExpectedWork()
+		unread += e.Load.TotalUnread()
+		work += e.Load.TotalWork()
 	}
 	return unread, work
 }
@@ -141,6 +142,6 @@
 // emptyPicker picks no endpoint.
 type emptyPicker struct{}
 
-func (emptyPicker) Pick(time.Time, []*catalog.Endpoint, []ident.Instance) *catalog.Endpoint {
+func (emptyPicker) Pick(time.Time, []*catalog.Endpoint, balance.Request) *catalog.Endpoint {
 	return nil
 }
