demand: Sum the demand of a data centre for the others

At 295 daemons, one of another data centre is heard directly every 11 s, so that half of the fleet would often count as unknown within the 5 s for which its demand counts.

One timer serves samples and metrics.

--- a/internal/fleet/demand/average.go
+++ b/internal/fleet/demand/average.go
@@ -61,6 +61,15 @@
 	Loads []ModelLoad
 	// Contention has what the sender knows of all daemons.
 	Contention []Contention
+	// DataCentre is the demand at the daemons of the sender's data centre, nil if the report has
+	// none.
+	DataCentre *DataCentreDemand
+}
+
+// DataCentreDemand adds up the demand at the daemons of a data centre that were heard from.
+type DataCentreDemand struct {
+	Live, Heard int
+	Loads       []ModelLoad
 }
 
 // Sample computes the mean demand of this daemon and saves the counters for later means. It is
--- a/internal/fleet/demand/demand.go
+++ b/internal/fleet/demand/demand.go
@@ -37,11 +37,13 @@
 
 // Options are the dependencies of a Meter.
 type Options struct {
-	Clock   clock.Clock
-	Log     zerolog.Logger
-	Self    ident.Instance
-	Catalog configSource
-	Daemons daemonLister
+	Clock clock.Clock
+	Log   zerolog.Logger
+	Self  ident.Instance
+	// DataCentre is that of this daemon.
+	DataCentre ident.DataCentre
+	Catalog    configSource
+	Daemons    daemonLister
 	// Telemetry has the metrics.
 	Telemetry *Telemetry
 }
@@ -54,6 +56,8 @@
 	models atomic.Pointer[modelTable]
 	// own is this daemon's demand at the latest sample, nil before the first mean.
 	own atomic.Pointer[Report]
+	// ownDataCentre is the demand at the daemons of this data centre.
+	ownDataCentre atomic.Pointer[DataCentreDemand]
 
 	mu      sync.Mutex
 	history history
--- a/internal/fleet/demand/demand_test.go
+++ b/internal/fleet/demand/demand_test.go
@@ -47,7 +47,7 @@
 	cat.Apply(catalog.Update{Config: testConfig(large, small)})
 	telemetry, err := NewTelemetry(prometheus.NewRegistry())
 	qt.New(c).Assert(err, qt.IsNil)
-	m := New(Options{Clock: clk, Log: zerolog.Nop(), Self: self, Catalog: cat, Daemons: daemons, Telemetry: telemetry})
+	m := New(Options{Clock: clk, Log: zerolog.Nop(), Self: self, DataCentre: daemons[self], Catalog: cat, Daemons: daemons, Telemetry: telemetry})
 	m.Sample()
 	return m, cat
 }
@@ -185,6 +185,12 @@
 	return Report{Window: maxWindow, Loads: []ModelLoad{{Model: HashOf(llm, large), Offered: largeLoad}, {Model: HashOf(llm, small), Offered: smallLoad}}}
 }
 
+// withSum adds the demand of a data centre to the report.
+func withSum(r Report, live, heard int, largeLoad unit.Slots) Report {
+	r.DataCentre = &DataCentreDemand{Live: live, Heard: heard, Loads: []ModelLoad{{Model: HashOf(llm, large), Offered: largeLoad}}}
+	return r
+}
+
 // TestFleetDemand guards against a sum that leaves out the daemons that weren't heard from, that
 // counts old values or daemons that have ended, and against a layout decided by a minority.
 func TestFleetDemand(t *testing.T) {
@@ -215,8 +221,23 @@
 		},
 		"only older builds beside this one": {daemons: fleet, own: 8, received: []received{{"b", 0, Report{}}, {"c", 0, Report{}}, {"d", 0, Report{}}}},
 		"without demand for the model":      {daemons: fakeDaemons{"a": "z", "b": "z"}, received: []received{{"b", 0, reportOf(0, 12)}}, wantOK: true},
-		"too little load":                   {daemons: fakeDaemons{"a": "z"}, own: 0.5},
-		"alone":                             {daemons: fakeDaemons{"a": "z"}, own: 8, want: 8, wantOK: true},
+		"sum of another data centre": {
+			daemons: fleet, own: 8, received: []received{{"b", 0, reportOf(12, 0)}, {"c", 0, withSum(reportOf(6, 0), 4, 3, 30)}}, want: 60, wantOK: true,
+		},
+		"most complete sum": {
+			daemons: fleet, own: 8, received: []received{{"b", 0, reportOf(12, 0)}, {"c", 0, withSum(reportOf(6, 0), 4, 4, 30)}, {"d", 0, withSum(reportOf(6, 0), 4, 3, 99)}}, want: 50, wantOK: true,
+		},
+		"report after the sum": {
+			daemons: fleet, own: 8, received: []received{{"b", 0, reportOf(12, 0)}, {"c", 4 * time.Second, withSum(reportOf(6, 0), 4, 4, 30)}, {"c", 0, reportOf(6, 0)}}, want: 50, wantOK: true,
+		},
+		"expired sum": {
+			daemons: fleet, own: 8, received: []received{{"c", 6 * time.Second, withSum(reportOf(6, 0), 4, 4, 30)}, {"b", 0, reportOf(12, 0)}, {"c", 0, reportOf(6, 0)}}, want: 32, wantOK: true,
+		},
+		"sum of fewer than were heard": {
+			daemons: fleet, own: 8, received: []received{{"b", 0, reportOf(12, 0)}, {"c", 0, withSum(reportOf(6, 0), 2, 1, 6)}, {"d", 0, reportOf(2, 0)}}, want: 28, wantOK: true,
+		},
+		"too little load": {daemons: fakeDaemons{"a": "z"}, own: 0.5},
+		"alone":           {daemons: fakeDaemons{"a": "z"}, own: 8, want: 8, wantOK: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -239,6 +260,29 @@
 	}
 }
 
+// TestDataCentreDemand guards against a report for other data centres that leaves out daemons or has
+// those of other data centres.
+func TestDataCentreDemand(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	m, _ := newMeter(c, clk, "a", fakeDaemons{"a": "z", "b": "z", "c": "z", "far": "y"})
+	m.Observe()
+	c.Check(m.DataCentreDemand(), qt.IsNil)
+	runLoad(clk, m, 10*time.Second, constant(map[ident.Model]unit.Slots{large: 8}), nil)
+	m.MergeDemand("b", reportOf(12, 0))
+	m.MergeDemand("far", reportOf(50, 50))
+	m.Observe()
+	c.Check(m.DataCentreDemand().Live, qt.Equals, 3)
+	c.Check(m.DataCentreDemand().Heard, qt.Equals, 2)
+	for _, l := range m.DataCentreDemand().Loads {
+		want := unit.Slots(0)
+		if l.Model == HashOf(llm, large) {
+			want = 20
+		}
+		c.Check(near(l.Offered, want, 1e-6), qt.IsTrue, qt.Commentf("%v", l))
+	}
+}
+
 // TestLastKnown guards against a layout that reverts to the configured shares at once when
 // daemons are cut off, and against one that follows the last demand for ever.
 func TestLastKnown(t *testing.T) {
--- a/internal/fleet/demand/fleet.go
+++ b/internal/fleet/demand/fleet.go
@@ -22,7 +22,11 @@
 type receivedReport struct {
 	window time.Duration
 	loads  []ModelLoad
-	at     time.Time
+	// dataCentre is the latest demand of the daemon's data centre that it has reported, and
+	// dataCentreAt the time of it.
+	dataCentre   *DataCentreDemand
+	dataCentreAt time.Time
+	at           time.Time
 }
 
 // MergeDemand takes over what another daemon has reported. A daemon of an older version reports
@@ -35,7 +39,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reports[from] = receivedReport{r.Window, r.Loads, now}
+	received := receivedReport{window: r.Window, loads: r.Loads, dataCentre: r.DataCentre, dataCentreAt: now, at: now}
+	if previous := m.reports[from]; r.DataCentre == nil {
+		received.dataCentre, received.dataCentreAt = previous.dataCentre, previous.dataCentreAt
+	}
+	m.reports[from] = received
 }
 
 // ModelDemand is the demand of the whole fleet for one model.
@@ -106,14 +114,19 @@
 	return m.sum(now, service)
 }
 
-// dataCentreDemand adds up the demand of the daemons of a data centre.
+// dataCentreDemand is the demand at the daemons of a data centre.
 type dataCentreDemand struct {
 	live, heard int
 	loads       map[ModelHash]ModelDemand
+	// reported is the most complete demand that a daemon of the data centre has reported for it.
+	reported *DataCentreDemand
+}
+
+func newDataCentreDemand() *dataCentreDemand {
+	return &dataCentreDemand{loads: make(map[ModelHash]ModelDemand)}
 }
 
 func (c *dataCentreDemand) add(loads []ModelLoad) {
-	c.heard++
 	for _, l := range loads {
 		sum := c.loads[l.Model]
 		sum.Offered += l.Offered
@@ -123,35 +136,31 @@
 	}
 }
 
+// useReported replaces the demand by the reported one, if that covers more daemons.
+func (c *dataCentreDemand) useReported() {
+	if r := c.reported; r != nil && r.Heard > c.heard {
+		c.live, c.heard, c.loads = max(r.Live, r.Heard), r.Heard, make(map[ModelHash]ModelDemand)
+		c.add(r.Loads)
+	}
+}
+
 // sum adds up the demands of the live daemons. The caller holds the lock.
 func (m *Meter) sum(now time.Time, service ident.Service) Demand {
 	d := Demand{Models: make(map[ident.Model]ModelDemand), ComputedAt: now}
-	dataCentres := make(map[ident.DataCentre]*dataCentreDemand)
-	m.Daemons.EachLiveDaemon(func(id ident.Instance, dc ident.DataCentre) {
-		c := dataCentres[dc]
-		if c == nil {
-			c = &dataCentreDemand{loads: make(map[ModelHash]ModelDemand)}
-			dataCentres[dc] = c
-		}
-		c.live++
-		if r, ok := m.reportOf(id, now); ok {
-			c.add(r.loads)
-			d.Window += r.window
-			d.Age += now.Sub(r.at)
-		}
-	})
+	dataCentres, direct := m.byDataCentre(now)
+	for _, r := range direct {
+		d.Window += r.window / time.Duration(len(direct))
+		d.Age += now.Sub(r.at) / time.Duration(len(direct))
+	}
 	liveWhereHeard := 0
 	for _, c := range dataCentres {
+		c.useReported()
 		d.Live += c.live
 		d.Heard += c.heard
 		if c.heard > 0 {
 			liveWhereHeard += c.live
 		}
 	}
-	if d.Heard > 0 {
-		d.Window /= time.Duration(d.Heard)
-		d.Age /= time.Duration(d.Heard)
-	}
 	for key, meter := range m.models.Load().byKey {
 		if key.service == service {
 			d.Models[key.model] = total(meter.hash, dataCentres, d.Live, liveWhereHeard)
@@ -160,6 +169,53 @@
 	return d
 }
 
+// byDataCentre adds up the demands of the live daemons by data centre, and returns the reports that
+// count. The caller holds the lock.
+func (m *Meter) byDataCentre(now time.Time) (map[ident.DataCentre]*dataCentreDemand, []receivedReport) {
+	dataCentres := make(map[ident.DataCentre]*dataCentreDemand)
+	var reports []receivedReport
+	m.Daemons.EachLiveDaemon(func(id ident.Instance, dc ident.DataCentre) {
+		c := dataCentres[dc]
+		if c == nil {
+			c = newDataCentreDemand()
+			dataCentres[dc] = c
+		}
+		c.live++
+		r, ok := m.reportOf(id, now)
+		if !ok {
+			return
+		}
+		c.heard++
+		c.add(r.loads)
+		reports = append(reports, r)
+		if r.dataCentre != nil && now.Sub(r.dataCentreAt) <= reportExpiry && (c.reported == nil || r.dataCentre.Heard > c.reported.Heard) {
+			c.reported = r.dataCentre
+		}
+	})
+	return dataCentres, reports
+}
+
+// updateOwnDataCentre adds up the demand at the daemons of this data centre for the others. The
+// caller holds the lock.
+func (m *Meter) updateOwnDataCentre(now time.Time) {
+	dataCentres, _ := m.byDataCentre(now)
+	own := dataCentres[m.DataCentre]
+	if own == nil || own.heard == 0 {
+		m.ownDataCentre.Store(nil)
+		return
+	}
+	sum := &DataCentreDemand{Live: own.live, Heard: own.heard}
+	for hash, l := range own.loads {
+		sum.Loads = append(sum.Loads, ModelLoad{hash, l.Offered, l.Refused, l.Waiting})
+	}
+	m.ownDataCentre.Store(sum)
+}
+
+// DataCentreDemand returns the demand at the daemons of this data centre, nil before it is known.
+func (m *Meter) DataCentreDemand() *DataCentreDemand {
+	return m.ownDataCentre.Load()
+}
+
 // total adds up the demand for a model. A daemon that wasn't heard from is assumed to have the mean
 // demand of its data centre, or of all if none of its data centre was heard from.
 func total(hash ModelHash, dataCentres map[ident.DataCentre]*dataCentreDemand, live, liveWhereHeard int) ModelDemand {
@@ -188,7 +244,7 @@
 		if own == nil {
 			return receivedReport{}, false
 		}
-		return receivedReport{own.Window, own.Loads, now}, true
+		return receivedReport{window: own.Window, loads: own.Loads, at: now}, true
 	}
 	r, ok := m.reports[id]
 	return r, ok && now.Sub(r.at) <= reportExpiry
--- a/internal/fleet/demand/observe.go
+++ b/internal/fleet/demand/observe.go
@@ -79,6 +79,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.removeExpired(now)
+	m.updateOwnDataCentre(now)
 	for name := range m.lastKnown {
 		if config.Services[name] == nil {
 			delete(m.lastKnown, name)
--- a/internal/fleet/demand/plugin.go
+++ b/internal/fleet/demand/plugin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"cuminbay/internal/kernel/plugin"
 )
@@ -11,8 +10,8 @@
 	plugin.RegisterForAdapter("platform", plugin.Decision, "demand", newPlugin)
 }
 
-// observeInterval is the time between two updates of the metrics.
-const observeInterval = time.Second
+// samplesPerObservation is the number of samples for each update of the fleet's demand.
+const samplesPerObservation = 4
 
 // component is the meter as a plug-in.
 type component struct {
@@ -26,7 +25,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &component{deps: deps, Meter: New(Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, Telemetry: telemetry})}
+	c := &component{deps: deps, Meter: New(Options{
+		Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, DataCentre: deps.Settings.Daemon.DataCentre, Telemetry: telemetry,
+	})}
 	// The daemons' datagrams may arrive before this plug-in has started.
 	if err := deps.Resolve(&c.Catalog); err != nil {
 		return nil, err
@@ -40,7 +41,12 @@
 	if err := c.deps.Resolve(&c.Daemons); err != nil {
 		return err
 	}
-	c.Every(c.Clock, SampleInterval, func(context.Context) { c.Sample() })
-	c.Every(c.Clock, observeInterval, func(context.Context) { c.Observe() })
+	samples := 0
+	c.Every(c.Clock, SampleInterval, func(context.Context) {
+		c.Sample()
+		if samples++; samples%samplesPerObservation == 0 {
+			c.Observe()
+		}
+	})
 	return nil
 }
--- a/internal/peer/gossip/fleet_test.go
+++ b/internal/peer/gossip/fleet_test.go
@@ -96,7 +96,9 @@
 		Poison: poison.New(poison.Options{Clock: f.clock, Self: self, Lifetime: time.Minute, Limit: 16}),
 		Parts:  poison.NewPartDetector(poison.PartOptions{Clock: f.clock, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
 		Limits: ratelimit.New(ratelimit.Options{Clock: f.clock, Log: zerolog.Nop(), Self: self, Daemons: soleDaemon{}, Catalog: cat}),
-		Demand: &fakeDemand{own: demand.Report{
+		Demand: &fakeDemand{sum: &demand.DataCentreDemand{
+			Live: f.perDataCentre, Heard: f.perDataCentre, Loads: []demand.ModelLoad{{Model: 1 << 30, Offered: 100}, {Model: 1 << 29, Offered: 100}},
+		}, own: demand.Report{
 			Window: 8 * time.Second, Loads: []demand.ModelLoad{{Model: 1 << 30, Offered: 3}, {Model: 1 << 29, Offered: 3}},
 			Contention: []demand.Contention{{Model: 1 << 30, Age: time.Second}},
 		}},
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -55,10 +55,12 @@
 // fakeDemand has a report for the datagrams, and keeps those of other daemons.
 type fakeDemand struct {
 	own      demand.Report
+	sum      *demand.DataCentreDemand
 	received map[ident.Instance]demand.Report
 }
 
-func (d *fakeDemand) DemandReport(time.Time) demand.Report { return d.own }
+func (d *fakeDemand) DemandReport(time.Time) demand.Report       { return d.own }
+func (d *fakeDemand) DataCentreDemand() *demand.DataCentreDemand { return d.sum }
 func (d *fakeDemand) MergeDemand(from ident.Instance, r demand.Report) {
 	if d.received == nil {
 		d.received = make(map[ident.Instance]demand.Report)
@@ -416,6 +418,7 @@
 			Window:     2500 * time.Millisecond,
 			Loads:      []demand.ModelLoad{{Model: 1 << 31, Offered: 7.25, Refused: 0.125, Waiting: 3}, {Model: 2, Offered: 0.001}},
 			Contention: []demand.Contention{{Model: 2, Priority: -1, Age: 40 * time.Millisecond}, {Model: 2}},
+			DataCentre: &demand.DataCentreDemand{Live: 7, Heard: 6, Loads: []demand.ModelLoad{{Model: 2, Offered: 70, Refused: 1, Waiting: 2}}},
 		},
 		Limits:     []ratelimit.Observation{{Server: 10, Limit: 2.5, Age: 300 * time.Millisecond}, {Server: 11, Age: time.Second}},
 		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
--- a/internal/peer/gossip/load_test.go
+++ b/internal/peer/gossip/load_test.go
@@ -9,6 +9,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/demand"
 )
 
 // TestDataCentreSums guards against load of another data centre that is counted twice, from an old
@@ -108,9 +109,11 @@
 func TestSumTargets(t *testing.T) {
 	c := qt.New(t)
 	g, _, clk := newGossip(c, map[ident.Instance]ident.DataCentre{"b": "z", "far": "y"})
+	g.Demand.(*fakeDemand).sum = &demand.DataCentreDemand{Live: 2, Heard: 2}
 	hasSum := func(raw []byte) bool {
 		m, err := decodeMessage(raw)
 		c.Assert(err, qt.IsNil)
+		c.Check(m.Demand.DataCentre != nil, qt.Equals, m.DataCentreSum != nil)
 		return m.DataCentreSum != nil
 	}
 	g.handleMessage(&message{From: "b", Incarnation: 1, Sequence: 1, Loads: manyLoads(1024)})
