--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -12,34 +12,15 @@
 	"cuminbay/internal/fleet/catalog"
 )
 
-// burstFactor is the load of a burst in relation to the mean load.
-const burstFactor = 1.7
+// needyUtilisation is the utilisation of a model's slots from which on it gets replicas of another
+// model. A burst to twice the load then uses half of them, and callers begin to wait longer. Below
+// it, a conversion would take capacity away for nothing.
+const needyUtilisation = 0.25
 
-// busyShare is the share of its slots from which on a burst makes a model's callers wait longer.
-// Below it, a conversion would take capacity away for nothing.
-const busyShare = 0.5
-
-// needsCapacity reports whether a burst of the model's demand would use more than busyShare of its
-// slots. The demand counts the slots of idle replicas; in a full replica, requests take longer by
-// fullSlowdown. If the engine's times aren't published, any model may need capacity.
+// needsCapacity reports whether the model's demand uses so much of its capacity that a burst would
+// make callers wait longer.
 func (p *Planner) needsCapacity(service *cluster.Service, model ident.Model) bool {
-	slowdown := fullSlowdown(service.Engine, service.Engine.Model(model))
-	if slowdown == 0 {
-		return true
-	}
-	demand := float64(p.Demand[service.Name][model])
-	return demand*slowdown*burstFactor >= busyShare*p.capacity(service, model)
-}
-
-// fullSlowdown returns the time of a token step in a full replica of the model in relation to an
-// idle one, zero if it isn't known.
-func fullSlowdown(e *cluster.Engine, m *cluster.Model) float64 {
-	if e.StepTime <= 0 || e.Slots <= 0 {
-		return 0
-	}
-	context := float64(e.Slots) * float64(e.MeanPrompt+e.MeanOutput) / 1000 * float64(e.ContextTime)
-	passes := float64(max(e.StepsPerPass, 1)) * float64(e.StepTime) * m.TimeFactor
-	return float64(e.MaxPassInterval(m))/passes + context/float64(e.StepTime)
+	return float64(p.Demand[service.Name][model]) >= needyUtilisation*p.capacity(service, model)
 }
 
 // capacity returns the slots of the model's replicas that serve.
@@ -90,7 +71,7 @@
 func newConversionReporter() *conversionReporter {
 	return &conversionReporter{
 		demand: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "cuminbay_formation_demand_slots", Help: "Offered load by model in slots of idle replicas, while this daemon is the planner.",
+			Name: "cuminbay_formation_demand_slots", Help: "Offered load by model in slots of replicas half of whose slots are in use, while this daemon is the planner.",
 		}, []string{"model"}),
 		capacity: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cuminbay_formation_capacity_slots", Help: "Slots of the replicas that serve by model, while this daemon is the planner.",
--- a/internal/route/cost/cost.go
+++ b/internal/route/cost/cost.go
@@ -33,8 +33,8 @@
 	OutputTokens unit.Tokens
 	MedianOutput unit.Tokens
 	HighOutput   unit.Tokens
-	// Work is the time for which the request occupies a slot of an idle replica; zero if the
-	// service publishes no engine times.
+	// Work is the slot time that the request costs a replica half of whose slots are in use; zero if
+	// the service publishes no engine times.
 	Work time.Duration
 }
 
@@ -62,12 +62,20 @@
 		return e
 	}
 	if model := engine.Model(p.Model); model != nil {
-		steps := time.Duration(float64(engine.StepTime) * output.mean * model.TimeFactor)
-		e.Work = engine.PrefillTime(model, p.PromptTokens) + steps
+		e.Work = work(engine, model, p.PromptTokens, output.mean)
 	}
 	return e
 }
 
+// work returns the slot time of a request at a replica half of whose slots are in use. A replica
+// prefills one prompt after the other, and its running requests wait meanwhile, so the prefill
+// counts for each of them. In slots of an idle replica, long prompts would seem cheap.
+func work(e *cluster.Engine, m *cluster.Model, prompt unit.Tokens, output float64) time.Duration {
+	running := max(1, float64(e.Slots)/2)
+	step := float64(e.StepTime) + running*float64(e.StepTimePerSequence)
+	return time.Duration(running*float64(e.PrefillTime(m, prompt)) + output*step*m.TimeFactor)
+}
+
 // tokens rounds to whole tokens.
 func tokens(n float64) unit.Tokens {
 	return unit.Tokens(n + 0.5)
