--- a/internal/fleet/layout/conversion.go
+++ b/internal/fleet/layout/conversion.go
@@ -27,7 +27,7 @@
 	for i := range f.Domains {
 		servers += f.serversOf(&f.Domains[i])
 	}
-	f.Models = slices.Clone(f.Models)
+	f.Models, f.followsDemand = slices.Clone(f.Models), true
 	for i := range f.Models {
 		m := &f.Models[i]
 		twoReplicas := float64(2*m.ServersPerReplica) / float64(max(servers, 1))
--- a/internal/fleet/layout/layout.go
+++ b/internal/fleet/layout/layout.go
@@ -39,6 +39,8 @@
 type Fleet struct {
 	Models  []Model
 	Domains []Domain
+	// followsDemand says that the shares are those of the demand.
+	followsDemand bool
 }
 
 // Placement is a model and the domain in which a replica of it is formed.
--- a/internal/fleet/layout/layout_test.go
+++ b/internal/fleet/layout/layout_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
 )
 
 // newFleet returns a fleet with the given number of data centres, of domains in each
@@ -250,11 +251,17 @@
 		}
 		return f
 	}
+	withDemand := func(f *Fleet, big, small unit.Slots) *Fleet {
+		f.ApplyDemand(map[ident.Model]unit.Slots{"big": big, "small": small})
+		return f
+	}
 	tests := map[string]struct {
 		fleet  *Fleet
 		change Change
 		want   bool
 	}{
+		"nobody asks for the big model":            {withDemand(fleet(1, 5, 0), 1, 1000), Change{Domain: "d0", Added: "big", Released: "small", Spares: 7}, false},
+		"the big model is in demand":               {withDemand(fleet(1, 5, 0), 100, 1), Change{Domain: "d0", Added: "big", Released: "small", Spares: 7}, true},
 		"a small replica completes a big one":      {fleet(1, 5, 0), Change{Domain: "d0", Added: "big", Released: "small", Spares: 7}, true},
 		"the small model has too little capacity":  {fleet(1, 1, 0), Change{Domain: "d0", Added: "big", Released: "small", Spares: 7}, false},
 		"a big replica doesn't complete small one": {fleet(1, 4, 0), Change{Domain: "d0", Added: "small", Released: "big", Spares: 31}, false},
--- a/internal/fleet/layout/spares.go
+++ b/internal/fleet/layout/spares.go
@@ -21,7 +21,8 @@
 	Spares int
 }
 
-// IsGain reports whether the fleet is rated higher after the change.
+// IsGain reports whether the fleet is rated higher after the change. A model in demand doesn't give
+// up replicas for the mean of the models, which a model without demand would raise.
 func (f *Fleet) IsGain(c Change) bool {
 	s := newRating(f, func(m Model) bool { return f.replicas(m.Name) > 0 || m.Name == c.Added })
 	before := make(plan, len(f.Domains))
@@ -35,6 +36,9 @@
 			after[i] = s.newComposition(s.replicasAfter(d, c), d.Spares+c.Spares)
 		}
 	}
+	if f.followsDemand && c.Released != "" {
+		return s.rateLowest(after) > s.rateLowest(before)
+	}
 	return s.rate(after) > s.rate(before)
 }
 
