formation: Act later on a demand that has been known for some time

Cause: an average over 8 s shows a burst of 3 s for longer than the 3 s for which a conversion had to be a gain, and prepared replicas close at once. A conversion of more replicas than a third of the model's could never close them and blocked others. One replica that waits for a repair at the first start kept all others from being prepared.

Change: the gain has to last 10 s once the demand has been known for 10 s. Conversions give up at most a third of the replicas, and leave a domain as many spare servers as are expected to fail.

--- a/internal/fleet/formation/convert.go
+++ b/internal/fleet/formation/convert.go
@@ -18,9 +18,11 @@
 
 // Times of the decisions on conversions.
 const (
-	// gainDelay is the time for which a conversion has to be a gain before it begins, so that a
-	// burst of 3 s begins none.
-	gainDelay = 3 * time.Second
+	// newDemandDelay is the time for which a conversion has to be a gain before it begins, while
+	// the demand has been known for less than gainDelay, and gainDelay the time after that. An
+	// average over 8 s shows a burst of 3 s for that long.
+	newDemandDelay = 3 * time.Second
+	gainDelay      = 10 * time.Second
 	// reverseDelay is the time after a conversion in which the models aren't converted the other
 	// way.
 	reverseDelay = 30 * time.Second
@@ -31,10 +33,6 @@
 	recognitionTime = 3 * time.Second
 )
 
-// maxGivenUp is the share of a model's replicas that may be out of service when a conversion
-// closes further ones.
-const maxGivenUp = 1.0 / 3
-
 // conversionLoads is the share of the weight store's concurrent loads that conversions use. The
 // others are left for repairs.
 const conversionLoads = 0.8
@@ -78,6 +76,10 @@
 	// decidedAt is the time of the last decision, and firstDecision that of the first one in
 	// this term.
 	decidedAt, firstDecision time.Time
+	// wasUnknown says that this planner has known no demand, and demandSince is the time since
+	// which it has known one.
+	wasUnknown  bool
+	demandSince time.Time
 	// wanted is the direction that is a gain, since wantedSince.
 	wanted      modelPair
 	wantedSince time.Time
@@ -99,11 +101,14 @@
 		p.conversions[service.Name] = state
 	}
 	state.running = slices.DeleteFunc(state.running, func(c *conversion) bool { return !p.continueConversion(service, state, c) })
-	if p.loads.bootstrap || p.now.Sub(state.decidedAt) < conversionInterval || !p.hasDemand(service) {
-		if !p.hasDemand(service) {
-			state.wanted = modelPair{}
-		}
+	switch {
+	case !p.hasDemand(service):
+		state.wanted, state.wasUnknown, state.demandSince = modelPair{}, true, time.Time{}
+		return
+	case p.loads.bootstrap || p.now.Sub(state.decidedAt) < conversionInterval:
 		return
+	case state.demandSince.IsZero():
+		state.demandSince = p.now
 	}
 	state.decidedAt = p.now
 	if state.firstDecision.IsZero() {
@@ -151,8 +156,8 @@
 	slices.SortStableFunc(state.running, func(a, b *conversion) int { return cmp.Compare(closedRank(a), closedRank(b)) })
 	state.running = slices.DeleteFunc(state.running, func(c *conversion) bool {
 		change := p.layoutChange(c)
-		if c.closedAt.IsZero() && !p.StoreAway && fleet.Gain(&change) <= 0 {
-			p.endConversion(service, c, "cancelled", "replica-conversion-cancelled", "no gain any more")
+		if reason := p.reasonToCancel(service, c, fleet.Gain(&change)); reason != "" {
+			p.endConversion(service, c, "cancelled", "replica-conversion-cancelled", reason)
 			return true
 		}
 		fleet.Apply(&change)
@@ -160,6 +165,30 @@
 	})
 }
 
+// reasonToCancel returns why the conversion of the gain is cancelled, empty if it isn't.
+func (p *Planner) reasonToCancel(service *cluster.Service, c *conversion, gain float64) string {
+	switch {
+	case !c.closedAt.IsZero() || p.StoreAway:
+		return ""
+	case gain <= 0:
+		return "no gain any more"
+	case float64(len(c.donors)) > layout.MaxGivenUp*float64(p.replicasOf(service, c.from)):
+		return "too few replicas are left"
+	}
+	return ""
+}
+
+// replicasOf returns the number of replicas of the model, whether they serve or not.
+func (p *Planner) replicasOf(service *cluster.Service, model ident.Model) int {
+	n := 0
+	for _, r := range p.replicas {
+		if r.service == service.Name && r.model.Name == model {
+			n++
+		}
+	}
+	return n
+}
+
 // closedRank orders conversions by whether their donors have been given up.
 func closedRank(c *conversion) int {
 	if c.closedAt.IsZero() {
@@ -210,7 +239,7 @@
 		case state.wanted != pair:
 			state.wanted, state.wantedSince = pair, p.now
 			return
-		case p.now.Sub(state.wantedSince) < gainDelay:
+		case p.now.Sub(state.wantedSince) < state.delay(p.now):
 			return
 		}
 		c := p.newConversion(service, &next)
@@ -224,6 +253,15 @@
 	}
 }
 
+// delay returns the time for which a conversion has to be a gain. A demand that was unknown before is
+// acted on sooner, as the layout follows the configured shares until then.
+func (s *conversionState) delay(now time.Time) time.Duration {
+	if s.wasUnknown && now.Sub(s.demandSince) < gainDelay {
+		return newDemandDelay
+	}
+	return gainDelay
+}
+
 // recordBegin records the beginning of a conversion.
 func (p *Planner) recordBegin(service *cluster.Service, c *conversion) {
 	p.ConversionEvents = append(p.ConversionEvents, ConversionEvent{c.from, c.to.Name, "begun"})
@@ -414,7 +452,7 @@
 			donorsServing++
 		}
 	}
-	return donorsServing == 0 || float64(out+donorsServing) <= maxGivenUp*float64(total)
+	return donorsServing == 0 || float64(out+donorsServing) <= layout.MaxGivenUp*float64(total)
 }
 
 // closeDonors gives the donors up. They finish their requests first.
--- a/internal/fleet/formation/prepare.go
+++ b/internal/fleet/formation/prepare.go
@@ -17,7 +17,7 @@
 	}
 	replicas := p.sortedReplicas(service)
 	for _, r := range replicas {
-		if r.phase != serving {
+		if r.phase == joining || r.phase == opening {
 			return nil
 		}
 	}
--- a/internal/fleet/layout/conversion.go
+++ b/internal/fleet/layout/conversion.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"cuminbay/internal/domain/ident"
@@ -70,6 +71,9 @@
 // noise of the measured demand from moving replicas.
 const MinGain = 0.05
 
+// MaxGivenUp is the share of a model's replicas that conversions may take out of service at a time.
+const MaxGivenUp = 1.0 / 3
+
 // maxSteps bounds the conversions that are rated together. In a fleet of many replicas, one
 // conversion alone raises the rating by less than MinGain.
 const maxSteps = 8
@@ -135,8 +139,8 @@
 	for i := range f.Domains {
 		d := &f.Domains[i]
 		for _, to := range f.Models {
-			if d.Spares >= to.ServersPerReplica {
-				found = append(found, Conversion{Domain: d.ID, To: to.Name, Added: 1, Spares: -to.ServersPerReplica})
+			if c := (Conversion{Domain: d.ID, To: to.Name, Added: 1, Spares: -to.ServersPerReplica}); f.leavesSpares(d, &c) {
+				found = append(found, c)
 			}
 		}
 		for _, from := range f.Models {
@@ -157,18 +161,27 @@
 // centres as before, or in two.
 func (f *Fleet) conversionsBetween(d *Domain, from, to *Model) []Conversion {
 	var found []Conversion
-	most := (to.ServersPerReplica + from.ServersPerReplica - 1) / from.ServersPerReplica
-	for released := 1; released <= min(most, d.Replicas[from.Name]) && f.staysAvailable(d, from.Name, released); released++ {
+	most := min((to.ServersPerReplica+from.ServersPerReplica-1)/from.ServersPerReplica, d.Replicas[from.Name], int(MaxGivenUp*float64(f.replicas(from.Name))))
+	for released := 1; released <= most && f.staysAvailable(d, from.Name, released); released++ {
 		servers := released * from.ServersPerReplica
-		for added := max(1, servers/to.ServersPerReplica); added*to.ServersPerReplica <= servers+d.Spares; added++ {
-			found = append(found, Conversion{
-				Domain: d.ID, From: from.Name, To: to.Name, Released: released, Added: added, Spares: servers - added*to.ServersPerReplica,
-			})
+		for added := max(1, servers/to.ServersPerReplica); ; added++ {
+			c := Conversion{Domain: d.ID, From: from.Name, To: to.Name, Released: released, Added: added, Spares: servers - added*to.ServersPerReplica}
+			if c.Spares < 0 && !f.leavesSpares(d, &c) {
+				break
+			}
+			found = append(found, c)
 		}
 	}
 	return found
 }
 
+// leavesSpares reports whether a conversion that uses spare servers leaves the domain as many as are
+// expected to fail. Repairs need them.
+func (f *Fleet) leavesSpares(d *Domain, c *Conversion) bool {
+	members := f.serversOf(d) - d.Spares - c.Spares
+	return float64(d.Spares+c.Spares) >= math.Ceil(lossShare*float64(members))
+}
+
 // staysAvailable reports whether the model keeps replicas in two data centres, or in as many as it
 // has them in, when the domain gives up the number of replicas.
 func (f *Fleet) staysAvailable(d *Domain, m ident.Model, released int) bool {
--- a/internal/fleet/layout/conversion_test.go
+++ b/internal/fleet/layout/conversion_test.go
@@ -96,6 +96,36 @@
 	}
 }
 
+// TestConversionBounds guards against conversions that take more than a third of a model's replicas,
+// and against domains without spare servers for repairs.
+func TestConversionBounds(t *testing.T) {
+	tests := map[string]struct {
+		fleet *Fleet
+		// wantReleased is the highest number of replicas that a conversion gives up, and wantSpares the
+		// lowest number of spare servers that one which uses some leaves.
+		wantReleased map[ident.Model]int
+		wantSpares   int
+	}{
+		"many replicas":  {newServingFleet(1, 2, 9), map[ident.Model]int{"big": 1, "small": 2}, 1},
+		"few replicas":   {&Fleet{Models: newServingFleet(0, 0, 0).Models, Domains: newServingFleet(1, 2, 5).Domains[:2]}, map[ident.Model]int{"small": 1}, 1},
+		"no spares left": {newServingFleet(1, 2, 4), map[ident.Model]int{"big": 1, "small": 2}, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			released, fewest := make(map[ident.Model]int), test.fleet.Domains[0].Spares
+			for _, conversion := range test.fleet.conversions() {
+				if conversion.From != "" {
+					released[conversion.From] = max(released[conversion.From], conversion.Released)
+				}
+				fewest = min(fewest, test.fleet.Domains[0].Spares+conversion.Spares)
+			}
+			c.Check(released, qt.DeepEquals, test.wantReleased)
+			c.Check(fewest, qt.Equals, test.wantSpares)
+		})
+	}
+}
+
 // TestPreparedConversions guards against domains of which all spare servers and members have the
 // weights of one model, and against more replicas that are prepared than the share.
 func TestPreparedConversions(t *testing.T) {
