cost: Weigh observations by the expected wait, and arrivals by the fleet

A share of arrivals that suits old counts spread requests too much in small fleets.

Change: an observation is weighted by the inverse of its expected variance. The expected arrivals rise with the number of daemons, as the age of counts does.

--- a/internal/fleet/catalog/loadwork.go
+++ b/internal/fleet/catalog/loadwork.go
@@ -90,11 +90,12 @@
 )
 
 // RecordCorrection records by how much the observed time to the first event exceeded the published
-// one. The usual excess is that of other endpoints, from which the average starts.
-func (l *workLoad) RecordCorrection(now time.Time, excess, usual time.Duration) {
+// one. The usual excess is that of other endpoints, from which the average starts. The certainty, at
+// most one, reduces the weight of the observation.
+func (l *workLoad) RecordCorrection(now time.Time, excess, usual time.Duration, certainty float64) {
 	// Two concurrent observations may overwrite each other, which an average tolerates.
 	average := l.Correction(now, usual)
-	l.correction.Store(int64(average + (excess-average)/correctionDivisor))
+	l.correction.Store(int64(average) + int64(float64(excess-average)*certainty/correctionDivisor))
 	l.correctedAt.Store(int64(clock.InstantOf(now)))
 }
 
--- a/internal/route/balance/harm.go
+++ b/internal/route/balance/harm.go
@@ -17,13 +17,14 @@
 const (
 	// maxCandidates is the number of candidates of a draw.
 	maxCandidates = 12
-	// arrivalShare is the number of requests that other daemons are expected to start while their
-	// counts grow old, as a share of their requests in flight. It is about the ratio of the age of
-	// the counts, 0.1 to 1 s, to the time of a request, 0.6 s. In simulated fleets, half of it let
-	// the daemons meet at the same replicas, and twice of it cost little. Counts are older in a
-	// large fleet.
-	arrivalShare           = 1
-	arrivalShareLargeFleet = 1.5
+	// The expected number of requests that other daemons start while their counts grow old, as a
+	// share of their requests in flight, is about the ratio of the age of the counts to the time of
+	// a request, 0.6 s. Counts are older in a larger fleet: 0.1 s in the smallest ones, up to a
+	// second in one of 111 daemons. In simulated fleets, half of the share let the daemons meet at
+	// the same replicas, and twice of it cost little.
+	minArrivalShare       = 0.3
+	arrivalSharePerDaemon = 0.0125
+	maxArrivalShare       = 1.5
 	// harmScale is the difference in harm that makes a replica e times less likely to be chosen.
 	// In simulated fleets with a slow replica among six, or with long prompts, more requests met
 	// their objective than with 0.1 or 0.2.
@@ -78,10 +79,7 @@
 // which it is below the level, reduced by the harm that the request would see there.
 func (p *pick) weigh(candidates []*catalog.Endpoint, weights []float64) {
 	var loads, harms [maxCandidates]float64
-	arrivals, share := 1.0, float64(arrivalShare)
-	if p.Fleet.FleetSize() > maxInformedDaemons {
-		share = arrivalShareLargeFleet
-	}
+	arrivals, share := 1.0, min(minArrivalShare+arrivalSharePerDaemon*float64(p.Fleet.FleetSize()), maxArrivalShare)
 	for i, e := range candidates {
 		if loads[i] = math.Inf(1); p.mayChoose(e) {
 			loads[i] = p.load(e)
--- a/internal/route/cost/run.go
+++ b/internal/route/cost/run.go
@@ -19,6 +19,8 @@
 	// published and expected are the time to the first event without and with the correction.
 	published time.Duration
 	expected  time.Duration
+	// certainty is the weight of the observation, below one if a wait for a slot was expected.
+	certainty float64
 	// unread and reserved are the tokens of this attempt that are in the load.
 	unread   unit.Tokens
 	reserved unit.Tokens
@@ -37,7 +39,8 @@
 	if r.learns {
 		times := m.Times(e.Service, e.Engine, e.Model)
 		state := times.StateOf(now, e)
-		r.published = times.published(state, p.PromptTokens).Mean
+		f := times.published(state, p.PromptTokens)
+		r.published, r.certainty = f.Mean, f.certainty()
 		r.expected = times.FirstEvent(state, p.PromptTokens).Mean
 	}
 	e.Load.AddUnread(r.unread)
@@ -74,8 +77,8 @@
 	if learned.corrections.Load() > 0 {
 		usual = time.Duration(learned.correction.Load())
 	}
-	r.endpoint.Load.RecordCorrection(now, excess, usual)
-	average(&learned.corrections, &learned.correction, int64(excess))
+	r.endpoint.Load.RecordCorrection(now, excess, usual, r.certainty)
+	average(&learned.corrections, &learned.correction, int64(usual+time.Duration(float64(excess-usual)*r.certainty)))
 }
 
 // End removes the attempt from the endpoint's load.
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -66,8 +66,19 @@
 type Forecast struct {
 	Mean   time.Duration
 	Spread time.Duration
-	// PerRequest is the time that a further request at the endpoint adds to Mean.
-	PerRequest time.Duration
+	// passSpread is the part of Spread that doesn't come from the wait for a slot.
+	passSpread time.Duration
+}
+
+// certainty returns the weight of an observation of the forecast time, which is the inverse of its
+// variance in relation to that without a wait. The wait for a slot depends on the other requests
+// there and says little about the endpoint.
+func (f Forecast) certainty() float64 {
+	if f.Spread <= 0 {
+		return 1
+	}
+	ratio := float64(f.passSpread) / float64(f.Spread)
+	return ratio * ratio
 }
 
 // Times are the published and learned times of the replicas of a model. They are computed once for a
@@ -218,19 +229,19 @@
 func (t *Times) published(s EndpointState, prompt unit.Tokens) Forecast {
 	running := float64(min(s.InFlight, max(s.Slots, 1)))
 	pass := t.passStep + t.passPerRequest*running
-	wait, perRequest := t.wait(s)
+	wait := t.wait(s)
 	// Queued prompts are prefilled while slots become free, so the two times don't add up.
 	unread := float64(max(s.Unread, 0)) * t.prefillToken
 	own := float64(prompt)*t.prefillToken + float64(prompt)*float64(prompt)/2*t.attention
 	return Forecast{
 		Mean:       time.Duration(pass/2 + max(wait, unread) + own + pass),
 		Spread:     time.Duration(spreadPasses*pass + spreadOfWait*wait),
-		PerRequest: time.Duration(perRequest + t.passPerRequest),
+		passSpread: time.Duration(spreadPasses * pass),
 	}
 }
 
-// wait returns the expected wait for a slot, and the time that a further request adds to it.
-func (t *Times) wait(s EndpointState) (wait, perRequest float64) {
+// wait returns the expected wait for a slot.
+func (t *Times) wait(s EndpointState) float64 {
 	slots := float64(max(s.Slots, 1))
 	interval := t.slotTime / slots
 	if t.meanWork > 0 {
@@ -238,5 +249,5 @@
 	}
 	excess := float64(s.InFlight) - slots
 	bend := math.Sqrt(excess*excess + 4*queueSoftness*queueSoftness*slots)
-	return interval * (excess + bend) / 2, interval * (1 + excess/bend) / 2
+	return interval * (excess + bend) / 2
 }
