--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -84,9 +84,10 @@
 // Balancer chooses endpoints. It takes no lock.
 type Balancer struct {
 	Options
+	counters
 }
 
-// New returns a Balancer, which keeps no state of its own.
+// New returns a Balancer, which keeps no state of its own but counters.
 func New(o Options) *Balancer {
 	return &Balancer{Options: o}
 }
@@ -98,18 +99,36 @@
 // more likely caused by this daemon.
 func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, r Request) *catalog.Endpoint {
 	p := b.newPick(now, endpoints, r)
-	var drawn [maxCandidates]*catalog.Endpoint
-	switch {
-	case p.byCost && len(endpoints) <= maxCandidates:
-		if e := p.drawByHarm(endpoints); e != nil {
-			return e
-		}
-	case p.byCost:
-		if e := p.drawByHarm(b.sample(endpoints, drawn[:0], maxCandidates/2)); e != nil {
+	if p.byCost {
+		if e := p.draw(endpoints); e != nil {
+			b.drawn.Add(1)
 			return e
 		}
-	case b.Fleet.FleetSize() > maxInformedDaemons:
-		if e := p.leastUtilised(b.sample(endpoints, drawn[:0], sampleSize)); e != nil {
+	}
+	e := p.pickLeastUtilised(endpoints)
+	if e == nil {
+		b.none.Add(1)
+	} else {
+		b.leastUtilised.Add(1)
+	}
+	return e
+}
+
+// draw returns a candidate by expected harm, nil if none may be chosen.
+func (p *pick) draw(endpoints []*catalog.Endpoint) *catalog.Endpoint {
+	if len(endpoints) <= maxCandidates {
+		return p.drawByHarm(endpoints)
+	}
+	var drawn [maxCandidates]*catalog.Endpoint
+	return p.drawByHarm(p.sample(endpoints, drawn[:0], maxCandidates/2))
+}
+
+// pickLeastUtilised returns the endpoint with the lowest utilisation, in a large fleet of a sample. It
+// returns nil if none may be chosen.
+func (p *pick) pickLeastUtilised(endpoints []*catalog.Endpoint) *catalog.Endpoint {
+	if !p.byCost && p.Fleet.FleetSize() > maxInformedDaemons {
+		var drawn [2 * sampleSize]*catalog.Endpoint
+		if e := p.leastUtilised(p.sample(endpoints, drawn[:0], sampleSize)); e != nil {
 			return e
 		}
 	}
@@ -117,7 +136,7 @@
 		return e
 	}
 	for _, e := range endpoints {
-		if !e.Load.Avoided(now) {
+		if !e.Load.Avoided(p.now) {
 			return nil
 		}
 	}
--- a/internal/route/balance/harm.go
+++ b/internal/route/balance/harm.go
@@ -164,5 +164,9 @@
 	}
 	usual := e.Engine.MeanPrompt + e.Engine.MeanOutput
 	held := e.Load.Reserved() + unit.Tokens(inFlight-e.Load.InFlight())*usual
-	return held+p.request.PromptTokens+p.request.OutputTokens <= capacity
+	if held+p.request.PromptTokens+p.request.OutputTokens <= capacity {
+		return true
+	}
+	p.cacheFull.Add(1)
+	return false
 }
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -116,13 +116,14 @@
 		return err
 	}
 	s := c.settings
-	c.Picker = balance.New(balance.Options{
+	balancer := balance.New(balance.Options{
 		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Choice: s.Choice, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
+	c.Picker = balancer
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
 	})
-	return nil
+	return balancer.Register(c.deps.Metrics)
 }
 
 // Forward forwards the request, as Forwarder.Forward does, and records that a request
