admit: Decide who takes a slot, waits or is refused

A request without a free slot waited a third of its objective and was then refused. Requests that had missed their objective competed with those that could still meet it, and an arrival went before the requests that waited.

Rules.Decide says whether a stream takes a slot, waits or is refused at once. Late requests and, beside a contended higher rank, those of a lower rank have lower limits of utilisation, which Balancer.Pick gets from the caller. The queue offers slots in order and counts a slot before it offers the next one. Plain services and checkLimits keep their waits.

Race tests of admit, forward, dispatch, balance and platform pass. Not measured under load.

--- a/internal/domain/proxy/proxy.go
+++ b/internal/domain/proxy/proxy.go
@@ -80,6 +80,8 @@
 	Address      string
 	Organisation ident.Organisation
 	Priority     unit.Priority
+	// Urgency says how soon the server should begin with the attempt, if it has others to begin with.
+	Urgency Urgency
 	// Timeout is the time within which the server has to answer.
 	Timeout time.Duration
 	// ResumeAfter is the id of the last event already delivered; the stream
@@ -93,6 +95,19 @@
 	Relay *Relay
 }
 
+// Urgency orders the attempts that wait at a server. Attempts of equal urgency are ordered by Priority.
+type Urgency int
+
+// The urgencies. A server isn't told an Unspecified one. Late attempts have missed the objective of
+// their route, Timely ones may still meet it, and Resumed ones continue an answer that has reached its
+// caller in part.
+const (
+	Unspecified Urgency = iota
+	Late
+	Timely
+	Resumed
+)
+
 // Disposition says whether the server ran the request, according to the head of
 // its reply.
 type Disposition int
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -83,7 +83,7 @@
 				admission, err := s.Admit(&record.Organisation{Name: o, Weight: 1}, 100)
 				c.Assert(err, qt.IsNil)
 				firstTry := true
-				go q.Wait(ctx, admit.WaitRequest{Key: "m", Priority: priority, Received: clk.Now(), Admission: admission, Deadline: clk.Now().Add(time.Hour)}, func() bool {
+				go q.Wait(ctx, admit.WaitRequest{Key: "m", Priority: priority, Received: clk.Now(), Admission: admission, Deadline: clk.Now().Add(time.Hour)}, func(admit.Turn) bool {
 					if firstTry {
 						firstTry = false
 						tried <- struct{}{}
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
 )
@@ -13,17 +15,18 @@
 // QueueKey identifies what a request waits for, such as a model or a plain service.
 type QueueKey string
 
-// Queue holds requests that wait for a free slot of an endpoint. A wake-up goes to the
-// request with the highest priority. Of requests with equal priority, it goes to the one
-// whose organisation has the least load per weight, and then to the oldest one.
+// Queue holds requests that wait for a free slot of an endpoint. Free slots are offered in order:
+// to the highest class first, of the requests that are on time to the highest priority, then to the
+// organisation with the least load per weight, and then to the oldest one. Late requests go by the
+// age of their first attempt alone. It takes no lock while no request waits.
 type Queue struct {
 	clock           clock.Clock
 	recheckInterval time.Duration
 	limit           int
 
-	length  atomic.Int64
-	mu      sync.Mutex
-	waiters []*waiter
+	length atomic.Int64
+	mu     sync.Mutex
+	lines  map[QueueKey]*line
 }
 
 // QueueOptions are the dependencies and settings of a Queue.
@@ -32,23 +35,22 @@
 	// Limit bounds the number of waiting requests.
 	Limit int
 	// RecheckInterval is the interval at which a waiting request checks for free slots
-	// without a wake-up. New tables and cold grants add slots without a call of
-	// Wake.
+	// without a wake-up. New tables, cold grants and requests that end at other daemons add
+	// slots without a call of Wake.
 	RecheckInterval time.Duration
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(o QueueOptions) *Queue {
-	return &Queue{clock: o.Clock, recheckInterval: o.RecheckInterval, limit: o.Limit}
+	return &Queue{clock: o.Clock, recheckInterval: o.RecheckInterval, limit: o.Limit, lines: make(map[QueueKey]*line)}
 }
 
-// waiter is a request in the queue. Its channel wake buffers one wake-up.
-type waiter struct {
-	key       QueueKey
-	priority  unit.Priority
-	received  time.Time
-	admission Admission
-	wake      chan struct{}
+// Turn is the offer to a waiting request to take a slot.
+type Turn struct {
+	Class Class
+	// Limit is the utilisation below which a replica may take the request, zero if the request has
+	// no such limit.
+	Limit float64
 }
 
 // WaitRequest describes a request that has to wait. Key identifies what it waits for.
@@ -59,40 +61,66 @@
 	Admission Admission
 	// Deadline is the time at which the wait ends without a slot.
 	Deadline time.Time
+
+	// Class is the class at the start of the wait. An OnTime request becomes Late after
+	// LatestStart, unless that is zero. FirstSent orders late requests.
+	Class       Class
+	LatestStart time.Time
+	FirstSent   time.Time
+	// Organisation and Tokens count towards the least shares of organisations and sizes.
+	Organisation ident.Organisation
+	Tokens       unit.Tokens
+	// Limit returns the utilisation up to which a request of the class may use a replica. Requests
+	// of the same key that have a Limit use the same endpoints, so that one that finds no slot
+	// answers for those after it. Nil if the endpoints differ.
+	Limit func(Class) float64
+	// Restricted says that the request may use only some of the endpoints.
+	Restricted bool
+	// Displaceable says that the request may lose its place to one that goes before it if the
+	// queue is full.
+	Displaceable bool
+}
+
+// waiter is a request in the queue. Its channel served is closed when it got a slot or lost its place.
+type waiter struct {
+	WaitRequest
+	tryAcquire func(Turn) bool
+	served     chan struct{}
+	acquired   bool
+	keys       [shareKinds]shareKey
+	// turn is the class and limit in the current round.
+	turn Turn
 }
 
 // Wait calls tryAcquire whenever a slot may be free, and returns true as soon as
 // tryAcquire does. It returns false if the queue is full, the deadline has passed or the
-// context ends.
-func (q *Queue) Wait(ctx context.Context, r WaitRequest, tryAcquire func() bool) bool {
-	w := &waiter{key: r.Key, priority: r.Priority, received: r.Received, admission: r.Admission, wake: make(chan struct{}, 1)}
-	if !q.addWaiter(w) {
+// context ends. Calls of tryAcquire don't overlap. They come from any goroutine, must not
+// block and must not use the queue.
+func (q *Queue) Wait(ctx context.Context, r WaitRequest, tryAcquire func(Turn) bool) bool { //nolint:gocritic // a copy is kept
+	w := &waiter{WaitRequest: r, keys: r.shareKeys(), tryAcquire: tryAcquire, served: make(chan struct{})}
+	if !q.add(w) {
 		return false
 	}
-	defer q.removeWaiter(w)
 	for {
-		// tryAcquire is also called right after the request was queued, since
-		// a slot that was released earlier caused no wake-up of this request.
-		if tryAcquire() {
-			return true
-		}
 		remaining := r.Deadline.Sub(q.clock.Now())
 		if remaining <= 0 {
-			return false
+			return q.leave(w)
 		}
 		timer := q.clock.NewTimer(min(remaining, q.recheckInterval))
 		select {
-		case <-w.wake:
+		case <-w.served:
+			timer.Stop()
+			return w.acquired
 		case <-timer.Chan():
+			q.recheck(w)
 		case <-ctx.Done():
 			timer.Stop()
-			return false
+			return q.leave(w)
 		}
-		timer.Stop()
 	}
 }
 
-// Wake wakes the first request that waits for the key, after a slot was released. Without
+// Wake offers slots to the requests that wait for the key, after a slot was released. Without
 // waiting requests it costs one atomic load.
 func (q *Queue) Wake(key QueueKey) {
 	if q.length.Load() == 0 {
@@ -100,14 +128,8 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var best *waiter
-	for _, w := range q.waiters {
-		if w.key == key && len(w.wake) == 0 && (best == nil || w.precedes(best)) {
-			best = w
-		}
-	}
-	if best != nil {
-		best.wake <- struct{}{}
+	if l := q.lines[key]; l != nil {
+		q.offer(l, q.clock.Now())
 	}
 }
 
@@ -123,45 +145,166 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var count unit.Requests
-	for _, w := range q.waiters {
-		if w.key == key {
-			count++
-		}
+	if l := q.lines[key]; l != nil {
+		return unit.Requests(len(l.waiters))
 	}
-	return count
+	return 0
+}
+
+// Standing is the place of a request in the queue if it joined now.
+type Standing struct {
+	// AheadOnTime is the number of requests that would go before it if it is on time, and
+	// AheadLate the number if it is late.
+	AheadOnTime unit.Requests
+	AheadLate   unit.Requests
+	// Alone says that no other request of its rank, organisation or size waits.
+	Alone bool
 }
 
-// precedes reports whether w is served before the other waiter.
-func (w *waiter) precedes(other *waiter) bool {
-	if w.priority != other.priority {
-		return w.priority > other.priority
+// Standing returns the place that the request would have.
+func (q *Queue) Standing(r *WaitRequest) Standing {
+	s := Standing{Alone: true}
+	if q.length.Load() == 0 {
+		return s
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.lines[r.Key]
+	if l == nil {
+		return s
 	}
-	if a, b := w.admission.LoadPerWeight(), other.admission.LoadPerWeight(); a != b {
-		return a < b
+	now := q.clock.Now()
+	self := &waiter{WaitRequest: *r, keys: r.shareKeys()}
+	var equals [shareKinds]bool
+	for _, w := range l.waiters {
+		w.turn.Class = w.classAt(now)
+		self.turn.Class = OnTime
+		if w.precedes(self, l) {
+			s.AheadOnTime++
+		}
+		self.turn.Class = Late
+		if w.precedes(self, l) {
+			s.AheadLate++
+		}
+		for kind, key := range self.keys {
+			equals[kind] = equals[kind] || key == w.keys[kind]
+		}
 	}
-	return w.received.Before(other.received)
+	s.Alone = slices.Contains(equals[:], false)
+	return s
 }
 
-func (q *Queue) addWaiter(w *waiter) bool {
+// add puts the waiter into the queue and offers it a slot, since one that was released earlier
+// caused no wake-up of this request. It reports whether the queue had room.
+func (q *Queue) add(w *waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.waiters) >= q.limit {
+	l := q.lines[w.Key]
+	if l == nil {
+		l = newLine()
+		q.lines[w.Key] = l
+	}
+	now := q.clock.Now()
+	w.turn.Class = w.classAt(now)
+	if int(q.length.Load()) >= q.limit && !q.displace(l, w, now) {
+		q.dropEmpty(w.Key, l)
 		return false
 	}
-	q.waiters = append(q.waiters, w)
-	q.length.Store(int64(len(q.waiters)))
+	l.add(w)
+	q.length.Add(1)
+	l.setTurns(now)
+	if !l.isCovered(w) {
+		q.try(l, w)
+	}
 	return true
 }
 
-func (q *Queue) removeWaiter(w *waiter) {
+// displace ends the wait of the last request of the longest line that may lose its place to the
+// waiter. It reports whether there was one.
+func (q *Queue) displace(l *line, w *waiter, now time.Time) bool {
+	longest := l
+	for _, other := range q.lines {
+		if len(other.waiters) > len(longest.waiters) {
+			longest = other
+		}
+	}
+	longest.setTurns(now)
+	for i := len(longest.waiters) - 1; i >= 0; i-- {
+		if last := longest.waiters[i]; last.Displaceable && (longest != l || w.precedes(last, l)) {
+			q.remove(longest, last)
+			close(last.served)
+			return true
+		}
+	}
+	return false
+}
+
+// recheck offers slots without a wake-up. One waiter's recheck serves all of its line.
+func (q *Queue) recheck(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, other := range q.waiters {
-		if other == w {
-			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
-			break
+	l := q.lines[w.Key]
+	if l == nil || !slices.Contains(l.waiters, w) {
+		return
+	}
+	now := q.clock.Now()
+	if w.Limit == nil {
+		l.setTurns(now)
+		q.try(l, w)
+		return
+	}
+	if now.Sub(l.lastOffer) >= q.recheckInterval/2 || !now.Before(w.Deadline) {
+		q.offer(l, now)
+	}
+}
+
+// offer offers slots to the waiters of the line in order, until none is left for any of them.
+func (q *Queue) offer(l *line, now time.Time) {
+	l.lastOffer = now
+	l.setTurns(now)
+	l.failed = l.failed[:0]
+	unlimitedFailed := false
+	for _, w := range slices.Clone(l.waiters) {
+		if l.hasFailed(w) || w.Limit == nil && unlimitedFailed || q.try(l, w) {
+			continue
 		}
+		// The others without a limit check for themselves, so that a wake-up costs one try.
+		unlimitedFailed = unlimitedFailed || w.Limit == nil
+		l.failed = append(l.failed, w)
+	}
+}
+
+// try offers the waiter a slot and removes it from the queue if it takes one.
+func (q *Queue) try(l *line, w *waiter) bool {
+	if !w.tryAcquire(w.turn) {
+		return false
+	}
+	w.acquired = true
+	l.countGrant(w)
+	q.remove(l, w)
+	close(w.served)
+	return true
+}
+
+// leave ends the wait. It returns whether the waiter has got a slot before.
+func (q *Queue) leave(w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if l := q.lines[w.Key]; l != nil {
+		q.remove(l, w)
+	}
+	return w.acquired
+}
+
+func (q *Queue) remove(l *line, w *waiter) {
+	if l.remove(w) {
+		q.length.Add(-1)
+		q.dropEmpty(w.Key, l)
+	}
+}
+
+func (q *Queue) dropEmpty(key QueueKey, l *line) {
+	if len(l.waiters) == 0 {
+		delete(q.lines, key)
 	}
-	q.length.Store(int64(len(q.waiters)))
 }
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -37,10 +37,6 @@
 	// RemotePenalty is added to the utilisation of an endpoint in another data centre,
 	// as traffic between data centres is paid for.
 	RemotePenalty float64
-	// MaxUtilisation is the share of a replica's slots that is used. It is below one, as
-	// the requests that other daemons send at the same time are known with a delay,
-	// and a request that waits for a slot is late.
-	MaxUtilisation float64
 	// PlainQueueRatio bounds the requests queued at a plain server, as a share of its
 	// slots.
 	PlainQueueRatio float64
@@ -61,15 +57,16 @@
 // Pick returns the endpoint with the lowest utilisation that has a free slot and was not
 // tried, or nil if there is none. In a large fleet it prefers the best one of a sample. It returns
 // an endpoint that is avoided after a failure only if all endpoints are avoided, as the failures
-// were then more likely caused by this daemon.
-func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+// were then more likely caused by this daemon. A replica has a free slot as long as its utilisation is
+// below maxUtilisation, which the caller permits.
+func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, maxUtilisation float64) *catalog.Endpoint {
 	if b.Fleet.FleetSize() > maxInformedDaemons {
 		var sample [2 * sampleSize]*catalog.Endpoint
-		if e := b.pickLeastLoaded(now, b.sample(endpoints, sample[:0]), tried, false); e != nil {
+		if e := b.pickLeastLoaded(now, b.sample(endpoints, sample[:0]), tried, maxUtilisation, false); e != nil {
 			return e
 		}
 	}
-	if e := b.pickLeastLoaded(now, endpoints, tried, false); e != nil {
+	if e := b.pickLeastLoaded(now, endpoints, tried, maxUtilisation, false); e != nil {
 		return e
 	}
 	for _, e := range endpoints {
@@ -77,12 +74,12 @@
 			return nil
 		}
 	}
-	return b.pickLeastLoaded(now, endpoints, tried, true)
+	return b.pickLeastLoaded(now, endpoints, tried, maxUtilisation, true)
 }
 
 // pickLeastLoaded implements Pick for the endpoints that are not avoided, or for all
 // endpoints if includeAvoided is set.
-func (b *Balancer) pickLeastLoaded(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, includeAvoided bool) *catalog.Endpoint {
+func (b *Balancer) pickLeastLoaded(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, maxUtilisation float64, includeAvoided bool) *catalog.Endpoint {
 	for excluded := []ident.Instance(nil); ; {
 		var best *catalog.Endpoint
 		var lowest float64
@@ -90,7 +87,7 @@
 			if !includeAvoided && e.Load.Avoided(now) || slices.Contains(tried, e.ID) || slices.Contains(excluded, e.ID) || !b.Limits.Available(now, e) {
 				continue
 			}
-			utilisation, hasFreeSlot := b.utilisation(e)
+			utilisation, hasFreeSlot := b.utilisation(e, maxUtilisation)
 			if hasFreeSlot && (best == nil || utilisation < lowest) {
 				best, lowest = e, utilisation
 			}
@@ -139,10 +136,10 @@
 
 // utilisation returns the share of the endpoint's slots that is in use, plus the penalty for
 // another data centre and the tie-break. It also reports whether there is a free slot.
-func (b *Balancer) utilisation(e *catalog.Endpoint) (float64, bool) {
+func (b *Balancer) utilisation(e *catalog.Endpoint, maxUtilisation float64) (float64, bool) {
 	slots := float64(max(e.Slots, 1))
 	used := float64(e.Load.TotalInFlight()) / slots
-	hasFreeSlot := used < b.MaxUtilisation
+	hasFreeSlot := used < maxUtilisation
 	if e.Engine == nil {
 		hasFreeSlot = used < 1+b.PlainQueueRatio
 	}
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -83,13 +83,13 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), Fleet: fleetSize(1), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
+			b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), Fleet: fleetSize(1), Limits: noLimits{}, RemotePenalty: 0.3, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 			var endpoints []*catalog.Endpoint
 			for _, endpoint := range test.endpoints {
 				endpoints = append(endpoints, endpoint.build())
 			}
 			var picked ident.Instance
-			if e := b.Pick(testStart, endpoints, test.tried); e != nil {
+			if e := b.Pick(testStart, endpoints, test.tried, 0.9); e != nil {
 				picked = e.ID
 			}
 			c.Check(picked, qt.Equals, test.want)
@@ -233,14 +233,14 @@
 
 // BenchmarkPick measures the choice among 50 endpoints with different loads.
 func BenchmarkPick(b *testing.B) {
-	balancer := New(Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
+	balancer := New(Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), Limits: noLimits{}, RemotePenalty: 0.3, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 	var endpoints []*catalog.Endpoint
 	for i := range 50 {
 		endpoints = append(endpoints, testEndpoint{id: ident.Instance(rune('a' + i)), inFlight: i % 7}.build())
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		balancer.Pick(testStart, endpoints, nil)
+		balancer.Pick(testStart, endpoints, nil, 0.9)
 	}
 }
 
@@ -274,10 +274,10 @@
 				}
 				list = append(list, e.build())
 			}
-			b := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(test.daemons), Fleet: fleetSize(test.daemons), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9})
+			b := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(test.daemons), Fleet: fleetSize(test.daemons), Limits: noLimits{}, RemotePenalty: 0.3})
 			least := 0
 			for range picks {
-				e := b.Pick(testStart, list, nil)
+				e := b.Pick(testStart, list, nil, 0.9)
 				c.Assert(e, qt.IsNotNil)
 				c.Assert(e.Load.InFlight() < 10, qt.IsTrue)
 				if e == list[0] {
@@ -296,9 +296,9 @@
 	for i := range 12000 {
 		list = append(list, testEndpoint{id: ident.Instance(fmt.Sprint(i)), inFlight: i % 8, dataCentre: ident.DataCentre(fmt.Sprint(i % 14))}.build())
 	}
-	balancer := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(840), Fleet: fleetSize(840), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9})
+	balancer := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(840), Fleet: fleetSize(840), Limits: noLimits{}, RemotePenalty: 0.3})
 	b.ReportAllocs()
 	for b.Loop() {
-		balancer.Pick(testStart, list, nil)
+		balancer.Pick(testStart, list, nil, 0.9)
 	}
 }
--- a/internal/serve/dispatch/dispatch.go
+++ b/internal/serve/dispatch/dispatch.go
@@ -202,7 +202,7 @@
 		if !r.Deadline.IsZero() && r.Deadline.Before(waitDeadline) {
 			waitDeadline = r.Deadline
 		}
-		d.queue.Wait(ctx, admit.WaitRequest{Key: queueKey(r), Priority: r.Priority, Received: r.Received, Admission: admission, Deadline: waitDeadline}, tryAcquire)
+		d.queue.Wait(ctx, admit.WaitRequest{Key: queueKey(r), Priority: r.Priority, Received: r.Received, Admission: admission, Deadline: waitDeadline}, func(admit.Turn) bool { return tryAcquire() })
 	}
 	if chosen == nil {
 		return nil, d.refusal(r)
--- /dev/null
+++ b/internal/serve/forward/admission.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/admit"
+)
+
+// contentionSource knows for which ranks the endpoints of a model are short of slots.
+type contentionSource interface {
+	// Contended returns the highest rank of which a request has had to wait or was refused
+	// within the last two seconds, at any daemon, and whether there is one. It must not block.
+	Contended(service ident.Service, model ident.Model) (rank unit.Priority, recent bool)
+}
+
+// slotRequest returns what the admission depends on of the request as it is now.
+func (x *exchange) slotRequest() admit.Request {
+	return admit.Request{
+		Rank: x.priority(), Objective: x.route.LatencyObjective, Timeout: x.route.Timeout,
+		Received: x.request.Received, Deadline: x.deadline, FirstEvent: x.firstEvent,
+		IsStream: x.isEngineStream, Resumed: x.sink.Started(), MayHaveRun: x.possibleRuns > 0,
+	}
+}
+
+// firstEventTime returns the expected time from a free slot to the first event: half of the pass that
+// runs, the prompt, and a pass of the request's own. A request whose objective leaves less than twice
+// that time counts as able to meet it for half of its objective.
+func firstEventTime(engine *cluster.Engine, model *cluster.Model, prompt unit.Tokens, objective time.Duration) time.Duration {
+	if engine == nil || model == nil {
+		return 0
+	}
+	step := engine.StepTime + time.Duration(engine.Slots)*engine.StepTimePerSequence
+	pass := time.Duration(float64(max(engine.StepsPerPass, 1)) * float64(step) * model.TimeFactor)
+	return min(pass/2+engine.PrefillTime(model, prompt)+pass, objective/2)
+}
+
+// contention returns which ranks are short of slots, here or at other daemons.
+func (x *exchange) contention() admit.Contention {
+	c := x.monitor.Contention(x.queueKey())
+	for _, source := range x.Contentions {
+		if rank, recent := source.Contended(x.service, x.request.Model); recent && (!c.Recent || rank > c.Rank) {
+			c = admit.Contention{Rank: rank, Recent: true}
+		}
+	}
+	return c
+}
+
+// slotLimit returns the utilisation below which a replica may take the request.
+func (x *exchange) slotLimit(class admit.Class) float64 {
+	if !x.isEngineStream {
+		return x.Rules.Fill
+	}
+	return x.Rules.Limit(class, x.priority(), x.contention())
+}
+
+// takeSlot picks an endpoint and counts the request there, so that the next one sees the slot as
+// taken. It returns nil if there is no free slot.
+func (x *exchange) takeSlot(limit float64) *catalog.Endpoint {
+	e := x.pick(x.triedServers, limit)
+	if e != nil {
+		e.Load.RequestStarted()
+		x.counted = e
+	}
+	return e
+}
+
+// waitForSlot decides whether the request waits for a slot, and waits for it.
+//
+// Errors carry code.NoReplica, code.Overloaded or code.PoisonRequest.
+func (x *exchange) waitForSlot(ctx context.Context, r *admit.Request) (*catalog.Endpoint, error) {
+	now, endpoints := x.Clock.Now(), len(x.candidates())
+	wait := x.waitRequest(r, now)
+	forecast := x.forecast(endpoints > 0)
+	decision := x.Rules.Decide(r, &admit.State{Now: now, HasEndpoints: endpoints > 0, Standing: x.queue.Standing(&wait), Forecast: forecast})
+	if err := x.checkLimits(x.limitsDeadline(decision.Until)); err != nil {
+		return nil, err
+	}
+	if endpoints > 0 && wait.Class == admit.OnTime && r.IsStream {
+		x.monitor.Flow(x.queueKey()).RecordShortage(x.priority())
+	}
+	x.predictedWait = decision.Predicted
+	if decision.Action == admit.Refuse {
+		return nil, x.refuse(refusedAtOnce, decision.Class)
+	}
+	wait.Class, wait.Deadline = decision.Class, decision.Until
+	var chosen *catalog.Endpoint
+	last := decision.Class
+	x.queue.Wait(ctx, wait, func(t admit.Turn) bool {
+		if last = t.Class; t.Limit == 0 {
+			t.Limit = x.Rules.Fill
+		}
+		chosen = x.takeSlot(t.Limit)
+		return chosen != nil
+	})
+	waited := x.Clock.Since(now)
+	x.queueTime += waited
+	if endpoints > 0 {
+		x.recordWait(decision, last, waited, chosen != nil)
+	}
+	if chosen == nil {
+		return nil, x.refuse(x.refusalReason(ctx, decision.Until), last)
+	}
+	if err := x.checkPoison(); err != nil {
+		x.releaseSlot(chosen)
+		return nil, err
+	}
+	return chosen, nil
+}
+
+// limitsWaitDivisor sets the wait for the admission of a server that names a limit or a pause to a
+// third of the objective. The time of that admission is known, so that the caller is told it instead.
+const limitsWaitDivisor = 3
+
+// limitsDeadline returns the end of a wait that ends at until if all servers name limits or want a
+// pause.
+func (x *exchange) limitsDeadline(until time.Time) time.Time {
+	if end := x.request.Received.Add(x.route.LatencyObjective / limitsWaitDivisor); end.Before(until) {
+		return end
+	}
+	return until
+}
+
+// forecast returns the forecast of waits for the endpoints of the request.
+func (x *exchange) forecast(hasEndpoints bool) admit.Forecast {
+	if !hasEndpoints {
+		return admit.Forecast{}
+	}
+	return x.monitor.Flow(x.queueKey()).Forecast(x.estimate.Work)
+}
+
+// waitRequest describes the request to the queue.
+func (x *exchange) waitRequest(r *admit.Request, now time.Time) admit.WaitRequest {
+	w := admit.WaitRequest{
+		Key: x.queueKey(), Priority: r.Rank, Received: r.Received, Admission: x.admission,
+		Class: r.Class(now), LatestStart: r.LatestStart(), FirstSent: r.FirstSent(),
+		Tokens: x.request.PromptTokens + x.estimate.OutputTokens, Restricted: len(x.triedServers) > 0, Displaceable: !r.Resumed && !r.MayHaveRun,
+	}
+	w.Organisation = x.organisationName()
+	if r.IsStream {
+		w.Limit = x.slotLimit
+	}
+	return w
+}
+
+// recordWait records the wait for the forecast and the metrics. The wait of a request that was on time
+// counts until it was late.
+func (x *exchange) recordWait(d admit.Decision, last admit.Class, waited time.Duration, gotSlot bool) {
+	x.Telemetry.recordWait(last, d.Predicted, waited, gotSlot)
+	gotSlot = gotSlot && last == d.Class
+	x.monitor.Flow(x.queueKey()).RecordWait(d.Class, d.Predicted, waited, gotSlot)
+}
+
+// Reasons of refusals in logs and metrics.
+const (
+	refusedAtOnce    = "no-slot-in-time"
+	refusedAfterWait = "no-slot-after-wait"
+	refusedDisplaced = "queue-full"
+	refusedNoReplica = "no-replica"
+)
+
+// refusalReason returns why a wait ended without a slot.
+func (x *exchange) refusalReason(ctx context.Context, until time.Time) string {
+	if x.Clock.Now().Before(until) && ctx.Err() == nil {
+		return refusedDisplaced
+	}
+	return refusedAfterWait
+}
+
+// refuse returns the error for a request that found no slot, with the time after which a retry is
+// useful.
+func (x *exchange) refuse(reason string, class admit.Class) error {
+	endpoints := len(x.candidates())
+	if endpoints == 0 {
+		reason = refusedNoReplica
+	}
+	x.refusal = reason
+	x.Telemetry.recordRefusal(x.priority(), class, reason)
+	if endpoints == 0 {
+		return x.withRetryAfter(code.NoReplica.New("choose endpoint for service %s, model %q: no endpoint is in service", x.service, x.request.Model))
+	}
+	err := code.Overloaded.New("choose endpoint for service %s, model %q: none of %d endpoints has a free slot", x.service, x.request.Model, endpoints)
+	if !x.isEngineStream {
+		return x.withRetryAfter(err)
+	}
+	patience := x.deadline.Sub(x.Clock.Now()) / retryAfterDivisor
+	flow := x.monitor.Flow(x.queueKey())
+	return code.WithRetryAfter(err, flow.Return(x.queue.LengthOf(x.queueKey()), flow.Forecast(x.estimate.Work), patience))
+}
+
+// countInFlight counts a request in flight to the endpoint, unless takeSlot has counted it, until the
+// returned function is called.
+func (x *exchange) countInFlight(e *catalog.Endpoint) func() {
+	if x.counted != e {
+		e.Load.RequestStarted()
+	}
+	x.counted = nil
+	flow := x.monitor.Flow(x.queueKey())
+	flow.SlotTaken()
+	return func() {
+		flow.SlotFreed()
+		x.releaseSlot(e)
+	}
+}
+
+// releaseSlot ends the count of the request at the endpoint and offers the slot to waiting requests.
+func (x *exchange) releaseSlot(e *catalog.Endpoint) {
+	x.counted = nil
+	e.Load.RequestEnded()
+	x.queue.Wake(x.queueKey())
+}
+
+// organisationName returns the name of the caller's organisation, empty on a public route.
+func (x *exchange) organisationName() ident.Organisation {
+	if x.organisation == nil {
+		return ""
+	}
+	return x.organisation.Name
+}
+
+// urgency returns what the engine is told about the attempt.
+func (x *exchange) urgency() proxy.Urgency {
+	if !x.isEngineStream {
+		return proxy.Unspecified
+	}
+	r := x.slotRequest()
+	switch r.Class(x.Clock.Now()) {
+	case admit.Resumed:
+		return proxy.Resumed
+	case admit.Late:
+		return proxy.Late
+	}
+	return proxy.Timely
+}
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -19,6 +19,7 @@
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/balance"
 	"cuminbay/internal/route/cost"
 	"cuminbay/internal/route/ratelimit"
@@ -279,11 +280,11 @@
 	clk.Advance(retryWindow)
 	return New(Options{
 		Clock: clk, Log: zerolog.Nop(), Catalog: cat, Picker: firstPicker{}, Sender: sender, Self: "d", Links: new(fakeLinks), Relays: fakeRelays{}, Observer: fakeDaemons{}, Telemetry: telemetry, Copy: fakeCopy{},
-		RetryBudget: retryBudget,
-		Poison:      poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
-		Costs:       cost.New(),
-		Limits:      ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
-		Parts:       poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
+		RetryBudget: retryBudget, Rules: admit.Rules{Fill: 1},
+		Poison: poison.New(poison.Options{Clock: clk, Self: "d", Lifetime: time.Minute, Limit: 16}),
+		Costs:  cost.New(),
+		Limits: ratelimit.New(ratelimit.Options{Clock: clk, Log: zerolog.Nop(), Self: "d", Daemons: fakeDaemons{}, Catalog: cat}),
+		Parts:  poison.NewPartDetector(poison.PartOptions{Clock: clk, Threshold: 3, Lifetime: time.Minute, Limit: 16}),
 	})
 }
 
@@ -295,7 +296,7 @@
 // firstPicker picks the first endpoint that was not tried.
 type firstPicker struct{}
 
-func (firstPicker) Pick(_ time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+func (firstPicker) Pick(_ time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, _ float64) *catalog.Endpoint {
 	for _, e := range endpoints {
 		wasTried := false
 		for _, id := range tried {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -37,7 +37,7 @@
 	}
 	// picker chooses an endpoint.
 	picker interface {
-		Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint
+		Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, maxUtilisation float64) *catalog.Endpoint
 	}
 	// retryBudget bounds the retries.
 	retryBudget interface {
@@ -155,13 +155,17 @@
 	Observer    failureObserver
 	Copy        platformCopy
 	Telemetry   *Telemetry
+	// Contentions are asked beside this daemon's own observations; there may be none.
+	Contentions []contentionSource
+	Rules       admit.Rules
 }
 
 // Forwarder forwards requests. Its methods may be called from several goroutines.
 type Forwarder struct {
 	Options
-	shares *admit.Shares
-	queue  *admit.Queue
+	shares  *admit.Shares
+	queue   *admit.Queue
+	monitor *admit.Monitor
 	// retries has the times at which callers that were rejected for limits come back.
 	retries ratelimit.RetrySchedule
 }
@@ -177,7 +181,8 @@
 func New(o Options) *Forwarder {
 	return &Forwarder{
 		Options: o, shares: admit.NewShares(),
-		queue: admit.NewQueue(admit.QueueOptions{Clock: o.Clock, Limit: queueLimit, RecheckInterval: queueRecheck}),
+		queue:   admit.NewQueue(admit.QueueOptions{Clock: o.Clock, Limit: queueLimit, RecheckInterval: queueRecheck}),
+		monitor: admit.NewMonitor(o.Clock),
 	}
 }
 
@@ -203,6 +208,13 @@
 	deadline time.Time
 	// estimate is the expected cost of the request.
 	estimate cost.Estimate
+	// key is the key of the queue, isEngineStream says that the request is a stream of an engine, and
+	// firstEvent is the expected time from a free slot to its first event.
+	key            admit.QueueKey
+	isEngineStream bool
+	firstEvent     time.Duration
+	// counted is the endpoint at which the next attempt is counted already, nil if there is none.
+	counted *catalog.Endpoint
 
 	triedServers []ident.Instance
 	// possibleRuns counts the attempts that reached a server and that may have run
@@ -232,9 +244,13 @@
 	// For the log: the last endpoint and its requests in flight when it was
 	// chosen, the time in the queue, the time to the first byte, and the longest
 	// pause between two events.
-	lastEndpoint    ident.Instance
-	lastInFlight    unit.Requests
-	queueTime       time.Duration
+	lastEndpoint ident.Instance
+	lastInFlight unit.Requests
+	queueTime    time.Duration
+	// predictedWait is the expected time in the queue, zero if the request found a slot at once, and
+	// refusal the reason if it was refused.
+	predictedWait   time.Duration
+	refusal         string
 	timeToFirstByte time.Duration
 	longestPause    time.Duration
 	lastEventTime   time.Time
@@ -284,6 +300,7 @@
 		return err
 	}
 	x.service = x.chooseService()
+	x.key = admit.QueueKey(string(x.service) + " " + string(r.Model))
 	x.estimate = x.predictCost(s)
 	x.deadline = r.Received.Add(x.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
@@ -299,6 +316,10 @@
 		engine = service.Engine
 	}
 	r := x.request
+	if engine != nil {
+		x.isEngineStream = x.route.Kind == cluster.Stream
+		x.firstEvent = firstEventTime(engine, engine.Model(r.Model), r.PromptTokens, x.route.LatencyObjective)
+	}
 	return x.Costs.Predict(cost.Profile{
 		Service: x.service, Model: r.Model, Route: x.route.Name,
 		PromptTokens: r.PromptTokens, MaxOutputTokens: r.OutputTokens, LengthHint: r.LengthHint,
@@ -391,20 +412,11 @@
 	return head
 }
 
-// countInFlight counts a request in flight to the endpoint until the returned
-// function is called.
-func (x *exchange) countInFlight(e *catalog.Endpoint) func() {
-	e.Load.RequestStarted()
-	return func() {
-		e.Load.RequestEnded()
-		x.queue.Wake(x.queueKey())
-	}
-}
-
 // newAttempt returns the next attempt, which goes to the endpoint.
 func (x *exchange) newAttempt(e *catalog.Endpoint) *proxy.Attempt {
 	a := &proxy.Attempt{
 		Request: x.request, Server: e.ID, Address: e.Address,
+		Priority: x.priority(), Urgency: x.urgency(),
 		Timeout: x.deadline.Sub(x.Clock.Now()), NewConnection: !x.route.Repeatable() || x.needsNewConnection,
 	}
 	if x.organisation != nil {
@@ -418,6 +430,9 @@
 	x.attemptEvents = 0
 	x.stallReported = false
 	x.lastEndpoint, x.lastInFlight = e.ID, e.Load.TotalInFlight()
+	if x.counted == e {
+		x.lastInFlight--
+	}
 	return a
 }
 
--- a/internal/serve/forward/limits_test.go
+++ b/internal/serve/forward/limits_test.go
@@ -70,7 +70,7 @@
 			sender := &fakeSender{clock: clk, replies: test.replies}
 			f := newTestForwarder(sender)
 			limits := f.Limits.(*ratelimit.Limits)
-			f.Picker = balance.New(balance.Options{DataCentre: "z", Daemons: fakeDaemons{}, Fleet: fakeDaemons{}, Limits: limits, MaxUtilisation: 1, PlainQueueRatio: 1})
+			f.Picker = balance.New(balance.Options{DataCentre: "z", Daemons: fakeDaemons{}, Fleet: fakeDaemons{}, Limits: limits, PlainQueueRatio: 1})
 			f.Catalog.Current().EachEndpoint(func(e *catalog.Endpoint) {
 				if slices.Contains(test.paused, e.ID) {
 					limits.Pause(e, time.Second)
@@ -115,7 +115,7 @@
 	rejection := []scriptedReply{{status: 503, disposition: proxy.Refused, retryAfter: time.Minute}}
 	sender := &fakeSender{clock: clk, replies: map[ident.Instance][]scriptedReply{"a": rejection, "b": rejection}}
 	f := newTestForwarder(sender)
-	f.Picker = balance.New(balance.Options{DataCentre: "z", Daemons: fakeDaemons{}, Fleet: fakeDaemons{}, Limits: f.Limits.(*ratelimit.Limits), MaxUtilisation: 1, PlainQueueRatio: 1})
+	f.Picker = balance.New(balance.Options{DataCentre: "z", Daemons: fakeDaemons{}, Fleet: fakeDaemons{}, Limits: f.Limits.(*ratelimit.Limits), PlainQueueRatio: 1})
 	for _, id := range []ident.Request{"r1", "r2", "r3"} {
 		err := f.Forward(context.Background(), &proxy.Request{
 			ID: id, Method: "POST", Host: "h", Target: "/unsafe/1", Path: "/unsafe/1", Credential: "k", Received: clk.Now(),
--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -11,25 +11,11 @@
 	"cuminbay/internal/route/admit"
 )
 
-// Bounds of the wait for a free slot. A new request waits for a third of its latency
-// objective; after a longer wait, an early refusal is more useful to the caller. An
-// interrupted stream waits for resumeWait, which is below the 2 s after which callers
-// disconnect.
-const (
-	queueWaitDivisor = 3
-	resumeWait       = time.Second
-)
-
 // pickEndpoint returns the endpoint for the next attempt. It waits in the queue while
 // no endpoint has a free slot.
 //
 // Errors carry code.NoReplica, code.Overloaded or code.PoisonRequest.
 func (x *exchange) pickEndpoint(ctx context.Context) (*catalog.Endpoint, error) {
-	var chosen *catalog.Endpoint
-	tryPick := func() bool {
-		chosen = x.pick(x.triedServers)
-		return chosen != nil
-	}
 	if x.attemptCount > 0 {
 		// A crash in an earlier attempt or at another daemon may have been counted.
 		if err := x.checkPoison(); err != nil {
@@ -39,30 +25,15 @@
 	if successor := x.takeSuccessor(); successor != nil {
 		return successor, nil
 	}
-	if tryPick() {
-		return chosen, nil
-	}
-	waitDeadline := x.request.Received.Add(x.route.LatencyObjective / queueWaitDivisor)
-	if x.sink.Started() {
-		waitDeadline = x.Clock.Now().Add(resumeWait)
-	}
-	if waitDeadline.After(x.deadline) {
-		waitDeadline = x.deadline
-	}
-	if err := x.checkLimits(waitDeadline); err != nil {
-		return nil, err
-	}
-	waitStart := x.Clock.Now()
-	x.queue.Wait(ctx, admit.WaitRequest{Key: x.queueKey(), Priority: x.priority(), Received: x.request.Received, Admission: x.admission, Deadline: waitDeadline}, tryPick)
-	x.queueTime += x.Clock.Since(waitStart)
-	if chosen != nil {
-		return chosen, x.checkPoison()
-	}
-	candidates := x.candidates()
-	if len(candidates) == 0 {
-		return nil, x.withRetryAfter(code.NoReplica.New("choose endpoint for service %s, model %q: no endpoint is in service", x.service, x.request.Model))
+	r := x.slotRequest()
+	class := r.Class(x.Clock.Now())
+	// Requests that wait go first, except before a stream that was interrupted.
+	if !r.IsStream || r.Resumed || x.queue.LengthOf(x.queueKey()) == 0 {
+		if e := x.takeSlot(x.slotLimit(class)); e != nil {
+			return e, nil
+		}
 	}
-	return nil, x.withRetryAfter(code.Overloaded.New("choose endpoint for service %s, model %q: none of %d endpoints has a free slot", x.service, x.request.Model, len(candidates)))
+	return x.waitForSlot(ctx, &r)
 }
 
 // checkLimits rejects the request if every endpoint names a limit of requests or wants a pause,
@@ -95,7 +66,7 @@
 
 // queueKey returns the key of the queue that the request waits in.
 func (x *exchange) queueKey() admit.QueueKey {
-	return admit.QueueKey(string(x.service) + " " + string(x.request.Model))
+	return x.key
 }
 
 // priority returns the priority of the organisation or else of the route.
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -8,6 +8,7 @@
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/balance"
 	"cuminbay/internal/route/ratelimit"
 	"cuminbay/internal/serve/poison"
@@ -104,10 +105,14 @@
 	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
+	if err := c.deps.ResolveAll(&c.Contentions); err != nil {
+		return err
+	}
 	s := c.settings
 	c.Picker = balance.New(balance.Options{
-		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, RemotePenalty: s.Away, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
+	c.Rules = admit.Rules{Fill: s.Fill}
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
 	})
--- a/internal/serve/forward/relay.go
+++ b/internal/serve/forward/relay.go
@@ -14,11 +14,12 @@
 )
 
 // pick returns an endpoint that has a free slot and was not tried. If this daemon can connect to
-// none of the endpoints, it returns a daemon that may reach them.
-func (x *exchange) pick(tried []ident.Instance) *catalog.Endpoint {
+// none of the endpoints, it returns a daemon that may reach them. A replica has a free slot as long as
+// its utilisation is below the limit.
+func (x *exchange) pick(tried []ident.Instance, limit float64) *catalog.Endpoint {
 	now, candidates := x.Clock.Now(), x.candidates()
 	if reachable := x.reachable(candidates); len(reachable) > 0 {
-		return x.Picker.Pick(now, reachable, tried)
+		return x.Picker.Pick(now, reachable, tried, limit)
 	}
 	if relay := x.pickRelay(tried); relay != nil {
 		return relay
@@ -27,7 +28,7 @@
 		// The endpoints are probably down, as they are out of reach of two daemons.
 		return nil
 	}
-	return x.Picker.Pick(now, candidates, tried)
+	return x.Picker.Pick(now, candidates, tried, limit)
 }
 
 // reachable returns the endpoints that this daemon can connect to.
--- a/internal/serve/forward/successor.go
+++ b/internal/serve/forward/successor.go
@@ -5,6 +5,7 @@
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/admit"
 )
 
 // reserveSuccessor reports whether another endpoint takes the request over from the endpoint. It
@@ -17,7 +18,7 @@
 	if x.possibleRuns+1 >= x.route.MaxAttempts || !x.RetryBudget.HasRetry(x.service) || x.checkPoison() != nil {
 		return false
 	}
-	next := x.pick(append(slices.Clip(x.triedServers), e.ID))
+	next := x.pick(append(slices.Clip(x.triedServers), e.ID), x.successorLimit())
 	if next == nil || next.Load.Avoided(x.Clock.Now()) || !x.RetryBudget.AllowRetry(x.service) {
 		return false
 	}
@@ -25,6 +26,15 @@
 	return true
 }
 
+// successorLimit returns the utilisation below which a replica may take over the request, which has a
+// slot now.
+func (x *exchange) successorLimit() float64 {
+	if x.sink.Started() {
+		return x.slotLimit(admit.Resumed)
+	}
+	return x.Rules.Fill
+}
+
 // takeSuccessor returns the endpoint that was reserved for the next attempt, nil if none was.
 func (x *exchange) takeSuccessor() *catalog.Endpoint {
 	e := x.successor
--- a/internal/serve/forward/successor_test.go
+++ b/internal/serve/forward/successor_test.go
@@ -21,14 +21,14 @@
 	start    time.Time
 }
 
-func (p slotPicker) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance) *catalog.Endpoint {
+func (p slotPicker) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, _ float64) *catalog.Endpoint {
 	var free []*catalog.Endpoint
 	for _, e := range endpoints {
 		if from, hasSlots := p.freeFrom[e.ID]; hasSlots && now.Sub(p.start) >= from {
 			free = append(free, e)
 		}
 	}
-	return firstPicker{}.Pick(now, free, tried)
+	return firstPicker{}.Pick(now, free, tried, 1)
 }
 
 // noRetries is a retry budget that is used up.
--- a/internal/serve/forward/telemetry.go
+++ b/internal/serve/forward/telemetry.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/route/admit"
 )
 
 // Telemetry has the metrics of forwarded requests.
@@ -14,6 +17,9 @@
 	failedAttempts   *prometheus.CounterVec
 	firstByteSeconds *prometheus.HistogramVec
 	requestSeconds   *prometheus.HistogramVec
+	refusals         *prometheus.CounterVec
+	waitSeconds      *prometheus.HistogramVec
+	predictedSeconds *prometheus.HistogramVec
 }
 
 // NewTelemetry returns the metrics after registering them.
@@ -33,7 +39,16 @@
 			Name: "cuminbay_forward_seconds", Help: "Time to the end of an answer by kind of route.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	for _, c := range []prometheus.Collector{t.requests, t.failedAttempts, t.firstByteSeconds, t.requestSeconds} {
+	t.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cuminbay_admission_refused_total", Help: "Requests that were refused for lack of a slot, by priority, class and reason.",
+	}, []string{"priority", "class", "reason"})
+	t.waitSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cuminbay_admission_wait_seconds", Help: "Time in the queue by class at its end and result.", Buckets: buckets,
+	}, []string{"class", "result"})
+	t.predictedSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cuminbay_admission_predicted_seconds", Help: "Predicted time in the queue of the requests that waited, by class and result of the wait.", Buckets: buckets,
+	}, []string{"class", "result"})
+	for _, c := range []prometheus.Collector{t.requests, t.failedAttempts, t.firstByteSeconds, t.requestSeconds, t.refusals, t.waitSeconds, t.predictedSeconds} {
 		if err := registry.Register(c); err != nil {
 			return nil, err
 		}
@@ -41,6 +56,23 @@
 	return t, nil
 }
 
+// recordWait records the predicted and the actual time in the queue.
+func (t *Telemetry) recordWait(class admit.Class, predicted, waited time.Duration, gotSlot bool) {
+	result := "slot"
+	if !gotSlot {
+		result = "none"
+	}
+	t.waitSeconds.WithLabelValues(class.String(), result).Observe(waited.Seconds())
+	if predicted > 0 {
+		t.predictedSeconds.WithLabelValues(class.String(), result).Observe(predicted.Seconds())
+	}
+}
+
+// recordRefusal records a request that was refused for lack of a slot.
+func (t *Telemetry) recordRefusal(priority unit.Priority, class admit.Class, reason string) {
+	t.refusals.WithLabelValues(strconv.Itoa(int(priority)), class.String(), reason).Inc()
+}
+
 // requestEnded records the result of a request in the metrics and in the log.
 func (t *Telemetry) requestEnded(x *exchange, err error, now time.Time) {
 	kind, route := "none", ""
@@ -57,9 +89,12 @@
 	logEvent := x.Log.Info().Str("request", string(x.request.ID)).Str("route", route).
 		Str("model", string(x.request.Model)).Int64("prompt", int64(x.request.PromptTokens)).
 		Int64("work_ms", x.estimate.Work.Milliseconds()).Str("endpoint", string(x.lastEndpoint)).Int64("inflight", int64(x.lastInFlight)).Int("attempts", x.attemptCount).
-		Int64("waited_ms", x.queueTime.Milliseconds()).Int64("first_ms", x.timeToFirstByte.Milliseconds()).
+		Int64("waited_ms", x.queueTime.Milliseconds()).Int64("predicted_ms", x.predictedWait.Milliseconds()).Int64("first_ms", x.timeToFirstByte.Milliseconds()).
 		Int64("pause_ms", x.longestPause.Milliseconds()).Int64("took_ms", duration.Milliseconds()).
 		Str("code", c.String()).Str("outcome", string(code.OutcomeOf(err)))
+	if x.refusal != "" {
+		logEvent = logEvent.Str("refusal", x.refusal).Int("priority", int(x.priority())).Str("organisation", string(x.organisationName()))
+	}
 	if err != nil {
 		logEvent = logEvent.Str("detail", code.Message(err))
 	}
