--- a/internal/route/admit/line.go
+++ b/internal/route/admit/line.go
@@ -33,6 +33,8 @@
 type line struct {
 	waiters   []*waiter
 	lastOffer time.Time
+	// lastLate is the time at which a late request last got a slot.
+	lastLate time.Time
 	// failed has the waiters that found no slot in the current round.
 	failed []*waiter
 	// grants counts the slots that waiters got, and lastGrant has the count at the last grant of
@@ -61,6 +63,11 @@
 	return w.Class
 }
 
+// isInTime reports whether a slot now would meet the objective.
+func (w *waiter) isInTime(now time.Time) bool {
+	return !w.LatestStart.IsZero() && !now.After(w.LatestStart)
+}
+
 // precedes reports whether w is served before the other waiter.
 func (w *waiter) precedes(other *waiter, l *line) bool {
 	switch {
@@ -110,9 +117,15 @@
 		least.turn.Class = LeastShare
 	}
 	for _, w := range l.waiters {
-		if w.Limit != nil {
-			w.turn.Limit = w.Limit(w.turn.Class)
+		if w.Limit == nil {
+			continue
+		}
+		// A request that is only expected to be late goes after the others, but may use the same slots.
+		limitClass := w.turn.Class
+		if limitClass == Late && w.isInTime(now) {
+			limitClass = OnTime
 		}
+		w.turn.Limit = w.Limit(limitClass)
 	}
 	slices.SortStableFunc(l.waiters, func(a, b *waiter) int {
 		switch {
--- a/internal/route/admit/monitor.go
+++ b/internal/route/admit/monitor.go
@@ -179,6 +179,22 @@
 	return time.Duration(min(wait, longest.Seconds()) * float64(time.Second))
 }
 
+// Spacing of late requests that leave a queue. lateRateFactor is the number of slots that late requests
+// may take for each one that becomes free at this daemon.
+const (
+	lateRateFactor  = 2
+	maxLateInterval = 100 * time.Millisecond
+)
+
+// LateInterval returns the least time between two late requests that leave the queue, zero if the rate
+// of freed slots is unknown.
+func (f Forecast) LateInterval() time.Duration {
+	if f.FreedPerSecond <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(time.Second)/f.FreedPerSecond/lateRateFactor), maxLateInterval)
+}
+
 // goldenRatio is the fractional part of the golden ratio. Its multiples modulo one are spread evenly,
 // however many there are.
 const goldenRatio = 0.6180339887498949
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -74,6 +74,9 @@
 	// of the same key that have a Limit use the same endpoints, so that one that finds no slot
 	// answers for those after it. Nil if the endpoints differ.
 	Limit func(Class) float64
+	// LateInterval is the least time between two late requests that leave the queue. Counts of other
+	// daemons' requests are old, so that many daemons see the same slot free at once.
+	LateInterval time.Duration
 	// Restricted says that the request may use only some of the endpoints.
 	Restricted bool
 	// Displaceable says that the request may lose its place to one that goes before it if the
@@ -96,7 +99,7 @@
 // tryAcquire does. It returns false if the queue is full, the deadline has passed or the
 // context ends. Calls of tryAcquire don't overlap. They come from any goroutine, must not
 // block and must not use the queue.
-func (q *Queue) Wait(ctx context.Context, r WaitRequest, tryAcquire func(Turn) bool) bool { //nolint:gocritic // a copy is kept
+func (q *Queue) Wait(ctx context.Context, r WaitRequest, tryAcquire func(Turn) bool) bool {
 	w := &waiter{WaitRequest: r, keys: r.shareKeys(), tryAcquire: tryAcquire, served: make(chan struct{})}
 	if !q.add(w) {
 		return false
@@ -213,8 +216,12 @@
 	l.add(w)
 	q.length.Add(1)
 	l.setTurns(now)
-	if !l.isCovered(w) {
+	switch {
+	case w.Limit == nil:
 		q.try(l, w)
+	case !l.isCovered(w) || now.Sub(l.lastOffer) >= q.recheckInterval/2:
+		// Slots that requests of other daemons left are found here too, and go to the first in order.
+		q.offer(l, now)
 	}
 	return true
 }
@@ -265,7 +272,7 @@
 	l.failed = l.failed[:0]
 	unlimitedFailed := false
 	for _, w := range slices.Clone(l.waiters) {
-		if l.hasFailed(w) || w.Limit == nil && unlimitedFailed || q.try(l, w) {
+		if w.turn.Class == Late && !w.isInTime(now) && now.Sub(l.lastLate) < w.LateInterval || l.hasFailed(w) || w.Limit == nil && unlimitedFailed || q.try(l, w) {
 			continue
 		}
 		// The others without a limit check for themselves, so that a wake-up costs one try.
@@ -280,6 +287,9 @@
 		return false
 	}
 	w.acquired = true
+	if w.turn.Class == Late {
+		l.lastLate = l.lastOffer
+	}
 	l.countGrant(w)
 	q.remove(l, w)
 	close(w.served)
--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -89,7 +89,7 @@
 	if decision.Action == admit.Refuse {
 		return nil, x.refuse(refusedAtOnce, decision.Class)
 	}
-	wait.Class, wait.Deadline = decision.Class, decision.Until
+	wait.Class, wait.Deadline, wait.LateInterval = decision.Class, decision.Until, forecast.LateInterval()
 	var chosen *catalog.Endpoint
 	last := decision.Class
 	x.queue.Wait(ctx, wait, func(t admit.Turn) bool {
