--- a/internal/serve/forward/load_test.go
+++ b/internal/serve/forward/load_test.go
@@ -288,9 +288,16 @@
 	*l.results[name] = l.results[name].plus(result)
 }
 
+// checkSlots checks that no request is counted at an endpoint.
+func (l *loadRun) checkSlots(c *qt.C) {
+	for _, f := range l.daemons {
+		f.Catalog.Current().EachEndpoint(func(e *catalog.Endpoint) { c.Check(e.Load.InFlight(), qt.Equals, unit.Requests(0)) })
+	}
+}
+
 // TestLoad guards against a burst in which nearly all requests are a little late, against a rank,
-// organisation or size that gets less than the others of its kind or nothing, and against an advantage
-// for callers who ignore Retry-After.
+// organisation or size that gets less than the others of its kind or nothing, against an advantage
+// for callers who ignore Retry-After, and against slots that stay counted.
 func TestLoad(t *testing.T) {
 	tests := map[string]struct {
 		groups   map[string]callerGroup
@@ -356,6 +363,7 @@
 						timer := l.clock.AfterFunc((burstStart+burstEnd)/2, l.sender.replicas["x"].lose)
 						defer timer.Stop()
 					}
+					defer l.checkSlots(c)
 					for group, r := range l.play(test.groups, uint64(seed)) {
 						results[group] = results[group].plus(r)
 					}
