--- a/internal/route/admit/decide_test.go
+++ b/internal/route/admit/decide_test.go
@@ -159,3 +159,27 @@
 		})
 	}
 }
+
+// BenchmarkDecide measures the decision for a request that finds a slot, and for one that waits.
+func BenchmarkDecide(b *testing.B) {
+	clk := clockwork.NewFakeClock()
+	m := admit.NewMonitor(clk)
+	f := m.Flow("m")
+	f.SlotFreed()
+	f.RecordShortage(0)
+	now := clk.Now()
+	r := admit.Request{Objective: time.Second, Timeout: 6 * time.Second, Received: now, Deadline: now.Add(6 * time.Second), IsStream: true}
+	rules := admit.Rules{Fill: 1}
+	b.Run("slot", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			rules.Limit(r.Class(now), r.Rank, m.Contention("m"))
+		}
+	})
+	b.Run("wait", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			rules.Decide(&r, &admit.State{Now: now, HasEndpoints: true, Standing: admit.Standing{AheadOnTime: 5}, Forecast: f.Forecast(time.Second)})
+		}
+	})
+}
--- /dev/null
+++ b/internal/serve/forward/admission_test.go
@@ -0,0 +1,125 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// secondPicker has no free slot at the first call, and calls onSecond at the second one.
+type secondPicker struct {
+	calls    int
+	onSecond func()
+}
+
+func (p *secondPicker) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, limit float64) *catalog.Endpoint {
+	if p.calls++; p.calls == 1 {
+		return nil
+	}
+	p.onSecond()
+	return firstPicker{}.Pick(now, endpoints, tried, limit)
+}
+
+// suspectedLater finds a request suspected once it is told to.
+type suspectedLater struct {
+	poisonDetector
+	suspected bool
+}
+
+func (s *suspectedLater) Check(ident.Fingerprint) error {
+	if s.suspected {
+		return code.PoisonRequest.New("suspected")
+	}
+	return nil
+}
+
+// TestSuspectedWhileWaiting guards against a request that became suspected in the queue and is sent, and
+// against a slot that stays counted for it.
+func TestSuspectedWhileWaiting(t *testing.T) {
+	c := qt.New(t)
+	sender := &fakeSender{clock: clockwork.NewFakeClock()}
+	f := newTestForwarder(sender)
+	detector := &suspectedLater{poisonDetector: f.Poison}
+	f.Poison, f.Picker = detector, &secondPicker{onSecond: func() { detector.suspected = true }}
+	err := f.Forward(context.Background(), &proxy.Request{
+		ID: "r", Method: "POST", Host: "h", Target: "/stream/1", Path: "/stream/1", Credential: "k", Model: testModel, Received: sender.clock.Now(),
+	}, new(fakeSink))
+	c.Check(code.Of(err), qt.Equals, code.PoisonRequest)
+	c.Check(sender.attempts, qt.HasLen, 0)
+	f.Catalog.Current().EachEndpoint(func(e *catalog.Endpoint) { c.Check(e.Load.InFlight(), qt.Equals, unit.Requests(0)) })
+}
+
+// fixedContention is contention that another daemon has seen.
+type fixedContention unit.Priority
+
+func (f fixedContention) Contended(ident.Service, ident.Model) (unit.Priority, bool) {
+	return unit.Priority(f), true
+}
+
+// limitPicker notes the utilisation that requests may use.
+type limitPicker struct {
+	firstPicker
+	limits []float64
+}
+
+func (p *limitPicker) Pick(now time.Time, endpoints []*catalog.Endpoint, tried []ident.Instance, limit float64) *catalog.Endpoint {
+	p.limits = append(p.limits, limit)
+	return p.firstPicker.Pick(now, endpoints, tried, limit)
+}
+
+// TestPermittedUtilisation guards against contention at other daemons that is ignored, against a request
+// to a plain service that leaves slots to others, and against an interrupted stream that does.
+func TestPermittedUtilisation(t *testing.T) {
+	tests := map[string]struct {
+		path       string
+		contention []contentionSource
+		// remaining is the time that the caller has left, of 4 s.
+		remaining time.Duration
+		replies   map[ident.Instance][]scriptedReply
+		want      []float64
+		urgencies []proxy.Urgency
+	}{
+		"no contention":        {path: "/stream/1", remaining: 4 * time.Second, want: []float64{0.9}, urgencies: []proxy.Urgency{proxy.Timely}},
+		"higher rank is short": {path: "/stream/1", contention: []contentionSource{fixedContention(1)}, remaining: 4 * time.Second, want: []float64{0.8}, urgencies: []proxy.Urgency{proxy.Timely}},
+		"lower rank is short":  {path: "/stream/1", contention: []contentionSource{fixedContention(-1)}, remaining: 4 * time.Second, want: []float64{0.9}, urgencies: []proxy.Urgency{proxy.Timely}},
+		"late":                 {path: "/stream/1", contention: []contentionSource{fixedContention(-1)}, remaining: 3 * time.Second, want: []float64{0.8}, urgencies: []proxy.Urgency{proxy.Late}},
+		"plain service":        {path: "/safe/1", contention: []contentionSource{fixedContention(1)}, remaining: 3 * time.Second, want: []float64{0.9}, urgencies: []proxy.Urgency{proxy.Unspecified}},
+		"interrupted stream": {
+			path: "/stream/1", contention: []contentionSource{fixedContention(1)}, remaining: 4 * time.Second,
+			replies: map[ident.Instance][]scriptedReply{"x": {{body: eventA, bodyCutOff: true}}, "y": {{body: eventB}}},
+			want:    []float64{0.8, 1}, urgencies: []proxy.Urgency{proxy.Timely, proxy.Resumed},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sender := &fakeSender{clock: clockwork.NewFakeClock(), replies: test.replies}
+			if test.replies == nil {
+				sender.replies = map[ident.Instance][]scriptedReply{"a": {{body: "done"}}, "x": {{body: eventA}}}
+			}
+			f := newTestForwarder(sender)
+			picker := new(limitPicker)
+			f.Picker, f.Contentions, f.Rules.Fill = picker, test.contention, 0.9
+			now := sender.clock.Now()
+			err := f.Forward(context.Background(), &proxy.Request{
+				ID: "r", Method: "POST", Host: "h", Target: test.path, Path: test.path, Credential: "k", Model: testModel, Received: now, Deadline: now.Add(test.remaining),
+			}, new(fakeSink))
+			c.Check(err, qt.IsNil)
+			c.Check(picker.limits, qt.DeepEquals, test.want)
+			var urgencies []proxy.Urgency
+			for _, a := range sender.attempts {
+				urgencies = append(urgencies, a.Urgency)
+			}
+			c.Check(urgencies, qt.DeepEquals, test.urgencies)
+		})
+	}
+}
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
@@ -91,6 +93,11 @@
 		return nil, err
 	}
 	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, Telemetry: telemetry, Poison: detector, Parts: parts, Limits: c.limits})
+	if err := deps.Metrics.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cuminbay_admission_waiting", Help: "Requests that wait for a free slot of an endpoint.",
+	}, func() float64 { return float64(c.queue.Length()) })); err != nil {
+		return nil, err
+	}
 	deps.Provide(c)
 	deps.Provide(detector)
 	deps.Provide(parts)
