Merge admission: who takes a slot, waits or is refused

The permitted utilisation is part of balance.Request. The expected time from a free slot to the first event comes from the learned times of package cost instead of the published ones alone, which lack 120 ms: a request counted as able to meet its objective until long after it could.

--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -56,6 +56,8 @@
 	// which this request meets it.
 	Objective   time.Duration
 	ObjectiveAt time.Time
+	// MaxUtilisation is the utilisation below which a replica has a free slot for the request.
+	MaxUtilisation float64
 }
 
 // Options are the dependencies and settings of a Balancer.
@@ -70,10 +72,6 @@
 	// RemotePenalty is added to the utilisation of an endpoint in another data centre,
 	// as traffic between data centres is paid for.
 	RemotePenalty float64
-	// MaxUtilisation is the share of a replica's slots that is used. It is below one, as
-	// the requests that other daemons send at the same time are known with a delay,
-	// and a request that waits for a slot is late.
-	MaxUtilisation float64
 	// PlainQueueRatio bounds the requests queued at a plain server, as a share of its
 	// slots.
 	PlainQueueRatio float64
@@ -254,12 +252,12 @@
 }
 
 // hasFreeSlot reports whether the endpoint may get another request.
-func (b *Balancer) hasFreeSlot(e *catalog.Endpoint) bool {
+func (p *pick) hasFreeSlot(e *catalog.Endpoint) bool {
 	used := float64(e.Load.TotalInFlight()) / float64(max(e.Slots, 1))
 	if e.Engine == nil {
-		return used < 1+b.PlainQueueRatio
+		return used < 1+p.PlainQueueRatio
 	}
-	return used < b.MaxUtilisation
+	return used < p.request.MaxUtilisation
 }
 
 // admitCold reports whether this daemon may send another request to a server. It counts
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -90,13 +90,13 @@
 		for _, choice := range []Choice{ByCount, ByCost} {
 			t.Run(name+" by "+string(choice), func(t *testing.T) {
 				c := qt.New(t)
-				b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), Fleet: fleetSize(1), Limits: noLimits{}, Times: cost.New(), Choice: choice, RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9})
+				b := New(Options{DataCentre: "", Daemons: fixedDaemonCount(1), Fleet: fleetSize(1), Limits: noLimits{}, Times: cost.New(), Choice: choice, RemotePenalty: 0.3, PlainQueueRatio: 1, ColdRateFraction: 0.9})
 				var endpoints []*catalog.Endpoint
 				for _, endpoint := range test.endpoints {
 					endpoints = append(endpoints, endpoint.build())
 				}
 				var picked ident.Instance
-				if e := b.Pick(testStart, endpoints, Request{Tried: test.tried}); e != nil {
+				if e := b.Pick(testStart, endpoints, Request{Tried: test.tried, MaxUtilisation: 0.9}); e != nil {
 					picked = e.ID
 				}
 				c.Check(picked, qt.Equals, test.want)
@@ -130,7 +130,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := New(Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), Limits: noLimits{}, Times: cost.New(), Choice: ByCost, RemotePenalty: 0.3, MaxUtilisation: 0.9})
+			b := New(Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), Limits: noLimits{}, Times: cost.New(), Choice: ByCost, RemotePenalty: 0.3})
 			var endpoints []*catalog.Endpoint
 			for _, id := range []ident.Instance{"first", "second", "third"} {
 				e := testEndpoint{id: id, inFlight: 1}.build()
@@ -139,6 +139,7 @@
 			}
 			test.prepare(endpoints[0])
 			r := test.request
+			r.MaxUtilisation = 0.9
 			if r.Objective = 250 * time.Millisecond; r.ObjectiveAt.IsZero() {
 				r.ObjectiveAt = testStart.Add(r.Objective)
 			}
@@ -294,7 +295,7 @@
 		b.Run(string(choice), func(b *testing.B) {
 			o.Choice, o.Times, o.Limits = choice, cost.New(), noLimits{}
 			balancer := New(o)
-			r := Request{PromptTokens: 674, OutputTokens: 116, Objective: 250 * time.Millisecond, ObjectiveAt: testStart.Add(240 * time.Millisecond)}
+			r := Request{MaxUtilisation: 0.9, PromptTokens: 674, OutputTokens: 116, Objective: 250 * time.Millisecond, ObjectiveAt: testStart.Add(240 * time.Millisecond)}
 			b.ReportAllocs()
 			for b.Loop() {
 				balancer.Pick(testStart, endpoints, r)
@@ -309,7 +310,7 @@
 	for i := range 50 {
 		endpoints = append(endpoints, testEndpoint{id: ident.Instance(rune('a' + i)), inFlight: i % 7}.build())
 	}
-	benchmarkPick(b, Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), RemotePenalty: 0.3, MaxUtilisation: 0.9, PlainQueueRatio: 1, ColdRateFraction: 0.9}, endpoints)
+	benchmarkPick(b, Options{Daemons: fixedDaemonCount(8), Fleet: fleetSize(8), RemotePenalty: 0.3, PlainQueueRatio: 1, ColdRateFraction: 0.9}, endpoints)
 }
 
 // TestPickInLargeFleet guards against daemons that all send their requests to the endpoint with the
@@ -342,10 +343,10 @@
 				}
 				list = append(list, e.build())
 			}
-			b := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(test.daemons), Fleet: fleetSize(test.daemons), Limits: noLimits{}, RemotePenalty: 0.3, MaxUtilisation: 0.9})
+			b := New(Options{DataCentre: "0", Daemons: fixedDaemonCount(test.daemons), Fleet: fleetSize(test.daemons), Limits: noLimits{}, RemotePenalty: 0.3})
 			least := 0
 			for range picks {
-				e := b.Pick(testStart, list, Request{})
+				e := b.Pick(testStart, list, Request{MaxUtilisation: 0.9})
 				c.Assert(e, qt.IsNotNil)
 				c.Assert(e.Load.InFlight() < 10, qt.IsTrue)
 				if e == list[0] {
@@ -364,5 +365,5 @@
 	for i := range 12000 {
 		list = append(list, testEndpoint{id: ident.Instance(fmt.Sprint(i)), inFlight: i % 8, dataCentre: ident.DataCentre(fmt.Sprint(i % 14))}.build())
 	}
-	benchmarkPick(b, Options{DataCentre: "0", Daemons: fixedDaemonCount(840), Fleet: fleetSize(840), RemotePenalty: 0.3, MaxUtilisation: 0.9}, list)
+	benchmarkPick(b, Options{DataCentre: "0", Daemons: fixedDaemonCount(840), Fleet: fleetSize(840), RemotePenalty: 0.3}, list)
 }
--- a/internal/route/balance/fleet_test.go
+++ b/internal/route/balance/fleet_test.go
@@ -51,12 +51,12 @@
 // randomOfTwo chooses the less loaded one of two random endpoints.
 type randomOfTwo struct{ *Balancer }
 
-func (r randomOfTwo) Pick(_ time.Time, endpoints []*catalog.Endpoint, _ Request) *catalog.Endpoint {
+func (r randomOfTwo) Pick(now time.Time, endpoints []*catalog.Endpoint, request Request) *catalog.Endpoint {
 	a, b := endpoints[rand.IntN(len(endpoints))], endpoints[rand.IntN(len(endpoints))]
 	if b.Load.TotalInFlight() < a.Load.TotalInFlight() {
 		a = b
 	}
-	if !r.hasFreeSlot(a) {
+	if p := r.newPick(now, endpoints, request); !p.hasFreeSlot(a) {
 		return nil
 	}
 	return a
@@ -133,7 +133,7 @@
 		f.endpoints, f.models = append(f.endpoints, endpoints), append(f.models, model)
 		f.choosers = append(f.choosers, newChooser(New(Options{
 			DataCentre: ident.DataCentre(fmt.Sprint(d % fleetDataCentres)), Daemons: fixedDaemonCount(load.daemons), Fleet: fleetSize(load.daemons), Limits: noLimits{},
-			Times: model, Choice: choice, RemotePenalty: 0.3, MaxUtilisation: 0.95,
+			Times: model, Choice: choice, RemotePenalty: 0.3,
 		})))
 		f.own = append(f.own, make([][fleetHistory]int16, load.replicas))
 		f.ownNow = append(f.ownNow, make([]int16, load.replicas))
@@ -219,7 +219,7 @@
 // choose sends the request to a replica, or refuses it after a third of its objective.
 func (f *simulatedFleet) choose(r *simulatedRequest) {
 	objectiveAt := testStart.Add(r.arrived + f.objective)
-	e := f.choosers[r.daemon].Pick(f.time(), f.endpoints[r.daemon], Request{PromptTokens: r.prompt, OutputTokens: r.output, Objective: f.objective, ObjectiveAt: objectiveAt})
+	e := f.choosers[r.daemon].Pick(f.time(), f.endpoints[r.daemon], Request{MaxUtilisation: 0.95, PromptTokens: r.prompt, OutputTokens: r.output, Objective: f.objective, ObjectiveAt: objectiveAt})
 	if e == nil {
 		const recheck = 25 * time.Millisecond
 		if f.now-r.arrived < f.objective/3 {
--- a/internal/route/cost/run.go
+++ b/internal/route/cost/run.go
@@ -29,8 +29,8 @@
 	learns bool
 }
 
-// StartRun records the start of an attempt. The request itself must not be counted in the endpoint's
-// load yet. End must be called.
+// StartRun records the start of an attempt. The request itself has to be counted in the endpoint's
+// requests in flight. End must be called.
 func (m *Model) StartRun(now time.Time, e *catalog.Endpoint, p Profile, estimate Estimate) Run {
 	r := Run{
 		model: m, endpoint: e, estimate: estimate, startedAt: now, learns: !e.IsRelay,
@@ -39,6 +39,7 @@
 	if r.learns {
 		times := m.Times(e.Service, e.Engine, e.Model)
 		state := times.StateOf(now, e)
+		state.InFlight = max(state.InFlight-1, 0)
 		f := times.published(state, p.PromptTokens)
 		r.published, r.certainty = f.Mean, f.certainty()
 		r.expected = times.FirstEvent(state, p.PromptTokens).Mean
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -81,6 +81,7 @@
 	// costModel estimates what a request costs before it runs, and learns from what it did.
 	costModel interface {
 		Predict(p cost.Profile, engine *cluster.Engine) cost.Estimate
+		FirstEventInSlot(p cost.Profile, engine *cluster.Engine) time.Duration
 		StartRun(now time.Time, e *catalog.Endpoint, p cost.Profile, estimate cost.Estimate) cost.Run
 		Record(now time.Time, p cost.Profile, predicted cost.Estimate, output unit.Tokens)
 	}
@@ -159,13 +160,17 @@
 	Observer    failureObserver
 	Copy        platformCopy
 	Telemetry   *Telemetry
+	// Contentions are asked beside this daemon's own observations; there may be none.
+	Contentions []contentionSource
+	Rules       admit.Rules
 }
 
 // Forwarder forwards requests. Its methods may be called from several goroutines.
 type Forwarder struct {
 	Options
-	shares *admit.Shares
-	queue  *admit.Queue
+	shares  *admit.Shares
+	queue   *admit.Queue
+	monitor *admit.Monitor
 	// retries has the times at which callers that were rejected for limits come back.
 	retries ratelimit.RetrySchedule
 }
@@ -181,7 +186,8 @@
 func New(o Options) *Forwarder {
 	return &Forwarder{
 		Options: o, shares: admit.NewShares(),
-		queue: admit.NewQueue(admit.QueueOptions{Clock: o.Clock, Limit: queueLimit, RecheckInterval: queueRecheck}),
+		queue:   admit.NewQueue(admit.QueueOptions{Clock: o.Clock, Limit: queueLimit, RecheckInterval: queueRecheck}),
+		monitor: admit.NewMonitor(o.Clock),
 	}
 }
 
@@ -209,6 +215,13 @@
 	// estimate is the expected cost of the request, and engine is nil for a plain service.
 	estimate cost.Estimate
 	engine   *cluster.Engine
+	// key is the key of the queue, isEngineStream says that the request is a stream of an engine, and
+	// firstEvent is the expected time from a free slot to its first event.
+	key            admit.QueueKey
+	isEngineStream bool
+	firstEvent     time.Duration
+	// counted is the endpoint at which the next attempt is counted already, nil if there is none.
+	counted *catalog.Endpoint
 
 	triedServers []ident.Instance
 	// possibleRuns counts the attempts that reached a server and that may have run
@@ -238,10 +251,14 @@
 	// For the log: the last endpoint and its requests in flight and the expected time to the
 	// first event when it was chosen, the time in the queue, the time to the first byte, and the longest
 	// pause between two events.
-	lastEndpoint    ident.Instance
-	lastInFlight    unit.Requests
-	expectedFirst   time.Duration
-	queueTime       time.Duration
+	lastEndpoint  ident.Instance
+	lastInFlight  unit.Requests
+	expectedFirst time.Duration
+	queueTime     time.Duration
+	// predictedWait is the expected time in the queue, zero if the request found a slot at once, and
+	// refusal the reason if it was refused.
+	predictedWait   time.Duration
+	refusal         string
 	timeToFirstByte time.Duration
 	longestPause    time.Duration
 	lastEventTime   time.Time
@@ -292,7 +309,8 @@
 		return err
 	}
 	x.service = x.chooseService()
-	x.estimate = x.predictCost(s)
+	x.key = admit.QueueKey(string(x.service) + " " + string(r.Model))
+	x.predictCost(s)
 	x.deadline = r.Received.Add(x.route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.deadline) {
 		x.deadline = r.Deadline
@@ -300,12 +318,20 @@
 	return nil
 }
 
-// predictCost returns the expected cost of the request by the configuration of the snapshot.
-func (x *exchange) predictCost(s *catalog.Snapshot) cost.Estimate {
+// minWaitShare is the share of its objective for which a request counts as able to meet it, however
+// long its first event is expected to take.
+const minWaitShare = 0.25
+
+// predictCost sets the expected cost of the request by the configuration of the snapshot.
+func (x *exchange) predictCost(s *catalog.Snapshot) {
 	if service := s.Config.Services[x.service]; service != nil {
 		x.engine = service.Engine
 	}
-	return x.Costs.Predict(x.profile(), x.engine)
+	p := x.profile()
+	x.estimate = x.Costs.Predict(p, x.engine)
+	x.isEngineStream = x.engine != nil && x.route.Kind == cluster.Stream
+	longest := time.Duration((1 - minWaitShare) * float64(x.route.LatencyObjective))
+	x.firstEvent = min(x.Costs.FirstEventInSlot(p, x.engine), longest)
 }
 
 // profile returns what is known of the request before it runs.
@@ -403,20 +429,11 @@
 	return head
 }
 
-// countInFlight counts a request in flight to the endpoint until the returned
-// function is called.
-func (x *exchange) countInFlight(e *catalog.Endpoint) func() {
-	e.Load.RequestStarted()
-	return func() {
-		e.Load.RequestEnded()
-		x.queue.Wake(x.queueKey())
-	}
-}
-
 // newAttempt returns the next attempt, which goes to the endpoint.
 func (x *exchange) newAttempt(e *catalog.Endpoint) *proxy.Attempt {
 	a := &proxy.Attempt{
 		Request: x.request, Server: e.ID, Address: e.Address,
+		Priority: x.priority(), Urgency: x.urgency(),
 		Timeout: x.deadline.Sub(x.Clock.Now()), NewConnection: !x.route.Repeatable() || x.needsNewConnection,
 	}
 	if x.organisation != nil {
@@ -430,6 +447,9 @@
 	x.attemptEvents = 0
 	x.stallReported = false
 	x.lastEndpoint, x.lastInFlight = e.ID, e.Load.TotalInFlight()
+	if x.counted == e {
+		x.lastInFlight--
+	}
 	return a
 }
 
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -7,9 +7,12 @@
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
+	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/balance"
 	"cuminbay/internal/route/cost"
 	"cuminbay/internal/route/ratelimit"
@@ -100,6 +103,11 @@
 		return nil, err
 	}
 	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, Telemetry: telemetry, Poison: detector, Parts: parts, Limits: c.limits})
+	if err := deps.Metrics.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cuminbay_admission_waiting", Help: "Requests that wait for a free slot of an endpoint.",
+	}, func() float64 { return float64(c.queue.Length()) })); err != nil {
+		return nil, err
+	}
 	deps.Provide(c)
 	deps.Provide(detector)
 	deps.Provide(parts)
@@ -115,11 +123,15 @@
 	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Demand, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &times, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
+	if err := c.deps.ResolveAll(&c.Contentions); err != nil {
+		return err
+	}
 	s := c.settings
 	balancer := balance.New(balance.Options{
-		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Choice: s.Choice, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Choice: s.Choice, RemotePenalty: s.Away, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
 	c.Picker = balancer
+	c.Rules = admit.Rules{Fill: s.Fill}
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
 	})
--- a/internal/serve/forward/relay.go
+++ b/internal/serve/forward/relay.go
@@ -15,11 +15,12 @@
 )
 
 // pick returns an endpoint that has a free slot and was not tried. If this daemon can connect to
-// none of the endpoints, it returns a daemon that may reach them.
-func (x *exchange) pick(tried []ident.Instance) *catalog.Endpoint {
+// none of the endpoints, it returns a daemon that may reach them. A replica has a free slot as long as
+// its utilisation is below the limit.
+func (x *exchange) pick(tried []ident.Instance, limit float64) *catalog.Endpoint {
 	now, candidates := x.Clock.Now(), x.candidates()
 	if reachable := x.reachable(candidates); len(reachable) > 0 {
-		return x.Picker.Pick(now, reachable, x.balanceRequest(tried))
+		return x.Picker.Pick(now, reachable, x.balanceRequest(tried, limit))
 	}
 	if relay := x.pickRelay(tried); relay != nil {
 		return relay
@@ -28,13 +29,13 @@
 		// The endpoints are probably down, as they are out of reach of two daemons.
 		return nil
 	}
-	return x.Picker.Pick(now, candidates, x.balanceRequest(tried))
+	return x.Picker.Pick(now, candidates, x.balanceRequest(tried, limit))
 }
 
 // balanceRequest returns what the choice of an endpoint depends on.
-func (x *exchange) balanceRequest(tried []ident.Instance) balance.Request {
+func (x *exchange) balanceRequest(tried []ident.Instance, limit float64) balance.Request {
 	return balance.Request{
-		Tried: tried, PromptTokens: x.request.PromptTokens, OutputTokens: x.estimate.OutputTokens,
+		Tried: tried, MaxUtilisation: limit, PromptTokens: x.request.PromptTokens, OutputTokens: x.estimate.OutputTokens,
 		Objective: x.route.LatencyObjective, ObjectiveAt: x.request.Received.Add(x.route.LatencyObjective),
 	}
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -70,10 +70,10 @@
 		a.ResumeAfter = ev.lastID
 	}
 	detector := &stallDetector{exchange: x, endpoint: e, attemptStart: x.Clock.Now()}
+	defer x.countInFlight(e)()
 	detector.run = x.Costs.StartRun(detector.attemptStart, e, x.profile(), x.estimate)
 	defer detector.run.End()
 	x.expectedFirst = detector.run.Expected()
-	defer x.countInFlight(e)()
 	reply, err := x.Sender.Send(ctx, a, detector.keepWaiting)
 	if err != nil {
 		return err
