formation: End the first start with the load of any daemon

Cause: a planner that has got no request itself took the fleet for not in use: it began no conversion, and with prepared conversions it would order all loads at once.

Change: an offered load at any daemon ends the first start as well.

Result: TestOfferedLoad; tests of layout and formation without TestFaults and TestSeriesOfLosses pass.

--- a/internal/fleet/formation/convert.go
+++ b/internal/fleet/formation/convert.go
@@ -102,7 +102,7 @@
 	}
 	state.running = slices.DeleteFunc(state.running, func(c *conversion) bool { return !p.continueConversion(service, state, c) })
 	switch {
-	case !p.hasDemand(service):
+	case !p.Demand.hasLoadOf(service.Name):
 		state.wanted, state.wasUnknown, state.demandSince = modelPair{}, true, time.Time{}
 		return
 	case p.loads.bootstrap || p.now.Sub(state.decidedAt) < conversionInterval:
@@ -121,16 +121,6 @@
 	}
 }
 
-// hasDemand reports whether the demand for the service's models is known.
-func (p *Planner) hasDemand(service *cluster.Service) bool {
-	for _, slots := range p.Demand[service.Name] {
-		if slots > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // layoutChange returns what the conversion still changes in the layout.
 func (p *Planner) layoutChange(c *conversion) layout.Conversion {
 	change := layout.Conversion{Domain: c.domain, From: c.from, To: c.to.Name, Added: c.added - len(c.formed)}
--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -12,6 +12,26 @@
 	"cuminbay/internal/fleet/catalog"
 )
 
+// hasLoad reports whether callers offer any load, be it to other daemons only.
+func (d Demand) hasLoad() bool {
+	for service := range d {
+		if d.hasLoadOf(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasLoadOf reports whether the demand for the service's models is known and not zero.
+func (d Demand) hasLoadOf(service ident.Service) bool {
+	for _, slots := range d[service] {
+		if slots > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // burstFactor is the load of a burst in relation to the mean load.
 const burstFactor = 1.7
 
--- a/internal/fleet/formation/demand_test.go
+++ b/internal/fleet/formation/demand_test.go
@@ -21,21 +21,26 @@
 }
 
 // TestOfferedLoad guards against an unknown demand that counts as none, and against a daemon without
-// a plug-in that measures the demand that doesn't plan.
+// a plug-in that measures the demand that doesn't plan. A planner that gets no requests itself must not
+// take the load of other daemons for the time before the first request.
 func TestOfferedLoad(t *testing.T) {
 	tests := map[string]struct {
-		source demandSource
-		want   Demand
+		source   demandSource
+		want     Demand
+		wantLoad bool
 	}{
 		"no plug-in": {},
-		"unknown":    {fakeDemand{}, Demand{}},
-		"known":      {fakeDemand{"llm": {"large": 3}}, Demand{"llm": {"large": 3}}},
+		"unknown":    {source: fakeDemand{}, want: Demand{}},
+		"no load":    {source: fakeDemand{"llm": {"large": 0}}, want: Demand{"llm": {"large": 0}}},
+		"known":      {source: fakeDemand{"llm": {"large": 3}}, want: Demand{"llm": {"large": 3}}, wantLoad: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			tc := newTestCluster(1, 4, testModels()...)
 			control := &controller{demand: test.source}
-			qt.Check(t, control.offeredLoad(tc.snapshot(), tc.now), qt.DeepEquals, test.want)
+			got := control.offeredLoad(tc.snapshot(), tc.now)
+			qt.Check(t, got, qt.DeepEquals, test.want)
+			qt.Check(t, got.hasLoad(), qt.Equals, test.wantLoad)
 		})
 	}
 }
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -301,7 +301,7 @@
 	c.probeSuspects(p, snapshot, now)
 	p.LatestRevision = c.keys.Revision()
 	p.Demand, p.StoreAway = c.offeredLoad(snapshot, now), c.keys.Age() >= maxCopyAge
-	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic())
+	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic() && !p.Demand.hasLoad())
 	for _, d := range p.Decisions {
 		c.deps.Log.Info().Str("replica", string(d.Replica)).Uint64("epoch", uint64(d.Epoch)).
 			Stringer("fence", p.fencingToken).Str("detail", d.Detail).Msg(d.Event)
