admit: Halve the reserve for a higher rank

A reserve of 0.1 of the slots gave the higher rank no more than one of 0.05, and cost the lower one. The setting fill is described as what it is now.

--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -22,8 +22,9 @@
 	// of slots. The rest keeps the wait of requests that can still meet their objective short.
 	lateUtilisation = 0.8
 	// rankReserve is the share of the slots that is reserved for a higher rank that is short of
-	// slots: two of 20. With answers of one second, a slot becomes free every 50 ms then.
-	rankReserve = 0.1
+	// slots: one of 20. With answers of one second, a slot becomes free every 50 ms. A larger reserve of
+	// 0.1 gave the higher rank no more, and cost the lower one (TestLoad).
+	rankReserve = 0.05
 	// refusalFactor is the number by which the predicted wait has to exceed the caller's patience
 	// before a request is refused without a wait. Refusing a request that could have been served
 	// is worse than a wait in vain, so the prediction gets the benefit of the doubt.
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -28,7 +28,7 @@
 	Window settings.Duration `json:"window" validate:"duration"`
 	// Away is the cost of an endpoint in another data centre, as a share of its slots.
 	Away float64 `json:"away" validate:"min=0"`
-	// Fill is the share of a replica's slots that is used.
+	// Fill is the share of a replica's slots that requests may use as long as they can meet their objective. Late requests and, beside a higher rank that is short of slots, those of a lower rank may use less.
 	Fill float64 `json:"fill" validate:"gt=0"`
 	// Queue bounds the requests queued at a plain server, as a share of its slots.
 	Queue float64 `json:"queue" validate:"min=0"`
