forward: Answer failed streams in time, and don't count callers that left

A request that may have run waited for another endpoint until just before its caller left, so that a caller whose endpoint had stalled for 1.5 s got the error 0.4 s later; TestSilentEndpoint passed only after waiting for its context. Such requests wait no longer than others now, and that case returns at once. A caller that left the queue was counted and logged as refused; it now counts as one that closed the connection (TestCallerLeavesQueue).

--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -12,9 +12,10 @@
 const (
 	// callerPatience is the time after which a caller gives up a stream without an event.
 	callerPatience = 2 * time.Second
-	// maxWait bounds the wait before the first attempt. It leaves callerPatience-maxWait for
-	// the first event at a loaded replica.
-	maxWait = 1500 * time.Millisecond
+	// maxWait bounds the wait before the first event. The rest of callerPatience is for the first
+	// event at a loaded replica. A request whose endpoint failed later than that is answered at once,
+	// so that its caller can try elsewhere.
+	maxWait = callerPatience - 500*time.Millisecond
 	// resumeWait bounds the wait of an interrupted stream. Its caller has received events, and
 	// gives up callerPatience after the last one.
 	resumeWait = time.Second
@@ -118,8 +119,6 @@
 		end = now.Add(resumeWait)
 	case !r.IsStream:
 		end = r.Received.Add(r.Objective / shortWaitDivisor)
-	case r.MayHaveRun:
-		end = r.Received.Add(callerPatience - r.FirstEvent)
 	default:
 		end = r.Received.Add(maxWait)
 	}
--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -73,7 +73,7 @@
 
 // waitForSlot decides whether the request waits for a slot, and waits for it.
 //
-// Errors carry code.NoReplica, code.Overloaded or code.PoisonRequest.
+// Errors carry code.NoReplica, code.Overloaded, code.PoisonRequest or code.CallerClosed.
 func (x *exchange) waitForSlot(ctx context.Context, r *admit.Request) (*catalog.Endpoint, error) {
 	now, endpoints := x.Clock.Now(), len(x.candidates())
 	wait := x.waitRequest(r, now)
@@ -105,6 +105,9 @@
 		x.recordWait(decision, last, waited, chosen != nil)
 	}
 	if chosen == nil {
+		if err := x.contextError(ctx); code.Of(err) == code.CallerClosed {
+			return nil, err
+		}
 		return nil, x.refuse(x.refusalReason(ctx, decision.Until), last)
 	}
 	if err := x.checkPoison(); err != nil {
--- a/internal/serve/forward/admission_test.go
+++ b/internal/serve/forward/admission_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
@@ -58,6 +59,30 @@
 	f.Catalog.Current().EachEndpoint(func(e *catalog.Endpoint) { c.Check(e.Load.InFlight(), qt.Equals, unit.Requests(0)) })
 }
 
+// fullPicker has no free slot.
+type fullPicker struct{}
+
+func (fullPicker) Pick(time.Time, []*catalog.Endpoint, []ident.Instance, float64) *catalog.Endpoint {
+	return nil
+}
+
+// TestCallerLeavesQueue guards against a caller that leaves the queue and counts as refused.
+func TestCallerLeavesQueue(t *testing.T) {
+	c := qt.New(t)
+	sender := &fakeSender{clock: clockwork.NewFakeClock()}
+	f := newTestForwarder(sender)
+	f.Picker = fullPicker{}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	err := f.Forward(ctx, &proxy.Request{
+		ID: "r", Method: "POST", Host: "h", Target: "/stream/1", Path: "/stream/1", Credential: "k", Model: testModel, Received: sender.clock.Now(),
+	}, new(fakeSink))
+	c.Check(code.Of(err), qt.Equals, code.CallerClosed)
+	refusals := make(chan prometheus.Metric, 1)
+	f.Telemetry.refusals.Collect(refusals)
+	c.Check(refusals, qt.HasLen, 0)
+}
+
 // fixedContention is contention that another daemon has seen.
 type fixedContention unit.Priority
 
--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -14,7 +14,7 @@
 // pickEndpoint returns the endpoint for the next attempt. It waits in the queue while
 // no endpoint has a free slot.
 //
-// Errors carry code.NoReplica, code.Overloaded or code.PoisonRequest.
+// Errors carry code.NoReplica, code.Overloaded, code.PoisonRequest or code.CallerClosed.
 func (x *exchange) pickEndpoint(ctx context.Context) (*catalog.Endpoint, error) {
 	if x.attemptCount > 0 {
 		// A crash in an earlier attempt or at another daemon may have been counted.
