--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -12,9 +12,10 @@
 const (
 	// callerPatience is the time after which a caller gives up a stream without an event.
 	callerPatience = 2 * time.Second
-	// maxWait bounds the wait before the first attempt. It leaves callerPatience-maxWait for
-	// the first event at a loaded replica.
-	maxWait = 1500 * time.Millisecond
+	// maxWait bounds the wait before the first event. The rest of callerPatience is for the first
+	// event at a loaded replica. A request whose endpoint failed later than that is answered at once,
+	// so that its caller can try elsewhere.
+	maxWait = callerPatience - 500*time.Millisecond
 	// resumeWait bounds the wait of an interrupted stream. Its caller has received events, and
 	// gives up callerPatience after the last one.
 	resumeWait = time.Second
@@ -22,8 +23,9 @@
 	// of slots. The rest keeps the wait of requests that can still meet their objective short.
 	lateUtilisation = 0.8
 	// rankReserve is the share of the slots that is reserved for a higher rank that is short of
-	// slots: two of 20. With answers of one second, a slot becomes free every 50 ms then.
-	rankReserve = 0.1
+	// slots: one of 20. With answers of one second, a slot becomes free every 50 ms. A larger reserve of
+	// 0.1 gave the higher rank no more, and cost the lower one (TestLoad).
+	rankReserve = 0.05
 	// refusalFactor is the number by which the predicted wait has to exceed the caller's patience
 	// before a request is refused without a wait. Refusing a request that could have been served
 	// is worse than a wait in vain, so the prediction gets the benefit of the doubt.
@@ -117,8 +119,6 @@
 		end = now.Add(resumeWait)
 	case !r.IsStream:
 		end = r.Received.Add(r.Objective / shortWaitDivisor)
-	case r.MayHaveRun:
-		end = r.Received.Add(callerPatience - r.FirstEvent)
 	default:
 		end = r.Received.Add(maxWait)
 	}
