cli: Explain where a request would go

Cause: an operator couldn't see why a request goes to an endpoint, or would be refused.

Change: cuminbay explain asks a daemon, at its listener for metrics, what it would do with a request. Each endpoint has the terms of the choice or the reason for which it is left out. The answer comes from the functions of the decision, and has no keys. The age of the peers' counts and the Retry-After time of a request that no endpoint can take are not shown yet.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -65,6 +65,7 @@
 		{"drain", "Take a data centre or instance out of service", "Marks a data centre or an instance as out of service; it gets no new requests.", &drainCommand{streams: s, method: fasthttp.MethodPut}},
 		{"restore", "Return a data centre or instance to service", "Marks a data centre or an instance as in service.", &drainCommand{streams: s, method: fasthttp.MethodDelete}},
 		{"status", "Print a daemon's status", "Prints the status of a daemon, its replicas and its endpoints.", &statusCommand{streams: s}},
+		{"explain", "Say where a request would go", "Asks a daemon with the platform adapter where a request would go now, without sending it, and prints the candidates with the terms of the choice, or the reason of a refusal.", &explainCommand{streams: s}},
 		{"timeline", "Print the events of all daemons", "Prints the events of all daemons in the order of a hybrid logical clock.", &timelineCommand{streams: s}},
 		{"version", "Print the version", "Prints the version of the program and of its formats.", &versionCommand{streams: s}},
 	}
--- a/internal/fleet/catalog/loadwork.go
+++ b/internal/fleet/catalog/loadwork.go
@@ -113,3 +113,12 @@
 	own := time.Duration(l.correction.Load()) - usual
 	return usual + time.Duration(float64(own)*float64(left)/float64(correctionLifetime))
 }
+
+// CorrectedAt returns the time of the last observation, zero before the first one.
+func (l *workLoad) CorrectedAt() time.Time {
+	at := l.correctedAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return clock.Instant(at).Time()
+}
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -177,28 +177,68 @@
 // request.
 func (p *pick) leastUtilised(endpoints []*catalog.Endpoint) *catalog.Endpoint {
 	for excluded := []ident.Instance(nil); ; {
-		var best *catalog.Endpoint
-		var lowest float64
-		for _, e := range endpoints {
-			if !p.mayChoose(e) || slices.Contains(excluded, e.ID) {
-				continue
-			}
-			if used := p.utilisation(e); best == nil || used < lowest {
-				best, lowest = e, used
-			}
+		i := p.leastIndex(endpoints, excluded)
+		if i < 0 {
+			return nil
+		}
+		if p.admits(endpoints[i]) {
+			return endpoints[i]
+		}
+		excluded = append(excluded, endpoints[i].ID)
+	}
+}
+
+// leastIndex returns the index of the endpoint with the lowest utilisation that may be chosen and is
+// not excluded, negative if there is none.
+func (p *pick) leastIndex(endpoints []*catalog.Endpoint, excluded []ident.Instance) int {
+	best, lowest := -1, 0.0
+	for i, e := range endpoints {
+		if !p.mayChoose(e) || slices.Contains(excluded, e.ID) {
+			continue
 		}
-		if best == nil || p.admits(best) {
-			return best
+		if used := p.utilisation(e); best < 0 || used < lowest {
+			best, lowest = i, used
 		}
-		excluded = append(excluded, best.ID)
 	}
+	return best
 }
 
-// mayChoose reports whether the endpoint has room for the request and wasn't tried, and isn't
-// avoided or at a limit that it names.
+// Exclusion is the reason for which an endpoint may not be chosen; it is empty if it may.
+type Exclusion string
+
+// The reasons.
+const (
+	Failed     Exclusion = "avoided after a failure"
+	Tried      Exclusion = "was tried"
+	AtLimit    Exclusion = "at the limit that it names, or wants a pause"
+	NoFreeSlot Exclusion = "no free slot"
+	CacheFull  Exclusion = "no room in the KV cache"
+)
+
+// exclusion returns why the endpoint may not be chosen.
+func (p *pick) exclusion(e *catalog.Endpoint) Exclusion {
+	switch {
+	case !p.includeAvoided && e.Load.Avoided(p.now):
+		return Failed
+	case slices.Contains(p.request.Tried, e.ID):
+		return Tried
+	case !p.Limits.Available(p.now, e):
+		return AtLimit
+	case !p.hasFreeSlot(e):
+		return NoFreeSlot
+	case p.byCost && !p.fitsCache(e):
+		return CacheFull
+	}
+	return ""
+}
+
+// mayChoose reports whether nothing excludes the endpoint.
 func (p *pick) mayChoose(e *catalog.Endpoint) bool {
-	return (p.includeAvoided || !e.Load.Avoided(p.now)) && !slices.Contains(p.request.Tried, e.ID) &&
-		p.Limits.Available(p.now, e) && p.hasFreeSlot(e) && (!p.byCost || p.fitsCache(e))
+	reason := p.exclusion(e)
+	if reason == CacheFull {
+		p.cacheFull.Add(1)
+	}
+	return reason == ""
 }
 
 // admits reports whether the endpoint takes the request within its cold rate and the limit that it
--- a/internal/route/balance/harm.go
+++ b/internal/route/balance/harm.go
@@ -39,68 +39,77 @@
 // drawByHarm returns a random candidate that may be chosen and admits the request, nil if there is
 // none.
 func (p *pick) drawByHarm(candidates []*catalog.Endpoint) *catalog.Endpoint {
-	var weights [maxCandidates]float64
-	p.weigh(candidates, weights[:len(candidates)])
+	var buffer [maxCandidates]weighed
+	all := buffer[:len(candidates)]
+	p.weigh(candidates, all)
 	for range candidates {
-		i := drawIndex(weights[:len(candidates)])
+		i := drawIndex(all)
 		if i < 0 {
 			return nil
 		}
 		if p.admits(candidates[i]) {
 			return candidates[i]
 		}
-		weights[i] = 0
+		all[i].weight = 0
 	}
 	return nil
 }
 
+// weighed has the terms by which a candidate is drawn. The load is infinite if it may not be chosen.
+type weighed struct {
+	load   float64
+	harm   float64
+	weight float64
+}
+
 // drawIndex returns a random index with a probability in proportion to its weight, negative if all
 // weights are zero.
-func drawIndex(weights []float64) int {
+func drawIndex(all []weighed) int {
 	sum := 0.0
-	for _, weight := range weights {
-		sum += weight
+	for i := range all {
+		sum += all[i].weight
 	}
 	point, last := sum*rand.Float64(), -1
-	for i, weight := range weights {
-		if weight <= 0 {
+	for i := range all {
+		if all[i].weight <= 0 {
 			continue
 		}
 		// Rounding may leave a rest after the last weight.
 		last = i
-		if point -= weight; point < 0 {
+		if point -= all[i].weight; point < 0 {
 			break
 		}
 	}
 	return last
 }
 
-// weigh sets the weight of each candidate, which is zero for those that may not be chosen: the requests by
-// which it is below the level, reduced by the harm that the request would see there.
-func (p *pick) weigh(candidates []*catalog.Endpoint, weights []float64) {
-	var loads, harms [maxCandidates]float64
+// weigh sets the terms of each candidate, and returns the level. The weight is zero for those that may
+// not be chosen. It is the requests by which a candidate is below the level, reduced by the harm that
+// the request would see there.
+func (p *pick) weigh(candidates []*catalog.Endpoint, all []weighed) float64 {
 	arrivals, share := 1.0, min(minArrivalShare+arrivalSharePerDaemon*float64(p.Fleet.FleetSize()), maxArrivalShare)
 	for i, e := range candidates {
-		if loads[i] = math.Inf(1); p.mayChoose(e) {
-			loads[i] = p.load(e)
+		if all[i].load = math.Inf(1); p.mayChoose(e) {
+			all[i].load = p.load(e)
 			arrivals += share * float64(e.Load.TotalInFlight()-e.Load.InFlight())
 		}
 	}
-	level := levelOf(loads[:len(candidates)], arrivals)
+	level := levelOf(all, arrivals)
 	least := math.Inf(1)
 	for i, e := range candidates {
 		// The level is infinite if no candidate may be chosen.
-		if !math.IsInf(loads[i], 1) && level > loads[i] {
-			weights[i] = level - loads[i]
-			harms[i] = p.harm(e, level)
-			least = min(least, harms[i])
+		if !math.IsInf(all[i].load, 1) && level > all[i].load {
+			all[i].weight = level - all[i].load
+			all[i].harm = p.harm(e, level)
+			least = min(least, all[i].harm)
 		}
 	}
-	for i := range candidates {
-		if weights[i] > 0 {
-			weights[i] *= math.Exp((least - harms[i]) / harmScale)
+	for i := range all {
+		if all[i].weight > 0 {
+			all[i].weight *= math.Exp((least - all[i].harm) / harmScale)
 		}
 	}
+	return level
 }
 
 // load returns the requests at the endpoint. At one in another data centre, the penalty is added as a
@@ -115,17 +124,17 @@
 }
 
 // levelOf returns the load up to which the arrivals fill the candidates.
-func levelOf(loads []float64, arrivals float64) float64 {
+func levelOf(all []weighed, arrivals float64) float64 {
 	const halvings = 12
 	low := math.Inf(1)
-	for _, load := range loads {
-		low = min(low, load)
+	for i := range all {
+		low = min(low, all[i].load)
 	}
 	high := low + arrivals
 	for range halvings {
 		level, filled := (low+high)/2, 0.0
-		for _, load := range loads {
-			filled += max(level-load, 0)
+		for i := range all {
+			filled += max(level-all[i].load, 0)
 		}
 		if filled < arrivals {
 			low = level
@@ -140,10 +149,16 @@
 // many requests as the level says, and a small part for the delay. The level is the same for all
 // candidates, which differ in unread prompts, in the work of their requests and in the correction.
 func (p *pick) harm(e *catalog.Endpoint, level float64) float64 {
+	f := p.forecast(e, level)
+	return missProbability(f, float64(p.timeLeft)) + delayHarm*f.Mean.Seconds()
+}
+
+// forecast returns the expected time to the first event at the endpoint with as many requests as the
+// level says.
+func (p *pick) forecast(e *catalog.Endpoint, level float64) cost.Forecast {
 	state := p.times.StateOf(p.now, e)
 	state.InFlight = unit.Requests(level)
-	f := p.times.FirstEvent(state, p.request.PromptTokens)
-	return missProbability(f, float64(p.timeLeft)) + delayHarm*f.Mean.Seconds()
+	return p.times.FirstEvent(state, p.request.PromptTokens)
 }
 
 // missProbability returns the probability that the time to the first event, which has about a logistic
@@ -164,9 +179,5 @@
 	}
 	usual := e.Engine.MeanPrompt + e.Engine.MeanOutput
 	held := e.Load.Reserved() + unit.Tokens(inFlight-e.Load.InFlight())*usual
-	if held+p.request.PromptTokens+p.request.OutputTokens <= capacity {
-		return true
-	}
-	p.cacheFull.Add(1)
-	return false
+	return held+p.request.PromptTokens+p.request.OutputTokens <= capacity
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -40,6 +40,10 @@
 	picker interface {
 		Pick(now time.Time, endpoints []*catalog.Endpoint, r balance.Request) *catalog.Endpoint
 	}
+	// choiceExplainer explains the choice of an endpoint.
+	choiceExplainer interface {
+		Explain(now time.Time, endpoints []*catalog.Endpoint, r balance.Request) balance.Explanation
+	}
 	// retryBudget bounds the retries.
 	retryBudget interface {
 		RecordRequest(service ident.Service)
@@ -147,6 +151,7 @@
 	Self        ident.Instance
 	Catalog     endpointCatalog
 	Picker      picker
+	Explainer   choiceExplainer
 	RetryBudget retryBudget
 	Poison      poisonDetector
 	Parts       partDetector
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -119,7 +119,7 @@
 	balancer := balance.New(balance.Options{
 		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Choice: s.Choice, RemotePenalty: s.Away, MaxUtilisation: s.Fill, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
-	c.Picker = balancer
+	c.Picker, c.Explainer = balancer, balancer
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
 	})
