--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -130,7 +130,7 @@
 	balancer := balance.New(balance.Options{
 		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Choice: s.Choice, RemotePenalty: s.Away, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
-	c.Picker = balancer
+	c.Picker, c.Explainer = balancer, balancer
 	c.Rules = admit.Rules{Fill: s.Fill}
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
