callers: Bound the memory and connections that callers can use

Cause: bodies were allocated at their announced length, and nothing bounded the sum over all connections or the number of connections. Callers that send all but the last byte and stay, pipeline requests, or open many connections filled the memory and the file descriptors of a daemon.

Change: one budget of bytes for the process, a share (0.25) of daemon.memory or of the machine's memory. The adapter's listeners (callers, relayed requests, readiness, metrics) and the product's own (openai, plain, operator) reserve heads, bodies and answers from it before they are allocated. Buffers of bodies double as bytes arrive. When there is no room, stalled, idle and slow connections and younger waiting requests are ended, in this order; a request that runs is not ended for another. Connections have limits by kind of listener, from the limit of file descriptors, and idle connections to servers are bounded too. A refusal is 503 with Retry-After before the request runs (code 3012 daemon-full in the product's interface). Multipart bodies are no longer parsed into files.

TestAccounts checks that all reservations are returned after each way in which a connection of the adapter's listeners ends.

--- a/internal/caller/httpserver/conn.go
+++ b/internal/caller/httpserver/conn.go
@@ -2,17 +2,14 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
+	"cuminbay/internal/kernel/budget"
 )
 
 // initialBufferBytes is the size of a connection's first read buffer, which
@@ -35,6 +32,7 @@
 type conn struct {
 	server  *Server
 	netConn net.Conn
+	account *budget.Account
 	reader  *bufio.Reader
 	phase   atomic.Int32
 
@@ -51,12 +49,20 @@
 	isLastRequest atomic.Bool
 }
 
-func newConn(s *Server, netConn net.Conn) *conn {
-	c := &conn{server: s, netConn: netConn, reader: bufio.NewReaderSize(netConn, initialBufferBytes)}
+func newConn(s *Server, netConn net.Conn, account *budget.Account) *conn {
+	c := &conn{server: s, netConn: netConn, account: account}
+	c.reader = bufio.NewReaderSize(c, initialBufferBytes)
 	c.ctx, c.stop = context.WithCancelCause(context.Background())
 	return c
 }
 
+// Read reads bytes of requests from the connection, and records the caller's progress.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.netConn.Read(p)
+	c.account.Received(n)
+	return n, err
+}
+
 // closeIdle closes the connection if it is idle.
 func (c *conn) closeIdle() {
 	if c.phase.CompareAndSwap(phaseIdle, phaseClosed) {
@@ -66,6 +72,7 @@
 
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
+	defer c.account.Close()
 	defer c.stop(nil)
 	defer c.netConn.Close() //nolint:errcheck // nothing is left to be sent
 	c.setIdleDeadline()
@@ -122,10 +129,19 @@
 // connection can be used further.
 func (c *conn) startRequest() bool {
 	limits := c.server.Limits()
+	if !c.account.Begin() {
+		return false
+	}
 	_ = c.netConn.SetReadDeadline(c.server.Clock.Now().Add(limits.HeaderTimeout))
 	w := &ResponseWriter{conn: c}
-	var request fasthttp.Request
-	if status, err := c.readRequest(&request, limits); err != nil {
+	r := &requestReader{conn: c, limits: limits}
+	status, err := r.read()
+	if err == nil && !c.account.Run() {
+		err = net.ErrClosed
+	}
+	if err != nil {
+		r.release()
+		c.account.Finish()
 		if status != 0 {
 			w.closeRequested = true
 			c.server.Handler.Reject(status, err, w)
@@ -133,15 +149,17 @@
 		return false
 	}
 	_ = c.netConn.SetReadDeadline(time.Time{})
-	w.isHead = request.Header.IsHead()
-	w.isHTTP10 = !request.Header.IsHTTP11()
-	w.closeRequested = request.Header.ConnectionClose()
-	r := &Request{Header: &request.Header, Body: request.Body(), Received: c.server.Clock.Now()}
+	header := &r.request.Header
+	w.isHead = header.IsHead()
+	w.isHTTP10 = !header.IsHTTP11()
+	w.closeRequested = header.ConnectionClose()
+	w.reader = r
+	request := &Request{Header: header, Body: r.body, Received: c.server.Clock.Now()}
 	c.hasAnswer.Store(false)
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.cancel, c.answered = cancel, make(chan struct{})
 	c.server.activeRequests.Add(1)
-	go c.serveRequest(ctx, r, w)
+	go c.serveRequest(ctx, request, w)
 	return true
 }
 
@@ -153,6 +171,7 @@
 	if !w.ended {
 		w.Abort()
 	}
+	w.release()
 	if w.isLastAnswer {
 		c.isLastRequest.Store(true)
 		c.closeAfterAnswer(w)
@@ -199,92 +218,3 @@
 		c.closeIdle()
 	}
 }
-
-// readRequest reads a request. If it fails, it returns the status for the error
-// response, or zero if the caller can't receive a response.
-func (c *conn) readRequest(request *fasthttp.Request, limits Limits) (int, error) {
-	if err := c.readHeader(&request.Header, limits); err != nil {
-		return headerStatus(err), err
-	}
-	if err := checkFraming(&request.Header); err != nil {
-		return http.StatusBadRequest, err
-	}
-	if request.Header.ContentLength() > limits.BodyBytes {
-		return http.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge
-	}
-	if request.MayContinue() {
-		if _, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return 0, err
-		}
-	}
-	_ = c.netConn.SetReadDeadline(c.server.Clock.Now().Add(limits.IdleTimeout))
-	if err := request.ContinueReadBody(c.reader, limits.BodyBytes, false); err != nil {
-		return bodyStatus(err), err
-	}
-	return 0, nil
-}
-
-// readHeader reads the head of a request. It switches to a larger buffer if the
-// head does not fit.
-func (c *conn) readHeader(h *fasthttp.RequestHeader, limits Limits) error {
-	err := h.Read(c.reader)
-	var bufferErr *fasthttp.ErrSmallBuffer
-	if !errors.As(err, &bufferErr) || c.reader.Size() >= limits.HeaderBytes {
-		return err
-	}
-	// The buffer holds the bytes read so far. They are parsed again from the
-	// larger buffer.
-	buffered, peekErr := c.reader.Peek(c.reader.Buffered())
-	if peekErr != nil {
-		return peekErr
-	}
-	replay := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.netConn)
-	c.reader = bufio.NewReaderSize(replay, limits.HeaderBytes)
-	h.Reset()
-	return h.Read(c.reader)
-}
-
-func headerStatus(err error) int {
-	var bufferErr *fasthttp.ErrSmallBuffer
-	var netErr net.Error
-	switch {
-	case errors.As(err, &bufferErr):
-		return http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
-		return 0
-	}
-	return http.StatusBadRequest
-}
-
-func bodyStatus(err error) int {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return http.StatusRequestEntityTooLarge
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return http.StatusRequestTimeout
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
-		return 0
-	}
-	return http.StatusBadRequest
-}
-
-var errConflictingLengths = errors.New("request has both Content-Length and Transfer-Encoding")
-
-// checkFraming rejects a request that has both Content-Length and
-// Transfer-Encoding. A server and this daemon could disagree about the end of
-// such a request (request smuggling).
-func checkFraming(h *fasthttp.RequestHeader) error {
-	if h.ContentLength() != -1 {
-		return nil
-	}
-	for line := range bytes.Lines(h.RawHeaders()) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")) {
-			return errConflictingLengths
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/caller/httpserver/reader.go
@@ -0,0 +1,261 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/budget"
+)
+
+// requestReader reads one request. It reserves the memory of the request from the budget before it
+// allocates it.
+type requestReader struct {
+	conn    *conn
+	limits  Limits
+	request fasthttp.Request
+	body    []byte
+	// reserved is the number of bytes that are reserved for the request.
+	reserved unit.Bytes
+}
+
+func (r *requestReader) reserve(n unit.Bytes) error {
+	if err := r.conn.account.Reserve(n); err != nil {
+		return err
+	}
+	r.reserved += n
+	return nil
+}
+
+func (r *requestReader) release() {
+	r.conn.account.Release(r.reserved)
+	r.reserved, r.body = 0, nil
+}
+
+// read reads the request. If it fails, it returns the status for the error
+// response, or zero if the caller can't receive a response.
+func (r *requestReader) read() (int, error) {
+	header := &r.request.Header
+	if err := r.readHeader(); err != nil {
+		return statusOf(err), err
+	}
+	if err := checkFraming(header); err != nil {
+		return http.StatusBadRequest, err
+	}
+	if header.ContentLength() > r.limits.BodyBytes {
+		return http.StatusRequestEntityTooLarge, fasthttp.ErrBodyTooLarge
+	}
+	c := r.conn
+	if r.request.MayContinue() {
+		if _, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return 0, err
+		}
+	}
+	_ = c.netConn.SetReadDeadline(c.server.Clock.Now().Add(r.limits.IdleTimeout))
+	if err := r.readBody(); err != nil {
+		return statusOf(err), err
+	}
+	return 0, nil
+}
+
+// readHeader reads the head of a request. It switches to a larger buffer if the
+// head does not fit.
+func (r *requestReader) readHeader() error {
+	head, err := bufferHead(r.conn.reader)
+	if errors.Is(err, bufio.ErrBufferFull) && r.conn.reader.Size() < r.limits.HeaderBytes {
+		if err := r.conn.growReader(r.limits.HeaderBytes); err != nil {
+			return err
+		}
+		head, err = bufferHead(r.conn.reader)
+	}
+	if err != nil && len(head) == 0 {
+		return err
+	}
+	if err := r.reserve(headMemory(head)); err != nil {
+		return err
+	}
+	// A head that is incomplete is parsed nevertheless, as the parser tells a malformed head from
+	// one that is too long or too late.
+	return r.request.Header.Read(r.conn.reader)
+}
+
+// growReader gives the connection a larger buffer, which is reserved for as long as the connection
+// is open.
+func (c *conn) growReader(size int) error {
+	if err := c.account.Reserve(unit.Bytes(size)); err != nil {
+		return err
+	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	replay := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c)
+	c.reader = bufio.NewReaderSize(replay, size)
+	return nil
+}
+
+// bufferHead reads until the buffer has the head of a request, and returns the bytes up to the end
+// of the head. If it fails, it returns the bytes read so far.
+func bufferHead(reader *bufio.Reader) ([]byte, error) {
+	for n, searched := 1, 0; ; n = reader.Buffered() + 1 {
+		_, err := reader.Peek(n)
+		buffered, _ := reader.Peek(reader.Buffered())
+		if end := headEnd(buffered, searched); end > 0 {
+			return buffered[:end], nil
+		}
+		if err != nil {
+			return buffered, err
+		}
+		searched = len(buffered)
+	}
+}
+
+// headEnd returns the length of the head in the buffered bytes, of which the first ones were
+// searched before. It is zero if the head has not ended.
+func headEnd(buffered []byte, searched int) int {
+	const terminatorBytes = 4 // CR LF CR LF
+	for at := max(0, searched-terminatorBytes+1); ; {
+		line := bytes.IndexByte(buffered[at:], '\n')
+		if line < 0 {
+			return 0
+		}
+		at += line + 1
+		rest := buffered[at:]
+		if len(rest) > 0 && rest[0] == '\r' {
+			rest = rest[1:]
+		}
+		// A blank line before the request line doesn't end the head.
+		if len(rest) > 0 && rest[0] == '\n' && len(bytes.TrimLeft(buffered[:at], "\r\n")) > 0 {
+			return len(buffered) - len(rest) + 1
+		}
+	}
+}
+
+// fieldMemory is the memory of a header field without its bytes: its entry in the parsed head, its
+// entry in the decoded request, and the smallest allocations of its name and value in both.
+const fieldMemory = 160
+
+// headMemory returns the memory that the parsed and decoded head takes. Its bytes are kept in the
+// parsed head, the decoded request and the head for the server.
+func headMemory(head []byte) unit.Bytes {
+	const copies = 3
+	return unit.Bytes(copies*len(head) + fieldMemory*bytes.Count(head, []byte("\n")))
+}
+
+// readBody reads the body after the head.
+func (r *requestReader) readBody() error {
+	length := r.request.Header.ContentLength()
+	if length >= 0 {
+		return r.readFixedBody(length)
+	}
+	// With an unknown length, fasthttp reads nothing before the stream is read.
+	if err := r.request.ContinueReadBodyStream(r.conn.reader, r.limits.BodyBytes, false); err != nil {
+		return err
+	}
+	if !r.request.IsBodyStream() {
+		return nil
+	}
+	return r.readChunkedBody(r.request.BodyStream())
+}
+
+// The sizes of the buffer for a body, which is doubled as the bytes arrive, so that a caller can't
+// reserve memory by announcing a body.
+const (
+	firstFixedBytes   = 64 << 10
+	firstChunkedBytes = 4 << 10
+)
+
+func (r *requestReader) readFixedBody(length int) error {
+	for len(r.body) < length {
+		if err := r.growBody(min(length, max(2*cap(r.body), firstFixedBytes))); err != nil {
+			return err
+		}
+		n, err := io.ReadFull(r.conn.reader, r.body[len(r.body):cap(r.body)])
+		r.body = r.body[:len(r.body)+n]
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *requestReader) readChunkedBody(stream io.Reader) error {
+	for {
+		if len(r.body) == cap(r.body) {
+			// One byte above the limit shows that the body is too large.
+			if err := r.growBody(min(r.limits.BodyBytes+1, max(2*cap(r.body), firstChunkedBytes))); err != nil {
+				return err
+			}
+		}
+		n, err := stream.Read(r.body[len(r.body):cap(r.body)])
+		r.body = r.body[:len(r.body)+n]
+		if len(r.body) > r.limits.BodyBytes {
+			return fasthttp.ErrBodyTooLarge
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// growBody gives the body a buffer of the size.
+func (r *requestReader) growBody(size int) error {
+	if err := r.reserve(unit.Bytes(size)); err != nil {
+		return err
+	}
+	before := cap(r.body)
+	// The capacity is exactly what was reserved.
+	larger := make([]byte, len(r.body), size)
+	copy(larger, r.body)
+	r.body = larger
+	r.conn.account.Release(unit.Bytes(before))
+	r.reserved -= unit.Bytes(before)
+	return nil
+}
+
+// statusOf returns the status for a request that could not be read, or zero if the caller can't
+// receive a response.
+func statusOf(err error) int {
+	var bufferErr *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.Is(err, budget.ErrNoRoom):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.As(err, &bufferErr):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return 0
+	}
+	return http.StatusBadRequest
+}
+
+var errConflictingLengths = errors.New("request has both Content-Length and Transfer-Encoding")
+
+// checkFraming rejects a request that has both Content-Length and
+// Transfer-Encoding. A server and this daemon could disagree about the end of
+// such a request (request smuggling).
+func checkFraming(h *fasthttp.RequestHeader) error {
+	if h.ContentLength() != -1 {
+		return nil
+	}
+	for line := range bytes.Lines(h.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")) {
+			return errConflictingLengths
+		}
+	}
+	return nil
+}
--- a/internal/caller/httpserver/server.go
+++ b/internal/caller/httpserver/server.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/plugin"
 )
@@ -52,6 +53,10 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
+	// Budget bounds the memory and the connections of callers. Nil means no limit.
+	Budget *budget.Budget
+	// Kind says which connections of the budget the server uses.
+	Kind budget.Kind
 	// OnPanic is called with the cause and the stack after a panic of the handler.
 	OnPanic func(cause any, stack []byte)
 }
@@ -72,6 +77,10 @@
 
 // New returns a server without a listener.
 func New(o Options) *Server {
+	o.Budget = budget.OrUnlimited(o.Budget, o.Clock)
+	if o.Kind == "" {
+		o.Kind = budget.Callers
+	}
 	return &Server{Options: o, conns: make(map[*conn]bool)}
 }
 
@@ -103,13 +112,32 @@
 			plugin.Sleep(context.Background(), s.Clock, acceptRetryDelay)
 			continue
 		}
-		c := newConn(s, netConn)
-		if !s.addConn(c) {
-			_ = netConn.Close()
-			continue
-		}
-		go c.serve()
+		s.startConn(netConn)
+	}
+}
+
+func (s *Server) startConn(netConn net.Conn) {
+	account := s.Budget.Open(s.Kind, netConn.RemoteAddr(), func() { resetConn(netConn) })
+	if account == nil {
+		s.Budget.RefuseConn(s.Kind, netConn)
+		return
+	}
+	c := newConn(s, netConn, account)
+	if !s.addConn(c) {
+		account.Close()
+		_ = netConn.Close()
+		return
+	}
+	go c.serve()
+}
+
+// resetConn closes a connection at once. Bytes that the caller has not read are discarded, since
+// they would occupy memory of the kernel.
+func resetConn(netConn net.Conn) {
+	if tcp, ok := netConn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = netConn.Close()
 }
 
 func (s *Server) addConn(c *conn) bool {
--- a/internal/caller/httpserver/server_test.go
+++ b/internal/caller/httpserver/server_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 )
 
@@ -82,9 +83,13 @@
 }
 
 func startServer(c *qt.C, limits Limits) (*Server, *testHandler, string) {
+	return startServerWithBudget(c, limits, nil)
+}
+
+func startServerWithBudget(c *qt.C, limits Limits, b *budget.Budget) (*Server, *testHandler, string) {
 	h := &testHandler{started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})}
 	s := New(Options{
-		Clock: clock.Real(), Handler: h, Limits: func() Limits { return limits },
+		Clock: clock.Real(), Handler: h, Limits: func() Limits { return limits }, Budget: b,
 		OnPanic: func(cause any, stack []byte) {
 			h.panics.Add(1)
 			c.Check(cause, qt.Equals, "unexpected error")
--- a/internal/caller/httpserver/writer.go
+++ b/internal/caller/httpserver/writer.go
@@ -1,24 +1,28 @@
 package httpserver
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/unit"
 )
 
 // ResponseWriter writes one answer. It must be used by one goroutine only.
 type ResponseWriter struct {
 	conn *conn
+	// reader holds the memory of the request, nil if the request could not be read.
+	reader *requestReader
 	// isHead says that the request has the method HEAD, so that the answer has
 	// no body. isHTTP10 says that the caller uses HTTP/1.0. closeRequested says
 	// that the caller or the server wants to close the connection after the
 	// answer.
 	isHead, isHTTP10, closeRequested bool
 
-	buffer       []byte
+	buffer []byte
+	// reserved is the number of bytes of the buffer that are reserved from the budget.
+	reserved     unit.Bytes
 	started      bool
 	chunked      bool
 	ended        bool
@@ -39,7 +43,7 @@
 func (w *ResponseWriter) Start(status int, fields []proxy.Field, length int) {
 	w.started = true
 	w.conn.hasAnswer.Store(true)
-	w.closeRequested = w.closeRequested || w.conn.server.draining.Load()
+	w.closeRequested = w.closeRequested || w.conn.server.draining.Load() || w.conn.account.MustClose()
 	noBody := w.isHead || status == http.StatusNoContent || status == http.StatusNotModified
 	w.chunked = length == UnknownLength && !w.isHTTP10 && !noBody
 	w.isLastAnswer = w.closeRequested || w.isHTTP10
@@ -97,6 +101,7 @@
 	if len(p) == 0 || w.isHead {
 		return
 	}
+	w.reserveBuffer(len(p))
 	if w.chunked {
 		w.buffer = strconv.AppendInt(w.buffer, int64(len(p)), 16)
 		w.buffer = append(w.buffer, "\r\n"...)
@@ -107,10 +112,31 @@
 	}
 }
 
+// reserveBuffer reserves what the buffer grows by if n bytes of a body are appended. The connection's
+// own bytes include a small buffer.
+func (w *ResponseWriter) reserveBuffer(n int) {
+	const smallBuffer, framing = 4 << 10, 32
+	need := unit.Bytes(len(w.buffer) + n + framing)
+	if need > smallBuffer && need > w.reserved {
+		w.conn.account.ReserveAnswer(need - w.reserved)
+		w.reserved = need
+	}
+}
+
+// release returns what the request and its answer have reserved.
+func (w *ResponseWriter) release() {
+	w.reader.release()
+	w.conn.account.Release(w.reserved)
+	w.reserved = 0
+	w.conn.account.Finish()
+}
+
 func (w *ResponseWriter) flush() error {
 	if len(w.buffer) == 0 {
 		return nil
 	}
+	w.conn.account.StartWrite()
+	defer w.conn.account.EndWrite()
 	_ = w.conn.netConn.SetWriteDeadline(w.conn.server.Clock.Now().Add(writeTimeout))
 	_, err := w.conn.netConn.Write(w.buffer)
 	w.buffer = w.buffer[:0]
@@ -127,8 +153,5 @@
 		return
 	}
 	w.ended, w.aborted, w.isLastAnswer = true, true, true
-	if tcp, ok := w.conn.netConn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = w.conn.netConn.Close()
+	resetConn(w.conn.netConn)
 }
--- a/internal/caller/openai/plugin.go
+++ b/internal/caller/openai/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"time"
@@ -10,6 +11,8 @@
 
 	"cuminbay/internal/caller/httpcall"
 	"cuminbay/internal/domain/code"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 )
@@ -68,17 +71,26 @@
 	if err != nil {
 		return err
 	}
+	callers := budget.OrUnlimited(c.deps.Budget, c.clock)
+	reader := &httpcall.BodyReader{Limit: c.settings.MaxBody, Copies: bodyCopies, OnError: c.handleProtocolError}
+	if needed := unit.Bytes((1 + bodyCopies) * c.settings.MaxBody); callers.Capacity < needed {
+		c.deps.Log.Warn().Int64("capacity", int64(callers.Capacity)).Int64("needed", int64(needed)).Msg("budget-below-body-limit")
+	}
 	c.server = &fasthttp.Server{
-		Name:               "cuminbay",
-		Handler:            c.handle,
-		ErrorHandler:       c.handleProtocolError,
-		MaxRequestBodySize: c.settings.MaxBody,
-		ReadTimeout:        c.settings.ReadTimeout.Duration,
-		IdleTimeout:        c.settings.IdleTimeout.Duration,
-		Logger:             discardLogger{},
-		CloseOnShutdown:    true,
+		Name:         "cuminbay",
+		Handler:      reader.Handler(c.handle),
+		ErrorHandler: c.handleProtocolError,
+		// Bodies are streamed, so that their memory is reserved before it is allocated. Multipart
+		// bodies are not parsed, as fasthttp would write them to files.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		MaxRequestBodySize:           c.settings.MaxBody,
+		ReadTimeout:                  c.settings.ReadTimeout.Duration,
+		IdleTimeout:                  c.settings.IdleTimeout.Duration,
+		Logger:                       discardLogger{},
+		CloseOnShutdown:              true,
 	}
-	go c.serve(listener)
+	go c.serve(callers.Listen(listener, budget.Callers))
 	c.deps.Timeline.Record("listening", "openai", "address", listener.Addr().String())
 	return nil
 }
@@ -89,8 +101,16 @@
 	}
 }
 
+// bodyCopies is the number of copies of a prompt while a request is decoded: the undecoded messages
+// and their text.
+const bodyCopies = 2
+
 // handleProtocolError answers a request that fasthttp could not read.
 func (c *component) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, budget.ErrNoRoom) {
+		httpcall.WriteError(ctx, httpcall.NoRoom())
+		return
+	}
 	if err == fasthttp.ErrBodyTooLarge { //nolint:errorlint // fasthttp passes this value itself.
 		c.discardBody(ctx.Conn())
 		httpcall.WriteError(ctx, code.BodyTooLarge.New("body: exceeds the limit of %d bytes", c.settings.MaxBody))
--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -50,7 +50,10 @@
 //
 // Errors carry code.MalformedBody and name the field.
 func parseRequest(ctx *fasthttp.RequestCtx, o work.Operation) (*work.Request, *requestBody, error) {
-	raw := bytes.Clone(ctx.PostBody())
+	raw := ctx.PostBody()
+	if !httpcall.OwnsBody(ctx) {
+		raw = bytes.Clone(raw)
+	}
 	b := new(requestBody)
 	if err := json.Unmarshal(raw, b); err != nil {
 		return nil, nil, code.MalformedBody.New("body: %s", err)
--- a/internal/caller/operator/plugin.go
+++ b/internal/caller/operator/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -9,6 +10,9 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"cuminbay/internal/caller/httpcall"
+	"cuminbay/internal/domain/code"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 )
@@ -63,21 +67,47 @@
 	}
 	handler := c.Handler()
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(c.deps.Metrics, promhttp.HandlerOpts{}))
+	reader := &httpcall.BodyReader{Limit: maxRecord, Copies: 1, OnError: writeReadError}
 	c.server = &fasthttp.Server{
-		Name:            "cuminbay",
-		CloseOnShutdown: true,
-		Handler: func(ctx *fasthttp.RequestCtx) {
+		Name:                         "cuminbay",
+		CloseOnShutdown:              true,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		MaxRequestBodySize:           maxRecord,
+		ReadTimeout:                  requestTimeout,
+		IdleTimeout:                  idleTimeout,
+		Handler: reader.Handler(func(ctx *fasthttp.RequestCtx) {
 			if string(ctx.Path()) == "/metrics" {
 				metrics(ctx)
 				return
 			}
 			handler(ctx)
-		},
+		}),
 	}
-	go c.serve(listener)
+	go c.serve(budget.OrUnlimited(c.deps.Budget, c.deps.Clock).Listen(listener, budget.Operators))
 	return nil
 }
 
+const (
+	// maxRecord is the highest length of a request's body, which is a record.
+	maxRecord = 4 << 20
+	// requestTimeout is the longest time for a request to arrive completely.
+	requestTimeout = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+)
+
+// writeReadError answers a request that can't be read.
+func writeReadError(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, budget.ErrNoRoom):
+		httpcall.WriteError(ctx, httpcall.NoRoom())
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		httpcall.WriteError(ctx, code.BodyTooLarge.New("body: exceeds the limit of %d bytes", maxRecord))
+	default:
+		httpcall.WriteError(ctx, code.MalformedBody.Wrap(err, "cannot parse the HTTP request"))
+	}
+}
+
 func (c *component) serve(listener net.Listener) {
 	if err := c.server.Serve(listener); err != nil {
 		c.deps.Log.Error().Err(err).Msg("operator-listener-failed")
--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/logging"
 	"cuminbay/internal/kernel/plugin"
@@ -116,7 +117,15 @@
 	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "cuminbay_log_lines_dropped_total", Help: "Log lines dropped because standard output was too slow.",
 	}, func() float64 { return float64(logWriter.Dropped()) }))
+	callers, err := budget.FromSettings(s, clk, log)
+	if err == nil {
+		err = callers.Register(registry)
+	}
+	if err != nil {
+		return nil, err
+	}
 	return &plugin.Deps{
+		Budget:   callers,
 		Settings: s,
 		Clock:    clk,
 		Log:      log,
--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -55,6 +55,7 @@
 	NotReady            Code = 3009
 	ClaimExpired        Code = 3010
 	EndpointUnreachable Code = 3011
+	DaemonFull          Code = 3012
 
 	AlreadyRan     Code = 4001
 	EndpointFailed Code = 4002
@@ -114,6 +115,7 @@
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, "The daemon has not received the configuration from the platform or a peer yet, or not recently enough to refuse an unknown path or key for good.", "Retry; the balancer will choose another daemon."},
 	{ClaimExpired, "claim-expired", http.StatusServiceUnavailable, NotRun, "The daemon was paused between the claim and the send, so it did not send the request.", "Retry with the same key."},
 	{EndpointUnreachable, "endpoint-unreachable", http.StatusBadGateway, NotRun, "The daemon could not connect to an endpoint, so nothing was sent.", "Retry."},
+	{DaemonFull, "daemon-full", http.StatusServiceUnavailable, NotRun, "The daemon has no memory left for the request, since requests and answers of callers have used up their budget.", "Retry; the balancer will choose another daemon."},
 
 	{AlreadyRan, "already-ran", http.StatusConflict, Ran, "The request with this key already ran; its answer is no longer stored.", "Do not send the request again; read the result from the service."},
 	{EndpointFailed, "endpoint-failed", http.StatusBadGateway, Ran, "The endpoint ran the request and answered with a failure.", "See the message; retry only what may be repeated."},
--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -22,6 +22,9 @@
 	Clock clock.Clock
 	// MaxConnections is the highest number of connections to one address.
 	MaxConnections int
+	// MaxIdle is the highest number of idle connections to all addresses. A connection above it is
+	// closed after its request. Zero means no limit.
+	MaxIdle int
 	// DialTimeout is the longest time to open a connection.
 	DialTimeout time.Duration
 	// StallTimeout is the time without progress of a read or write after which a
@@ -50,6 +53,8 @@
 
 	mu        sync.Mutex
 	byAddress map[string]*addressConns
+	// idleCount is the number of idle connections to all addresses.
+	idleCount int
 	// sweepTimer closes idle connections. It is set while there are idle
 	// connections.
 	sweepTimer clockwork.Timer
@@ -106,6 +111,7 @@
 		c := conns.idle[last]
 		conns.idle[last] = nil
 		conns.idle = conns.idle[:last]
+		p.idleCount--
 		return c, nil
 	}
 	return nil, conns.reserveSlot(p.MaxConnections)
@@ -182,14 +188,26 @@
 
 // releaseConn keeps the connection for another request.
 func (p *Pool) releaseConn(address string, c *conn) {
+	if !p.keepConn(address, c) {
+		p.discardConn(address, c)
+	}
+}
+
+// keepConn adds the connection to the idle ones, unless there are too many.
+func (p *Pool) keepConn(address string, c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.MaxIdle > 0 && p.idleCount >= p.MaxIdle {
+		return false
+	}
+	p.idleCount++
 	c.idleSince = p.Clock.Now()
 	conns := p.byAddress[address]
 	conns.idle = append(conns.idle, c)
 	if p.sweepTimer == nil {
 		p.sweepTimer = p.Clock.AfterFunc(defaultIdleTimeout, p.closeExpired)
 	}
+	return true
 }
 
 // discardConn closes the connection and releases its slot.
@@ -237,7 +255,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var removed []*conn
-	idleCount := 0
+	p.idleCount = 0
 	for address, conns := range p.byAddress {
 		kept := conns.idle[:0]
 		for _, c := range conns.idle {
@@ -250,7 +268,7 @@
 		conns.openCount -= len(conns.idle) - len(kept)
 		clear(conns.idle[len(kept):])
 		conns.idle = kept
-		idleCount += len(kept)
+		p.idleCount += len(kept)
 		if conns.openCount == 0 {
 			delete(p.byAddress, address)
 		}
@@ -259,7 +277,7 @@
 		p.sweepTimer.Stop()
 		p.sweepTimer = nil
 	}
-	if idleCount > 0 {
+	if p.idleCount > 0 {
 		p.sweepTimer = p.Clock.AfterFunc(defaultIdleTimeout, p.closeExpired)
 	}
 	return removed
--- /dev/null
+++ b/internal/kernel/budget/listener.go
@@ -0,0 +1,190 @@
+package budget
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"time"
+
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/clock"
+)
+
+// refusal is the answer to a connection that is refused. Nothing of it has been read, so no request
+// has run.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// RefuseConn answers a new connection for which there is no room, and closes it.
+func (b *Budget) RefuseConn(k Kind, c net.Conn) {
+	b.refusedAt[k].Store(int64(clock.InstantOf(b.Clock.Now())))
+	b.Refused("connections", c.RemoteAddr().String())
+	// The socket's buffer is empty, so the write doesn't wait.
+	_ = c.SetWriteDeadline(b.Clock.Now().Add(time.Second))
+	_, _ = io.WriteString(c, refusal)
+	_ = c.Close()
+}
+
+// Listener accepts connections with accounts, for HTTP servers that don't know the budget.
+type Listener struct {
+	net.Listener
+	budget *Budget
+	kind   Kind
+}
+
+// Listen returns a listener whose connections are of type *Conn.
+func (b *Budget) Listen(l net.Listener, k Kind) *Listener {
+	return &Listener{Listener: l, budget: b, kind: k}
+}
+
+// Accept returns the next connection for which there is room.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		netConn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		account := l.budget.Open(l.kind, netConn.RemoteAddr(), func() {
+			if tcp, ok := netConn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = netConn.Close()
+		})
+		if account != nil {
+			return &Conn{Conn: netConn, account: account}, nil
+		}
+		l.budget.RefuseConn(l.kind, netConn)
+	}
+}
+
+// Conn is a connection whose requests an HTTP server reads and answers one after the other.
+type Conn struct {
+	net.Conn
+	account *Account
+	// reserved is the number of bytes that are reserved for the current request, and head says that
+	// its head is being read.
+	reserved unit.Bytes
+	head     bool
+}
+
+// fieldBytes is the memory of a short header field after parsing, for each line of a head.
+const fieldBytes = 128
+
+// Read reads bytes of requests. The fields of a head are reserved as its lines arrive.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.account.phase.Load() == int32(phaseRunning) {
+		c.finish()
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if c.account.Begin() {
+		c.head = true
+	}
+	c.account.Received(n)
+	if c.head {
+		if err := c.Reserve(unit.Bytes(fieldBytes * bytes.Count(p[:n], []byte("\n")))); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+// writePiece is the number of bytes that a caller has to read within the write time limit.
+const writePiece = 64 << 10
+
+// Write writes to a caller, who may not read.
+func (c *Conn) Write(p []byte) (int, error) {
+	defer c.account.EndWrite()
+	b, written := c.account.budget, 0
+	for {
+		c.account.StartWrite()
+		if b.WriteTimeout > 0 {
+			_ = c.SetWriteDeadline(b.Clock.Now().Add(b.WriteTimeout))
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+writePiece)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// Close closes the connection and returns what it has reserved.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.account.Close()
+	return err
+}
+
+func (c *Conn) finish() {
+	c.account.Release(c.reserved)
+	c.reserved = 0
+	c.account.Finish()
+}
+
+// Reserve reserves bytes of the current request until the next one. The error is ErrNoRoom.
+func (c *Conn) Reserve(n unit.Bytes) error {
+	if err := c.account.Reserve(n); err != nil {
+		return err
+	}
+	c.reserved += n
+	return nil
+}
+
+// release returns some of the bytes of the current request.
+func (c *Conn) release(n unit.Bytes) {
+	c.account.Release(n)
+	c.reserved -= n
+}
+
+// Run says that the request has been read and runs from now on. The error is ErrNoRoom if the
+// connection was ended before.
+func (c *Conn) Run() error {
+	if c.account.Run() || c.account.phase.Load() == int32(phaseRunning) {
+		return nil
+	}
+	return ErrNoRoom
+}
+
+// MustClose is the method of the connection's account.
+func (c *Conn) MustClose() bool {
+	return c.account.MustClose()
+}
+
+// BodyStarts says that the head has been read and that a body follows.
+func (c *Conn) BodyStarts() {
+	c.head = false
+}
+
+// ReadBody reads a body of at most limit bytes. The buffer is reserved before it is allocated and is
+// doubled as bytes arrive, so that a caller can't reserve memory by announcing a body.
+//
+// The error is ErrNoRoom, ErrTooLarge or an error of the stream.
+func (c *Conn) ReadBody(stream io.Reader, limit int) ([]byte, error) {
+	const firstBytes = 8 << 10
+	var body []byte
+	for {
+		if len(body) > limit {
+			return nil, ErrTooLarge
+		}
+		if len(body) == cap(body) {
+			size := min(limit+1, max(2*cap(body), firstBytes))
+			if err := c.Reserve(unit.Bytes(size)); err != nil {
+				return nil, err
+			}
+			larger := make([]byte, len(body), size)
+			copy(larger, body)
+			c.release(unit.Bytes(cap(body)))
+			body = larger
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/kernel/plugin/deps.go
+++ b/internal/kernel/plugin/deps.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/kernel/timeline"
@@ -22,6 +23,8 @@
 	Log      zerolog.Logger
 	Metrics  *prometheus.Registry
 	Timeline *timeline.Recorder
+	// Budget bounds what callers can make the process use. It is nil in tests that need no limits.
+	Budget *budget.Budget
 	// Pool runs short background tasks. A task that waits for a long time gets
 	// its own goroutine.
 	Pool pond.Pool
--- a/internal/proof/process/cluster_test.go
+++ b/internal/proof/process/cluster_test.go
@@ -4,6 +4,7 @@
 package process_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -59,6 +60,17 @@
 	engines     int
 	replicas    int
 	services    int
+	limits      processLimits
+}
+
+// processLimits are limits of each daemon. Zero means the default.
+type processLimits struct {
+	// memory is the setting daemon.memory, in megabytes.
+	memory int
+	// descriptors is the number of file descriptors.
+	descriptors int
+	// maxBody is the setting openai.maxBody, in bytes.
+	maxBody int
 }
 
 // daemon is the process of a daemon, with the addresses of its listeners.
@@ -77,6 +89,7 @@
 	// engines and services are keyed by instance id.
 	engines, services map[string]*process
 	roster            []roster.Instance
+	limits            processLimits
 }
 
 // process is a program with its arguments. cmd and exited belong to the last start
@@ -84,8 +97,10 @@
 type process struct {
 	name, address string
 	args          []string
-	cmd           *exec.Cmd
-	exited        chan struct{}
+	// descriptors is the limit of file descriptors, zero if there is none.
+	descriptors int
+	cmd         *exec.Cmd
+	exited      chan struct{}
 }
 
 // startCluster starts a cluster and waits until all its replicas and services are
@@ -93,7 +108,7 @@
 func startCluster(t testing.TB, size clusterSize) *cluster {
 	t.Helper()
 	clusterSlots <- struct{}{}
-	s := &cluster{t: t, host: loopback.NewHost(), engines: make(map[string]*process), services: make(map[string]*process)}
+	s := &cluster{t: t, host: loopback.NewHost(), engines: make(map[string]*process), services: make(map[string]*process), limits: size.limits}
 	var err error
 	if s.dir, err = os.MkdirTemp("", "cuminbay-site-"); err != nil {
 		t.Fatal(err)
@@ -150,6 +165,7 @@
 	for _, dataCentre := range size.dataCentres {
 		for n := range size.daemons {
 			d := &daemon{process: &process{name: fmt.Sprintf("daemon-%s-%d", dataCentre, n)}, dataCentre: dataCentre, callerAddress: s.host.Address(), operatorAddress: s.host.Address(), peerAddress: s.host.Address()}
+			d.descriptors = size.limits.descriptors
 			d.args = []string{"cuminbay", "serve", "--settings", filepath.Join(s.dir, d.name+".json")}
 			s.daemons, toStart = append(s.daemons, d), append(toStart, d.process)
 			s.addInstance(roster.Instance{ID: instanceID(d.name), DataCentre: dataCentreID(dataCentre), Role: roster.Daemon, Address: d.peerAddress, CallerAddress: d.callerAddress})
@@ -197,8 +213,8 @@
 		}
 	}
 	return map[string]any{
-		"daemon":   section{"instance": d.name, "dataCentre": d.dataCentre, "stopLimit": "10s", "logLevel": "debug"},
-		"openai":   section{"listen": d.callerAddress, "leaveDelay": "300ms", "maxBody": 64 << 10},
+		"daemon":   section{"instance": d.name, "dataCentre": d.dataCentre, "stopLimit": "10s", "logLevel": "debug", "memory": s.limits.memory},
+		"openai":   section{"listen": d.callerAddress, "leaveDelay": "300ms", "maxBody": cmp.Or(s.limits.maxBody, 64<<10)},
 		"operator": section{"listen": d.operatorAddress},
 		"peer":     section{"listen": d.peerAddress},
 		"member":   section{"seeds": seeds, "address": d.peerAddress, "caller": d.callerAddress},
@@ -235,6 +251,10 @@
 	}
 	defer func() { _ = log.Close() }()
 	p.cmd = exec.Command(filepath.Join(binaryDir, p.args[0]), p.args[1:]...)
+	if p.descriptors > 0 {
+		script := fmt.Sprintf(`ulimit -n %d; exec "$@"`, p.descriptors)
+		p.cmd = exec.Command("sh", append([]string{"-c", script, "sh"}, p.cmd.Args...)...)
+	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -66,7 +66,7 @@
 	}
 	switch code.Of(failure) {
 	case code.EndpointUnreachable, code.Overloaded:
-	case code.NoReplica, code.ColdOnly, code.OverShare, code.Draining, code.NotReady,
+	case code.NoReplica, code.ColdOnly, code.OverShare, code.Draining, code.NotReady, code.DaemonFull,
 		code.DeadlineTooShort, code.UnknownModel, code.UnknownOrganisation:
 		// Another daemon has refused a relayed request. It returns the last
 		// two codes while it lacks a record that this daemon has.
