--- a/internal/peer/feed/plugin.go
+++ b/internal/peer/feed/plugin.go
@@ -56,8 +56,12 @@
 		return code.BadSettings.Wrap(err, "feed.listen: open listener")
 	}
 	const headerTimeout, idleTimeout = 2 * time.Second, 30 * time.Second
+	// A question is short; without limits, one that doesn't end would hold memory forever. The read
+	// time limit ends the request's context too, so it includes the wait for a change.
+	const maxQuestion, maxHeader = 64 << 10, 16 << 10
 	c.httpServer = &http.Server{
-		Handler: twirp.NewPeerServer(c.server), ReadHeaderTimeout: headerTimeout,
+		Handler: http.MaxBytesHandler(twirp.NewPeerServer(c.server), maxQuestion), MaxHeaderBytes: maxHeader,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: maxWait + headerTimeout,
 		WriteTimeout: maxWait + headerTimeout, IdleTimeout: idleTimeout,
 	}
 	c.Go(func(context.Context) {
--- a/internal/peer/twirp/plugin.go
+++ b/internal/peer/twirp/plugin.go
@@ -145,9 +145,10 @@
 		return fmt.Errorf("peer.listen: open listener: %w", err)
 	}
 	p.listener = listener
-	const headerTimeout, idleTimeout, callTimeoutFactor = 5 * time.Second, time.Minute, 4
+	const headerTimeout, idleTimeout, callTimeoutFactor, maxHeader = 5 * time.Second, time.Minute, 4, 16 << 10
 	p.server = &http.Server{
 		Handler:           http.MaxBytesHandler(NewPeerServer(&handler{p}), int64(p.settings.MaxMessage)),
+		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       callTimeoutFactor * p.settings.CallTimeout.Duration,
 		WriteTimeout:      callTimeoutFactor * p.settings.CallTimeout.Duration,
