--- a/internal/caller/httpcall/budget.go
+++ b/internal/caller/httpcall/budget.go
@@ -55,7 +55,7 @@
 	if ctx.Request.Header.ContentLength() > r.Limit {
 		return fasthttp.ErrBodyTooLarge
 	}
-	body, err := conn.ReadBody(ctx.RequestBodyStream(), r.Limit)
+	body, err := conn.ReadBody(ctx.RequestBodyStream(), ctx.Request.Header.ContentLength(), r.Limit)
 	switch {
 	case errors.Is(err, budget.ErrTooLarge):
 		return fasthttp.ErrBodyTooLarge
--- a/internal/kernel/budget/listener.go
+++ b/internal/kernel/budget/listener.go
@@ -157,19 +157,25 @@
 	c.head = false
 }
 
-// ReadBody reads a body of at most limit bytes. The buffer is reserved before it is allocated and is
+// ReadBody reads a body of at most limit bytes, whose announced length is negative if it is not known.
+// The buffer is reserved before it is allocated and is
 // doubled as bytes arrive, so that a caller can't reserve memory by announcing a body.
 //
 // The error is ErrNoRoom, ErrTooLarge or an error of the stream.
-func (c *Conn) ReadBody(stream io.Reader, limit int) ([]byte, error) {
-	const firstBytes = 8 << 10
+func (c *Conn) ReadBody(stream io.Reader, length, limit int) ([]byte, error) {
+	const firstChunkedBytes, firstFixedBytes = 4 << 10, 64 << 10
+	// One byte above the limit shows that a body is too large.
+	first, largest := firstChunkedBytes, limit+1
+	if length >= 0 {
+		first, largest = firstFixedBytes, length
+	}
 	var body []byte
 	for {
 		if len(body) > limit {
 			return nil, ErrTooLarge
 		}
-		if len(body) == cap(body) {
-			size := min(limit+1, max(2*cap(body), firstBytes))
+		if len(body) == cap(body) && len(body) < largest {
+			size := min(largest, max(2*cap(body), first))
 			if err := c.Reserve(unit.Bytes(size)); err != nil {
 				return nil, err
 			}
