--- a/internal/serve/forward/admission_test.go
+++ b/internal/serve/forward/admission_test.go
@@ -63,7 +63,7 @@
 // fullPicker has no free slot.
 type fullPicker struct{}
 
-func (fullPicker) Pick(time.Time, []*catalog.Endpoint, []ident.Instance, float64) *catalog.Endpoint {
+func (fullPicker) Pick(time.Time, []*catalog.Endpoint, balance.Request) *catalog.Endpoint {
 	return nil
 }
 
