--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -5,10 +5,10 @@
 	"sync/atomic"
 	"time"
 
-	"cuminbay/internal/domain/cluster"
-	"cuminbay/internal/domain/ident"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
