admit, formation: Wait shortly at the first attempt, and let a new planner convert sooner

A request that waited up to 1.5 s for a slot was late, and took the slot of one in time. First attempts wait for a third of their objective again and are then refused, or at once if the forecast says so; attempts that were refused before or may have run wait up to 1.5 s.

--- a/internal/fleet/formation/convert.go
+++ b/internal/fleet/formation/convert.go
@@ -19,8 +19,8 @@
 // Times of the decisions on conversions.
 const (
 	// newDemandDelay is the time for which a conversion has to be a gain before it begins, while
-	// the demand has been known for less than gainDelay, and gainDelay the time after that. An
-	// average over 8 s shows a burst of 3 s for that long.
+	// this planner has known the demand for less than gainDelay, and gainDelay the time after that.
+	// An average over 8 s shows a burst of 3 s for that long.
 	newDemandDelay = 3 * time.Second
 	gainDelay      = 10 * time.Second
 	// reverseDelay is the time after a conversion in which the models aren't converted the other
@@ -76,9 +76,7 @@
 	// decidedAt is the time of the last decision, and firstDecision that of the first one in
 	// this term.
 	decidedAt, firstDecision time.Time
-	// wasUnknown says that this planner has known no demand, and demandSince is the time since
-	// which it has known one.
-	wasUnknown  bool
+	// demandSince is the time since which this planner has known the demand.
 	demandSince time.Time
 	// wanted is the direction that is a gain, since wantedSince.
 	wanted      modelPair
@@ -103,7 +101,7 @@
 	state.running = slices.DeleteFunc(state.running, func(c *conversion) bool { return !p.continueConversion(service, state, c) })
 	switch {
 	case !p.Demand.hasLoadOf(service.Name):
-		state.wanted, state.wasUnknown, state.demandSince = modelPair{}, true, time.Time{}
+		state.wanted, state.demandSince = modelPair{}, time.Time{}
 		return
 	case p.loads.bootstrap || p.now.Sub(state.decidedAt) < conversionInterval:
 		return
@@ -243,10 +241,11 @@
 	}
 }
 
-// delay returns the time for which a conversion has to be a gain. A demand that was unknown before is
-// acted on sooner, as the layout follows the configured shares until then.
+// delay returns the time for which a conversion has to be a gain. A demand that is new to the planner
+// is acted on sooner: the layout follows the configured shares until then, or an earlier planner has
+// not come to its conversions.
 func (s *conversionState) delay(now time.Time) time.Duration {
-	if s.wasUnknown && now.Sub(s.demandSince) < gainDelay {
+	if now.Sub(s.demandSince) < gainDelay {
 		return newDemandDelay
 	}
 	return gainDelay
--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -12,7 +12,8 @@
 const (
 	// callerPatience is the time after which a caller gives up a stream without an event.
 	callerPatience = 2 * time.Second
-	// maxWait bounds the wait before the first event. The rest of callerPatience is for the first
+	// maxWait bounds the wait before the first event of a request that was refused before or that
+	// may have run. The rest of callerPatience is for the first
 	// event at a loaded replica. A request whose endpoint failed later than that is answered at once,
 	// so that its caller can try elsewhere.
 	maxWait = callerPatience - 500*time.Millisecond
@@ -30,9 +31,9 @@
 	// before a request is refused without a wait. Refusing a request that could have been served
 	// is worse than a wait in vain, so the prediction gets the benefit of the doubt.
 	refusalFactor = 1.5
-	// shortWaitDivisor sets the wait of requests that aren't streams of engines to a third of the
-	// objective. Slots of plain servers are held for milliseconds, so that a longer wait means
-	// that the servers are overloaded.
+	// shortWaitDivisor sets the wait of a first attempt to a third of its objective. A request that
+	// waits longer is late, and its answer takes the slot of one that would be in time; refused,
+	// it comes back when there may be slots again.
 	shortWaitDivisor = 3
 )
 
@@ -117,10 +118,10 @@
 	switch {
 	case r.Resumed:
 		end = now.Add(resumeWait)
-	case !r.IsStream:
-		end = r.Received.Add(r.Objective / shortWaitDivisor)
-	default:
+	case r.IsStream && (r.MayHaveRun || r.IsRetry()):
 		end = r.Received.Add(maxWait)
+	default:
+		end = r.Received.Add(r.Objective / shortWaitDivisor)
 	}
 	if latest := r.Deadline.Add(-r.FirstEvent); end.After(latest) {
 		return latest
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -225,8 +225,9 @@
 	return f
 }
 
-// FirstEventInSlot returns the expected time from a free slot to the first event of the request, at a
-// replica whose other slots are in use. It is zero if the service publishes no engine times.
+// FirstEventInSlot returns the published time from a free slot to the first event of the request, at a
+// replica whose other slots are in use, and zero if the service publishes none. The learned time is
+// left out: where it is close to the objective, every request would count as late on arrival.
 func (m *Model) FirstEventInSlot(p Profile, engine *cluster.Engine) time.Duration {
 	if engine == nil || engine.StepTime <= 0 || engine.Model(p.Model) == nil {
 		return 0
@@ -234,7 +235,7 @@
 	t := m.Times(p.Service, engine, engine.Model(p.Model))
 	pass := t.passStep + t.passPerRequest*float64(engine.Slots)
 	own := float64(p.PromptTokens) * (t.prefillToken + float64(p.PromptTokens)/2*t.attention)
-	return max(time.Duration(pass/2+own+pass)+t.usual, 0)
+	return time.Duration(pass/2 + own + pass)
 }
 
 // published is FirstEvent without the correction.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -325,7 +325,7 @@
 
 // minWaitShare is the share of its objective for which a request counts as able to meet it, however
 // long its first event is expected to take.
-const minWaitShare = 0.25
+const minWaitShare = 0.5
 
 // predictCost sets the expected cost of the request by the configuration of the snapshot.
 func (x *exchange) predictCost(s *catalog.Snapshot) {
