admit: Let the only waiting request of a group wait as long as a slot is in time

Such a request now waits until a slot would be too late for its objective; no group gains by it, as it holds for one request of each.

--- a/internal/fleet/formation/advance.go
+++ b/internal/fleet/formation/advance.go
@@ -8,6 +8,18 @@
 	"cuminbay/internal/domain/ident"
 )
 
+// AwaitsChange reports whether a replica waits for a change of its members' states.
+func (p *Planner) AwaitsChange() bool {
+	for _, r := range p.replicas {
+		switch r.phase {
+		case joining, opening, closing, dissolving:
+			return true
+		case serving, incomplete:
+		}
+	}
+	return false
+}
+
 // advanceReplicas issues the orders that bring each replica to its next phase.
 func (p *Planner) advanceReplicas(service *cluster.Service) {
 	for _, r := range p.sortedReplicas(service) {
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -317,18 +317,6 @@
 	return p.commands
 }
 
-// AwaitsChange reports whether a replica waits for a change of its members' states.
-func (p *Planner) AwaitsChange() bool {
-	for _, r := range p.replicas {
-		switch r.phase {
-		case joining, opening, closing, dissolving:
-			return true
-		case serving, incomplete:
-		}
-	}
-	return false
-}
-
 // maxMissedRevisions bounds the revisions, over restorations of the platform too, that this daemon
 // doesn't know yet.
 const maxMissedRevisions = 2 * maxLostRevisions
--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -215,6 +215,10 @@
 		}
 		return d
 	}
+	if latest := r.LatestStart(); s.Standing.Alone && d.Until.Before(latest) {
+		// A small organisation or a rare rank or size isn't refused for the many requests of others.
+		d.Until = latest
+	}
 	if d.Class == OnTime {
 		d.Predicted = s.Forecast.Wait(OnTime, s.Standing.AheadOnTime)
 		// Without a request ahead, the request stays on time, so that the forecast learns from it.
