--- a/internal/fleet/formation/prepare.go
+++ b/internal/fleet/formation/prepare.go
@@ -8,6 +8,11 @@
 // first.
 const preparedRank = 1000
 
+// minPreparedReplicas is the number of replicas of each model from which on conversions are prepared. A
+// prepared member that restarts has the other model's weights, and its replica waits for a load. With
+// few replicas that costs more than a conversion that begins sooner gains.
+const minPreparedReplicas = 8
+
 // preparedCandidates returns, at the first start of the system, the loads that prepare conversions:
 // loads are quick then, and the demand that the first requests bring is served without the wait
 // for a load. It returns none while replicas are formed.
--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -12,11 +12,6 @@
 const (
 	// callerPatience is the time after which a caller gives up a stream without an event.
 	callerPatience = 2 * time.Second
-	// maxWait bounds the wait before the first event of a request that was refused before or that
-	// may have run. The rest of callerPatience is for the first
-	// event at a loaded replica. A request whose endpoint failed later than that is answered at once,
-	// so that its caller can try elsewhere.
-	maxWait = callerPatience - 500*time.Millisecond
 	// resumeWait bounds the wait of an interrupted stream. Its caller has received events, and
 	// gives up callerPatience after the last one.
 	resumeWait = time.Second
@@ -31,9 +26,9 @@
 	// before a request is refused without a wait. Refusing a request that could have been served
 	// is worse than a wait in vain, so the prediction gets the benefit of the doubt.
 	refusalFactor = 1.5
-	// shortWaitDivisor sets the wait of a first attempt to a third of its objective. A request that
-	// waits longer is late, and its answer takes the slot of one that would be in time; refused,
-	// it comes back when there may be slots again.
+	// shortWaitDivisor sets the wait before the first event to a third of the objective. A request
+	// that waits longer is late, and its answer takes the slot of one that would be in time;
+	// refused, it comes back when there may be slots again.
 	shortWaitDivisor = 3
 )
 
@@ -118,9 +113,7 @@
 	switch {
 	case r.Resumed:
 		end = now.Add(resumeWait)
-	case r.IsStream && (r.MayHaveRun || r.IsRetry()):
-		end = r.Received.Add(maxWait)
-	case r.IsStream:
+	case r.IsStream && !r.MayHaveRun && !r.IsRetry():
 		// Counted from the first attempt, a caller that retries at once gains no further wait.
 		end = r.FirstSent().Add(r.Objective / shortWaitDivisor)
 	default:
