--- a/internal/fleet/formation/prepare.go
+++ b/internal/fleet/formation/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
 )
 
 // preparedRank replaces loadsToComplete for conversions that are prepared. All other loads come
@@ -20,11 +21,17 @@
 	if !p.loads.bootstrap || p.options.PreparedShare == 0 {
 		return nil
 	}
-	replicas := p.sortedReplicas(service)
-	for _, r := range replicas {
+	counts := make(map[ident.Model]int)
+	for _, r := range p.sortedReplicas(service) {
 		if r.phase == joining || r.phase == opening {
 			return nil
 		}
+		counts[r.model.Name]++
+	}
+	for i := range service.Engine.Models {
+		if counts[service.Engine.Models[i].Name] < minPreparedReplicas {
+			return nil
+		}
 	}
 	var candidates []stagingCandidate
 	for _, change := range p.fleetLayout(service).PreparedConversions(p.options.PreparedShare) {
--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -7,13 +7,11 @@
 )
 
 // Thresholds of the admission of streams. They follow from what callers need: an answer after the
-// objective is worth a fraction of one in time, a caller gives a stream up after callerPatience
-// without an event, and a refused caller comes back once.
+// objective is worth a fraction of one in time, a caller gives a stream up after 2 s without an event,
+// and a refused caller comes back once.
 const (
-	// callerPatience is the time after which a caller gives up a stream without an event.
-	callerPatience = 2 * time.Second
 	// resumeWait bounds the wait of an interrupted stream. Its caller has received events, and
-	// gives up callerPatience after the last one.
+	// gives up 2 s after the last one.
 	resumeWait = time.Second
 	// lateUtilisation is the share of the slots that late requests may use while others are short
 	// of slots. The rest keeps the wait of requests that can still meet their objective short.
