budget: Read bodies in one place

The HTTP server of the adapter and the reader for fasthttp servers each had a loop that reserves, doubles and fills the buffer of a body, with the same sizes, and each listener had its own reset of a connection. budget.ReadBody and budget.ResetConn serve both. Statuses and limits stay: TestReader (which compares with fasthttp), TestAccounts and TestCrowd pass unchanged.

--- a/internal/caller/httpcall/budget.go
+++ b/internal/caller/httpcall/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 
 	"github.com/valyala/fasthttp"
 
@@ -55,14 +54,12 @@
 	if ctx.Request.Header.ContentLength() > r.Limit {
 		return fasthttp.ErrBodyTooLarge
 	}
-	body, err := conn.ReadBody(ctx.RequestBodyStream(), ctx.Request.Header.ContentLength(), r.Limit)
+	body, err := budget.ReadBody(conn, ctx.RequestBodyStream(), ctx.Request.Header.ContentLength(), r.Limit)
 	switch {
 	case errors.Is(err, budget.ErrTooLarge):
 		return fasthttp.ErrBodyTooLarge
 	case err != nil:
 		return err
-	case len(body) < ctx.Request.Header.ContentLength():
-		return io.ErrUnexpectedEOF
 	}
 	if err := conn.Reserve(unit.Bytes(r.Copies * len(body))); err != nil {
 		return err
--- a/internal/caller/httpserver/reader.go
+++ b/internal/caller/httpserver/reader.go
@@ -25,7 +25,8 @@
 	reserved unit.Bytes
 }
 
-func (r *requestReader) reserve(n unit.Bytes) error {
+// Reserve reserves bytes of the request. The error is budget.ErrNoRoom.
+func (r *requestReader) Reserve(n unit.Bytes) error {
 	if err := r.conn.account.Reserve(n); err != nil {
 		return err
 	}
@@ -33,9 +34,16 @@
 	return nil
 }
 
+// Release returns some of the reserved bytes.
+func (r *requestReader) Release(n unit.Bytes) {
+	r.conn.account.Release(n)
+	r.reserved -= n
+}
+
+// release returns all reserved bytes.
 func (r *requestReader) release() {
-	r.conn.account.Release(r.reserved)
-	r.reserved, r.body = 0, nil
+	r.Release(r.reserved)
+	r.body = nil
 }
 
 // read reads the request. If it fails, it returns the status for the error
@@ -77,7 +85,7 @@
 	if err != nil && len(head) == 0 {
 		return err
 	}
-	if err := r.reserve(headMemory(head)); err != nil {
+	if err := r.Reserve(headMemory(head)); err != nil {
 		return err
 	}
 	// A head that is incomplete is parsed nevertheless, as the parser tells a malformed head from
@@ -150,76 +158,22 @@
 
 // readBody reads the body after the head.
 func (r *requestReader) readBody() error {
-	length := r.request.Header.ContentLength()
-	if length >= 0 {
-		return r.readFixedBody(length)
-	}
-	// With an unknown length, fasthttp reads nothing before the stream is read.
-	if err := r.request.ContinueReadBodyStream(r.conn.reader, r.limits.BodyBytes, false); err != nil {
-		return err
-	}
-	if !r.request.IsBodyStream() {
-		return nil
-	}
-	return r.readChunkedBody(r.request.BodyStream())
-}
-
-// The sizes of the buffer for a body, which is doubled as the bytes arrive, so that a caller can't
-// reserve memory by announcing a body.
-const (
-	firstFixedBytes   = 64 << 10
-	firstChunkedBytes = 4 << 10
-)
-
-func (r *requestReader) readFixedBody(length int) error {
-	for len(r.body) < length {
-		if err := r.growBody(min(length, max(2*cap(r.body), firstFixedBytes))); err != nil {
-			return err
-		}
-		n, err := io.ReadFull(r.conn.reader, r.body[len(r.body):cap(r.body)])
-		r.body = r.body[:len(r.body)+n]
-		if err != nil {
+	length, stream := r.request.Header.ContentLength(), io.Reader(r.conn.reader)
+	if length < 0 {
+		// With an unknown length, fasthttp reads nothing before the stream is read.
+		if err := r.request.ContinueReadBodyStream(r.conn.reader, r.limits.BodyBytes, false); err != nil {
 			return err
 		}
-	}
-	return nil
-}
-
-func (r *requestReader) readChunkedBody(stream io.Reader) error {
-	for {
-		if len(r.body) == cap(r.body) {
-			// One byte above the limit shows that the body is too large.
-			if err := r.growBody(min(r.limits.BodyBytes+1, max(2*cap(r.body), firstChunkedBytes))); err != nil {
-				return err
-			}
-		}
-		n, err := stream.Read(r.body[len(r.body):cap(r.body)])
-		r.body = r.body[:len(r.body)+n]
-		if len(r.body) > r.limits.BodyBytes {
-			return fasthttp.ErrBodyTooLarge
-		}
-		if err == io.EOF {
+		if !r.request.IsBodyStream() {
 			return nil
 		}
-		if err != nil {
-			return err
-		}
+		stream = r.request.BodyStream()
 	}
-}
-
-// growBody gives the body a buffer of the size.
-func (r *requestReader) growBody(size int) error {
-	if err := r.reserve(unit.Bytes(size)); err != nil {
-		return err
+	var err error
+	if r.body, err = budget.ReadBody(r, stream, length, r.limits.BodyBytes); errors.Is(err, budget.ErrTooLarge) {
+		return fasthttp.ErrBodyTooLarge
 	}
-	before := cap(r.body)
-	// The capacity is exactly what was reserved.
-	larger := make([]byte, len(r.body), size)
-	copy(larger, r.body)
-	r.body = larger
-	r.conn.account.Release(unit.Bytes(before))
-	r.reserved -= unit.Bytes(before)
-	return nil
+	return err
 }
 
 // statusOf returns the status for a request that could not be read, or zero if the caller can't
--- a/internal/caller/httpserver/server.go
+++ b/internal/caller/httpserver/server.go
@@ -117,7 +117,7 @@
 }
 
 func (s *Server) startConn(netConn net.Conn) {
-	account := s.Budget.Open(s.Kind, netConn.RemoteAddr(), func() { resetConn(netConn) })
+	account := s.Budget.Open(s.Kind, netConn.RemoteAddr(), func() { budget.ResetConn(netConn) })
 	if account == nil {
 		s.Budget.RefuseConn(s.Kind, netConn)
 		return
@@ -131,15 +131,6 @@
 	go c.serve()
 }
 
-// resetConn closes a connection at once. Bytes that the caller has not read are discarded, since
-// they would occupy memory of the kernel.
-func resetConn(netConn net.Conn) {
-	if tcp, ok := netConn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = netConn.Close()
-}
-
 func (s *Server) addConn(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/caller/httpserver/writer.go
+++ b/internal/caller/httpserver/writer.go
@@ -7,6 +7,7 @@
 
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/budget"
 )
 
 // ResponseWriter writes one answer. It must be used by one goroutine only.
@@ -153,5 +154,5 @@
 		return
 	}
 	w.ended, w.aborted, w.isLastAnswer = true, true, true
-	resetConn(w.conn.netConn)
+	budget.ResetConn(w.conn.netConn)
 }
--- a/internal/kernel/budget/listener.go
+++ b/internal/kernel/budget/listener.go
@@ -24,6 +24,15 @@
 	_ = c.Close()
 }
 
+// ResetConn closes a connection at once. Bytes that the caller has not read are discarded, since they
+// would occupy memory of the kernel.
+func ResetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Listener accepts connections with accounts, for HTTP servers that don't know the budget.
 type Listener struct {
 	net.Listener
@@ -43,12 +52,7 @@
 		if err != nil {
 			return nil, err
 		}
-		account := l.budget.Open(l.kind, netConn.RemoteAddr(), func() {
-			if tcp, ok := netConn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = netConn.Close()
-		})
+		account := l.budget.Open(l.kind, netConn.RemoteAddr(), func() { ResetConn(netConn) })
 		if account != nil {
 			return &Conn{Conn: netConn, account: account}, nil
 		}
@@ -132,8 +136,8 @@
 	return nil
 }
 
-// release returns some of the bytes of the current request.
-func (c *Conn) release(n unit.Bytes) {
+// Release returns some of the bytes of the current request.
+func (c *Conn) Release(n unit.Bytes) {
 	c.account.Release(n)
 	c.reserved -= n
 }
@@ -156,41 +160,3 @@
 func (c *Conn) BodyStarts() {
 	c.head = false
 }
-
-// ReadBody reads a body of at most limit bytes, whose announced length is negative if it is not known.
-// The buffer is reserved before it is allocated and is
-// doubled as bytes arrive, so that a caller can't reserve memory by announcing a body.
-//
-// The error is ErrNoRoom, ErrTooLarge or an error of the stream.
-func (c *Conn) ReadBody(stream io.Reader, length, limit int) ([]byte, error) {
-	const firstChunkedBytes, firstFixedBytes = 4 << 10, 64 << 10
-	// One byte above the limit shows that a body is too large.
-	first, largest := firstChunkedBytes, limit+1
-	if length >= 0 {
-		first, largest = firstFixedBytes, length
-	}
-	var body []byte
-	for {
-		if len(body) > limit {
-			return nil, ErrTooLarge
-		}
-		if len(body) == cap(body) && len(body) < largest {
-			size := min(largest, max(2*cap(body), first))
-			if err := c.Reserve(unit.Bytes(size)); err != nil {
-				return nil, err
-			}
-			larger := make([]byte, len(body), size)
-			copy(larger, body)
-			c.release(unit.Bytes(cap(body)))
-			body = larger
-		}
-		n, err := stream.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
