demand, formation, layout, gossip, balance: Remove repeated work and twins

The demand of a service was added up twice for each observation, and the times of read reports were searched for expired ones for each server of a round. The number of donors of a conversion and the used share of an endpoint were computed in two places each. Two demand types differed in the case of one letter. StoreAway is now StoreUnavailable. No decision changes; the tests of the packages pass unchanged but for that name.

--- a/internal/fleet/demand/fleet.go
+++ b/internal/fleet/demand/fleet.go
@@ -85,7 +85,7 @@
 func (m *Meter) OfferedLoad(now time.Time, service ident.Service) (map[ident.Model]unit.Slots, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d, ok := m.knownDemand(now, service)
+	d, ok := m.knownDemand(m.sum(now, service), service)
 	if !ok {
 		return nil, false
 	}
@@ -96,15 +96,15 @@
 	return offered, true
 }
 
-// knownDemand returns the demand, or the last usable one for lastKnownTime. The caller holds the
-// lock.
-func (m *Meter) knownDemand(now time.Time, service ident.Service) (Demand, bool) {
-	if d := m.sum(now, service); d.Usable() {
-		m.lastKnown[service] = d
-		return d, true
+// knownDemand returns the present demand if it is usable, or else the last usable one for
+// lastKnownTime. The caller holds the lock.
+func (m *Meter) knownDemand(present Demand, service ident.Service) (Demand, bool) {
+	if present.Usable() {
+		m.lastKnown[service] = present
+		return present, true
 	}
-	d, ok := m.lastKnown[service]
-	return d, ok && now.Sub(d.ComputedAt) <= lastKnownTime
+	last, ok := m.lastKnown[service]
+	return last, ok && present.ComputedAt.Sub(last.ComputedAt) <= lastKnownTime
 }
 
 // Demand returns the demand of the whole fleet as far as it is known now.
@@ -114,19 +114,19 @@
 	return m.sum(now, service)
 }
 
-// dataCentreDemand is the demand at the daemons of a data centre.
-type dataCentreDemand struct {
+// dataCentreSum adds up the demand at the daemons of a data centre.
+type dataCentreSum struct {
 	live, heard int
 	loads       map[ModelHash]ModelDemand
 	// reported is the most complete demand that a daemon of the data centre has reported for it.
 	reported *DataCentreDemand
 }
 
-func newDataCentreDemand() *dataCentreDemand {
-	return &dataCentreDemand{loads: make(map[ModelHash]ModelDemand)}
+func newDataCentreSum() *dataCentreSum {
+	return &dataCentreSum{loads: make(map[ModelHash]ModelDemand)}
 }
 
-func (c *dataCentreDemand) add(loads []ModelLoad) {
+func (c *dataCentreSum) add(loads []ModelLoad) {
 	for _, l := range loads {
 		sum := c.loads[l.Model]
 		sum.Offered += l.Offered
@@ -137,7 +137,7 @@
 }
 
 // useReported replaces the demand by the reported one, if that covers more daemons.
-func (c *dataCentreDemand) useReported() {
+func (c *dataCentreSum) useReported() {
 	if r := c.reported; r != nil && r.Heard > c.heard {
 		c.live, c.heard, c.loads = max(r.Live, r.Heard), r.Heard, make(map[ModelHash]ModelDemand)
 		c.add(r.Loads)
@@ -171,13 +171,13 @@
 
 // byDataCentre adds up the demands of the live daemons by data centre, and returns the reports that
 // count. The caller holds the lock.
-func (m *Meter) byDataCentre(now time.Time) (map[ident.DataCentre]*dataCentreDemand, []receivedReport) {
-	dataCentres := make(map[ident.DataCentre]*dataCentreDemand)
+func (m *Meter) byDataCentre(now time.Time) (map[ident.DataCentre]*dataCentreSum, []receivedReport) {
+	dataCentres := make(map[ident.DataCentre]*dataCentreSum)
 	var reports []receivedReport
 	m.Daemons.EachLiveDaemon(func(id ident.Instance, dc ident.DataCentre) {
 		c := dataCentres[dc]
 		if c == nil {
-			c = newDataCentreDemand()
+			c = newDataCentreSum()
 			dataCentres[dc] = c
 		}
 		c.live++
@@ -218,7 +218,7 @@
 
 // total adds up the demand for a model. A daemon that wasn't heard from is assumed to have the mean
 // demand of its data centre, or of all if none of its data centre was heard from.
-func total(hash ModelHash, dataCentres map[ident.DataCentre]*dataCentreDemand, live, liveWhereHeard int) ModelDemand {
+func total(hash ModelHash, dataCentres map[ident.DataCentre]*dataCentreSum, live, liveWhereHeard int) ModelDemand {
 	var sum ModelDemand
 	for _, c := range dataCentres {
 		if c.heard > 0 {
--- a/internal/fleet/demand/observe.go
+++ b/internal/fleet/demand/observe.go
@@ -101,7 +101,7 @@
 		m.observeModel(service.Name, model, sum)
 	}
 	current := stateUnknown
-	if used, ok := m.knownDemand(now, service.Name); ok {
+	if used, ok := m.knownDemand(d, service.Name); ok {
 		current = stateLastKnown
 		if used.ComputedAt.Equal(now) {
 			current = stateKnown
--- a/internal/fleet/formation/cluster_test.go
+++ b/internal/fleet/formation/cluster_test.go
@@ -175,7 +175,7 @@
 	for _, server := range tc.servers {
 		tc.progressServer(server, bootstrap)
 	}
-	p.Demand, p.StoreAway = nil, tc.listed != nil
+	p.Demand, p.StoreUnavailable = nil, tc.listed != nil
 	if tc.demand != nil {
 		p.Demand = Demand{"llm": tc.demand}
 	}
--- a/internal/fleet/formation/convert.go
+++ b/internal/fleet/formation/convert.go
@@ -114,7 +114,7 @@
 	}
 	fleet := p.fleetLayout(service)
 	p.cancelConversions(service, state, fleet)
-	if !p.StoreAway {
+	if !p.StoreUnavailable {
 		p.beginConversions(service, state, fleet)
 	}
 }
@@ -156,7 +156,7 @@
 // reasonToCancel returns why the conversion of the gain is cancelled, empty if it isn't.
 func (p *Planner) reasonToCancel(service *cluster.Service, c *conversion, gain float64) string {
 	switch {
-	case !c.closedAt.IsZero() || p.StoreAway:
+	case !c.closedAt.IsZero() || p.StoreUnavailable:
 		return ""
 	case gain <= 0:
 		return "no gain any more"
--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -176,10 +176,10 @@
 	Superseded bool
 	// LatestRevision is the latest revision of the platform that this daemon knows.
 	LatestRevision unit.Revision
-	// Demand is the offered load, and StoreAway says that the platform's store can't be read.
+	// Demand is the offered load, and StoreUnavailable says that the platform's store can't be read.
 	// Conversions in progress are then finished and none is begun.
-	Demand    Demand
-	StoreAway bool
+	Demand           Demand
+	StoreUnavailable bool
 	// ConversionEvents collects the conversions begun and ended. The caller of Step clears it.
 	ConversionEvents []ConversionEvent
 	// conversions has the conversions of each service.
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -301,7 +301,7 @@
 	c.applyResults(p)
 	c.probeSuspects(p, snapshot, now)
 	p.LatestRevision = c.keys.Revision()
-	p.Demand, p.StoreAway = c.offeredLoad(snapshot, now), c.keys.Age() >= maxCopyAge
+	p.Demand, p.StoreUnavailable = c.offeredLoad(snapshot, now), c.keys.Age() >= maxCopyAge
 	commands := p.Step(now, snapshot, c.settings.Bootstrap && !c.traffic.HasTraffic() && !p.Demand.hasLoad())
 	c.keys.SetAwaitsChange(p.AwaitsChange())
 	for _, d := range p.Decisions {
@@ -315,6 +315,7 @@
 		c.endSupersededTerm(int64(p.fencingToken))
 		return
 	}
+	maps.DeleteFunc(c.reportReadAt, func(_ ident.Instance, at time.Time) bool { return now.Sub(at) >= reportInterval })
 	c.replaceStore(p, now)
 	c.checkUnregistered(p, now)
 	c.confirmMembers(p, now)
@@ -352,7 +353,6 @@
 // mayReadReport reports whether the server's report was not read within reportInterval, and counts
 // it as read now.
 func (c *controller) mayReadReport(id ident.Instance, now time.Time) bool {
-	maps.DeleteFunc(c.reportReadAt, func(_ ident.Instance, at time.Time) bool { return now.Sub(at) >= reportInterval })
 	if _, recent := c.reportReadAt[id]; recent {
 		return false
 	}
--- a/internal/fleet/formation/stage.go
+++ b/internal/fleet/formation/stage.go
@@ -172,7 +172,7 @@
 // one of several servers of another model or of a model that the domain has no replica of. Where
 // replicas are converted, members leave their weights behind. false means that there is none.
 func (p *Planner) restagingCandidate(service *cluster.Service, domain ident.FabricDomain, staged map[ident.Model]int, stagedServers []*cluster.Server) (stagingCandidate, bool) {
-	if p.StoreAway || !p.Demand.hasLoadOf(service.Name) || p.hasIncompleteOrDissolvingReplica(domain) || p.isConverting(service, domain) {
+	if p.StoreUnavailable || !p.Demand.hasLoadOf(service.Name) || p.hasIncompleteOrDissolvingReplica(domain) || p.isConverting(service, domain) {
 		return stagingCandidate{}, false
 	}
 	for i := range service.Engine.Models {
--- a/internal/fleet/layout/conversion.go
+++ b/internal/fleet/layout/conversion.go
@@ -157,11 +157,17 @@
 	return found
 }
 
+// donorsFor returns the number of replicas of the one model that have the servers of a replica of the
+// other one.
+func donorsFor(from, to *Model) int {
+	return (to.ServersPerReplica + from.ServersPerReplica - 1) / from.ServersPerReplica
+}
+
 // conversionsBetween returns the conversions in the domain that leave the model in as many data
 // centres as before, or in two.
 func (f *Fleet) conversionsBetween(d *Domain, from, to *Model) []Conversion {
 	var found []Conversion
-	most := min((to.ServersPerReplica+from.ServersPerReplica-1)/from.ServersPerReplica, d.Replicas[from.Name], int(MaxGivenUp*float64(f.replicas(from.Name))))
+	most := min(donorsFor(from, to), d.Replicas[from.Name], int(MaxGivenUp*float64(f.replicas(from.Name))))
 	for released := 1; released <= most && f.staysAvailable(d, from.Name, released); released++ {
 		servers := released * from.ServersPerReplica
 		for added := max(1, servers/to.ServersPerReplica); ; added++ {
@@ -222,7 +228,7 @@
 	}
 }
 
-// clone returns a fleet of which Apply doesn't change this one.
+// clone returns a copy that Apply may change.
 func (f *Fleet) clone() *Fleet {
 	return &Fleet{Models: f.Models, Domains: slices.Clone(f.Domains)}
 }
--- a/internal/fleet/layout/prepare.go
+++ b/internal/fleet/layout/prepare.go
@@ -34,7 +34,7 @@
 
 // addConversion adds a conversion between the models, and reports whether there is one.
 func (s *preparation) addConversion(from, to *Model) bool {
-	count := (to.ServersPerReplica + from.ServersPerReplica - 1) / from.ServersPerReplica
+	count := donorsFor(from, to)
 	if float64(s.released[from.Name]+count) > s.limit*float64(s.fleet.replicas(from.Name)) {
 		return false
 	}
--- a/internal/peer/gossip/send.go
+++ b/internal/peer/gossip/send.go
@@ -24,14 +24,14 @@
 	if skip {
 		return
 	}
-	targets := targets{localCount: p.localFanout}
+	to := targets{localCount: p.localFanout}
 	if idle {
-		targets.localCount = localFanout
+		to.localCount = localFanout
 	}
 	if withRemote {
-		targets.remoteCount = remoteFanout
+		to.remoteCount = remoteFanout
 	}
-	g.send(own, targets)
+	g.send(own, to)
 }
 
 // sendToAll sends a datagram to all daemons.
@@ -89,10 +89,10 @@
 	if len(remote) > 0 && to != allDaemons {
 		m.DataCentreSum = g.nextSum(own, len(remote), now)
 	}
-	if m.DataCentreSum != nil {
+	switch {
+	case m.DataCentreSum != nil:
 		m.Demand.DataCentre = g.Demand.DataCentreDemand()
-	}
-	if m.DataCentreSum == nil && len(datagrams) > 0 {
+	case len(datagrams) > 0:
 		datagrams[0].addresses = append(datagrams[0].addresses, remote...)
 		return datagrams
 	}
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -281,10 +281,15 @@
 // with equal counts choose different endpoints.
 const tieBreakRange = 0.04
 
+// usedShare returns the share of the endpoint's slots that is in use.
+func usedShare(e *catalog.Endpoint) float64 {
+	return float64(e.Load.TotalInFlight()) / float64(max(e.Slots, 1))
+}
+
 // utilisation returns the share of the endpoint's slots that is in use, plus the penalty for
 // another data centre and the tie-break.
 func (b *Balancer) utilisation(e *catalog.Endpoint) float64 {
-	used := float64(e.Load.TotalInFlight()) / float64(max(e.Slots, 1))
+	used := usedShare(e)
 	if e.DataCentre != b.DataCentre {
 		used += b.RemotePenalty
 	}
@@ -293,11 +298,10 @@
 
 // hasFreeSlot reports whether the endpoint may get another request.
 func (p *pick) hasFreeSlot(e *catalog.Endpoint) bool {
-	used := float64(e.Load.TotalInFlight()) / float64(max(e.Slots, 1))
 	if e.Engine == nil {
-		return used < 1+p.PlainQueueRatio
+		return usedShare(e) < 1+p.PlainQueueRatio
 	}
-	return used < p.request.MaxUtilisation
+	return usedShare(e) < p.request.MaxUtilisation
 }
 
 // admitCold reports whether this daemon may send another request to a server. It counts
