admit: Call the priority by one name, and remove a dead branch

The package called unit.Priority a rank in half of its names; rank remains the word of the configuration, of which the priority is the negative. Since waits are a third of the objective, the shorter wait without endpoints was never shorter: FirstSent isn't after Received. The tests keep their assertions.

--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -16,10 +16,10 @@
 	// lateUtilisation is the share of the slots that late requests may use while others are short
 	// of slots. The rest keeps the wait of requests that can still meet their objective short.
 	lateUtilisation = 0.8
-	// rankReserve is the share of the slots that is reserved for a higher rank that is short of
+	// priorityReserve is the share of the slots that is reserved for a higher priority that is short of
 	// slots: one of 20. With answers of one second, a slot becomes free every 50 ms. A larger reserve of
-	// 0.1 gave the higher rank no more, and cost the lower one (TestLoad).
-	rankReserve = 0.05
+	// 0.1 gave the higher priority no more, and cost the lower one (TestLoad).
+	priorityReserve = 0.05
 	// refusalFactor is the number by which the predicted wait has to exceed the caller's patience
 	// before a request is refused without a wait. Refusing a request that could have been served
 	// is worse than a wait in vain, so the prediction gets the benefit of the doubt.
@@ -34,7 +34,7 @@
 type Class int
 
 // The classes. A Late request has missed its objective or is expected to miss it. A LeastShare
-// request is the next one of a rank, organisation or size that got less than its least share of
+// request is the next one of a priority, organisation or size that got less than its least share of
 // the slots. A Resumed request is a stream that was interrupted after it had reached its caller.
 const (
 	OnTime Class = iota
@@ -56,7 +56,7 @@
 
 // Request is what the decision depends on of a request.
 type Request struct {
-	Rank      unit.Priority
+	Priority  unit.Priority
 	Objective time.Duration
 	// Timeout is the longest time that the route gives a caller.
 	Timeout  time.Duration
@@ -65,7 +65,8 @@
 	Deadline time.Time
 	// FirstEvent is the expected time from a free slot to the first event.
 	FirstEvent time.Duration
-	// IsStream says that the request is a stream of an engine. Others wait for a short time only.
+	// IsStream says that the request is a stream of an engine. Others occupy slots for milliseconds, so
+	// that neither their lateness nor a forecast changes their wait.
 	IsStream bool
 	// Resumed says that the caller has received a part of the answer, and MayHaveRun that the request
 	// can't be refused as not run.
@@ -126,9 +127,9 @@
 // Contention says which requests for the same endpoints were short of slots within the last
 // seconds, here or at other daemons.
 type Contention struct {
-	// Rank is the highest rank of them, and Recent says that there were any.
-	Rank   unit.Priority
-	Recent bool
+	// Priority is the highest priority of them, and Recent says that there were any.
+	Priority unit.Priority
+	Recent   bool
 }
 
 // Rules decide which requests get a slot, wait or are refused. They keep no state.
@@ -137,9 +138,9 @@
 	Fill float64
 }
 
-// Limit returns the utilisation below which a replica may take a request of the class and rank.
+// Limit returns the utilisation below which a replica may take a request of the class and priority.
 // Without contention, every class may use all slots, as none is to be left empty without need.
-func (p Rules) Limit(class Class, rank unit.Priority, c Contention) float64 {
+func (p Rules) Limit(class Class, priority unit.Priority, c Contention) float64 {
 	switch {
 	case class == Resumed:
 		return max(p.Fill, 1)
@@ -147,8 +148,8 @@
 		return p.Fill
 	case class == Late:
 		return min(p.Fill, lateUtilisation)
-	case rank < c.Rank:
-		return p.Fill - rankReserve
+	case priority < c.Priority:
+		return p.Fill - priorityReserve
 	}
 	return p.Fill
 }
@@ -189,7 +190,7 @@
 
 // Decide decides for a request whether it takes a slot, waits for one, or is refused without a
 // wait since its caller would give up before. A request that may have run is never refused, nor one
-// that was probably refused before, nor the only waiting one of its rank, organisation or size.
+// that was probably refused before, nor the only waiting one of its priority, organisation or size.
 func (p Rules) Decide(r *Request, s *State) Decision {
 	d := Decision{Action: Wait, Class: r.Class(s.Now), Until: r.waitEnd(s.Now)}
 	if s.SlotFree {
@@ -200,14 +201,11 @@
 		return d
 	}
 	if !s.HasEndpoints {
-		// There is no slot to wait for until a replica is formed, which takes longer than a caller waits.
-		if end := r.Received.Add(r.Objective / shortWaitDivisor); end.Before(d.Until) && !r.MayHaveRun {
-			d.Until = end
-		}
+		// There is no slot to forecast until a replica is formed, which takes longer than a caller waits.
 		return d
 	}
 	if latest := r.LatestStart(); s.Standing.Alone && d.Until.Before(latest) {
-		// A small organisation or a rare rank or size isn't refused for the many requests of others.
+		// A small organisation or a rare priority or size isn't refused for the many requests of others.
 		d.Until = latest
 	}
 	if d.Class == OnTime {
--- a/internal/route/admit/decide_test.go
+++ b/internal/route/admit/decide_test.go
@@ -75,7 +75,7 @@
 // TestLimit guards against slots that are left empty without contention, and against late requests or
 // lower ranks that take the slots of others while these are short.
 func TestLimit(t *testing.T) {
-	recent := admit.Contention{Rank: 0, Recent: true}
+	recent := admit.Contention{Priority: 0, Recent: true}
 	tests := map[string]struct {
 		class      admit.Class
 		rank       unit.Priority
@@ -175,7 +175,7 @@
 	b.Run("slot", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			rules.Limit(r.Class(now), r.Rank, m.Contention("m"))
+			rules.Limit(r.Class(now), r.Priority, m.Contention("m"))
 		}
 	})
 	b.Run("wait", func(b *testing.B) {
--- a/internal/route/admit/line.go
+++ b/internal/route/admit/line.go
@@ -8,7 +8,7 @@
 	"cuminbay/internal/domain/ident"
 )
 
-// Least shares. A rank, organisation or size of which a request waits gets one of leastShareInterval
+// Least shares. A priority, organisation or size of which a request waits gets one of leastShareInterval
 // slots, as long as these are not more than one of leastShareSpacing. The spacing keeps the order of
 // the queue for most slots when many groups fall short at once.
 const (
@@ -16,7 +16,7 @@
 	leastShareSpacing  = 4
 )
 
-// shareKinds is the number of groups that a request counts for: its rank, organisation and size.
+// shareKinds is the number of groups that a request counts for: its priority, organisation and size.
 const shareKinds = 3
 
 // sizeClassBits is the binary logarithm of the factor between the sizes of two groups.
@@ -138,13 +138,13 @@
 	})
 }
 
-// isShort reports whether the waiter's rank, organisation or size got less than its least share, and a
+// isShort reports whether the waiter's priority, organisation or size got less than its least share, and a
 // slot may go to it for that.
 func (l *line) isShort(w *waiter) bool {
 	return w.Limit != nil && l.grants-l.lastLeast >= leastShareSpacing && l.shortage(w) >= leastShareInterval
 }
 
-// shortage returns the number of slots that went to others since a request of the waiter's rank,
+// shortage returns the number of slots that went to others since a request of the waiter's priority,
 // organisation or size last got one; the highest of the three.
 func (l *line) shortage(w *waiter) int {
 	shortage := 0
--- a/internal/route/admit/monitor.go
+++ b/internal/route/admit/monitor.go
@@ -14,8 +14,8 @@
 const ContentionTime = 2 * time.Second
 
 // Monitor observes, for each key of a queue, the rate at which slots become free at this daemon, the
-// waits for them, and which ranks are short of slots. Its methods may be called from several
-// goroutines. Only Return and the first observation of a key or rank take a lock.
+// waits for them, and which priorities are short of slots. Its methods may be called from several
+// goroutines. Only Return and the first observation of a key or priority take a lock.
 type Monitor struct {
 	clock clock.Clock
 	mu    sync.Mutex
@@ -70,7 +70,7 @@
 	corrections [Late + 1]atomic.Uint64
 
 	mu sync.Mutex
-	// short has the last time at which a request of the rank was short of slots, as a
+	// short has the last time at which a request of the priority was short of slots, as a
 	// clock.Instant.
 	short atomic.Pointer[map[unit.Priority]*atomic.Int64]
 	// lastReturn is the latest time at which a refused caller comes back, and refusals their number.
@@ -89,10 +89,10 @@
 	f.freed.record(f.clock.Now())
 }
 
-// RecordShortage records that a request of the rank had to wait or was refused.
-func (f *Flow) RecordShortage(rank unit.Priority) {
+// RecordShortage records that a request of the priority had to wait or was refused.
+func (f *Flow) RecordShortage(priority unit.Priority) {
 	now := int64(clock.InstantOf(f.clock.Now()))
-	if at := (*f.short.Load())[rank]; at != nil {
+	if at := (*f.short.Load())[priority]; at != nil {
 		at.Store(now)
 		return
 	}
@@ -105,16 +105,16 @@
 	}
 	at := new(atomic.Int64)
 	at.Store(now)
-	next[rank] = at
+	next[priority] = at
 	f.short.Store(&next)
 }
 
 func (f *Flow) contention() Contention {
 	var c Contention
 	since := int64(clock.InstantOf(f.clock.Now().Add(-ContentionTime)))
-	for rank, at := range *f.short.Load() {
-		if at.Load() > since && (!c.Recent || rank > c.Rank) {
-			c = Contention{Rank: rank, Recent: true}
+	for priority, at := range *f.short.Load() {
+		if at.Load() > since && (!c.Recent || priority > c.Priority) {
+			c = Contention{Priority: priority, Recent: true}
 		}
 	}
 	return c
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -160,7 +160,7 @@
 	// AheadLate the number if it is late.
 	AheadOnTime unit.Requests
 	AheadLate   unit.Requests
-	// Alone says that no other request of its rank, organisation or size waits.
+	// Alone says that no other request of its priority, organisation or size waits.
 	Alone bool
 }
 
--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -12,28 +12,28 @@
 	"cuminbay/internal/route/admit"
 )
 
-// contentionSource knows for which ranks the endpoints of a model are short of slots.
+// contentionSource knows for which priorities the endpoints of a model are short of slots.
 type contentionSource interface {
-	// Contended returns the highest rank of which a request has had to wait or was refused
+	// Contended returns the highest priority of which a request has had to wait or was refused
 	// within the last two seconds, at any daemon, and whether there is one. It must not block.
-	Contended(service ident.Service, model ident.Model) (rank unit.Priority, recent bool)
+	Contended(service ident.Service, model ident.Model) (priority unit.Priority, recent bool)
 }
 
 // slotRequest returns what the admission depends on of the request as it is now.
 func (x *exchange) slotRequest() admit.Request {
 	return admit.Request{
-		Rank: x.priority(), Objective: x.route.LatencyObjective, Timeout: x.route.Timeout,
+		Priority: x.priority(), Objective: x.route.LatencyObjective, Timeout: x.route.Timeout,
 		Received: x.request.Received, Deadline: x.deadline, FirstEvent: x.firstEvent,
 		IsStream: x.isEngineStream, Resumed: x.sink.Started(), MayHaveRun: x.possibleRuns > 0,
 	}
 }
 
-// contention returns which ranks are short of slots, here or at other daemons.
+// contention returns which priorities are short of slots, here or at other daemons.
 func (x *exchange) contention() admit.Contention {
 	c := x.monitor.Contention(x.queueKey())
 	for _, source := range x.Contentions {
-		if rank, recent := source.Contended(x.service, x.request.Model); recent && (!c.Recent || rank > c.Rank) {
-			c = admit.Contention{Rank: rank, Recent: true}
+		if priority, recent := source.Contended(x.service, x.request.Model); recent && (!c.Recent || priority > c.Priority) {
+			c = admit.Contention{Priority: priority, Recent: true}
 		}
 	}
 	return c
@@ -135,7 +135,7 @@
 // waitRequest describes the request to the queue.
 func (x *exchange) waitRequest(r *admit.Request, now time.Time) admit.WaitRequest {
 	w := admit.WaitRequest{
-		Key: x.queueKey(), Priority: r.Rank, Received: r.Received, Admission: x.admission,
+		Key: x.queueKey(), Priority: r.Priority, Received: r.Received, Admission: x.admission,
 		Class: r.Class(now), LatestStart: r.LatestStart(), FirstSent: r.FirstSent(),
 		Tokens: x.request.PromptTokens + x.estimate.OutputTokens, Restricted: len(x.triedServers) > 0, Displaceable: !r.Resumed && !r.MayHaveRun,
 	}
