rcu: Add the map that is read without a lock

The expected time in a free slot uses the published times directly instead of looking up learned ones that it leaves out.

--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -4,7 +4,6 @@
 package admit
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/record"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/rcu"
 )
 
 // shortageThreshold is the share of the capacity above which organisations are limited to
@@ -27,9 +27,7 @@
 // Release take no lock after an organisation's first request.
 type Shares struct {
 	inFlight atomic.Int64
-
-	mu    sync.Mutex
-	loads atomic.Pointer[map[ident.Organisation]*organisationLoad]
+	loads    rcu.Map[ident.Organisation, *organisationLoad]
 }
 
 // organisationLoad has the requests in flight and the scaled weight of one organisation.
@@ -43,9 +41,7 @@
 
 // NewShares returns shares without requests.
 func NewShares() *Shares {
-	s := new(Shares)
-	s.loads.Store(&map[ident.Organisation]*organisationLoad{})
-	return s
+	return new(Shares)
 }
 
 // Admission is the admission of one request, which counts as in flight until Release is
@@ -91,7 +87,7 @@
 // returns at least one, so that no organisation is refused entirely.
 func (s *Shares) allowance(load *organisationLoad, capacity unit.Requests) float64 {
 	var activeWeight uint64
-	for _, other := range *s.loads.Load() {
+	for _, other := range s.loads.Load() {
 		if other.inFlight.Load() > 0 {
 			activeWeight += other.weight.Load()
 		}
@@ -106,26 +102,14 @@
 // updates its weight later.
 func (s *Shares) loadOf(o *record.Organisation) *organisationLoad {
 	weight := max(1, uint64(o.Weight*weightScale))
-	if load := (*s.loads.Load())[o.Name]; load != nil {
-		if load.weight.Load() != weight {
-			load.weight.Store(weight)
-		}
+	load, _ := s.loads.GetOrAdd(o.Name, func() *organisationLoad {
+		load := new(organisationLoad)
+		load.weight.Store(weight)
 		return load
+	})
+	if load.weight.Load() != weight {
+		load.weight.Store(weight)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := *s.loads.Load()
-	if load := old[o.Name]; load != nil {
-		return load
-	}
-	next := make(map[ident.Organisation]*organisationLoad, len(old)+1)
-	for name, load := range old {
-		next[name] = load
-	}
-	load := new(organisationLoad)
-	load.weight.Store(weight)
-	next[o.Name] = load
-	s.loads.Store(&next)
 	return load
 }
 
--- a/internal/route/admit/monitor.go
+++ b/internal/route/admit/monitor.go
@@ -8,6 +8,7 @@
 
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/rcu"
 )
 
 // ContentionTime is the time for which requests that were short of slots count as contention.
@@ -18,42 +19,23 @@
 // goroutines. Only Return and the first observation of a key or priority take a lock.
 type Monitor struct {
 	clock clock.Clock
-	mu    sync.Mutex
-	flows atomic.Pointer[map[QueueKey]*Flow]
+	flows rcu.Map[QueueKey, *Flow]
 }
 
 // NewMonitor returns a Monitor without observations.
 func NewMonitor(c clock.Clock) *Monitor {
-	m := &Monitor{clock: c}
-	m.flows.Store(&map[QueueKey]*Flow{})
-	return m
+	return &Monitor{clock: c}
 }
 
 // Flow returns the observations for the key.
 func (m *Monitor) Flow(key QueueKey) *Flow {
-	if f := (*m.flows.Load())[key]; f != nil {
-		return f
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	old := *m.flows.Load()
-	if f := old[key]; f != nil {
-		return f
-	}
-	next := make(map[QueueKey]*Flow, len(old)+1)
-	for k, f := range old {
-		next[k] = f
-	}
-	f := &Flow{clock: m.clock}
-	f.short.Store(&map[unit.Priority]*atomic.Int64{})
-	next[key] = f
-	m.flows.Store(&next)
+	f, _ := m.flows.GetOrAdd(key, func() *Flow { return &Flow{clock: m.clock} })
 	return f
 }
 
 // Contention returns the contention that this daemon has observed for the key.
 func (m *Monitor) Contention(key QueueKey) Contention {
-	f := (*m.flows.Load())[key]
+	f := m.flows.Load()[key]
 	if f == nil {
 		return Contention{}
 	}
@@ -69,10 +51,11 @@
 	// bits of a float64.
 	corrections [Late + 1]atomic.Uint64
 
-	mu sync.Mutex
 	// short has the last time at which a request of the priority was short of slots, as a
 	// clock.Instant.
-	short atomic.Pointer[map[unit.Priority]*atomic.Int64]
+	short rcu.Map[unit.Priority, *atomic.Int64]
+
+	mu sync.Mutex
 	// lastReturn is the latest time at which a refused caller comes back, and refusals their number.
 	lastReturn time.Time
 	refusals   int
@@ -91,28 +74,14 @@
 
 // RecordShortage records that a request of the priority had to wait or was refused.
 func (f *Flow) RecordShortage(priority unit.Priority) {
-	now := int64(clock.InstantOf(f.clock.Now()))
-	if at := (*f.short.Load())[priority]; at != nil {
-		at.Store(now)
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	old := *f.short.Load()
-	next := make(map[unit.Priority]*atomic.Int64, len(old)+1)
-	for r, at := range old {
-		next[r] = at
-	}
-	at := new(atomic.Int64)
-	at.Store(now)
-	next[priority] = at
-	f.short.Store(&next)
+	at, _ := f.short.GetOrAdd(priority, func() *atomic.Int64 { return new(atomic.Int64) })
+	at.Store(int64(clock.InstantOf(f.clock.Now())))
 }
 
 func (f *Flow) contention() Contention {
 	var c Contention
 	since := int64(clock.InstantOf(f.clock.Now().Add(-ContentionTime)))
-	for priority, at := range *f.short.Load() {
+	for priority, at := range f.short.Load() {
 		if at.Load() > since && (!c.Recent || priority > c.Priority) {
 			c = Contention{Priority: priority, Recent: true}
 		}
--- a/internal/route/cost/cost.go
+++ b/internal/route/cost/cost.go
@@ -11,6 +11,7 @@
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/rcu"
 )
 
 // Profile is what is known of a request before it runs.
@@ -42,13 +43,13 @@
 // estimates take no lock.
 type Model struct {
 	outputs outputTable
-	times   timesTable
+	times   rcu.Map[modelKey, *learnedTimes]
 	errors  errorMeasures
 }
 
 // New returns a Model without observations.
 func New() *Model {
-	return &Model{}
+	return &Model{times: rcu.Map[modelKey, *learnedTimes]{Limit: maxLearnedModels}}
 }
 
 // Predict returns the expected cost of a request to a replica of the engine. The engine is nil for
--- a/internal/route/cost/run.go
+++ b/internal/route/cost/run.go
@@ -70,8 +70,8 @@
 	r.model.errors.firstEvent.record(float64(r.expected), float64(observed))
 	// An endpoint counts as at most twice as quick as published.
 	excess := min(max(observed-r.published, -r.published/2), maxCorrection)
-	learned := r.model.times.of(r.modelKey())
-	if learned == nil {
+	learned, ok := r.model.learned(r.modelKey())
+	if !ok {
 		return
 	}
 	usual := excess
@@ -95,8 +95,8 @@
 	if !r.learns || r.firstEventAt.IsZero() {
 		return
 	}
-	learned := r.model.times.of(r.modelKey())
-	if learned == nil {
+	learned, ok := r.model.learned(r.modelKey())
+	if !ok {
 		return
 	}
 	average(&learned.slotTimes, &learned.slotTime, int64(now.Sub(r.firstEventAt)))
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -1,9 +1,7 @@
 package cost
 
 import (
-	"maps"
 	"math"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -114,42 +112,9 @@
 	work        atomic.Int64
 }
 
-// timesTable has the learned times of each model. Changes replace the map.
-type timesTable struct {
-	current atomic.Pointer[map[modelKey]*learnedTimes]
-	mu      sync.Mutex
-}
-
-// find returns the learned times of the model, nil if there are none.
-func (t *timesTable) find(key modelKey) *learnedTimes {
-	current := t.current.Load()
-	if current == nil {
-		return nil
-	}
-	return (*current)[key]
-}
-
-// of returns the learned times of the model, and nil if there are too many models.
-func (t *timesTable) of(key modelKey) *learnedTimes {
-	if learned := t.find(key); learned != nil {
-		return learned
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if learned := t.find(key); learned != nil {
-		return learned
-	}
-	next := make(map[modelKey]*learnedTimes)
-	if current := t.current.Load(); current != nil {
-		next = maps.Clone(*current)
-	}
-	if len(next) >= maxLearnedModels {
-		return nil
-	}
-	learned := new(learnedTimes)
-	next[key] = learned
-	t.current.Store(&next)
-	return learned
+// learned returns the learned times of the model, and false if there are too many models.
+func (m *Model) learned(key modelKey) (*learnedTimes, bool) {
+	return m.times.GetOrAdd(key, func() *learnedTimes { return new(learnedTimes) })
 }
 
 // average adds a value to a moving average. Two concurrent values may overwrite each other, which an
@@ -169,7 +134,7 @@
 		key.model = model.Name
 		t = publishedTimes(engine, model)
 	}
-	learned := m.times.find(key)
+	learned := m.times.Load()[key]
 	if learned == nil {
 		return t
 	}
@@ -229,13 +194,21 @@
 // replica whose other slots are in use, and zero if the service publishes none. The learned time is
 // left out: where it is close to the objective, every request would count as late on arrival.
 func (m *Model) FirstEventInSlot(p Profile, engine *cluster.Engine) time.Duration {
-	if engine == nil || engine.StepTime <= 0 || engine.Model(p.Model) == nil {
+	if engine == nil || engine.StepTime <= 0 {
+		return 0
+	}
+	model := engine.Model(p.Model)
+	if model == nil {
 		return 0
 	}
-	t := m.Times(p.Service, engine, engine.Model(p.Model))
+	t := publishedTimes(engine, model)
 	pass := t.passStep + t.passPerRequest*float64(engine.Slots)
-	own := float64(p.PromptTokens) * (t.prefillToken + float64(p.PromptTokens)/2*t.attention)
-	return time.Duration(pass/2 + own + pass)
+	return time.Duration(pass/2 + t.prefill(p.PromptTokens) + pass)
+}
+
+// prefill returns the prefill time of a prompt.
+func (t *Times) prefill(prompt unit.Tokens) float64 {
+	return float64(prompt)*t.prefillToken + float64(prompt)*float64(prompt)/2*t.attention
 }
 
 // published is FirstEvent without the correction.
@@ -245,9 +218,8 @@
 	wait := t.wait(s)
 	// Queued prompts are prefilled while slots become free, so the two times don't add up.
 	unread := float64(max(s.Unread, 0)) * t.prefillToken
-	own := float64(prompt)*t.prefillToken + float64(prompt)*float64(prompt)/2*t.attention
 	return Forecast{
-		Mean:       time.Duration(pass/2 + max(wait, unread) + own + pass),
+		Mean:       time.Duration(pass/2 + max(wait, unread) + t.prefill(prompt) + pass),
 		Spread:     time.Duration(spreadPasses*pass + spreadOfWait*wait),
 		passSpread: time.Duration(spreadPasses * pass),
 	}
