cost, balance, gossip: Name expected loss, pending prefill and misbehaving clients

Cause: "harm", "unread" and "crowd" were terms of this project only.

Change: the expected loss of a choice (lossScale, drawByLoss), the pending prefill of an endpoint (AddPendingPrefill, PeerPendingPrefill) and misbehaving clients (package misbehaving, TestMisbehavingClients) in identifiers, files, comments and pages. Fields 30 and 35 of the datagram are called pending_prefill and sum_pending_prefill; their numbers and contents are the same, so older builds read them as before.

--- a/internal/command/cli/explain.go
+++ b/internal/command/cli/explain.go
@@ -84,7 +84,7 @@
 
 func (c *explainCommand) printCandidate(e *balance.Candidate) {
 	p := c.streams.printf
-	p("  endpoint %-20s %-12s %5.1f%%  in flight %d + %d of others, slots %d, unread %d + %d", e.Endpoint, e.DataCentre, 100*e.Probability, e.InFlight, e.PeerInFlight, e.Slots, e.Unread, e.PeerUnread)
+	p("  endpoint %-20s %-12s %5.1f%%  in flight %d + %d of others, slots %d, pending prefill %d + %d", e.Endpoint, e.DataCentre, 100*e.Probability, e.InFlight, e.PeerInFlight, e.Slots, e.PendingPrefill, e.PeerPendingPrefill)
 	if e.Excluded != "" {
 		p("; left out: %s\n", e.Excluded)
 		return
--- a/internal/fleet/catalog/loadwork.go
+++ b/internal/fleet/catalog/loadwork.go
@@ -11,15 +11,15 @@
 // workLoad holds the expected cost of the requests in flight at a server, and how much later its
 // first events arrive than its published times say. All fields are atomic.
 type workLoad struct {
-	// unread counts the prompt tokens that are not prefilled yet, and work adds up the expected
+	// pendingPrefill counts the prompt tokens that are not prefilled yet, and work adds up the expected
 	// slot time in nanoseconds, both of this daemon's requests. reserved counts the tokens that
 	// these requests hold in the KV cache at their end.
-	unread   atomic.Int64
-	work     atomic.Int64
-	reserved atomic.Int64
-	// peerUnread and peerWork are those of all peers together, as last reported.
-	peerUnread atomic.Int64
-	peerWork   atomic.Int64
+	pendingPrefill atomic.Int64
+	work           atomic.Int64
+	reserved       atomic.Int64
+	// peerPendingPrefill and peerWork are those of all peers together, as last reported.
+	peerPendingPrefill atomic.Int64
+	peerWork           atomic.Int64
 	// correction is the moving average of the observed minus the published time to the first
 	// event in nanoseconds, and correctedAt the time of the last observation as a clock.Instant,
 	// zero before the first one.
@@ -27,10 +27,10 @@
 	correctedAt atomic.Int64
 }
 
-// AddUnread adds prompt tokens of this daemon's requests that are not prefilled yet. A negative
+// AddPendingPrefill adds prompt tokens of this daemon's requests that are not prefilled yet. A negative
 // number removes them.
-func (l *workLoad) AddUnread(n unit.Tokens) {
-	l.unread.Add(int64(n))
+func (l *workLoad) AddPendingPrefill(n unit.Tokens) {
+	l.pendingPrefill.Add(int64(n))
 }
 
 // AddWork adds expected slot time of this daemon's requests. A negative time removes it.
@@ -44,9 +44,9 @@
 	l.reserved.Add(int64(n))
 }
 
-// Unread returns the prompt tokens of this daemon's requests that are not prefilled yet.
-func (l *workLoad) Unread() unit.Tokens {
-	return unit.Tokens(l.unread.Load())
+// PendingPrefill returns the prompt tokens of this daemon's requests that are not prefilled yet.
+func (l *workLoad) PendingPrefill() unit.Tokens {
+	return unit.Tokens(l.pendingPrefill.Load())
 }
 
 // Work returns the expected slot time of this daemon's requests in flight.
@@ -60,9 +60,9 @@
 	return unit.Tokens(l.reserved.Load())
 }
 
-// SetPeerUnread sets the unread prompt tokens of all peers together.
-func (l *workLoad) SetPeerUnread(n unit.Tokens) {
-	l.peerUnread.Store(int64(n))
+// SetPeerPendingPrefill sets the pending prefill tokens of all peers together.
+func (l *workLoad) SetPeerPendingPrefill(n unit.Tokens) {
+	l.peerPendingPrefill.Store(int64(n))
 }
 
 // SetPeerWork sets the expected slot time of the requests of all peers together.
@@ -70,9 +70,9 @@
 	l.peerWork.Store(int64(d))
 }
 
-// PeerUnread returns the unread prompt tokens of the peers, as last reported.
-func (l *workLoad) PeerUnread() unit.Tokens {
-	return unit.Tokens(l.peerUnread.Load())
+// PeerPendingPrefill returns the pending prefill tokens of the peers, as last reported.
+func (l *workLoad) PeerPendingPrefill() unit.Tokens {
+	return unit.Tokens(l.peerPendingPrefill.Load())
 }
 
 // TotalWork returns the expected slot time of the requests of this daemon and, as last reported, of
--- a/internal/peer/gossip/inflight.go
+++ b/internal/peer/gossip/inflight.go
@@ -40,7 +40,7 @@
 	loads := make(map[endpointHash]endpointLoad)
 	for _, e := range g.currentEndpoints() {
 		if n := e.Load.InFlight(); n > 0 {
-			loads[e.hash] = endpointLoad{n, e.Load.Unread(), e.Load.Work()}
+			loads[e.hash] = endpointLoad{n, e.Load.PendingPrefill(), e.Load.Work()}
 		}
 	}
 	return loads
@@ -148,7 +148,7 @@
 	g.mu.Unlock()
 	for i, e := range endpoints {
 		e.Load.SetPeerInFlight(totals[i].Requests)
-		e.Load.SetPeerUnread(totals[i].Unread)
+		e.Load.SetPeerPendingPrefill(totals[i].PendingPrefill)
 		e.Load.SetPeerWork(totals[i].Work)
 	}
 }
--- a/internal/peer/gossip/load.go
+++ b/internal/peer/gossip/load.go
@@ -11,24 +11,24 @@
 // endpointLoad is the load of requests in flight at an endpoint.
 type endpointLoad struct {
 	Requests unit.Requests
-	// Unread counts the prompt tokens of requests without a first event, and Work is the
+	// PendingPrefill counts the prompt tokens of requests without a first event, and Work is the
 	// expected work of all requests.
-	Unread unit.Tokens
-	Work   time.Duration
+	PendingPrefill unit.Tokens
+	Work           time.Duration
 }
 
 func (l endpointLoad) plus(other endpointLoad) endpointLoad {
-	return endpointLoad{l.Requests + other.Requests, l.Unread + other.Unread, l.Work + other.Work}
+	return endpointLoad{l.Requests + other.Requests, l.PendingPrefill + other.PendingPrefill, l.Work + other.Work}
 }
 
 func (l endpointLoad) minus(other endpointLoad) endpointLoad {
-	return endpointLoad{l.Requests - other.Requests, l.Unread - other.Unread, l.Work - other.Work}
+	return endpointLoad{l.Requests - other.Requests, l.PendingPrefill - other.PendingPrefill, l.Work - other.Work}
 }
 
 // scaled returns the load multiplied by the factor and rounded.
 func (l endpointLoad) scaled(factor float64) endpointLoad {
 	return endpointLoad{
-		unit.Requests(float64(l.Requests)*factor + 0.5), unit.Tokens(float64(l.Unread)*factor + 0.5),
+		unit.Requests(float64(l.Requests)*factor + 0.5), unit.Tokens(float64(l.PendingPrefill)*factor + 0.5),
 		time.Duration(float64(l.Work)*factor + 0.5),
 	}
 }
@@ -51,40 +51,40 @@
 	return uint32(min(max(n, 0), math.MaxUint32))
 }
 
-func encodeLoads(loads map[endpointHash]endpointLoad) (endpoints, requests, unread, work []uint32) {
+func encodeLoads(loads map[endpointHash]endpointLoad) (endpoints, requests, pendingPrefill, work []uint32) {
 	if len(loads) == 0 {
 		return nil, nil, nil, nil
 	}
 	values := make([]uint32, 4*len(loads))
 	n := len(loads)
-	endpoints, requests, unread, work = values[:n:n], values[n:2*n:2*n], values[2*n:3*n:3*n], values[3*n:]
+	endpoints, requests, pendingPrefill, work = values[:n:n], values[n:2*n:2*n], values[2*n:3*n:3*n], values[3*n:]
 	i := 0
 	for e, l := range loads {
 		endpoints[i], requests[i] = uint32(e), encodeCount(int64(l.Requests))
-		unread[i] = encodeCount(int64((l.Unread + promptUnit/2) / promptUnit))
+		pendingPrefill[i] = encodeCount(int64((l.PendingPrefill + promptUnit/2) / promptUnit))
 		work[i] = encodeCount(int64((l.Work + workUnit/2) / workUnit))
 		i++
 	}
-	return endpoints, requests, unread, work
+	return endpoints, requests, pendingPrefill, work
 }
 
 // decodeLoads returns the loads by endpoint. A daemon of an earlier version sends the numbers of
 // requests alone.
 //
 // Errors carry code.BadMessage.
-func decodeLoads(endpoints, requests, unread, work []uint32) (map[endpointHash]endpointLoad, error) {
+func decodeLoads(endpoints, requests, pendingPrefill, work []uint32) (map[endpointHash]endpointLoad, error) {
 	n := len(endpoints)
 	if len(requests) != n {
 		return nil, code.BadMessage.New("datagram: %d numbers of requests for %d endpoints", len(requests), n)
 	}
-	if len(unread) != len(work) || len(work) != 0 && len(work) != n {
-		return nil, code.BadMessage.New("datagram: %d unread prompts and %d values of work for %d endpoints", len(unread), len(work), n)
+	if len(pendingPrefill) != len(work) || len(work) != 0 && len(work) != n {
+		return nil, code.BadMessage.New("datagram: %d values of pending prefill and %d values of work for %d endpoints", len(pendingPrefill), len(work), n)
 	}
 	loads := make(map[endpointHash]endpointLoad, n)
 	for i, e := range endpoints {
 		l := endpointLoad{Requests: unit.Requests(requests[i])}
 		if len(work) > 0 {
-			l.Unread, l.Work = unit.Tokens(unread[i])*promptUnit, time.Duration(work[i])*workUnit
+			l.PendingPrefill, l.Work = unit.Tokens(pendingPrefill[i])*promptUnit, time.Duration(work[i])*workUnit
 		}
 		loads[endpointHash(e)] = loads[endpointHash(e)].plus(l)
 	}
@@ -95,7 +95,7 @@
 //
 // Errors carry code.BadMessage.
 func decodeSum(d *Datagram) (*dataCentreSum, error) {
-	loads, err := decodeLoads(d.GetSumEndpoints(), d.GetSumRequests(), d.GetSumUnreadPrompts(), d.GetSumWork())
+	loads, err := decodeLoads(d.GetSumEndpoints(), d.GetSumRequests(), d.GetSumPendingPrefill(), d.GetSumWork())
 	if err != nil || d.GetSumAge() == 0 {
 		return nil, err
 	}
--- a/internal/peer/gossip/load_test.go
+++ b/internal/peer/gossip/load_test.go
@@ -18,7 +18,7 @@
 func TestDataCentreSums(t *testing.T) {
 	at := hashEndpoint("i", 3)
 	loads := func(n unit.Requests) map[endpointHash]endpointLoad {
-		return map[endpointHash]endpointLoad{at: {Requests: n, Unread: unit.Tokens(n) * 10, Work: time.Duration(n) * time.Second}}
+		return map[endpointHash]endpointLoad{at: {Requests: n, PendingPrefill: unit.Tokens(n) * 10, Work: time.Duration(n) * time.Second}}
 	}
 	sum := func(n unit.Requests, age time.Duration) *dataCentreSum { return &dataCentreSum{age, loads(n)} }
 	type step struct {
@@ -56,7 +56,7 @@
 			g.UpdatePeerInFlight()
 			load := testEndpoint(g).Load
 			c.Check(load.TotalInFlight(), qt.Equals, test.want)
-			c.Check(load.Unread()+load.PeerUnread(), qt.Equals, unit.Tokens(test.want)*10)
+			c.Check(load.PendingPrefill()+load.PeerPendingPrefill(), qt.Equals, unit.Tokens(test.want)*10)
 			c.Check(load.TotalWork(), qt.Equals, time.Duration(test.want)*time.Second)
 		})
 	}
@@ -135,7 +135,7 @@
 func manyLoads(n int) map[endpointHash]endpointLoad {
 	loads := make(map[endpointHash]endpointLoad)
 	for i := range n {
-		loads[endpointHash(i)] = endpointLoad{Requests: 12, Unread: 2000, Work: 9 * time.Second}
+		loads[endpointHash(i)] = endpointLoad{Requests: 12, PendingPrefill: 2000, Work: 9 * time.Second}
 	}
 	return loads
 }
@@ -145,22 +145,22 @@
 func TestDecodeLoads(t *testing.T) {
 	one, two := []uint32{1}, []uint32{1, 2}
 	tests := map[string]struct {
-		endpoints, requests, unread, work []uint32
-		want                              map[endpointHash]endpointLoad
-		wantErr                           bool
+		endpoints, requests, pendingPrefill, work []uint32
+		want                                      map[endpointHash]endpointLoad
+		wantErr                                   bool
 	}{
-		"older build":       {endpoints: two, requests: two, want: map[endpointHash]endpointLoad{1: {Requests: 1}, 2: {Requests: 2}}},
-		"all fields":        {endpoints: one, requests: one, unread: one, work: one, want: map[endpointHash]endpointLoad{1: {1, promptUnit, workUnit}}},
-		"repeated endpoint": {endpoints: []uint32{1, 1}, requests: two, want: map[endpointHash]endpointLoad{1: {Requests: 3}}},
-		"no requests":       {endpoints: one, wantErr: true},
-		"no unread prompts": {endpoints: one, requests: one, work: one, wantErr: true},
-		"no work":           {endpoints: one, requests: one, unread: one, wantErr: true},
-		"too many values":   {endpoints: one, requests: one, unread: two, work: two, wantErr: true},
+		"older build":        {endpoints: two, requests: two, want: map[endpointHash]endpointLoad{1: {Requests: 1}, 2: {Requests: 2}}},
+		"all fields":         {endpoints: one, requests: one, pendingPrefill: one, work: one, want: map[endpointHash]endpointLoad{1: {1, promptUnit, workUnit}}},
+		"repeated endpoint":  {endpoints: []uint32{1, 1}, requests: two, want: map[endpointHash]endpointLoad{1: {Requests: 3}}},
+		"no requests":        {endpoints: one, wantErr: true},
+		"no pending prefill": {endpoints: one, requests: one, work: one, wantErr: true},
+		"no work":            {endpoints: one, requests: one, pendingPrefill: one, wantErr: true},
+		"too many values":    {endpoints: one, requests: one, pendingPrefill: two, work: two, wantErr: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			got, err := decodeLoads(test.endpoints, test.requests, test.unread, test.work)
+			got, err := decodeLoads(test.endpoints, test.requests, test.pendingPrefill, test.work)
 			if test.wantErr {
 				c.Check(code.Of(err), qt.Equals, code.BadMessage)
 				return
--- a/internal/peer/gossip/message.go
+++ b/internal/peer/gossip/message.go
@@ -76,10 +76,10 @@
 		From: string(m.From), Boot: uint64(m.Incarnation), Sequence: uint64(m.Sequence),
 		Revision: int64(m.CopyRevision), Age: encodeAge(m.CopyAge), CutOff: m.CutOff,
 	}
-	d.Endpoints, d.Requests, d.UnreadPrompts, d.Work = encodeLoads(m.Loads)
+	d.Endpoints, d.Requests, d.PendingPrefill, d.Work = encodeLoads(m.Loads)
 	if m.DataCentreSum != nil {
 		d.SumAge = encodeAge(m.DataCentreSum.Age) + 1
-		d.SumEndpoints, d.SumRequests, d.SumUnreadPrompts, d.SumWork = encodeLoads(m.DataCentreSum.Loads)
+		d.SumEndpoints, d.SumRequests, d.SumPendingPrefill, d.SumWork = encodeLoads(m.DataCentreSum.Loads)
 	}
 	for e, age := range m.FailureAges {
 		d.Failed = append(d.Failed, uint32(e))
@@ -215,7 +215,7 @@
 		CopyRevision: unit.Revision(d.GetRevision()), CopyAge: time.Duration(d.GetAge()) * time.Millisecond,
 		FailureAges: make(map[endpointHash]time.Duration, len(d.GetFailed())),
 	}
-	if m.Loads, err = decodeLoads(d.GetEndpoints(), d.GetRequests(), d.GetUnreadPrompts(), d.GetWork()); err != nil {
+	if m.Loads, err = decodeLoads(d.GetEndpoints(), d.GetRequests(), d.GetPendingPrefill(), d.GetWork()); err != nil {
 		return nil, err
 	}
 	if m.DataCentreSum, err = decodeSum(d); err != nil {
--- a/internal/proof/crowd/crowd.go
+++ b/internal/proof/misbehaving/misbehaving.go
@@ -1,6 +1,6 @@
-// Package crowd opens many connections of misbehaving callers to a daemon, and measures the
+// Package misbehaving opens many connections of misbehaving clients to a daemon, and measures the
 // daemon's process meanwhile.
-package crowd
+package misbehaving
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-// Target is a listener and a path at which a crowd sends its requests.
+// Target is a listener and a path to which clients send their requests.
 type Target struct {
 	Address string
 	Method  string
@@ -23,7 +23,7 @@
 	Fields string
 }
 
-// Behaviour is what each connection of a crowd does until it is closed.
+// Behaviour is what each connection of misbehaving clients does until it is closed.
 type Behaviour struct {
 	// Connections is the number of connections.
 	Connections int
@@ -31,7 +31,7 @@
 	send func(c *conn)
 }
 
-// conn is a connection of a crowd.
+// conn is a connection of a misbehaving client.
 type conn struct {
 	net.Conn
 	target Target
@@ -145,8 +145,8 @@
 	}
 }
 
-// Crowd is a set of open connections.
-type Crowd struct {
+// Clients is a set of open connections of misbehaving clients.
+type Clients struct {
 	conns  []net.Conn
 	closed chan struct{}
 	done   sync.WaitGroup
@@ -156,27 +156,27 @@
 const writeTimeout = 10 * time.Second
 
 // Open opens the connections, each of which then behaves as given.
-func Open(clk clock.Clock, target Target, b Behaviour) *Crowd {
-	w := &Crowd{closed: make(chan struct{})}
+func Open(clk clock.Clock, target Target, b Behaviour) *Clients {
+	cs := &Clients{closed: make(chan struct{})}
 	for range b.Connections {
 		netConn, err := net.DialTimeout("tcp", target.Address, time.Second)
 		if err != nil {
 			continue
 		}
 		_ = netConn.SetDeadline(clk.Now().Add(writeTimeout))
-		w.conns = append(w.conns, netConn)
-		w.done.Go(func() { b.send(&conn{Conn: netConn, target: target, clock: clk, closed: w.closed}) })
+		cs.conns = append(cs.conns, netConn)
+		cs.done.Go(func() { b.send(&conn{Conn: netConn, target: target, clock: clk, closed: cs.closed}) })
 	}
-	return w
+	return cs
 }
 
 // Close closes the connections and waits until they have ended.
-func (w *Crowd) Close() {
-	close(w.closed)
-	for _, c := range w.conns {
+func (cs *Clients) Close() {
+	close(cs.closed)
+	for _, c := range cs.conns {
 		_ = c.Close()
 	}
-	w.done.Wait()
+	cs.done.Wait()
 }
 
 // Usage is what a process uses.
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -45,7 +45,7 @@
 // Choice says how endpoints with published engine times are compared.
 type Choice string
 
-// The choices: by the expected harm to callers, or by the number of requests in flight.
+// The choices: by the expected loss for callers, or by the number of requests in flight.
 const (
 	ByCost  Choice = "cost"
 	ByCount Choice = "count"
@@ -97,7 +97,7 @@
 }
 
 // Pick returns an endpoint that has a free slot and was not tried, or nil if there is none. By
-// expected harm it is drawn from a sample so that all daemons together spread their requests. By
+// expected loss it is drawn from a sample so that all daemons together spread their requests. By
 // count it is the one with the lowest utilisation, in a large fleet of a sample. An endpoint that is
 // avoided after a failure is returned only if all endpoints are avoided, as the failures were then
 // more likely caused by this daemon.
@@ -118,13 +118,13 @@
 	return e
 }
 
-// draw returns a candidate by expected harm, nil if none may be chosen.
+// draw returns a candidate by expected loss, nil if none may be chosen.
 func (p *pick) draw(endpoints []*catalog.Endpoint) *catalog.Endpoint {
 	if len(endpoints) <= maxCandidates {
-		return p.drawByHarm(endpoints)
+		return p.drawByLoss(endpoints)
 	}
 	var drawn [maxCandidates]*catalog.Endpoint
-	return p.drawByHarm(p.sample(endpoints, drawn[:0], maxCandidates/2))
+	return p.drawByLoss(p.sample(endpoints, drawn[:0], maxCandidates/2))
 }
 
 // pickLeastUtilised returns the endpoint with the lowest utilisation, in a large fleet of a sample. It
@@ -153,7 +153,7 @@
 	*Balancer
 	request Request
 	now     time.Time
-	// byCost says that endpoints are compared by expected harm, of which times and timeLeft, the
+	// byCost says that endpoints are compared by expected loss, of which times and timeLeft, the
 	// time until the request misses its objective, are set.
 	byCost   bool
 	times    cost.Times
--- a/internal/route/balance/balance_test.go
+++ b/internal/route/balance/balance_test.go
@@ -107,7 +107,7 @@
 }
 
 // TestPickByCost guards against a replica at which the request would exceed the KV cache, that has many
-// unread prompts, or that is slow, while there is another one.
+// pending prefill, or that is slow, while there is another one.
 func TestPickByCost(t *testing.T) {
 	const picks = 1000
 	tests := map[string]struct {
@@ -118,9 +118,9 @@
 		min, max float64
 	}{
 		"alike":                             {func(*catalog.Endpoint) {}, Request{}, 0.25, 0.42},
-		"unread prompts of this daemon":     {func(e *catalog.Endpoint) { e.Load.AddUnread(6000) }, Request{ObjectiveAt: testStart.Add(150 * time.Millisecond)}, 0, 0.2},
-		"many unread prompts of others":     {func(e *catalog.Endpoint) { e.Load.SetPeerUnread(20_000) }, Request{ObjectiveAt: testStart.Add(150 * time.Millisecond)}, 0, 0.2},
-		"few unread prompts of others":      {func(e *catalog.Endpoint) { e.Load.SetPeerUnread(3000) }, Request{ObjectiveAt: testStart.Add(150 * time.Millisecond)}, 0.25, 0.42},
+		"pending prefill of this daemon":    {func(e *catalog.Endpoint) { e.Load.AddPendingPrefill(6000) }, Request{ObjectiveAt: testStart.Add(150 * time.Millisecond)}, 0, 0.2},
+		"much pending prefill of others":    {func(e *catalog.Endpoint) { e.Load.SetPeerPendingPrefill(20_000) }, Request{ObjectiveAt: testStart.Add(150 * time.Millisecond)}, 0, 0.2},
+		"little pending prefill of others":  {func(e *catalog.Endpoint) { e.Load.SetPeerPendingPrefill(3000) }, Request{ObjectiveAt: testStart.Add(150 * time.Millisecond)}, 0.25, 0.42},
 		"slow":                              {func(e *catalog.Endpoint) { e.Load.RecordCorrection(testStart, 2*time.Second, 0, 1) }, Request{}, 0, 0.05},
 		"slow a minute ago":                 {func(e *catalog.Endpoint) { e.Load.RecordCorrection(testStart.Add(-time.Minute), 2*time.Second, 0, 1) }, Request{}, 0.25, 0.42},
 		"more requests of others":           {func(e *catalog.Endpoint) { e.Load.SetPeerInFlight(6) }, Request{}, 0, 0.1},
--- a/internal/route/balance/explain.go
+++ b/internal/route/balance/explain.go
@@ -23,10 +23,10 @@
 	Replica    ident.Replica    `json:"replica,omitempty"`
 	Slots      unit.Requests    `json:"slots"`
 	// InFlight counts this daemon's requests, PeerInFlight those of others as last reported.
-	InFlight     unit.Requests `json:"inflight"`
-	PeerInFlight unit.Requests `json:"peer_inflight"`
-	Unread       unit.Tokens   `json:"unread"`
-	PeerUnread   unit.Tokens   `json:"peer_unread"`
+	InFlight           unit.Requests `json:"inflight"`
+	PeerInFlight       unit.Requests `json:"peer_inflight"`
+	PendingPrefill     unit.Tokens   `json:"pending_prefill"`
+	PeerPendingPrefill unit.Tokens   `json:"peer_pending_prefill"`
 	// Load is compared with the level. It has the penalty for another data centre.
 	Load float64 `json:"load,omitempty"`
 	// First is the expected time to the first event at the level, Spread its standard deviation, and
@@ -53,7 +53,7 @@
 		x.Candidates[i] = Candidate{
 			Endpoint: e.ID, DataCentre: e.DataCentre, Replica: e.Replica, Slots: e.Slots,
 			InFlight: e.Load.InFlight(), PeerInFlight: e.Load.TotalInFlight() - e.Load.InFlight(),
-			Unread: e.Load.Unread(), PeerUnread: e.Load.PeerUnread(), Excluded: p.exclusion(e),
+			PendingPrefill: e.Load.PendingPrefill(), PeerPendingPrefill: e.Load.PeerPendingPrefill(), Excluded: p.exclusion(e),
 		}
 	}
 	if p.byCost {
@@ -67,7 +67,7 @@
 	return x
 }
 
-// explainDraw adds the terms of the draw by expected harm.
+// explainDraw adds the terms of the draw by expected loss.
 func (p *pick) explainDraw(endpoints []*catalog.Endpoint, x *Explanation) {
 	all := make([]weighed, len(endpoints))
 	level, sum := p.weigh(endpoints, all), 0.0
--- a/internal/route/balance/harm.go
+++ b/internal/route/balance/loss.go
@@ -9,9 +9,9 @@
 	"cuminbay/internal/route/cost"
 )
 
-// Choice by expected harm. The counts of the other daemons' requests are old, and the other daemons
-// have the same ones. If each daemon chose the replica with the least harm by these counts, all would
-// meet there. Each daemon therefore computes how all requests that arrive while the counts grow old
+// Choice by expected loss. The counts of the other daemons' requests are old, and the other daemons
+// have the same ones. If each daemon chose the replica with the lowest expected loss by these counts,
+// all would meet there. Each daemon therefore computes how all requests that arrive while the counts grow old
 // should be spread, which is up to a level of equal load, and draws a replica with the probability of
 // the requests that are to go there.
 const (
@@ -29,20 +29,21 @@
 	// that are taken to be that data centre's own, for each unit of RemotePenalty. With the default
 	// penalty of 0.3 it is 0.9.
 	ownArrivals = 3
-	// harmScale is the difference in harm that makes a replica e times less likely to be chosen.
+	// lossScale is the difference in expected loss that makes a replica e times less likely to be
+	// chosen.
 	// In simulated fleets with a slow replica among six, or with long prompts, more requests met
 	// their objective than with 0.1 or 0.2.
-	harmScale = 0.05
-	// delayHarm is the harm of a second until the first event, in requests that miss their
+	lossScale = 0.05
+	// delayLoss is the expected loss for a second until the first event, in requests that miss their
 	// objective. It tells replicas apart at which the objective is met, or missed, in any case.
-	delayHarm = 0.05
+	delayLoss = 0.05
 	// logisticScale is the scale of a logistic distribution with a standard deviation of one.
 	logisticScale = 0.55
 )
 
-// drawByHarm returns a random candidate that may be chosen and admits the request, nil if there is
+// drawByLoss returns a random candidate that may be chosen and admits the request, nil if there is
 // none.
-func (p *pick) drawByHarm(candidates []*catalog.Endpoint) *catalog.Endpoint {
+func (p *pick) drawByLoss(candidates []*catalog.Endpoint) *catalog.Endpoint {
 	var buffer [maxCandidates]weighed
 	all := buffer[:len(candidates)]
 	p.weigh(candidates, all)
@@ -61,9 +62,9 @@
 
 // weighed has the terms by which a candidate is drawn. The load is infinite if it may not be chosen.
 type weighed struct {
-	load   float64
-	harm   float64
-	weight float64
+	load         float64
+	expectedLoss float64
+	weight       float64
 }
 
 // drawIndex returns a random index with a probability in proportion to its weight, negative if all
@@ -88,8 +89,8 @@
 }
 
 // weigh sets the terms of each candidate, and returns the level. The weight is zero for those that may
-// not be chosen. It is the requests by which a candidate is below the level, reduced by the harm that
-// the request would see there.
+// not be chosen. It is the requests by which a candidate is below the level, reduced by the
+// expected loss of the request there.
 func (p *pick) weigh(candidates []*catalog.Endpoint, all []weighed) float64 {
 	arrivals, share := 1.0, min(minArrivalShare+arrivalSharePerDaemon*float64(p.Fleet.FleetSize()), maxArrivalShare)
 	for i, e := range candidates {
@@ -105,13 +106,13 @@
 		// The level is infinite if no candidate may be chosen.
 		if !math.IsInf(all[i].load, 1) && level > all[i].load {
 			all[i].weight = level - all[i].load
-			all[i].harm = p.harm(e, level)
-			least = min(least, all[i].harm)
+			all[i].expectedLoss = p.expectedLoss(e, level)
+			least = min(least, all[i].expectedLoss)
 		}
 	}
 	for i := range all {
 		if all[i].weight > 0 {
-			all[i].weight *= math.Exp((least - all[i].harm) / harmScale)
+			all[i].weight *= math.Exp((least - all[i].expectedLoss) / lossScale)
 		}
 	}
 	return level
@@ -153,12 +154,12 @@
 	return high
 }
 
-// harm returns the probability that the request misses its objective at the endpoint when that has as
-// many requests as the level says, and a small part for the delay. The level is the same for all
-// candidates, which differ in unread prompts, in the work of their requests and in the correction.
-func (p *pick) harm(e *catalog.Endpoint, level float64) float64 {
+// expectedLoss returns the probability that the request misses its objective at the endpoint when
+// that has as many requests as the level says, and a small part for the delay. The level is the same for all
+// candidates, which differ in pending prefill, in the work of their requests and in the correction.
+func (p *pick) expectedLoss(e *catalog.Endpoint, level float64) float64 {
 	f := p.forecast(e, level)
-	return missProbability(f, float64(p.timeLeft)) + delayHarm*f.Mean.Seconds()
+	return missProbability(f, float64(p.timeLeft)) + delayLoss*f.Mean.Seconds()
 }
 
 // forecast returns the expected time to the first event at the endpoint with as many requests as the
--- a/internal/route/balance/metrics.go
+++ b/internal/route/balance/metrics.go
@@ -9,7 +9,7 @@
 
 // counters count the results of choices.
 type counters struct {
-	// drawn counts the choices by expected harm, leastUtilised those by count, and none those
+	// drawn counts the choices by expected loss, leastUtilised those by count, and none those
 	// without an endpoint that may be chosen.
 	drawn         atomic.Int64
 	leastUtilised atomic.Int64
--- a/internal/route/cost/cost_test.go
+++ b/internal/route/cost/cost_test.go
@@ -119,21 +119,21 @@
 	const prompt, unpublished, tolerance = 674, 120 * time.Millisecond, 0.2
 	tests := map[string]struct {
 		slots, inFlight unit.Requests
-		unread          unit.Tokens
+		pendingPrefill  unit.Tokens
 		observed        time.Duration
 	}{
-		"34 slots, 10":                  {34, 10, 0, 175 * time.Millisecond},
-		"34 slots, 2,000 unread tokens": {34, 16, 2000, 197 * time.Millisecond},
-		"34 slots, 4,000 unread tokens": {34, 16, 4000, 237 * time.Millisecond},
-		"34 slots, 24":                  {34, 24, 0, 211 * time.Millisecond},
-		"34 slots, 32":                  {34, 32, 0, 228 * time.Millisecond},
-		"34 slots, 36":                  {34, 36, 0, 251 * time.Millisecond},
-		"34 slots, 40":                  {34, 40, 0, 329 * time.Millisecond},
-		"34 slots, 48":                  {34, 48, 0, 556 * time.Millisecond},
-		"20 slots, 16":                  {20, 16, 0, 187 * time.Millisecond},
-		"20 slots, 20":                  {20, 20, 0, 205 * time.Millisecond},
-		"20 slots, 24":                  {20, 24, 0, 312 * time.Millisecond},
-		"20 slots, 28":                  {20, 28, 0, 466 * time.Millisecond},
+		"34 slots, 10":                   {34, 10, 0, 175 * time.Millisecond},
+		"34 slots, 2,000 pending tokens": {34, 16, 2000, 197 * time.Millisecond},
+		"34 slots, 4,000 pending tokens": {34, 16, 4000, 237 * time.Millisecond},
+		"34 slots, 24":                   {34, 24, 0, 211 * time.Millisecond},
+		"34 slots, 32":                   {34, 32, 0, 228 * time.Millisecond},
+		"34 slots, 36":                   {34, 36, 0, 251 * time.Millisecond},
+		"34 slots, 40":                   {34, 40, 0, 329 * time.Millisecond},
+		"34 slots, 48":                   {34, 48, 0, 556 * time.Millisecond},
+		"20 slots, 16":                   {20, 16, 0, 187 * time.Millisecond},
+		"20 slots, 20":                   {20, 20, 0, 205 * time.Millisecond},
+		"20 slots, 24":                   {20, 24, 0, 312 * time.Millisecond},
+		"20 slots, 28":                   {20, 28, 0, 466 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -143,7 +143,7 @@
 			}
 			times := New().Times("s", engine, &engine.Models[0])
 			times.slotTime = float64(650 * time.Millisecond)
-			f := times.FirstEvent(EndpointState{InFlight: test.inFlight, Slots: test.slots, Unread: test.unread, Correction: unpublished}, prompt)
+			f := times.FirstEvent(EndpointState{InFlight: test.inFlight, Slots: test.slots, PendingPrefill: test.pendingPrefill, Correction: unpublished}, prompt)
 			qt.Check(t, math.Abs(float64(f.Mean)/float64(test.observed)-1) < tolerance, qt.IsTrue, qt.Commentf("%s, spread %s", f.Mean, f.Spread))
 		})
 	}
@@ -202,7 +202,7 @@
 	return values
 }
 
-// TestRunLoad guards against unread tokens or work that stay in an endpoint's load after the attempt.
+// TestRunLoad guards against pending prefill tokens or work that stay in an endpoint's load after the attempt.
 func TestRunLoad(t *testing.T) {
 	tests := map[string]func(r *Run){
 		"complete answer": func(r *Run) { r.FirstEvent(testStart); r.FirstEvent(testStart); r.Completed(testStart); r.End() },
@@ -214,11 +214,11 @@
 			c := qt.New(t)
 			e, _ := newTestEndpoint()
 			r := New().StartRun(testStart, e, Profile{PromptTokens: 500}, Estimate{OutputTokens: 100, Work: time.Second})
-			c.Check(e.Load.Unread(), qt.Equals, unit.Tokens(500))
+			c.Check(e.Load.PendingPrefill(), qt.Equals, unit.Tokens(500))
 			c.Check(e.Load.Reserved(), qt.Equals, unit.Tokens(600))
 			c.Check(e.Load.Work(), qt.Equals, time.Second)
 			play(&r)
-			c.Check(e.Load.Unread(), qt.Equals, unit.Tokens(0))
+			c.Check(e.Load.PendingPrefill(), qt.Equals, unit.Tokens(0))
 			c.Check(e.Load.Reserved(), qt.Equals, unit.Tokens(0))
 			c.Check(e.Load.Work(), qt.Equals, time.Duration(0))
 		})
--- a/internal/route/cost/run.go
+++ b/internal/route/cost/run.go
@@ -21,9 +21,9 @@
 	expected  time.Duration
 	// certainty is the weight of the observation, below one if a wait for a slot was expected.
 	certainty float64
-	// unread and reserved are the tokens of this attempt that are in the load.
-	unread   unit.Tokens
-	reserved unit.Tokens
+	// pendingPrefill and reserved are the tokens of this attempt that are in the load.
+	pendingPrefill unit.Tokens
+	reserved       unit.Tokens
 	// learns says that the attempt's times are recorded. A daemon that a request is passed on to
 	// is not a replica.
 	learns bool
@@ -34,7 +34,7 @@
 func (m *Model) StartRun(now time.Time, e *catalog.Endpoint, p Profile, estimate Estimate) Run {
 	r := Run{
 		model: m, endpoint: e, estimate: estimate, startedAt: now, learns: !e.IsRelay,
-		unread: p.PromptTokens, reserved: p.PromptTokens + estimate.OutputTokens,
+		pendingPrefill: p.PromptTokens, reserved: p.PromptTokens + estimate.OutputTokens,
 	}
 	if r.learns {
 		times := m.Times(e.Service, e.Engine, e.Model)
@@ -44,7 +44,7 @@
 		r.published, r.certainty = f.Mean, f.certainty()
 		r.expected = times.FirstEvent(state, p.PromptTokens).Mean
 	}
-	e.Load.AddUnread(r.unread)
+	e.Load.AddPendingPrefill(r.pendingPrefill)
 	e.Load.AddReserved(r.reserved)
 	e.Load.AddWork(estimate.Work)
 	return r
@@ -61,8 +61,8 @@
 		return
 	}
 	r.firstEventAt = now
-	r.endpoint.Load.AddUnread(-r.unread)
-	r.unread = 0
+	r.endpoint.Load.AddPendingPrefill(-r.pendingPrefill)
+	r.pendingPrefill = 0
 	if !r.learns {
 		return
 	}
@@ -84,10 +84,10 @@
 
 // End removes the attempt from the endpoint's load.
 func (r *Run) End() {
-	r.endpoint.Load.AddUnread(-r.unread)
+	r.endpoint.Load.AddPendingPrefill(-r.pendingPrefill)
 	r.endpoint.Load.AddReserved(-r.reserved)
 	r.endpoint.Load.AddWork(-r.estimate.Work)
-	r.unread, r.reserved, r.estimate.Work = 0, 0, 0
+	r.pendingPrefill, r.reserved, r.estimate.Work = 0, 0, 0
 }
 
 // Completed records that the attempt's answer is complete. It is called before End.
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -37,7 +37,7 @@
 	spreadOfWait  = 0.9
 )
 
-// minPeerAge is the least age of what is known of the peers' unread prompts. A replica prefills
+// minPeerAge is the least age of what is known of the peers' pending prefill. A replica prefills
 // meanwhile, so that only what it can't prefill in this time still counts.
 const minPeerAge = 100 * time.Millisecond
 
@@ -50,8 +50,8 @@
 	// InFlight counts the requests that run or wait there.
 	InFlight unit.Requests
 	Slots    unit.Requests
-	// Unread counts the prompt tokens that are not prefilled yet.
-	Unread unit.Tokens
+	// PendingPrefill counts the prompt tokens that are not prefilled yet.
+	PendingPrefill unit.Tokens
 	// Work is the expected slot time of the requests that WorkOf counts. Peers that don't report
 	// work are in neither.
 	Work   time.Duration
@@ -168,11 +168,11 @@
 // StateOf returns the state of an endpoint of the model.
 func (t *Times) StateOf(now time.Time, e *catalog.Endpoint) EndpointState {
 	s := EndpointState{
-		InFlight: e.Load.TotalInFlight(), Slots: e.Slots, Unread: e.Load.Unread(), Work: e.Load.TotalWork(),
+		InFlight: e.Load.TotalInFlight(), Slots: e.Slots, PendingPrefill: e.Load.PendingPrefill(), Work: e.Load.TotalWork(),
 		Correction: e.Load.Correction(now, t.usual),
 	}
-	if peerUnread := e.Load.PeerUnread(); peerUnread > 0 && t.prefillToken > 0 {
-		s.Unread += max(peerUnread-unit.Tokens(float64(minPeerAge)/t.prefillToken), 0)
+	if peerPendingPrefill := e.Load.PeerPendingPrefill(); peerPendingPrefill > 0 && t.prefillToken > 0 {
+		s.PendingPrefill += max(peerPendingPrefill-unit.Tokens(float64(minPeerAge)/t.prefillToken), 0)
 	}
 	s.WorkOf = s.InFlight
 	if s.Work == e.Load.Work() {
@@ -182,7 +182,7 @@
 }
 
 // FirstEvent returns the expected time to the first event of a request with the prompt at an endpoint
-// in the state: the rest of the running pass, the prefill of the unread prompts or the wait for a
+// in the state: the rest of the running pass, the pending prefill or the wait for a
 // slot, the request's own prefill and pass, and the correction.
 func (t *Times) FirstEvent(s EndpointState, prompt unit.Tokens) Forecast {
 	f := t.published(s, prompt)
@@ -217,9 +217,9 @@
 	pass := t.passStep + t.passPerRequest*running
 	wait := t.wait(s)
 	// Queued prompts are prefilled while slots become free, so the two times don't add up.
-	unread := float64(max(s.Unread, 0)) * t.prefillToken
+	prefillWait := float64(max(s.PendingPrefill, 0)) * t.prefillToken
 	return Forecast{
-		Mean:       time.Duration(pass/2 + max(wait, unread) + t.prefill(prompt) + pass),
+		Mean:       time.Duration(pass/2 + max(wait, prefillWait) + t.prefill(prompt) + pass),
 		Spread:     time.Duration(spreadPasses*pass + spreadOfWait*wait),
 		passSpread: time.Duration(spreadPasses * pass),
 	}
--- a/internal/serve/forward/cost_test.go
+++ b/internal/serve/forward/cost_test.go
@@ -55,7 +55,7 @@
 			}, new(fakeSink)), qt.IsNil)
 			c.Check(costs.recorded, qt.DeepEquals, test.want)
 			f.Catalog.Current().EachEndpoint(func(e *catalog.Endpoint) {
-				c.Check(e.Load.Unread(), qt.Equals, unit.Tokens(0))
+				c.Check(e.Load.PendingPrefill(), qt.Equals, unit.Tokens(0))
 				c.Check(e.Load.Reserved(), qt.Equals, unit.Tokens(0))
 				c.Check(e.Load.Work(), qt.Equals, time.Duration(0))
 			})
--- a/internal/serve/forward/demand_test.go
+++ b/internal/serve/forward/demand_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// TestWorkAtEndpoint guards against prompts that count as unread after the first event, and against
+// TestWorkAtEndpoint guards against prompts that count as pending after the first event, and against
 // work that still counts after the end of a request, however it ends.
 func TestWorkAtEndpoint(t *testing.T) {
 	tests := map[string]map[ident.Instance][]scriptedReply{
@@ -88,17 +88,17 @@
 				ID: "r", Method: "POST", Host: "h", Target: "/stream/1", Path: "/stream/1", Credential: "k", Model: testModel,
 				PromptTokens: 100, OutputTokens: 10, Received: clk.Now(), Deadline: clk.Now().Add(4 * time.Second),
 			}, sink)
-			c.Check(len(sender.unread) > 0, qt.IsTrue)
-			for i := range sender.unread {
-				c.Check(sender.unread[i], qt.Equals, unit.Tokens(100))
+			c.Check(len(sender.pendingPrefill) > 0, qt.IsTrue)
+			for i := range sender.pendingPrefill {
+				c.Check(sender.pendingPrefill[i], qt.Equals, unit.Tokens(100))
 				c.Check(sender.work[i], qt.Equals, 64*time.Millisecond)
 			}
 			if len(sink.body) > 0 && sink.status == 200 {
-				c.Check(sink.unread, qt.Equals, unit.Tokens(0))
+				c.Check(sink.pendingPrefill, qt.Equals, unit.Tokens(0))
 				c.Check(sink.work, qt.Equals, 64*time.Millisecond)
 			}
-			unread, work := sender.load()
-			c.Check(unread, qt.Equals, unit.Tokens(0))
+			pendingPrefill, work := sender.load()
+			c.Check(pendingPrefill, qt.Equals, unit.Tokens(0))
 			c.Check(work, qt.Equals, time.Duration(0))
 		})
 	}
@@ -107,35 +107,35 @@
 // loadCheckingSender records the load of the endpoints at each attempt.
 type loadCheckingSender struct {
 	*fakeSender
-	endpoints []*catalog.Endpoint
-	unread    []unit.Tokens
-	work      []time.Duration
+	endpoints      []*catalog.Endpoint
+	pendingPrefill []unit.Tokens
+	work           []time.Duration
 }
 
-func (s *loadCheckingSender) load() (unread unit.Tokens, work time.Duration) {
+func (s *loadCheckingSender) load() (pendingPrefill unit.Tokens, work time.Duration) {
 	for _, e := range s.endpoints {
-		unread += e.Load.Unread() + e.Load.PeerUnread()
+		pendingPrefill += e.Load.PendingPrefill() + e.Load.PeerPendingPrefill()
 		work += e.Load.TotalWork()
 	}
-	return unread, work
+	return pendingPrefill, work
 }
 
 func (s *loadCheckingSender) Send(ctx context.Context, a *proxy.Attempt, keepWaiting func(time.Duration) bool) (Reply, error) {
-	unread, work := s.load()
-	s.unread, s.work = append(s.unread, unread), append(s.work, work)
+	pendingPrefill, work := s.load()
+	s.pendingPrefill, s.work = append(s.pendingPrefill, pendingPrefill), append(s.work, work)
 	return s.fakeSender.Send(ctx, a, keepWaiting)
 }
 
 // loadCheckingSink records the load of the endpoints when an event is written.
 type loadCheckingSink struct {
 	fakeSink
-	sender *loadCheckingSender
-	unread unit.Tokens
-	work   time.Duration
+	sender         *loadCheckingSender
+	pendingPrefill unit.Tokens
+	work           time.Duration
 }
 
 func (s *loadCheckingSink) Write(p []byte) error {
-	s.unread, s.work = s.sender.load()
+	s.pendingPrefill, s.work = s.sender.load()
 	return s.fakeSink.Write(p)
 }
 
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -33,7 +33,7 @@
 	Away float64 `json:"away" validate:"min=0"`
 	// Fill is the share of a replica's slots that requests may use as long as they can meet their objective. Late requests and, beside a higher priority that is short of slots, those of a lower priority may use less.
 	Fill float64 `json:"fill" validate:"gt=0"`
-	// Choice is how a replica is chosen where the service publishes engine times. With `cost` it is that with the least expected harm to callers: requests that miss their objective, here and at the replica, by the expected time to the first event. With `count`, and where no times are published, it is that with the fewest requests in flight for its slots.
+	// Choice is how a replica is chosen where the service publishes engine times. With `cost` it is that with the lowest expected loss for callers: requests that miss their objective, here and at the replica, by the expected time to the first event. With `count`, and where no times are published, it is that with the fewest requests in flight for its slots.
 	Choice balance.Choice `json:"choice" validate:"oneof=cost count"`
 	// Queue bounds the requests queued at a plain server, as a share of its slots.
 	Queue float64 `json:"queue" validate:"min=0"`
