balance, cost, demand, admit: Give reasons instead of measured figures

Cause: comments justified constants by figures of measured deployments and of simulations, which say little about another deployment.

Change: they give the reason in terms of callers and the fleet.

--- a/internal/fleet/demand/average.go
+++ b/internal/fleet/demand/average.go
@@ -9,9 +9,9 @@
 
 // A mean covers the time since the first request to the daemon, from minWindow to maxWindow. The
 // idle time before it would lower the first means, by which the planner corrects the layout. In less than
-// minWindow, a few long requests would decide it. maxWindow is longer than the bursts of callers,
-// of 3 to 4 s, and short enough that a lasting change counts in full before a conversion of
-// replicas has ended.
+// minWindow, a few long requests would decide it. maxWindow is longer than a burst of requests, for
+// which no replica is to be converted, and short enough that a lasting change counts in full before
+// a conversion of replicas has ended.
 const (
 	minWindow = 2 * time.Second
 	maxWindow = 8 * time.Second
--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -17,8 +17,8 @@
 	// of slots. The rest keeps the wait of requests that can still meet their objective short.
 	lateUtilisation = 0.8
 	// priorityReserve is the share of the slots that is reserved for a higher priority that is short of
-	// slots: one of 20. With answers of one second, a slot becomes free every 50 ms. A larger reserve of
-	// 0.1 gave the higher priority no more, and cost the lower one (TestLoad).
+	// slots: one of 20. Slots become free many times within an answer, so that one is enough for the
+	// next request of the higher priority, and a larger reserve only costs the lower one.
 	priorityReserve = 0.05
 	// refusalFactor is the number by which the predicted wait has to exceed the caller's patience
 	// before a request is refused without a wait. Refusing a request that could have been served
--- a/internal/route/balance/loss.go
+++ b/internal/route/balance/loss.go
@@ -18,10 +18,10 @@
 	// maxCandidates is the number of candidates of a draw.
 	maxCandidates = 12
 	// The expected number of requests that other daemons start while their counts grow old, as a
-	// share of their requests in flight, is about the ratio of the age of the counts to the time of
-	// a request, 0.6 s. Counts are older in a larger fleet: 0.1 s in the smallest ones, up to a
-	// second in one of 111 daemons. In simulated fleets, half of the share let the daemons meet at
-	// the same replicas, and twice of it cost little.
+	// share of their requests in flight, is the ratio of the age of the counts to the time of a
+	// request. The age rises with the number of daemons, as each one sends to a bounded number of
+	// others, up to the time after which counts no longer count. The share is rather too high: too
+	// low a share lets the daemons meet at the same replicas.
 	minArrivalShare       = 0.3
 	arrivalSharePerDaemon = 0.0125
 	maxArrivalShare       = 1.5
@@ -30,9 +30,9 @@
 	// penalty of 0.3 it is 0.9.
 	ownArrivals = 3
 	// lossScale is the difference in expected loss that makes a replica e times less likely to be
-	// chosen.
-	// In simulated fleets with a slow replica among six, or with long prompts, more requests met
-	// their objective than with 0.1 or 0.2.
+	// chosen. A replica at which the probability to miss the objective is higher by 0.1 gets a
+	// seventh of the requests that it would get otherwise, so that callers seldom wait there while
+	// others have room.
 	lossScale = 0.05
 	// delayLoss is the expected loss for a second until the first event, in requests that miss their
 	// objective. It tells replicas apart at which the objective is met, or missed, in any case.
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -11,10 +11,9 @@
 	"cuminbay/internal/fleet/catalog"
 )
 
-// Bounds of the correction of the time to the first event. It is an added time rather than a factor:
-// with published times of 45 to 165 ms, depending on the load, first events were observed 120 ms
-// later throughout, as an engine has fixed times that it doesn't publish. A factor learned without
-// load would predict three times the wait for a slot.
+// Bounds of the correction of the time to the first event. It is an added time rather than a factor,
+// as an engine has fixed times that it doesn't publish, which are the same at any load. A factor
+// learned without load would overestimate the wait at a full replica.
 const (
 	// maxCorrection is half of the 2 s without an event after which callers disconnect. No
 	// request that waits for longer meets its objective.
@@ -27,10 +26,10 @@
 )
 
 // Time to the first event near full use of the slots. Requests end at random times, so that some
-// requests wait before all slots are in use, and some find a slot free after that. At replicas of 34
-// and 20 slots, the observed waits fit a smooth bend of queueSoftness times the square root of the
-// number of slots, and the spread (standard deviation) fits one and a half passes and nine tenths of
-// the wait.
+// requests wait before all slots are in use, and some find a slot free after that. The number of
+// requests in flight varies by about the square root of the slots, so the expected wait bends over
+// queueSoftness times that root. The spread is the standard deviation: a request arrives at any time
+// of a pass, and the wait for a slot varies by nearly its mean.
 const (
 	queueSoftness = 0.345
 	spreadPasses  = 1.5
