gossip: Keep the age of the other daemons' counts by endpoint

Cause: cuminbay explain has to show how old the counts of the other daemons' requests are, but only a metric for each data centre had the age. Change: UpdatePeerInFlight stores the mean time at which the counts of an endpoint were made in its Load: weighted by requests, or by daemons if the others have none there. Without a recent datagram there is none. catalog.Load also says whether a cold server admits a request, without counting it. No message changes.

--- a/internal/fleet/catalog/load.go
+++ b/internal/fleet/catalog/load.go
@@ -14,6 +14,9 @@
 	inFlight atomic.Int64
 	// peerInFlight is the number of requests that the peers have in flight.
 	peerInFlight atomic.Int64
+	// peerCountedAt is the mean time at which the peers counted these requests, as a
+	// clock.Instant, zero if no peer has reported.
+	peerCountedAt atomic.Int64
 	// lastProgress is the time at which the last complete event of any stream
 	// arrived, as a clock.Instant.
 	lastProgress atomic.Int64
@@ -65,6 +68,26 @@
 	l.peerInFlight.Store(int64(n))
 }
 
+// SetPeerCountedAt sets the mean time at which the peers counted their requests in flight, zero if no
+// peer has reported.
+func (l *Load) SetPeerCountedAt(at time.Time) {
+	var instant clock.Instant
+	if !at.IsZero() {
+		instant = clock.InstantOf(at)
+	}
+	l.peerCountedAt.Store(int64(instant))
+}
+
+// PeerCountedAt returns the mean time at which the peers counted their requests in flight, zero if no
+// peer has reported.
+func (l *Load) PeerCountedAt() time.Time {
+	at := l.peerCountedAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return clock.Instant(at).Time()
+}
+
 // RecordProgress records that a complete event of a stream arrived now.
 func (l *Load) RecordProgress(now time.Time) {
 	l.lastProgress.Store(int64(clock.InstantOf(now)))
@@ -173,6 +196,15 @@
 	}
 }
 
+// ColdAvailable reports whether AdmitCold would admit a request now.
+func (l *Load) ColdAvailable(now time.Time, perSecond float64) bool {
+	if perSecond <= 0 {
+		return false
+	}
+	late := int64(clock.InstantOf(now)) - l.nextColdRequest.Load()
+	return late >= 0 && late <= int64(float64(time.Second)/perSecond)
+}
+
 // nextInPhase returns the first time from now on that is at the phase of an interval, where
 // intervals are counted from 1970.
 func nextInPhase(now, interval int64, phase float64) int64 {
--- a/internal/peer/gossip/inflight.go
+++ b/internal/peer/gossip/inflight.go
@@ -53,10 +53,12 @@
 	requests unit.Requests
 	// reportingDaemons counts the daemons with a recent datagram, liveDaemons
 	// all live ones, and heardDaemons the live ones that have sent a recent datagram; one that
-	// has just registered is only assumed to report.
-	reportingDaemons, heardDaemons, liveDaemons int
-	// age is the mean time since the daemons reported their requests.
-	age time.Duration
+	// has just registered is only assumed to report. recentDaemons also counts daemons with a
+	// recent datagram that are no longer registered.
+	reportingDaemons, heardDaemons, liveDaemons, recentDaemons int
+	// age is the mean time since the daemons reported their requests, and silence the mean time
+	// since the daemons that have sent a recent datagram did so.
+	age, silence time.Duration
 	// sum has the most recent sum of the data centre, and sumAt the time at which it was so.
 	sum    map[endpointHash]endpointLoad
 	sumAt  time.Time
@@ -123,7 +125,8 @@
 // to have the mean of the other daemons of its data centre.
 func (g *Gossip) UpdatePeerInFlight() {
 	endpoints := g.currentEndpoints()
-	totals := make([]endpointLoad, len(endpoints))
+	totals, ages := make([]endpointLoad, len(endpoints)), make([]meanAge, len(endpoints))
+	var usual meanAge
 	g.mu.Lock()
 	now := g.Clock.Now()
 	g.countDaemons(now)
@@ -138,9 +141,15 @@
 		case fromNothing:
 			loads = nil
 		}
+		age, isKnown := load.countAge(source, now)
+		if isKnown {
+			usual.add(age, int64(max(load.liveDaemons, 1)))
+		}
 		for i := range endpoints {
 			if l, ok := loads[endpoints[i].hash]; ok {
-				totals[i] = totals[i].plus(l.scaled(scale))
+				l = l.scaled(scale)
+				totals[i] = totals[i].plus(l)
+				ages[i].add(age, int64(l.Requests))
 			}
 		}
 		g.observeLoad(dc, load, source, now)
@@ -150,7 +159,49 @@
 		e.Load.SetPeerInFlight(totals[i].Requests)
 		e.Load.SetPeerUnread(totals[i].Unread)
 		e.Load.SetPeerWork(totals[i].Work)
+		e.Load.SetPeerCountedAt(ages[i].or(usual).before(now))
+	}
+}
+
+// meanAge is the mean age of counts.
+type meanAge struct {
+	sum    time.Duration
+	weight int64
+}
+
+func (m *meanAge) add(age time.Duration, weight int64) {
+	m.sum += age * time.Duration(weight)
+	m.weight += weight
+}
+
+// or returns the mean, or the other one if this one has no counts.
+func (m meanAge) or(other meanAge) meanAge {
+	if m.weight == 0 {
+		return other
 	}
+	return m
+}
+
+// before returns the time that lies the mean age before the given one, zero without counts.
+func (m meanAge) before(now time.Time) time.Time {
+	if m.weight == 0 {
+		return time.Time{}
+	}
+	return now.Add(-m.sum / time.Duration(m.weight))
+}
+
+// countAge returns the mean age of the counts of the data centre's requests, and whether any were
+// received.
+func (l *dataCentreLoad) countAge(source loadSource, now time.Time) (age time.Duration, isKnown bool) {
+	switch {
+	case source == fromSums:
+		return now.Sub(l.sumAt), true
+	case source == fromNothing || l.recentDaemons == 0:
+		return 0, false
+	case l.requests == 0:
+		return l.silence, true
+	}
+	return l.age, true
 }
 
 // currentSource returns from what the load of the data centre is known.
@@ -183,7 +234,8 @@
 // without a recent datagram. The caller holds the lock.
 func (g *Gossip) countDaemons(now time.Time) {
 	for _, load := range g.loads {
-		load.reportingDaemons, load.heardDaemons, load.liveDaemons, load.age = 0, 0, 0, 0
+		load.reportingDaemons, load.heardDaemons, load.liveDaemons, load.recentDaemons = 0, 0, 0, 0
+		load.age, load.silence = 0, 0
 	}
 	for _, p := range g.peers {
 		silence := now.Sub(p.lastDatagramAt)
@@ -196,6 +248,10 @@
 		}
 		if silence <= inFlightExpiry {
 			load.reportingDaemons++
+			if p.sequence > 0 {
+				load.recentDaemons++
+				load.silence += silence
+			}
 			if p.sequence > 0 && p.registered {
 				load.heardDaemons++
 			}
@@ -204,6 +260,7 @@
 	}
 	for _, load := range g.loads {
 		load.age /= time.Duration(max(load.requests, 1))
+		load.silence /= time.Duration(max(load.recentDaemons, 1))
 	}
 }
 
