balance: Explain the choice as Pick makes it, and count nothing

Cause: Explain incremented cuminbay_balance_cache_full_total. It differed from Pick if all endpoints were avoided after failures (Pick chooses one of them), if a cold server takes no request yet, and by count between endpoints of nearly equal utilisation, of which it gave one a probability of 1. Change: Explain falls back to avoided endpoints as Pick does, leaves out cold servers that admit nothing now, integrates the random tie-break, and doesn't count. Each candidate has peer_age_ms, the age of the others' counts; it is -1 if none was received or an older build doesn't send it.

--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -139,15 +139,18 @@
 	if e := p.leastUtilised(endpoints); e != nil {
 		return e
 	}
-	for _, e := range endpoints {
-		if !e.Load.Avoided(p.now) {
-			return nil
-		}
+	if !p.areAvoided(endpoints) {
+		return nil
 	}
 	p.includeAvoided = true
 	return p.leastUtilised(endpoints)
 }
 
+// areAvoided reports whether all endpoints are avoided after a failure.
+func (p *pick) areAvoided(endpoints []*catalog.Endpoint) bool {
+	return !slices.ContainsFunc(endpoints, func(e *catalog.Endpoint) bool { return !e.Load.Avoided(p.now) })
+}
+
 // pick is the state of one choice.
 type pick struct {
 	*Balancer
@@ -160,6 +163,8 @@
 	timeLeft time.Duration
 	// includeAvoided says that endpoints that are avoided after a failure may be chosen.
 	includeAvoided bool
+	// isExplained says that the choice is only explained, so that it isn't counted.
+	isExplained bool
 }
 
 func (b *Balancer) newPick(now time.Time, endpoints []*catalog.Endpoint, r Request) pick {
@@ -200,7 +205,7 @@
 		if !p.mayChoose(e) || slices.Contains(excluded, e.ID) {
 			continue
 		}
-		if used := p.utilisation(e); best < 0 || used < lowest {
+		if used := p.utilisation(e) + tieBreakRange*rand.Float64(); best < 0 || used < lowest {
 			best, lowest = i, used
 		}
 	}
@@ -217,6 +222,7 @@
 	AtLimit    Exclusion = "at the limit that it names, or wants a pause"
 	NoFreeSlot Exclusion = "no free slot"
 	CacheFull  Exclusion = "no room in the KV cache"
+	AtColdRate Exclusion = "cold, and takes no further request of this daemon yet"
 )
 
 // exclusion returns why the endpoint may not be chosen.
@@ -239,7 +245,7 @@
 // mayChoose reports whether nothing excludes the endpoint.
 func (p *pick) mayChoose(e *catalog.Endpoint) bool {
 	reason := p.exclusion(e)
-	if reason == CacheFull {
+	if reason == CacheFull && !p.isExplained {
 		p.cacheFull.Add(1)
 	}
 	return reason == ""
@@ -293,13 +299,13 @@
 }
 
 // utilisation returns the share of the endpoint's slots that is in use, plus the penalty for
-// another data centre and the tie-break.
+// another data centre. The tie-break is added to it.
 func (b *Balancer) utilisation(e *catalog.Endpoint) float64 {
 	used := usedShare(e)
 	if e.DataCentre != b.DataCentre {
 		used += b.RemotePenalty
 	}
-	return used + tieBreakRange*rand.Float64()
+	return used
 }
 
 // hasFreeSlot reports whether the endpoint may get another request.
@@ -313,10 +319,21 @@
 // admitCold reports whether this daemon may send another request to a server. It counts
 // requests to a cold server against this daemon's part of the server's cold rate.
 func (b *Balancer) admitCold(now time.Time, e *catalog.Endpoint) bool {
-	if e.ColdRate <= 0 || now.Sub(e.ReceivedAt) >= e.ColdFor {
+	if !isCold(now, e) {
 		return true
 	}
+	rate, phase := b.coldShare(e)
+	return e.Load.AdmitCold(now, rate, phase)
+}
+
+// isCold reports whether the server takes requests at its cold rate only.
+func isCold(now time.Time, e *catalog.Endpoint) bool {
+	return e.ColdRate > 0 && now.Sub(e.ReceivedAt) < e.ColdFor
+}
+
+// coldShare returns this daemon's part of the server's cold rate in requests a second, and its phase.
+func (b *Balancer) coldShare(e *catalog.Endpoint) (rate, phase float64) {
 	position, count := b.Daemons.DaemonPosition()
 	daemons := float64(max(count, 1))
-	return e.Load.AdmitCold(now, e.ColdRate*b.ColdRateFraction/daemons, float64(position)/daemons)
+	return e.ColdRate * b.ColdRateFraction / daemons, float64(position) / daemons
 }
--- a/internal/route/balance/explain.go
+++ b/internal/route/balance/explain.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"encoding/json"
+	"math"
 	"time"
 
 	"cuminbay/internal/domain/ident"
@@ -25,8 +27,10 @@
 	// InFlight counts this daemon's requests, PeerInFlight those of others as last reported.
 	InFlight     unit.Requests `json:"inflight"`
 	PeerInFlight unit.Requests `json:"peer_inflight"`
-	Unread       unit.Tokens   `json:"unread"`
-	PeerUnread   unit.Tokens   `json:"peer_unread"`
+	// PeerAge is the mean age of the counts of the others' requests, negative if none were received.
+	PeerAge    int64       `json:"peer_age_ms"`
+	Unread     unit.Tokens `json:"unread"`
+	PeerUnread unit.Tokens `json:"peer_unread"`
 	// Load is compared with the level. It has the penalty for another data centre.
 	Load float64 `json:"load,omitempty"`
 	// First is the expected time to the first event at the level, Spread its standard deviation, and
@@ -44,35 +48,78 @@
 	Excluded Exclusion `json:"excluded,omitempty"`
 }
 
+// UnmarshalJSON decodes a candidate. A daemon of an older build sends no age of the others' counts, which
+// is then unknown.
+func (c *Candidate) UnmarshalJSON(raw []byte) error {
+	type plain Candidate
+	decoded := plain{PeerAge: -1}
+	if err := json.Unmarshal(raw, &decoded); err != nil {
+		return err
+	}
+	*c = Candidate(decoded)
+	return nil
+}
+
 // Explain returns how Pick would choose an endpoint now, with all endpoints as candidates. It takes
-// nothing from the limits and cold rates of the endpoints.
+// nothing from the limits and cold rates of the endpoints, and counts nothing.
 func (b *Balancer) Explain(now time.Time, endpoints []*catalog.Endpoint, r Request) Explanation {
 	p := b.newPick(now, endpoints, r)
+	p.isExplained = true
 	x := Explanation{Choice: ByCount, Candidates: make([]Candidate, len(endpoints))}
 	for i, e := range endpoints {
-		x.Candidates[i] = Candidate{
-			Endpoint: e.ID, DataCentre: e.DataCentre, Replica: e.Replica, Slots: e.Slots,
-			InFlight: e.Load.InFlight(), PeerInFlight: e.Load.TotalInFlight() - e.Load.InFlight(),
-			Unread: e.Load.Unread(), PeerUnread: e.Load.PeerUnread(), Excluded: p.exclusion(e),
-		}
+		x.Candidates[i] = p.describe(e)
 	}
 	if p.byCost {
 		x.Choice = ByCost
-		p.explainDraw(endpoints, &x)
-		return x
+		if p.explainDraw(endpoints, &x) {
+			return x
+		}
+	}
+	if len(endpoints) > 0 && p.areAvoided(endpoints) {
+		p.includeAvoided = true
+		for i, e := range endpoints {
+			x.Candidates[i].Excluded = p.explainExclusion(e)
+		}
 	}
-	if i := p.leastIndex(endpoints, nil); i >= 0 {
-		x.Candidates[i].Probability = 1
+	if p.explainCount(endpoints, &x) {
+		x.Choice = ByCount
 	}
 	return x
 }
 
-// explainDraw adds the terms of the draw by expected harm.
-func (p *pick) explainDraw(endpoints []*catalog.Endpoint, x *Explanation) {
+// describe returns the terms of the endpoint that don't depend on the others.
+func (p *pick) describe(e *catalog.Endpoint) Candidate {
+	c := Candidate{
+		Endpoint: e.ID, DataCentre: e.DataCentre, Replica: e.Replica, Slots: e.Slots,
+		InFlight: e.Load.InFlight(), PeerInFlight: e.Load.TotalInFlight() - e.Load.InFlight(), PeerAge: -1,
+		Unread: e.Load.Unread(), PeerUnread: e.Load.PeerUnread(), Excluded: p.explainExclusion(e),
+	}
+	if at := e.Load.PeerCountedAt(); !at.IsZero() {
+		c.PeerAge = p.now.Sub(at).Milliseconds()
+	}
+	return c
+}
+
+// explainExclusion returns why Pick would not return the endpoint.
+func (p *pick) explainExclusion(e *catalog.Endpoint) Exclusion {
+	if reason := p.exclusion(e); reason != "" || !isCold(p.now, e) {
+		return reason
+	}
+	if rate, _ := p.coldShare(e); !e.Load.ColdAvailable(p.now, rate) {
+		return AtColdRate
+	}
+	return ""
+}
+
+// explainDraw adds the terms of the draw by expected harm. It reports whether any endpoint may be
+// drawn.
+func (p *pick) explainDraw(endpoints []*catalog.Endpoint, x *Explanation) bool {
 	all := make([]weighed, len(endpoints))
 	level, sum := p.weigh(endpoints, all), 0.0
 	for i := range all {
-		sum += all[i].weight
+		if x.Candidates[i].Excluded == "" {
+			sum += all[i].weight
+		}
 	}
 	for i, e := range endpoints {
 		c := &x.Candidates[i]
@@ -92,4 +139,47 @@
 			c.Probability = all[i].weight / sum
 		}
 	}
+	return sum > 0
+}
+
+// tieBreakSteps is the number of steps in which the probabilities of the tie-break are integrated. With
+// a dozen endpoints of equal utilisation, 64 steps are exact to less than a thousandth.
+const tieBreakSteps = 64
+
+// explainCount adds the probabilities of the choice by count, in which a random number is added to each
+// utilisation. It reports whether any endpoint may be chosen.
+func (p *pick) explainCount(endpoints []*catalog.Endpoint, x *Explanation) bool {
+	// above has by how much the utilisation exceeds the lowest one, as a share of tieBreakRange.
+	above, lowest := make([]float64, len(endpoints)), math.Inf(1)
+	for i, e := range endpoints {
+		above[i] = math.Inf(1)
+		if x.Candidates[i].Excluded == "" {
+			above[i] = p.utilisation(e)
+			lowest = min(lowest, above[i])
+		}
+	}
+	if math.IsInf(lowest, 1) {
+		return false
+	}
+	sum := 0.0
+	for i := range above {
+		above[i] = (above[i] - lowest) / tieBreakRange
+	}
+	for step := range tieBreakSteps {
+		point, allHigher := (float64(step)+0.5)/tieBreakSteps, 1.0
+		for _, a := range above {
+			allHigher *= 1 - max(point-a, 0)
+		}
+		for i, a := range above {
+			if point > a {
+				density := allHigher / (1 - (point - a))
+				x.Candidates[i].Probability += density
+				sum += density
+			}
+		}
+	}
+	for i := range x.Candidates {
+		x.Candidates[i].Probability /= sum
+	}
+	return true
 }
