admit, ratelimit: Say what would be decided without counting a request

Cause: an explanation needs the wait and Retry-After of a request that is not sent, but the functions that compute them counted it. Change: Flow.Return and RetrySchedule.Next share their computation with PeekReturn and Peek, which take no place in a schedule. Monitor.Peek keeps no key, Shares.Preview counts no request, and Queue.HasRoom shares with Queue.Wait which request would lose its place. Result: the tests of the schedules, shares and queue compare each look with what the next request then gets. Requests of one organisation compare as equally loaded without reading the load twice; no decision changes.

--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -4,6 +4,7 @@
 package admit
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,10 @@
 // weightScale converts a weight to an integer, which can be stored in an atomic.
 const weightScale = 1 << 16
 
+func scaledWeight(o *record.Organisation) uint64 {
+	return max(1, uint64(o.Weight*weightScale))
+}
+
 // NewShares returns shares without requests.
 func NewShares() *Shares {
 	return new(Shares)
@@ -49,6 +54,8 @@
 type Admission struct {
 	shares *Shares
 	load   *organisationLoad
+	// uncounted is one for a preview, which the load doesn't have.
+	uncounted int64
 }
 
 // Admit admits a request of the organisation. The capacity is the number of concurrent
@@ -59,7 +66,7 @@
 	load := s.loadOf(o)
 	total := s.inFlight.Add(1)
 	own := load.inFlight.Add(1)
-	a := Admission{s, load}
+	a := Admission{shares: s, load: load}
 	if o.Limit > 0 && own > int64(o.Limit) {
 		a.Release()
 		return Admission{}, code.WithRetryAfter(code.OverShare.New("admit request: organisation %s has reached its limit of %d concurrent requests", o.Name, o.Limit), overShareRetry)
@@ -71,15 +78,38 @@
 	return a, nil
 }
 
+// Preview returns an Admission like that of a further request of the organisation, without counting
+// one.
+func (s *Shares) Preview(o *record.Organisation) Admission {
+	load := s.loads.Load()[o.Name]
+	if load == nil {
+		load = new(organisationLoad)
+		load.weight.Store(scaledWeight(o))
+	}
+	return Admission{load: load, uncounted: 1}
+}
+
 // Release ends the admission. It must be called once.
 func (a Admission) Release() {
+	if a.uncounted > 0 {
+		return
+	}
 	a.load.inFlight.Add(-1)
 	a.shares.inFlight.Add(-1)
 }
 
-// LoadPerWeight returns the organisation's requests in flight per unit of weight.
+// LoadPerWeight returns the organisation's requests in flight per unit of weight, including this one.
 func (a Admission) LoadPerWeight() float64 {
-	return float64(a.load.inFlight.Load()) * weightScale / float64(max(a.load.weight.Load(), 1))
+	return float64(a.load.inFlight.Load()+a.uncounted) * weightScale / float64(max(a.load.weight.Load(), 1))
+}
+
+// compareLoad compares the loads per weight of the organisations of two requests. It returns zero for
+// requests of one organisation.
+func (a Admission) compareLoad(other Admission) int {
+	if a.load == other.load {
+		return 0
+	}
+	return cmp.Compare(a.LoadPerWeight(), other.LoadPerWeight())
 }
 
 // allowance returns the number of concurrent requests that the organisation may have. It
@@ -101,7 +131,7 @@
 // loadOf returns the load of the organisation. It creates the load at the first request and
 // updates its weight later.
 func (s *Shares) loadOf(o *record.Organisation) *organisationLoad {
-	weight := max(1, uint64(o.Weight*weightScale))
+	weight := scaledWeight(o)
 	load, _ := s.loads.GetOrAdd(o.Name, func() *organisationLoad {
 		load := new(organisationLoad)
 		load.weight.Store(weight)
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// TestPreview guards against a preview that counts as a request, or whose load differs from that of a
+// real request.
+func TestPreview(t *testing.T) {
+	c := qt.New(t)
+	s := admit.NewShares()
+	o := &record.Organisation{Name: "o", Weight: 2}
+	for n := range 3 {
+		preview := s.Preview(o)
+		c.Check(s.InFlight(), qt.Equals, unit.Requests(n))
+		admission, err := s.Admit(o, 100)
+		c.Assert(err, qt.IsNil)
+		c.Check(preview.LoadPerWeight(), qt.Equals, admission.LoadPerWeight())
+		preview.Release()
+		c.Check(s.InFlight(), qt.Equals, unit.Requests(n+1))
+	}
+}
+
 // TestQueueOrder guards against a wake-up of a request that has a lower priority, or whose
 // organisation has more requests in flight.
 func TestQueueOrder(t *testing.T) {
--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -178,6 +178,13 @@
 	Refuse
 )
 
+var actionNames = [...]string{Take: "take", Wait: "wait", Refuse: "refuse"}
+
+// String returns the name in explanations.
+func (a Action) String() string {
+	return actionNames[a]
+}
+
 // Decision is the decision for one request.
 type Decision struct {
 	Action Action
--- a/internal/route/admit/decide_test.go
+++ b/internal/route/admit/decide_test.go
@@ -129,7 +129,7 @@
 }
 
 // TestReturn guards against refused callers that come back together, or later than they are ready to
-// wait.
+// wait, and against a look at the next time that differs from it or takes a place in the schedule.
 func TestReturn(t *testing.T) {
 	const patience = time.Second
 	tests := map[string]struct{ freed, refusals, wantSlots int }{
@@ -148,7 +148,10 @@
 			}
 			tenths := make(map[int]int)
 			for i := range test.refusals {
+				peeked := f.PeekReturn(clk.Now(), 0, f.Forecast(0), patience)
+				c.Assert(f.PeekReturn(clk.Now(), 0, f.Forecast(0), patience), qt.Equals, peeked)
 				after := f.Return(0, f.Forecast(0), patience)
+				c.Assert(after, qt.Equals, peeked)
 				c.Assert(after > 0 && after <= patience, qt.IsTrue, qt.Commentf("%s", after))
 				if i >= test.wantSlots {
 					c.Assert(after >= patience/2, qt.IsTrue)
@@ -162,6 +165,17 @@
 	}
 }
 
+// TestPeek guards against observations that are kept for a key that was only looked at, and against a look
+// that doesn't see what was observed.
+func TestPeek(t *testing.T) {
+	c := qt.New(t)
+	m := admit.NewMonitor(clockwork.NewFakeClock())
+	m.Peek("m").SlotTaken()
+	c.Check(m.Peek("m").Forecast(time.Second).FreedPerSecond, qt.Equals, 0.0)
+	m.Flow("m").SlotTaken()
+	c.Check(m.Peek("m").Forecast(time.Second).FreedPerSecond, qt.Equals, 1.0)
+}
+
 // BenchmarkDecide measures the decision for a request that finds a slot, and for one that waits.
 func BenchmarkDecide(b *testing.B) {
 	clk := clockwork.NewFakeClock()
--- a/internal/route/admit/line.go
+++ b/internal/route/admit/line.go
@@ -80,8 +80,8 @@
 	case w.Priority != other.Priority:
 		return w.Priority > other.Priority
 	}
-	if a, b := w.Admission.LoadPerWeight(), other.Admission.LoadPerWeight(); a != b {
-		return a < b
+	if c := w.Admission.compareLoad(other.Admission); c != 0 {
+		return c < 0
 	}
 	return w.Received.Before(other.Received)
 }
--- a/internal/route/admit/monitor.go
+++ b/internal/route/admit/monitor.go
@@ -33,6 +33,15 @@
 	return f
 }
 
+// Peek returns the observations for the key for reading only. Without observations it returns an empty
+// Flow and doesn't keep the key.
+func (m *Monitor) Peek(key QueueKey) *Flow {
+	if f := m.flows.Load()[key]; f != nil {
+		return f
+	}
+	return &Flow{clock: m.clock}
+}
+
 // Contention returns the contention that this daemon has observed for the key.
 func (m *Monitor) Contention(key QueueKey) Contention {
 	f := m.flows.Load()[key]
@@ -179,7 +188,29 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	after, isScheduled := f.nextReturn(now, waiting, forecast, patience)
 	f.refusals++
+	if isScheduled {
+		f.lastReturn = now.Add(after)
+	}
+	return after
+}
+
+// PeekReturn returns what Return would return at the given time if no other caller was refused until
+// then. The schedule doesn't change.
+func (f *Flow) PeekReturn(at time.Time, waiting unit.Requests, forecast Forecast, patience time.Duration) time.Duration {
+	if patience <= 0 {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	after, _ := f.nextReturn(at, waiting, forecast, patience)
+	return after
+}
+
+// nextReturn returns the time after which the next refused caller comes back, and whether that is when
+// a slot is expected. The caller holds the lock.
+func (f *Flow) nextReturn(now time.Time, waiting unit.Requests, forecast Forecast, patience time.Duration) (after time.Duration, isScheduled bool) {
 	if forecast.FreedPerSecond > 0 {
 		interval := time.Duration(float64(time.Second) / forecast.FreedPerSecond)
 		at := now.Add(forecast.Wait(Late, waiting))
@@ -187,12 +218,11 @@
 			at = next
 		}
 		if after := at.Sub(now); after <= patience {
-			f.lastReturn = at
-			return after
+			return after, true
 		}
 	}
-	_, fraction := math.Modf(float64(f.refusals) * goldenRatio)
-	return patience/2 + time.Duration(fraction*float64(patience)/2)
+	_, fraction := math.Modf(float64(f.refusals+1) * goldenRatio)
+	return patience/2 + time.Duration(fraction*float64(patience)/2), false
 }
 
 // Counting of freed slots: freedBuckets complete buckets of bucketTime and the current one.
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -209,9 +209,14 @@
 	}
 	now := q.clock.Now()
 	w.turn.Class = w.classAt(now)
-	if int(q.length.Load()) >= q.limit && !q.displace(l, w, now) {
-		q.dropEmpty(w.Key, l)
-		return false
+	if int(q.length.Load()) >= q.limit {
+		longest, last := q.displaceable(l, w, now)
+		if last == nil {
+			q.dropEmpty(w.Key, l)
+			return false
+		}
+		q.remove(longest, last)
+		close(last.served)
 	}
 	l.add(w)
 	q.length.Add(1)
@@ -226,9 +231,9 @@
 	return true
 }
 
-// displace ends the wait of the last request of the longest line that may lose its place to the
-// waiter. It reports whether there was one.
-func (q *Queue) displace(l *line, w *waiter, now time.Time) bool {
+// displaceable returns the last request of the longest line that may lose its place to the waiter, whose
+// line is l, and its line. It returns nil if there is none.
+func (q *Queue) displaceable(l *line, w *waiter, now time.Time) (*line, *waiter) {
 	longest := l
 	for _, other := range q.lines {
 		if len(other.waiters) > len(longest.waiters) {
@@ -238,12 +243,28 @@
 	longest.setTurns(now)
 	for i := len(longest.waiters) - 1; i >= 0; i-- {
 		if last := longest.waiters[i]; last.Displaceable && (longest != l || w.precedes(last, l)) {
-			q.remove(longest, last)
-			close(last.served)
-			return true
+			return longest, last
 		}
 	}
-	return false
+	return longest, nil
+}
+
+// HasRoom reports whether the request would get a place in the queue if it joined now.
+func (q *Queue) HasRoom(r *WaitRequest) bool {
+	if int(q.length.Load()) < q.limit {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.lines[r.Key]
+	if l == nil {
+		l = newLine()
+	}
+	now := q.clock.Now()
+	w := &waiter{WaitRequest: *r, keys: r.shareKeys()}
+	w.turn.Class = w.classAt(now)
+	_, last := q.displaceable(l, w, now)
+	return last != nil
 }
 
 // recheck offers slots without a wake-up. One waiter's recheck serves all of its line.
--- a/internal/route/admit/queue_test.go
+++ b/internal/route/admit/queue_test.go
@@ -126,14 +126,22 @@
 }
 
 // TestFullQueue guards against a full queue of late requests that keeps out one that can meet its
-// objective, and against a request that loses its place although it may have run.
+// objective, against a request that loses its place although it may have run, and against an explanation
+// that expects another place in the queue.
 func TestFullQueue(t *testing.T) {
 	runQueueTest(t, 4, func(c *qt.C, q *queueTest, now time.Time) {
 		deadline := now.Add(time.Minute)
 		q.join("interrupted", admit.WaitRequest{Class: admit.Resumed, Deadline: deadline})
 		q.join("may have run", admit.WaitRequest{Class: admit.Late, FirstSent: now.Add(time.Second), Deadline: deadline})
 		q.join("older", admit.WaitRequest{Class: admit.Late, FirstSent: now.Add(-2 * time.Second), Deadline: deadline, Displaceable: true})
+		hasRoom := func(r admit.WaitRequest) bool {
+			r.Key, r.Admission = "m", q.shares.Preview(&record.Organisation{Name: "o", Weight: 1})
+			return q.queue.HasRoom(&r)
+		}
+		c.Check(hasRoom(admit.WaitRequest{Class: admit.Late, FirstSent: now}), qt.IsTrue)
 		q.join("newer", admit.WaitRequest{Class: admit.Late, FirstSent: now.Add(-time.Second), Deadline: deadline, Displaceable: true})
+		c.Check(hasRoom(admit.WaitRequest{Class: admit.Late, FirstSent: now}), qt.IsFalse)
+		c.Check(hasRoom(admit.WaitRequest{}), qt.IsTrue)
 		q.join("last", admit.WaitRequest{Class: admit.Late, FirstSent: now, Deadline: deadline, Displaceable: true})
 		c.Check(q.failed, qt.DeepEquals, []string{"last"})
 		q.join("on time", admit.WaitRequest{Deadline: deadline, Displaceable: true})
--- a/internal/route/ratelimit/ratelimit_test.go
+++ b/internal/route/ratelimit/ratelimit_test.go
@@ -290,7 +290,8 @@
 }
 
 // TestRetrySchedule guards against callers that are all told to come back at one time or
-// during a pause, and against times that grow by callers who won't come back.
+// during a pause, against times that grow by callers who won't come back, and against a look at the next
+// time that takes a place.
 func TestRetrySchedule(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1_000_000, 0)
@@ -298,6 +299,9 @@
 	const rate, patience = 4.0, time.Second
 	supply := Supply{fleetRate: rate}
 	for i := 1; i <= 4; i++ {
+		for range 2 {
+			c.Check(r.Peek(now, "m", supply, patience), qt.Equals, time.Duration(i)*time.Second/rate)
+		}
 		c.Check(r.Next(now, "m", supply, patience), qt.Equals, time.Duration(i)*time.Second/rate)
 	}
 	for range 10 {
--- a/internal/route/ratelimit/supply.go
+++ b/internal/route/ratelimit/supply.go
@@ -84,19 +84,31 @@
 func (r *RetrySchedule) Next(now time.Time, queue string, supply Supply, patience time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.last == nil {
-		r.last = make(map[string]time.Time)
+	at := r.nextAt(now, queue, supply)
+	after := at.Sub(now)
+	if after <= patience {
+		if r.last == nil {
+			r.last = make(map[string]time.Time)
+		}
+		r.last[queue] = at
 	}
+	return after
+}
+
+// Peek returns what Next would return now. It takes no place in the schedule.
+func (r *RetrySchedule) Peek(now time.Time, queue string, supply Supply, _ time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.nextAt(now, queue, supply).Sub(now)
+}
+
+// nextAt returns the time of the next admission that no caller was told. The caller holds the lock.
+func (r *RetrySchedule) nextAt(now time.Time, queue string, supply Supply) time.Time {
 	at := now
 	for _, earliest := range []time.Time{r.last[queue], supply.startsAt} {
 		if earliest.After(at) {
 			at = earliest
 		}
 	}
-	at = at.Add(intervalOf(supply.fleetRate))
-	after := at.Sub(now)
-	if after <= patience {
-		r.last[queue] = at
-	}
-	return after
+	return at.Add(intervalOf(supply.fleetRate))
 }
