--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -58,18 +58,43 @@
 	return e
 }
 
+// slotDecision is the decision for a request that finds no free slot, or finds requests in the queue
+// that go first.
+type slotDecision struct {
+	admit.Decision
+	// wait describes the request to the queue, with its class at arrival.
+	wait admit.WaitRequest
+	// lateInterval is the least time between two late requests that leave the queue.
+	lateInterval time.Duration
+	endpoints    int
+}
+
+// decideSlot decides whether the request waits for a slot. It changes nothing.
+func (x *exchange) decideSlot(r *admit.Request, now time.Time) slotDecision {
+	d := slotDecision{endpoints: len(x.candidates()), wait: x.waitRequest(r, now)}
+	forecast := x.forecast(d.endpoints > 0)
+	d.lateInterval = forecast.LateInterval()
+	d.Decision = x.Rules.Decide(r, &admit.State{Now: now, HasEndpoints: d.endpoints > 0, Standing: x.queue.Standing(&d.wait), Forecast: forecast})
+	return d
+}
+
+// queued returns the request as it joins the queue.
+func (d *slotDecision) queued() admit.WaitRequest {
+	w := d.wait
+	w.Class, w.Deadline, w.LateInterval = d.Class, d.Until, d.lateInterval
+	return w
+}
+
 // waitForSlot decides whether the request waits for a slot, and waits for it.
 //
 // Errors carry code.NoReplica, code.Overloaded, code.PoisonRequest or code.CallerClosed.
 func (x *exchange) waitForSlot(ctx context.Context, r *admit.Request) (*catalog.Endpoint, error) {
-	now, endpoints := x.Clock.Now(), len(x.candidates())
-	wait := x.waitRequest(r, now)
-	forecast := x.forecast(endpoints > 0)
-	decision := x.Rules.Decide(r, &admit.State{Now: now, HasEndpoints: endpoints > 0, Standing: x.queue.Standing(&wait), Forecast: forecast})
-	if err := x.checkLimits(x.limitsDeadline(decision.Until)); err != nil {
+	now := x.Clock.Now()
+	decision := x.decideSlot(r, now)
+	if err := x.checkLimits(x.limitsDeadline(decision.Until), x.retries.Next); err != nil {
 		return nil, err
 	}
-	isShort := endpoints > 0 && wait.Class == admit.OnTime && r.IsStream
+	isShort := decision.endpoints > 0 && decision.wait.Class == admit.OnTime && r.IsStream
 	if isShort {
 		x.monitor.Flow(x.queueKey()).RecordShortage(x.priority())
 	}
@@ -77,13 +102,12 @@
 	if decision.Action == admit.Refuse {
 		return nil, x.refuse(refusedAtOnce, decision.Class)
 	}
-	wait.Class, wait.Deadline, wait.LateInterval = decision.Class, decision.Until, forecast.LateInterval()
 	if isShort {
 		x.Demand.RecordWaitStart(x.service, x.request.Model, x.priority())
 	}
 	var chosen *catalog.Endpoint
 	last := decision.Class
-	x.queue.Wait(ctx, wait, func(t admit.Turn) bool {
+	x.queue.Wait(ctx, decision.queued(), func(t admit.Turn) bool {
 		if last = t.Class; t.Limit == 0 {
 			t.Limit = x.Rules.Fill
 		}
@@ -95,8 +119,8 @@
 	if isShort {
 		x.Demand.RecordWaitEnd(x.service, x.request.Model, x.priority(), waited)
 	}
-	if endpoints > 0 {
-		x.recordWait(decision, last, waited, chosen != nil)
+	if decision.endpoints > 0 {
+		x.recordWait(decision.Decision, last, waited, chosen != nil)
 	}
 	if chosen == nil {
 		if err := x.contextError(ctx); code.Of(err) == code.CallerClosed {
@@ -129,7 +153,7 @@
 	if !hasEndpoints {
 		return admit.Forecast{}
 	}
-	return x.monitor.Flow(x.queueKey()).Forecast(x.estimate.Work)
+	return x.monitor.Peek(x.queueKey()).Forecast(x.estimate.Work)
 }
 
 // waitRequest describes the request to the queue.
@@ -174,21 +198,36 @@
 // useful.
 func (x *exchange) refuse(reason string, class admit.Class) error {
 	endpoints := len(x.candidates())
+	x.refusal = refusalOf(reason, endpoints)
+	x.Telemetry.recordRefusal(x.priority(), class, x.refusal)
+	return x.refusalError(x.Clock.Now(), endpoints, func(waiting unit.Requests, patience time.Duration) time.Duration {
+		flow := x.monitor.Flow(x.queueKey())
+		return flow.Return(waiting, flow.Forecast(x.estimate.Work), patience)
+	})
+}
+
+// refusalOf returns the reason of a refusal; without endpoints there is no other one.
+func refusalOf(reason string, endpoints int) string {
 	if endpoints == 0 {
-		reason = refusedNoReplica
+		return refusedNoReplica
 	}
-	x.refusal = reason
-	x.Telemetry.recordRefusal(x.priority(), class, reason)
+	return reason
+}
+
+// returnTime returns the time after which a refused caller finds a slot, with the number of requests
+// that wait and the longest time for which the caller would come back.
+type returnTime func(waiting unit.Requests, patience time.Duration) time.Duration
+
+// refusalError returns the error for a request that is refused at the given time for lack of a slot.
+func (x *exchange) refusalError(at time.Time, endpoints int, next returnTime) error {
 	if endpoints == 0 {
-		return x.withRetryAfter(code.NoReplica.New("choose endpoint for service %s, model %q: no endpoint is in service", x.service, x.request.Model))
+		return x.withRetryAfter(at, code.NoReplica.New("choose endpoint for service %s, model %q: no endpoint is in service", x.service, x.request.Model))
 	}
 	err := code.Overloaded.New("choose endpoint for service %s, model %q: none of %d endpoints has a free slot", x.service, x.request.Model, endpoints)
 	if !x.isEngineStream {
-		return x.withRetryAfter(err)
+		return x.withRetryAfter(at, err)
 	}
-	patience := x.deadline.Sub(x.Clock.Now()) / retryAfterDivisor
-	flow := x.monitor.Flow(x.queueKey())
-	return code.WithRetryAfter(err, flow.Return(x.queue.LengthOf(x.queueKey()), flow.Forecast(x.estimate.Work), patience))
+	return code.WithRetryAfter(err, next(x.queue.LengthOf(x.queueKey()), x.deadline.Sub(at)/retryAfterDivisor))
 }
 
 // countInFlight counts a request in flight to the endpoint, unless takeSlot has counted it, until the
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -405,15 +405,16 @@
 // admitRequest counts the request for its organisation, as the queue prefers
 // organisations with few requests in flight.
 func (x *exchange) admitRequest() error {
-	o := record.Organisation{Weight: 1}
-	if x.organisation != nil {
-		o.Name = x.organisation.Name
-	}
 	var err error
-	x.admission, err = x.shares.Admit(&o, math.MaxInt32)
+	x.admission, err = x.shares.Admit(x.shareRecord(), math.MaxInt32)
 	return err
 }
 
+// shareRecord returns the record by which the organisation's share is computed.
+func (x *exchange) shareRecord() *record.Organisation {
+	return &record.Organisation{Name: x.organisationName(), Weight: 1}
+}
+
 // readHead returns the head of the endpoint's reply, after recording what it says of the
 // server.
 func (x *exchange) readHead(e *catalog.Endpoint, reply Reply) *proxy.Head {
--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -9,6 +9,7 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 	"cuminbay/internal/route/admit"
+	"cuminbay/internal/route/ratelimit"
 )
 
 // pickEndpoint returns the endpoint for the next attempt. It waits in the queue while
@@ -28,7 +29,7 @@
 	r := x.slotRequest()
 	class := r.Class(x.Clock.Now())
 	// Requests that wait go first, except before a stream that was interrupted.
-	if !r.IsStream || r.Resumed || x.queue.LengthOf(x.queueKey()) == 0 {
+	if x.mayGoFirst(&r) {
 		if e := x.takeSlot(x.slotLimit(class)); e != nil {
 			return e, nil
 		}
@@ -36,12 +37,20 @@
 	return x.waitForSlot(ctx, &r)
 }
 
+// mayGoFirst reports whether the request may take a slot without a wait in the queue.
+func (x *exchange) mayGoFirst(r *admit.Request) bool {
+	return !r.IsStream || r.Resumed || x.queue.LengthOf(x.queueKey()) == 0
+}
+
+// retryTime returns the time after which a caller that is rejected for limits finds an admission.
+type retryTime func(now time.Time, queue string, supply ratelimit.Supply, patience time.Duration) time.Duration
+
 // checkLimits rejects the request if every endpoint names a limit of requests or wants a pause,
 // and none of them admits it until the end of the wait. A request that may have run can't be
 // rejected.
 //
 // Errors carry code.Overloaded.
-func (x *exchange) checkLimits(waitDeadline time.Time) error {
+func (x *exchange) checkLimits(waitDeadline time.Time, next retryTime) error {
 	if x.possibleRuns > 0 || x.sink.Started() {
 		return nil
 	}
@@ -52,7 +61,7 @@
 		return nil
 	}
 	patience := x.deadline.Sub(now) / retryAfterDivisor
-	retryAfter := x.retries.Next(now, string(x.queueKey()), supply, patience)
+	retryAfter := next(now, string(x.queueKey()), supply, patience)
 	return code.WithRetryAfter(code.Overloaded.New("choose endpoint for service %s, model %q: all %d endpoints are at the limits that they name or want a pause", x.service, x.request.Model, len(endpoints)), retryAfter)
 }
 
@@ -84,8 +93,8 @@
 	maxRetryAfter     = 900 * time.Millisecond
 )
 
-// withRetryAfter adds the time after which a retry is useful to a refusal.
-func (x *exchange) withRetryAfter(err error) error {
-	timeLeft := x.deadline.Sub(x.Clock.Now())
+// withRetryAfter adds the time after which a retry is useful to a refusal at the given time.
+func (x *exchange) withRetryAfter(at time.Time, err error) error {
+	timeLeft := x.deadline.Sub(at)
 	return code.WithRetryAfter(err, max(0, min(timeLeft/retryAfterDivisor, maxRetryAfter)))
 }
