cli: Print the age of counts, the wait and the refusal

Change: the text has the age of the others' counts, and the class, the predicted wait, the end of the wait, the reason and Retry-After. An answer of an older build without these fields is printed as before.

--- a/internal/command/cli/explain.go
+++ b/internal/command/cli/explain.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/url"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -52,7 +54,7 @@
 func (c *explainCommand) print(x *forward.Explanation) {
 	p := c.streams.printf
 	p("daemon %s, configuration version %d: route %s, service %s, model %s, organisation %s, priority %d\n", x.Daemon, x.ConfigVersion, x.Route, x.Service, x.Model, x.Organisation, x.Priority)
-	if x.Refusal != "" {
+	if x.Refusal != "" && x.Admission == nil {
 		p("refused: %s, %s", x.Refusal, x.Reason)
 		if x.RetryAfter > 0 {
 			p(", retry after %d ms", x.RetryAfter)
@@ -66,25 +68,53 @@
 	}
 	if x.Relay != "" {
 		p("passed on to daemon %s, as this one reaches no endpoint\n", x.Relay)
-		return
 	}
-	if x.Explanation == nil {
-		return
+	if x.Explanation != nil {
+		c.printChoice(x.Explanation)
+	}
+	switch {
+	case x.Admission != nil:
+		c.printAdmission(x)
+	case x.Waits:
+		// A daemon of an older build doesn't say more.
+		p("no endpoint may be chosen: the request waits, behind %d others at this daemon, or is refused\n", x.Queued)
 	}
-	p("choice by %s, level %.1f\n", x.Choice, x.Level)
+}
+
+func (c *explainCommand) printChoice(x *balance.Explanation) {
+	c.streams.printf("choice by %s, level %.1f\n", x.Choice, x.Level)
 	candidates := slices.Clone(x.Candidates)
 	slices.SortStableFunc(candidates, func(a, b balance.Candidate) int { return cmp.Compare(b.Probability, a.Probability) })
 	for i := range candidates {
 		c.printCandidate(&candidates[i])
 	}
-	if x.Waits {
-		p("no endpoint may be chosen: the request waits, behind %d others at this daemon, or is refused\n", x.Queued)
+}
+
+func (c *explainCommand) printAdmission(x *forward.Explanation) {
+	p, a := c.streams.printf, x.Admission
+	predicted := "unknown"
+	if a.Predicted > 0 {
+		predicted = fmt.Sprintf("%d ms", a.Predicted)
 	}
+	p("%d requests wait at this daemon; class %s, predicted wait %s\n", x.Queued, a.Class, predicted)
+	if !x.Waits {
+		p("refused at once: %s, %s, retry after %d ms", x.Refusal, x.Reason, a.RetryAfter)
+		if a.Reason != "" {
+			p(" (%s)", a.Reason)
+		}
+		p("\n")
+		return
+	}
+	p("waits for a slot for at most %d ms, until %s; refused without one: %s, retry after %d ms\n", a.Wait, a.Until.UTC().Format(time.RFC3339Nano), a.Reason, a.RetryAfter)
 }
 
 func (c *explainCommand) printCandidate(e *balance.Candidate) {
 	p := c.streams.printf
-	p("  endpoint %-20s %-12s %5.1f%%  in flight %d + %d of others, slots %d, unread %d + %d", e.Endpoint, e.DataCentre, 100*e.Probability, e.InFlight, e.PeerInFlight, e.Slots, e.Unread, e.PeerUnread)
+	age := "age unknown"
+	if e.PeerAge >= 0 {
+		age = fmt.Sprintf("%d ms old", e.PeerAge)
+	}
+	p("  endpoint %-20s %-12s %5.1f%%  in flight %d + %d of others (%s), slots %d, unread %d + %d", e.Endpoint, e.DataCentre, 100*e.Probability, e.InFlight, e.PeerInFlight, age, e.Slots, e.Unread, e.PeerUnread)
 	if e.Excluded != "" {
 		p("; left out: %s\n", e.Excluded)
 		return
