admit: Remove State.SlotFree and the action Take

Cause: only TestDecide used them; forward looks for a free slot before it asks Rules.Decide.

Change: Decide is about requests that find no free slot. The case "free slot" of TestDecide is replaced by forward TestFreeSlot, which tests what requests get: a free slot without a wait, except a stream while others wait. It fails if pickEndpoint always queues, and if it never looks at the queue.

--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -157,9 +157,6 @@
 // State is what the decision depends on beside the request.
 type State struct {
 	Now time.Time
-	// SlotFree says that an endpoint is below the utilisation that Limit permits, and that no
-	// waiting request goes first.
-	SlotFree bool
 	// HasEndpoints says that any endpoint is in service.
 	HasEndpoints bool
 	// Standing is the place that the request would have in this daemon's queue.
@@ -168,13 +165,12 @@
 	Forecast Forecast
 }
 
-// Action is what happens to a request.
+// Action is what happens to a request that finds no free slot.
 type Action int
 
 // The actions.
 const (
-	Take Action = iota
-	Wait
+	Wait Action = iota
 	Refuse
 )
 
@@ -188,15 +184,11 @@
 	Predicted time.Duration
 }
 
-// Decide decides for a request whether it takes a slot, waits for one, or is refused without a
-// wait since its caller would give up before. A request that may have run is never refused, nor one
+// Decide decides for a request that finds no free slot whether it waits for one, or is refused without
+// a wait since its caller would give up before. A request that may have run is never refused, nor one
 // that was probably refused before, nor the only waiting one of its priority, organisation or size.
 func (p Rules) Decide(r *Request, s *State) Decision {
 	d := Decision{Action: Wait, Class: r.Class(s.Now), Until: r.waitEnd(s.Now)}
-	if s.SlotFree {
-		d.Action = Take
-		return d
-	}
 	if !r.IsStream || r.Resumed {
 		return d
 	}
--- a/internal/route/admit/decide_test.go
+++ b/internal/route/admit/decide_test.go
@@ -36,13 +36,11 @@
 		request   admit.Request
 		standing  admit.Standing
 		forecast  admit.Forecast
-		slotFree  bool
 		noReplica bool
 		want      admit.Action
 		wantClass admit.Class
 		wantUntil time.Duration
 	}{
-		"free slot":                        {request: stream, slotFree: true, want: admit.Take, wantUntil: 100 * ms},
 		"served in time":                   {request: stream, standing: busy, forecast: forecast(100), want: admit.Wait, wantUntil: 100 * ms},
 		"too late for the objective":       {request: stream, standing: busy, forecast: forecast(20), want: admit.Refuse, wantClass: admit.Late, wantUntil: 100 * ms},
 		"first in the queue stays on time": {request: stream, standing: admit.Standing{AheadLate: 29}, forecast: forecast(2), want: admit.Wait, wantUntil: 100 * ms},
@@ -63,7 +61,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			d := admit.Rules{Fill: 1}.Decide(&test.request, &admit.State{
-				Now: start, SlotFree: test.slotFree, HasEndpoints: !test.noReplica, Standing: test.standing, Forecast: test.forecast,
+				Now: start, HasEndpoints: !test.noReplica, Standing: test.standing, Forecast: test.forecast,
 			})
 			c.Check(d.Action, qt.Equals, test.want)
 			c.Check(d.Class, qt.Equals, test.wantClass)
--- a/internal/serve/forward/admission_test.go
+++ b/internal/serve/forward/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,8 +13,10 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/record"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/balance"
 )
 
@@ -149,3 +152,59 @@
 		})
 	}
 }
+
+// TestFreeSlot guards against a request that waits, is refused or counts as short of slots although a
+// slot is free for it, and against a stream that takes a slot before those that wait for it.
+func TestFreeSlot(t *testing.T) {
+	tests := map[string]struct {
+		service   ident.Service
+		path      string
+		remaining time.Duration
+		// another says that another request waits, which finds no slot.
+		another   bool
+		wantWaits int
+	}{
+		"stream in time":                    {service: engines, path: "/stream/1", remaining: 4 * time.Second},
+		"late stream":                       {service: engines, path: "/stream/1", remaining: 3 * time.Second},
+		"plain service":                     {service: ledger, path: "/safe/1", remaining: 4 * time.Second},
+		"stream in time, another one waits": {service: engines, path: "/stream/1", remaining: 4 * time.Second, another: true, wantWaits: 1},
+		"plain service, another one waits":  {service: ledger, path: "/safe/1", remaining: 4 * time.Second, another: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sender := &fakeSender{clock: clockwork.NewFakeClock(), replies: map[ident.Instance][]scriptedReply{"a": {{body: "done"}}, "x": {{body: eventA}}}}
+			f := newTestForwarder(sender)
+			picker := new(limitPicker)
+			f.Picker = picker
+			now := sender.clock.Now()
+			ctx, cancel := context.WithCancel(context.Background())
+			var other sync.WaitGroup
+			defer other.Wait()
+			defer cancel()
+			if test.another {
+				admission, err := f.shares.Admit(&record.Organisation{Name: "other", Weight: 1}, 100)
+				c.Assert(err, qt.IsNil)
+				offered := make(chan struct{})
+				var once sync.Once
+				waiting := admit.WaitRequest{Key: admit.QueueKey(string(test.service) + " " + string(testModel)), Received: now, Admission: admission, Deadline: now.Add(time.Minute)}
+				other.Go(func() {
+					f.queue.Wait(ctx, waiting, func(admit.Turn) bool {
+						once.Do(func() { close(offered) })
+						return false
+					})
+				})
+				<-offered
+				c.Assert(f.queue.Length(), qt.Equals, 1)
+			}
+			err := f.Forward(context.Background(), &proxy.Request{
+				ID: "r", Method: "POST", Host: "h", Target: test.path, Path: test.path, Credential: "k", Model: testModel, Received: now, Deadline: now.Add(test.remaining),
+			}, new(fakeSink))
+			c.Check(err, qt.IsNil)
+			c.Check(sender.attempts, qt.HasLen, 1)
+			c.Check(picker.limits, qt.HasLen, 1)
+			c.Check(f.Demand.(*fakeDemand).waits, qt.Equals, test.wantWaits)
+			c.Check(f.Demand.(*fakeDemand).refusals, qt.Equals, 0)
+		})
+	}
+}
