catalog: Keep a member without a registration if any of several heads serves

Seen: with the model of TestIncrementalUpdates that knows of unregistered members, the catalog sometimes removed a member whose head served. Two servers reported rank 0 of the same replica and epoch, one open and one ready.

Cause: servesWith returned the state of the first server with rank 0 in a map, so the result depended on the order of iteration.

Change: the member is kept if any registered server with rank 0 is open. While there are two heads the replica is not complete and gets no requests; once only one remains, the replica serves again.

TestUnregistered has two cases with several heads.

--- a/internal/fleet/catalog/unregistered.go
+++ b/internal/fleet/catalog/unregistered.go
@@ -21,14 +21,15 @@
 }
 
 // servesWith reports whether the server is a member, not the head, of a replica whose head is
-// registered and serves.
+// registered and serves. If several servers report rank 0, one that serves is enough, so that the
+// result doesn't depend on the order in which the members are visited.
 func (x *endpointIndex) servesWith(s *cluster.Server) bool {
 	if s.Membership == nil || s.Membership.Rank == 0 {
 		return false
 	}
 	for _, member := range x.members[replicaKeyOf(s)] {
-		if member.Membership.Rank == 0 {
-			return isServingHead(member)
+		if member.Membership.Rank == 0 && isServingHead(member) {
+			return true
 		}
 	}
 	return false
--- a/internal/fleet/catalog/unregistered_test.go
+++ b/internal/fleet/catalog/unregistered_test.go
@@ -11,8 +11,8 @@
 )
 
 // TestUnregistered guards against a replica that stops serving because a member's entry on the
-// platform ends, although the member works, and against servers that are kept for no replica that
-// serves.
+// platform ends, although the member works, against servers that are kept for no replica that
+// serves, and against a result that depends on the order in which the members are visited.
 func TestUnregistered(t *testing.T) {
 	const headID, memberID = "a", "b"
 	server := func(id ident.Instance, rank int, state cluster.MemberState) *cluster.Server {
@@ -27,6 +27,12 @@
 	draining, rejoined, broken := *member, *head, server(headID, 0, cluster.Broken)
 	draining.Draining = true
 	rejoined.Membership = &cluster.Membership{Replica: "r", Epoch: 4, Model: "m", State: cluster.Joining}
+	// More servers say that they are the head, so that visiting the head first is unlikely.
+	var otherHeads []*cluster.Server
+	var otherHeadIDs []ident.Instance
+	for _, id := range []ident.Instance{"c", "d", "e", "f", "g", "h", "i"} {
+		otherHeads, otherHeadIDs = append(otherHeads, server(id, 0, cluster.Ready)), append(otherHeadIDs, id)
+	}
 	tests := map[string]struct {
 		updates    []Update
 		wantServes bool
@@ -41,6 +47,8 @@
 		"both removed at once":             {updates: []Update{{Removed: []ident.Instance{headID, memberID}}}},
 		"member removed, head rejoins":     {updates: []Update{{Removed: []ident.Instance{memberID}}, {Servers: []*cluster.Server{&rejoined}}}},
 		"member removed, head misses it":   {updates: []Update{{Removed: []ident.Instance{memberID}}, {Servers: []*cluster.Server{broken}}}},
+		"member removed, several heads":    {updates: []Update{{Servers: otherHeads}, {Removed: []ident.Instance{memberID}}}, wantMember: true},
+		"several heads, one remains":       {updates: []Update{{Servers: otherHeads}, {Removed: []ident.Instance{memberID}}, {Removed: otherHeadIDs}}, wantServes: true, wantMember: true},
 		"member removed, head is unharmed": {updates: []Update{{Removed: []ident.Instance{memberID}}, {Servers: []*cluster.Server{head}}}, wantServes: true, wantMember: true},
 	}
 	for name, test := range tests {
