--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -174,7 +174,7 @@
 	Refuse
 )
 
-var actionNames = [...]string{Take: "take", Wait: "wait", Refuse: "refuse"}
+var actionNames = [...]string{Wait: "wait", Refuse: "refuse"}
 
 // String returns the name in explanations.
 func (a Action) String() string {
