balance: Admit requests only as far as replicas are expected to have room

Cause: the limit of a replica's slots held for each daemon's own old counts, and the expected arrivals were a fixed share of the requests in flight by the size of the fleet, 1.5 for 111 daemons, from before the counts became more recent.

Change: a replica has room for its free slots and for the requests that end there before the counts are renewed. If more requests arrive for all daemons than there is room for, by the offered load of the fleet, each daemon admits that share of its requests. The same times give the expected arrivals of the choice, in place of three constants.

--- a/internal/fleet/demand/demand.go
+++ b/internal/fleet/demand/demand.go
@@ -59,6 +59,8 @@
 	own atomic.Pointer[Report]
 	// ownDataCentre is the demand at the daemons of this data centre.
 	ownDataCentre atomic.Pointer[DataCentreDemand]
+	// offered is the fleet's offered load at the latest observation.
+	offered atomic.Pointer[map[modelKey]unit.Slots]
 
 	mu      sync.Mutex
 	history history
@@ -76,6 +78,7 @@
 		lastKnown: make(map[ident.Service]Demand), states: make(map[ident.Service]state),
 	}
 	m.models.Store(new(modelTable))
+	m.offered.Store(new(map[modelKey]unit.Slots))
 	return m
 }
 
--- a/internal/fleet/demand/fleet.go
+++ b/internal/fleet/demand/fleet.go
@@ -96,6 +96,13 @@
 	return offered, true
 }
 
+// Offered returns the load that callers offer to the whole fleet for the model, as it was at the latest
+// observation, and false if it isn't known. It takes no lock.
+func (m *Meter) Offered(service ident.Service, model ident.Model) (unit.Slots, bool) {
+	offered, known := (*m.offered.Load())[modelKey{service, model}]
+	return offered, known
+}
+
 // knownDemand returns the present demand if it is usable, or else the last usable one for
 // lastKnownTime. The caller holds the lock.
 func (m *Meter) knownDemand(present Demand, service ident.Service) (Demand, bool) {
--- a/internal/fleet/demand/observe.go
+++ b/internal/fleet/demand/observe.go
@@ -7,6 +7,7 @@
 
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
 )
 
 // state says which demand the planner gets.
@@ -86,14 +87,17 @@
 			delete(m.states, name)
 		}
 	}
+	offered := make(map[modelKey]unit.Slots)
 	for _, service := range config.Services {
 		if service.Engine != nil {
-			m.observeService(now, service)
+			m.observeService(now, service, offered)
 		}
 	}
+	m.offered.Store(&offered)
 }
 
-func (m *Meter) observeService(now time.Time, service *cluster.Service) {
+// observeService adds the offered load of the service's models, if it is known, to offered.
+func (m *Meter) observeService(now time.Time, service *cluster.Service, offered map[modelKey]unit.Slots) {
 	d := m.sum(now, service.Name)
 	m.Telemetry.daemons.WithLabelValues("live").Set(float64(d.Live))
 	m.Telemetry.daemons.WithLabelValues("heard").Set(float64(d.Heard))
@@ -106,6 +110,9 @@
 		if used.ComputedAt.Equal(now) {
 			current = stateKnown
 		}
+		for model, sum := range used.Models {
+			offered[modelKey{service.Name, model}] = sum.Offered
+		}
 	}
 	if previous, logged := m.states[service.Name]; logged && previous == current || !logged && current == stateUnknown {
 		return
--- a/internal/route/admit/line.go
+++ b/internal/route/admit/line.go
@@ -166,7 +166,7 @@
 
 // covers reports whether the waiter's failure to find a slot means that the other one finds none.
 func (w *waiter) covers(other *waiter) bool {
-	return w.Limit != nil && other.Limit != nil && !w.Restricted && w.turn.Limit >= other.turn.Limit && w.Tokens <= other.Tokens
+	return w.Limit != nil && other.Limit != nil && !w.Restricted && w.Draw <= other.Draw && w.turn.Limit >= other.turn.Limit && w.Tokens <= other.Tokens
 }
 
 // hasFailed reports whether the waiter finds no slot, as another one found none in this round.
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -77,6 +77,9 @@
 	// LateInterval is the least time between two late requests that leave the queue. Counts of other
 	// daemons' requests are old, so that many daemons see the same slot free at once.
 	LateInterval time.Duration
+	// Draw is the request's random number from 0 to 1. While there is room for a share of the requests
+	// only, it is offered a slot if its number is low enough.
+	Draw float64
 	// Restricted says that the request may use only some of the endpoints.
 	Restricted bool
 	// Displaceable says that the request may lose its place to one that goes before it if the
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -64,6 +64,9 @@
 	ObjectiveAt time.Time
 	// MaxUtilisation is the utilisation below which a replica has a free slot for the request.
 	MaxUtilisation float64
+	// Draw is a random number from 0 to 1, the same for all choices of the request. If there is
+	// room for a share of the requests only, those with a lower number are admitted.
+	Draw float64
 }
 
 // Options are the dependencies and settings of a Balancer.
@@ -72,8 +75,10 @@
 	Daemons    daemonList
 	Fleet      fleet
 	Limits     limiter
-	// Times is used for ByCost only.
+	// Times and Demand are used for ByCost only. Without Demand, which may be nil, the offered load is
+	// taken to be what the replicas serve.
 	Times  timeModel
+	Demand offeredLoad
 	Choice Choice
 	// RemotePenalty is added to the utilisation of an endpoint in another data centre,
 	// as traffic between data centres is paid for.
@@ -108,6 +113,10 @@
 			b.drawn.Add(1)
 			return e
 		}
+		if !p.areAvoided(endpoints) && !p.isAdmitted(endpoints, len(endpoints)) {
+			b.none.Add(1)
+			return nil
+		}
 	}
 	e := p.pickLeastUtilised(endpoints)
 	if e == nil {
@@ -118,13 +127,18 @@
 	return e
 }
 
-// draw returns a candidate by expected loss, nil if none may be chosen.
+// draw returns a candidate by expected loss, nil if none may be chosen or there is no room for the
+// request.
 func (p *pick) draw(endpoints []*catalog.Endpoint) *catalog.Endpoint {
-	if len(endpoints) <= maxCandidates {
-		return p.drawByLoss(endpoints)
-	}
 	var drawn [maxCandidates]*catalog.Endpoint
-	return p.drawByLoss(p.sample(endpoints, drawn[:0], maxCandidates/2))
+	candidates := endpoints
+	if len(endpoints) > maxCandidates {
+		candidates = p.sample(endpoints, drawn[:0], maxCandidates/2)
+	}
+	if !p.isAdmitted(candidates, len(endpoints)) {
+		return nil
+	}
+	return p.drawByLoss(candidates)
 }
 
 // pickLeastUtilised returns the endpoint with the lowest utilisation, in a large fleet of a sample. It
@@ -313,6 +327,9 @@
 	if e.Engine == nil {
 		return usedShare(e) < 1+p.PlainQueueRatio
 	}
+	if p.byCost {
+		return p.roomOf(e) > 0
+	}
 	return usedShare(e) < p.request.MaxUtilisation
 }
 
--- a/internal/route/balance/fleet_test.go
+++ b/internal/route/balance/fleet_test.go
@@ -189,6 +189,7 @@
 				peers += f.inDataCentre[dc][i][at(age)]
 			}
 			e.Load.SetPeerInFlight(unit.Requests(float64(peers)*f.counted + 0.5))
+			e.Load.SetPeerCountedAt(f.time().Add(-(f.age + (fleetDataCentres-1)*f.remoteAge) / fleetDataCentres))
 		}
 	}
 }
--- a/internal/route/balance/loss.go
+++ b/internal/route/balance/loss.go
@@ -17,14 +17,6 @@
 const (
 	// maxCandidates is the number of candidates of a draw.
 	maxCandidates = 12
-	// The expected number of requests that other daemons start while their counts grow old, as a
-	// share of their requests in flight, is the ratio of the age of the counts to the time of a
-	// request. The age rises with the number of daemons, as each one sends to a bounded number of
-	// others, up to the time after which counts no longer count. The share is rather too high: too
-	// low a share lets the daemons meet at the same replicas.
-	minArrivalShare       = 0.3
-	arrivalSharePerDaemon = 0.0125
-	maxArrivalShare       = 1.5
 	// ownArrivals is the share of the expected requests at an idle replica of another data centre
 	// that are taken to be that data centre's own, for each unit of RemotePenalty. With the default
 	// penalty of 0.3 it is 0.9.
@@ -92,10 +84,10 @@
 // not be chosen. It is the requests by which a candidate is below the level, reduced by the
 // expected loss of the request there.
 func (p *pick) weigh(candidates []*catalog.Endpoint, all []weighed) float64 {
-	arrivals, share := 1.0, min(minArrivalShare+arrivalSharePerDaemon*float64(p.Fleet.FleetSize()), maxArrivalShare)
+	arrivals := 1.0
 	for i, e := range candidates {
 		if all[i].load = math.Inf(1); p.mayChoose(e) {
-			load, shared := p.load(e, share*float64(e.Load.TotalInFlight()-e.Load.InFlight()))
+			load, shared := p.load(e, p.turnover(e))
 			all[i].load = load
 			arrivals += shared
 		}
@@ -105,7 +97,7 @@
 	for i, e := range candidates {
 		// The level is infinite if no candidate may be chosen.
 		if !math.IsInf(all[i].load, 1) && level > all[i].load {
-			all[i].weight = level - all[i].load
+			all[i].weight = min(level-all[i].load, p.roomOf(e))
 			all[i].expectedLoss = p.expectedLoss(e, level)
 			least = min(least, all[i].expectedLoss)
 		}
--- /dev/null
+++ b/internal/route/balance/room.go
@@ -0,0 +1,94 @@
+package balance
+
+import (
+	"time"
+
+	"cuminbay/internal/domain/ident"
+	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/fleet/catalog"
+)
+
+// offeredLoad has the load that callers offer to all daemons. Its method takes no lock.
+type offeredLoad interface {
+	// Offered returns the offered load of the model, and false if it isn't known.
+	Offered(service ident.Service, model ident.Model) (unit.Slots, bool)
+}
+
+// Room for further requests. All daemons see a slot become free at about the same time, and for as long
+// as their counts are old they don't see that others have taken it. A replica that is the only one with
+// a free slot would get the requests of all of them. Each daemon therefore admits only the share of its
+// requests for which the replicas are expected to have room until the counts are renewed.
+
+// countWindow returns the time until the counts of the other daemons' requests at the endpoint are
+// renewed, zero if there are none. Counts are half as old on average.
+func (p *pick) countWindow(e *catalog.Endpoint) time.Duration {
+	at := e.Load.PeerCountedAt()
+	if at.IsZero() {
+		return 0
+	}
+	return 2 * max(p.now.Sub(at), 0)
+}
+
+// turnover returns the number of the other daemons' requests at the endpoint that end before their
+// counts are renewed. In a steady state, as many begin.
+func (p *pick) turnover(e *catalog.Endpoint) float64 {
+	peers := e.Load.TotalInFlight() - e.Load.InFlight()
+	return p.times.Ended(peers, p.countWindow(e))
+}
+
+// roomOf returns the number of requests that the replica can take until the counts are renewed.
+func (p *pick) roomOf(e *catalog.Endpoint) float64 {
+	return p.request.MaxUtilisation*float64(e.Slots) - float64(e.Load.TotalInFlight()) + p.turnover(e)
+}
+
+// supply compares the room of endpoints with the requests that arrive for them.
+type supply struct {
+	room, arrivals float64
+}
+
+// admitted returns the share of the requests for which there is room.
+func (s supply) admitted() float64 {
+	if s.arrivals <= s.room {
+		return 1
+	}
+	return max(s.room, 0) / s.arrivals
+}
+
+// supplyOf returns the supply of the candidates, which are a sample of the number of endpoints. Arrivals
+// are those of the offered load, which the requests in flight don't show while requests are refused.
+func (p *pick) supplyOf(candidates []*catalog.Endpoint, endpoints int) supply {
+	var s supply
+	var turnover float64
+	var window time.Duration
+	for _, e := range candidates {
+		if p.mayChoose(e) {
+			s.room += p.roomOf(e)
+		}
+		turnover += p.turnover(e)
+		window += p.countWindow(e)
+	}
+	n := float64(max(len(candidates), 1))
+	s.arrivals = max(turnover, p.offeredRequests(candidates, window/time.Duration(n))*n/float64(max(endpoints, 1)))
+	// This request comes in addition.
+	s.arrivals++
+	return s
+}
+
+// offeredRequests returns the number of requests that callers send to all daemons in the time, zero if
+// the offered load isn't known.
+func (p *pick) offeredRequests(candidates []*catalog.Endpoint, window time.Duration) float64 {
+	if p.Demand == nil || len(candidates) == 0 || candidates[0].Model == nil {
+		return 0
+	}
+	offered, known := p.Demand.Offered(candidates[0].Service, candidates[0].Model.Name)
+	if !known {
+		return 0
+	}
+	return p.times.Arrived(offered, window)
+}
+
+// isAdmitted reports whether the request is among the share for which the candidates have room.
+func (p *pick) isAdmitted(candidates []*catalog.Endpoint, endpoints int) bool {
+	s := p.supplyOf(candidates, endpoints)
+	return s.room > 0 && p.request.Draw <= s.admitted()
+}
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -205,6 +205,23 @@
 	return time.Duration(pass/2 + t.prefill(p.PromptTokens) + pass)
 }
 
+// Ended returns the expected number of the requests in flight that end in the time.
+func (t *Times) Ended(inFlight unit.Requests, d time.Duration) float64 {
+	if t.slotTime <= 0 {
+		return 0
+	}
+	return float64(inFlight) * min(float64(d)/t.slotTime, 1)
+}
+
+// Arrived returns the expected number of requests of the offered load that arrive in the time, zero
+// before the work of a request is known.
+func (t *Times) Arrived(offered unit.Slots, d time.Duration) float64 {
+	if t.meanWork <= 0 {
+		return 0
+	}
+	return float64(offered) * float64(d) / t.meanWork
+}
+
 // prefill returns the prefill time of a prompt.
 func (t *Times) prefill(prompt unit.Tokens) float64 {
 	return float64(prompt)*t.prefillToken + float64(prompt)*float64(prompt)/2*t.attention
--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -49,8 +49,8 @@
 
 // takeSlot picks an endpoint and counts the request there, so that the next one sees the slot as
 // taken. It returns nil if there is no free slot.
-func (x *exchange) takeSlot(limit float64) *catalog.Endpoint {
-	e := x.pick(x.triedServers, limit)
+func (x *exchange) takeSlot(t admit.Turn) *catalog.Endpoint {
+	e := x.pick(x.triedServers, t)
 	if e != nil {
 		e.Load.RequestStarted()
 		x.counted = e
@@ -85,6 +85,14 @@
 	return w
 }
 
+// drawFor returns the draw of the request in the class, zero if it is to be admitted before all others.
+func (x *exchange) drawFor(c admit.Class) float64 {
+	if c == admit.Resumed || c == admit.LeastShare || x.possibleRuns > 0 {
+		return 0
+	}
+	return x.draw
+}
+
 // waitForSlot decides whether the request waits for a slot, and waits for it.
 //
 // Errors carry code.NoReplica, code.Overloaded, code.PoisonRequest or code.CallerClosed.
@@ -111,7 +119,7 @@
 		if last = t.Class; t.Limit == 0 {
 			t.Limit = x.Rules.Fill
 		}
-		chosen = x.takeSlot(t.Limit)
+		chosen = x.takeSlot(t)
 		return chosen != nil
 	})
 	waited := x.Clock.Since(now)
@@ -160,7 +168,7 @@
 func (x *exchange) waitRequest(r *admit.Request, now time.Time) admit.WaitRequest {
 	w := admit.WaitRequest{
 		Key: x.queueKey(), Priority: r.Priority, Received: r.Received, Admission: x.admission,
-		Class: r.Class(now), LatestStart: r.LatestStart(), FirstSent: r.FirstSent(),
+		Class: r.Class(now), LatestStart: r.LatestStart(), FirstSent: r.FirstSent(), Draw: x.drawFor(r.Class(now)),
 		Tokens: x.request.PromptTokens + x.estimate.OutputTokens, Restricted: len(x.triedServers) > 0, Displaceable: !r.Resumed && !r.MayHaveRun,
 	}
 	w.Organisation = x.organisationName()
--- a/internal/serve/forward/explain.go
+++ b/internal/serve/forward/explain.go
@@ -118,7 +118,7 @@
 		}
 		reachable = candidates
 	}
-	choice := x.Explainer.Explain(now, reachable, x.balanceRequest(nil, x.slotLimit(r.Class(now))))
+	choice := x.Explainer.Explain(now, reachable, x.balanceRequest(nil, admit.Turn{Class: r.Class(now), Limit: x.slotLimit(r.Class(now))}))
 	out.Explanation = &choice
 	return slices.ContainsFunc(choice.Candidates, func(c balance.Candidate) bool { return c.Probability > 0 })
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -200,7 +201,7 @@
 // the result code. If the sink was not started, the caller of Forward has to write
 // the error to it.
 func (f *Forwarder) Forward(ctx context.Context, r *proxy.Request, s Sink) error {
-	ex := &exchange{Forwarder: f, request: r, sink: s}
+	ex := &exchange{Forwarder: f, request: r, sink: s, draw: rand.Float64()}
 	err := ex.runRequest(ctx)
 	ex.recordRefusal(err)
 	f.Telemetry.requestEnded(ex, err, f.Clock.Now())
@@ -225,6 +226,8 @@
 	key            admit.QueueKey
 	isEngineStream bool
 	firstEvent     time.Duration
+	// draw decides whether the request is admitted while there is room for a share of them only.
+	draw float64
 	// counted is the endpoint at which the next attempt is counted already, nil if there is none.
 	counted *catalog.Endpoint
 
--- a/internal/serve/forward/pick.go
+++ b/internal/serve/forward/pick.go
@@ -30,7 +30,7 @@
 	class := r.Class(x.Clock.Now())
 	// Requests that wait go first, except before a stream that was interrupted.
 	if x.mayGoFirst(&r) {
-		if e := x.takeSlot(x.slotLimit(class)); e != nil {
+		if e := x.takeSlot(admit.Turn{Class: class, Limit: x.slotLimit(class)}); e != nil {
 			return e, nil
 		}
 	}
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -10,6 +10,7 @@
 	"cuminbay/internal/domain/cluster"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/route/admit"
@@ -71,6 +72,11 @@
 	FleetSize() int
 }
 
+// offeredLoad has the load that callers offer to all daemons.
+type offeredLoad interface {
+	Offered(service ident.Service, model ident.Model) (unit.Slots, bool)
+}
+
 // timeModel has the times of models' replicas.
 type timeModel interface {
 	Times(service ident.Service, engine *cluster.Engine, model *cluster.Model) cost.Times
@@ -121,7 +127,8 @@
 	var daemons daemonList
 	var fleet fleetSizer
 	var times timeModel
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Demand, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &times, &c.limits.Daemons, &c.limits.Catalog); err != nil {
+	var offered offeredLoad
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Demand, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &times, &offered, &c.limits.Daemons, &c.limits.Catalog); err != nil {
 		return err
 	}
 	if err := c.deps.ResolveAll(&c.Contentions); err != nil {
@@ -129,7 +136,7 @@
 	}
 	s := c.settings
 	balancer := balance.New(balance.Options{
-		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Choice: s.Choice, RemotePenalty: s.Away, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
+		DataCentre: c.deps.Settings.Daemon.DataCentre, Daemons: daemons, Fleet: fleet, Limits: c.limits, Times: times, Demand: offered, Choice: s.Choice, RemotePenalty: s.Away, PlainQueueRatio: s.Queue, ColdRateFraction: s.Cold,
 	})
 	c.Picker, c.Explainer = balancer, balancer
 	c.Rules = admit.Rules{Fill: s.Fill}
--- a/internal/serve/forward/relay.go
+++ b/internal/serve/forward/relay.go
@@ -4,6 +4,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/balance"
 )
 
@@ -17,10 +18,10 @@
 // pick returns an endpoint that has a free slot and was not tried. If this daemon can connect to
 // none of the endpoints, it returns a daemon that may reach them. A replica has a free slot as long as
 // its utilisation is below the limit.
-func (x *exchange) pick(tried []ident.Instance, limit float64) *catalog.Endpoint {
+func (x *exchange) pick(tried []ident.Instance, t admit.Turn) *catalog.Endpoint {
 	now, candidates := x.Clock.Now(), x.candidates()
 	if reachable := x.reachable(candidates); len(reachable) > 0 {
-		return x.Picker.Pick(now, reachable, x.balanceRequest(tried, limit))
+		return x.Picker.Pick(now, reachable, x.balanceRequest(tried, t))
 	}
 	if relay := x.pickRelay(tried); relay != nil {
 		return relay
@@ -29,13 +30,13 @@
 		// The endpoints are probably down, as they are out of reach of two daemons.
 		return nil
 	}
-	return x.Picker.Pick(now, candidates, x.balanceRequest(tried, limit))
+	return x.Picker.Pick(now, candidates, x.balanceRequest(tried, t))
 }
 
 // balanceRequest returns what the choice of an endpoint depends on.
-func (x *exchange) balanceRequest(tried []ident.Instance, limit float64) balance.Request {
+func (x *exchange) balanceRequest(tried []ident.Instance, t admit.Turn) balance.Request {
 	return balance.Request{
-		Tried: tried, MaxUtilisation: limit, PromptTokens: x.request.PromptTokens, OutputTokens: x.estimate.OutputTokens,
+		Tried: tried, MaxUtilisation: t.Limit, Draw: x.drawFor(t.Class), PromptTokens: x.request.PromptTokens, OutputTokens: x.estimate.OutputTokens,
 		Objective: x.route.LatencyObjective, ObjectiveAt: x.request.Received.Add(x.route.LatencyObjective),
 	}
 }
--- a/internal/serve/forward/successor.go
+++ b/internal/serve/forward/successor.go
@@ -18,7 +18,7 @@
 	if x.possibleRuns+1 >= x.route.MaxAttempts || !x.RetryBudget.HasRetry(x.service) || x.checkPoison() != nil {
 		return false
 	}
-	next := x.pick(append(slices.Clip(x.triedServers), e.ID), x.successorLimit())
+	next := x.pick(append(slices.Clip(x.triedServers), e.ID), x.successorTurn())
 	if next == nil || next.Load.Avoided(x.Clock.Now()) || !x.RetryBudget.AllowRetry(x.service) {
 		return false
 	}
@@ -26,13 +26,13 @@
 	return true
 }
 
-// successorLimit returns the utilisation below which a replica may take over the request, which has a
-// slot now.
-func (x *exchange) successorLimit() float64 {
+// successorTurn returns the turn of the request at the replica that takes it over. It has a slot now, so
+// that it goes before others.
+func (x *exchange) successorTurn() admit.Turn {
 	if x.sink.Started() {
-		return x.slotLimit(admit.Resumed)
+		return admit.Turn{Class: admit.Resumed, Limit: x.slotLimit(admit.Resumed)}
 	}
-	return x.Rules.Fill
+	return admit.Turn{Class: admit.Resumed, Limit: x.Rules.Fill}
 }
 
 // takeSuccessor returns the endpoint that was reserved for the next attempt, nil if none was.
