misbehaving: Check daemons in one place

Cause: TestMisbehavingClients of platform and of internal/proof/process had the same measurement, bounds and numbers of connections.

Change: misbehaving.Check has them; the tests keep their targets, the limit of memory and what ordinary callers send. The bounds, the behaviours and the order are the same.

--- a/internal/proof/process/misbehaving_test.go
+++ b/internal/proof/process/misbehaving_test.go
@@ -13,20 +13,14 @@
 	"cuminbay/internal/proof/misbehaving"
 )
 
-// The daemon's limits in TestMisbehavingClients: megabytes of memory and file descriptors.
-// descriptorBound leaves some descriptors for endpoints, the platform and other daemons.
-const (
-	memoryLimit     = 96
-	descriptorLimit = 256
-	descriptorBound = 240
-)
-
 // TestMisbehavingClients guards against callers that fill the memory or the descriptors of a daemon
-// with requests that don't end or answers that they don't read, and against ordinary callers that are not served
-// meanwhile.
+// with requests that don't end or answers that they don't read, and against ordinary callers that are
+// not served meanwhile.
 func TestMisbehavingClients(t *testing.T) {
 	const fields = "Authorization: Bearer demo-key\r\n"
 	const body = 2 << 20
+	// The limit of the daemon's memory, in megabytes.
+	const memory = 96
 	targets := map[string]func(d *daemon) misbehaving.Target{
 		"generation": func(d *daemon) misbehaving.Target {
 			return misbehaving.Target{Address: d.callerAddress, Path: "/v1/chat/completions"}
@@ -39,35 +33,31 @@
 			return misbehaving.Target{Address: d.callerAddress, Path: "/health"}
 		},
 	}
-	behaviours := misbehaving.Behaviours(body, 120, 300)
 	for name, targetOf := range targets {
 		t.Run(name, func(t *testing.T) {
-			s := startCluster(t, clusterSize{dataCentres: []string{"a"}, daemons: 1, services: 1, limits: processLimits{memory: memoryLimit, descriptors: descriptorLimit, maxBody: body}})
-			target := targetOf(s.daemons[0])
+			s := startCluster(t, clusterSize{dataCentres: []string{"a"}, daemons: 1, services: 1, limits: processLimits{memory: memory, descriptors: misbehaving.DescriptorLimit, maxBody: body}})
+			d := s.daemons[0]
+			target := targetOf(d)
 			target.Method, target.Fields = http.MethodPost, fields
+			check := misbehaving.Check{
+				Clock: clk, PID: d.cmd.Process.Pid, Memory: memory << 20, Target: target, Body: body,
+			}
+			behaviours := check.Behaviours()
 			for _, behaviour := range slices.Sorted(maps.Keys(behaviours)) {
 				t.Run(behaviour, func(t *testing.T) {
-					s.checkMisbehavingClients(qt.New(t), target, behaviours[behaviour])
+					c := qt.New(t)
+					peak, err := check.Run(behaviours[behaviour], func() { s.checkServed(d) })
+					c.Logf("peak %d MB, %d descriptors", peak.PeakMemory>>20, peak.Descriptors)
+					c.Check(err, qt.IsNil)
 				})
 			}
 		})
 	}
 }
 
-// checkMisbehavingClients checks the daemon's memory and descriptors while the clients are connected,
-// and that an ordinary request and a health check are answered before they disconnect.
-func (s *cluster) checkMisbehavingClients(c *qt.C, target misbehaving.Target, b misbehaving.Behaviour) {
-	const hold, answerWithin = 1500 * time.Millisecond, 10 * time.Second
-	d := s.daemons[0]
-	clients := misbehaving.Open(clk, target, b)
-	defer clients.Close()
-	var peak misbehaving.Usage
-	measure := func() {
-		u, err := misbehaving.UsageOf(d.cmd.Process.Pid)
-		c.Assert(err, qt.IsNil)
-		peak.PeakMemory, peak.Descriptors = u.PeakMemory, max(peak.Descriptors, u.Descriptors)
-	}
-	s.poll(hold, func() bool { measure(); return false })
+// checkServed checks that an ordinary request and a health check are answered.
+func (s *cluster) checkServed(d *daemon) {
+	const answerWithin = 10 * time.Second
 	s.await(answerWithin, "ordinary request answered", func() error {
 		if a := d.reserve(fmt.Sprintf("ordinary-%d", clk.Now().UnixNano())); !a.complete {
 			return fmt.Errorf("status %d, error %s, %w", a.status, a.errorObject.Type, a.err)
@@ -80,8 +70,4 @@
 		}
 		return nil
 	})
-	measure()
-	c.Logf("peak %d MB, %d descriptors", peak.PeakMemory>>20, peak.Descriptors)
-	c.Check(peak.PeakMemory <= memoryLimit<<20, qt.IsTrue, qt.Commentf("resident memory reached %d MB of %d", peak.PeakMemory>>20, memoryLimit))
-	c.Check(peak.Descriptors <= descriptorBound, qt.IsTrue, qt.Commentf("%d descriptors were open, the bound is %d", peak.Descriptors, descriptorBound))
 }
