stream: Count checks instead of real time in TestKeepWaiting

Seen: "checks >= 3" within 35 ms failed in 2 of 90 runs with the race detector beside other load.

Cause: the test. It ended the wait by real time. A goroutine that is woken late sees a silence of over 35 ms at its first or second check.

Change: the test lets the exchange end at the fourth check after the first byte of the body and requires exactly four calls, each with a silence of at least its number of intervals and at most the time that has passed. TestSilenceInterval is new and has the exact times, with a fake clock. It also fails if the interval is doubled or if the silence is counted from the last check.

--- a/internal/endpoint/stream/raw_test.go
+++ b/internal/endpoint/stream/raw_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 
 	"cuminbay/internal/kernel/clock"
@@ -211,24 +212,82 @@
 	}
 }
 
-// TestKeepWaiting guards against waiting forever for a server that sends
-// nothing.
+// TestKeepWaiting guards against waiting forever for a server that sends nothing, and against an
+// exchange that ends although KeepWaiting wants to go on.
 func TestKeepWaiting(t *testing.T) {
+	const (
+		interval = 10 * time.Millisecond
+		wanted   = 4
+	)
 	c := qt.New(t)
 	s := &fakeServer{answer: "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n"}
 	request := newTestRequest(s.listen(c))
-	checks := 0
-	request.SilenceInterval = 10 * time.Millisecond
+	answered := false
+	var silences []time.Duration
+	request.SilenceInterval = interval
 	request.KeepWaiting = func(silence time.Duration) bool {
-		checks++
-		return silence < 35*time.Millisecond
+		if !answered {
+			return true
+		}
+		silences = append(silences, silence)
+		return len(silences) < wanted
 	}
 	r, err := newTestPool().Forward(context.Background(), request)
 	c.Assert(err, qt.IsNil)
 	defer r.Close()
+	_, err = io.ReadFull(r, make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	answered = true
+	started := clock.Real().Now()
 	_, err = io.ReadAll(r)
+	elapsed := clock.Real().Since(started)
 	c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue)
-	c.Check(checks >= 3, qt.IsTrue)
+	c.Assert(silences, qt.HasLen, wanted)
+	for i, silence := range silences {
+		c.Check(silence >= time.Duration(i+1)*interval && silence <= elapsed, qt.IsTrue, qt.Commentf("silences %s within %s", silences, elapsed))
+	}
+}
+
+// silentConn is a connection on which nothing arrives. A read ends at its deadline, to which it
+// advances the clock.
+type silentConn struct {
+	net.Conn
+	clock    *clockwork.FakeClock
+	deadline time.Time
+}
+
+func (s *silentConn) SetReadDeadline(t time.Time) error {
+	s.deadline = t
+	return nil
+}
+
+func (s *silentConn) Read([]byte) (int, error) {
+	s.clock.Advance(s.deadline.Sub(s.clock.Now()))
+	return 0, os.ErrDeadlineExceeded
+}
+
+// TestSilenceInterval guards against checks of a silent connection that are too rare or too
+// frequent, or that get a wrong length of the silence.
+func TestSilenceInterval(t *testing.T) {
+	const (
+		interval = 10 * time.Millisecond
+		// maxChecks ends the test on code that would check forever.
+		maxChecks = 10
+	)
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	var silences []time.Duration
+	silent := &conn{Conn: &silentConn{clock: clk}, clock: clk, silenceInterval: interval, keepWaiting: func(silence time.Duration) bool {
+		silences = append(silences, silence)
+		return silence < 35*time.Millisecond && len(silences) < maxChecks
+	}}
+	for range 2 {
+		silences = nil
+		_, err := silent.Read(make([]byte, 1))
+		c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+		c.Check(silences, qt.DeepEquals, []time.Duration{interval, 2 * interval, 3 * interval, 4 * interval})
+		c.Check(silent.readTimedOut, qt.IsTrue)
+	}
 }
 
 // TestLongRequest guards against a daemon that blocks on writing a body which
