stream: Let callers leave after the answer in TestAbandonedRequest

Seen: a race run of the package once made no progress for 9 minutes; the trace was lost.

Cause: the test can wait forever. Two cases cancel the request 20 ms after the start of the case. If that is before the connection is opened, as on a busy machine, the listener accepts nothing, and the test waits for the end of a connection that never existed.

Change: the caller leaves 20 ms after the endpoint has received the request and has written its part of an answer. A connection that has not ended after 10 s fails the test.

--- a/internal/endpoint/stream/abort_test.go
+++ b/internal/endpoint/stream/abort_test.go
@@ -45,7 +45,8 @@
 		send sendFunc
 		// answer is what the endpoint sends.
 		answer string
-		// leaveAfter is the time after which the caller leaves, zero if it doesn't.
+		// leaveAfter is the time for which the caller stays after the endpoint has answered, zero if
+		// it doesn't leave.
 		leaveAfter time.Duration
 		wantReset  bool
 	}{
@@ -60,33 +61,45 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			address, ended := listenUntilEnd(c, test.answer)
+			address, answered, ended := listenUntilEnd(c, test.answer)
 			p := NewPool(PoolOptions{Clock: clock.Real(), MaxConnections: 4, DialTimeout: time.Second, StallTimeout: time.Second})
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			if test.leaveAfter > 0 {
-				clock.Real().AfterFunc(test.leaveAfter, cancel)
+				// A caller that leaves earlier may do so before there is a connection.
+				go func() {
+					<-answered
+					clock.Real().AfterFunc(test.leaveAfter, cancel)
+				}()
 			}
 			if end := test.send(ctx, p, address); end != nil {
 				end()
 			}
-			err := <-ended
-			c.Check(errors.Is(err, syscall.ECONNRESET), qt.Equals, test.wantReset, qt.Commentf("the connection ended with %v", err))
+			select {
+			case err := <-ended:
+				c.Check(errors.Is(err, syscall.ECONNRESET), qt.Equals, test.wantReset, qt.Commentf("the connection ended with %v", err))
+			case <-clock.Real().After(endTimeout):
+				c.Errorf("the connection has not ended within %s", endTimeout)
+			}
 		})
 	}
 }
 
-// listenUntilEnd starts a server that sends the answer to the first request, and sends the error
-// with which the connection ends.
-func listenUntilEnd(c *qt.C, answer string) (string, <-chan error) {
+// endTimeout is the time after which a connection that has not ended fails the test.
+const endTimeout = 10 * time.Second
+
+// listenUntilEnd starts a server that sends the answer to the first request. The first channel is
+// closed when it has done so or failed, the second one gets the error with which the connection ends.
+func listenUntilEnd(c *qt.C, answer string) (address string, answered <-chan struct{}, ended <-chan error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
-	ended := make(chan error, 1)
+	sent, end := make(chan struct{}), make(chan error, 1)
 	go func() {
 		conn, err := l.Accept()
 		if err != nil {
-			ended <- err
+			close(sent)
+			end <- err
 			return
 		}
 		defer conn.Close() //nolint:errcheck // the test has seen the end
@@ -94,10 +107,11 @@
 		if _, err = conn.Read(buffer); err == nil {
 			_, err = io.WriteString(conn, answer)
 		}
+		close(sent)
 		for err == nil {
 			_, err = conn.Read(buffer)
 		}
-		ended <- err
+		end <- err
 	}()
-	return l.Addr().String(), ended
+	return l.Addr().String(), sent, end
 }
