--- a/internal/route/admit/queue_test.go
+++ b/internal/route/admit/queue_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"cuminbay/internal/domain/record"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/admit"
 )
@@ -165,6 +166,18 @@
 	})
 }
 
+// TestStandingOfPreview guards against an explained request whose place in the queue differs from that of a
+// real one: requests of one organisation go by the time received.
+func TestStandingOfPreview(t *testing.T) {
+	runQueueTest(t, 10, func(c *qt.C, q *queueTest, now time.Time) {
+		q.join("waiting", admit.WaitRequest{Received: now, Deadline: now.Add(time.Minute)})
+		for received, want := range map[time.Time]unit.Requests{now.Add(-time.Millisecond): 0, now.Add(time.Millisecond): 1} {
+			r := admit.WaitRequest{Key: "m", Received: received, Admission: q.shares.Preview(&record.Organisation{Name: "o", Weight: 1})}
+			c.Check(q.queue.Standing(&r).AheadOnTime, qt.Equals, want)
+		}
+	})
+}
+
 // BenchmarkQueue measures the offer of slots to 500 waiting requests that find none, which a daemon
 // makes up to 80 times a second.
 func BenchmarkQueue(b *testing.B) {
