--- a/internal/route/cost/run.go
+++ b/internal/route/cost/run.go
@@ -100,6 +100,7 @@
 		return
 	}
 	average(&learned.slotTimes, &learned.slotTime, int64(now.Sub(r.firstEventAt)))
+	average(&learned.flightTimes, &learned.flightTime, int64(now.Sub(r.startedAt)))
 	if r.estimate.Work > 0 {
 		average(&learned.works, &learned.work, int64(r.estimate.Work))
 	}
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -88,10 +88,11 @@
 	prefillToken   float64
 	// attention is the prefill time of a pair of a prompt token and an earlier one.
 	attention float64
-	// slotTime is the mean time for which a request holds a slot, and meanWork the mean of the
-	// expected work.
-	slotTime float64
-	meanWork float64
+	// slotTime is the mean time for which a request holds a slot, flightTime that from when it is sent
+	// to its end, zero if unknown, and meanWork the mean of the expected work.
+	slotTime   float64
+	flightTime float64
+	meanWork   float64
 	usual    time.Duration
 }
 
@@ -107,6 +108,8 @@
 	correction  atomic.Int64
 	slotTimes   atomic.Int64
 	slotTime    atomic.Int64
+	flightTimes atomic.Int64
+	flightTime  atomic.Int64
 	works       atomic.Int64
 	work        atomic.Int64
 }
@@ -142,6 +145,7 @@
 	if learned.slotTimes.Load() > 0 {
 		t.slotTime = float64(learned.slotTime.Load())
 	}
+	t.flightTime = float64(learned.flightTime.Load())
 	return t
 }
 
@@ -207,10 +211,14 @@
 
 // Ended returns the expected number of the requests in flight that end in the time.
 func (t *Times) Ended(inFlight unit.Requests, d time.Duration) float64 {
-	if t.slotTime <= 0 {
+	flightTime := t.flightTime
+	if flightTime <= 0 {
+		flightTime = t.slotTime
+	}
+	if flightTime <= 0 {
 		return 0
 	}
-	return float64(inFlight) * min(float64(d)/t.slotTime, 1)
+	return float64(inFlight) * min(float64(d)/flightTime, 1)
 }
 
 // Arrived returns the expected number of requests of the offered load that arrive in the time, zero
