budget: Add the limits of the ports for other daemons

Cause: the ports for other daemons take no connections and no memory from the budget, so any client that reaches them can use up both.

Change: the kind Daemons has a budget of its own: a share of the memory (budget.daemonShare, 1/8) and connections (budget.daemonConnections, 1024, but at most a sixteenth of the descriptors). Callers and clients of these ports can't use up each other's bytes. Both have the same counters; the limits and reasons of the ports for other daemons begin with daemon-.

Result: no listener uses it yet. TestForDaemons and TestDaemonConnections are new; the latter checks that 1024 is enough for 294 daemons with 3 connections.

--- a/internal/kernel/budget/budget.go
+++ b/internal/kernel/budget/budget.go
@@ -1,7 +1,7 @@
-// Package budget bounds the memory, connections and file descriptors that callers can make the
-// process use. Each connection has an Account, from which memory is reserved before it is
-// allocated. While there is room, a reservation takes atomics only. When there is none, connections
-// that hold memory without need are ended.
+// Package budget bounds the memory, connections and file descriptors that callers, and clients of the
+// ports for other daemons, can make the process use. Each connection has an Account, from which memory
+// is reserved before it is allocated. While there is room, a reservation takes atomics only. When
+// there is none, connections that hold memory without need are ended.
 package budget
 
 import (
@@ -55,9 +55,12 @@
 	WriteTimeout time.Duration
 	// Wait is the longest time for which a reservation waits for room.
 	Wait time.Duration
+	// LabelPrefix begins the names of limits and reasons in metrics and logs.
+	LabelPrefix string
 }
 
-// Budget is the memory and the connections of all callers together.
+// Budget is the memory and the connections of all callers together, or of all clients of the ports for
+// other daemons.
 type Budget struct {
 	Options
 	used    atomic.Int64
@@ -67,6 +70,8 @@
 	refusedAt map[Kind]*atomic.Int64
 	metrics   *metrics
 	logRate   *rate.Limiter
+	// daemons is the budget of the ports for other daemons, nil if this is the one.
+	daemons *Budget
 
 	mu        sync.Mutex
 	accounts  map[*Account]bool
@@ -92,13 +97,14 @@
 	Readiness Kind = "readiness"
 	Relays    Kind = "relays"
 	Operators Kind = "operators"
+	Daemons   Kind = "daemons"
 )
 
 // New returns a budget.
 func New(o Options) *Budget {
 	const logBurst = 5
 	refusedAt := make(map[Kind]*atomic.Int64)
-	for _, k := range []Kind{Callers, Readiness, Relays, Operators} {
+	for _, k := range []Kind{Callers, Readiness, Relays, Operators, Daemons} {
 		refusedAt[k] = new(atomic.Int64)
 	}
 	return &Budget{
@@ -117,6 +123,23 @@
 	})
 }
 
+// ForDaemons returns the budget of connections of the kind Daemons. Its bytes are its own, so that
+// callers don't keep daemons from exchanging their state, and clients of those ports don't keep
+// callers out. Both have the same metrics.
+func (b *Budget) ForDaemons() *Budget {
+	if b.daemons != nil {
+		return b.daemons
+	}
+	return b
+}
+
+// addDaemons adds the budget of the ports for other daemons.
+func (b *Budget) addDaemons(o Options) {
+	o.LabelPrefix = "daemon-"
+	b.daemons = New(o)
+	b.daemons.metrics = b.metrics
+}
+
 // Used returns the number of bytes that all accounts hold.
 func (b *Budget) Used() unit.Bytes {
 	return unit.Bytes(b.used.Load())
@@ -215,8 +238,9 @@
 	if !c.account.phase.CompareAndSwap(int32(c.phase), int32(phaseEnded)) {
 		return false
 	}
-	b.metrics.ended.WithLabelValues(c.rank.String()).Inc()
-	b.logLimited("connection-ended", c.rank.String(), c.account.peer.String())
+	reason := b.LabelPrefix + c.rank.String()
+	b.metrics.ended.WithLabelValues(reason).Inc()
+	b.logLimited("connection-ended", reason, c.account.peer.String())
 	// A reservation that waits is refused by its own goroutine.
 	if c.phase != phaseWaiting {
 		c.account.end()
@@ -226,6 +250,7 @@
 
 // Refused counts and logs a request or connection that was refused.
 func (b *Budget) Refused(limit, peer string) {
+	limit = b.LabelPrefix + limit
 	b.metrics.refused.WithLabelValues(limit).Inc()
 	b.logLimited("caller-refused", limit, peer)
 }
--- a/internal/kernel/budget/budget_test.go
+++ b/internal/kernel/budget/budget_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
@@ -198,6 +199,55 @@
 	})
 }
 
+// TestDaemonConnections guards against a default limit that the daemons of the largest fleet reach, and
+// against one that takes the descriptors of callers where there are few.
+func TestDaemonConnections(t *testing.T) {
+	const fleet, connectionsOfDaemon = 295, 3
+	tests := map[string]struct {
+		setting, descriptors, want int
+	}{
+		"many descriptors": {descriptors: 1 << 19, want: mostDaemonConnections},
+		"just enough":      {descriptors: 1 << 14, want: mostDaemonConnections},
+		"few descriptors":  {descriptors: 256, want: 16},
+		"set":              {setting: 40, descriptors: 256, want: 40},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := Settings{DaemonConnections: test.setting}
+			qt.New(t).Check(s.daemonConnections(test.descriptors/descriptorParts), qt.Equals, test.want)
+		})
+	}
+	qt.New(t).Check(mostDaemonConnections >= (fleet-1)*connectionsOfDaemon, qt.IsTrue)
+}
+
+// TestForDaemons guards against callers that use up the bytes of the ports for other daemons, and
+// against clients of those ports that use up the bytes of callers.
+func TestForDaemons(t *testing.T) {
+	c := qt.New(t)
+	options := Options{Clock: clock.Real(), Log: zerolog.Nop(), Capacity: connectionBytes + testBytes, AddressShare: 0.5, MinRate: 1, Grace: time.Minute, Wait: time.Millisecond}
+	b := New(options)
+	b.addDaemons(options)
+	accounts := map[string]*Account{"caller": b.Open(Callers, peer(0), func() {}), "daemon": b.ForDaemons().Open(Daemons, peer(0), func() {})}
+	for name, a := range accounts {
+		c.Assert(a.Begin(), qt.IsTrue)
+		c.Check(a.Reserve(testBytes), qt.IsNil, qt.Commentf("%s", name))
+		c.Check(errors.Is(a.Reserve(1), ErrNoRoom), qt.IsTrue, qt.Commentf("%s", name))
+	}
+	registry := prometheus.NewRegistry()
+	c.Assert(b.Register(registry), qt.IsNil)
+	families, err := registry.Gather()
+	c.Assert(err, qt.IsNil)
+	refused := make(map[string]float64)
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "cuminbay_budget_refused_total" {
+				refused[m.GetLabel()[0].GetValue()] = m.GetCounter().GetValue()
+			}
+		}
+	}
+	c.Check(refused, qt.DeepEquals, map[string]float64{"bytes": 1, "daemon-bytes": 1})
+}
+
 // TestTotalMemory guards against a budget from a misread /proc/meminfo.
 func TestTotalMemory(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/kernel/budget/metrics.go
+++ b/internal/kernel/budget/metrics.go
@@ -15,8 +15,8 @@
 		return prometheus.CounterOpts{Namespace: "cuminbay", Subsystem: "budget", Name: name, Help: help}
 	}
 	return &metrics{
-		refused: prometheus.NewCounterVec(options("refused_total", "Requests and connections of callers that were refused before they ran, by limit."), []string{"limit"}),
-		ended:   prometheus.NewCounterVec(options("ended_total", "Connections of callers that were ended to make room, by reason."), []string{"reason"}),
+		refused: prometheus.NewCounterVec(options("refused_total", "Requests and connections of callers and, with the prefix daemon-, at the ports for other daemons that were refused before they ran, by limit."), []string{"limit"}),
+		ended:   prometheus.NewCounterVec(options("ended_total", "Connections of callers and, with the prefix daemon-, at the ports for other daemons that were ended to make room, by reason."), []string{"reason"}),
 	}
 }
 
@@ -24,15 +24,23 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cuminbay", Subsystem: "budget", Name: name, Help: help}, value)
 	}
+	daemons := b.ForDaemons()
 	return errors.Join(
 		r.Register(m.refused), r.Register(m.ended),
 		r.Register(gauge("bytes", "Bytes that connections of callers hold.", func() float64 { return float64(b.used.Load()) })),
 		r.Register(gauge("capacity_bytes", "Bytes that connections of callers may hold.", func() float64 { return float64(b.Capacity) })),
-		r.Register(gauge("connections", "Connections of callers.", func() float64 {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			return float64(b.counts[Callers])
-		})),
+		r.Register(gauge("connections", "Connections of callers.", func() float64 { return float64(b.count(Callers)) })),
 		r.Register(gauge("connection_limit", "Highest number of connections of callers.", func() float64 { return float64(b.connectionLimit(Callers)) })),
+		r.Register(gauge("daemon_bytes", "Bytes that connections at the ports for other daemons hold.", func() float64 { return float64(daemons.used.Load()) })),
+		r.Register(gauge("daemon_capacity_bytes", "Bytes that connections at the ports for other daemons may hold.", func() float64 { return float64(daemons.Capacity) })),
+		r.Register(gauge("daemon_connections", "Connections at the ports for other daemons.", func() float64 { return float64(daemons.count(Daemons)) })),
+		r.Register(gauge("daemon_connection_limit", "Highest number of connections at the ports for other daemons.", func() float64 { return float64(daemons.connectionLimit(Daemons)) })),
 	)
 }
+
+// count returns the number of connections of the kind.
+func (b *Budget) count(k Kind) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts[k]
+}
--- a/internal/kernel/budget/settings.go
+++ b/internal/kernel/budget/settings.go
@@ -31,6 +31,10 @@
 	Grace settings.Duration `json:"grace" validate:"duration"`
 	// WriteTimeout is the longest time in which a caller of the product's own interface reads 64 kB of an answer. The adapter's callers have 5 s for each part.
 	WriteTimeout settings.Duration `json:"writeTimeout" validate:"duration"`
+	// DaemonShare is the share of daemon.memory, or of the machine's memory if that is zero, that requests and answers at the ports for other daemons may hold.
+	DaemonShare float64 `json:"daemonShare" validate:"gt=0,max=0.5"`
+	// DaemonConnections is the highest number of connections at the ports for other daemons; zero means 1024, but not more than a sixteenth of the file descriptors. A fleet of 295 daemons needs up to 882, so the process should have 16384 descriptors there.
+	DaemonConnections int `json:"daemonConnections" validate:"min=0"`
 	// Wait is the longest time for which a request that is being read waits for room before it is refused.
 	Wait settings.Duration `json:"wait" validate:"duration"`
 }
@@ -40,7 +44,7 @@
 		return &Settings{
 			Share: 0.25, AddressShare: 0.5, MinRate: 4 << 10,
 			Grace: settings.DurationOf(time.Second), Wait: settings.DurationOf(time.Second),
-			WriteTimeout: settings.DurationOf(30 * time.Second),
+			WriteTimeout: settings.DurationOf(30 * time.Second), DaemonShare: 0.125,
 		}
 	})
 }
@@ -52,6 +56,10 @@
 	relayParts      = 2
 )
 
+// mostDaemonConnections leaves room for three connections of each other daemon of a fleet of 295: one
+// for exchanges, one for questions, and one that the other daemon has given up.
+const mostDaemonConnections = 1024
+
 // FromSettings returns the budget that the settings describe.
 //
 // Errors carry code.BadSettings.
@@ -77,12 +85,25 @@
 	if connections == 0 {
 		connections = callerParts * part
 	}
-	return New(Options{
+	options := Options{
 		Clock: clk, Log: log, Capacity: unit.Bytes(own.Share * float64(memory)),
 		KeptConnections: part,
 		Connections:     map[Kind]int{Callers: connections, Relays: relayParts * part, Readiness: part, Operators: part},
 		AddressShare:    own.AddressShare, MinRate: own.MinRate, Grace: own.Grace.Duration, Wait: own.Wait.Duration, WriteTimeout: own.WriteTimeout.Duration,
-	}), nil
+	}
+	b := New(options)
+	options.Capacity, options.Connections = unit.Bytes(own.DaemonShare*float64(memory)), map[Kind]int{Daemons: own.daemonConnections(part)}
+	b.addDaemons(options)
+	return b, nil
+}
+
+// daemonConnections returns the highest number of connections at the ports for other daemons. The part
+// is a sixteenth of the file descriptors.
+func (s *Settings) daemonConnections(part int) int {
+	if s.DaemonConnections > 0 {
+		return s.DaemonConnections
+	}
+	return min(part, mostDaemonConnections)
 }
 
 // totalMemory returns the machine's memory from the content of /proc/meminfo.
