peer: Take connections and messages of other daemons from the budget

Cause: any client that reaches the ports for other daemons could open an unlimited number of connections there. With 300 of them a daemon of 256 descriptors had none left for callers, the store or an operator's records, and many short fields took one of 64 MB to 80 MB.

Change: twirp.Bound accepts connections under the kind Daemons and reserves heads, bodies and answers from the budget of these ports, for the feed and for exchanges. A refused connection gets 503, is closed and is counted; a follower then reads from another source. The feed encodes one answer with entries or changes at a time, since the buffers for that are not reserved.

--- a/internal/peer/feed/feed.go
+++ b/internal/peer/feed/feed.go
@@ -59,6 +59,9 @@
 	// lastPayload is the last encoded answer with changes. Most followers ask for the
 	// same ones.
 	lastPayload atomic.Pointer[encodedChanges]
+	// encoding is held while an answer with entries or changes is encoded, since that takes several
+	// times the memory of the answer.
+	encoding sync.Mutex
 }
 
 // encodedChanges are the encoded changes after one revision up to another one.
@@ -67,6 +70,11 @@
 	payload         []byte
 }
 
+// has reports whether these are the changes after one revision up to the other one.
+func (e *encodedChanges) has(after, revision unit.Revision) bool {
+	return e != nil && e.after == after && e.revision == revision
+}
+
 // maxWait bounds the time for which a question can wait for a change.
 const maxWait = 10 * time.Second
 
@@ -97,6 +105,8 @@
 // payload returns the encoded response, and the time at which the platform confirmed what it has.
 func (s *server) payload(ctx context.Context, request *copyRequest) ([]byte, time.Time, error) {
 	if request.List {
+		s.encoding.Lock()
+		defer s.encoding.Unlock()
 		entries, revision, confirmedAt, err := s.platformCopy.Entries()
 		if err != nil {
 			return nil, time.Time{}, err
@@ -106,16 +116,32 @@
 	}
 	wait := min(time.Duration(request.Wait)*time.Millisecond, maxWait)
 	changes, revision, confirmedAt, compacted := s.platformCopy.WaitForChanges(ctx, request.After, time.Duration(request.Age)*time.Millisecond, wait)
-	if known := s.lastPayload.Load(); known != nil && !compacted && known.after == request.After && known.revision == revision {
-		return known.payload, confirmedAt, nil
-	}
-	payload, err := encodePayload(&copyResponse{Changes: changes, Revision: revision, Compacted: compacted})
-	if err == nil && !compacted && len(changes) > 0 {
-		s.lastPayload.Store(&encodedChanges{request.After, revision, payload})
+	if compacted || len(changes) == 0 {
+		payload, err := encodePayload(&copyResponse{Changes: changes, Revision: revision, Compacted: compacted})
+		return payload, confirmedAt, err
 	}
+	payload, err := s.changesPayload(changes, request.After, revision)
 	return payload, confirmedAt, err
 }
 
+// changesPayload returns the encoded changes. Followers that ask for the same ones wait for the first
+// encoding.
+func (s *server) changesPayload(changes []store.Change, after, revision unit.Revision) ([]byte, error) {
+	if known := s.lastPayload.Load(); known.has(after, revision) {
+		return known.payload, nil
+	}
+	s.encoding.Lock()
+	defer s.encoding.Unlock()
+	if known := s.lastPayload.Load(); known.has(after, revision) {
+		return known.payload, nil
+	}
+	payload, err := encodePayload(&copyResponse{Changes: changes, Revision: revision})
+	if err == nil {
+		s.lastPayload.Store(&encodedChanges{after, revision, payload})
+	}
+	return payload, err
+}
+
 // Exchange always returns an error: the protocol requires the method, but this listener
 // exchanges no sections.
 func (s *server) Exchange(context.Context, *twirp.Envelope) (*twirp.Envelope, error) {
--- a/internal/peer/feed/feed_test.go
+++ b/internal/peer/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -11,12 +12,15 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/mirror"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/peer/twirp"
@@ -165,3 +169,34 @@
 		})
 	}
 }
+
+// TestRefusedFollower guards against a follower that doesn't notice that its connection was refused,
+// and against one that is refused for ever.
+func TestRefusedFollower(t *testing.T) {
+	const limit = 2
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	b := budget.New(budget.Options{
+		Clock: clk, Log: zerolog.Nop(), Capacity: 1 << 20, Connections: map[budget.Kind]int{budget.Daemons: limit},
+		AddressShare: 0.5, MinRate: 1, Grace: time.Second, Wait: time.Second,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	httpServer := &http.Server{Handler: twirp.NewPeerServer(&server{self: "p", clock: clock.Real(), platformCopy: fakeCopy{}}), ReadTimeout: 10 * time.Second}
+	bounded := twirp.Bound(httpServer, listener, b, clk, 1<<10)
+	go func() { _ = httpServer.Serve(bounded) }()
+	defer httpServer.Close() //nolint:errcheck // the test has ended
+	for range limit {
+		stranger, err := net.Dial("tcp", listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer stranger.Close() //nolint:errcheck // the test has ended
+	}
+	follower := newClient("a", clock.Real())
+	to := mirror.Peer{Instance: "p", Address: listener.Addr().String()}
+	_, _, _, err = follower.List(context.Background(), to)
+	c.Check(code.Of(err), qt.Equals, code.PlatformUnavailable)
+	clk.Advance(time.Second)
+	entries, _, _, err := follower.List(context.Background(), to)
+	c.Check(err, qt.IsNil)
+	c.Check(entries, qt.DeepEquals, []store.Entry{testEntry})
+}
--- a/internal/peer/feed/plugin.go
+++ b/internal/peer/feed/plugin.go
@@ -56,16 +56,16 @@
 		return code.BadSettings.Wrap(err, "feed.listen: open listener")
 	}
 	const headerTimeout, idleTimeout = 2 * time.Second, 30 * time.Second
-	// A question is short; without limits, one that doesn't end would hold memory forever. The read
-	// time limit ends the request's context too, so it includes the wait for a change.
-	const maxQuestion, maxHeader = 64 << 10, 16 << 10
+	// The read time limit ends the request's context too, so it includes the wait for a change.
+	const maxQuestion = 64 << 10
 	c.httpServer = &http.Server{
-		Handler: http.MaxBytesHandler(twirp.NewPeerServer(c.server), maxQuestion), MaxHeaderBytes: maxHeader,
+		Handler:           twirp.NewPeerServer(c.server),
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: maxWait + headerTimeout,
 		WriteTimeout: maxWait + headerTimeout, IdleTimeout: idleTimeout,
 	}
+	bounded := twirp.Bound(c.httpServer, listener, c.deps.Budget, c.deps.Clock, maxQuestion)
 	c.Go(func(context.Context) {
-		if err := c.httpServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := c.httpServer.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			c.deps.Log.Error().Err(err).Str("listen", c.settings.Listen).Msg("feed-listener-failed")
 		}
 	})
--- a/internal/peer/twirp/plugin.go
+++ b/internal/peer/twirp/plugin.go
@@ -145,17 +145,17 @@
 		return fmt.Errorf("peer.listen: open listener: %w", err)
 	}
 	p.listener = listener
-	const headerTimeout, idleTimeout, callTimeoutFactor, maxHeader = 5 * time.Second, time.Minute, 4, 16 << 10
+	const headerTimeout, idleTimeout, callTimeoutFactor = 5 * time.Second, time.Minute, 4
 	p.server = &http.Server{
-		Handler:           http.MaxBytesHandler(NewPeerServer(&handler{p}), int64(p.settings.MaxMessage)),
-		MaxHeaderBytes:    maxHeader,
+		Handler:           NewPeerServer(&handler{p}),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       callTimeoutFactor * p.settings.CallTimeout.Duration,
 		WriteTimeout:      callTimeoutFactor * p.settings.CallTimeout.Duration,
 		IdleTimeout:       idleTimeout,
 	}
+	bounded := Bound(p.server, listener, p.deps.Budget, p.deps.Clock, p.settings.MaxMessage)
 	p.Go(func(context.Context) {
-		if err := p.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := p.server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			p.deps.Log.Error().Err(err).Str("listen", p.settings.Listen).Msg("peer-listener-failed")
 		}
 	})
--- a/internal/proof/crowd/crowd.go
+++ b/internal/proof/crowd/crowd.go
@@ -21,6 +21,8 @@
 	Path    string
 	// Fields are the header fields of an ordinary request, each with its line end.
 	Fields string
+	// Body is the body of a request that the listener answers.
+	Body []byte
 }
 
 // Behaviour is what each connection of a crowd does until it is closed.
