twirp: Check that memory is reserved for requests of other daemons

Cause: TestBoundedBytes passed also without any reservation, as it only had an upper bound of the bytes.

Change: the test also requires that a connection is ended or refused for lack of room.

--- a/internal/peer/twirp/bounded_test.go
+++ b/internal/peer/twirp/bounded_test.go
@@ -152,21 +152,21 @@
 				return readStatus(bufio.NewReader(conn)) == http.StatusOK
 			}
 			c.Check(answered(), qt.IsFalse)
-			c.Check(counterValue(c, b, "daemon-connections"), qt.Equals, 1.0)
+			c.Check(budgetCounter(c, b, "refused_total", "daemon-connections"), qt.Equals, 1.0)
 			eventually(c, "answered", func() bool { clk.Advance(testGrace); return answered() })
 		})
 	}
 }
 
-// counterValue returns the number of refusals by the limit.
-func counterValue(c *qt.C, b *budget.Budget, limit string) float64 {
+// budgetCounter returns the value of a counter for the label.
+func budgetCounter(c *qt.C, b *budget.Budget, name, label string) float64 {
 	registry := prometheus.NewRegistry()
 	c.Assert(b.Register(registry), qt.IsNil)
 	families, err := registry.Gather()
 	c.Assert(err, qt.IsNil)
 	for _, f := range families {
 		for _, m := range f.GetMetric() {
-			if f.GetName() == "cuminbay_budget_refused_total" && m.GetLabel()[0].GetValue() == limit {
+			if f.GetName() == "cuminbay_budget_"+name && m.GetLabel()[0].GetValue() == label {
 				return m.GetCounter().GetValue()
 			}
 		}
@@ -174,8 +174,8 @@
 	return 0
 }
 
-// TestBoundedBytes guards against bodies that don't end and answers that aren't read which use up
-// the memory, or keep the requests of daemons out.
+// TestBoundedBytes guards against bodies that don't end and answers that aren't read whose memory is
+// not reserved, or which keep the requests of daemons out.
 func TestBoundedBytes(t *testing.T) {
 	const capacity, strangers, pipelined = 1 << 20, 16, 100
 	c := qt.New(t)
@@ -203,6 +203,10 @@
 				const unchecked = (strangers + 10) * (16<<10 + answerCopies*testMessage)
 				c.Check(b.Used() <= capacity+unchecked, qt.IsTrue, qt.Commentf("%d bytes", b.Used()))
 			}
+			// A client that is refused, or younger than others that wait for room, never stalls.
+			eventually(c, "connections ended or refused for lack of room", func() bool {
+				return budgetCounter(c, b, "ended_total", "daemon-stalled")+budgetCounter(c, b, "ended_total", "daemon-younger")+budgetCounter(c, b, "refused_total", "daemon-bytes") > 0
+			})
 		})
 	}
 }
