proof: Test the memory of the ports for other daemons beside many connections

Cause: with the default limit of 16 connections of 256 descriptors, TestDaemonPort passed also with a build that reserves no memory for messages of daemons.

Change: TestDaemonPort of proof/process also runs with 200 connections and 512 descriptors, the same clients and the same bound of the memory.

--- a/internal/proof/process/cluster_test.go
+++ b/internal/proof/process/cluster_test.go
@@ -71,6 +71,8 @@
 	descriptors int
 	// maxBody is the setting openai.maxBody, in bytes.
 	maxBody int
+	// daemonConnections is the setting budget.daemonConnections.
+	daemonConnections int
 }
 
 // daemon is the process of a daemon, with the addresses of its listeners.
@@ -216,6 +218,7 @@
 		"daemon":   section{"instance": d.name, "dataCentre": d.dataCentre, "stopLimit": "10s", "logLevel": "debug", "memory": s.limits.memory},
 		"openai":   section{"listen": d.callerAddress, "leaveDelay": "300ms", "maxBody": cmp.Or(s.limits.maxBody, 64<<10)},
 		"operator": section{"listen": d.operatorAddress},
+		"budget":   section{"daemonConnections": s.limits.daemonConnections},
 		"peer":     section{"listen": d.peerAddress},
 		"member":   section{"seeds": seeds, "address": d.peerAddress, "caller": d.callerAddress},
 		"platform": section{"addresses": []string{s.platform.address}, "timeout": "1s"},
--- a/internal/proof/process/daemonport_test.go
+++ b/internal/proof/process/daemonport_test.go
@@ -17,35 +17,51 @@
 
 // daemonPortDescriptors is the highest number of descriptors of a daemon, of crowdDescriptors, while
 // clients misbehave at its port for other daemons. The others are left for callers, endpoints and the
-// platform.
-const daemonPortDescriptors = 128
+// platform. manyDescriptors and manyDaemonConnections let in as many clients as only the limit of the
+// memory stops.
+const (
+	daemonPortDescriptors = 128
+	manyDescriptors       = 512
+	manyDaemonConnections = 200
+)
 
 // TestDaemonPort guards against clients that fill the memory or the descriptors of daemons through the
 // port for other daemons, and against callers that are not served and records that don't arrive
 // meanwhile.
 func TestDaemonPort(t *testing.T) {
 	const message, connections, manyConnections = 1 << 20, 120, 300
-	s := startCluster(t, clusterSize{dataCentres: []string{"a"}, daemons: 2, services: 1, limits: processLimits{memory: crowdMemory, descriptors: crowdDescriptors}})
 	behaviours := crowd.DaemonBehaviours(message, connections, manyConnections)
 	envelope, err := proto.Marshal(&twirp.Envelope{From: "stranger", DataCentre: "a", Codec: "section/1", Sections: []*twirp.Section{{Name: "config"}, {Name: "member"}}})
 	qt.Assert(t, err, qt.IsNil)
-	for i, behaviour := range slices.Sorted(maps.Keys(behaviours)) {
-		t.Run(behaviour, func(t *testing.T) {
-			for _, d := range s.daemons {
-				present := crowd.Open(clk, crowd.Target{
-					Address: d.peerAddress, Method: http.MethodPost, Path: twirp.PeerPathPrefix + "Exchange",
-					Fields: "Content-Type: application/protobuf\r\n", Body: envelope,
-				}, behaviours[behaviour])
-				defer present.Close()
+	tests := map[string]struct {
+		limits         processLimits
+		maxDescriptors int
+	}{
+		"default connections": {processLimits{memory: crowdMemory, descriptors: crowdDescriptors}, daemonPortDescriptors},
+		"many connections":    {processLimits{memory: crowdMemory, descriptors: manyDescriptors, daemonConnections: manyDaemonConnections}, manyDaemonConnections + daemonPortDescriptors},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := startCluster(t, clusterSize{dataCentres: []string{"a"}, daemons: 2, services: 1, limits: test.limits})
+			for i, behaviour := range slices.Sorted(maps.Keys(behaviours)) {
+				t.Run(behaviour, func(t *testing.T) {
+					for _, d := range s.daemons {
+						present := crowd.Open(clk, crowd.Target{
+							Address: d.peerAddress, Method: http.MethodPost, Path: twirp.PeerPathPrefix + "Exchange",
+							Fields: "Content-Type: application/protobuf\r\n", Body: envelope,
+						}, behaviours[behaviour])
+						defer present.Close()
+					}
+					s.checkDaemonPort(qt.New(t), i, test.maxDescriptors)
+				})
 			}
-			s.checkDaemonPort(qt.New(t), i)
 		})
 	}
 }
 
 // checkDaemonPort checks the daemons' memory and descriptors while clients misbehave, and that before
 // these leave a record reaches the daemons and ordinary requests are answered.
-func (s *cluster) checkDaemonPort(c *qt.C, n int) {
+func (s *cluster) checkDaemonPort(c *qt.C, n, maxDescriptors int) {
 	const hold, answerWithin = 1500 * time.Millisecond, 10 * time.Second
 	peaks := make(map[string]crowd.Usage)
 	measure := func() {
@@ -73,6 +89,6 @@
 	for name, peak := range peaks {
 		c.Logf("%s: peak %d MB, %d descriptors", name, peak.PeakMemory>>20, peak.Descriptors)
 		c.Check(peak.PeakMemory <= crowdMemory<<20, qt.IsTrue, qt.Commentf("%s: resident memory reached %d MB of %d", name, peak.PeakMemory>>20, crowdMemory))
-		c.Check(peak.Descriptors <= daemonPortDescriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors were open, the bound is %d", name, peak.Descriptors, daemonPortDescriptors))
+		c.Check(peak.Descriptors <= maxDescriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors were open, the bound is %d", name, peak.Descriptors, maxDescriptors))
 	}
 }
