--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -93,7 +93,7 @@
 	slotTime   float64
 	flightTime float64
 	meanWork   float64
-	usual    time.Duration
+	usual      time.Duration
 }
 
 // modelKey identifies a model of a service.
