--- a/cmd/cuminbay/settings_test.go
+++ b/cmd/cuminbay/settings_test.go
@@ -32,6 +32,41 @@
 	c.Assert(string(raw), qt.Equals, want)
 }
 
+// TestEarlierSettings guards against a settings file of an earlier build that the current build
+// refuses or reads differently. The files of testdata have each field of an earlier commit with its
+// default; GOLDEN=NAME writes settings-NAME.json with those of the current code.
+func TestEarlierSettings(t *testing.T) {
+	if name := os.Getenv("GOLDEN"); name != "" {
+		raw, err := json.MarshalIndent(settings.Sections(), "", "  ")
+		qt.New(t).Assert(err, qt.IsNil)
+		qt.New(t).Assert(os.WriteFile(filepath.Join("testdata", "settings-"+name+".json"), append(raw, '\n'), 0o644), qt.IsNil)
+	}
+	overrides := []string{"daemon.instance=front-0", "daemon.dataCentre=z", "daemon.adapter=platform"}
+	for _, commit := range []string{"354baa5", "321a82e"} {
+		t.Run(commit, func(t *testing.T) {
+			c := qt.New(t)
+			raw, err := os.ReadFile(filepath.Join("testdata", "settings-"+commit+".json"))
+			c.Assert(err, qt.IsNil)
+			read, err := settings.Parse(raw, overrides)
+			c.Assert(err, qt.IsNil)
+			var earlier map[string]map[string]any
+			c.Assert(json.Unmarshal(raw, &earlier), qt.IsNil)
+			for name, fields := range earlier {
+				if name == "daemon" {
+					continue
+				}
+				encoded, err := json.Marshal(read.Section(name))
+				c.Assert(err, qt.IsNil)
+				var current map[string]any
+				c.Assert(json.Unmarshal(encoded, &current), qt.IsNil)
+				for field, value := range fields {
+					c.Check(current[field], qt.DeepEquals, value, qt.Commentf("%s.%s", name, field))
+				}
+			}
+		})
+	}
+}
+
 func renderSettingsPage(c *qt.C) string {
 	var b strings.Builder
 	b.WriteString("# Settings\n\n" +
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -403,10 +403,9 @@
 	}
 }
 
-// TestMessage guards against a field that is lost in encoding or decoding.
-func TestMessage(t *testing.T) {
-	c := qt.New(t)
-	m := &message{
+// completeMessage returns a message with a value in each field.
+func completeMessage() *message {
+	return &message{
 		From: "b", Incarnation: 1_700_000_000_000, Sequence: 7, CopyRevision: 9, CopyAge: 40 * time.Millisecond,
 		Loads:         map[endpointHash]endpointLoad{hashEndpoint("i", 3): {4, 128, 640 * time.Millisecond}, hashEndpoint("j", 1): {Requests: 1}},
 		DataCentreSum: &dataCentreSum{Age: 90 * time.Millisecond, Loads: map[endpointHash]endpointLoad{hashEndpoint("i", 3): {19, 64, 6400 * time.Millisecond}}},
@@ -423,6 +422,12 @@
 		Limits:     []ratelimit.Observation{{Server: 10, Limit: 2.5, Age: 300 * time.Millisecond}, {Server: 11, Age: time.Second}},
 		Formations: []cluster.Formation{{Replica: "r", Epoch: 4, Model: "m", Members: []cluster.FormationMember{{ID: "i", Incarnation: 5}, {ID: "j", Incarnation: 6}}}},
 	}
+}
+
+// TestMessage guards against a field that is lost in encoding or decoding.
+func TestMessage(t *testing.T) {
+	c := qt.New(t)
+	m := completeMessage()
 	raw, err := m.encode()
 	c.Assert(err, qt.IsNil)
 	got, err := decodeMessage(raw)
