gossip, feed, settings: Take the earlier commits from one file

Cause: the tests of golden messages named the commits once more each.

Change: they read platform/testdata/earlier-builds.txt, so that a commit that is added there without golden messages fails.

--- a/cmd/cuminbay/settings_test.go
+++ b/cmd/cuminbay/settings_test.go
@@ -33,8 +33,8 @@
 }
 
 // TestEarlierSettings guards against a settings file of an earlier build that the current build
-// refuses or reads differently. The files of testdata have each field of an earlier commit with its
-// default; GOLDEN=NAME writes settings-NAME.json with those of the current code.
+// refuses or reads differently. The files of testdata have each field of a commit of
+// earlier-builds.txt with its default; GOLDEN=NAME writes settings-NAME.json with those of the current code.
 func TestEarlierSettings(t *testing.T) {
 	if name := os.Getenv("GOLDEN"); name != "" {
 		raw, err := json.MarshalIndent(settings.Sections(), "", "  ")
@@ -42,7 +42,9 @@
 		qt.New(t).Assert(os.WriteFile(filepath.Join("testdata", "settings-"+name+".json"), append(raw, '\n'), 0o644), qt.IsNil)
 	}
 	overrides := []string{"daemon.instance=front-0", "daemon.dataCentre=z", "daemon.adapter=platform"}
-	for _, commit := range []string{"354baa5", "321a82e"} {
+	commits, err := os.ReadFile("../../platform/testdata/earlier-builds.txt")
+	qt.New(t).Assert(err, qt.IsNil)
+	for _, commit := range strings.Fields(string(commits)) {
 		t.Run(commit, func(t *testing.T) {
 			c := qt.New(t)
 			raw, err := os.ReadFile(filepath.Join("testdata", "settings-"+commit+".json"))
--- a/internal/peer/feed/golden_test.go
+++ b/internal/peer/feed/golden_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,10 +14,10 @@
 	"cuminbay/internal/domain/store"
 )
 
-// earlierCommits have directories below testdata with files that the code of the commit has written:
-// the encodings of the values below. Those of the current code are written to testdata/NAME by
-// GOLDEN=NAME go test -run TestEarlier ./internal/peer/feed
-var earlierCommits = []string{"354baa5", "321a82e"}
+// earlierBuildsFile has the commits that testdata has directories of, with files that the code of the
+// commit has written: the encodings of the values below. Those of the current code are written to
+// testdata/NAME by GOLDEN=NAME go test -run TestEarlier ./internal/peer/feed
+const earlierBuildsFile = "../../../platform/testdata/earlier-builds.txt"
 
 const goldenAge = 1234 * time.Millisecond
 
@@ -62,7 +63,9 @@
 	if name := os.Getenv("GOLDEN"); name != "" {
 		writeGolden(qt.New(t), name)
 	}
-	for _, commit := range earlierCommits {
+	commits, err := os.ReadFile(earlierBuildsFile)
+	qt.New(t).Assert(err, qt.IsNil)
+	for _, commit := range strings.Fields(string(commits)) {
 		for file, want := range goldenRequests {
 			t.Run(commit+"/"+file, func(t *testing.T) { checkRequest(qt.New(t), filepath.Join("testdata", commit, file), want) })
 		}
--- a/internal/peer/gossip/golden_test.go
+++ b/internal/peer/gossip/golden_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -19,6 +20,9 @@
 	"cuminbay/internal/fleet/demand"
 )
 
+// earlierBuildsFile has the commits of the earlier builds.
+const earlierBuildsFile = "../../../platform/testdata/earlier-builds.txt"
+
 // The files of testdata/COMMIT, which the code of the commit has written: the encoding of
 // completeMessage as far as the commit knows its fields, the schema of datagrams, and a
 // registration. Those of the current code are written to testdata/NAME by
@@ -76,9 +80,13 @@
 	if name := os.Getenv("GOLDEN"); name != "" {
 		writeGolden(qt.New(t), name)
 	}
-	for commit, wantMessage := range earlierMessages {
+	commits, err := os.ReadFile(earlierBuildsFile)
+	qt.New(t).Assert(err, qt.IsNil)
+	for _, commit := range strings.Fields(string(commits)) {
 		t.Run(commit, func(t *testing.T) {
 			c := qt.New(t)
+			wantMessage := earlierMessages[commit]
+			c.Assert(wantMessage, qt.IsNotNil, qt.Commentf("no entry in earlierMessages"))
 			got, err := decodeMessage(readGolden(c, commit, datagramFile))
 			c.Assert(err, qt.IsNil)
 			c.Check(got, qt.DeepEquals, wantMessage())
