--- a/internal/domain/unit/unit.go
+++ b/internal/domain/unit/unit.go
@@ -11,7 +11,7 @@
 	Requests int64
 	// RequestRate counts requests a second.
 	RequestRate float64
-	// Slots measures offered load: the slots that it occupies on average in replicas three quarters of whose slots are in use, in
+	// Slots measures offered load: the slots that it occupies on average in replicas a quarter of whose slots are in use, in
 	// slot-seconds a second.
 	Slots float64
 	// Epoch numbers the assignments of a fabric domain. It is the fencing token
--- a/internal/fleet/demand/demand.go
+++ b/internal/fleet/demand/demand.go
@@ -4,7 +4,7 @@
 // at any daemon, by priority, so that admission reserves slots only where they are scarce.
 //
 // Offered load is measured in slots: the time for which the arriving requests would occupy
-// slots of replicas three quarters of whose slots are in use, divided by the time in which they arrived. It depends on the
+// slots of replicas a quarter of whose slots are in use, divided by the time in which they arrived. It depends on the
 // callers alone, not on the capacity that they find.
 package demand
 
@@ -138,7 +138,7 @@
 }
 
 // RecordArrival counts a request that a caller has sent to this daemon. The work is the time
-// for which it would occupy a slot of a replica three quarters of whose slots are in use.
+// for which it would occupy a slot of a replica a quarter of whose slots are in use.
 func (m *Meter) RecordArrival(service ident.Service, model ident.Model, work time.Duration) {
 	if meter := m.meterOf(service, model); meter != nil {
 		meter.arrivals.Inc()
--- a/internal/fleet/demand/observe.go
+++ b/internal/fleet/demand/observe.go
@@ -36,7 +36,7 @@
 	byModel := []string{"service", "model"}
 	t := &Telemetry{
 		slots: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "cuminbay_demand_slots", Help: "Slots, of replicas three quarters of whose slots are in use, that the requests to all daemons occupy (offered), that those refused would have occupied, and that requests wait for.",
+			Name: "cuminbay_demand_slots", Help: "Slots, of replicas a quarter of whose slots are in use, that the requests to all daemons occupy (offered), that those refused would have occupied, and that requests wait for.",
 		}, []string{"service", "model", "kind"}),
 		daemons: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cuminbay_demand_daemons", Help: "Live daemons, and those whose demand is known.",
--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -91,7 +91,7 @@
 func newConversionReporter() *conversionReporter {
 	return &conversionReporter{
 		demand: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "cuminbay_formation_demand_slots", Help: "Offered load by model in slots of replicas three quarters of whose slots are in use, while this daemon is the planner.",
+			Name: "cuminbay_formation_demand_slots", Help: "Offered load by model in slots of replicas a quarter of whose slots are in use, while this daemon is the planner.",
 		}, []string{"model"}),
 		capacity: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cuminbay_formation_capacity_slots", Help: "Slots of the replicas that serve by model, while this daemon is the planner.",
--- a/internal/route/cost/cost.go
+++ b/internal/route/cost/cost.go
@@ -34,7 +34,7 @@
 	OutputTokens unit.Tokens
 	MedianOutput unit.Tokens
 	HighOutput   unit.Tokens
-	// Work is the slot time that the request costs a replica three quarters of whose slots are in use; zero if
+	// Work is the slot time that the request costs a replica a quarter of whose slots are in use; zero if
 	// the service publishes no engine times.
 	Work time.Duration
 }
@@ -68,15 +68,14 @@
 	return e
 }
 
-// plannedUtilisation is the utilisation of a replica at which work is counted. Capacity is divided by
-// it, which matters when replicas are busy.
-const plannedUtilisation = 0.75
+// usualUtilisation is the utilisation of a replica at which work is counted.
+const usualUtilisation = 0.25
 
-// work returns the slot time of a request at a replica of the planned utilisation. A replica
+// work returns the slot time of a request at a replica of the usual utilisation. A replica
 // prefills one prompt after the other, and its running requests wait meanwhile, so the prefill
 // counts for each of them. In slots of an idle replica, long prompts would seem cheap.
 func work(e *cluster.Engine, m *cluster.Model, prompt unit.Tokens, output float64) time.Duration {
-	running := max(1, plannedUtilisation*float64(e.Slots))
+	running := max(1, usualUtilisation*float64(e.Slots))
 	step := float64(e.StepTime) + running*float64(e.StepTimePerSequence)
 	return time.Duration(running*float64(e.PrefillTime(m, prompt)) + output*step*m.TimeFactor)
 }
--- a/internal/serve/forward/demand.go
+++ b/internal/serve/forward/demand.go
@@ -11,7 +11,7 @@
 // demandMeter measures the load that callers offer.
 type demandMeter interface {
 	// RecordArrival counts a request of a caller, with the time for which it would occupy a
-	// slot of a replica three quarters of whose slots are in use.
+	// slot of a replica a quarter of whose slots are in use.
 	RecordArrival(service ident.Service, model ident.Model, work time.Duration)
 	// RecordRefusal counts a request that is refused for lack of slots.
 	RecordRefusal(service ident.Service, model ident.Model, priority unit.Priority, work time.Duration)
