rcu: Give Map interface keys and values

Cause: the house style has no generics of our own, and rcu.Map was one, with four users.

Change: Map has keys and values of type any, Get for a lookup, and Add in place of GetOrAdd. Each user has typed methods that try Get first: passing a key to Add allocates, as the map keeps it. Beyond the limit of 256 learned models, recording a run still takes the lock, as before, and now also allocates the key.

New tests: lookups and repeated observations don't allocate, and the limit of learned models holds.

Result: no allocation in a decision.

--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -28,7 +28,8 @@
 // Release take no lock after an organisation's first request.
 type Shares struct {
 	inFlight atomic.Int64
-	loads    rcu.Map[ident.Organisation, *organisationLoad]
+	// loads has an *organisationLoad for each ident.Organisation.
+	loads rcu.Map
 }
 
 // organisationLoad has the requests in flight and the scaled weight of one organisation.
@@ -81,7 +82,7 @@
 // Preview returns an Admission like that of a further request of the organisation, without counting
 // one.
 func (s *Shares) Preview(o *record.Organisation) Admission {
-	load := s.loads.Load()[o.Name]
+	load := s.knownLoad(o.Name)
 	if load == nil {
 		load = new(organisationLoad)
 		load.weight.Store(scaledWeight(o))
@@ -117,7 +118,8 @@
 // returns at least one, so that no organisation is refused entirely.
 func (s *Shares) allowance(load *organisationLoad, capacity unit.Requests) float64 {
 	var activeWeight uint64
-	for _, other := range s.loads.Load() {
+	for _, value := range s.loads.Load() {
+		other := value.(*organisationLoad)
 		if other.inFlight.Load() > 0 {
 			activeWeight += other.weight.Load()
 		}
@@ -132,17 +134,31 @@
 // updates its weight later.
 func (s *Shares) loadOf(o *record.Organisation) *organisationLoad {
 	weight := scaledWeight(o)
-	load, _ := s.loads.GetOrAdd(o.Name, func() *organisationLoad {
-		load := new(organisationLoad)
-		load.weight.Store(weight)
-		return load
-	})
+	load := s.knownLoad(o.Name)
+	if load == nil {
+		load = s.addLoad(o.Name, weight)
+	}
 	if load.weight.Load() != weight {
 		load.weight.Store(weight)
 	}
 	return load
 }
 
+// knownLoad returns the load of the organisation, nil before its first request.
+func (s *Shares) knownLoad(name ident.Organisation) *organisationLoad {
+	load, _ := s.loads.Get(name).(*organisationLoad)
+	return load
+}
+
+func (s *Shares) addLoad(name ident.Organisation, weight uint64) *organisationLoad {
+	load, _ := s.loads.Add(name, func() any {
+		load := new(organisationLoad)
+		load.weight.Store(weight)
+		return load
+	})
+	return load.(*organisationLoad)
+}
+
 // InFlight returns the number of admitted requests that were not released.
 func (s *Shares) InFlight() unit.Requests {
 	return unit.Requests(s.inFlight.Load())
--- a/internal/route/admit/decide_test.go
+++ b/internal/route/admit/decide_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"cuminbay/internal/domain/record"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/route/admit"
 )
@@ -174,6 +175,40 @@
 	c.Check(m.Peek("m").Forecast(time.Second).FreedPerSecond, qt.Equals, 1.0)
 }
 
+// TestObservationsDoNotAllocate guards against allocations by a request of a key, priority and organisation
+// that had requests before.
+func TestObservationsDoNotAllocate(t *testing.T) {
+	const (
+		priority = 1000
+		// capacity is short enough for the shares of organisations to be compared.
+		capacity = 2
+	)
+	m, s := admit.NewMonitor(clockwork.NewFakeClock()), admit.NewShares()
+	o := &record.Organisation{Name: "o", Weight: 1}
+	tests := map[string]func(){
+		"flow":       func() { m.Flow("m").SlotTaken() },
+		"peek":       func() { m.Peek("m").SlotTaken() },
+		"shortage":   func() { m.Flow("m").RecordShortage(priority) },
+		"contention": func() { m.Contention("m") },
+		"preview":    func() { s.Preview(o).Release() },
+		"admission": func() {
+			a, err := s.Admit(o, capacity)
+			if err != nil {
+				panic(err)
+			}
+			a.Release()
+		},
+	}
+	m.Flow("m").RecordShortage(priority)
+	_, err := s.Admit(o, capacity)
+	qt.Assert(t, err, qt.IsNil)
+	for name, observe := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, testing.AllocsPerRun(100, observe), qt.Equals, 0.0)
+		})
+	}
+}
+
 // BenchmarkDecide measures the decision for a request that finds a slot, and for one that waits.
 func BenchmarkDecide(b *testing.B) {
 	clk := clockwork.NewFakeClock()
--- a/internal/route/admit/monitor.go
+++ b/internal/route/admit/monitor.go
@@ -19,7 +19,8 @@
 // goroutines. Only Return and the first observation of a key or priority take a lock.
 type Monitor struct {
 	clock clock.Clock
-	flows rcu.Map[QueueKey, *Flow]
+	// flows has a *Flow for each QueueKey.
+	flows rcu.Map
 }
 
 // NewMonitor returns a Monitor without observations.
@@ -29,14 +30,23 @@
 
 // Flow returns the observations for the key.
 func (m *Monitor) Flow(key QueueKey) *Flow {
-	f, _ := m.flows.GetOrAdd(key, func() *Flow { return &Flow{clock: m.clock} })
+	if f := m.known(key); f != nil {
+		return f
+	}
+	f, _ := m.flows.Add(key, func() any { return &Flow{clock: m.clock} })
+	return f.(*Flow)
+}
+
+// known returns the observations for the key, nil if there are none.
+func (m *Monitor) known(key QueueKey) *Flow {
+	f, _ := m.flows.Get(key).(*Flow)
 	return f
 }
 
 // Peek returns the observations for the key for reading only. Without observations it returns an empty
 // Flow and doesn't keep the key.
 func (m *Monitor) Peek(key QueueKey) *Flow {
-	if f := m.flows.Load()[key]; f != nil {
+	if f := m.known(key); f != nil {
 		return f
 	}
 	return &Flow{clock: m.clock}
@@ -44,7 +54,7 @@
 
 // Contention returns the contention that this daemon has observed for the key.
 func (m *Monitor) Contention(key QueueKey) Contention {
-	f := m.flows.Load()[key]
+	f := m.known(key)
 	if f == nil {
 		return Contention{}
 	}
@@ -60,9 +70,9 @@
 	// bits of a float64.
 	corrections [Late + 1]atomic.Uint64
 
-	// short has the last time at which a request of the priority was short of slots, as a
-	// clock.Instant.
-	short rcu.Map[unit.Priority, *atomic.Int64]
+	// short has, for each unit.Priority, an *atomic.Int64 with the last time at which a request of the
+	// priority was short of slots, as a clock.Instant.
+	short rcu.Map
 
 	mu sync.Mutex
 	// lastReturn is the latest time at which a refused caller comes back, and refusals their number.
@@ -83,14 +93,23 @@
 
 // RecordShortage records that a request of the priority had to wait or was refused.
 func (f *Flow) RecordShortage(priority unit.Priority) {
-	at, _ := f.short.GetOrAdd(priority, func() *atomic.Int64 { return new(atomic.Int64) })
-	at.Store(int64(clock.InstantOf(f.clock.Now())))
+	f.shortageAt(priority).Store(int64(clock.InstantOf(f.clock.Now())))
+}
+
+// shortageAt returns the last time at which a request of the priority was short of slots.
+func (f *Flow) shortageAt(priority unit.Priority) *atomic.Int64 {
+	if at, found := f.short.Get(priority).(*atomic.Int64); found {
+		return at
+	}
+	at, _ := f.short.Add(priority, func() any { return new(atomic.Int64) })
+	return at.(*atomic.Int64)
 }
 
 func (f *Flow) contention() Contention {
 	var c Contention
 	since := int64(clock.InstantOf(f.clock.Now().Add(-ContentionTime)))
-	for priority, at := range f.short.Load() {
+	for key, value := range f.short.Load() {
+		priority, at := key.(unit.Priority), value.(*atomic.Int64)
 		if at.Load() > since && (!c.Recent || priority > c.Priority) {
 			c = Contention{Priority: priority, Recent: true}
 		}
--- a/internal/route/cost/cost.go
+++ b/internal/route/cost/cost.go
@@ -43,13 +43,14 @@
 // estimates take no lock.
 type Model struct {
 	outputs outputTable
-	times   rcu.Map[modelKey, *learnedTimes]
-	errors  errorMeasures
+	// times has a *learnedTimes for each modelKey.
+	times  rcu.Map
+	errors errorMeasures
 }
 
 // New returns a Model without observations.
 func New() *Model {
-	return &Model{times: rcu.Map[modelKey, *learnedTimes]{Limit: maxLearnedModels}}
+	return &Model{times: rcu.Map{Limit: maxLearnedModels}}
 }
 
 // Predict returns the expected cost of a request to a replica of the engine. The engine is nil for
--- a/internal/route/cost/cost_test.go
+++ b/internal/route/cost/cost_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"cuminbay/internal/domain/cluster"
+	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
 )
@@ -245,6 +246,53 @@
 	}
 }
 
+// TestLearnedModels guards against more learned models than the limit, and against a known model that is
+// no longer learned at the limit.
+func TestLearnedModels(t *testing.T) {
+	m := New()
+	for i := range maxLearnedModels {
+		m.learned(modelKey{model: ident.Model(strconv.Itoa(i))})
+	}
+	tests := map[string]struct {
+		model       ident.Model
+		wantLearned bool
+	}{
+		"known model":  {"0", true},
+		"last model":   {ident.Model(strconv.Itoa(maxLearnedModels - 1)), true},
+		"one too many": {"other", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			learned, ok := m.learned(modelKey{model: test.model})
+			c.Check(ok, qt.Equals, test.wantLearned)
+			c.Check(learned != nil, qt.Equals, test.wantLearned)
+		})
+	}
+}
+
+// TestLearnedTimesDoNotAllocate guards against allocations by a request of a model that had requests before.
+func TestLearnedTimesDoNotAllocate(t *testing.T) {
+	m := New()
+	e, engine := newTestEndpoint()
+	p := Profile{Service: "s", Model: "m"}
+	tests := map[string]func(){
+		"times": func() { m.Times(p.Service, engine, &engine.Models[0]) },
+		"run": func() {
+			r := m.StartRun(testStart, e, p, Estimate{OutputTokens: 100, Work: time.Second})
+			r.FirstEvent(testStart)
+			r.Completed(testStart)
+			r.End()
+		},
+	}
+	tests["run"]()
+	for name, observe := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, testing.AllocsPerRun(100, observe), qt.Equals, 0.0)
+		})
+	}
+}
+
 // BenchmarkPredict measures an estimate from a learned distribution.
 func BenchmarkPredict(b *testing.B) {
 	m, p := New(), Profile{Service: "s", Model: "m", Route: "r", PromptTokens: 500, MaxOutputTokens: 400}
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -113,7 +113,18 @@
 
 // learned returns the learned times of the model, and false if there are too many models.
 func (m *Model) learned(key modelKey) (*learnedTimes, bool) {
-	return m.times.GetOrAdd(key, func() *learnedTimes { return new(learnedTimes) })
+	if learned := m.knownTimes(key); learned != nil {
+		return learned, true
+	}
+	value, ok := m.times.Add(key, func() any { return new(learnedTimes) })
+	learned, _ := value.(*learnedTimes)
+	return learned, ok
+}
+
+// knownTimes returns the learned times of the model, nil if there are none.
+func (m *Model) knownTimes(key modelKey) *learnedTimes {
+	learned, _ := m.times.Get(key).(*learnedTimes)
+	return learned
 }
 
 // average adds a value to a moving average. Two concurrent values may overwrite each other, which an
@@ -133,7 +144,7 @@
 		key.model = model.Name
 		t = publishedTimes(engine, model)
 	}
-	learned := m.times.Load()[key]
+	learned := m.knownTimes(key)
 	if learned == nil {
 		return t
 	}
