--- a/internal/command/cli/explain.go
+++ b/internal/command/cli/explain.go
@@ -82,7 +82,11 @@
 }
 
 func (c *explainCommand) printChoice(x *balance.Explanation) {
-	c.streams.printf("choice by %s, level %.1f\n", x.Choice, x.Level)
+	c.streams.printf("choice by %s, level %.1f", x.Choice, x.Level)
+	if x.Arrivals > 0 {
+		c.streams.printf("; room for %.0f%% of the requests (%.1f of %.1f that are expected before counts are renewed), others wait or are refused", 100*x.Admitted, x.Room, x.Arrivals)
+	}
+	c.streams.printf("\n")
 	candidates := slices.Clone(x.Candidates)
 	slices.SortStableFunc(candidates, func(a, b balance.Candidate) int { return cmp.Compare(b.Probability, a.Probability) })
 	for i := range candidates {
--- a/internal/command/cli/explain_test.go
+++ b/internal/command/cli/explain_test.go
@@ -24,10 +24,10 @@
 		want   []string
 	}{
 		"candidates": {
-			forward.Explanation{Daemon: "d", Route: "r", Explanation: &balance.Explanation{Choice: balance.ByCost, Level: 12, Candidates: []balance.Candidate{
+			forward.Explanation{Daemon: "d", Route: "r", Explanation: &balance.Explanation{Choice: balance.ByCost, Level: 12, Admitted: 0.75, Room: 9, Arrivals: 12, Candidates: []balance.Candidate{
 				{Endpoint: "full", Excluded: balance.NoFreeSlot, PeerAge: -1}, {Endpoint: "free", Probability: 1, Slots: 20, First: 180, Correction: 120, CorrectionAge: 900, PeerInFlight: 3, PeerAge: 120},
 			}}},
-			[]string{"route r", "choice by cost, level 12.0", "free", "100.0%", "in flight 0 + 3 of others (120 ms old)", "(age unknown)", "first event 180 ms", "correction 120 ms (900 ms old)", "left out: no free slot"},
+			[]string{"route r", "choice by cost, level 12.0; room for 75% of the requests (9.0 of 12.0 that", "free", "100.0%", "in flight 0 + 3 of others (120 ms old)", "(age unknown)", "first event 180 ms", "correction 120 ms (900 ms old)", "left out: no free slot"},
 		},
 		"refusal":     {forward.Explanation{Daemon: "d", Refusal: "3002 overloaded", Reason: "none is free", RetryAfter: 300}, []string{"refused: 3002 overloaded, none is free, retry after 300 ms"}},
 		"relay":       {forward.Explanation{Daemon: "d", Relay: "e"}, []string{"passed on to daemon e"}},
--- a/internal/route/balance/explain.go
+++ b/internal/route/balance/explain.go
@@ -14,7 +14,13 @@
 type Explanation struct {
 	Choice Choice `json:"choice"`
 	// Level is the load up to which candidates are filled, zero by count.
-	Level      float64     `json:"level,omitempty"`
+	Level float64 `json:"level,omitempty"`
+	// Admitted is the share of the requests for which the endpoints have room, Room the number that
+	// they can take until the counts are renewed, and Arrivals the number that is expected meanwhile.
+	// By count, all are admitted.
+	Admitted   float64     `json:"admitted"`
+	Room       float64     `json:"room,omitempty"`
+	Arrivals   float64     `json:"arrivals,omitempty"`
 	Candidates []Candidate `json:"candidates"`
 }
 
@@ -65,12 +71,14 @@
 func (b *Balancer) Explain(now time.Time, endpoints []*catalog.Endpoint, r Request) Explanation {
 	p := b.newPick(now, endpoints, r)
 	p.isExplained = true
-	x := Explanation{Choice: ByCount, Candidates: make([]Candidate, len(endpoints))}
+	x := Explanation{Choice: ByCount, Admitted: 1, Candidates: make([]Candidate, len(endpoints))}
 	for i, e := range endpoints {
 		x.Candidates[i] = p.describe(e)
 	}
 	if p.byCost {
 		x.Choice = ByCost
+		s := p.supplyOf(endpoints, len(endpoints))
+		x.Admitted, x.Room, x.Arrivals = s.admitted(), s.room, s.arrivals
 		if p.explainDraw(endpoints, &x) {
 			return x
 		}
