balance: Leave no room empty for the error of the counts

Cause: near full use of all replicas their deviations even out, so that the sum of single ones leaves an eighth of all slots empty.

Change: no deviation is left free.

--- a/internal/route/balance/room.go
+++ b/internal/route/balance/room.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"cuminbay/internal/domain/ident"
@@ -38,14 +37,11 @@
 }
 
 // roomOf returns the number of requests that the replica can take until the counts are renewed: its free
-// slots, and those that become free while all of them are in use. The number of requests that others
-// have begun meanwhile is random, with a standard deviation of its square root, which is left free: a
-// request that waits at the replica is lost to its objective more often than a slot that stays empty is
-// missed.
+// slots, and those that become free while all of them are in use.
 func (p *pick) roomOf(e *catalog.Endpoint) float64 {
-	slots := p.request.MaxUtilisation * float64(e.Slots)
-	free := slots - float64(e.Load.TotalInFlight())
-	return free + p.times.Ended(slots, p.countWindow(e)) - math.Sqrt(p.turnover(e))
+	// The conversion rounds the product, so that processors with fused operations get the same result.
+	slots := float64(p.request.MaxUtilisation * float64(e.Slots))
+	return slots - float64(e.Load.TotalInFlight()) + p.times.Ended(slots, p.countWindow(e))
 }
 
 // supply compares the room of endpoints with the requests that arrive for them.
