balance, admit, forward: Describe limits by the room of a replica

Cause: Since replicas are filled by their room, a limit of 0.95 no longer means that a replica gets no request above that utilisation, but the comments of Rules.Limit, Turn, Request, Pick and pick still said so. The weight of a draw is bounded by the room, and one try in the queue answers only for requests whose number is no lower; neither was written at the place.

Change: The comments say share of the slots, and what room adds to it.

Result: No code changed; the tests of balance and admit pass.

--- a/internal/route/admit/decide.go
+++ b/internal/route/admit/decide.go
@@ -138,7 +138,7 @@
 	Fill float64
 }
 
-// Limit returns the utilisation below which a replica may take a request of the class and priority.
+// Limit returns the share of a replica's slots that a request of the class and priority may use.
 // Without contention, every class may use all slots, as none is to be left empty without need.
 func (p Rules) Limit(class Class, priority unit.Priority, c Contention) float64 {
 	switch {
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -48,8 +48,8 @@
 // Turn is the offer to a waiting request to take a slot.
 type Turn struct {
 	Class Class
-	// Limit is the utilisation below which a replica may take the request, zero if the request has
-	// no such limit.
+	// Limit is the share of a replica's slots that the request may use, zero if the request has no such
+	// limit.
 	Limit float64
 }
 
@@ -70,15 +70,15 @@
 	// Organisation and Tokens count towards the least shares of organisations and sizes.
 	Organisation ident.Organisation
 	Tokens       unit.Tokens
-	// Limit returns the utilisation up to which a request of the class may use a replica. Requests
-	// of the same key that have a Limit use the same endpoints, so that one that finds no slot
-	// answers for those after it. Nil if the endpoints differ.
+	// Limit returns the share of a replica's slots that a request of the class may use. Requests of the
+	// same key that have a Limit use the same endpoints, so that one that finds no slot answers for
+	// those after it that may use no more. Nil if the endpoints differ.
 	Limit func(Class) float64
 	// LateInterval is the least time between two late requests that leave the queue. Counts of other
 	// daemons' requests are old, so that many daemons see the same slot free at once.
 	LateInterval time.Duration
 	// Draw is the request's random number from 0 to 1. While there is room for a share of the requests
-	// only, it is offered a slot if its number is low enough.
+	// only, one that finds no slot answers only for those whose number is no lower.
 	Draw float64
 	// Restricted says that the request may use only some of the endpoints.
 	Restricted bool
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -62,10 +62,11 @@
 	// which this request meets it.
 	Objective   time.Duration
 	ObjectiveAt time.Time
-	// MaxUtilisation is the utilisation below which a replica has a free slot for the request.
+	// MaxUtilisation is the share of a replica's slots that the request may use. By expected loss, a
+	// replica may have more requests by those that end until the counts are renewed.
 	MaxUtilisation float64
 	// Draw is a random number from 0 to 1, the same for all choices of the request. If there is
-	// room for a share of the requests only, those with a lower number are admitted.
+	// room for a share of the requests only, those whose number is at most that share are admitted.
 	Draw float64
 }
 
@@ -101,9 +102,10 @@
 	return &Balancer{Options: o}
 }
 
-// Pick returns an endpoint that has a free slot and was not tried, or nil if there is none. By
-// expected loss it is drawn from a sample so that all daemons together spread their requests. By
-// count it is the one with the lowest utilisation, in a large fleet of a sample. An endpoint that is
+// Pick returns an endpoint that can take the request and was not tried, or nil if there is none. By
+// expected loss it is drawn from a sample so that all daemons together spread their requests, if the
+// request is among the share for which there is room. By count it is the one with the lowest
+// utilisation below the limit, in a large fleet of a sample. An endpoint that is
 // avoided after a failure is returned only if all endpoints are avoided, as the failures were then
 // more likely caused by this daemon.
 func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, r Request) *catalog.Endpoint {
@@ -229,7 +231,8 @@
 // Exclusion is the reason for which an endpoint may not be chosen; it is empty if it may.
 type Exclusion string
 
-// The reasons.
+// The reasons. By expected loss, NoFreeSlot says that the replica has no room until the counts are
+// renewed.
 const (
 	Failed     Exclusion = "avoided after a failure"
 	Tried      Exclusion = "was tried"
@@ -322,7 +325,8 @@
 	return used
 }
 
-// hasFreeSlot reports whether the endpoint may get another request.
+// hasFreeSlot reports whether the endpoint may get another request: by count if one of the slots that the
+// request may use is free, by expected loss if there is room.
 func (p *pick) hasFreeSlot(e *catalog.Endpoint) bool {
 	if e.Engine == nil {
 		return usedShare(e) < 1+p.PlainQueueRatio
--- a/internal/route/balance/loss.go
+++ b/internal/route/balance/loss.go
@@ -81,8 +81,8 @@
 }
 
 // weigh sets the terms of each candidate, and returns the level. The weight is zero for those that may
-// not be chosen. It is the requests by which a candidate is below the level, reduced by the
-// expected loss of the request there.
+// not be chosen. It is the number of requests by which a candidate is below the level, at most its room,
+// reduced by the expected loss of the request there.
 func (p *pick) weigh(candidates []*catalog.Endpoint, all []weighed) float64 {
 	arrivals := 1.0
 	for i, e := range candidates {
--- a/internal/route/balance/room.go
+++ b/internal/route/balance/room.go
@@ -20,7 +20,8 @@
 // requests for which the replicas are expected to have room until the counts are renewed.
 
 // countWindow returns the time until the counts of the other daemons' requests at the endpoint are
-// renewed, zero if there are none. Counts are half as old on average.
+// renewed, zero if there are none. It is twice their mean age, since half of the time between two
+// renewals has passed on average.
 func (p *pick) countWindow(e *catalog.Endpoint) time.Duration {
 	at := e.Load.PeerCountedAt()
 	if at.IsZero() {
@@ -58,7 +59,8 @@
 }
 
 // supplyOf returns the supply of the candidates, which are a sample of the number of endpoints. Arrivals
-// are those of the offered load, which the requests in flight don't show while requests are refused.
+// are the requests that begin in a steady state or, if they are more, those of the offered load: refused
+// requests are not in flight.
 func (p *pick) supplyOf(candidates []*catalog.Endpoint, endpoints int) supply {
 	var s supply
 	var turnover float64
--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -39,7 +39,7 @@
 	return c
 }
 
-// slotLimit returns the utilisation below which a replica may take the request.
+// slotLimit returns the share of a replica's slots that the request may use.
 func (x *exchange) slotLimit(class admit.Class) float64 {
 	if !x.isEngineStream {
 		return x.Rules.Fill
--- a/internal/serve/forward/relay.go
+++ b/internal/serve/forward/relay.go
@@ -15,9 +15,8 @@
 	maxRelaysInReach = 1
 )
 
-// pick returns an endpoint that has a free slot and was not tried. If this daemon can connect to
-// none of the endpoints, it returns a daemon that may reach them. A replica has a free slot as long as
-// its utilisation is below the limit.
+// pick returns an endpoint that can take the request and was not tried. If this daemon can connect to
+// none of the endpoints, it returns a daemon that may reach them.
 func (x *exchange) pick(tried []ident.Instance, t admit.Turn) *catalog.Endpoint {
 	now, candidates := x.Clock.Now(), x.candidates()
 	if reachable := x.reachable(candidates); len(reachable) > 0 {
