cost: Keep each learned average with its count

Cause: learnedTimes had eight counters in pairs whose names differed by an s (correction, corrections), and every observation passed both to a function.

Change: A movingAverage has the count and the mean. The comments say what usual is and why work is counted at a quarter of the slots.

Result: The same computations; the tests of cost pass.

--- a/internal/route/cost/cost.go
+++ b/internal/route/cost/cost.go
@@ -69,7 +69,8 @@
 	return e
 }
 
-// usualUtilisation is the utilisation of a replica at which work is counted.
+// usualUtilisation is the utilisation of a replica at which work is counted. At a higher one, long prompts
+// weigh more, and the planner gives too few replicas to models with short prompts.
 const usualUtilisation = 0.25
 
 // work returns the slot time of a request at a replica of the usual utilisation. A replica
--- a/internal/route/cost/run.go
+++ b/internal/route/cost/run.go
@@ -75,11 +75,11 @@
 		return
 	}
 	usual := excess
-	if learned.corrections.Load() > 0 {
-		usual = time.Duration(learned.correction.Load())
+	if learned.correction.count.Load() > 0 {
+		usual = learned.correction.value()
 	}
 	r.endpoint.Load.RecordCorrection(now, excess, usual, r.certainty)
-	average(&learned.corrections, &learned.correction, int64(usual+time.Duration(float64(excess-usual)*r.certainty)))
+	learned.correction.add(usual + time.Duration(float64(excess-usual)*r.certainty))
 }
 
 // End removes the attempt from the endpoint's load.
@@ -99,10 +99,10 @@
 	if !ok {
 		return
 	}
-	average(&learned.slotTimes, &learned.slotTime, int64(now.Sub(r.firstEventAt)))
-	average(&learned.flightTimes, &learned.flightTime, int64(now.Sub(r.startedAt)))
+	learned.slotTime.add(now.Sub(r.firstEventAt))
+	learned.flightTime.add(now.Sub(r.startedAt))
 	if r.estimate.Work > 0 {
-		average(&learned.works, &learned.work, int64(r.estimate.Work))
+		learned.work.add(r.estimate.Work)
 	}
 }
 
--- a/internal/route/cost/times.go
+++ b/internal/route/cost/times.go
@@ -93,7 +93,8 @@
 	slotTime   float64
 	flightTime float64
 	meanWork   float64
-	usual      time.Duration
+	// usual is the mean correction of all endpoints.
+	usual time.Duration
 }
 
 // modelKey identifies a model of a service.
@@ -102,16 +103,28 @@
 	model   ident.Model
 }
 
-// learnedTimes are the moving averages of a model over all endpoints, in nanoseconds.
+// learnedTimes are the averages of a model over all endpoints.
 type learnedTimes struct {
-	corrections atomic.Int64
-	correction  atomic.Int64
-	slotTimes   atomic.Int64
-	slotTime    atomic.Int64
-	flightTimes atomic.Int64
-	flightTime  atomic.Int64
-	works       atomic.Int64
-	work        atomic.Int64
+	correction, slotTime, flightTime, work movingAverage
+}
+
+// movingAverage is a moving average of times.
+type movingAverage struct {
+	count atomic.Int64
+	// mean is in nanoseconds.
+	mean atomic.Int64
+}
+
+// add adds a value. Two concurrent values may overwrite each other, which an average tolerates.
+func (a *movingAverage) add(value time.Duration) {
+	n := min(a.count.Add(1), usualDivisor)
+	mean := a.mean.Load()
+	a.mean.Store(mean + (int64(value)-mean)/n)
+}
+
+// value returns the average, zero before the first value.
+func (a *movingAverage) value() time.Duration {
+	return time.Duration(a.mean.Load())
 }
 
 // learned returns the learned times of the model, and false if there are too many models.
@@ -130,14 +143,6 @@
 	return learned
 }
 
-// average adds a value to a moving average. Two concurrent values may overwrite each other, which an
-// average tolerates.
-func average(count, mean *atomic.Int64, value int64) {
-	n := min(count.Add(1), usualDivisor)
-	current := mean.Load()
-	mean.Store(current + (value-current)/n)
-}
-
 // Times returns the times of the replicas of the model. The engine and the model are nil for a plain
 // service.
 func (m *Model) Times(service ident.Service, engine *cluster.Engine, model *cluster.Model) Times {
@@ -151,12 +156,12 @@
 	if learned == nil {
 		return t
 	}
-	t.usual = time.Duration(learned.correction.Load())
-	t.meanWork = float64(learned.work.Load())
-	if learned.slotTimes.Load() > 0 {
-		t.slotTime = float64(learned.slotTime.Load())
+	t.usual = learned.correction.value()
+	t.meanWork = float64(learned.work.value())
+	if learned.slotTime.count.Load() > 0 {
+		t.slotTime = float64(learned.slotTime.value())
 	}
-	t.flightTime = float64(learned.flightTime.Load())
+	t.flightTime = float64(learned.flightTime.value())
 	return t
 }
 
