admit, forward: Simplify the round of offers and the decision on a slot

Change: A switch has one case for each reason; the interval is set in the description.

Result: The same order of tests and tries; the tests of admit and forward pass.

--- a/internal/route/admit/line.go
+++ b/internal/route/admit/line.go
@@ -164,6 +164,11 @@
 	}
 }
 
+// isSpaced reports whether the waiter is late and gets no slot yet, as another late one has just got one.
+func (l *line) isSpaced(w *waiter, now time.Time) bool {
+	return w.turn.Class == Late && !w.isInTime(now) && now.Sub(l.lastLate) < w.LateInterval
+}
+
 // covers reports whether the waiter's failure to find a slot means that the other one finds none.
 func (w *waiter) covers(other *waiter) bool {
 	return w.Limit != nil && other.Limit != nil && !w.Restricted && w.Draw <= other.Draw && w.turn.Limit >= other.turn.Limit && w.Tokens <= other.Tokens
--- a/internal/route/admit/queue.go
+++ b/internal/route/admit/queue.go
@@ -296,12 +296,14 @@
 	l.failed = l.failed[:0]
 	unlimitedFailed := false
 	for _, w := range slices.Clone(l.waiters) {
-		if w.turn.Class == Late && !w.isInTime(now) && now.Sub(l.lastLate) < w.LateInterval || l.hasFailed(w) || w.Limit == nil && unlimitedFailed || q.try(l, w) {
-			continue
+		switch {
+		case l.isSpaced(w, now), l.hasFailed(w):
+		case w.Limit == nil && unlimitedFailed:
+			// Requests without a limit check for themselves, so that a wake-up costs one try.
+		case !q.try(l, w):
+			unlimitedFailed = unlimitedFailed || w.Limit == nil
+			l.failed = append(l.failed, w)
 		}
-		// The others without a limit check for themselves, so that a wake-up costs one try.
-		unlimitedFailed = unlimitedFailed || w.Limit == nil
-		l.failed = append(l.failed, w)
 	}
 }
 
--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -63,17 +63,15 @@
 type slotDecision struct {
 	admit.Decision
 	// wait describes the request to the queue, with its class at arrival.
-	wait admit.WaitRequest
-	// lateInterval is the least time between two late requests that leave the queue.
-	lateInterval time.Duration
-	endpoints    int
+	wait      admit.WaitRequest
+	endpoints int
 }
 
 // decideSlot decides whether the request waits for a slot. It changes nothing.
 func (x *exchange) decideSlot(r *admit.Request, now time.Time) slotDecision {
 	d := slotDecision{endpoints: len(x.candidates()), wait: x.waitRequest(r, now)}
 	forecast := x.forecast(d.endpoints > 0)
-	d.lateInterval = forecast.LateInterval()
+	d.wait.LateInterval = forecast.LateInterval()
 	d.Decision = x.Rules.Decide(r, &admit.State{Now: now, HasEndpoints: d.endpoints > 0, Standing: x.queue.Standing(&d.wait), Forecast: forecast})
 	return d
 }
@@ -81,7 +79,7 @@
 // queued returns the request as it joins the queue.
 func (d *slotDecision) queued() admit.WaitRequest {
 	w := d.wait
-	w.Class, w.Deadline, w.LateInterval = d.Class, d.Until, d.lateInterval
+	w.Class, w.Deadline = d.Class, d.Until
 	return w
 }
 
@@ -169,9 +167,9 @@
 	w := admit.WaitRequest{
 		Key: x.queueKey(), Priority: r.Priority, Received: r.Received, Admission: x.admission,
 		Class: r.Class(now), LatestStart: r.LatestStart(), FirstSent: r.FirstSent(), Draw: x.drawFor(r.Class(now)),
-		Tokens: x.request.PromptTokens + x.estimate.OutputTokens, Restricted: len(x.triedServers) > 0, Displaceable: !r.Resumed && !r.MayHaveRun,
+		Organisation: x.organisationName(), Tokens: x.request.PromptTokens + x.estimate.OutputTokens,
+		Restricted: len(x.triedServers) > 0, Displaceable: !r.Resumed && !r.MayHaveRun,
 	}
-	w.Organisation = x.organisationName()
 	if r.IsStream {
 		w.Limit = x.slotLimit
 	}
