gossip: Count daemons in one place

Cause: DaemonPosition repeats the count of DaemonCount, and the comments of countDaemons and of the ages left out what they compute.

Change: DaemonCount takes the count of DaemonPosition; the comments name the weights and the ages.

Result: The same values; the tests of gossip pass.

--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -266,14 +266,7 @@
 
 // DaemonCount returns the number of daemons that may be running, including this daemon.
 func (g *Gossip) DaemonCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count, now := 1, g.Clock.Now()
-	for _, p := range g.peers {
-		if p.mayRun(now) {
-			count++
-		}
-	}
+	_, count := g.DaemonPosition()
 	return count
 }
 
--- a/internal/peer/gossip/inflight.go
+++ b/internal/peer/gossip/inflight.go
@@ -56,8 +56,8 @@
 	// has just registered is only assumed to report. recentDaemons also counts daemons with a
 	// recent datagram that are no longer registered.
 	reportingDaemons, heardDaemons, liveDaemons, recentDaemons int
-	// age is the mean time since the daemons reported their requests, and silence the mean time
-	// since the daemons that have sent a recent datagram did so.
+	// age is the mean time since the daemons reported their requests, weighted by these, and silence
+	// the mean time since the latest datagrams of the daemons that have sent a recent one.
 	age, silence time.Duration
 	// sum has the most recent sum of the data centre, and sumAt the time at which it was so.
 	sum    map[endpointHash]endpointLoad
@@ -230,8 +230,8 @@
 		Int("live", load.liveDaemons).Int64("age_ms", age.Milliseconds()).Msg("load-source")
 }
 
-// countDaemons counts the daemons of each data centre, and removes the requests of daemons
-// without a recent datagram. The caller holds the lock.
+// countDaemons counts the daemons of each data centre, computes the mean ages of what they reported, and
+// removes the requests of daemons without a recent datagram. The caller holds the lock.
 func (g *Gossip) countDaemons(now time.Time) {
 	for _, load := range g.loads {
 		load.reportingDaemons, load.heardDaemons, load.liveDaemons, load.recentDaemons = 0, 0, 0, 0
@@ -251,9 +251,9 @@
 			if p.sequence > 0 {
 				load.recentDaemons++
 				load.silence += silence
-			}
-			if p.sequence > 0 && p.registered {
-				load.heardDaemons++
+				if p.registered {
+					load.heardDaemons++
+				}
 			}
 		}
 		load.age += silence * time.Duration(p.requests)
