forward: Split waitForSlot

Cause: The function decided, waited, recorded the wait and refused in 50 lines.

Change: waitInQueue waits and records; the decision says whether the request is short of slots.

Result: The same calls in the same order; the tests of forward pass.

--- a/internal/serve/forward/admission.go
+++ b/internal/serve/forward/admission.go
@@ -65,11 +65,14 @@
 	// wait describes the request to the queue, with its class at arrival.
 	wait      admit.WaitRequest
 	endpoints int
+	// isShort says that the request is on time, so that its wait or refusal counts as contention.
+	isShort bool
 }
 
 // decideSlot decides whether the request waits for a slot. It changes nothing.
 func (x *exchange) decideSlot(r *admit.Request, now time.Time) slotDecision {
 	d := slotDecision{endpoints: len(x.candidates()), wait: x.waitRequest(r, now)}
+	d.isShort = d.endpoints > 0 && d.wait.Class == admit.OnTime && r.IsStream
 	forecast := x.forecast(d.endpoints > 0)
 	d.wait.LateInterval = forecast.LateInterval()
 	d.Decision = x.Rules.Decide(r, &admit.State{Now: now, HasEndpoints: d.endpoints > 0, Standing: x.queue.Standing(&d.wait), Forecast: forecast})
@@ -100,45 +103,50 @@
 	if err := x.checkLimits(x.limitsDeadline(decision.Until), x.retries.Next); err != nil {
 		return nil, err
 	}
-	isShort := decision.endpoints > 0 && decision.wait.Class == admit.OnTime && r.IsStream
-	if isShort {
+	if decision.isShort {
 		x.monitor.Flow(x.queueKey()).RecordShortage(x.priority())
 	}
 	x.predictedWait = decision.Predicted
 	if decision.Action == admit.Refuse {
 		return nil, x.refuse(refusedAtOnce, decision.Class)
 	}
-	if isShort {
+	chosen, last := x.waitInQueue(ctx, &decision, now)
+	if chosen == nil {
+		if err := x.contextError(ctx); code.Of(err) == code.CallerClosed {
+			return nil, err
+		}
+		return nil, x.refuse(x.refusalReason(ctx, decision.Until), last)
+	}
+	if err := x.checkPoison(); err != nil {
+		x.releaseSlot(chosen)
+		return nil, err
+	}
+	return chosen, nil
+}
+
+// waitInQueue waits in the queue and records the wait, which began at the given time. It returns the
+// endpoint, nil if none had a slot for the request, and the class of the request in its last turn.
+func (x *exchange) waitInQueue(ctx context.Context, d *slotDecision, start time.Time) (chosen *catalog.Endpoint, last admit.Class) {
+	if d.isShort {
 		x.Demand.RecordWaitStart(x.service, x.request.Model, x.priority())
 	}
-	var chosen *catalog.Endpoint
-	last := decision.Class
-	x.queue.Wait(ctx, decision.queued(), func(t admit.Turn) bool {
+	last = d.Class
+	x.queue.Wait(ctx, d.queued(), func(t admit.Turn) bool {
 		if last = t.Class; t.Limit == 0 {
 			t.Limit = x.Rules.Fill
 		}
 		chosen = x.takeSlot(t)
 		return chosen != nil
 	})
-	waited := x.Clock.Since(now)
+	waited := x.Clock.Since(start)
 	x.queueTime += waited
-	if isShort {
+	if d.isShort {
 		x.Demand.RecordWaitEnd(x.service, x.request.Model, x.priority(), waited)
 	}
-	if decision.endpoints > 0 {
-		x.recordWait(decision.Decision, last, waited, chosen != nil)
-	}
-	if chosen == nil {
-		if err := x.contextError(ctx); code.Of(err) == code.CallerClosed {
-			return nil, err
-		}
-		return nil, x.refuse(x.refusalReason(ctx, decision.Until), last)
-	}
-	if err := x.checkPoison(); err != nil {
-		x.releaseSlot(chosen)
-		return nil, err
+	if d.endpoints > 0 {
+		x.recordWait(d.Decision, last, waited, chosen != nil)
 	}
-	return chosen, nil
+	return chosen, last
 }
 
 // limitsWaitDivisor sets the wait for the admission of a server that names a limit or a pause to a
