balance, demand: Say what the balancer's locks and the offered load are for

Cause: The balancer's comment denied the lock of the list of daemons, which a request to a cold endpoint takes; demand didn't name the choice of a replica, which reads the offered load now; TestAdmittedShare said that 9 slots are used where 9 may be.

Change: Comments only.

--- a/internal/fleet/demand/demand.go
+++ b/internal/fleet/demand/demand.go
@@ -1,11 +1,12 @@
 // Package demand measures the load that callers offer to this daemon, by service and model,
-// and adds up what the other daemons report of theirs. The planner divides the servers among
-// the models by it. It also knows for which models requests waited or were refused recently,
-// at any daemon, by priority, so that admission reserves slots only where they are scarce.
+// and adds up what the other daemons report of theirs. The planner divides the servers among the
+// models by it, and package balance compares the room of replicas with it. It also knows for which
+// models requests waited or were refused recently, at any daemon, by priority, so that admission
+// reserves slots only where they are scarce.
 //
-// Offered load is measured in slots: the time for which the arriving requests would occupy
-// slots of replicas a quarter of whose slots are in use, divided by the time in which they arrived. It depends on the
-// callers alone, not on the capacity that they find.
+// Offered load is measured in slots: the time for which the arriving requests would occupy slots of
+// replicas a quarter of whose slots are in use, divided by the time in which they arrived. It depends
+// on the callers alone, not on the capacity that they find.
 package demand
 
 import (
--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -91,7 +91,8 @@
 	ColdRateFraction float64
 }
 
-// Balancer chooses endpoints. It takes no lock.
+// Balancer chooses endpoints. It takes no lock; the list of daemons, which is asked only for cold endpoints,
+// may take one.
 type Balancer struct {
 	Options
 	counters
--- a/internal/route/balance/room_test.go
+++ b/internal/route/balance/room_test.go
@@ -16,7 +16,7 @@
 
 // TestAdmittedShare guards against requests that are refused although there is room, against more requests
 // than the room is expected for while counts are old, and against an explanation that differs. Three
-// replicas have 10 slots of which 9 are used.
+// replicas have 10 slots, of which 9 may be used.
 func TestAdmittedShare(t *testing.T) {
 	const picks, tolerance = 4000, 0.03
 	usual := cost.New().Predict(cost.Profile{Model: "m", PromptTokens: testEngine.MeanPrompt}, testEngine)
