gossip, admit, forward: Explain the order of encoding, and say priority in tests

Cause: encodeDatagrams sends one or two datagrams depending on the sum, which is to be read from the order of its statements. Comments of four tests say rank for a priority; in this code a rank is the position within a replica.

Change: Comments only.

Result: The tests of gossip, admit and forward pass.

--- a/internal/peer/gossip/load.go
+++ b/internal/peer/gossip/load.go
@@ -55,6 +55,7 @@
 	if len(loads) == 0 {
 		return nil, nil, nil, nil
 	}
+	// The four fields share one allocation.
 	values := make([]uint32, 4*len(loads))
 	n := len(loads)
 	endpoints, requests, pendingPrefill, work = values[:n:n], values[n:2*n:2*n], values[2*n:3*n:3*n], values[3*n:]
--- a/internal/peer/gossip/send.go
+++ b/internal/peer/gossip/send.go
@@ -85,6 +85,7 @@
 	}
 	g.sequence++
 	m.Sequence = g.sequence
+	// The datagram to this data centre is encoded before the message gets the sum.
 	datagrams := g.appendDatagram(nil, &m, local)
 	if len(remote) > 0 && to != allDaemons {
 		m.DataCentreSum = g.nextSum(own, len(remote), now)
@@ -93,6 +94,7 @@
 	case m.DataCentreSum != nil:
 		m.Demand.DataCentre = g.Demand.DataCentreDemand()
 	case len(datagrams) > 0:
+		// Without a sum, other data centres get the same datagram.
 		datagrams[0].addresses = append(datagrams[0].addresses, remote...)
 		return datagrams
 	}
--- a/internal/route/admit/decide_test.go
+++ b/internal/route/admit/decide_test.go
@@ -72,7 +72,7 @@
 }
 
 // TestLimit guards against slots that are left empty without contention, and against late requests or
-// lower ranks that take the slots of others while these are short.
+// lower priorities that take the slots of others while these are short.
 func TestLimit(t *testing.T) {
 	recent := admit.Contention{Priority: 0, Recent: true}
 	tests := map[string]struct {
--- a/internal/route/admit/queue_test.go
+++ b/internal/route/admit/queue_test.go
@@ -95,7 +95,7 @@
 	})
 }
 
-// TestLeastShare guards against a rank or size that gets no slot as long as others wait, and against
+// TestLeastShare guards against a priority or size that gets no slot as long as others wait, and against
 // one that gets more than its least share for that.
 func TestLeastShare(t *testing.T) {
 	tests := map[string]admit.WaitRequest{
--- a/internal/serve/forward/load_test.go
+++ b/internal/serve/forward/load_test.go
@@ -307,7 +307,7 @@
 	notWorse [][2]string
 }
 
-// TestLoad guards against a burst in which nearly all requests are a little late, against a rank,
+// TestLoad guards against a burst in which nearly all requests are a little late, against a priority,
 // organisation or size that gets less than the others of its kind or nothing, against an advantage
 // for callers who ignore Retry-After, and against slots that stay counted.
 func TestLoad(t *testing.T) {
@@ -350,7 +350,7 @@
 	}
 }
 
-// TestLoadAfterLoss guards against an urgent rank that loses requests to others as a replica is lost in
+// TestLoadAfterLoss guards against an urgent priority that loses requests to others as a replica is lost in
 // a burst.
 func TestLoadAfterLoss(t *testing.T) {
 	checkLoad(t, loadCase{
