balance: Compute the terms of each candidate once

Cause: the room and the choice each looked at every candidate, and with at most 12 endpoints a request without room was compared twice.

Change: the room and the turnover of a candidate are computed once and kept for the choice.

TestCacheFullCount failed before (6 for 3 endpoints).

--- a/internal/route/balance/balance.go
+++ b/internal/route/balance/balance.go
@@ -112,11 +112,12 @@
 func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, r Request) *catalog.Endpoint {
 	p := b.newPick(now, endpoints, r)
 	if p.byCost {
-		if e := p.draw(endpoints); e != nil {
+		e, admitted := p.draw(endpoints)
+		if e != nil {
 			b.drawn.Add(1)
 			return e
 		}
-		if !p.areAvoided(endpoints) && !p.isAdmitted(endpoints, len(endpoints)) {
+		if !admitted && !p.areAvoided(endpoints) {
 			b.none.Add(1)
 			return nil
 		}
@@ -130,18 +131,23 @@
 	return e
 }
 
-// draw returns a candidate by expected loss, nil if none may be chosen or there is no room for the
-// request.
-func (p *pick) draw(endpoints []*catalog.Endpoint) *catalog.Endpoint {
+// draw returns a candidate by expected loss, nil if none may be chosen or the candidates have no room for
+// the request, and reports whether all endpoints together have room for it.
+func (p *pick) draw(endpoints []*catalog.Endpoint) (*catalog.Endpoint, bool) {
 	var drawn [maxCandidates]*catalog.Endpoint
+	var buffer [maxCandidates]weighed
 	candidates := endpoints
 	if len(endpoints) > maxCandidates {
 		candidates = p.sample(endpoints, drawn[:0], maxCandidates/2)
 	}
-	if !p.isAdmitted(candidates, len(endpoints)) {
-		return nil
+	all := buffer[:len(candidates)]
+	switch {
+	case p.isAdmitted(p.supplyOf(candidates, len(endpoints), all)):
+		return p.drawByLoss(candidates, all), true
+	case len(endpoints) <= maxCandidates:
+		return nil, false
 	}
-	return p.drawByLoss(candidates)
+	return nil, p.isAdmitted(p.supplyOf(endpoints, len(endpoints), nil))
 }
 
 // pickLeastUtilised returns the endpoint with the lowest utilisation, in a large fleet of a sample. It
@@ -262,11 +268,7 @@
 
 // mayChoose reports whether nothing excludes the endpoint.
 func (p *pick) mayChoose(e *catalog.Endpoint) bool {
-	reason := p.exclusion(e)
-	if reason == CacheFull && !p.isExplained {
-		p.cacheFull.Add(1)
-	}
-	return reason == ""
+	return p.exclusion(e) == ""
 }
 
 // admits reports whether the endpoint takes the request within its cold rate and the limit that it
--- a/internal/route/balance/explain.go
+++ b/internal/route/balance/explain.go
@@ -77,8 +77,6 @@
 	}
 	if p.byCost {
 		x.Choice = ByCost
-		s := p.supplyOf(endpoints, len(endpoints))
-		x.Admitted, x.Room, x.Arrivals = s.admitted(), s.room, s.arrivals
 		if p.explainDraw(endpoints, &x) {
 			return x
 		}
@@ -123,6 +121,8 @@
 // drawn.
 func (p *pick) explainDraw(endpoints []*catalog.Endpoint, x *Explanation) bool {
 	all := make([]weighed, len(endpoints))
+	s := p.supplyOf(endpoints, len(endpoints), all)
+	x.Admitted, x.Room, x.Arrivals = s.admitted(), s.room, s.arrivals
 	level, sum := p.weigh(endpoints, all), 0.0
 	for i := range all {
 		if x.Candidates[i].Excluded == "" {
--- a/internal/route/balance/loss.go
+++ b/internal/route/balance/loss.go
@@ -33,11 +33,8 @@
 	logisticScale = 0.55
 )
 
-// drawByLoss returns a random candidate that may be chosen and admits the request, nil if there is
-// none.
-func (p *pick) drawByLoss(candidates []*catalog.Endpoint) *catalog.Endpoint {
-	var buffer [maxCandidates]weighed
-	all := buffer[:len(candidates)]
+// drawByLoss returns a random candidate that has room and admits the request, nil if there is none.
+func (p *pick) drawByLoss(candidates []*catalog.Endpoint, all []weighed) *catalog.Endpoint {
 	p.weigh(candidates, all)
 	for range candidates {
 		i := drawIndex(all)
@@ -52,8 +49,11 @@
 	return nil
 }
 
-// weighed has the terms by which a candidate is drawn. The load is infinite if it may not be chosen.
+// weighed has the terms by which a candidate is drawn. It has no room, and its load is infinite, if it may
+// not be chosen.
 type weighed struct {
+	room         float64
+	turnover     float64
 	load         float64
 	expectedLoss float64
 	weight       float64
@@ -80,14 +80,14 @@
 	return last
 }
 
-// weigh sets the terms of each candidate, and returns the level. The weight is zero for those that may
-// not be chosen. It is the number of requests by which a candidate is below the level, at most its room,
+// weigh sets the other terms of each candidate, whose room and turnover are known, and returns the level.
+// The weight is zero for those that may not be chosen. It is the number of requests by which a candidate is below the level, at most its room,
 // reduced by the expected loss of the request there.
 func (p *pick) weigh(candidates []*catalog.Endpoint, all []weighed) float64 {
 	arrivals := 1.0
 	for i, e := range candidates {
-		if all[i].load = math.Inf(1); p.mayChoose(e) {
-			load, shared := p.load(e, p.turnover(e))
+		if all[i].load = math.Inf(1); all[i].room > 0 {
+			load, shared := p.load(e, all[i].turnover)
 			all[i].load = load
 			arrivals += shared
 		}
@@ -97,7 +97,7 @@
 	for i, e := range candidates {
 		// The level is infinite if no candidate may be chosen.
 		if !math.IsInf(all[i].load, 1) && level > all[i].load {
-			all[i].weight = min(level-all[i].load, p.roomOf(e))
+			all[i].weight = min(level-all[i].load, all[i].room)
 			all[i].expectedLoss = p.expectedLoss(e, level)
 			least = min(least, all[i].expectedLoss)
 		}
--- a/internal/route/balance/room.go
+++ b/internal/route/balance/room.go
@@ -58,18 +58,26 @@
 	return max(s.room, 0) / s.arrivals
 }
 
-// supplyOf returns the supply of the candidates, which are a sample of the number of endpoints. Arrivals
-// are the requests that begin in a steady state or, if they are more, those of the offered load: refused
-// requests are not in flight.
-func (p *pick) supplyOf(candidates []*catalog.Endpoint, endpoints int) supply {
+// supplyOf returns the supply of the candidates, which are a sample of the number of endpoints, and sets
+// the room and the turnover of each of them in all, unless that is nil. Arrivals are the requests that
+// begin in a steady state or, if they are more, those of the offered load: refused requests are not in
+// flight.
+func (p *pick) supplyOf(candidates []*catalog.Endpoint, endpoints int, all []weighed) supply {
 	var s supply
 	var turnover float64
 	var window time.Duration
-	for _, e := range candidates {
-		if p.mayChoose(e) {
-			s.room += p.roomOf(e)
+	for i, e := range candidates {
+		w := weighed{turnover: p.turnover(e)}
+		reason := p.exclusion(e)
+		if reason == "" {
+			w.room = p.roomOf(e)
 		}
-		turnover += p.turnover(e)
+		if all != nil {
+			all[i] = w
+			p.countExclusion(reason)
+		}
+		s.room += w.room
+		turnover += w.turnover
 		window += p.countWindow(e)
 	}
 	n := float64(max(len(candidates), 1))
@@ -79,6 +87,13 @@
 	return s
 }
 
+// countExclusion counts an endpoint that is left out of a choice for lack of KV cache.
+func (p *pick) countExclusion(reason Exclusion) {
+	if reason == CacheFull && !p.isExplained {
+		p.cacheFull.Add(1)
+	}
+}
+
 // offeredRequests returns the number of requests that callers send to all daemons in the time, zero if
 // the offered load isn't known.
 func (p *pick) offeredRequests(candidates []*catalog.Endpoint, window time.Duration) float64 {
@@ -92,8 +107,7 @@
 	return p.times.Arrived(offered, window)
 }
 
-// isAdmitted reports whether the request is among the share for which the candidates have room.
-func (p *pick) isAdmitted(candidates []*catalog.Endpoint, endpoints int) bool {
-	s := p.supplyOf(candidates, endpoints)
+// isAdmitted reports whether the request is among the share for which there is room.
+func (p *pick) isAdmitted(s supply) bool {
 	return s.room > 0 && p.request.Draw <= s.admitted()
 }
--- a/internal/route/balance/room_test.go
+++ b/internal/route/balance/room_test.go
@@ -68,3 +68,17 @@
 		})
 	}
 }
+
+// TestCacheFullCount guards against a metric that counts an endpoint more than once for a choice.
+func TestCacheFullCount(t *testing.T) {
+	b := New(Options{Daemons: fixedDaemonCount(1), Fleet: fleetSize(1), Limits: noLimits{}, Times: cost.New(), Choice: ByCost, RemotePenalty: 0.3})
+	var endpoints []*catalog.Endpoint
+	for _, id := range []ident.Instance{"a", "b", "c"} {
+		e := testEndpoint{id: id, inFlight: 1}.build()
+		e.Load.AddReserved(testEngine.KVCapacity)
+		endpoints = append(endpoints, e)
+	}
+	c := qt.New(t)
+	c.Check(b.Pick(testStart, endpoints, Request{MaxUtilisation: 0.9, PromptTokens: 600}), qt.IsNil)
+	c.Check(b.cacheFull.Load(), qt.Equals, int64(len(endpoints)))
+}
