budget: Share the accept loop and the writes in pieces of its listeners

Change: OpenConn, Accept, Account.WriteTo and Budget.instant have each of them once.

Result: no change of behaviour.

--- a/internal/caller/httpserver/server.go
+++ b/internal/caller/httpserver/server.go
@@ -117,9 +117,8 @@
 }
 
 func (s *Server) startConn(netConn net.Conn) {
-	account := s.Budget.Open(s.Kind, netConn.RemoteAddr(), func() { budget.ResetConn(netConn) })
+	account := s.Budget.OpenConn(s.Kind, netConn)
 	if account == nil {
-		s.Budget.RefuseConn(s.Kind, netConn)
 		return
 	}
 	c := newConn(s, netConn, account)
--- a/internal/kernel/budget/account.go
+++ b/internal/kernel/budget/account.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
@@ -58,7 +59,7 @@
 	if tcp, ok := remote.(*net.TCPAddr); ok {
 		a.peer = tcp.AddrPort().Addr().Unmap()
 	}
-	now := int64(clock.InstantOf(b.Clock.Now()))
+	now := b.instant()
 	a.startedAt.Store(now)
 	a.progressAt.Store(now)
 	b.mu.Lock()
@@ -144,8 +145,7 @@
 	if taken {
 		a.hold(int64(n))
 	}
-	now := int64(clock.InstantOf(a.budget.Clock.Now()))
-	a.progressAt.Store(now)
+	a.progressAt.Store(a.budget.instant())
 	if !a.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseReading)) || !taken {
 		if taken {
 			a.Release(n)
@@ -198,7 +198,7 @@
 
 // Begin says that a request is read from now on. It reports whether the connection may be used.
 func (a *Account) Begin() bool {
-	now := int64(clock.InstantOf(a.budget.Clock.Now()))
+	now := a.budget.instant()
 	a.startedAt.Store(now)
 	a.progressAt.Store(now)
 	a.received.Store(0)
@@ -209,7 +209,7 @@
 func (a *Account) Received(n int) {
 	if n > 0 {
 		a.received.Add(int64(n))
-		a.progressAt.Store(int64(clock.InstantOf(a.budget.Clock.Now())))
+		a.progressAt.Store(a.budget.instant())
 	}
 }
 
@@ -220,15 +220,36 @@
 
 // Finish says that the request has been answered or refused.
 func (a *Account) Finish() {
-	a.progressAt.Store(int64(clock.InstantOf(a.budget.Clock.Now())))
+	a.progressAt.Store(a.budget.instant())
 	if !a.phase.CompareAndSwap(int32(phaseRunning), int32(phaseIdle)) {
 		a.phase.CompareAndSwap(int32(phaseReading), int32(phaseIdle))
 	}
 }
 
-// StartWrite and EndWrite enclose a write to the caller, who may not read.
+// writePiece is the number of bytes that a peer has to read within the grace period, or within a time
+// limit of WriteTo.
+const writePiece = 64 << 10
+
+// WriteTo writes to the connection of the account, whose peer may not read. Each piece has the time
+// limit; zero means that the deadline of the connection stays.
+func (a *Account) WriteTo(c net.Conn, p []byte, limit time.Duration) (int, error) {
+	defer a.EndWrite()
+	for written := 0; ; {
+		a.StartWrite()
+		if limit > 0 {
+			_ = c.SetWriteDeadline(a.budget.Clock.Now().Add(limit))
+		}
+		n, err := c.Write(p[written:min(len(p), written+writePiece)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// StartWrite and EndWrite enclose a write to the peer, which may not read.
 func (a *Account) StartWrite() {
-	a.writingSince.Store(int64(clock.InstantOf(a.budget.Clock.Now())))
+	a.writingSince.Store(a.budget.instant())
 }
 
 // EndWrite ends what StartWrite has begun.
--- a/internal/kernel/budget/budget.go
+++ b/internal/kernel/budget/budget.go
@@ -153,6 +153,11 @@
 	return math.MaxInt
 }
 
+// instant returns the present clock.Instant.
+func (b *Budget) instant() int64 {
+	return int64(clock.InstantOf(b.Clock.Now()))
+}
+
 // take reserves the bytes if there is room.
 func (b *Budget) take(n int64) bool {
 	for {
--- a/internal/kernel/budget/listener.go
+++ b/internal/kernel/budget/listener.go
@@ -7,17 +7,16 @@
 	"time"
 
 	"cuminbay/internal/domain/unit"
-	"cuminbay/internal/kernel/clock"
 )
 
 // refusal is the answer to a connection that is refused. Nothing of it has been read, so no request
 // has run.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// RefuseConn closes a new connection for which there is no room. Callers get an answer; other daemons
+// refuseConn closes a new connection for which there is no room. Callers get an answer; other daemons
 // don't, as their HTTP client logs an answer that comes before the request.
-func (b *Budget) RefuseConn(k Kind, c net.Conn) {
-	b.refusedAt[k].Store(int64(clock.InstantOf(b.Clock.Now())))
+func (b *Budget) refuseConn(k Kind, c net.Conn) {
+	b.refusedAt[k].Store(b.instant())
 	b.Refused("connections", c.RemoteAddr().String())
 	if k != Daemons {
 		// The socket's buffer is empty, so the write doesn't wait.
@@ -36,6 +35,29 @@
 	_ = c.Close()
 }
 
+// OpenConn opens the account of a new connection. If there is no room, it refuses the connection and
+// returns nil.
+func (b *Budget) OpenConn(k Kind, c net.Conn) *Account {
+	account := b.Open(k, c.RemoteAddr(), func() { ResetConn(c) })
+	if account == nil {
+		b.refuseConn(k, c)
+	}
+	return account
+}
+
+// Accept returns the next connection of the listener for which there is room, and its account.
+func (b *Budget) Accept(l net.Listener, k Kind) (net.Conn, *Account, error) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return nil, nil, err
+		}
+		if account := b.OpenConn(k, c); account != nil {
+			return c, account, nil
+		}
+	}
+}
+
 // Listener accepts connections with accounts, for HTTP servers that don't know the budget.
 type Listener struct {
 	net.Listener
@@ -50,17 +72,11 @@
 
 // Accept returns the next connection for which there is room.
 func (l *Listener) Accept() (net.Conn, error) {
-	for {
-		netConn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		account := l.budget.Open(l.kind, netConn.RemoteAddr(), func() { ResetConn(netConn) })
-		if account != nil {
-			return &Conn{Conn: netConn, account: account}, nil
-		}
-		l.budget.RefuseConn(l.kind, netConn)
+	netConn, account, err := l.budget.Accept(l.Listener, l.kind)
+	if err != nil {
+		return nil, err
 	}
+	return &Conn{Conn: netConn, account: account}, nil
 }
 
 // Conn is a connection whose requests an HTTP server reads and answers one after the other.
@@ -97,24 +113,9 @@
 	return n, err
 }
 
-// writePiece is the number of bytes that a caller has to read within the write time limit.
-const writePiece = 64 << 10
-
 // Write writes to a caller, who may not read.
 func (c *Conn) Write(p []byte) (int, error) {
-	defer c.account.EndWrite()
-	b, written := c.account.budget, 0
-	for {
-		c.account.StartWrite()
-		if b.WriteTimeout > 0 {
-			_ = c.SetWriteDeadline(b.Clock.Now().Add(b.WriteTimeout))
-		}
-		n, err := c.Conn.Write(p[written:min(len(p), written+writePiece)])
-		written += n
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
+	return c.account.WriteTo(c.Conn, p, c.account.budget.WriteTimeout)
 }
 
 // Close closes the connection and returns what it has reserved.
--- a/internal/peer/twirp/bounded.go
+++ b/internal/peer/twirp/bounded.go
@@ -40,17 +40,11 @@
 
 // Accept returns the next connection for which there is room.
 func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		netConn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		account := l.budget.Open(budget.Daemons, netConn.RemoteAddr(), func() { budget.ResetConn(netConn) })
-		if account != nil {
-			return &boundedConn{Conn: netConn, account: account}, nil
-		}
-		l.budget.RefuseConn(budget.Daemons, netConn)
+	netConn, account, err := l.budget.Accept(l.Listener, budget.Daemons)
+	if err != nil {
+		return nil, err
 	}
+	return &boundedConn{Conn: netConn, account: account}, nil
 }
 
 // boundedConn is a connection whose requests are answered one after the other. The HTTP server also
@@ -91,20 +85,10 @@
 	return n, err
 }
 
-// writePiece is the number of bytes that a daemon has to read within the grace period.
-const writePiece = 64 << 10
-
-// Write writes to a daemon, which may not read.
+// Write writes to a daemon, which may not read. The HTTP server has set the deadline.
 func (c *boundedConn) Write(p []byte) (int, error) {
-	defer c.account.EndWrite()
-	for written := 0; ; {
-		c.account.StartWrite()
-		n, err := c.Conn.Write(p[written:min(len(p), written+writePiece)])
-		written += n
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
+	const noLimit = 0
+	return c.account.WriteTo(c.Conn, p, noLimit)
 }
 
 // Close closes the connection and returns what it has reserved.
