proof: Share the measuring of daemons beside misbehaving clients

Cause: misbehaving.Check and the two tests of the ports for other daemons each collected the peaks of memory and descriptors and compared them with the bounds.

Change: misbehaving.Peaks does both, in usage.go with what it measures. The bounds stay with the tests, and each one is compared as before. Errors name the daemon. The misbehaving clients are called clients.

Result: platform TestDaemonPort, proof/process TestDaemonPort with default connections and platform TestMisbehavingClients for readiness pass; the other cases were not run.

--- a/internal/proof/misbehaving/check.go
+++ b/internal/proof/misbehaving/check.go
@@ -1,8 +1,6 @@
 package misbehaving
 
 import (
-	"errors"
-	"fmt"
 	"time"
 
 	"cuminbay/internal/kernel/clock"
@@ -44,27 +42,16 @@
 	const hold, interval = 1500 * time.Millisecond, 50 * time.Millisecond
 	clients := Open(k.Clock, k.Target, b)
 	defer clients.Close()
-	var peak Usage
-	measure := func() error {
-		u, err := UsageOf(k.PID)
-		peak.PeakMemory, peak.Descriptors = max(peak.PeakMemory, u.PeakMemory), max(peak.Descriptors, u.Descriptors)
-		return err
-	}
+	const daemon = "daemon"
+	peaks := make(Peaks)
 	for until := k.Clock.Now().Add(hold); k.Clock.Now().Before(until); k.Clock.Sleep(interval) {
-		if err := measure(); err != nil {
-			return peak, err
+		if err := peaks.Measure(daemon, k.PID); err != nil {
+			return peaks[daemon], err
 		}
 	}
 	awaitServed()
-	if err := measure(); err != nil {
-		return peak, err
-	}
-	var errs []error
-	if peak.PeakMemory > k.Memory {
-		errs = append(errs, fmt.Errorf("resident memory reached %d MB of %d", peak.PeakMemory>>20, k.Memory>>20))
-	}
-	if peak.Descriptors > descriptorBound {
-		errs = append(errs, fmt.Errorf("%d descriptors were open, the bound is %d", peak.Descriptors, descriptorBound))
+	if err := peaks.Measure(daemon, k.PID); err != nil {
+		return peaks[daemon], err
 	}
-	return peak, errors.Join(errs...)
+	return peaks[daemon], peaks.Check(k.Memory, descriptorBound)
 }
--- a/internal/proof/misbehaving/misbehaving.go
+++ b/internal/proof/misbehaving/misbehaving.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -180,34 +179,3 @@
 	}
 	cs.done.Wait()
 }
-
-// Usage is what a process uses.
-type Usage struct {
-	// PeakMemory is the highest resident memory since the start, in bytes.
-	PeakMemory int64
-	// Descriptors is the number of open file descriptors.
-	Descriptors int
-}
-
-// UsageOf returns what the process uses. It fails if the process has ended.
-func UsageOf(pid int) (Usage, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return Usage{}, err
-	}
-	var u Usage
-	for line := range strings.Lines(string(raw)) {
-		if value, isPeak := strings.CutPrefix(line, "VmHWM:"); isPeak {
-			if _, err := fmt.Sscan(value, &u.PeakMemory); err != nil {
-				return Usage{}, err
-			}
-			u.PeakMemory <<= 10
-		}
-	}
-	if u.PeakMemory == 0 {
-		return Usage{}, fmt.Errorf("process %d has ended", pid)
-	}
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	u.Descriptors = len(entries)
-	return u, err
-}
--- a/internal/proof/process/daemonport_test.go
+++ b/internal/proof/process/daemonport_test.go
@@ -47,11 +47,11 @@
 			for i, behaviour := range slices.Sorted(maps.Keys(behaviours)) {
 				t.Run(behaviour, func(t *testing.T) {
 					for _, d := range s.daemons {
-						present := misbehaving.Open(clk, misbehaving.Target{
+						clients := misbehaving.Open(clk, misbehaving.Target{
 							Address: d.peerAddress, Method: http.MethodPost, Path: twirp.PeerPathPrefix + "Exchange",
 							Fields: "Content-Type: application/protobuf\r\n", Body: envelope,
 						}, behaviours[behaviour])
-						defer present.Close()
+						defer clients.Close()
 					}
 					s.checkDaemonPort(qt.New(t), i, test.maxDescriptors)
 				})
@@ -64,13 +64,10 @@
 // these leave a record reaches the daemons and ordinary requests are answered.
 func (s *cluster) checkDaemonPort(c *qt.C, n, maxDescriptors int) {
 	const hold, answerWithin = 1500 * time.Millisecond, 10 * time.Second
-	peaks := make(map[string]misbehaving.Usage)
+	peaks := make(misbehaving.Peaks)
 	measure := func() {
 		for _, d := range s.daemons {
-			u, err := misbehaving.UsageOf(d.cmd.Process.Pid)
-			c.Assert(err, qt.IsNil, qt.Commentf("%s", d.name))
-			u.Descriptors = max(u.Descriptors, peaks[d.name].Descriptors)
-			peaks[d.name] = u
+			c.Assert(peaks.Measure(d.name, d.cmd.Process.Pid), qt.IsNil)
 		}
 	}
 	s.poll(hold, func() bool { measure(); return false })
@@ -89,7 +86,6 @@
 	measure()
 	for name, peak := range peaks {
 		c.Logf("%s: peak %d MB, %d descriptors", name, peak.PeakMemory>>20, peak.Descriptors)
-		c.Check(peak.PeakMemory <= daemonPortMemory<<20, qt.IsTrue, qt.Commentf("%s: resident memory reached %d MB of %d", name, peak.PeakMemory>>20, daemonPortMemory))
-		c.Check(peak.Descriptors <= maxDescriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors were open, the bound is %d", name, peak.Descriptors, maxDescriptors))
 	}
+	c.Check(peaks.Check(daemonPortMemory<<20, maxDescriptors), qt.IsNil)
 }
