formation, layout: Make the start of conversions easier to follow

Cause: convertReplicas set the start of the known demand in the last case of a switch of conditions to return, beginConversions didn't say why a conversion may begin without a delay, and Fleet.clone dropped followsDemand, which IsGain reads.

Change: plain conditions, a sentence on recognised conversions, and a clone with all fields.

Result: no change of behaviour, as nothing calls IsGain on a clone. The tests of layout and formation pass.

--- a/internal/fleet/formation/convert.go
+++ b/internal/fleet/formation/convert.go
@@ -99,13 +99,14 @@
 		p.conversions[service.Name] = state
 	}
 	state.running = slices.DeleteFunc(state.running, func(c *conversion) bool { return !p.continueConversion(service, state, c) })
-	switch {
-	case !p.Demand.hasLoadOf(service.Name):
+	if !p.Demand.hasLoadOf(service.Name) {
 		state.wanted, state.demandSince = modelPair{}, time.Time{}
 		return
-	case p.loads.bootstrap || p.now.Sub(state.decidedAt) < conversionInterval:
+	}
+	if p.loads.bootstrap || p.now.Sub(state.decidedAt) < conversionInterval {
 		return
-	case state.demandSince.IsZero():
+	}
+	if state.demandSince.IsZero() {
 		state.demandSince = p.now
 	}
 	state.decidedAt = p.now
@@ -203,7 +204,8 @@
 	p.Decisions = append(p.Decisions, d)
 }
 
-// beginConversions begins the conversions that are a gain for the fleet.
+// beginConversions begins the conversions that are a gain for the fleet. At the start of a term it
+// first recognises those that an earlier planner began, which needs no least gain and no delay.
 func (p *Planner) beginConversions(service *cluster.Service, state *conversionState, fleet *layout.Fleet) {
 	isRecognising := p.now.Sub(state.firstDecision) < recognitionTime
 	for {
--- a/internal/fleet/layout/conversion.go
+++ b/internal/fleet/layout/conversion.go
@@ -230,7 +230,9 @@
 
 // clone returns a copy that Apply may change.
 func (f *Fleet) clone() *Fleet {
-	return &Fleet{Models: f.Models, Domains: slices.Clone(f.Domains)}
+	c := *f
+	c.Domains = slices.Clone(f.Domains)
+	return &c
 }
 
 // rating rates the fleet for conversions.
