formation: Say what gainDelay is longer than

Cause: the comment said that an average shows a burst "for that long", without the time or what it is compared with.

Change: the comment gives both, as design/layout.md does.

Result: a comment only.

--- a/internal/fleet/formation/convert.go
+++ b/internal/fleet/formation/convert.go
@@ -20,7 +20,8 @@
 const (
 	// newDemandDelay is the time for which a conversion has to be a gain before it begins, while
 	// this planner has known the demand for less than gainDelay, and gainDelay the time after that.
-	// An average over 8 s shows a burst of 3 s for that long.
+	// The demand is a mean over 8 s, which a burst of 3 s raises for 8 to 9 s: gainDelay is longer, so
+	// that such a burst moves no replicas.
 	newDemandDelay = 3 * time.Second
 	gainDelay      = 10 * time.Second
 	// reverseDelay is the time after a conversion in which the models aren't converted the other
