--- a/internal/fleet/formation/convert_test.go
+++ b/internal/fleet/formation/convert_test.go
@@ -100,6 +100,7 @@
 // others, against conversions for a demand that changes for a moment, and against conversions that
 // take more than a third of a model's replicas away at once.
 func TestDemandShifts(t *testing.T) {
+	t.Parallel()
 	type change struct {
 		share float64
 		time  time.Duration
@@ -144,6 +145,7 @@
 // TestWave guards against conversions for a demand that rises and falls in all models alike, and
 // for one that the replicas serve with all their slots free but a few.
 func TestWave(t *testing.T) {
+	t.Parallel()
 	const period = 15 * time.Second
 	tests := map[string]struct {
 		share, factor float64
@@ -188,6 +190,7 @@
 // TestConversionFaults guards against conversions that end halfway, take away replicas that serve
 // or put a server into two replicas when a machine, a link, the store or the planner fails.
 func TestConversionFaults(t *testing.T) {
+	t.Parallel()
 	failMember := func(tc *testCluster, p *Planner, r *replica) *Planner {
 		failServer(tc, p, r.members[2])
 		return p
@@ -275,6 +278,7 @@
 // TestDataCentreCutOffWhileConverting guards against replicas that are given up while a data centre
 // can't be reached, and against replicas there that get orders when they can be reached again.
 func TestDataCentreCutOffWhileConverting(t *testing.T) {
+	t.Parallel()
 	for name, prepared := range map[string]float64{"loads run": 0, "prepared": 0.5} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/fleet/formation/losses_test.go
+++ b/internal/fleet/formation/losses_test.go
@@ -67,6 +67,7 @@
 // lost server, as its replicas wait for members. The fleet has to bear the loss of a data centre,
 // so servers lost one by one, far fewer than a data centre has, may not cost more.
 func TestSeriesOfLosses(t *testing.T) {
+	t.Parallel()
 	const domains, tolerated = 9, 1.0 / dataCentres
 	tests := map[string]uint64{"seed 1": 1, "seed 2": 2, "seed 3": 3}
 	for name, seed := range tests {
--- a/internal/fleet/formation/planner_test.go
+++ b/internal/fleet/formation/planner_test.go
@@ -386,6 +386,7 @@
 // planners replace each other, servers are cut off and return, the store is away or has an old
 // list of the servers, and the demand changes or is unknown.
 func TestFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		tc := newTestCluster(3, 9, testModels()...)
 		token, options := unit.Revision(10), testOptions()
