review: withdrawn keys stay in use after an outage of the store (case 10)

Cause: after failed calls the platform is avoided for up to 2.6 s, whether or not it answers again. With a call that hangs as the outage ends, a daemon learns of a change up to 3.5 s after the outage, longer than the stable window of 3 s that excuses it.

--- a/review/rig2/consumer.go
+++ b/review/rig2/consumer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,8 @@
 	id, path, body string
 	fields         []string
 	deadline       time.Duration
+	// key is the consumer's key, apiKey if it is empty.
+	key string
 }
 
 // result is what a consumer got.
@@ -34,7 +37,7 @@
 // encode returns the request in its wire form.
 func (c *call) encode() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: yard.example\r\nRequest-Id: %s\r\nKey: %s\r\nDeadline-Ms: %d\r\n", c.path, c.id, apiKey, c.deadline.Milliseconds())
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: yard.example\r\nRequest-Id: %s\r\nKey: %s\r\nDeadline-Ms: %d\r\n", c.path, c.id, cmp.Or(c.key, apiKey), c.deadline.Milliseconds())
 	for _, f := range c.fields {
 		b.WriteString(f + "\r\n")
 	}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -53,6 +53,8 @@
 	daemons []*daemon
 	servers []*server
 	stop    chan struct{}
+	// ownViews says that each daemon has links to servers of its own.
+	ownViews bool
 
 	mu     sync.Mutex
 	record *os.File
@@ -106,6 +108,8 @@
 	name, zone          string
 	front, ready, relay string
 	settingsPath        string
+	// view is the store as this daemon sees it, nil if it sees the store itself.
+	view *view
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -118,7 +122,7 @@
 func (r *rig) startDaemons(zones ...string) error {
 	for i, zone := range zones {
 		d := &daemon{rig: r, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, front: r.host.Address(), ready: r.host.Address(), relay: r.host.Address()}
-		if err := d.writeSettings(i == 0); err != nil {
+		if err := d.writeSettings(); err != nil {
 			return err
 		}
 		if err := d.start(); err != nil {
@@ -130,11 +134,16 @@
 }
 
 // writeSettings writes what deploy/settings.json.tmpl yields for the machine.
-func (d *daemon) writeSettings(bool) error {
+func (d *daemon) writeSettings() error {
 	gossip, metrics := d.rig.host.Address(), d.rig.host.Address()
+	storeAddress := d.rig.store.Address()
+	if d.rig.ownViews {
+		d.view = d.rig.newView()
+		storeAddress = d.view.Listener.Addr().String()
+	}
 	settings := map[string]any{
 		"daemon":    map[string]any{"instance": d.name, "dataCentre": d.zone, "region": "valley", "adapter": "platform", "memory": memoryMB, "logLevel": "info", "events": 256, "stopLimit": fmt.Sprintf("%ds", graceSeconds)},
-		"adapter":   map[string]any{"front": d.front, "ready": d.ready, "metrics": metrics, "relay": d.relay, "store": d.rig.store.Address()},
+		"adapter":   map[string]any{"front": d.front, "ready": d.ready, "metrics": metrics, "relay": d.relay, "store": storeAddress},
 		"gossip":    map[string]any{"listen": gossip, "feed": gossip, "relay": d.relay},
 		"feed":      map[string]any{"listen": gossip},
 		"forward":   map[string]any{"ratio": 0.2, "slack": 134, "window": "10s"},
