--- a/review/rig2/poison.go
+++ b/review/rig2/poison.go
@@ -23,7 +23,7 @@
 	restarts int
 }
 
-// playPoison lets a request that crashes servers come again and again, and kills all daemons once.
+// playPoison lets a request that crashes servers come again and again, and kills all daemons twice.
 func playPoison(r *rig) (bool, error) {
 	p := &poisonCase{rig: r}
 	for i, zone := range []string{"kirtipur", "lalitpur", "thimi", "kirtipur", "lalitpur", "thimi"} {
@@ -40,22 +40,24 @@
 	go p.soundTraffic(&sound)
 	const (
 		quick, slow = time.Second, 4 * time.Second
-		length      = 92 * time.Second
-		killAfter   = 10 * time.Second
+		length      = 55 * time.Second
+		killEvery   = 20 * time.Second
+		firstKill   = 10 * time.Second
+		kills       = 2
 	)
-	began, killed := time.Now(), false
+	began, killed := time.Now(), 0
 	for n := 0; time.Since(began) < length; n++ {
 		d := r.daemons[n%len(r.daemons)]
 		c := &call{id: fmt.Sprintf("poison-%03d", n), path: "/stock/2f", body: poisonBody, deadline: time.Second}
 		answer := d.sendOnce(c)
 		r.logf("%s at %s: status %d, error %v", c.id, d.name, answer.status, answer.err)
-		if r.trouble && !killed && time.Since(began) >= killAfter {
-			killed = true
+		if r.trouble && killed < kills && time.Since(began) >= firstKill+time.Duration(killed)*killEvery {
+			killed++
 			if err := r.killAll(); err != nil {
 				return false, err
 			}
 		}
-		if time.Since(began) < killAfter/2 {
+		if time.Since(began) < firstKill/2 {
 			time.Sleep(quick)
 		} else {
 			time.Sleep(slow)
