mirror: Bound the time to read from the platform after an outage

Cause: the platform was avoided for a time that counted from the end of a failed call and was doubled, up to 2.6 s, after a call that may have hung for 0.6 s as the store returned; a retry delay of up to 0.55 s came on top. Daemons' news that a source is back did not end the wait.

The retry delay ends when a source can be used again or a datagram reports a recent copy. Only the first four daemons of a data centre call an unavailable platform at first, as docs/system.md said; without a parent, all did.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -84,6 +84,9 @@
 	// cancelCall cancels the current call to the source.
 	peerRevision atomic.Int64
 	cancelCall   atomic.Pointer[context.CancelFunc]
+	// sourceRegained is signalled when another daemon reports a recent copy while this one is too
+	// old.
+	sourceRegained chan struct{}
 	// freshness has the bounds of the copy's age.
 	freshness freshness
 
@@ -108,7 +111,7 @@
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{Options: o, freshness: freshnessFor(o.Within), retryDelay: minRetryDelay, entries: make(map[store.Key]store.Entry), changed: make(chan struct{}), deferredRemovals: make(map[store.Key]time.Time), unsettled: make(map[store.Key]time.Time)}
+	return &Mirror{Options: o, freshness: freshnessFor(o.Within), retryDelay: minRetryDelay, entries: make(map[store.Key]store.Entry), changed: make(chan struct{}), sourceRegained: make(chan struct{}, 1), deferredRemovals: make(map[store.Key]time.Time), unsettled: make(map[store.Key]time.Time)}
 }
 
 // AddHandler adds a handler of changes. It must not be called after Run.
@@ -201,12 +204,20 @@
 // Run copies the source until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		plugin.Sleep(ctx, m.Clock, m.poll(ctx))
+		delay, err := m.poll(ctx)
+		if err == nil {
+			plugin.Sleep(ctx, m.Clock, delay)
+			continue
+		}
+		// Datagrams arrive much more often than a failed call is worth repeating.
+		plugin.Sleep(ctx, m.Clock, minRetryDelay)
+		plugin.SleepOrWake(ctx, m.Clock, delay-minRetryDelay, m.sourceRegained)
 	}
 }
 
-// poll makes one call to the source and returns the delay before the next one.
-func (m *Mirror) poll(ctx context.Context) time.Duration {
+// poll makes one call to the source. It returns the delay before the next one, and the error of a
+// call that failed.
+func (m *Mirror) poll(ctx context.Context) (time.Duration, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.cancelCall.Store(&cancel)
@@ -218,16 +229,25 @@
 	}
 	if err == nil {
 		m.retryDelay = minRetryDelay
-		return m.currentBatchTime()
+		return m.currentBatchTime(), nil
 	}
 	if code.Of(err) == code.BadMessage {
 		// The same changes would be malformed again.
 		m.synced = false
 	}
 	m.recordSourceLoss(err)
-	delay := m.retryDelay
+	return m.nextRetryDelay(), err
+}
+
+// nextRetryDelay returns the delay before the next call after one that failed. It ends as soon as a
+// source that is avoided can be used again.
+func (m *Mirror) nextRetryDelay() time.Duration {
+	delay := clock.Jitter(m.retryDelay)
 	m.retryDelay = min(2*m.retryDelay, maxRetryDelay)
-	return clock.Jitter(delay)
+	if u, ok := m.Source.(*Upstream); ok {
+		return max(u.untilNextSource(delay), minRetryDelay)
+	}
+	return delay
 }
 
 func (m *Mirror) recordSourceLoss(err error) {
@@ -236,8 +256,23 @@
 	}
 }
 
-// ObserveRevision records the revision of another daemon's copy.
-func (m *Mirror) ObserveRevision(revision unit.Revision) {
+// ObserveCopy records the revision and the age of another daemon's copy. If that copy is recent and
+// this daemon's is too old, as after an outage of the platform, the delay before the next call ends.
+func (m *Mirror) ObserveCopy(from ident.Instance, revision unit.Revision, age time.Duration) {
+	m.observeRevision(revision)
+	if age >= m.MaxAge() || m.Age() < m.MaxAge() {
+		return
+	}
+	if u, ok := m.Source.(*Upstream); ok {
+		u.acceptCopyOf(from)
+	}
+	select {
+	case m.sourceRegained <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Mirror) observeRevision(revision unit.Revision) {
 	for {
 		current := m.peerRevision.Load()
 		if current >= int64(revision) || m.peerRevision.CompareAndSwap(current, int64(revision)) {
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -172,7 +172,7 @@
 			m := newTestMirror(clk, source)
 			m.AddHandler(handler)
 			for ctx.Err() == nil {
-				m.poll(ctx)
+				_, _ = m.poll(ctx) // some calls fail on purpose
 				if ctx.Err() == nil && !m.SourceConnected() {
 					clk.Advance(test.outage)
 				}
@@ -221,13 +221,13 @@
 type fakeTree struct {
 	parent    ident.Instance
 	fallbacks []Peer
-	// followsOnly says that the daemon may not read from the platform.
-	followsOnly bool
+	// readerGroup is the daemon's position among those that read from the platform.
+	readerGroup int
 }
 
 func (f fakeTree) Parent() (Peer, bool)  { return Peer{Instance: f.parent}, f.parent != "" }
 func (f fakeTree) FallbackPeers() []Peer { return f.fallbacks }
-func (f fakeTree) MayReadPlatform() bool { return !f.followsOnly }
+func (f fakeTree) ReaderGroup() int      { return f.readerGroup }
 
 // TestUpstream guards against a daemon that gets no changes because it reads from a
 // source that is unavailable or has itself lost its connection to the platform, and
@@ -249,19 +249,19 @@
 		"parent unavailable":              {tree: fakeTree{parent: "p"}, platform: []sourceAnswer{platformUp}, calls: []string{"p"}, platformCalls: 1},
 		"parent without the platform":     {tree: fakeTree{parent: "p"}, ages: map[ident.Instance]time.Duration{"p": 9 * time.Second}, platform: []sourceAnswer{platformUp}, calls: []string{"p"}, platformCalls: 1},
 		"follower whose parent is unavailable": {
-			tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, followsOnly: true}, platform: []sourceAnswer{platformUp},
+			tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, readerGroup: 1}, platform: []sourceAnswer{platformUp},
 			calls: []string{"p"}, platformCalls: 1,
 		},
 		"follower whose parent is unavailable, platform too": {
-			tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, followsOnly: true}, platform: []sourceAnswer{{fails: true}},
+			tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, readerGroup: 1}, platform: []sourceAnswer{{fails: true}},
 			ages: map[ident.Instance]time.Duration{"q": 0}, calls: []string{"p", "q"}, platformCalls: 1,
 		},
 		"follower whose parent has an old copy": {
-			tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, followsOnly: true}, platform: []sourceAnswer{platformUp},
+			tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, readerGroup: 1}, platform: []sourceAnswer{platformUp},
 			ages: map[ident.Instance]time.Duration{"p": 9 * time.Second, "q": 0}, calls: []string{"p", "q"},
 		},
 		"follower without a source with a recent copy": {
-			tree: fakeTree{parent: "p", followsOnly: true}, platform: []sourceAnswer{platformUp},
+			tree: fakeTree{parent: "p", readerGroup: 1}, platform: []sourceAnswer{platformUp},
 			ages: map[ident.Instance]time.Duration{"p": 9 * time.Second}, calls: []string{"p"}, fails: true,
 		},
 		"connection to the platform silent, new ones work": {
@@ -313,7 +313,7 @@
 			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: &Upstream{Clock: clk, Log: zerolog.Nop(), Feed: &fakeFeed{transferring: test.transferring}, Tree: fakeTree{}}})
 			call, cancel := context.WithCancel(ctx)
 			m.cancelCall.Store(&cancel)
-			m.ObserveRevision(7)
+			m.ObserveCopy("q", 7, 0)
 			go m.MonitorLag(ctx)
 			for range 4 {
 				c.Assert(clk.BlockUntilContext(ctx, 1), qt.IsNil)
@@ -349,12 +349,12 @@
 			platform := &fakeSource{answers: []sourceAnswer{{changes: []store.Change{{Entry: entry("op/config", "new", 10)}}, revision: 10}}, cancel: stop}
 			m := New(Options{Clock: clk, Log: zerolog.Nop(), Within: test.within})
 			m.Source = &Upstream{Clock: clk, Log: zerolog.Nop(), Platform: platform, Feed: feed, Tree: fakeTree{parent: "p"}, MaxAge: m.MaxAge()}
-			m.poll(ctx)
+			_, _ = m.poll(ctx) // some calls fail on purpose
 			c.Assert(m.Revision(), qt.Equals, unit.Revision(9), qt.Commentf("list of the parent"))
 			polled := make(chan struct{})
 			go func() {
-				m.poll(ctx)
-				m.poll(ctx)
+				_, _ = m.poll(ctx) // some calls fail on purpose
+				_, _ = m.poll(ctx) // some calls fail on purpose
 				close(polled)
 			}()
 			<-feed.waiting
@@ -401,7 +401,7 @@
 			defer cancel()
 			clk := clockwork.NewFakeClock()
 			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: &fakeSource{answers: []sourceAnswer{{revision: 3}, {revision: 3}}, cancel: cancel}})
-			m.poll(ctx)
+			_, _ = m.poll(ctx) // some calls fail on purpose
 			clk.Advance(time.Second)
 			answered := make(chan time.Time, 1)
 			start := clk.Now()
@@ -413,7 +413,7 @@
 				c.Assert(clk.BlockUntilContext(ctx, 1), qt.IsNil)
 			}
 			if test.confirmed {
-				m.poll(ctx)
+				_, _ = m.poll(ctx) // some calls fail on purpose
 			}
 			clk.Advance(test.wantWait)
 			c.Check((<-answered).Sub(start), qt.Equals, test.wantWait)
@@ -483,7 +483,7 @@
 	}}
 	m := newTestMirror(clk, source)
 	for range 3 {
-		m.poll(ctx)
+		_, _ = m.poll(ctx) // some calls fail on purpose
 		if !m.SourceConnected() {
 			clk.Advance(2 * time.Second)
 		}
--- a/internal/fleet/mirror/plugin.go
+++ b/internal/fleet/mirror/plugin.go
@@ -26,13 +26,15 @@
 	Renewal settings.Duration `json:"renewal" validate:"duration"`
 	// Within is the time within which a change of the store's keys has to be in force. The age at which a copy is too old follows from it.
 	Within settings.Duration `json:"within" validate:"duration"`
+	// Recovery is the time after an outage of the platform's store within which all daemons have the changes again.
+	Recovery settings.Duration `json:"recovery" validate:"duration"`
 	// Lapsing is the prefix of the keys that are bound to a lease of their writer.
 	Lapsing string `json:"lapsing" validate:"required"`
 }
 
 func init() {
 	settings.Register(section, func() any {
-		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(2400 * time.Millisecond), Renewal: settings.DurationOf(1200 * time.Millisecond), Within: settings.DurationOf(defaultWithin), Lapsing: "servers/"}
+		return &Settings{Settle: settings.DurationOf(2200 * time.Millisecond), Outage: settings.DurationOf(2400 * time.Millisecond), Renewal: settings.DurationOf(1200 * time.Millisecond), Within: settings.DurationOf(defaultWithin), Recovery: settings.DurationOf(defaultRecovery), Lapsing: "servers/"}
 	})
 	plugin.RegisterForAdapter("platform", plugin.Roster, "mirror", newPlugin)
 }
@@ -40,7 +42,8 @@
 // component is the plug-in that runs the mirror.
 type component struct {
 	*Mirror
-	deps *plugin.Deps
+	deps     *plugin.Deps
+	recovery time.Duration
 }
 
 func newPlugin(deps *plugin.Deps) (plugin.Plugin, error) {
@@ -50,12 +53,12 @@
 		SettleTime: s.Settle.Duration, RenewInterval: s.Renewal.Duration, MinOutage: max(s.Outage.Duration, 2*s.Renewal.Duration),
 	})
 	deps.Provide(m)
-	return &component{m, deps}, nil
+	return &component{Mirror: m, deps: deps, recovery: s.Recovery.Duration}, nil
 }
 
 // Start finds the sources and handlers and starts copying in the background.
 func (c *component) Start(context.Context) error {
-	u := &Upstream{Clock: c.Clock, Log: c.Log, MaxAge: c.MaxAge()}
+	u := &Upstream{Clock: c.Clock, Log: c.Log, MaxAge: c.MaxAge(), Recovery: c.recovery}
 	if err := c.deps.Resolve(&u.Platform, &u.Feed, &u.Tree); err != nil {
 		return err
 	}
--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -42,9 +41,10 @@
 	// FallbackPeers returns the daemons to follow if neither the parent nor the
 	// platform can be reached, in order of preference.
 	FallbackPeers() []Peer
-	// MayReadPlatform reports whether this daemon may read from the platform although
-	// it has a parent.
-	MayReadPlatform() bool
+	// ReaderGroup returns the position, among the groups of daemons that read from the platform in
+	// turn, of this daemon's group. Daemons of group 0 may always do so; those of a later one only if
+	// the groups before it get no answer.
+	ReaderGroup() int
 }
 
 // Upstream is the Source that chooses, for each call, between the parent in the
@@ -58,46 +58,25 @@
 	// MaxAge is the age of a daemon's copy above which the copy is not followed: the
 	// daemon has lost its connection to the platform.
 	MaxAge time.Duration
+	// Recovery is the time after an outage of the platform within which all daemons have to have the
+	// changes. Zero means three seconds.
+	Recovery time.Duration
 
 	mu             sync.Mutex
 	preferPlatform bool
-	// failures has the sources whose last call failed, by daemon;
-	// platformSource stands for the platform.
-	failures map[ident.Instance]sourceFailures
+	failures       failureRecord
 	// currentSource is the source of the last successful call, and confirmedAt the time
 	// at which the platform confirmed that source's copy.
 	currentSource ident.Instance
 	confirmedAt   time.Time
+	// firstCallAt is the time at which a source was chosen for the first time.
+	firstCallAt time.Time
 	// waitingAt is the daemon at which the current call waits for changes, empty if
 	// it does not. leftOldCopy says that LeaveOldCopy has ended that call.
 	waitingAt   ident.Instance
 	leftOldCopy bool
 }
 
-// sourceFailures counts the consecutive failures of a source, of which the last one was at
-// failedAt. The source is not used until avoidUntil.
-type sourceFailures struct {
-	consecutiveFailures  int
-	failedAt, avoidUntil time.Time
-}
-
-// A source that failed is avoided for minAvoidTime, doubled for each consecutive
-// failure up to maxAvoidDoublings times: a call to a stalled platform takes as long
-// as other daemons need to pass on changes. The platform is avoided for less time, as few
-// daemons call it and the others depend on them, and not for the first failure on an open
-// connection, which may have gone silent while new ones work.
-const (
-	minAvoidTime         = 1200 * time.Millisecond
-	maxAvoidDoublings    = 3
-	maxPlatformDoublings = 1
-	platformSource       = ident.Instance("")
-)
-
-// minRecallTime is the time after its failure at which a daemon with a recent copy is called again
-// if no other source can be used. That all of them have failed is a sign of an outage of the
-// platform or of the network, which may be over, rather than of a fault of each.
-const minRecallTime = 400 * time.Millisecond
-
 // PreferPlatform sets whether this daemon reads from the platform even if it has a
 // parent, so that it gets changes sooner.
 func (u *Upstream) PreferPlatform(enabled bool) {
@@ -111,18 +90,20 @@
 // Errors carry code.PlatformUnavailable if no source can be used now.
 func (u *Upstream) chooseSource() (Peer, error) {
 	parent, hasParent := u.Tree.Parent()
-	mayReadPlatform := !hasParent || u.Tree.MayReadPlatform()
+	readerGroup := u.Tree.ReaderGroup()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Clock.Now()
-	usable := func(id ident.Instance) bool { return !now.Before(u.failures[id].avoidUntil) }
+	needsPlatform := u.needsPlatform(now)
+	usable := func(id ident.Instance) bool { return !now.Before(u.failures.usableAt(id, needsPlatform)) }
 	if hasParent && !u.preferPlatform && usable(parent.Instance) {
 		return parent, nil
 	}
 	// A parent that fails or lags, rather than having an old copy itself, says nothing
 	// about the platform.
-	parentFailed := hasParent && u.failures[parent.Instance].consecutiveFailures > 0
-	if (mayReadPlatform || u.preferPlatform || parentFailed) && usable(platformSource) {
+	parentFailed := hasParent && u.failures.hasFailed(parent.Instance)
+	mayReadPlatform := u.preferPlatform || parentFailed || u.mayReadPlatform(readerGroup, now)
+	if mayReadPlatform && usable(platformSource) {
 		return Peer{}, nil
 	}
 	peers := u.Tree.FallbackPeers()
@@ -134,37 +115,59 @@
 	if hasParent {
 		peers = append(peers, parent)
 	}
-	if p, found := u.failedFirst(peers); found && now.Sub(u.failures[p.Instance].failedAt) >= minRecallTime {
+	if p, found := u.failures.longestFailed(peers, now); found {
 		return p, nil
 	}
 	return Peer{}, code.PlatformUnavailable.New("choose a source of the copy: all sources have failed within %s", minAvoidTime<<maxAvoidDoublings)
 }
 
-// failedFirst returns the daemon whose last failure is the longest ago, and false without any
-// daemon. The caller holds the lock.
-func (u *Upstream) failedFirst(peers []Peer) (Peer, bool) {
-	if len(peers) == 0 {
-		return Peer{}, false
+// needsPlatform reports whether no other source has replaced the platform since the last call to it
+// failed. The caller holds the lock.
+func (u *Upstream) needsPlatform(now time.Time) bool {
+	return now.Sub(u.confirmedAt) > u.MaxAge || u.confirmedAt.Before(u.failures.sources[platformSource].beganAt)
+}
+
+// mayReadPlatform reports whether it is the turn of the reader group. Each group that gets no answer
+// is joined by the next one after a probe interval, since the platform may refuse some daemons and
+// serve others. The caller holds the lock.
+func (u *Upstream) mayReadPlatform(group int, now time.Time) bool {
+	if u.firstCallAt.IsZero() {
+		u.firstCallAt = now
+	}
+	suppliedAt := u.confirmedAt
+	if suppliedAt.IsZero() {
+		suppliedAt = u.firstCallAt
 	}
-	return slices.MinFunc(peers, func(a, b Peer) int {
-		return u.failures[a.Instance].failedAt.Compare(u.failures[b.Instance].failedAt)
-	}), true
+	turn := u.MaxAge + time.Duration(group)*probeIntervalFor(u.Recovery)
+	return group == 0 || now.Sub(suppliedAt) > turn
 }
 
-// recordResult records the result of a call to a source.
-func (u *Upstream) recordResult(id ident.Instance, age time.Duration, err error) {
+// untilNextSource returns the time until a source that is avoided now can be used again, at most the
+// limit.
+func (u *Upstream) untilNextSource(limit time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.Clock.Now()
+	if next, found := u.failures.nextUsableAt(now, u.needsPlatform(now)); found {
+		return min(next.Sub(now), limit)
+	}
+	return limit
+}
+
+// recordResult records the result of a call to a source that began at the given time.
+func (u *Upstream) recordResult(id ident.Instance, beganAt time.Time, age time.Duration, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Clock.Now()
 	if err != nil {
-		if id == platformSource && u.failures[id].consecutiveFailures == 0 && isConnectionLoss(err) {
-			u.recordFailure(id, 0)
-			return
+		avoidFor := u.failures.avoidTime(id)
+		if id == platformSource && !u.failures.hasFailed(id) && isConnectionLoss(err) {
+			avoidFor = 0
 		}
-		u.avoidSource(id)
+		u.recordFailure(id, beganAt, avoidFor)
 		return
 	}
-	delete(u.failures, id)
+	u.failures.forget(id)
 	u.confirmedAt = now.Add(-age)
 	if u.currentSource != id {
 		u.currentSource = id
@@ -172,61 +175,41 @@
 	}
 }
 
-// isConnectionLoss reports whether a call to the platform failed after it had been sent, as when its
-// connection has gone silent.
-func isConnectionLoss(err error) bool {
-	return code.Of(err) == code.PlatformUnavailable && code.OutcomeOf(err) == code.Unknown
-}
-
-// CurrentSource returns the daemon that the last successful call read from, empty for
-// the platform.
-func (u *Upstream) CurrentSource() ident.Instance {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.currentSource
+// recordFailure counts a failure of a call that began at the given time. The caller holds the lock.
+func (u *Upstream) recordFailure(id ident.Instance, beganAt time.Time, avoidFor time.Duration) {
+	u.failures.add(id, beganAt, u.Clock.Now(), avoidFor, probeIntervalFor(u.Recovery))
 }
 
 // AvoidCurrentSource avoids the current source as if its last call had failed.
 func (u *Upstream) AvoidCurrentSource() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.avoidSource(u.currentSource)
-}
-
-func (u *Upstream) avoidSource(id ident.Instance) {
-	doublings := maxAvoidDoublings
-	if id == platformSource {
-		doublings = maxPlatformDoublings
-	}
-	u.recordFailure(id, clock.Jitter(minAvoidTime<<min(u.failures[id].consecutiveFailures, doublings)))
+	u.recordFailure(u.currentSource, u.Clock.Now(), u.failures.avoidTime(u.currentSource))
 }
 
-// recordFailure counts a failure of the source, which is then avoided for the time. The caller holds
-// the lock.
-func (u *Upstream) recordFailure(id ident.Instance, avoidFor time.Duration) {
-	if u.failures == nil {
-		u.failures = make(map[ident.Instance]sourceFailures)
-	}
-	f := u.failures[id]
-	f.failedAt = u.Clock.Now()
-	f.avoidUntil = f.failedAt.Add(avoidFor)
-	f.consecutiveFailures++
-	u.failures[id] = f
+// acceptCopyOf records that the daemon has reported a recent copy.
+func (u *Upstream) acceptCopyOf(id ident.Instance) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failures.acceptCopy(id)
 }
 
-// rejectOldCopy avoids a daemon that answers, but whose copy is too old. It may read from
-// the platform again at any time, so the time does not grow.
+// rejectOldCopy avoids a daemon that answers, but whose copy is too old.
 func (u *Upstream) rejectOldCopy(p Peer, err error) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.failures == nil {
-		u.failures = make(map[ident.Instance]sourceFailures)
-	}
-	now := u.Clock.Now()
-	u.failures[p.Instance] = sourceFailures{failedAt: now, avoidUntil: now.Add(clock.Jitter(minAvoidTime))}
+	u.failures.addOldCopy(p.Instance, u.Clock.Now())
 	return err
 }
 
+// CurrentSource returns the daemon that the last successful call read from, empty for
+// the platform.
+func (u *Upstream) CurrentSource() ident.Instance {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.currentSource
+}
+
 // ConfirmedAt returns the time at which the platform last confirmed the entries
 // that were read.
 func (u *Upstream) ConfirmedAt() time.Time {
@@ -251,9 +234,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	beganAt := u.Clock.Now()
 	if p.Instance == platformSource {
 		entries, revision, err := u.Platform.List(ctx, prefix)
-		u.recordResult(platformSource, u.platformAge(), err)
+		u.recordResult(platformSource, beganAt, u.platformAge(), err)
 		return entries, revision, err
 	}
 	entries, revision, age, err := u.Feed.List(ctx, p)
@@ -262,7 +246,7 @@
 			return nil, 0, u.rejectOldCopy(p, err)
 		}
 	}
-	u.recordResult(p.Instance, age, err)
+	u.recordResult(p.Instance, beganAt, age, err)
 	return entries, revision, err
 }
 
@@ -275,15 +259,17 @@
 	if p.Instance != platformSource {
 		return u.changesOfPeer(ctx, p, after, wait)
 	}
+	beganAt := u.Clock.Now()
 	changes, completeUpTo, compacted, err := u.Platform.Changes(ctx, prefix, after, wait)
-	u.recordResult(platformSource, u.platformAge(), err)
+	u.recordResult(platformSource, beganAt, u.platformAge(), err)
 	return changes, completeUpTo, compacted, err
 }
 
 // changesOfPeer waits for changes of another daemon's copy for as long as this daemon's copy
 // stays recent. Without a wait it asks for the changes that the other daemon has.
 func (u *Upstream) changesOfPeer(ctx context.Context, p Peer, after unit.Revision, wait time.Duration) ([]store.Change, unit.Revision, bool, error) {
-	ownAge := u.Clock.Now().Sub(u.ConfirmedAt())
+	beganAt := u.Clock.Now()
+	ownAge := beganAt.Sub(u.ConfirmedAt())
 	if wait > 0 {
 		wait = u.MaxAge
 		u.setWaitingAt(p.Instance)
@@ -297,7 +283,7 @@
 	if leftOldCopy {
 		return nil, 0, false, u.rejectOldCopy(p, err)
 	}
-	u.recordResult(p.Instance, age, err)
+	u.recordResult(p.Instance, beganAt, age, err)
 	return changes, completeUpTo, compacted, err
 }
 
--- a/internal/fleet/mirror/upstream_test.go
+++ b/internal/fleet/mirror/upstream_test.go
@@ -24,8 +24,8 @@
 		tree fakeTree
 	}{
 		"fallbacks": {tree: fakeTree{fallbacks: []Peer{{Instance: "q"}, {Instance: "r"}}}},
-		"parent":    {tree: fakeTree{parent: "p", followsOnly: true}},
-		"all":       {tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, followsOnly: true}},
+		"parent":    {tree: fakeTree{parent: "p", readerGroup: 1}},
+		"all":       {tree: fakeTree{parent: "p", fallbacks: []Peer{{Instance: "q"}}, readerGroup: 1}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -43,7 +43,7 @@
 // platformCopy is this daemon's copy of the platform's keys.
 type platformCopy interface {
 	Revision() unit.Revision
-	ObserveRevision(revision unit.Revision)
+	ObserveCopy(from ident.Instance, revision unit.Revision, age time.Duration)
 	Age() time.Duration
 	// MaxAge returns the age above which a copy is not followed.
 	MaxAge() time.Duration
@@ -372,7 +372,7 @@
 		}
 	}
 	g.mu.Unlock()
-	g.PlatformCopy.ObserveRevision(m.CopyRevision)
+	g.PlatformCopy.ObserveCopy(m.From, m.CopyRevision, m.CopyAge)
 	if len(m.Formations) > 0 {
 		g.Catalog.ApplyFormations(m.Formations)
 	}
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -34,11 +34,13 @@
 	leader       ident.Instance
 }
 
-func (c *fakeCopy) Revision() unit.Revision         { return c.revision }
-func (c *fakeCopy) ObserveRevision(r unit.Revision) { c.peerRevision = max(c.peerRevision, r) }
-func (c *fakeCopy) Age() time.Duration              { return c.age }
-func (c *fakeCopy) MaxAge() time.Duration           { return 2500 * time.Millisecond }
-func (c *fakeCopy) Leader() ident.Instance          { return c.leader }
+func (c *fakeCopy) Revision() unit.Revision { return c.revision }
+func (c *fakeCopy) ObserveCopy(_ ident.Instance, r unit.Revision, _ time.Duration) {
+	c.peerRevision = max(c.peerRevision, r)
+}
+func (c *fakeCopy) Age() time.Duration     { return c.age }
+func (c *fakeCopy) MaxAge() time.Duration  { return 2500 * time.Millisecond }
+func (c *fakeCopy) Leader() ident.Instance { return c.leader }
 
 // recordingListener keeps the servers that it was notified of.
 type recordingListener []ident.Instance
--- a/internal/peer/gossip/tree.go
+++ b/internal/peer/gossip/tree.go
@@ -59,8 +59,14 @@
 const platformReaders = 4
 
 // MayReadPlatform reports whether this daemon is among the first live ones of its data
-// centre. While the platform is unavailable only these call it, and the others follow them.
+// centre. While the platform is unavailable only these call it at first, and the others follow them.
 func (g *Gossip) MayReadPlatform() bool {
+	return g.ReaderGroup() == 0
+}
+
+// ReaderGroup returns the position of this daemon's group among those of platformReaders live daemons
+// that the data centre consists of.
+func (g *Gossip) ReaderGroup() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -70,7 +76,7 @@
 			rank++
 		}
 	}
-	return rank < platformReaders
+	return rank / platformReaders
 }
 
 // Parent returns the daemon of this data centre that this daemon follows. It returns
