--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -204,8 +204,8 @@
 // Run copies the source until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		delay, err := m.poll(ctx)
-		if err == nil {
+		delay, answered := m.poll(ctx)
+		if answered {
 			plugin.Sleep(ctx, m.Clock, delay)
 			continue
 		}
@@ -215,9 +215,9 @@
 	}
 }
 
-// poll makes one call to the source. It returns the delay before the next one, and the error of a
-// call that failed.
-func (m *Mirror) poll(ctx context.Context) (time.Duration, error) {
+// poll makes one call to the source. It returns the delay before the next one, and whether the
+// source answered.
+func (m *Mirror) poll(ctx context.Context) (delay time.Duration, answered bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.cancelCall.Store(&cancel)
@@ -229,14 +229,14 @@
 	}
 	if err == nil {
 		m.retryDelay = minRetryDelay
-		return m.currentBatchTime(), nil
+		return m.currentBatchTime(), true
 	}
 	if code.Of(err) == code.BadMessage {
 		// The same changes would be malformed again.
 		m.synced = false
 	}
 	m.recordSourceLoss(err)
-	return m.nextRetryDelay(), err
+	return m.nextRetryDelay(), false
 }
 
 // nextRetryDelay returns the delay before the next call after one that failed. It ends as soon as a
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -172,7 +172,7 @@
 			m := newTestMirror(clk, source)
 			m.AddHandler(handler)
 			for ctx.Err() == nil {
-				_, _ = m.poll(ctx) // some calls fail on purpose
+				m.poll(ctx)
 				if ctx.Err() == nil && !m.SourceConnected() {
 					clk.Advance(test.outage)
 				}
@@ -349,12 +349,12 @@
 			platform := &fakeSource{answers: []sourceAnswer{{changes: []store.Change{{Entry: entry("op/config", "new", 10)}}, revision: 10}}, cancel: stop}
 			m := New(Options{Clock: clk, Log: zerolog.Nop(), Within: test.within})
 			m.Source = &Upstream{Clock: clk, Log: zerolog.Nop(), Platform: platform, Feed: feed, Tree: fakeTree{parent: "p"}, MaxAge: m.MaxAge()}
-			_, _ = m.poll(ctx) // some calls fail on purpose
+			m.poll(ctx)
 			c.Assert(m.Revision(), qt.Equals, unit.Revision(9), qt.Commentf("list of the parent"))
 			polled := make(chan struct{})
 			go func() {
-				_, _ = m.poll(ctx) // some calls fail on purpose
-				_, _ = m.poll(ctx) // some calls fail on purpose
+				m.poll(ctx)
+				m.poll(ctx)
 				close(polled)
 			}()
 			<-feed.waiting
@@ -401,7 +401,7 @@
 			defer cancel()
 			clk := clockwork.NewFakeClock()
 			m := New(Options{Clock: clk, Log: zerolog.Nop(), Source: &fakeSource{answers: []sourceAnswer{{revision: 3}, {revision: 3}}, cancel: cancel}})
-			_, _ = m.poll(ctx) // some calls fail on purpose
+			m.poll(ctx)
 			clk.Advance(time.Second)
 			answered := make(chan time.Time, 1)
 			start := clk.Now()
@@ -413,7 +413,7 @@
 				c.Assert(clk.BlockUntilContext(ctx, 1), qt.IsNil)
 			}
 			if test.confirmed {
-				_, _ = m.poll(ctx) // some calls fail on purpose
+				m.poll(ctx)
 			}
 			clk.Advance(test.wantWait)
 			c.Check((<-answered).Sub(start), qt.Equals, test.wantWait)
@@ -483,7 +483,7 @@
 	}}
 	m := newTestMirror(clk, source)
 	for range 3 {
-		_, _ = m.poll(ctx) // some calls fail on purpose
+		m.poll(ctx)
 		if !m.SourceConnected() {
 			clk.Advance(2 * time.Second)
 		}
--- a/internal/fleet/mirror/recovery_test.go
+++ b/internal/fleet/mirror/recovery_test.go
@@ -76,17 +76,17 @@
 				platform := &outageSource{clock: clk, hangTime: test.hangTime}
 				m := New(Options{Clock: clk, Log: zerolog.Nop(), Within: test.within})
 				m.Source = &Upstream{Clock: clk, Log: zerolog.Nop(), Platform: platform, Feed: new(fakeFeed), Tree: fakeTree{}, MaxAge: m.MaxAge(), Recovery: recovery}
-				poll := func() error {
-					delay, err := m.poll(context.Background())
+				poll := func() bool {
+					delay, answered := m.poll(context.Background())
 					clk.Advance(delay)
-					return err
+					return answered
 				}
-				c.Assert(poll(), qt.IsNil)
+				c.Assert(poll(), qt.IsTrue)
 				platform.began = clk.Now()
 				platform.returns = platform.began.Add(outage)
 				platform.calls = 0
 				for clk.Now().Before(platform.returns) || m.Age() > clk.Since(platform.returns) {
-					_ = poll()
+					poll()
 				}
 				late := clk.Since(platform.returns) - m.Age()
 				c.Check(late <= readBy, qt.IsTrue, qt.Commentf("outage of %s: read %s after the return", outage, late))
@@ -121,14 +121,14 @@
 			u := &Upstream{Clock: clk, Log: zerolog.Nop(), Platform: platform, Feed: feed, Tree: fakeTree{fallbacks: []Peer{{Instance: "q"}}}, MaxAge: m.MaxAge()}
 			m.Source = u
 			for range 4 {
-				_, err := m.poll(ctx)
-				c.Assert(err, qt.IsNotNil)
+				_, answered := m.poll(ctx)
+				c.Assert(answered, qt.IsFalse)
 			}
 			clk.Advance(oldCopyRecallTime)
 			feed.ages["q"] = test.age
 			m.ObserveCopy("q", 9, test.age)
-			_, err := m.poll(ctx)
-			c.Check(err == nil, qt.Equals, test.read, qt.Commentf("%v", err))
+			_, answered := m.poll(ctx)
+			c.Check(answered, qt.Equals, test.read)
 			c.Check(len(m.sourceRegained) == 1, qt.Equals, test.read)
 		})
 	}
