poison: Keep refused requests and prompt parts in the platform's store

Cause: crashes were counted in memory and exchanged in datagrams only.

Change: poison.Blocklist compares the suspects of both detectors with the daemon's copy of the store and writes what is missing, with a lease. One daemon writes at once, the platform's readers later if it has not. Nothing waits for a write on the path of a request.

--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -84,8 +84,9 @@
 
 // component is the forwarder as a plug-in.
 type component struct {
-	plugin.NoLifecycle
+	plugin.BackgroundTasks
 	*Forwarder
+	blocklist          *poison.Blocklist
 	deps               *plugin.Deps
 	settings           *Settings
 	limits             *ratelimit.Limits
@@ -98,12 +99,17 @@
 		return nil, err
 	}
 	c := &component{deps: deps, settings: deps.Settings.Section(section).(*Settings)}
+	lifetime := c.settings.Suspicion.Duration
+	suspectsChanged := make(chan struct{}, 1)
 	detector := poison.New(poison.Options{
-		Clock: deps.Clock, Self: deps.Settings.Daemon.Instance, Lifetime: c.settings.Suspicion.Duration, Limit: c.settings.Suspects,
-		Threshold: crashThreshold,
+		Clock: deps.Clock, Self: deps.Settings.Daemon.Instance, Lifetime: lifetime, Limit: c.settings.Suspects,
+		Threshold: crashThreshold, Changed: suspectsChanged,
 	})
 	parts := poison.NewPartDetector(poison.PartOptions{
-		Clock: deps.Clock, Threshold: crashThreshold, Lifetime: c.settings.Suspicion.Duration, Limit: c.settings.Suspects,
+		Clock: deps.Clock, Threshold: crashThreshold, Lifetime: lifetime, Limit: c.settings.Suspects, Changed: suspectsChanged,
+	})
+	c.blocklist = poison.NewBlocklist(poison.BlocklistOptions{
+		Clock: deps.Clock, Log: deps.Log, Requests: detector, Parts: parts, Lifetime: lifetime, Changed: suspectsChanged,
 	})
 	c.limits = ratelimit.New(ratelimit.Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance})
 	if err := c.limits.Register(deps.Metrics); err != nil {
@@ -118,6 +124,7 @@
 	deps.Provide(c)
 	deps.Provide(detector)
 	deps.Provide(parts)
+	deps.Provide(c.blocklist)
 	deps.Provide(c.limits)
 	return c, nil
 }
@@ -128,7 +135,7 @@
 	var fleet fleetSizer
 	var times timeModel
 	var offered offeredLoad
-	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Demand, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &times, &offered, &c.limits.Daemons, &c.limits.Catalog); err != nil {
+	if err := c.deps.Resolve(&c.Catalog, &c.Sender, &c.Costs, &c.Demand, &c.Links, &c.Relays, &c.Observer, &c.Copy, &daemons, &fleet, &times, &offered, &c.limits.Daemons, &c.limits.Catalog, &c.blocklist.Store, &c.blocklist.Readers); err != nil {
 		return err
 	}
 	if err := c.deps.ResolveAll(&c.Contentions); err != nil {
@@ -143,6 +150,7 @@
 	c.RetryBudget = balance.NewRetryBudget(balance.RetryBudgetOptions{
 		Clock: c.Clock, Daemons: daemons, Ratio: s.Ratio, BaseRetries: s.Slack, Window: s.Window.Duration,
 	})
+	c.Go(c.blocklist.Run)
 	return balancer.Register(c.deps.Metrics)
 }
 
--- a/internal/serve/poison/parts.go
+++ b/internal/serve/poison/parts.go
@@ -18,8 +18,8 @@
 // peers. CheckParts takes no lock.
 type PartDetector struct {
 	PartOptions
-	mu       sync.Mutex
-	suspects atomic.Pointer[map[ident.PromptPart]*suspectPart]
+	mu           sync.Mutex
+	suspectParts atomic.Pointer[map[ident.PromptPart]*suspectPart]
 	// started has the latest start of an answer by part, each in the element given by
 	// the part's remainder modulo startedLimit.
 	started [startedLimit]atomic.Pointer[partStart]
@@ -35,6 +35,8 @@
 	Lifetime time.Duration
 	// Limit bounds the number of suspect parts.
 	Limit int
+	// Changed is signalled when suspect parts have changed. It may be nil.
+	Changed chan struct{}
 }
 
 // Bounds of the state of a PartDetector, and its times.
@@ -82,7 +84,7 @@
 // NewPartDetector returns a detector without suspect parts.
 func NewPartDetector(o PartOptions) *PartDetector {
 	d := &PartDetector{PartOptions: o}
-	d.suspects.Store(&map[ident.PromptPart]*suspectPart{})
+	d.suspectParts.Store(&map[ident.PromptPart]*suspectPart{})
 	return d
 }
 
@@ -93,7 +95,7 @@
 //
 // Errors carry code.PoisonRequest.
 func (d *PartDetector) CheckParts(parts []ident.PromptPart) error {
-	suspects := *d.suspects.Load()
+	suspects := *d.suspectParts.Load()
 	if len(suspects) == 0 {
 		return nil
 	}
@@ -198,7 +200,7 @@
 // ClearParts clears the crashes of parts of a prompt that an endpoint has begun to answer, at
 // this daemon or at a peer.
 func (d *PartDetector) ClearParts(parts []ident.PromptPart) {
-	suspects := *d.suspects.Load()
+	suspects := *d.suspectParts.Load()
 	suspected := func(part ident.PromptPart) bool {
 		s := suspects[part]
 		return s != nil && s.count() > 0
@@ -227,7 +229,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
-	next := maps.Clone(*d.suspects.Load())
+	next := maps.Clone(*d.suspectParts.Load())
 	maps.DeleteFunc(next, func(_ ident.PromptPart, s *suspectPart) bool {
 		return now.Sub(s.lastCrashAt) > forgetLifetimes*d.Lifetime || s.count() < d.Threshold && now.Sub(s.lastCrashAt) > d.Lifetime
 	})
@@ -235,7 +237,8 @@
 	for len(next) > d.Limit {
 		delete(next, oldestSuspect(next))
 	}
-	d.suspects.Store(&next)
+	d.suspectParts.Store(&next)
+	signal(d.Changed)
 }
 
 // oldestSuspect returns the part whose last crash is the oldest.
@@ -255,7 +258,7 @@
 // lacks, and the parts that peers suspect and that are cleared here.
 func (d *PartDetector) PartReport() (crashes map[ident.PromptPart][]ident.Crash, sound []ident.PromptPart) {
 	now := d.Clock.Now()
-	for part, s := range *d.suspects.Load() {
+	for part, s := range *d.suspectParts.Load() {
 		if len(crashes)+len(sound) >= maxReportedParts {
 			break
 		}
@@ -295,7 +298,7 @@
 // MergePartCrashes merges crashes that a peer reported. It returns the parts that the
 // threshold is now reached for and was not before.
 func (d *PartDetector) MergePartCrashes(reported map[ident.PromptPart][]ident.Crash) []ident.PromptPart {
-	suspects, now := *d.suspects.Load(), d.Clock.Now()
+	suspects, now := *d.suspectParts.Load(), d.Clock.Now()
 	anyUnknown := false
 	for part, crashes := range reported {
 		s := suspects[part]
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -95,6 +95,8 @@
 	// Threshold is the number of crashes at which a request is refused. Zero means
 	// two.
 	Threshold uint32
+	// Changed is signalled when crash sets have changed. It may be nil.
+	Changed chan struct{}
 }
 
 // New returns a detector without crashes.
@@ -219,6 +221,7 @@
 		next.totals[k.fingerprint] = t
 	}
 	d.current.Store(next)
+	signal(d.Changed)
 }
 
 // evictFirstToExpire removes the crash sets that expire first until their number is within
