budget, forward: Bound the memory of replies that servers send without end

Cause: a reply that is forwarded as a whole was buffered up to 4 MB and an incomplete event up to 1 MB for each request in flight, without a bound on the sum; pooled buffers kept the size of the largest event.

Change: what is held of replies above 8 kB each is reserved from budget.Replies, an eighth of daemon.memory. When it is used up, the largest reply whose read goes on is ended; its request gets 5009 replies-full, which says that it may have run, or another server.

--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -69,6 +69,7 @@
 	DeadlineExpired  Code = 5006
 	Stalled          Code = 5007
 	ConnectionClosed Code = 5008
+	RepliesFull      Code = 5009
 
 	BadSettings   Code = 6001
 	BadRecord     Code = 6002
@@ -129,6 +130,7 @@
 	{DeadlineExpired, "deadline-expired", http.StatusGatewayTimeout, Unknown, "The deadline passed after the request had been sent.", "Retry what may be repeated, with more time."},
 	{Stalled, "stalled", http.StatusBadGateway, Unknown, "The endpoint sent no data for too long or stopped serving, and the answer could not be resumed.", "Retry what may be repeated."},
 	{ConnectionClosed, "connection-closed", http.StatusBadGateway, Unknown, "The endpoint closed a kept connection as the request was sent on it, and the request could not be sent again.", "Retry what may be repeated."},
+	{RepliesFull, "replies-full", http.StatusBadGateway, Unknown, "The daemon gave up the endpoint's reply, since it was the largest one when the memory for replies was used up.", "Retry what may be repeated."},
 
 	{BadSettings, "bad-settings", 0, NotRun, "The settings file is invalid.", "Correct each path that the message names."},
 	{BadRecord, "bad-record", http.StatusUnprocessableEntity, NotRun, "A record has an invalid value; its earlier revision stays active.", "Correct the path that the message names."},
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -271,6 +271,12 @@
 	return max(r.Header.ContentLength(), -1)
 }
 
+// Abort ends a read of the answer that is in progress in another goroutine. It must not be called after
+// Close, as the connection may be in use again.
+func (r *RawResponse) Abort() {
+	r.conn.abort()
+}
+
 // Close ends the exchange. It keeps the connection if the answer was read to
 // its end and the connection can be reused. Otherwise it closes the connection,
 // which cancels a run at the endpoint.
--- a/internal/kernel/budget/body.go
+++ b/internal/kernel/budget/body.go
@@ -6,9 +6,9 @@
 	"cuminbay/internal/domain/unit"
 )
 
-// reservation holds the bytes that are reserved for a request.
+// reservation holds the bytes that are reserved for a request or a reply.
 type reservation interface {
-	// Reserve reserves bytes of the request. The error is ErrNoRoom.
+	// Reserve reserves bytes. The error is ErrNoRoom, or ErrRepliesFull for a reply.
 	Reserve(n unit.Bytes) error
 	Release(n unit.Bytes)
 }
@@ -32,31 +32,46 @@
 		first, largest = firstFixedBytes, length
 		stream = io.LimitReader(stream, int64(length))
 	}
+	body, err := readBuffer(r, stream, first, largest, limit)
+	if err == nil && len(body) < length {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// readBuffer reads a stream into a buffer of the first size, which is doubled up to the largest one as it
+// fills. A stream of more than limit bytes is too large.
+func readBuffer(r reservation, stream io.Reader, first, largest, limit int) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) > limit {
 			return nil, ErrTooLarge
 		}
 		if len(body) == cap(body) && len(body) < largest {
-			size := min(largest, max(2*cap(body), first))
-			if err := r.Reserve(unit.Bytes(size)); err != nil {
+			larger, err := GrowBuffer(r, body, min(largest, max(2*cap(body), first)))
+			if err != nil {
 				return nil, err
 			}
-			// The capacity is exactly what was reserved.
-			larger := make([]byte, len(body), size)
-			copy(larger, body)
-			r.Release(unit.Bytes(cap(body)))
 			body = larger
 		}
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF && len(body) < length:
-			return nil, io.ErrUnexpectedEOF
-		case err == io.EOF:
+		if err == io.EOF {
 			return body, nil
-		case err != nil:
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
 }
+
+// GrowBuffer returns the bytes in a larger buffer, whose size is exactly what is reserved then.
+func GrowBuffer(r reservation, buffer []byte, size int) ([]byte, error) {
+	if err := r.Reserve(unit.Bytes(size)); err != nil {
+		return nil, err
+	}
+	larger := make([]byte, len(buffer), size)
+	copy(larger, buffer)
+	r.Release(unit.Bytes(cap(buffer)))
+	return larger, nil
+}
--- a/internal/kernel/budget/budget.go
+++ b/internal/kernel/budget/budget.go
@@ -23,6 +23,10 @@
 // ErrNoRoom says that a request was refused before it ran, since the budget is used up.
 var ErrNoRoom = errors.New("the budget of bytes for callers is used up")
 
+// ErrRepliesFull says that a reply was given up, since the budget of bytes for replies is used up and
+// no larger one could be ended.
+var ErrRepliesFull = errors.New("the budget of bytes for replies is used up")
+
 // ErrTooLarge says that a body exceeds the limit.
 var ErrTooLarge = errors.New("the body exceeds the limit")
 
@@ -72,6 +76,8 @@
 	logRate   *rate.Limiter
 	// daemons is the budget of the ports for other daemons, nil if this is the one.
 	daemons *Budget
+	// replies is the budget of replies of servers.
+	replies *Replies
 
 	mu        sync.Mutex
 	accounts  map[*Account]bool
@@ -107,10 +113,12 @@
 	for _, k := range []Kind{Callers, Readiness, Relays, Operators, Daemons} {
 		refusedAt[k] = new(atomic.Int64)
 	}
-	return &Budget{
+	b := &Budget{
 		Options: o, refusedAt: refusedAt, metrics: newMetrics(), logRate: rate.NewLimiter(rate.Every(time.Second), logBurst),
 		accounts: make(map[*Account]bool), addresses: make(map[netip.Addr]*address), counts: make(map[Kind]int), roomMade: make(chan struct{}),
 	}
+	b.setReplies(o)
+	return b
 }
 
 // OrUnlimited returns the budget, or one without limits if it is nil.
@@ -123,6 +131,23 @@
 	})
 }
 
+// ForReplies returns the budget of replies. Its bytes are its own, so that servers that send without end
+// don't keep callers out.
+func (b *Budget) ForReplies() *Replies {
+	return b.replies
+}
+
+// setReplies sets the budget of replies. Its metrics are those of the budget of callers.
+func (b *Budget) setReplies(o Options) {
+	b.replies = newReplies(o)
+	b.replies.ended = func(size unit.Bytes) {
+		b.metrics.repliesEnded.Inc()
+		if b.logRate.AllowN(b.Clock.Now(), 1) {
+			b.Log.Warn().Int64("bytes", int64(size)).Int64("used", int64(b.replies.Used())).Int64("capacity", b.replies.capacity).Msg("reply-ended")
+		}
+	}
+}
+
 // ForDaemons returns the budget of connections of the kind Daemons. Its bytes are its own, so that
 // callers don't keep daemons from exchanging their state, and clients of those ports don't keep
 // callers out. Both have the same metrics.
--- a/internal/kernel/budget/metrics.go
+++ b/internal/kernel/budget/metrics.go
@@ -8,6 +8,7 @@
 
 type metrics struct {
 	refused, ended *prometheus.CounterVec
+	repliesEnded   prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -15,8 +16,9 @@
 		return prometheus.CounterOpts{Namespace: "cuminbay", Subsystem: "budget", Name: name, Help: help}
 	}
 	return &metrics{
-		refused: prometheus.NewCounterVec(options("refused_total", "Requests and connections of callers and, with the prefix daemon-, at the ports for other daemons that were refused before they ran, by limit."), []string{"limit"}),
-		ended:   prometheus.NewCounterVec(options("ended_total", "Connections of callers and, with the prefix daemon-, at the ports for other daemons that were ended to make room, by reason."), []string{"reason"}),
+		refused:      prometheus.NewCounterVec(options("refused_total", "Requests and connections of callers and, with the prefix daemon-, at the ports for other daemons that were refused before they ran, by limit."), []string{"limit"}),
+		ended:        prometheus.NewCounterVec(options("ended_total", "Connections of callers and, with the prefix daemon-, at the ports for other daemons that were ended to make room, by reason."), []string{"reason"}),
+		repliesEnded: prometheus.NewCounter(options("replies_ended_total", "Replies of servers that were given up, since they were the largest when the budget of replies was used up.")),
 	}
 }
 
@@ -26,7 +28,9 @@
 	}
 	daemons := b.ForDaemons()
 	return errors.Join(
-		r.Register(m.refused), r.Register(m.ended),
+		r.Register(m.refused), r.Register(m.ended), r.Register(m.repliesEnded),
+		r.Register(gauge("reply_bytes", "Bytes that replies of servers hold.", func() float64 { return float64(b.replies.Used()) })),
+		r.Register(gauge("reply_capacity_bytes", "Bytes that replies of servers may hold.", func() float64 { return float64(b.replies.capacity) })),
 		r.Register(gauge("bytes", "Bytes that connections of callers hold.", func() float64 { return float64(b.used.Load()) })),
 		r.Register(gauge("capacity_bytes", "Bytes that connections of callers may hold.", func() float64 { return float64(b.Capacity) })),
 		r.Register(gauge("connections", "Connections of callers.", func() float64 { return float64(b.count(Callers)) })),
--- a/internal/kernel/budget/settings.go
+++ b/internal/kernel/budget/settings.go
@@ -33,6 +33,8 @@
 	WriteTimeout settings.Duration `json:"writeTimeout" validate:"duration"`
 	// DaemonShare is the share of daemon.memory, or of the machine's memory if that is zero, that requests and answers at the ports for other daemons may hold.
 	DaemonShare float64 `json:"daemonShare" validate:"gt=0,max=0.5"`
+	// ReplyShare is the share of daemon.memory, or of the machine's memory if that is zero, that replies of servers may hold while they are read. Each may hold 8 kB beside it.
+	ReplyShare float64 `json:"replyShare" validate:"gt=0,max=0.5"`
 	// DaemonConnections is the highest number of connections at the ports for other daemons; zero means 1024, but not more than a sixteenth of the file descriptors. A fleet of 295 daemons needs up to 882, so the process should have 16384 descriptors there.
 	DaemonConnections int `json:"daemonConnections" validate:"min=0"`
 	// Wait is the longest time for which a request that is being read waits for room before it is refused.
@@ -44,7 +46,7 @@
 		return &Settings{
 			Share: 0.25, AddressShare: 0.5, MinRate: 4 << 10,
 			Grace: settings.DurationOf(time.Second), Wait: settings.DurationOf(time.Second),
-			WriteTimeout: settings.DurationOf(30 * time.Second), DaemonShare: 0.125,
+			WriteTimeout: settings.DurationOf(30 * time.Second), DaemonShare: 0.125, ReplyShare: 0.125,
 		}
 	})
 }
@@ -94,6 +96,8 @@
 	b := New(options)
 	options.Capacity, options.Connections = unit.Bytes(own.DaemonShare*float64(memory)), map[Kind]int{Daemons: own.daemonConnections(part)}
 	b.addDaemons(options)
+	options.Capacity = unit.Bytes(own.ReplyShare * float64(memory))
+	b.setReplies(options)
 	return b, nil
 }
 
--- a/internal/serve/forward/buffered.go
+++ b/internal/serve/forward/buffered.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -32,6 +29,7 @@
 		}
 		reply, err := x.fetchReply(ctx, e)
 		if err == nil {
+			x.discard(lastReply)
 			lastReply = reply
 			if reply.head.Status < http.StatusInternalServerError || e.IsRelay || !x.mayRetryErrorStatus() {
 				return x.writeAnswer(lastReply, nil)
@@ -117,9 +115,9 @@
 	if err := dispositionError(e, head); err != nil {
 		return nil, err
 	}
-	body, err := readBody(reply)
+	body, err := x.readBody(e, reply)
 	if err != nil {
-		return nil, code.CutOff.Wrap(err, "read reply of endpoint %s: the body was cut off after %d bytes", e.ID, len(body))
+		return nil, err
 	}
 	e.Load.RecordSuccess(x.Clock.Since(startedAt))
 	if head.Status < http.StatusInternalServerError {
@@ -167,38 +165,3 @@
 	}
 	return nil
 }
-
-// maxReplyBytes bounds a reply that is buffered. A faulty server may send bytes without end
-// or announce any length.
-const maxReplyBytes = 4 << 20
-
-var errReplyTooLong = fmt.Errorf("the reply has over %d bytes", maxReplyBytes)
-
-// readBody reads the body to its end. On an error it returns the part that was read.
-func readBody(reply Reply) ([]byte, error) {
-	const initialSize = 2048
-	size := reply.ContentLength()
-	if size > maxReplyBytes {
-		return nil, errReplyTooLong
-	}
-	if size < 0 {
-		size = initialSize
-	}
-	body := make([]byte, 0, size+1)
-	for {
-		if len(body) > maxReplyBytes {
-			return body, errReplyTooLong
-		}
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := reply.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-	}
-}
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -75,7 +75,7 @@
 // requests in flight, it would be chosen for all of them.
 func isEndpointFailure(err error) bool {
 	switch code.Of(err) {
-	case code.EndpointUnreachable, code.CutOff, code.Stalled, code.EndpointFailed:
+	case code.EndpointUnreachable, code.CutOff, code.Stalled, code.EndpointFailed, code.RepliesFull:
 		return true
 	case code.ForeignAnswer:
 		return code.OutcomeOf(err) == code.NotRun
--- a/internal/serve/forward/fake_test.go
+++ b/internal/serve/forward/fake_test.go
@@ -156,6 +156,8 @@
 	return 0, io.EOF
 }
 
+func (r *fakeReply) Abort() {}
+
 func (r *fakeReply) Close() {}
 
 // fakeSink records the answer for the caller. Its writes fail after the caller has
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -23,6 +23,7 @@
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/balance"
@@ -124,6 +125,8 @@
 	ContentLength() int
 	// Read returns io.EOF only at the end of a complete body.
 	Read([]byte) (int, error)
+	// Abort ends a Read in another goroutine.
+	Abort()
 	// Close ends the exchange. It cancels a run that has not ended.
 	Close()
 }
@@ -166,6 +169,8 @@
 	Observer    failureObserver
 	Copy        platformCopy
 	Telemetry   *Telemetry
+	// Replies bounds the memory of replies that are read. Nil means no limit.
+	Replies *budget.Replies
 	// Contentions are asked beside this daemon's own observations; there may be none.
 	Contentions []contentionSource
 	Rules       admit.Rules
@@ -201,7 +206,8 @@
 // the result code. If the sink was not started, the caller of Forward has to write
 // the error to it.
 func (f *Forwarder) Forward(ctx context.Context, r *proxy.Request, s Sink) error {
-	ex := &exchange{Forwarder: f, request: r, sink: s, draw: rand.Float64()}
+	ex := &exchange{Forwarder: f, request: r, sink: s, draw: rand.Float64(), memory: f.Replies.Open()}
+	defer ex.memory.Close()
 	err := ex.runRequest(ctx)
 	ex.recordRefusal(err)
 	f.Telemetry.requestEnded(ex, err, f.Clock.Now())
@@ -211,8 +217,10 @@
 // exchange is the state of one request while it is forwarded.
 type exchange struct {
 	*Forwarder
-	request      *proxy.Request
-	sink         Sink
+	request *proxy.Request
+	sink    Sink
+	// memory is what the replies to the request hold.
+	memory       *budget.Reply
 	route        *cluster.Route
 	service      ident.Service
 	organisation *cluster.Organisation
--- a/internal/serve/forward/load_test.go
+++ b/internal/serve/forward/load_test.go
@@ -79,6 +79,7 @@
 
 func (r *loadReply) Head() *proxy.Head  { return &proxy.Head{Status: 200} }
 func (r *loadReply) ContentLength() int { return -1 }
+func (r *loadReply) Abort()             {}
 func (r *loadReply) Close()             { <-r.replica.slots }
 
 func (r *loadReply) Read(b []byte) (int, error) {
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -11,6 +11,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/proxy"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/route/admit"
@@ -115,7 +116,7 @@
 	if err := c.limits.Register(deps.Metrics); err != nil {
 		return nil, err
 	}
-	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, Telemetry: telemetry, Poison: detector, Parts: parts, Limits: c.limits})
+	c.Forwarder = New(Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance, Telemetry: telemetry, Poison: detector, Parts: parts, Limits: c.limits, Replies: budget.OrUnlimited(deps.Budget, deps.Clock).ForReplies()})
 	if err := deps.Metrics.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cuminbay_admission_waiting", Help: "Requests that wait for a free slot of an endpoint.",
 	}, func() float64 { return float64(c.queue.Length()) })); err != nil {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -11,23 +11,35 @@
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/proxy"
+	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/fleet/catalog"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/route/cost"
 )
 
 // bufferPool has buffers for events that are forwarded.
 var bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, initialBufferSize); return &b }}
 
-const initialBufferSize = 2048
+// Sizes of the buffers. A larger one, which an event without end leaves, is not kept.
+const (
+	initialBufferSize = 2 << 10
+	maxPooledBuffer   = 8 << 10
+)
 
 // runStream runs a request whose answer is forwarded event by event. When an endpoint
 // fails, a resumable stream is continued at another endpoint.
 func (x *exchange) runStream(ctx context.Context) error {
 	b := bufferPool.Get().(*[]byte)
 	ev := &eventBuffer{lastID: x.request.LastEventID, hasLastID: x.request.LastEventID > 0, isWhole: x.request.LastEventID == 0, unforwarded: (*b)[:0]}
+	// A pooled buffer is within what each reply may hold.
+	if err := x.memory.Reserve(unit.Bytes(cap(ev.unforwarded))); err != nil {
+		return code.Internal.Wrap(err, "reserve the first buffer of a stream")
+	}
 	defer func() {
-		*b = ev.unforwarded[:0]
-		bufferPool.Put(b)
+		if cap(ev.unforwarded) <= maxPooledBuffer {
+			*b = ev.unforwarded[:0]
+			bufferPool.Put(b)
+		}
 	}()
 	for {
 		e, err := x.pickEndpoint(ctx)
@@ -106,25 +118,26 @@
 // request may be tried at another endpoint.
 func (x *exchange) forwardNonStream(e *catalog.Endpoint, reply Reply) error {
 	head := reply.Head()
-	body, err := readBody(reply)
+	body, err := x.readBody(e, reply)
 	if err != nil {
-		return code.CutOff.Wrap(err, "read reply of endpoint %s: the body was cut off after %d bytes", e.ID, len(body))
+		return err
 	}
 	mayRetry := head.Status >= http.StatusInternalServerError && !e.IsRelay && x.possibleRuns+1 < x.route.MaxAttempts
+	complete := &completeReply{head, body}
 	if x.sink.Started() || mayRetry {
+		x.discard(complete)
 		return code.EndpointFailed.New("read reply of endpoint %s: got status %d instead of a stream", e.ID, head.Status)
 	}
-	return x.writeAnswer(&completeReply{head, body}, nil)
+	return x.writeAnswer(complete, nil)
 }
 
 // copyEvents forwards complete events until the end of the reply's body.
 func (x *exchange) copyEvents(e *catalog.Endpoint, reply Reply, ev *eventBuffer, detector *stallDetector) error {
+	x.memory.StartRead(reply.Abort)
+	defer x.memory.EndRead()
 	for {
-		if len(ev.unforwarded) >= maxEventBytes {
-			return code.ForeignAnswer.New("read stream of endpoint %s: an event after event %d has over %d bytes", e.ID, ev.lastID, maxEventBytes)
-		}
-		if len(ev.unforwarded) == cap(ev.unforwarded) {
-			ev.unforwarded = append(ev.unforwarded, 0)[:len(ev.unforwarded)]
+		if err := x.growBuffer(e, ev); err != nil {
+			return err
 		}
 		n, err := reply.Read(ev.unforwarded[len(ev.unforwarded):cap(ev.unforwarded)])
 		ev.unforwarded = ev.unforwarded[:len(ev.unforwarded)+n]
@@ -149,20 +162,35 @@
 			return eventErr
 		}
 		if err != nil {
-			return streamError(err, e, ev)
+			return x.streamError(err, e, ev)
 		}
 	}
 }
 
-// maxEventBytes bounds an event. A faulty server may send an event without end.
-const maxEventBytes = 1 << 20
+// growBuffer doubles the buffer if an incomplete event fills it.
+//
+// Errors carry code.ForeignAnswer or code.RepliesFull.
+func (x *exchange) growBuffer(e *catalog.Endpoint, ev *eventBuffer) error {
+	if len(ev.unforwarded) >= maxEventBytes {
+		return code.ForeignAnswer.New("read stream of endpoint %s: an event after event %d has over %d bytes", e.ID, ev.lastID, maxEventBytes)
+	}
+	if len(ev.unforwarded) < cap(ev.unforwarded) {
+		return nil
+	}
+	larger, err := budget.GrowBuffer(x.memory, ev.unforwarded, 2*cap(ev.unforwarded))
+	if err != nil {
+		return x.readError(err, code.RepliesFull, e)
+	}
+	ev.unforwarded = larger
+	return nil
+}
 
 // streamError returns the error for a read that failed before the end of the stream.
-func streamError(err error, e *catalog.Endpoint, ev *eventBuffer) error {
+func (x *exchange) streamError(err error, e *catalog.Endpoint, ev *eventBuffer) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return code.Stalled.Wrap(err, "read stream of endpoint %s: stalled after event %d", e.ID, ev.lastID)
 	}
-	return code.CutOff.Wrap(err, "read stream of endpoint %s: cut off after event %d", e.ID, ev.lastID)
+	return x.readError(err, code.CutOff, e)
 }
 
 // startAnswer starts the caller's answer with the head, unless it was started before.
