dispatch, stream: Bound the memory of answers on the own interface

Change: the dispatcher's sink reserves what is held of an answer from budget.Replies, the readers of engines' answers reserve their buffers, and a reply that is ended to make room ends the attempt with 5009. Answers that wait for a slow caller count in the budget of callers.

--- a/internal/caller/httpcall/budget.go
+++ b/internal/caller/httpcall/budget.go
@@ -75,6 +75,13 @@
 	return isBounded
 }
 
+// ReserveAnswer reserves the bytes of an answer that is held until the caller has read it.
+func ReserveAnswer(ctx *fasthttp.RequestCtx, bytes int) {
+	if conn, isBounded := ctx.Conn().(*budget.Conn); isBounded {
+		conn.ReserveAnswer(unit.Bytes(bytes))
+	}
+}
+
 // NoRoom returns the error of a request that is refused since there is no room for it.
 //
 // The error carries code.DaemonFull.
--- a/internal/caller/openai/frontend.go
+++ b/internal/caller/openai/frontend.go
@@ -177,7 +177,8 @@
 	}
 	setResponseHeader(ctx, r, c.head)
 	ctx.SetContentType("application/json")
-	ctx.SetBody(raw)
+	httpcall.ReserveAnswer(ctx, len(raw))
+	ctx.Response.SetBodyRaw(raw)
 }
 
 // startResult is the head of an answer, or the error of a request that ended
--- a/internal/caller/plain/plain.go
+++ b/internal/caller/plain/plain.go
@@ -67,6 +67,7 @@
 		httpcall.WriteError(ctx, err)
 		return
 	}
+	httpcall.ReserveAnswer(ctx, sink.body.Cap())
 	ctx.Response.SetBodyRaw(sink.body.Bytes())
 }
 
--- a/internal/endpoint/stream/events.go
+++ b/internal/endpoint/stream/events.go
@@ -1,15 +1,16 @@
 package stream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/route/table"
 )
 
@@ -39,10 +40,12 @@
 
 // readJSON forwards an answer that is not streamed.
 func (r *Reader) readJSON(body io.Reader) error {
-	raw, err := io.ReadAll(body)
+	memory := r.memory()
+	raw, err := budget.ReadReply(memory, body, -1, maxReplyBytes)
 	if err != nil {
-		return ErrorWithCode(err, r.Endpoint.Address)
+		return readError(err, r.Endpoint.Address)
 	}
+	defer memory.Release(unit.Bytes(cap(raw)))
 	if !json.Valid(raw) {
 		return code.CutOff.New("endpoint %s: the answer of %d bytes is not valid JSON", r.Endpoint.ID, len(raw))
 	}
@@ -77,41 +80,54 @@
 	nullValue  = []byte("null")
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
-
 // readEvents forwards a stream of server-sent events. A stream is complete only
 // if it ends with the end marker.
 func (r *Reader) readEvents(ctx context.Context, body io.Reader) error {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	lines := newLineReader(body, r.memory())
 	var end work.End
-	for lines.Scan() {
+	for {
+		line, readErr := lines.next()
+		if errors.Is(readErr, io.EOF) {
+			readErr = io.ErrUnexpectedEOF
+		}
 		if err := ctx.Err(); err != nil {
 			return ErrorWithCode(err, r.Endpoint.Address)
 		}
-		data, found := bytes.CutPrefix(lines.Bytes(), dataPrefix)
-		if !found {
-			continue
-		}
-		data = bytes.TrimSpace(data)
-		if bytes.Equal(data, doneMarker) {
-			return r.Sink.End(end)
-		}
-		if err := r.handleEvent(data, &end); err != nil {
-			// The scanner returns an incomplete last line before it reports a
-			// read error.
-			if cause := lines.Err(); cause != nil {
-				return ErrorWithCode(cause, r.Endpoint.Address)
+		if data, found := bytes.CutPrefix(line, dataPrefix); found {
+			data = bytes.TrimSpace(data)
+			if bytes.Equal(data, doneMarker) {
+				return r.Sink.End(end)
+			}
+			err := r.handleEvent(data, &end)
+			if err != nil && (readErr == nil || errors.Is(readErr, io.ErrUnexpectedEOF)) {
+				return err
 			}
-			return err
+		}
+		if readErr != nil {
+			return readError(readErr, r.Endpoint.Address)
 		}
 	}
-	err := lines.Err()
-	if err == nil {
-		err = io.ErrUnexpectedEOF
+}
+
+// memoryHolder is a sink that knows what the answer holds.
+type memoryHolder interface {
+	ReplyMemory() *budget.Reply
+}
+
+// memory returns what the answer holds, nil if that has no limit.
+func (r *Reader) memory() *budget.Reply {
+	if h, ok := r.Sink.(memoryHolder); ok {
+		return h.ReplyMemory()
+	}
+	return nil
+}
+
+// readError returns the error of a read with its result code.
+func readError(err error, address string) error {
+	if errors.Is(err, budget.ErrRepliesFull) {
+		return code.RepliesFull.Wrap(err, "endpoint at %s", address)
 	}
-	return ErrorWithCode(err, r.Endpoint.Address)
+	return ErrorWithCode(err, address)
 }
 
 func (r *Reader) handleEvent(data []byte, end *work.End) error {
--- a/internal/kernel/budget/listener.go
+++ b/internal/kernel/budget/listener.go
@@ -140,6 +140,13 @@
 	return nil
 }
 
+// ReserveAnswer reserves bytes of the answer to the current request until the next one. It doesn't fail,
+// since the request has run.
+func (c *Conn) ReserveAnswer(n unit.Bytes) {
+	c.account.ReserveAnswer(n)
+	c.reserved += n
+}
+
 // Release returns some of the bytes of the current request.
 func (c *Conn) Release(n unit.Bytes) {
 	c.account.Release(n)
--- a/internal/serve/dispatch/attemptsink.go
+++ b/internal/serve/dispatch/attemptsink.go
@@ -8,6 +8,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/table"
 )
@@ -21,6 +22,8 @@
 	policy     routingPolicy
 	endpoint   *table.Endpoint
 	request    *work.Request
+	// memory is what the answer holds.
+	memory *budget.Reply
 
 	// answerStarted says that the head was forwarded, answerResumed that a later
 	// attempt continues the answer, and callerClosed that a write to the caller
@@ -50,6 +53,33 @@
 	chunkGaps        []time.Duration
 }
 
+func (d *Dispatcher) newAttemptSink(s work.Sink) *attemptSink {
+	return &attemptSink{callerSink: s, clock: d.Clock, policy: d.Policy, memory: d.Replies.Open()}
+}
+
+// ReplyMemory returns what the answer holds, for an endpoint protocol that buffers more of it.
+func (a *attemptSink) ReplyMemory() *budget.Reply {
+	return a.memory
+}
+
+// bufferGrowth is the factor by which a buffer that grows may exceed its content.
+const bufferGrowth = 2
+
+// reserve reserves what is held of the chunk: the text, for another replica that resumes the answer, and
+// what the caller's sink collects of an answer that is not streamed.
+//
+// Errors carry code.RepliesFull.
+func (a *attemptSink) reserve(c work.Chunk) error {
+	held := len(c.Text)
+	if !a.request.Stream {
+		held += len(c.Text) + len(c.Raw)
+	}
+	if err := a.memory.Reserve(unit.Bytes(bufferGrowth * held)); err != nil {
+		return code.RepliesFull.Wrap(err, "hold answer of endpoint %s", a.endpoint.ID)
+	}
+	return nil
+}
+
 // beginAttempt resets the state of the current attempt.
 func (a *attemptSink) beginAttempt(e *table.Endpoint, r *work.Request) {
 	a.endpoint, a.request = e, r
@@ -87,6 +117,9 @@
 		}
 	}
 	a.lastChunkAt = now
+	if err := a.reserve(c); err != nil {
+		return err
+	}
 	a.sentTokens += c.Tokens
 	a.sentText.WriteString(c.Text)
 	return a.recordCallerError(a.callerSink.Chunk(c))
--- a/internal/serve/dispatch/dispatch.go
+++ b/internal/serve/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"cuminbay/internal/domain/record"
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/domain/work"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/admit"
 	"cuminbay/internal/route/table"
@@ -64,7 +65,9 @@
 	Poison    poisonDetector
 	Senders   map[table.Protocol]sender
 	Telemetry *Telemetry
-	Settings  Settings
+	// Replies bounds the memory of answers that are held. Nil means no limit.
+	Replies  *budget.Replies
+	Settings Settings
 }
 
 // Dispatcher runs requests. Its methods may be called from several goroutines.
--- a/internal/serve/dispatch/plugin.go
+++ b/internal/serve/dispatch/plugin.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 	"cuminbay/internal/route/table"
@@ -57,6 +58,7 @@
 		Log:       deps.Log,
 		Senders:   make(map[table.Protocol]sender),
 		Telemetry: NewTelemetry(deps.Metrics),
+		Replies:   budget.OrUnlimited(deps.Budget, deps.Clock).ForReplies(),
 		Settings:  *deps.Settings.Section("dispatch").(*Settings),
 	})}
 	deps.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/serve/dispatch/run.go
+++ b/internal/serve/dispatch/run.go
@@ -24,7 +24,8 @@
 // if the request was not run, or if it may run twice and no part of the answer was
 // forwarded. A plain text answer that was cut off is resumed at another endpoint.
 func (d *Dispatcher) runRepeatable(ctx context.Context, r *work.Request, s work.Sink, admission admit.Admission) error {
-	sink := &attemptSink{callerSink: s, clock: d.Clock, policy: d.Policy}
+	sink := d.newAttemptSink(s)
+	defer sink.memory.Close()
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
 		if attempt > 0 && !d.mayRetry(ctx, r, sink, failure) {
@@ -73,7 +74,7 @@
 		if code.OutcomeOf(failure) != code.NotRun {
 			return false
 		}
-	case code.CutOff, code.ConnectionClosed, code.Stalled, code.ForeignAnswer, code.EndpointFailed:
+	case code.CutOff, code.ConnectionClosed, code.Stalled, code.ForeignAnswer, code.EndpointFailed, code.RepliesFull:
 		if !isRepeatable(r) || d.Poison.Check(r.Fingerprint) != nil {
 			return false
 		}
@@ -110,7 +111,8 @@
 		d.releaseEndpoint(e, r)
 		return err
 	}
-	sink := &attemptSink{callerSink: s, clock: d.Clock, policy: d.Policy}
+	sink := d.newAttemptSink(s)
+	defer sink.memory.Close()
 	ctx = context.WithoutCancel(ctx)
 	var failure error
 	for attempt := 0; attempt < maxAttempts; attempt++ {
@@ -175,10 +177,11 @@
 		return d.unsentError(r)
 	}
 	sink.beginAttempt(e, r)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sink.memory.StartRead(cancel)
+	defer sink.memory.EndRead()
 	if !r.AtMostOnce && isRepeatable(r) {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		defer cancel()
 		defer e.OnStop(func() { sink.cancelBeforeFirstChunk(cancel) })()
 	}
 	err := s.Send(ctx, e, r, work.PartialAnswer{Text: sink.sentText.String(), Tokens: sink.sentTokens}, sink)
@@ -205,6 +208,8 @@
 	switch {
 	case sink.callerClosed:
 		return code.CallerClosed.Wrap(err, "write answer of request %s to the caller", r.ID)
+	case sink.memory.IsEnded():
+		return code.RepliesFull.Wrap(err, "run request %s", r.ID)
 	case sink.cancelledOnStop.Load():
 		return code.Stalled.Wrap(err, "wait for the first token: the endpoint stopped serving")
 	case ctx.Err() == nil || code.OutcomeOf(err) == code.NotRun:
@@ -228,7 +233,7 @@
 	d.Log.Warn().Str("request", string(r.ID)).Str("endpoint", string(e.ID)).
 		Str("code", code.Of(failure).String()).Err(failure).Msg("attempt-failed")
 	switch code.Of(failure) {
-	case code.EndpointUnreachable:
+	case code.EndpointUnreachable, code.RepliesFull:
 		e.Load.AvoidUntil(d.Clock.Now().Add(d.Settings.Avoid.Duration))
 	case code.Overloaded, code.NoReplica, code.ColdOnly, code.Draining, code.NotReady:
 		// The daemon was chosen by a summary of its data centre that is out
--- a/internal/standin/engine/openai.go
+++ b/internal/standin/engine/openai.go
@@ -78,6 +78,10 @@
 		faultserver.WriteError(ctx, fasthttp.StatusNotFound, "model %q is not served by this replica", call.request.Model)
 		return
 	}
+	if e.sendsEndless() {
+		faultserver.SetEndlessBody(ctx, e.clk, "data: ")
+		return
+	}
 	switch e.admit(call.activeRequest) {
 	case notServing:
 		faultserver.WriteError(ctx, fasthttp.StatusServiceUnavailable, "this instance is not rank 0 of a ready replica")
@@ -106,6 +110,12 @@
 	call.writeResponse(ctx)
 }
 
+func (e *Engine) sendsEndless() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Endless
+}
+
 // checkReplicaHeaders sets the response headers that name the replica, its epoch
 // and its version. It returns an error if the request has one of these headers
 // with another value, so that a request meant for another replica or epoch does
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -120,4 +120,6 @@
 	// Slowdown multiplies the time to the first token and between tokens; zero
 	// disables the fault.
 	Slowdown float64 `json:"slow"`
+	// Endless makes the body of an answer, or the event of a streamed one, have no end.
+	Endless bool `json:"endless"`
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -32,6 +32,8 @@
 	// FailWith is the HTTP status with which calls fail without running. Zero
 	// disables the fault.
 	FailWith int `json:"failWith"`
+	// Endless makes the body of each answer to a GET call have no end.
+	Endless bool `json:"endless"`
 }
 
 // Service is a simulated plain service.
@@ -109,6 +111,9 @@
 	switch {
 	case path == "/health":
 		faultserver.WriteJSON(ctx, fasthttp.StatusOK, map[string]bool{"healthy": true})
+	case f.Endless && method == fasthttp.MethodGet:
+		faultserver.SetEndlessBody(ctx, s.clk, "")
+		return
 	case method == fasthttp.MethodGet && len(path) > len("/lots/") && path[:len("/lots/")] == "/lots/":
 		faultserver.WriteJSON(ctx, fasthttp.StatusOK, map[string]string{"lot": path[len("/lots/"):]})
 	case method == fasthttp.MethodPost && (path == "/reserve" || path == "/ship"):
