poison: Keep refused requests in the store on the own interface too

Change: the plug-in poison has a Blocklist too. A daemon lists the entries at its start and has later ones from the exchange; the observer of a crash writes, or one of two owners of the task if it has not. The prefix of the keys is an option, as the two interfaces have different ones.

--- a/internal/domain/store/store.go
+++ b/internal/domain/store/store.go
@@ -15,6 +15,7 @@
 	LeaderPrefix     Key = "/cuminbay/duty/"
 	ClaimPrefix      Key = "/cuminbay/claims/"
 	DrainPrefix      Key = "/cuminbay/drains/"
+	PoisonPrefix     Key = "/cuminbay/poison/"
 )
 
 // LeaseID identifies a lease of the platform; zero means no lease.
--- a/internal/proof/process/endpoint_test.go
+++ b/internal/proof/process/endpoint_test.go
@@ -131,12 +131,7 @@
 	}
 	first := s.daemons[0].chat("poison")
 	c.Assert(first.errorObject.Code, qt.Not(qt.Equals), code.Code(0))
-	s.await(5*time.Second, "the request is refused as poison", func() error {
-		if a := s.daemons[0].chat("poison"); a.errorObject.Code != code.PoisonRequest || a.errorObject.Outcome != code.NotRun {
-			return fmt.Errorf("want code poison-request and outcome not-run, got %+v", a)
-		}
-		return nil
-	})
+	s.awaitPoisonRefused("poison")
 	// Crash counts reach every daemon of the data centre within one or two rounds
 	// of peer exchanges.
 	<-clk.After(time.Second)
@@ -157,3 +152,46 @@
 	}
 	c.Assert(crashes <= 2, qt.IsTrue, qt.Commentf("the request crashed engines %d times", crashes))
 }
+
+// TestPoisonAfterLossOfAllDaemons guards against a request that crashes replicas and is run again after
+// all daemons were killed at the same moment.
+func TestPoisonAfterLossOfAllDaemons(t *testing.T) {
+	t.Parallel()
+	const prompt = "poison"
+	c := qt.New(t)
+	s := startCluster(t, clusterSize{dataCentres: []string{"a"}, daemons: 2, engines: 8, replicas: 4})
+	for _, p := range s.engines {
+		s.setFaults(p, engine.Faults{CrashOn: prompt})
+	}
+	s.awaitPoisonRefused(prompt)
+	// The refusal is written while the caller gets its answer.
+	<-clk.After(time.Second)
+	s.awaitServing(4, 0)
+	before, err := s.incarnations()
+	c.Assert(err, qt.IsNil)
+	for _, d := range s.daemons {
+		s.signal(d.process, syscall.SIGKILL)
+	}
+	for _, d := range s.daemons {
+		<-d.exited
+		s.startProcess(d.process)
+	}
+	s.awaitServing(4, 0)
+	for _, d := range s.daemons {
+		a := d.chat(prompt)
+		c.Check(a.errorObject.Code, qt.Equals, code.PoisonRequest, qt.Commentf("%s: %+v", d.name, a))
+	}
+	after, err := s.incarnations()
+	c.Assert(err, qt.IsNil)
+	c.Check(after, qt.DeepEquals, before, qt.Commentf("replicas have crashed again"))
+}
+
+// awaitPoisonRefused sends a prompt that crashes engines until it is refused as not run.
+func (s *cluster) awaitPoisonRefused(prompt string) {
+	s.await(5*time.Second, "the request is refused as poison", func() error {
+		if a := s.daemons[0].chat(prompt); a.errorObject.Code != code.PoisonRequest || a.errorObject.Outcome != code.NotRun {
+			return fmt.Errorf("want code poison-request and outcome not-run, got %+v", a)
+		}
+		return nil
+	})
+}
--- a/internal/serve/forward/plugin.go
+++ b/internal/serve/forward/plugin.go
@@ -110,7 +110,7 @@
 		Clock: deps.Clock, Threshold: crashThreshold, Lifetime: lifetime, Limit: c.settings.Suspects, Changed: suspectsChanged,
 	})
 	c.blocklist = poison.NewBlocklist(poison.BlocklistOptions{
-		Clock: deps.Clock, Log: deps.Log, Requests: detector, Parts: parts, Lifetime: lifetime, Changed: suspectsChanged,
+		Clock: deps.Clock, Log: deps.Log, KeyPrefix: "cuminbay/poison/", Requests: detector, Parts: parts, Lifetime: lifetime, Changed: suspectsChanged,
 	})
 	c.limits = ratelimit.New(ratelimit.Options{Clock: deps.Clock, Log: deps.Log, Self: deps.Settings.Daemon.Instance})
 	if err := c.limits.Register(deps.Metrics); err != nil {
--- a/internal/serve/poison/blocklist.go
+++ b/internal/serve/poison/blocklist.go
@@ -45,10 +45,13 @@
 
 // BlocklistOptions are the dependencies of a Blocklist.
 type BlocklistOptions struct {
-	Clock    clock.Clock
-	Log      zerolog.Logger
-	Requests *Detector
-	Parts    *PartDetector
+	Clock clock.Clock
+	Log   zerolog.Logger
+	// KeyPrefix is the prefix of the refusals' keys in the platform's store.
+	KeyPrefix store.Key
+	Requests  *Detector
+	// Parts is nil if prompts have no parts.
+	Parts *PartDetector
 	// Lifetime is that of a crash in the detectors.
 	Lifetime time.Duration
 	Store    refusalStore
@@ -99,26 +102,30 @@
 
 // NewBlocklist returns a blocklist without entries.
 func NewBlocklist(o BlocklistOptions) *Blocklist {
-	return &Blocklist{
+	b := &Blocklist{
 		BlocklistOptions: o,
-		sources:          map[suspectKind]suspectSource{requestSuspect: o.Requests, partSuspect: o.Parts},
+		sources:          map[suspectKind]suspectSource{requestSuspect: o.Requests},
 		entries:          make(map[refusalKey]refusalEntry),
 		due:              make(map[refusalKey]time.Time),
 	}
+	if o.Parts != nil {
+		b.sources[partSuspect] = o.Parts
+	}
+	return b
 }
 
 // Prefix returns the prefix of the refusals' keys in the platform's store.
 func (b *Blocklist) Prefix() store.Key {
-	return refusalPrefix
+	return b.KeyPrefix
 }
 
 // HandleChanges applies changes of the copy of the store. A key that is removed says nothing about the
 // suspect: its lease has ended, or a restored store lacks it.
 func (b *Blocklist) HandleChanges(changes []store.Change, _ bool) {
 	for _, change := range changes {
-		key, err := parseRefusalKey(change.Key)
-		if err != nil {
-			b.Log.Warn().Err(err).Msg("refusal-rejected")
+		key, err := parseRefusalKey(b.KeyPrefix, change.Key)
+		if err != nil || b.sources[key.kind] == nil {
+			b.Log.Warn().Err(err).Str("key", string(change.Key)).Msg("refusal-rejected")
 			continue
 		}
 		if change.Removed {
@@ -156,7 +163,7 @@
 	source := b.sources[key.kind]
 	switch {
 	case err != nil:
-		b.Log.Warn().Err(err).Str("key", string(key.storeKey())).Msg("refusal-rejected")
+		b.Log.Warn().Err(err).Str("key", string(key.below(b.KeyPrefix))).Msg("refusal-rejected")
 	case r.Cleared:
 		source.clearSuspect(key.id)
 	default:
@@ -298,7 +305,7 @@
 	if err != nil {
 		level = zerolog.WarnLevel
 	}
-	b.Log.WithLevel(level).Err(err).Str("key", string(w.key.storeKey())).Int("crashes", len(w.refusal.Crashes)).Msg("refusal-written")
+	b.Log.WithLevel(level).Err(err).Str("key", string(w.key.below(b.KeyPrefix))).Int("crashes", len(w.refusal.Crashes)).Msg("refusal-written")
 }
 
 // leaseTime returns the time after which the daemons forget the crashes of the refusal.
@@ -321,7 +328,7 @@
 	if err != nil {
 		return err
 	}
-	entry, result, err := b.Store.Swap(ctx, store.Swap{Key: w.key.storeKey(), ExpectedRevision: expected, Value: value, Lease: lease})
+	entry, result, err := b.Store.Swap(ctx, store.Swap{Key: w.key.below(b.KeyPrefix), ExpectedRevision: expected, Value: value, Lease: lease})
 	if result == store.Unknown {
 		// The copy of the store will show whether the write took effect.
 		return err
--- a/internal/serve/poison/blocklist_test.go
+++ b/internal/serve/poison/blocklist_test.go
@@ -77,7 +77,7 @@
 	changed := make(chan struct{}, 1)
 	d := new(fakeDaemon)
 	d.Blocklist = NewBlocklist(BlocklistOptions{
-		Clock: clk, Log: zerolog.Nop(), Lifetime: lifetime, Store: s, Readers: d, Changed: changed,
+		Clock: clk, Log: zerolog.Nop(), KeyPrefix: testPrefix, Lifetime: lifetime, Store: s, Readers: d, Changed: changed,
 		Requests: New(Options{Clock: clk, Self: name, Lifetime: lifetime, Limit: 1000, Threshold: 3, Changed: changed}),
 		Parts:    NewPartDetector(PartOptions{Clock: clk, Threshold: 3, Lifetime: lifetime, Limit: 1000, Changed: changed}),
 	})
@@ -109,6 +109,8 @@
 }
 
 const (
+	testPrefix store.Key = "cuminbay/poison/"
+
 	badRequest ident.Fingerprint = 7
 	badPart    ident.PromptPart  = 8
 )
@@ -270,7 +272,7 @@
 	for _, key := range []store.Key{"cuminbay/poison/", "cuminbay/poison/request/7", "cuminbay/poison/other/0000000000000007"} {
 		d.HandleChanges([]store.Change{{Entry: store.Entry{Key: key, Value: []byte("{}"), Revision: 1 << 20}}}, false)
 	}
-	key := refusalKey{requestSuspect, 7}.storeKey()
+	key := refusalKey{requestSuspect, 7}.below(testPrefix)
 	for _, value := range []string{"", "?", `{"crashes":[1],"last":-5}`, `{"crashes":7}`, `{"cleared":true}`} {
 		d.HandleChanges([]store.Change{{Entry: store.Entry{Key: key, Value: []byte(value), Revision: 1 << 20}}}, false)
 	}
--- a/internal/serve/poison/refusal.go
+++ b/internal/serve/poison/refusal.go
@@ -34,29 +34,27 @@
 	local bool
 }
 
-// refusalPrefix is the prefix of the keys of refusals in the platform's store.
-const refusalPrefix store.Key = "cuminbay/poison/"
-
 // refusalKey identifies a refusal in the platform's store.
 type refusalKey struct {
 	kind suspectKind
 	id   suspectID
 }
 
-// storeKey returns the key in the platform's store, such as "cuminbay/poison/request/00000000000000ff".
-func (k refusalKey) storeKey() store.Key {
-	return refusalPrefix + store.Key(fmt.Sprintf("%s/%016x", k.kind, uint64(k.id)))
+// below returns the key in the platform's store, such as "cuminbay/poison/request/00000000000000ff" with
+// the prefix "cuminbay/poison/".
+func (k refusalKey) below(prefix store.Key) store.Key {
+	return prefix + store.Key(fmt.Sprintf("%s/%016x", k.kind, uint64(k.id)))
 }
 
-// parseRefusalKey is the inverse of storeKey.
+// parseRefusalKey is the inverse of below.
 //
 // Errors carry code.BadMessage.
-func parseRefusalKey(key store.Key) (refusalKey, error) {
-	kind, digits, _ := strings.Cut(strings.TrimPrefix(string(key), string(refusalPrefix)), "/")
+func parseRefusalKey(prefix, key store.Key) (refusalKey, error) {
+	kind, digits, _ := strings.Cut(strings.TrimPrefix(string(key), string(prefix)), "/")
 	id, err := strconv.ParseUint(digits, 16, 64)
 	k := refusalKey{suspectKind(kind), suspectID(id)}
-	if err != nil || k.storeKey() != key || k.kind != requestSuspect && k.kind != partSuspect {
-		return refusalKey{}, code.BadMessage.New("parse key %q: expected %srequest/ID or %spart/ID", key, refusalPrefix, refusalPrefix)
+	if err != nil || k.below(prefix) != key || k.kind != requestSuspect && k.kind != partSuspect {
+		return refusalKey{}, code.BadMessage.New("parse key %q: expected %srequest/ID or %spart/ID", key, prefix, prefix)
 	}
 	return k, nil
 }
