httpserver: Cancel requests that were sent ahead when their caller leaves

Cause: while a request was answered, the reader waited for the caller's close with Peek(1). With a further byte buffered it waited for the answer instead, and the close stayed unread behind that byte.

Change: the reader goes on reading behind the bytes it has, and the end of the answer interrupts it. With a full buffer it asks the socket whether the caller has closed.

--- a/internal/caller/httpserver/conn.go
+++ b/internal/caller/httpserver/conn.go
@@ -45,6 +45,7 @@
 	// the current request has been answered.
 	cancel   context.CancelFunc
 	answered chan struct{}
+	ahead    aheadRead
 	// isLastRequest says that no request follows the current request.
 	isLastRequest atomic.Bool
 }
@@ -77,14 +78,10 @@
 	defer c.netConn.Close() //nolint:errcheck // nothing is left to be sent
 	c.setIdleDeadline()
 	for {
-		_, err := c.reader.Peek(1)
-		if err != nil {
+		if err := c.awaitRequest(); err != nil {
 			c.cancelRequest()
 			return
 		}
-		if c.answered != nil {
-			<-c.answered
-		}
 		if c.isLastRequest.Load() || !c.phase.CompareAndSwap(phaseIdle, phaseBusy) {
 			c.discardInput()
 			return
@@ -158,6 +155,7 @@
 	c.hasAnswer.Store(false)
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.cancel, c.answered = cancel, make(chan struct{})
+	c.ahead.begin()
 	c.server.activeRequests.Add(1)
 	go c.serveRequest(ctx, request, w)
 	return true
@@ -165,6 +163,7 @@
 
 func (c *conn) serveRequest(ctx context.Context, r *Request, w *ResponseWriter) {
 	defer close(c.answered)
+	defer c.ahead.finish(c.netConn)
 	defer c.cancel()
 	c.handleRequest(ctx, r, w)
 	c.server.activeRequests.Add(-1)
--- a/internal/caller/httpserver/server_test.go
+++ b/internal/caller/httpserver/server_test.go
@@ -32,6 +32,8 @@
 	// release ends the request for /hold.
 	release chan struct{}
 	panics  atomic.Int64
+	// recorded counts the requests for /record.
+	recorded atomic.Int64
 }
 
 func (h *testHandler) Serve(ctx context.Context, r *Request, w *ResponseWriter) {
@@ -64,6 +66,10 @@
 		case <-h.release:
 			_ = w.End([]byte("two"))
 		}
+	case "/record":
+		h.recorded.Add(1)
+		w.Start(http.StatusOK, fields, 0)
+		_ = w.End(nil)
 	case "/panic":
 		panic("unexpected error")
 	case "/hold":
