mirror: Bound the history for followers by its size

Cause: the latest 1,024 changes were kept whatever their size, and dropped ones stayed reachable behind the end of the slice.

Change: the history is bounded by 4 MB too, and what is dropped is cleared.

--- a/internal/fleet/mirror/history.go
+++ b/internal/fleet/mirror/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cuminbay/internal/domain/code"
@@ -10,23 +11,41 @@
 	"cuminbay/internal/kernel/clock"
 )
 
-// maxHistory is the number of changes that are kept for the followers of this
-// daemon.
-const maxHistory = 1024
+// The history for the followers of this daemon is bounded by the number of changes and by their size. A
+// follower that lacks older ones reads the list, which is smaller than many versions of a large value.
+const (
+	maxHistory      = 1024
+	maxHistoryBytes = 4 << 20
+	// changeBytes is what a change takes beside its key and value.
+	changeBytes = 96
+)
 
 // history holds the latest changes in order of their revisions.
 type history struct {
 	changes []store.Change
+	size    unit.Bytes
 	// completeAfter is the revision after which no change is missing.
 	completeAfter unit.Revision
 }
 
 func (h *history) add(changes []store.Change) {
 	h.changes = append(h.changes, changes...)
-	if excess := len(h.changes) - maxHistory; excess > 0 {
-		h.completeAfter = h.changes[excess-1].Revision
-		h.changes = append(h.changes[:0], h.changes[excess:]...)
+	for _, change := range changes {
+		h.size += sizeOf(change)
+	}
+	dropped := 0
+	for len(h.changes)-dropped > maxHistory || h.size > maxHistoryBytes {
+		h.size -= sizeOf(h.changes[dropped])
+		h.completeAfter = h.changes[dropped].Revision
+		dropped++
 	}
+	// Delete clears what follows the remaining changes, so that dropped values are not kept.
+	h.changes = slices.Delete(h.changes, 0, dropped)
+}
+
+// sizeOf returns the memory of a change.
+func sizeOf(change store.Change) unit.Bytes {
+	return unit.Bytes(changeBytes + len(change.Key) + len(change.Value))
 }
 
 // changesAfter returns the changes after the revision, or false if the history no longer
