forward, platform: Count the attempts of the daemon a request was passed on to

Cause: each pass counted as one attempt, however many the other daemon had made.

Change: the answer to a request that no server has answered tells the attempts that may have run it, in the field of the request (Relay-Runs). Without the field, as from an older build, a pass counts as one.

--- a/internal/domain/code/code.go
+++ b/internal/domain/code/code.go
@@ -177,6 +177,7 @@
 	codeKey       = errorx.RegisterProperty("code")
 	retryAfterKey = errorx.RegisterProperty("retry_after")
 	outcomeKey    = errorx.RegisterProperty("outcome")
+	runsKey       = errorx.RegisterProperty("runs")
 )
 
 // New returns an error that carries the code. The message names the operation
@@ -196,6 +197,19 @@
 	return errorx.Decorate(err, "retry after %s", after).WithProperty(retryAfterKey, after)
 }
 
+// WithRuns returns the error of a request that another daemon has passed on, with the number of attempts
+// that may have run it.
+func WithRuns(err error, runs int) error {
+	return errorx.Decorate(err, "runs %d", runs).WithProperty(runsKey, runs)
+}
+
+// Runs returns the number of attempts that may have run the request, and false if the error has none.
+func Runs(err error) (int, bool) {
+	v, found := findProperty(err, runsKey)
+	runs, ok := v.(int)
+	return runs, found && ok
+}
+
 // WithOutcome returns the error with an outcome that differs from the default
 // of its code.
 func WithOutcome(err error, outcome Outcome) error {
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -18,7 +18,7 @@
 	cause := code.Of(err)
 	if code.OutcomeOf(err) != code.NotRun {
 		x.possibleRunFailure = err
-		x.possibleRuns++
+		x.countRuns(err)
 	}
 	if e.IsRelay {
 		x.recordRelayFailure(e, err)
@@ -47,6 +47,15 @@
 		Dur("avoided_ms", avoidedFor).Str("cause", cause.Spec().Name).Str("detail", code.Message(err)).Msg("attempt-failed")
 }
 
+// countRuns counts the runs of an attempt that failed. Another daemon may have made several attempts, and
+// says so unless its answer was lost.
+func (x *exchange) countRuns(err error) {
+	x.possibleRuns++
+	if runs, told := code.Runs(err); told {
+		x.possibleRuns = max(x.possibleRuns, runs)
+	}
+}
+
 // recordEndpointFailure has the endpoint avoided, here and at the other daemons, and returns for how
 // long it is avoided here. While this daemon reaches no server, the failure says nothing about the
 // endpoint.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -204,11 +204,14 @@
 
 // Forward forwards the request and writes the answer to the sink. An error carries
 // the result code. If the sink was not started, the caller of Forward has to write
-// the error to it.
+// the error to it. In a request that another daemon has passed on, PossibleRuns is up to date then.
 func (f *Forwarder) Forward(ctx context.Context, r *proxy.Request, s Sink) error {
 	ex := &exchange{Forwarder: f, request: r, sink: s, draw: rand.Float64(), memory: f.Replies.Open()}
 	defer ex.memory.Close()
 	err := ex.runRequest(ctx)
+	if r.Relayed != nil {
+		r.Relayed.PossibleRuns = max(r.Relayed.PossibleRuns, ex.possibleRuns)
+	}
 	ex.recordRefusal(err)
 	f.Telemetry.requestEnded(ex, err, f.Clock.Now())
 	return err
--- a/internal/serve/forward/relay_test.go
+++ b/internal/serve/forward/relay_test.go
@@ -60,6 +60,14 @@
 			path: "/stream/1", cutOff: true, relays: fakeRelays{"p", "q"}, replies: map[ident.Instance][]scriptedReply{"p": {{body: eventA, bodyCutOff: true}}, "q": {{body: eventB}}},
 			wantBody: eventA + eventB, wantServers: []ident.Instance{"p", "q"}, wantRuns: 1,
 		},
+		"daemon has run it as often as allowed": {
+			path: "/safe/1", cutOff: true, relays: fakeRelays{"p", "q"}, replies: map[ident.Instance][]scriptedReply{"p": {{err: code.WithRuns(code.CutOff.New("reset"), 2)}}, "q": done},
+			wantCode: code.CutOff, wantServers: []ident.Instance{"p"},
+		},
+		"daemon has run it once": {
+			path: "/safe/1", cutOff: true, relays: fakeRelays{"p", "q"}, replies: map[ident.Instance][]scriptedReply{"p": {{err: code.WithRuns(code.CutOff.New("reset"), 1)}}, "q": done},
+			wantBody: "done", wantServers: []ident.Instance{"p", "q"}, wantRuns: 1,
+		},
 		"error of the server": {path: "/safe/1", cutOff: true, relays: fakeRelays{"p", "q"}, replies: map[ident.Instance][]scriptedReply{"p": {{status: 500, body: "bad"}}, "q": done}, wantBody: "bad", wantServers: []ident.Instance{"p"}},
 		"passed on by another daemon": {
 			path: "/unsafe/1", relays: fakeRelays{"p"}, relayed: &proxy.Relay{From: "o"}, replies: map[ident.Instance][]scriptedReply{"a": done}, wantBody: "done", wantServers: []ident.Instance{"a"},
