--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -4,7 +4,6 @@
 package mirror
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -14,7 +13,6 @@
 
 	"github.com/rs/zerolog"
 
-	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
@@ -144,21 +142,6 @@
 	return ident.Instance(m.Get(LeaderKey).Value)
 }
 
-// After a failed call the mirror waits from minRetryDelay up to maxRetryDelay.
-// After a successful call it waits for a batch time, so that a burst of changes
-// takes one call: each call to the platform has a cost. The batch time is shorter
-// for a daemon that needs changes with low latency, even more while it awaits one, and for
-// a daemon that follows another daemon. A hundred servers renew their entries so often that
-// without a batch time each call would return at once.
-const (
-	minRetryDelay       = 50 * time.Millisecond
-	maxRetryDelay       = 500 * time.Millisecond
-	batchTime           = 300 * time.Millisecond
-	lowLatencyBatchTime = 100 * time.Millisecond
-	awaitedBatchTime    = 20 * time.Millisecond
-	followerBatchTime   = 20 * time.Millisecond
-)
-
 // SetLowLatency sets whether this daemon needs each change with low latency, as the
 // leader does, whose planner acts on changes.
 func (m *Mirror) SetLowLatency(enabled bool) {
@@ -188,229 +171,6 @@
 	return now
 }
 
-func (m *Mirror) currentBatchTime() time.Duration {
-	u, ok := m.Source.(*Upstream)
-	switch {
-	case m.lowLatency.Load() && m.awaitsChange.Load():
-		return awaitedBatchTime
-	case m.lowLatency.Load():
-		return lowLatencyBatchTime
-	case ok && u.CurrentSource() != platformSource:
-		return followerBatchTime
-	}
-	return batchTime
-}
-
-// Run copies the source until the context ends.
-func (m *Mirror) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		delay, answered := m.poll(ctx)
-		if answered {
-			plugin.Sleep(ctx, m.Clock, delay)
-			continue
-		}
-		// Datagrams arrive much more often than a failed call is worth repeating.
-		plugin.Sleep(ctx, m.Clock, minRetryDelay)
-		plugin.SleepOrWake(ctx, m.Clock, delay-minRetryDelay, m.sourceRegained)
-	}
-}
-
-// poll makes one call to the source. It returns the delay before the next one, and whether the
-// source answered.
-func (m *Mirror) poll(ctx context.Context) (delay time.Duration, answered bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	m.cancelCall.Store(&cancel)
-	var err error
-	if m.synced {
-		m.synced, err = m.readChanges(ctx)
-	} else {
-		m.synced, err = m.readList(ctx)
-	}
-	if err == nil {
-		m.retryDelay = minRetryDelay
-		return m.currentBatchTime(), true
-	}
-	if code.Of(err) == code.BadMessage {
-		// The same changes would be malformed again.
-		m.synced = false
-	}
-	m.recordSourceLoss(err)
-	return m.nextRetryDelay(), false
-}
-
-// nextRetryDelay returns the delay before the next call after one that failed. It ends as soon as a
-// source that is avoided can be used again.
-func (m *Mirror) nextRetryDelay() time.Duration {
-	delay := clock.Jitter(m.retryDelay)
-	m.retryDelay = min(2*m.retryDelay, maxRetryDelay)
-	if u, ok := m.Source.(*Upstream); ok {
-		return max(u.untilNextSource(delay), minRetryDelay)
-	}
-	return delay
-}
-
-func (m *Mirror) recordSourceLoss(err error) {
-	if m.sourceConnected.Swap(false) {
-		m.Log.Warn().Err(err).Stringer("revision", m.Revision()).Msg("store-lost")
-	}
-}
-
-// ObserveCopy records the revision and the age of another daemon's copy. If that copy is recent and
-// this daemon's is too old, as after an outage of the platform, the delay before the next call ends.
-func (m *Mirror) ObserveCopy(from ident.Instance, revision unit.Revision, age time.Duration) {
-	m.observeRevision(revision)
-	if age >= m.MaxAge() || m.Age() < m.MaxAge() {
-		return
-	}
-	if u, ok := m.Source.(*Upstream); ok {
-		u.acceptCopyOf(from)
-	}
-	select {
-	case m.sourceRegained <- struct{}{}:
-	default:
-	}
-}
-
-func (m *Mirror) observeRevision(revision unit.Revision) {
-	for {
-		current := m.peerRevision.Load()
-		if current >= int64(revision) || m.peerRevision.CompareAndSwap(current, int64(revision)) {
-			return
-		}
-	}
-}
-
-// cancelCurrentCall cancels the call to the source that is in progress, if any.
-func (m *Mirror) cancelCurrentCall() {
-	if cancel := m.cancelCall.Load(); cancel != nil {
-		(*cancel)()
-	}
-}
-
-// maxLagTime is the time for which another daemon's copy may be ahead of this copy
-// without a fault, since changes are batched and pass through several daemons.
-const maxLagTime = 700 * time.Millisecond
-
-// MonitorLag checks, until the context ends, whether other daemons have changes
-// that this daemon has lacked for maxLagTime. Its source has then stalled or lost its
-// connection to the platform: MonitorLag cancels the current call and avoids that source.
-func (m *Mirror) MonitorLag(ctx context.Context) {
-	var missingRevision int64
-	for plugin.Sleep(ctx, m.Clock, maxLagTime) {
-		ownRevision, peerRevision := m.revision.Load(), m.peerRevision.Load()
-		if missingRevision == 0 || ownRevision >= missingRevision {
-			missingRevision = 0
-			if peerRevision > ownRevision {
-				missingRevision = peerRevision
-			}
-			continue
-		}
-		u, isUpstream := m.Source.(*Upstream)
-		if isUpstream && u.Feed.Transferring() {
-			// A large change takes time over a slow link. A new call would start
-			// the transfer again.
-			continue
-		}
-		m.Log.Info().Stringer("revision", unit.Revision(ownRevision)).Stringer("heard", unit.Revision(peerRevision)).Msg("store-behind")
-		missingRevision = 0
-		if isUpstream {
-			u.AvoidCurrentSource()
-		}
-		m.cancelCurrentCall()
-	}
-}
-
-// MonitorAge ends, until the context ends, each wait for changes at another daemon during
-// which the copy becomes too old. That daemon has lost its connection to the platform, and
-// may not notice it soon enough to answer.
-func (m *Mirror) MonitorAge(ctx context.Context) {
-	for plugin.Sleep(ctx, m.Clock, max(m.freshness.maxAge-m.Age(), minAgeCheckInterval)) {
-		u, isUpstream := m.Source.(*Upstream)
-		if !isUpstream || m.Age() < m.freshness.maxAge || !u.LeaveOldCopy() {
-			continue
-		}
-		m.Log.Info().Stringer("revision", m.Revision()).Dur("age_ms", m.Age()).Msg("store-copy-old")
-		m.cancelCurrentCall()
-	}
-}
-
-// recordSourceRecovery records that the source answers again. After an outage of
-// at least MinOutage it starts deferring removals.
-func (m *Mirror) recordSourceRecovery() {
-	if m.sourceConnected.Swap(true) {
-		return
-	}
-	isOutage := m.confirmedAt.Load() != 0 && m.Age() >= m.MinOutage
-	if isOutage {
-		m.mu.Lock()
-		m.deferUntil = m.Clock.Now().Add(m.SettleTime)
-		m.mu.Unlock()
-	}
-	m.Log.Info().Stringer("revision", m.Revision()).Dur("age_ms", m.Age()).Bool("outage", isOutage).Msg("store-regained")
-}
-
-// readList reads the source's whole list and applies the differences from the copy.
-// It returns true if the copy is synced with the list.
-func (m *Mirror) readList(ctx context.Context) (bool, error) {
-	entries, revision, err := m.Source.List(ctx, "")
-	if err != nil {
-		return false, err
-	}
-	if ownRevision := m.Revision(); revision < ownRevision {
-		// A copy of another daemon that is older than this copy would undo
-		// changes.
-		if u, ok := m.Source.(*Upstream); ok {
-			u.AvoidCurrentSource()
-		}
-		return false, code.PlatformUnavailable.New("mirror: read list: got revision %s, expected at least revision %s of this copy", revision, ownRevision)
-	}
-	m.recordSourceRecovery()
-	if m.isRestored(revision) {
-		m.applyRestoredList(entries, revision)
-		return true, nil
-	}
-	m.mu.Lock()
-	listed := make(map[store.Key]bool, len(entries))
-	changes := make([]store.Change, 0, len(entries))
-	for _, e := range entries {
-		listed[e.Key] = true
-		if e.Revision > m.entries[e.Key].Revision {
-			changes = append(changes, store.Change{Entry: e})
-		}
-	}
-	for key := range m.entries {
-		if !listed[key] {
-			changes = append(changes, store.Change{Entry: store.Entry{Key: key, Revision: revision}, Removed: true})
-		}
-	}
-	m.mu.Unlock()
-	// The changes go into the history in order of their revisions, so that the
-	// followers of this daemon need not read the list again.
-	slices.SortFunc(changes, func(a, b store.Change) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
-	})
-	m.apply(changes, revision, true)
-	m.Log.Info().Int("keys", len(entries)).Stringer("revision", revision).Msg("store-listed")
-	return true, nil
-}
-
-// readChanges waits for changes and applies them. It returns false if the list has
-// to be read again.
-func (m *Mirror) readChanges(ctx context.Context) (bool, error) {
-	changes, completeUpTo, compacted, err := m.Source.Changes(ctx, "", m.Revision(), m.nextWait())
-	if err != nil {
-		return true, err
-	}
-	m.recordSourceRecovery()
-	if compacted {
-		m.Log.Info().Stringer("revision", m.Revision()).Msg("store-history-lost")
-		return false, nil
-	}
-	m.apply(changes, completeUpTo, false)
-	return true, nil
-}
-
 // apply applies changes to the copy, records the time of its confirmation and calls the
 // handlers. The history gets every change: daemons that follow this daemon defer removals
 // themselves.
