--- a/internal/fleet/formation/planner.go
+++ b/internal/fleet/formation/planner.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -109,21 +108,6 @@
 	probedAt    time.Time
 }
 
-// sentOrder is the last order of an operation to a server. The same order is
-// not sent again before retryAt.
-type sentOrder struct {
-	order   cluster.Order
-	retryAt time.Time
-}
-
-// acceptedMembership is the membership of a server's incarnation after an order that it has
-// accepted. The replica is empty after an order to leave.
-type acceptedMembership struct {
-	incarnation unit.Incarnation
-	replica     ident.Replica
-	epoch       unit.Epoch
-}
-
 // Options are the planner's settings.
 type Options struct {
 	// RetryInterval is the time after which an order that showed no effect is
@@ -217,20 +201,6 @@
 	Detail  string
 }
 
-// epochsPerToken is the number of epochs of one term. The epochs of two terms
-// never overlap, so no epoch is used with two lists of members.
-const epochsPerToken = 1 << 12
-
-// maxLostRevisions bounds the writes that a restored platform has lost. The tokens of an era
-// follow on those of the era before by as much, which keeps epochs within the 53 bits that
-// every decoder of JSON holds.
-const maxLostRevisions = 1 << 28
-
-// firstEpoch returns the first epoch of the term with the token.
-func firstEpoch(token unit.Revision) unit.Epoch {
-	return unit.Epoch(int64(token.Era())*maxLostRevisions+token.Number()) * epochsPerToken
-}
-
 // NewPlanner returns a planner for the term with the fencing token.
 func NewPlanner(options Options, token unit.Revision, now time.Time) *Planner {
 	return &Planner{
@@ -317,28 +287,6 @@
 	return p.commands
 }
 
-// maxMissedRevisions bounds the revisions, over restorations of the platform too, that this daemon
-// doesn't know yet.
-const maxMissedRevisions = 2 * maxLostRevisions
-
-// dropImpossibleEpochs drops the replicas whose epochs no planner can have given, as its token
-// would be far above all revisions. The registration of such a server is another writer's.
-func (p *Planner) dropImpossibleEpochs() {
-	highest := firstEpoch(max(p.LatestRevision, p.fencingToken)) + maxMissedRevisions*epochsPerToken
-	maps.DeleteFunc(p.reported, func(key catalog.ReplicaKey, _ *catalog.Replica) bool { return key.Epoch > highest })
-}
-
-// isSuperseded reports whether a server reports an epoch of a later term.
-func (p *Planner) isSuperseded() bool {
-	firstLaterEpoch := firstEpoch(p.fencingToken + 1)
-	for key := range p.reported {
-		if key.Epoch >= firstLaterEpoch {
-			return true
-		}
-	}
-	return p.Superseded
-}
-
 // indexServers groups the servers by their fabric domains.
 func (p *Planner) indexServers() {
 	p.membersChanged()
@@ -386,101 +334,6 @@
 	return !s.Draining && !s.Unregistered && !p.IsUnreachable(s) && s.Domain != ""
 }
 
-// issueOrder adds an order to the commands unless the same order was sent and
-// its retry time has not come.
-func (p *Planner) issueOrder(id ident.Instance, o cluster.Order) {
-	s := p.snapshot.Server(id)
-	if s == nil {
-		return
-	}
-	o.FencingToken = p.fencingToken
-	last, sent := p.sentOrders[id][o.Operation]
-	if sent && p.now.Before(last.retryAt) && sameOrder(&last.order, &o) {
-		return
-	}
-	if p.sentOrders[id] == nil {
-		p.sentOrders[id] = make(map[cluster.Operation]sentOrder)
-	}
-	p.sentOrders[id][o.Operation] = sentOrder{o, p.now.Add(p.options.RetryInterval)}
-	p.commands = append(p.commands, Command{Server: s, Order: o, Confirm: o.Operation == cluster.JoinReplica && !p.knowsMembership(s)})
-}
-
-// reportDelay is the time after which a server's report shows an order that it has accepted.
-const reportDelay = 200 * time.Millisecond
-
-// knowsMembership reports whether the server's known membership is the one after the last order
-// that it has accepted in this term. Only orders of this term can have changed it since, if the
-// server checks fencing tokens. At the first start of the system no replica can have been formed
-// without the store, and a thousand reports at once would keep the planner from its orders.
-func (p *Planner) knowsMembership(s *cluster.Server) bool {
-	if p.loads.bootstrap {
-		return true
-	}
-	known := acceptedMembership{incarnation: s.Incarnation}
-	if s.Membership != nil {
-		known.replica, known.epoch = s.Membership.Replica, s.Membership.Epoch
-	}
-	accepted, found := p.accepted[s.ID]
-	return p.options.Fenced && found && accepted == known
-}
-
-// recordAccepted records the membership after an order that the server has accepted.
-func (p *Planner) recordAccepted(c *Command) {
-	switch c.Order.Operation {
-	case cluster.JoinReplica:
-		p.accepted[c.Server.ID] = acceptedMembership{c.Server.Incarnation, c.Order.Replica, c.Order.Epoch}
-	case cluster.LeaveReplica:
-		if m := c.Server.Membership; m != nil && m.Replica == c.Order.Replica && m.Epoch == c.Order.Epoch {
-			p.accepted[c.Server.ID] = acceptedMembership{incarnation: c.Server.Incarnation}
-		}
-	case cluster.OpenReplica, cluster.CloseReplica, cluster.StageModel:
-	}
-}
-
-// HandleResult applies a server's answer to an order. A load that the server
-// rejects is given to another one. If the server loads weights and the order is in
-// progress or done, the order is not repeated before the expected end of the load.
-func (p *Planner) HandleResult(c Command, result cluster.OrderResult) {
-	last, sent := p.sentOrders[c.Server.ID][c.Order.Operation]
-	if !sent || !sameOrder(&last.order, &c.Order) {
-		return
-	}
-	if c.Order.Operation == cluster.StageModel && result == cluster.Rejected {
-		p.loads.rejectLoad(c.Server.ID)
-		delete(p.sentOrders[c.Server.ID], cluster.StageModel)
-		return
-	}
-	isAccepted := result == cluster.InProgress || result == cluster.Done
-	switch {
-	case result == cluster.OutOfDate, result == cluster.Rejected && c.Confirm:
-		// The report or what the planner knew was out of date. Both will be up to date soon.
-		last.retryAt = p.now.Add(reportDelay)
-		p.sentOrders[c.Server.ID][c.Order.Operation] = last
-		return
-	case isAccepted:
-		p.recordAccepted(&c)
-	}
-	load, loading := p.loads.running[c.Server.ID]
-	if loading && isAccepted {
-		last.retryAt = load.expectedEnd
-		p.sentOrders[c.Server.ID][c.Order.Operation] = last
-	}
-}
-
-func sameOrder(a, b *cluster.Order) bool {
-	return a.Replica == b.Replica && a.Epoch == b.Epoch && a.Model == b.Model && slices.Equal(a.Members, b.Members)
-}
-
-// nextEpoch returns an epoch above all epochs of this term and all that servers
-// report.
-func (p *Planner) nextEpoch() unit.Epoch {
-	for key := range p.reported {
-		p.lastEpoch = max(p.lastEpoch, key.Epoch)
-	}
-	p.lastEpoch++
-	return p.lastEpoch
-}
-
 // sortedReplicas returns the service's replicas in order of their names.
 func (p *Planner) sortedReplicas(service *cluster.Service) []*replica {
 	var replicas []*replica
