--- a/internal/peer/gossip/golden_test.go
+++ b/internal/peer/gossip/golden_test.go
@@ -37,6 +37,7 @@
 var earlierMessages = map[string]func() *message{
 	"321a82e": messageWithoutDemand,
 	"354baa5": messageWithoutDemand,
+	"800f969": completeMessage,
 }
 
 // messageWithoutDemand returns completeMessage without the fields of datagrams from number 22 on.
