poison: Forget the times of writes that are no longer pending

The times at which a daemon writes were kept while nothing was pending, so that a later crash of the same request let all readers write at once. The times belong to one goroutine and need no lock. suspect is not exported, as nothing outside the package can use it.

--- a/internal/serve/poison/blocklist.go
+++ b/internal/serve/poison/blocklist.go
@@ -21,9 +21,9 @@
 // suspectSource has the suspects of one kind.
 type suspectSource interface {
 	// suspects returns those whose crashes have reached the threshold, also if they may run again.
-	suspects() []Suspect
+	suspects() []suspect
 	// restoreSuspect adds a suspect that was read from the platform's store.
-	restoreSuspect(s Suspect)
+	restoreSuspect(s suspect)
 	// clearance reports whether the suspect has run to its end, and whether it did so at this
 	// daemon alone.
 	clearance(id suspectID) (cleared, local bool)
@@ -63,16 +63,18 @@
 // Blocklist keeps the refused requests and prompt parts in the platform's store, so that they
 // outlive a loss of all daemons. Each daemon compares its suspects with its copy of the store: one
 // that observed a crash writes what is missing at once, and the daemons that read from the platform
-// do so later if it has not, as after a loss of the writer or a restoration of the store. Nothing on the path of a request waits for it.
+// do so later if it has not, as after a loss of the writer or a restoration of the store. Nothing on
+// the path of a request waits for it.
 type Blocklist struct {
 	BlocklistOptions
 	sources map[suspectKind]suspectSource
+	// due has the times at which this daemon writes refusals, unless another one does so before. Only
+	// Run uses it.
+	due map[refusalKey]time.Time
 
 	mu sync.Mutex
 	// entries has the refusals in this daemon's copy of the store.
 	entries map[refusalKey]refusalEntry
-	// due has the times at which this daemon writes refusals, unless another one does so before.
-	due map[refusalKey]time.Time
 }
 
 // refusalEntry is the stored refusal of a key.
@@ -167,7 +169,7 @@
 	case r.Cleared:
 		source.clearSuspect(key.id)
 	default:
-		source.restoreSuspect(Suspect{id: key.id, crashes: r.Crashes, lastCrashAt: r.lastCrashAt(b.Clock.Now())})
+		source.restoreSuspect(suspect{id: key.id, crashes: r.Crashes, lastCrashAt: r.lastCrashAt(b.Clock.Now())})
 	}
 }
 
@@ -191,26 +193,18 @@
 func (b *Blocklist) writeDue(ctx context.Context) time.Duration {
 	now := b.Clock.Now()
 	pending := b.pendingWrites(now)
-	if len(pending) == 0 {
-		return maxLeaseTime
+	wait := maxLeaseTime
+	if len(pending) > 0 {
+		wait = recheckInterval
 	}
-	next := now.Add(recheckInterval)
 	for _, w := range b.schedule(pending, now) {
-		at := b.dueAt(w.key)
-		if at.After(now) {
-			if at.Before(next) {
-				next = at
-			}
-			continue
+		if !b.due[w.key].After(now) {
+			b.due[w.key] = now.Add(takeoverDelay())
+			b.write(ctx, w, now)
 		}
-		retryAt := now.Add(takeoverDelay())
-		b.postpone(w.key, retryAt)
-		if retryAt.Before(next) {
-			next = retryAt
-		}
-		b.write(ctx, w, now)
+		wait = min(wait, b.due[w.key].Sub(now))
 	}
-	return next.Sub(now)
+	return wait
 }
 
 // pendingWrites returns what the copy of the store lacks.
@@ -258,8 +252,6 @@
 	isReader := b.Readers.MayReadPlatform()
 	pending = slices.DeleteFunc(pending, func(w write) bool { return !w.local && !isReader })
 	due := make(map[refusalKey]time.Time, len(pending))
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, w := range pending {
 		at, found := b.due[w.key]
 		switch {
@@ -279,18 +271,6 @@
 	return minTakeoverDelay + rand.N(maxTakeoverDelay-minTakeoverDelay)
 }
 
-func (b *Blocklist) dueAt(key refusalKey) time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.due[key]
-}
-
-func (b *Blocklist) postpone(key refusalKey, until time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.due[key] = until
-}
-
 // write writes the refusal with a lease of its own. A failure is logged: the refusal stays pending.
 func (b *Blocklist) write(ctx context.Context, w write, now time.Time) {
 	b.mu.Lock()
--- a/internal/serve/poison/refusal.go
+++ b/internal/serve/poison/refusal.go
@@ -24,8 +24,8 @@
 	partSuspect    suspectKind = "part"
 )
 
-// Suspect is a request or a prompt part whose crashes have reached the threshold.
-type Suspect struct {
+// suspect is a request or a prompt part whose crashes have reached the threshold.
+type suspect struct {
 	id          suspectID
 	crashes     []ident.Crash
 	lastCrashAt time.Time
@@ -70,7 +70,7 @@
 	LastAt int64 `json:"last"`
 }
 
-func refusalOf(s *Suspect) refusal {
+func refusalOf(s *suspect) refusal {
 	return refusal{Crashes: s.crashes, LastAt: s.lastCrashAt.UnixMilli()}
 }
 
--- a/internal/serve/poison/suspects.go
+++ b/internal/serve/poison/suspects.go
@@ -11,15 +11,15 @@
 const restoredObserver = ident.Instance("platform")
 
 // suspects returns the requests whose crashes have reached the threshold, unless they are cleared.
-func (d *Detector) suspects() []Suspect {
+func (d *Detector) suspects() []suspect {
 	current, now := d.current.Load(), d.Clock.Now()
-	var suspects []Suspect
+	var suspects []suspect
 	for f, t := range current.totals {
 		if !d.reachesThreshold(&t) || d.isCleared(f, now) {
 			continue
 		}
 		own := current.sets[setKey{f, d.Self}]
-		suspects = append(suspects, Suspect{
+		suspects = append(suspects, suspect{
 			id: suspectID(f), crashes: t.crashes, lastCrashAt: t.expires.Add(-d.Lifetime),
 			local: slices.Contains(own.crashes, slices.Max(t.crashes)),
 		})
@@ -28,7 +28,7 @@
 }
 
 // restoreSuspect adds the crashes of a stored refusal, unless the request is cleared.
-func (d *Detector) restoreSuspect(s Suspect) {
+func (d *Detector) restoreSuspect(s suspect) {
 	f := ident.Fingerprint(s.id)
 	e := crashEntry{Fingerprint: f, Observer: restoredObserver, Crashes: s.crashes}
 	if d.isCleared(f, d.Clock.Now()) || e.isKnownIn(d.current.Load().totals[f].crashes) {
@@ -60,31 +60,31 @@
 }
 
 // suspects returns the parts whose crashes have reached the threshold.
-func (d *PartDetector) suspects() []Suspect {
-	var suspects []Suspect
+func (d *PartDetector) suspects() []suspect {
+	var suspects []suspect
 	for part, s := range *d.suspectParts.Load() {
 		if s.count() < d.Threshold {
 			continue
 		}
-		suspect := Suspect{id: suspectID(part), lastCrashAt: s.lastCrashAt}
+		found := suspect{id: suspectID(part), lastCrashAt: s.lastCrashAt}
 		highest := ident.Crash(0)
 		for _, c := range s.crashes {
 			if c.cleared {
 				continue
 			}
-			suspect.crashes = append(suspect.crashes, c.crash)
+			found.crashes = append(found.crashes, c.crash)
 			if c.crash >= highest {
-				highest, suspect.local = c.crash, c.local
+				highest, found.local = c.crash, c.local
 			}
 		}
-		suspects = append(suspects, suspect)
+		suspects = append(suspects, found)
 	}
 	return suspects
 }
 
 // restoreSuspect adds the crashes of a stored refusal, unless an answer to a prompt with the part has
 // just begun.
-func (d *PartDetector) restoreSuspect(s Suspect) {
+func (d *PartDetector) restoreSuspect(s suspect) {
 	part := ident.PromptPart(s.id)
 	if d.isSound(part, d.Clock.Now()) {
 		return
