--- a/internal/fleet/mirror/upstream.go
+++ b/internal/fleet/mirror/upstream.go
@@ -102,7 +102,7 @@
 	// A parent that fails or lags, rather than having an old copy itself, says nothing
 	// about the platform.
 	parentFailed := hasParent && u.failures.hasFailed(parent.Instance)
-	mayReadPlatform := u.preferPlatform || parentFailed || u.mayReadPlatform(readerGroup, now)
+	mayReadPlatform := u.preferPlatform || parentFailed || !hasParent && u.readsPlatform() || u.isTurnOf(readerGroup, now)
 	if mayReadPlatform && usable(platformSource) {
 		return Peer{}, nil
 	}
@@ -127,10 +127,16 @@
 	return now.Sub(u.confirmedAt) > u.MaxAge || u.confirmedAt.Before(u.failures.sources[platformSource].beganAt)
 }
 
-// mayReadPlatform reports whether it is the turn of the reader group. Each group that gets no answer
+// readsPlatform reports whether the last successful call read from the platform. The caller holds the
+// lock.
+func (u *Upstream) readsPlatform() bool {
+	return u.currentSource == platformSource && !u.confirmedAt.IsZero()
+}
+
+// isTurnOf reports whether the reader group may read from the platform. Each group that gets no answer
 // is joined by the next one after a probe interval, since the platform may refuse some daemons and
 // serve others. The caller holds the lock.
-func (u *Upstream) mayReadPlatform(group int, now time.Time) bool {
+func (u *Upstream) isTurnOf(group int, now time.Time) bool {
 	if u.firstCallAt.IsZero() {
 		u.firstCallAt = now
 	}
