budget, poison, httpserver: Simplify what the last read-through stumbled on

newReplies set a callback that was always replaced; it takes it now. The lock of a large reply is taken and released by two methods in place of one that returns a function. A type and a method were both named write, and the deadline that interrupts a read had no name.

--- a/internal/caller/httpserver/ahead.go
+++ b/internal/caller/httpserver/ahead.go
@@ -18,6 +18,9 @@
 // aheadCheckInterval is the time between two checks for the end of the connection while its buffer is full.
 const aheadCheckInterval = 100 * time.Millisecond
 
+// aLongTimeAgo is a read deadline that interrupts a read at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
 // aheadRead coordinates a read ahead with the end of the answer, which interrupts it.
 type aheadRead struct {
 	mu sync.Mutex
@@ -54,7 +57,7 @@
 	defer a.mu.Unlock()
 	a.answered = true
 	if a.reading {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(aLongTimeAgo)
 	}
 }
 
--- a/internal/kernel/budget/budget.go
+++ b/internal/kernel/budget/budget.go
@@ -139,13 +139,12 @@
 
 // setReplies sets the budget of replies. Its metrics are those of the budget of callers.
 func (b *Budget) setReplies(o Options) {
-	b.replies = newReplies(o)
-	b.replies.ended = func(size unit.Bytes) {
+	b.replies = newReplies(o, func(size unit.Bytes) {
 		b.metrics.repliesEnded.Inc()
 		if b.logRate.AllowN(b.Clock.Now(), 1) {
 			b.Log.Warn().Int64("bytes", int64(size)).Int64("used", int64(b.replies.Used())).Int64("capacity", b.replies.capacity).Msg("reply-ended")
 		}
-	}
+	})
 }
 
 // ForDaemons returns the budget of connections of the kind Daemons. Its bytes are its own, so that
--- a/internal/kernel/budget/replies.go
+++ b/internal/kernel/budget/replies.go
@@ -48,10 +48,11 @@
 	isEnded bool
 }
 
-func newReplies(o Options) *Replies {
-	r := &Replies{clock: o.Clock, capacity: int64(o.Capacity), wait: o.Wait, large: make(map[*Reply]bool), roomMade: make(chan struct{})}
-	r.ended = func(unit.Bytes) {}
-	return r
+func newReplies(o Options, ended func(size unit.Bytes)) *Replies {
+	return &Replies{
+		clock: o.Clock, capacity: int64(o.Capacity), wait: o.Wait, ended: ended,
+		large: make(map[*Reply]bool), roomMade: make(chan struct{}),
+	}
 }
 
 // Open returns a reply that holds nothing. It has to be closed.
@@ -85,18 +86,22 @@
 	if h == nil {
 		return
 	}
-	defer h.lockLarge()()
+	h.lockLarge()
+	defer h.unlockLarge()
 	h.abort, h.isEnded = abort, false
 }
 
-// lockLarge takes the lock if the reply is large, and returns the function that releases it. No other
-// goroutine knows a reply that isn't.
-func (h *Reply) lockLarge() (unlock func()) {
-	if !h.isLarge {
-		return func() {}
+// lockLarge takes the lock if the reply is large. No other goroutine knows a reply that isn't.
+func (h *Reply) lockLarge() {
+	if h.isLarge {
+		h.replies.mu.Lock()
+	}
+}
+
+func (h *Reply) unlockLarge() {
+	if h.isLarge {
+		h.replies.mu.Unlock()
 	}
-	h.replies.mu.Lock()
-	return h.replies.mu.Unlock
 }
 
 // EndRead says that the reply is no longer read. What it holds stays reserved.
@@ -104,7 +109,8 @@
 	if h == nil {
 		return
 	}
-	defer h.lockLarge()()
+	h.lockLarge()
+	defer h.unlockLarge()
 	h.abort = nil
 }
 
@@ -186,7 +192,8 @@
 	if h == nil {
 		return false
 	}
-	defer h.lockLarge()()
+	h.lockLarge()
+	defer h.unlockLarge()
 	return h.isEnded
 }
 
--- a/internal/serve/poison/blocklist.go
+++ b/internal/serve/poison/blocklist.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// write is a refusal to write. The daemon that may write it at once is the one with local set.
-type write struct {
+// pendingWrite is a refusal that the store lacks. The daemon with local set may write it at once.
+type pendingWrite struct {
 	key     refusalKey
 	refusal refusal
 	local   bool
@@ -208,8 +208,8 @@
 }
 
 // pendingWrites returns what the copy of the store lacks.
-func (b *Blocklist) pendingWrites(now time.Time) []write {
-	var pending []write
+func (b *Blocklist) pendingWrites(now time.Time) []pendingWrite {
+	var pending []pendingWrite
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for kind, source := range b.sources {
@@ -222,14 +222,14 @@
 				source.clearSuspect(s.id)
 			case e.isComplete(s.crashes) || b.leaseTime(r, now) < minLeaseTime:
 			default:
-				pending = append(pending, write{key, r, s.local})
+				pending = append(pending, pendingWrite{key, r, s.local})
 			}
 		}
 	}
 	for key, e := range b.entries {
 		cleared, local := b.sources[key.kind].clearance(key.id)
 		if cleared && !e.Cleared && len(e.Crashes) > 0 {
-			pending = append(pending, write{key, refusal{e.Crashes, true, e.LastAt}, local})
+			pending = append(pending, pendingWrite{key, refusal{e.Crashes, true, e.LastAt}, local})
 		}
 	}
 	return pending
@@ -248,9 +248,9 @@
 
 // schedule sets the times of new writes and forgets those of writes that are no longer pending. It
 // returns the writes that this daemon may do.
-func (b *Blocklist) schedule(pending []write, now time.Time) []write {
+func (b *Blocklist) schedule(pending []pendingWrite, now time.Time) []pendingWrite {
 	isReader := b.Readers.MayReadPlatform()
-	pending = slices.DeleteFunc(pending, func(w write) bool { return !w.local && !isReader })
+	pending = slices.DeleteFunc(pending, func(w pendingWrite) bool { return !w.local && !isReader })
 	due := make(map[refusalKey]time.Time, len(pending))
 	for _, w := range pending {
 		at, found := b.due[w.key]
@@ -272,7 +272,7 @@
 }
 
 // write writes the refusal with a lease of its own. A failure is logged: the refusal stays pending.
-func (b *Blocklist) write(ctx context.Context, w write, now time.Time) {
+func (b *Blocklist) write(ctx context.Context, w pendingWrite, now time.Time) {
 	b.mu.Lock()
 	known, found := b.entries[w.key]
 	isFull := !found && len(b.entries) >= maxEntries
@@ -297,7 +297,7 @@
 // another daemon has written.
 //
 // Errors are those of the store.
-func (b *Blocklist) swap(ctx context.Context, w write, expected unit.Revision, ttl time.Duration) error {
+func (b *Blocklist) swap(ctx context.Context, w pendingWrite, expected unit.Revision, ttl time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	value, err := json.Marshal(w.refusal)
