http1: End an attempt whose answer has an invalid status

A server's answer with the status 000 reached callers as a 200 with the server's body, and with Not-Run as a promise that the request was not run.

Cause: fasthttp parses any three digits, and its StatusCode() returns 200 for a parsed 0, so that 000 can't be told from 200 after parsing. Statuses over 599 passed as well. All readers of answers use that parser.

Change: the package http1 waits for the whole head and checks each line as it arrives, before the parser gets it. A status outside 100 to 599 ends the attempt at once, with an unknown outcome and without its connection, as other bytes that are no answer do. stream (Forward, Do, Open) and the client of plain services use it, for interim answers too.

--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -15,6 +15,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/work"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/http1"
 	"cuminbay/internal/route/table"
 )
 
@@ -87,7 +88,7 @@
 	var response fasthttp.Response
 	response.StreamBody = true
 	response.SkipBody = r.Method == fasthttp.MethodHead
-	if err := response.ReadLimitBody(bufio.NewReader(conn), int(c.MaxBodyBytes)); err != nil {
+	if err := readResponse(conn, &response, int(c.MaxBodyBytes)); err != nil {
 		return code.CutOff.Wrap(err, "service at %s: cannot read the response", e.Address)
 	}
 	if err := sink.Start(newHead(e, &response)); err != nil {
@@ -122,6 +123,14 @@
 	return w.Flush()
 }
 
+func readResponse(conn net.Conn, response *fasthttp.Response, maxBodyBytes int) error {
+	reader := bufio.NewReader(conn)
+	if err := http1.SkipInterim(reader, &response.Header); err != nil {
+		return err
+	}
+	return response.ReadLimitBody(reader, maxBodyBytes)
+}
+
 func newHead(e *table.Endpoint, response *fasthttp.Response) work.Head {
 	h := work.Head{Status: response.StatusCode(), Endpoint: e.ID}
 	for name, value := range response.Header.All() {
--- a/internal/endpoint/stream/exchange.go
+++ b/internal/endpoint/stream/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/kernel/http1"
 )
 
 // writerPool holds the write buffers of requests.
@@ -84,6 +86,9 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	if err := http1.SkipInterim(x.conn.reader, &x.Response.Header); err != nil {
+		return err
+	}
 	if err := x.Response.ReadLimitBody(x.conn.reader, x.pool.MaxBody); err != nil {
 		return err
 	}
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/kernel/http1"
 )
 
 // RawRequest is an encoded request. Its bytes are sent unchanged.
@@ -54,23 +56,20 @@
 const maxForeignAnswers = 2
 
 // Bounds of bytes that are no part of the answer, which a faulty endpoint may send without
-// end: interim responses before the answer, the bodies of answers to other requests, and
-// the trailer after the last chunk.
+// end: the bodies of answers to other requests, and the trailer after the last chunk.
 const (
-	maxInterimResponses = 8
-	maxForeignBytes     = 1 << 20
-	maxTrailerBytes     = 16 << 10
+	maxForeignBytes = 1 << 20
+	maxTrailerBytes = 16 << 10
 )
 
 // Errors of connections that return such bytes.
 var (
 	// errForeignAnswers says that the connection has answers to other requests
 	// only.
-	errForeignAnswers   = errors.New("connection returned only answers to other requests")
-	errUnknownOrigin    = errors.New("connection returned an answer that doesn't name the request or isn't signed")
-	errInterimResponses = fmt.Errorf("connection returned more than %d interim responses", maxInterimResponses)
-	errForeignBytes     = fmt.Errorf("connection returned an answer to another request with over %d bytes", maxForeignBytes)
-	errTrailerBytes     = fmt.Errorf("connection returned a trailer of over %d bytes", maxTrailerBytes)
+	errForeignAnswers = errors.New("connection returned only answers to other requests")
+	errUnknownOrigin  = errors.New("connection returned an answer that doesn't name the request or isn't signed")
+	errForeignBytes   = fmt.Errorf("connection returned an answer to another request with over %d bytes", maxForeignBytes)
+	errTrailerBytes   = fmt.Errorf("connection returned a trailer of over %d bytes", maxTrailerBytes)
 )
 
 // RawResponse is the answer to a RawRequest; its body may still be arriving.
@@ -175,16 +174,14 @@
 func (r *RawResponse) readHead(request *RawRequest) error {
 	r.Header.Reset()
 	r.Header.SetNoDefaultContentType(true)
-	for range maxInterimResponses + 1 {
-		if err := r.Header.Read(r.conn.reader); err != nil {
-			return err
-		}
-		if status := r.Header.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
-			r.body, r.chunked = r.bodyReader(request)
-			return nil
-		}
+	if err := http1.SkipInterim(r.conn.reader, &r.Header); err != nil {
+		return err
+	}
+	if err := r.Header.Read(r.conn.reader); err != nil {
+		return err
 	}
-	return errInterimResponses
+	r.body, r.chunked = r.bodyReader(request)
+	return nil
 }
 
 // bodyReader returns the reader of the body, and whether the body is chunked.
--- /dev/null
+++ b/internal/kernel/http1/head.go
@@ -0,0 +1,132 @@
+// Package http1 checks the heads of HTTP/1.1 messages before they are parsed. The parser of fasthttp accepts
+// heads that RFC 9112 doesn't allow, and doesn't show that in what it has parsed.
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrMalformedHead says that a message has a head that HTTP/1.1 doesn't allow.
+var ErrMalformedHead = errors.New("malformed head")
+
+// maxInterimResponses is the number of interim responses that may precede a response. A faulty server may send
+// them without end.
+const maxInterimResponses = 8
+
+var errInterimResponses = fmt.Errorf("connection returned more than %d interim responses", maxInterimResponses)
+
+// SkipInterim waits until the reader's buffer begins with the head of a response, and leaves it unread for the
+// parser. The interim responses before it are read into the header. The buffer bounds the size of each head.
+//
+// The error is ErrMalformedHead for a head that must not be parsed.
+func SkipInterim(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		s := headScanner{isResponse: true}
+		if _, err := s.buffer(r); errors.Is(err, bufio.ErrBufferFull) {
+			return fmt.Errorf("head of a response is over %d bytes: %w", r.Size(), err)
+		} else if err != nil {
+			return err
+		}
+		if !s.isInterim() {
+			return nil
+		}
+		if err := h.Read(r); err != nil {
+			return err
+		}
+	}
+	return errInterimResponses
+}
+
+// headScanner checks the lines of a head as they arrive.
+type headScanner struct {
+	// isResponse says that the first line is a status line, which has the status.
+	isResponse bool
+	status     int
+	// scanned is the number of bytes that were checked.
+	scanned      int
+	hasStartLine bool
+	isComplete   bool
+}
+
+// buffer reads until the reader's buffer has the whole head, and returns the head. If it fails, it returns the
+// bytes read so far.
+func (s *headScanner) buffer(r *bufio.Reader) ([]byte, error) {
+	for n := 1; ; n = r.Buffered() + 1 {
+		_, readErr := r.Peek(n)
+		buffered, _ := r.Peek(r.Buffered())
+		if err := s.scan(buffered); err != nil {
+			return buffered, err
+		}
+		if s.isComplete {
+			return buffered[:s.scanned], nil
+		}
+		if readErr != nil {
+			return buffered, readErr
+		}
+	}
+}
+
+// scan checks the lines that have arrived since the last call, up to the end of the head.
+func (s *headScanner) scan(buffered []byte) error {
+	for !s.isComplete {
+		length := bytes.IndexByte(buffered[s.scanned:], '\n')
+		if length < 0 {
+			return nil
+		}
+		line := buffered[s.scanned : s.scanned+length]
+		s.scanned += length + 1
+		if err := s.checkLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *headScanner) checkLine(line []byte) error {
+	switch {
+	case len(line) == 0:
+		// A blank line before the start line doesn't end the head.
+		s.isComplete = s.hasStartLine
+	case !s.hasStartLine:
+		s.hasStartLine = true
+		return s.checkStartLine(line)
+	}
+	return nil
+}
+
+// checkStartLine checks the version and the status of a response. The parser takes any three digits, and shows
+// 000 as 200.
+func (s *headScanner) checkStartLine(line []byte) error {
+	if !s.isResponse {
+		return nil
+	}
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if _, _, ok := http.ParseHTTPVersion(string(version)); !ok {
+		return fmt.Errorf("%w: version %.10q", ErrMalformedHead, version)
+	}
+	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.Atoi(string(digits))
+	if err != nil || status < minStatus || status > maxStatus {
+		return fmt.Errorf("%w: status %.10q, expected %d to %d", ErrMalformedHead, digits, minStatus, maxStatus)
+	}
+	s.status = status
+	return nil
+}
+
+// The lowest and the highest status that a response may have (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// isInterim reports whether another response follows the one with the scanned head.
+func (s *headScanner) isInterim() bool {
+	return s.status < http.StatusOK && s.status != http.StatusSwitchingProtocols
+}
