http1: End an attempt whose answer has an invalid field name

A server's answer with a blank in the name of a field reached callers with that line passed on. With a blank before the colon, callers got the field under another name, or 3 of the body's 6 bytes as a whole answer where the field was Content-Length.

Cause: fasthttp tolerates blanks in a name, and cuts those before the colon, so that the field counts for the framing although RFC 9112 (section 5.1) doesn't let it stand. net/http accepts blanks too.

Change: the check of heads takes only names that are tokens (httpguts), at each line as it arrives. As with an invalid status, the attempt ends at once, its outcome is unknown, a repeatable request goes to another server, and the server counts as failed. Nothing else in the head is believed. Names with control bytes were refused before; they now end here too, also before the head is whole.

--- a/internal/endpoint/service/service_test.go
+++ b/internal/endpoint/service/service_test.go
@@ -25,7 +25,7 @@
 func (r *recordingSink) Chunk(chunk work.Chunk) error { r.body += string(chunk.Raw); return nil }
 func (r *recordingSink) End(work.End) error           { r.ended = true; return nil }
 
-// TestSend guards against a truncated answer, or one with an invalid status, that is reported as complete or as
+// TestSend guards against a truncated answer, or one with an invalid head, that is reported as complete or as
 // not sent, and against an answer with status 503 that is reported as an error.
 func TestSend(t *testing.T) {
 	tests := map[string]struct {
@@ -43,6 +43,10 @@
 		"status 000":             {answer: "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", want: code.CutOff},
 		"status 000, no reason":  {answer: "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok", want: code.CutOff},
 		"status 099":             {answer: "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok", want: code.CutOff},
+		"name with a blank":      {answer: "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 2\r\n\r\nok", want: code.CutOff},
+		"name, interim response": {answer: "HTTP/1.1 103 X\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", want: code.CutOff},
+		"name with a control":    {answer: "HTTP/1.1 200 OK\r\nA\x01B: c\r\nContent-Length: 2\r\n\r\nok", want: code.CutOff},
+		"blank before a colon":   {answer: "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nok", want: code.CutOff},
 		"status 600":             {answer: "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok", want: code.CutOff},
 	}
 	for name, test := range tests {
--- a/internal/kernel/http1/head.go
+++ b/internal/kernel/http1/head.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedHead says that a message has a head that HTTP/1.1 doesn't allow.
@@ -97,6 +98,8 @@
 	case !s.hasStartLine:
 		s.hasStartLine = true
 		return s.checkStartLine(line)
+	default:
+		return checkField(line)
 	}
 	return nil
 }
@@ -130,3 +133,18 @@
 func (s *headScanner) isInterim() bool {
 	return s.status < http.StatusOK && s.status != http.StatusSwitchingProtocols
 }
+
+// checkField checks the name of a field. The parser accepts blanks in a name, and ignores those before the colon
+// (RFC 9112, section 5.1), so that the field is forwarded or delimits the body although other parsers ignore it.
+func checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		// The line continues the value of the field before it.
+		return nil
+	}
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	isInvalid := func(r rune) bool { return !httpguts.IsTokenRune(r) }
+	if !hasColon || len(name) == 0 || bytes.ContainsFunc(name, isInvalid) {
+		return fmt.Errorf("%w: field name %.40q", ErrMalformedHead, name)
+	}
+	return nil
+}
--- a/internal/kernel/http1/head_test.go
+++ b/internal/kernel/http1/head_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 	"pgregory.net/rapid"
 )
 
@@ -53,6 +54,16 @@
 		"status 600":                     {raw: "HTTP/1.1 600 X\r\n" + end, wantErr: ErrMalformedHead},
 		"status without an end":          {raw: "HTTP/1.1 000 X\r\n", wantErr: ErrMalformedHead},
 		"status after an interim one":    {raw: "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 000 X\r\n" + end, wantErr: ErrMalformedHead},
+		"name with a blank":              {raw: "HTTP/1.1 200 OK\r\nA B: c\r\n" + end, wantErr: ErrMalformedHead},
+		"name with a blank, no end":      {raw: "HTTP/1.1 200 OK\r\nA B: c\r\n", wantErr: ErrMalformedHead},
+		"name with a blank, interim":     {raw: "HTTP/1.1 103 X\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\n" + end, wantErr: ErrMalformedHead},
+		"name with a control byte":       {raw: "HTTP/1.1 200 OK\r\nA\x01B: c\r\n" + end, wantErr: ErrMalformedHead},
+		"blank before the colon":         {raw: "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\na", wantErr: ErrMalformedHead},
+		"no name":                        {raw: "HTTP/1.1 200 OK\r\n: c\r\n" + end, wantErr: ErrMalformedHead},
+		"no colon":                       {raw: "HTTP/1.1 200 OK\r\nA b\r\n" + end, wantErr: ErrMalformedHead},
+		"blank in a value":               {raw: "HTTP/1.1 200 OK\r\nA: b : c\r\n" + end, wantStatus: 200},
+		"continued value":                {raw: "HTTP/1.1 200 OK\r\nA: b\r\n c d: e\r\n" + end, wantStatus: 200},
+		"all bytes of a name":            {raw: "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: c\r\n" + end, wantStatus: 200},
 		"no status":                      {raw: "HTTP/1.1\r\n" + end, wantErr: ErrMalformedHead},
 		"other protocol":                 {raw: "nonsense\r\n", wantErr: ErrMalformedHead},
 	}
@@ -96,9 +107,14 @@
 	if got.String() != want.String() || string(rest) != string(wantRest) {
 		t.Fatalf("got %q and %q, want %q and %q\n%q", got, rest, want, wantRest, raw)
 	}
-	if got.StatusCode() > 599 {
+	if got.StatusCode() > maxStatus {
 		t.Fatalf("accepted status %d\n%q", got.StatusCode(), raw)
 	}
+	for name := range got.All() {
+		if !httpguts.ValidHeaderFieldName(string(name)) {
+			t.Fatalf("accepted field name %q\n%q", name, raw)
+		}
+	}
 }
 
 // TestSameAsParser guards against a head whose end is found elsewhere than by the parser, so that part of it
@@ -126,3 +142,19 @@
 	f.Add("\r\n\nHTTP/1.1 200\nA: b\n\r\n\r\n", true)
 	f.Fuzz(func(t *testing.T, raw string, pieces bool) { checkAgainstParser(t, raw, pieces) })
 }
+
+// BenchmarkSkipInterim measures the check of a head.
+func BenchmarkSkipInterim(b *testing.B) {
+	raw := "HTTP/1.1 200 OK\r\n" + strings.Repeat("Server-Field: value of it\r\n", 10) + "\r\n"
+	source := strings.NewReader(raw)
+	reader := bufio.NewReaderSize(source, 2*len(raw))
+	var h fasthttp.ResponseHeader
+	b.ReportAllocs()
+	for b.Loop() {
+		source.Reset(raw)
+		reader.Reset(source)
+		if err := SkipInterim(reader, &h); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
