--- a/internal/standin/engine/openai.go
+++ b/internal/standin/engine/openai.go
@@ -78,7 +78,11 @@
 		faultserver.WriteError(ctx, fasthttp.StatusNotFound, "model %q is not served by this replica", call.request.Model)
 		return
 	}
-	if e.sendsEndless() {
+	f := e.currentFaults()
+	if f.Head != "" {
+		conn.ReplaceStatusLine(f.Head)
+	}
+	if f.Endless {
 		faultserver.SetEndlessBody(ctx, e.clk, "data: ")
 		return
 	}
@@ -110,10 +114,10 @@
 	call.writeResponse(ctx)
 }
 
-func (e *Engine) sendsEndless() bool {
+func (e *Engine) currentFaults() Faults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults.Endless
+	return e.faults
 }
 
 // checkReplicaHeaders sets the response headers that name the replica, its epoch
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -122,4 +122,6 @@
 	Slowdown float64 `json:"slow"`
 	// Endless makes the body of an answer, or the event of a streamed one, have no end.
 	Endless bool `json:"endless"`
+	// Head replaces the status line of each answer to a completion. Empty disables the fault.
+	Head string `json:"head"`
 }
--- a/internal/standin/faultserver/conn.go
+++ b/internal/standin/faultserver/conn.go
@@ -15,7 +15,9 @@
 	net.Conn
 	server *Server
 	// stalled is set when a fault stalls the connection, see Stalled.
-	stalled   atomic.Bool
+	stalled atomic.Bool
+	// headStart has the bytes with which the next response begins, see ReplaceStatusLine.
+	headStart atomic.Pointer[string]
 	closeOnce sync.Once
 	closed    chan struct{}
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -34,8 +34,12 @@
 	FailWith int `json:"failWith"`
 	// Endless makes the body of each answer to a GET call have no end.
 	Endless bool `json:"endless"`
+	// Head replaces the status line of each answer to a call. Empty disables the fault.
+	Head string `json:"head"`
 }
 
+const healthPath = "/health"
+
 // Service is a simulated plain service.
 type Service struct {
 	*faultserver.Server
@@ -108,8 +112,11 @@
 		faultserver.WriteError(ctx, f.FailWith, "failed on purpose: the fault failWith is set")
 		return
 	}
+	if f.Head != "" && path != healthPath {
+		faultserver.ConnOf(ctx).ReplaceStatusLine(f.Head)
+	}
 	switch {
-	case path == "/health":
+	case path == healthPath:
 		faultserver.WriteJSON(ctx, fasthttp.StatusOK, map[string]bool{"healthy": true})
 	case f.Endless && method == fasthttp.MethodGet:
 		faultserver.SetEndlessBody(ctx, s.clk, "")
