service, plain: Add no Content-Type to answers of services

On the own interface callers got a Content-Type that the service hadn't sent, if it sent none.

Cause: fasthttp sets a default type when a response without one is read and when one is written, unless it is told not to.

--- a/internal/caller/plain/plain.go
+++ b/internal/caller/plain/plain.go
@@ -130,6 +130,7 @@
 	if h.Status != 0 {
 		s.ctx.SetStatusCode(h.Status)
 	}
+	s.ctx.Response.Header.SetNoDefaultContentType(true)
 	for _, f := range h.Header {
 		if !slices.Contains(notForwarded, strings.ToLower(f.Name)) {
 			s.ctx.Response.Header.Add(f.Name, f.Value)
--- a/internal/caller/plain/plain_test.go
+++ b/internal/caller/plain/plain_test.go
@@ -62,6 +62,8 @@
 			c.Assert(ctx.Response.StatusCode(), qt.Equals, test.status, qt.Commentf("%s", ctx.Response.Body()))
 			c.Assert(b.dispatched != nil, qt.Equals, test.status == 201)
 			if b.dispatched != nil {
+				// The service has sent no type.
+				c.Assert(string(ctx.Response.Header.ContentType()), qt.Equals, "")
 				c.Assert(b.dispatched.AtMostOnce, qt.Equals, test.key != "")
 				c.Assert(b.dispatched.Header, qt.HasLen, 0)
 			}
--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -123,8 +123,10 @@
 	return w.Flush()
 }
 
+// readResponse reads the head of the response. Its body is read as it is forwarded.
 func readResponse(conn net.Conn, response *fasthttp.Response, maxBodyBytes int) error {
 	reader := bufio.NewReader(conn)
+	response.Header.SetNoDefaultContentType(true)
 	if err := http1.SkipInterim(reader, &response.Header); err != nil {
 		return err
 	}
--- a/internal/endpoint/service/service_test.go
+++ b/internal/endpoint/service/service_test.go
@@ -17,14 +17,40 @@
 
 type recordingSink struct {
 	status int
+	header []work.Field
 	body   string
 	ended  bool
 }
 
-func (r *recordingSink) Start(h work.Head) error      { r.status = h.Status; return nil }
+func (r *recordingSink) Start(h work.Head) error {
+	r.status, r.header = h.Status, h.Header
+	return nil
+}
+
 func (r *recordingSink) Chunk(chunk work.Chunk) error { r.body += string(chunk.Raw); return nil }
 func (r *recordingSink) End(work.End) error           { r.ended = true; return nil }
 
+// listenOnce starts a service that answers one request with the bytes and closes the connection.
+func listenOnce(c *qt.C, answer string) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = conn.Write([]byte(answer))
+		_ = conn.Close()
+	}()
+	return l
+}
+
+func newTestClient() *service.Client {
+	return service.New(service.Options{Clock: clock.Real(), DialTimeout: time.Second, StallTimeout: time.Second, MaxBodyBytes: 1 << 20})
+}
+
 // TestSend guards against a truncated answer, or one with an invalid head, that is reported as complete or as
 // not sent, and against an answer with status 503 that is reported as an error.
 func TestSend(t *testing.T) {
@@ -52,22 +78,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			c.Assert(err, qt.IsNil)
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = conn.Read(make([]byte, 4096))
-				_, _ = conn.Write([]byte(test.answer))
-				_ = conn.Close()
-			}()
-			s := service.New(service.Options{Clock: clock.Real(), DialTimeout: time.Second, StallTimeout: time.Second, MaxBodyBytes: 1 << 20})
+			l := listenOnce(c, test.answer)
+			s := newTestClient()
 			var got recordingSink
 			e := &table.Endpoint{Address: l.Addr().String()}
 			r := &work.Request{Method: "POST", Path: "/pay", Body: []byte("x")}
-			err = s.Send(context.Background(), e, r, work.PartialAnswer{}, &got)
+			err := s.Send(context.Background(), e, r, work.PartialAnswer{}, &got)
 			c.Assert(code.Of(err), qt.Equals, test.want, qt.Commentf("%v", err))
 			c.Assert(got.ended, qt.Equals, test.want == code.Answered)
 			if test.body != "" {
@@ -78,3 +94,25 @@
 		})
 	}
 }
+
+// TestHeader guards against a field that the service didn't send.
+func TestHeader(t *testing.T) {
+	tests := map[string]struct {
+		fields string
+		want   []work.Field
+	}{
+		"no type":       {fields: "Own: 1\r\n", want: []work.Field{{Name: "Own", Value: "1"}, {Name: "Content-Length", Value: "2"}}},
+		"type":          {fields: "Content-Type: a/b\r\n", want: []work.Field{{Name: "Content-Type", Value: "a/b"}, {Name: "Content-Length", Value: "2"}}},
+		"no own fields": {want: []work.Field{{Name: "Content-Length", Value: "2"}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := listenOnce(c, "HTTP/1.1 200 OK\r\n"+test.fields+"Content-Length: 2\r\n\r\nok")
+			var got recordingSink
+			r := &work.Request{Method: "GET", Path: "/"}
+			c.Assert(newTestClient().Send(context.Background(), &table.Endpoint{Address: l.Addr().String()}, r, work.PartialAnswer{}, &got), qt.IsNil)
+			c.Check(got.header, qt.ContentEquals, test.want)
+		})
+	}
+}
