etcd, roster, cli: Refuse responses with a malformed head

The clients of the etcd gateway, of the list of instances and of the command line took a response with the status 000 for a success, and one with a blank in a field name for a valid one: a read of the store that finds nothing, a swap with a known result, an open watch, an empty list of instances.

Cause: they use fasthttp's clients, which parse heads by themselves.

Change: http1.CheckResponses gives such a client connections that check each head before the client reads it, with and without TLS. Between two requests bytes that belong to none are dropped, as the client did before.

--- a/internal/command/cli/client.go
+++ b/internal/command/cli/client.go
@@ -9,6 +9,7 @@
 
 	"cuminbay/internal/caller/httpcall"
 	"cuminbay/internal/domain/code"
+	"cuminbay/internal/kernel/http1"
 )
 
 // operatorFlags are the flags of the commands that call a daemon.
@@ -25,7 +26,7 @@
 // sendRequest sends a request to the daemon and decodes the JSON response into
 // result, which may be nil. An error of the daemon keeps its result code.
 func (f operatorFlags) sendRequest(method, path string, body []byte, result any) error {
-	client := fasthttp.Client{MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1}
+	client := fasthttp.Client{MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1, ConfigureClient: http1.ConfigureClient}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
--- a/internal/platform/etcd/client_test.go
+++ b/internal/platform/etcd/client_test.go
@@ -223,6 +223,45 @@
 	c.Assert(entry, qt.DeepEquals, store.Entry{Key: "k"})
 }
 
+// TestMalformedHead guards against a response that counts although its head is malformed: a read that finds
+// nothing, a swap with a known result, or a watch that is open.
+func TestMalformedHead(t *testing.T) {
+	const body = `{"header":{"revision":"9"}}`
+	tests := map[string]string{
+		"status 000":           "HTTP/1.1 000 X\r\n",
+		"name with a blank":    "HTTP/1.1 200 OK\r\nA B: c\r\n",
+		"blank before a colon": "HTTP/1.1 200 OK\r\nAb : c\r\n",
+	}
+	for name, head := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = conn.Read(make([]byte, 4096))
+					_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+				}
+			}()
+			ctx := context.Background()
+			client := newClient(clock.Real(), listener.Addr().String())
+			_, _, err = client.List(ctx, "k")
+			c.Check(code.Of(err), qt.Equals, code.PlatformUnavailable)
+			_, result, err := client.Swap(ctx, store.Swap{Key: "k", ExpectedRevision: 5, Value: []byte("new")})
+			c.Check(result, qt.Equals, store.Unknown)
+			c.Check(code.OutcomeOf(err), qt.Equals, code.Unknown)
+			c.Check(err, qt.ErrorMatches, "(?s).*malformed head.*")
+			err = client.Watch(ctx, "k", 5, func([]store.Change, unit.Revision) { c.Error("the watch is open") })
+			c.Check(code.Of(err), qt.Equals, code.PlatformUnavailable)
+		})
+	}
+}
+
 // TestLease guards against treating an expired lease as valid.
 func TestLease(t *testing.T) {
 	c := qt.New(t)
--- a/internal/platform/etcd/host.go
+++ b/internal/platform/etcd/host.go
@@ -13,6 +13,7 @@
 
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/http1"
 )
 
 // The paths of the etcd gateway protocol.
@@ -56,6 +57,7 @@
 			return false, string(r.URI().Path()) == pathRange
 		},
 	}
+	http1.CheckResponses(h.client)
 	return h
 }
 
--- a/internal/platform/etcd/watch.go
+++ b/internal/platform/etcd/watch.go
@@ -14,6 +14,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/http1"
 )
 
 // Watch calls emit with the changes below the prefix after the revision, in order, and
@@ -136,6 +137,7 @@
 			return conn, s.setConn(conn)
 		},
 	}
+	http1.CheckResponses(client)
 	defer client.CloseIdleConnections()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- a/internal/platform/roster/roster.go
+++ b/internal/platform/roster/roster.go
@@ -19,6 +19,7 @@
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/domain/roster"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/http1"
 	"cuminbay/internal/kernel/plugin"
 	"cuminbay/internal/kernel/settings"
 )
@@ -100,7 +101,7 @@
 
 // New returns an empty List. Refresh fills it.
 func New(o Options) *List {
-	return &List{options: o, client: fasthttp.Client{MaxResponseBodySize: maxBodyBytes}}
+	return &List{options: o, client: fasthttp.Client{MaxResponseBodySize: maxBodyBytes, ConfigureClient: http1.ConfigureClient}}
 }
 
 // Instances returns the last valid list in order of id, or nil before the first one.
--- a/internal/platform/roster/roster_test.go
+++ b/internal/platform/roster/roster_test.go
@@ -16,6 +16,38 @@
 	"cuminbay/internal/platform/roster"
 )
 
+// TestMalformedHead guards against a list that counts although the head of its response is malformed.
+func TestMalformedHead(t *testing.T) {
+	tests := map[string]string{
+		"status 000":           "HTTP/1.1 000 X\r\n",
+		"name with a blank":    "HTTP/1.1 200 OK\r\nA B: c\r\n",
+		"blank before a colon": "HTTP/1.1 200 OK\r\nAb : c\r\n",
+	}
+	for name, head := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = conn.Read(make([]byte, 4096))
+					_, _ = conn.Write([]byte(head + "Content-Length: 2\r\n\r\n[]"))
+				}
+			}()
+			var log bytes.Buffer
+			l := roster.New(roster.Options{Clock: clockwork.NewFakeClock(), Log: zerolog.New(&log), URL: "http://" + listener.Addr().String() + "/", Timeout: 2 * time.Second})
+			l.Refresh()
+			c.Check(log.String(), qt.Contains, "malformed head")
+			c.Check(l.ListAge() > time.Hour, qt.IsTrue)
+		})
+	}
+}
+
 // TestRefresh guards against a list that is lost when the platform fails or one entry
 // is invalid, and against a fault that is logged with every read.
 func TestRefresh(t *testing.T) {
