stream: Split the bodies and the keep-alive time off the raw exchange

raw.go held the exchange, heads, bodies, trailers and the parameters of Keep-Alive. No code changes.

--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -144,6 +144,14 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+func newReader(c *conn) *bufio.Reader {
+	return bufio.NewReaderSize(c, readBufferBytes)
+}
+
+// readBufferBytes holds the head of an answer and several events that arrive
+// together.
+const readBufferBytes = 4096
+
 // isReusable reports whether the connection is open and has no data to read.
 // Data that arrives on an idle connection belongs to no request.
 func (c *conn) isReusable() bool {
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -1,15 +1,11 @@
 package stream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httputil"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -160,16 +156,6 @@
 	return match == Own, nil
 }
 
-// skipBody reads the body of an answer to another request.
-func (r *RawResponse) skipBody() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(r, maxForeignBytes))
-	r.bodyRead = false
-	if err == nil && n == maxForeignBytes {
-		return errForeignBytes
-	}
-	return err
-}
-
 // readHead reads the head of the answer. The connection's buffer bounds its size.
 func (r *RawResponse) readHead(request *RawRequest) error {
 	r.Header.Reset()
@@ -184,90 +170,6 @@
 	return nil
 }
 
-// bodyReader returns the reader of the body, and whether the body is chunked.
-func (r *RawResponse) bodyReader(request *RawRequest) (io.Reader, bool) {
-	const chunked = -1 // fasthttp's length of a chunked body
-	status := r.Header.StatusCode()
-	if request.ExpectNoBody || status == http.StatusNoContent || status == http.StatusNotModified {
-		return http.NoBody, false
-	}
-	switch length := r.Header.ContentLength(); {
-	case length == 0:
-		return http.NoBody, false
-	case length > 0:
-		return &lengthReader{reader: r.conn.reader, remaining: length}, false
-	case length == chunked:
-		return httputil.NewChunkedReader(r.conn.reader), true
-	default:
-		// The end of the connection is the end of the body.
-		r.Header.SetConnectionClose()
-		return r.conn.reader, false
-	}
-}
-
-// lengthReader reads a body of known length.
-type lengthReader struct {
-	reader    io.Reader
-	remaining int
-}
-
-// Read returns io.EOF only after the whole body.
-func (l *lengthReader) Read(b []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, io.EOF
-	}
-	n, err := l.reader.Read(b[:min(len(b), l.remaining)])
-	l.remaining -= n
-	if errors.Is(err, io.EOF) && l.remaining > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// Read reads the body of the answer. It returns io.EOF only at the end of a
-// complete body. A body without a length is complete if the connection was not
-// reset.
-func (r *RawResponse) Read(b []byte) (int, error) {
-	n, err := r.body.Read(b)
-	if !errors.Is(err, io.EOF) {
-		return n, r.conn.withDeadlineError(err)
-	}
-	if r.chunked && !r.bodyRead {
-		if trailerErr := r.skipTrailer(); trailerErr != nil {
-			return n, trailerErr
-		}
-	}
-	r.bodyRead = true
-	return n, io.EOF
-}
-
-// skipTrailer reads the trailer fields after the last chunk.
-func (r *RawResponse) skipTrailer() error {
-	for remaining := maxTrailerBytes; remaining > 0; {
-		line, err := r.conn.reader.ReadSlice('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return r.conn.withDeadlineError(err)
-		}
-		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
-			return nil
-		}
-		remaining -= len(line)
-	}
-	return errTrailerBytes
-}
-
-// ContentLength returns the length that the header announces, or -1 if the
-// length is unknown.
-func (r *RawResponse) ContentLength() int {
-	if r.body == http.NoBody {
-		return 0
-	}
-	return max(r.Header.ContentLength(), -1)
-}
-
 // Abort ends a read of the answer that is in progress in another goroutine. It must not be called after
 // Close, as the connection may be in use again.
 func (r *RawResponse) Abort() {
@@ -291,32 +193,3 @@
 	}
 	r.pool.discardConn(r.address, r.conn)
 }
-
-// keepAliveMarginDivisor determines how long before the end of the announced idle
-// time the pool no longer reuses a connection: the idle time divided by this
-// number. The endpoint's timer starts earlier than the pool's timer.
-const keepAliveMarginDivisor = 4
-
-// parseKeepAlive returns the idle time that a Keep-Alive field allows, at most
-// defaultIdleTimeout. Without a valid time it returns defaultIdleTimeout.
-func parseKeepAlive(field []byte) time.Duration {
-	for parameter := range strings.SplitSeq(string(field), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if s, err := strconv.ParseFloat(value, 64); err == nil && s > 0 {
-			d := time.Duration(s * float64(time.Second))
-			return min(d-d/keepAliveMarginDivisor, defaultIdleTimeout)
-		}
-	}
-	return defaultIdleTimeout
-}
-
-func newReader(c *conn) *bufio.Reader {
-	return bufio.NewReaderSize(c, readBufferBytes)
-}
-
-// readBufferBytes holds the head of an answer and several events that arrive
-// together.
-const readBufferBytes = 4096
--- /dev/null
+++ b/internal/endpoint/stream/rawbody.go
@@ -0,0 +1,103 @@
+package stream
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+)
+
+// skipBody reads the body of an answer to another request.
+func (r *RawResponse) skipBody() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, maxForeignBytes))
+	r.bodyRead = false
+	if err == nil && n == maxForeignBytes {
+		return errForeignBytes
+	}
+	return err
+}
+
+// bodyReader returns the reader of the body, and whether the body is chunked.
+func (r *RawResponse) bodyReader(request *RawRequest) (io.Reader, bool) {
+	const chunked = -1 // fasthttp's length of a chunked body
+	status := r.Header.StatusCode()
+	if request.ExpectNoBody || status == http.StatusNoContent || status == http.StatusNotModified {
+		return http.NoBody, false
+	}
+	switch length := r.Header.ContentLength(); {
+	case length == 0:
+		return http.NoBody, false
+	case length > 0:
+		return &lengthReader{reader: r.conn.reader, remaining: length}, false
+	case length == chunked:
+		return httputil.NewChunkedReader(r.conn.reader), true
+	default:
+		// The end of the connection is the end of the body.
+		r.Header.SetConnectionClose()
+		return r.conn.reader, false
+	}
+}
+
+// lengthReader reads a body of known length.
+type lengthReader struct {
+	reader    io.Reader
+	remaining int
+}
+
+// Read returns io.EOF only after the whole body.
+func (l *lengthReader) Read(b []byte) (int, error) {
+	if l.remaining == 0 {
+		return 0, io.EOF
+	}
+	n, err := l.reader.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	if errors.Is(err, io.EOF) && l.remaining > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Read reads the body of the answer. It returns io.EOF only at the end of a
+// complete body. A body without a length is complete if the connection was not
+// reset.
+func (r *RawResponse) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if !errors.Is(err, io.EOF) {
+		return n, r.conn.withDeadlineError(err)
+	}
+	if r.chunked && !r.bodyRead {
+		if trailerErr := r.skipTrailer(); trailerErr != nil {
+			return n, trailerErr
+		}
+	}
+	r.bodyRead = true
+	return n, io.EOF
+}
+
+// skipTrailer reads the trailer fields after the last chunk.
+func (r *RawResponse) skipTrailer() error {
+	for remaining := maxTrailerBytes; remaining > 0; {
+		line, err := r.conn.reader.ReadSlice('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return r.conn.withDeadlineError(err)
+		}
+		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
+			return nil
+		}
+		remaining -= len(line)
+	}
+	return errTrailerBytes
+}
+
+// ContentLength returns the length that the header announces, or -1 if the
+// length is unknown.
+func (r *RawResponse) ContentLength() int {
+	if r.body == http.NoBody {
+		return 0
+	}
+	return max(r.Header.ContentLength(), -1)
+}
