stream: Close a connection whose request has no answer yet

After an empty answer to another request, an exchange that ended without its own answer kept the connection as reusable. The run at the server was not cancelled, and the next request on the connection waited behind it.

Cause: the body of the skipped answer, which is none, still counted as that of the request's own answer, so that the exchange looked complete.

Change: reading a head forgets the body before it.

--- a/internal/endpoint/stream/kept_test.go
+++ b/internal/endpoint/stream/kept_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -88,3 +89,35 @@
 		})
 	}
 }
+
+// TestUnansweredConnection guards against a connection that is kept after an exchange without an answer, since it
+// returned a whole answer to another request. The server may still run the request.
+func TestUnansweredConnection(t *testing.T) {
+	const foreign = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: "
+	tests := map[string]string{
+		"empty answer to another request":  foreign + "0\r\n\r\n",
+		"answer to another request":        foreign + "1\r\n\r\na",
+		"empty answers to other requests":  strings.Repeat(foreign+"0\r\n\r\n", 2),
+		"one without a status follows":     foreign + "0\r\n\r\nHTTP/1.1 000 X\r\n\r\n",
+		"one that is cut off follows it":   foreign + "0\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"no answer":                        "",
+		"empty answer after interim ones":  "HTTP/1.1 103 X\r\n\r\n" + foreign + "0\r\n\r\n",
+		"an interim answer, which is none": "HTTP/1.1 103 X\r\n\r\n",
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &fakeServer{answer: answer}
+			request := newTestRequest(s.listen(c))
+			request.SilenceInterval = 20 * time.Millisecond
+			request.KeepWaiting = func(silence time.Duration) bool { return silence < 200*time.Millisecond }
+			p := newTestPool()
+			defer p.CloseIdleConnections()
+			_, err := p.Forward(context.Background(), request)
+			c.Assert(err, qt.IsNotNil)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			c.Check(p.byAddress[request.Address], qt.IsNil)
+		})
+	}
+}
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -76,6 +76,7 @@
 	pool    *Pool
 	address string
 	conn    *conn
+	// body is nil until the head was read.
 	body    io.Reader
 	chunked bool
 	// bodyRead says that the body was read to its end.
@@ -158,6 +159,7 @@
 
 // readHead reads the head of the answer. The connection's buffer bounds its size.
 func (r *RawResponse) readHead(request *RawRequest) error {
+	r.body = nil
 	r.Header.Reset()
 	r.Header.SetNoDefaultContentType(true)
 	if err := http1.SkipInterim(r.conn.reader, &r.Header); err != nil {
