plugin: Wake goroutines by one function

The non-blocking send that wakes a goroutine stood in seven packages. It is plugin.Wake now, beside plugin.SleepOrWake. No behaviour changes.

--- a/internal/fleet/drain/plugin.go
+++ b/internal/fleet/drain/plugin.go
@@ -140,10 +140,7 @@
 	p.mu.Lock()
 	p.unwritten[t] = true
 	p.mu.Unlock()
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
+	plugin.Wake(p.wake)
 }
 
 // writeLoop writes new statuses to the platform at once, and repeats failed writes
--- a/internal/fleet/formation/plugin.go
+++ b/internal/fleet/formation/plugin.go
@@ -204,10 +204,7 @@
 
 // wakePlanner starts a round without waiting for it.
 func (c *controller) wakePlanner() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	plugin.Wake(c.wake)
 }
 
 // runPlanner runs rounds of the planner while this daemon is the leader, with a
--- a/internal/fleet/mirror/monitor.go
+++ b/internal/fleet/mirror/monitor.go
@@ -19,10 +19,7 @@
 	if u, ok := m.Source.(*Upstream); ok {
 		u.acceptCopyOf(from)
 	}
-	select {
-	case m.sourceRegained <- struct{}{}:
-	default:
-	}
+	plugin.Wake(m.sourceRegained)
 }
 
 func (m *Mirror) observeRevision(revision unit.Revision) {
--- a/internal/kernel/plugin/background.go
+++ b/internal/kernel/plugin/background.go
@@ -82,3 +82,11 @@
 		return false
 	}
 }
+
+// Wake makes the channel, which has a capacity of one, ready if it is not. A nil channel stays as it is.
+func Wake(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/peer/gossip/plugin.go
+++ b/internal/peer/gossip/plugin.go
@@ -235,10 +235,7 @@
 		}
 	}
 	if _, found := daemons[c.Self]; !found && ownRemoved {
-		select {
-		case c.registrationLost <- struct{}{}:
-		default:
-		}
+		plugin.Wake(c.registrationLost)
 	}
 	c.SetDaemons(daemons)
 	c.Log.Info().Int("daemons", len(daemons)).Msg("daemons-listed")
--- a/internal/route/reach/reach.go
+++ b/internal/route/reach/reach.go
@@ -116,10 +116,7 @@
 		r.suspects[e.ID] = e
 	}
 	m.mu.Unlock()
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	plugin.Wake(m.wake)
 	return r
 }
 
--- a/internal/serve/claim/writer.go
+++ b/internal/serve/claim/writer.go
@@ -11,6 +11,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/store"
 	"cuminbay/internal/domain/unit"
+	"cuminbay/internal/kernel/plugin"
 )
 
 // shardWriter writes the claims of this process to one shard. It has one write in
@@ -89,10 +90,7 @@
 			break
 		}
 	}
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	plugin.Wake(w.wake)
 }
 
 // drainQueue moves the queued attempts into unconfirmedAttempts and
--- a/internal/serve/poison/blocklist.go
+++ b/internal/serve/poison/blocklist.go
@@ -136,7 +136,7 @@
 		}
 		b.applyEntry(key, change.Entry)
 	}
-	signal(b.Changed)
+	plugin.Wake(b.Changed)
 }
 
 func (b *Blocklist) forget(key refusalKey) {
@@ -145,14 +145,6 @@
 	delete(b.entries, key)
 }
 
-// signal makes the channel ready if it is not.
-func signal(changed chan<- struct{}) {
-	select {
-	case changed <- struct{}{}:
-	default:
-	}
-}
-
 // applyEntry records the entry and has its refusal applied by the detectors.
 func (b *Blocklist) applyEntry(key refusalKey, e store.Entry) {
 	r, err := decodeRefusal(e.Value)
--- a/internal/serve/poison/parts.go
+++ b/internal/serve/poison/parts.go
@@ -10,6 +10,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
 )
 
 // PartDetector detects prompt parts that crash every endpoint that begins to answer a
@@ -238,7 +239,7 @@
 		delete(next, oldestSuspect(next))
 	}
 	d.suspectParts.Store(&next)
-	signal(d.Changed)
+	plugin.Wake(d.Changed)
 }
 
 // oldestSuspect returns the part whose last crash is the oldest.
--- a/internal/serve/poison/poison.go
+++ b/internal/serve/poison/poison.go
@@ -15,6 +15,7 @@
 	"cuminbay/internal/domain/code"
 	"cuminbay/internal/domain/ident"
 	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/kernel/plugin"
 )
 
 // defaultThreshold is the number of crashes at which a request is refused. A single
@@ -221,7 +222,7 @@
 		next.totals[k.fingerprint] = t
 	}
 	d.current.Store(next)
-	signal(d.Changed)
+	plugin.Wake(d.Changed)
 }
 
 // evictFirstToExpire removes the crash sets that expire first until their number is within
