http1: Read heads and responses by one call each

Each reader had to check the head and then to call the parser. Now ReadResponseHead and ReadResponse do both, so that none can leave the check out.

--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -88,7 +88,8 @@
 	var response fasthttp.Response
 	response.StreamBody = true
 	response.SkipBody = r.Method == fasthttp.MethodHead
-	if err := readResponse(conn, &response, int(c.MaxBodyBytes)); err != nil {
+	response.Header.SetNoDefaultContentType(true)
+	if err := http1.ReadResponse(bufio.NewReader(conn), &response, int(c.MaxBodyBytes)); err != nil {
 		return code.CutOff.Wrap(err, "service at %s: cannot read the response", e.Address)
 	}
 	if err := sink.Start(newHead(e, &response)); err != nil {
@@ -123,16 +124,6 @@
 	return w.Flush()
 }
 
-// readResponse reads the head of the response. Its body is read as it is forwarded.
-func readResponse(conn net.Conn, response *fasthttp.Response, maxBodyBytes int) error {
-	reader := bufio.NewReader(conn)
-	response.Header.SetNoDefaultContentType(true)
-	if err := http1.SkipInterim(reader, &response.Header); err != nil {
-		return err
-	}
-	return response.ReadLimitBody(reader, maxBodyBytes)
-}
-
 func newHead(e *table.Endpoint, response *fasthttp.Response) work.Head {
 	h := work.Head{Status: response.StatusCode(), Endpoint: e.ID}
 	for name, value := range response.Header.All() {
--- a/internal/endpoint/stream/exchange.go
+++ b/internal/endpoint/stream/exchange.go
@@ -86,10 +86,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	if err := http1.SkipInterim(x.conn.reader, &x.Response.Header); err != nil {
-		return err
-	}
-	if err := x.Response.ReadLimitBody(x.conn.reader, x.pool.MaxBody); err != nil {
+	if err := http1.ReadResponse(x.conn.reader, x.Response, x.pool.MaxBody); err != nil {
 		return err
 	}
 	if x.body = x.Response.BodyStream(); x.body == nil {
--- a/internal/endpoint/stream/brokenhead_test.go
+++ b/internal/endpoint/stream/malformedhead_test.go
@@ -12,9 +12,9 @@
 	"cuminbay/internal/domain/code"
 )
 
-// TestBrokenHead guards against an answer with an invalid head that counts as an answer, ends only with
+// TestMalformedHead guards against an answer with a malformed head that counts as an answer, ends only with
 // the stall timeout, or leaves its connection in use.
-func TestBrokenHead(t *testing.T) {
+func TestMalformedHead(t *testing.T) {
 	const (
 		ok      = "HTTP/1.1 200 OK\r\n"
 		own     = "Request-Id: own\r\nServer-Stamp: s\r\n"
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -162,10 +162,7 @@
 	r.body = nil
 	r.Header.Reset()
 	r.Header.SetNoDefaultContentType(true)
-	if err := http1.SkipInterim(r.conn.reader, &r.Header); err != nil {
-		return err
-	}
-	if err := r.Header.Read(r.conn.reader); err != nil {
+	if err := http1.ReadResponseHead(r.conn.reader, &r.Header); err != nil {
 		return err
 	}
 	r.body, r.chunked = r.bodyReader(request)
--- a/internal/kernel/http1/example_test.go
+++ b/internal/kernel/http1/example_test.go
@@ -10,7 +10,7 @@
 	"cuminbay/internal/kernel/http1"
 )
 
-func ExampleSkipInterim() {
+func ExampleReadResponseHead() {
 	const end = "Content-Length: 0\r\n\r\n"
 	for _, raw := range []string{
 		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + end,
@@ -19,14 +19,14 @@
 	} {
 		reader := bufio.NewReader(strings.NewReader(raw))
 		var header fasthttp.ResponseHeader
-		if err := http1.SkipInterim(reader, &header); err != nil {
+		if err := http1.ReadResponseHead(reader, &header); err != nil {
 			fmt.Println(err)
 			continue
 		}
-		fmt.Println(header.Read(reader), header.StatusCode())
+		fmt.Println(header.StatusCode())
 	}
 	// Output:
-	// <nil> 200
+	// 200
 	// malformed head: status "000", expected 100 to 599
 	// malformed head: field name "Odd Name"
 }
--- a/internal/kernel/http1/head.go
+++ b/internal/kernel/http1/head.go
@@ -23,16 +23,36 @@
 
 var errInterimResponses = fmt.Errorf("connection returned more than %d interim responses", maxInterimResponses)
 
-// SkipInterim waits until the reader's buffer begins with the head of a response, and leaves it unread for the
-// parser. The interim responses before it are read into the header. The buffer bounds the size of each head.
+// ReadResponseHead reads the head of a response, and interim responses before it. The reader's buffer bounds the
+// size of a head.
 //
 // The error is ErrMalformedHead for a head that must not be parsed.
-func SkipInterim(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+func ReadResponseHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	if err := skipInterim(r, h); err != nil {
+		return err
+	}
+	return h.Read(r)
+}
+
+// ReadResponse reads a response like fasthttp's ReadLimitBody, whose limit is in bytes, with the errors of
+// ReadResponseHead.
+func ReadResponse(r *bufio.Reader, response *fasthttp.Response, bodyLimit int) error {
+	if err := skipInterim(r, &response.Header); err != nil {
+		return err
+	}
+	return response.ReadLimitBody(r, bodyLimit)
+}
+
+// skipInterim reads interim responses into the header, until the buffer begins with the head of the response. It
+// leaves that head unread for the parser.
+func skipInterim(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses + 1 {
 		s := headScanner{isResponse: true}
-		if _, err := s.buffer(r); errors.Is(err, bufio.ErrBufferFull) {
+		_, err := s.buffer(r)
+		if errors.Is(err, bufio.ErrBufferFull) {
 			return fmt.Errorf("head of a response is over %d bytes: %w", r.Size(), err)
-		} else if err != nil {
+		}
+		if err != nil {
 			return err
 		}
 		if !s.isInterim() {
--- a/internal/kernel/http1/head_test.go
+++ b/internal/kernel/http1/head_test.go
@@ -16,17 +16,9 @@
 
 const bufferBytes = 512
 
-// readResponseHead reads the head of a response after the interim ones.
-func readResponseHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	if err := SkipInterim(r, h); err != nil {
-		return err
-	}
-	return h.Read(r)
-}
-
-// TestSkipInterim guards against a head that is parsed although it is malformed, and against one that is refused
+// TestReadResponseHead guards against a head that is parsed although it is malformed, and against one that is refused
 // although it is not.
-func TestSkipInterim(t *testing.T) {
+func TestReadResponseHead(t *testing.T) {
 	const end = "Content-Length: 1\r\n\r\na"
 	tests := map[string]struct {
 		raw        string
@@ -73,7 +65,7 @@
 			t.Run(name+", "+readerName, func(t *testing.T) {
 				c := qt.New(t)
 				var h fasthttp.ResponseHeader
-				err := readResponseHead(bufio.NewReaderSize(reader, bufferBytes), &h)
+				err := ReadResponseHead(bufio.NewReaderSize(reader, bufferBytes), &h)
 				c.Assert(err, qt.ErrorIs, test.wantErr)
 				if test.wantErr == nil {
 					c.Check(h.StatusCode(), qt.Equals, test.wantStatus)
@@ -92,7 +84,7 @@
 	}
 	got, want := new(fasthttp.ResponseHeader), new(fasthttp.ResponseHeader)
 	reader, referenceReader := bufio.NewReaderSize(source, bufferBytes), bufio.NewReaderSize(reference, bufferBytes)
-	if readResponseHead(reader, got) != nil {
+	if ReadResponseHead(reader, got) != nil {
 		return
 	}
 	for isInterim := true; isInterim; {
@@ -143,8 +135,8 @@
 	f.Fuzz(func(t *testing.T, raw string, pieces bool) { checkAgainstParser(t, raw, pieces) })
 }
 
-// BenchmarkSkipInterim measures the check of a head.
-func BenchmarkSkipInterim(b *testing.B) {
+// BenchmarkCheck measures the check of a head without its parsing.
+func BenchmarkCheck(b *testing.B) {
 	raw := "HTTP/1.1 200 OK\r\n" + strings.Repeat("Server-Field: value of it\r\n", 10) + "\r\n"
 	source := strings.NewReader(raw)
 	reader := bufio.NewReaderSize(source, 2*len(raw))
@@ -153,7 +145,7 @@
 	for b.Loop() {
 		source.Reset(raw)
 		reader.Reset(source)
-		if err := SkipInterim(reader, &h); err != nil {
+		if err := skipInterim(reader, &h); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/proof/process/brokenhead_test.go
+++ b/internal/proof/process/malformedhead_test.go
@@ -13,9 +13,9 @@
 	"cuminbay/internal/standin/service"
 )
 
-// TestBrokenHead guards against callers that get an answer whose head is invalid, and against an error that says
+// TestMalformedHead guards against callers that get an answer whose head is malformed, and against an error that says
 // of a call which such a service has run that it didn't run.
-func TestBrokenHead(t *testing.T) {
+func TestMalformedHead(t *testing.T) {
 	const (
 		ok   = "HTTP/1.1 200 OK\r\n"
 		chat = `{"model":"assistant","stream":%t,"messages":[{"role":"user","content":"x"}]}`
