--- a/internal/kernel/http1/conn.go
+++ b/internal/kernel/http1/conn.go
@@ -36,7 +36,7 @@
 // tlsConn is a responseConn with TLS. By Handshake the client knows that it must not add TLS itself.
 type tlsConn struct {
 	*responseConn
-	tls *tls.Conn
+	client *tls.Conn
 }
 
 func newTLSConn(conn net.Conn, config *tls.Config, address string) *tlsConn {
@@ -47,13 +47,13 @@
 		config = config.Clone()
 		config.ServerName, _, _ = net.SplitHostPort(address)
 	}
-	tlsClient := tls.Client(conn, config)
-	return &tlsConn{newResponseConn(tlsClient), tlsClient}
+	client := tls.Client(conn, config)
+	return &tlsConn{responseConn: newResponseConn(client), client: client}
 }
 
 // Handshake runs the TLS handshake. Otherwise it runs with the first write.
 func (c *tlsConn) Handshake() error {
-	return c.tls.Handshake()
+	return c.client.Handshake()
 }
 
 // responseConn is a client's connection that checks the heads of responses before the client reads them. The
@@ -65,7 +65,7 @@
 	expectsHead bool
 	// headLeft is the number of bytes of a checked head that are still to be read.
 	headLeft int
-	// headErr is the error of a head that is not readable.
+	// headErr says why a head couldn't be read, which ends all reads.
 	headErr error
 }
 
@@ -80,7 +80,7 @@
 	return c.Conn.Write(p)
 }
 
-// Read reads a response. A malformed head ends it with ErrMalformedHead.
+// Read reads a response, up to the end of its head at first. The error is ErrMalformedHead for a malformed head.
 func (c *responseConn) Read(p []byte) (int, error) {
 	if c.headErr != nil {
 		return 0, c.headErr
--- a/internal/peer/gossip/golden_test.go
+++ b/internal/peer/gossip/golden_test.go
@@ -38,6 +38,7 @@
 	"321a82e": messageWithoutDemand,
 	"354baa5": messageWithoutDemand,
 	"800f969": completeMessage,
+	"f6bb871": completeMessage,
 }
 
 // messageWithoutDemand returns completeMessage without the fields of datagrams from number 22 on.
