--- a/internal/endpoint/service/service_test.go
+++ b/internal/endpoint/service/service_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 	"cuminbay/internal/endpoint/service"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/route/table"
+	"cuminbay/internal/standin/faultserver"
 )
 
 type recordingSink struct {
@@ -30,23 +30,6 @@
 func (r *recordingSink) Chunk(chunk work.Chunk) error { r.body += string(chunk.Raw); return nil }
 func (r *recordingSink) End(work.End) error           { r.ended = true; return nil }
 
-// listenOnce starts a service that answers one request with the bytes and closes the connection.
-func listenOnce(c *qt.C, answer string) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = conn.Read(make([]byte, 4096))
-		_, _ = conn.Write([]byte(answer))
-		_ = conn.Close()
-	}()
-	return l
-}
-
 func newTestClient() *service.Client {
 	return service.New(service.Options{Clock: clock.Real(), DialTimeout: time.Second, StallTimeout: time.Second, MaxBodyBytes: 1 << 20})
 }
@@ -78,12 +61,13 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			l := listenOnce(c, test.answer)
+			l, err := faultserver.ServeRaw(test.answer)
+			c.Assert(err, qt.IsNil)
 			s := newTestClient()
 			var got recordingSink
 			e := &table.Endpoint{Address: l.Addr().String()}
 			r := &work.Request{Method: "POST", Path: "/pay", Body: []byte("x")}
-			err := s.Send(context.Background(), e, r, work.PartialAnswer{}, &got)
+			err = s.Send(context.Background(), e, r, work.PartialAnswer{}, &got)
 			c.Assert(code.Of(err), qt.Equals, test.want, qt.Commentf("%v", err))
 			c.Assert(got.ended, qt.Equals, test.want == code.Answered)
 			if test.body != "" {
@@ -108,7 +92,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			l := listenOnce(c, "HTTP/1.1 200 OK\r\n"+test.fields+"Content-Length: 2\r\n\r\nok")
+			l, err := faultserver.ServeRaw("HTTP/1.1 200 OK\r\n" + test.fields + "Content-Length: 2\r\n\r\nok")
+			c.Assert(err, qt.IsNil)
+			defer l.Close() //nolint:errcheck // the end of the test
 			var got recordingSink
 			r := &work.Request{Method: "GET", Path: "/"}
 			c.Assert(newTestClient().Send(context.Background(), &table.Endpoint{Address: l.Addr().String()}, r, work.PartialAnswer{}, &got), qt.IsNil)
--- a/internal/peer/twirp/malformed_test.go
+++ b/internal/peer/twirp/malformed_test.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
+
+	"cuminbay/internal/standin/faultserver"
 )
 
 // TestMalformedStatus guards against an answer of another daemon that counts although its status is none.
@@ -27,22 +28,13 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := faultserver.ServeRaw(fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n%s", test.status, len(body), body))
 			c.Assert(err, qt.IsNil)
-			c.Cleanup(func() { _ = listener.Close() })
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = conn.Read(make([]byte, 4096))
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n%s", test.status, len(body), body)
-				_ = conn.Close()
-			}()
+			defer server.Close() //nolint:errcheck // the end of the test
 			clients := &clients{timeout: time.Second, maxBytes: 1 << 20}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			answer, err := clients.clientFor(listener.Addr().String()).Ask(ctx, &Question{Topic: "t"})
+			answer, err := clients.clientFor(server.Addr().String()).Ask(ctx, &Question{Topic: "t"})
 			c.Assert(err != nil, qt.Equals, test.wantErr, qt.Commentf("%v", err))
 			if !test.wantErr {
 				c.Check(string(answer.GetBody()), qt.Equals, "answer")
--- a/internal/platform/etcd/client_test.go
+++ b/internal/platform/etcd/client_test.go
@@ -21,6 +21,7 @@
 	"cuminbay/internal/domain/unit"
 	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/platform/etcd"
+	"cuminbay/internal/standin/faultserver"
 )
 
 // fakeServer is a platform with one key, whose faults a test switches on.
@@ -235,21 +236,11 @@
 	for name, head := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := faultserver.ServeRaw(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
 			c.Assert(err, qt.IsNil)
-			c.Cleanup(func() { _ = listener.Close() })
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					_, _ = conn.Read(make([]byte, 4096))
-					_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-				}
-			}()
+			defer server.Close() //nolint:errcheck // the end of the test
 			ctx := context.Background()
-			client := newClient(clock.Real(), listener.Addr().String())
+			client := newClient(clock.Real(), server.Addr().String())
 			_, _, err = client.List(ctx, "k")
 			c.Check(code.Of(err), qt.Equals, code.PlatformUnavailable)
 			_, result, err := client.Swap(ctx, store.Swap{Key: "k", ExpectedRevision: 5, Value: []byte("new")})
--- a/internal/platform/roster/roster_test.go
+++ b/internal/platform/roster/roster_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cuminbay/internal/platform/roster"
+	"cuminbay/internal/standin/faultserver"
 )
 
 // TestMalformedHead guards against a list that counts although the head of its response is malformed.
@@ -26,21 +27,11 @@
 	for name, head := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := faultserver.ServeRaw(head + "Content-Length: 2\r\n\r\n[]")
 			c.Assert(err, qt.IsNil)
-			c.Cleanup(func() { _ = listener.Close() })
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					_, _ = conn.Read(make([]byte, 4096))
-					_, _ = conn.Write([]byte(head + "Content-Length: 2\r\n\r\n[]"))
-				}
-			}()
+			defer server.Close() //nolint:errcheck // the end of the test
 			var log bytes.Buffer
-			l := roster.New(roster.Options{Clock: clockwork.NewFakeClock(), Log: zerolog.New(&log), URL: "http://" + listener.Addr().String() + "/", Timeout: 2 * time.Second})
+			l := roster.New(roster.Options{Clock: clockwork.NewFakeClock(), Log: zerolog.New(&log), URL: "http://" + server.Addr().String() + "/", Timeout: 2 * time.Second})
 			l.Refresh()
 			c.Check(log.String(), qt.Contains, "malformed head")
 			c.Check(l.ListAge() > time.Hour, qt.IsTrue)
