--- a/internal/kernel/http1/head_test.go
+++ b/internal/kernel/http1/head_test.go
@@ -28,7 +28,7 @@
 	}{
 		"response":                       {raw: "HTTP/1.1 200 OK\r\n" + end, wantStatus: 200},
 		"no reason":                      {raw: "HTTP/1.1 200\r\n" + end, wantStatus: 200},
-		"lowest final status":            {raw: "HTTP/1.1 200 OK\r\n" + end, wantStatus: 200},
+		"lowest status":                  {raw: "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 OK\r\n" + end, wantStatus: 200},
 		"highest status":                 {raw: "HTTP/1.1 599 X\r\n" + end, wantStatus: 599},
 		"unknown status":                 {raw: "HTTP/1.1 299 X\r\n" + end, wantStatus: 299},
 		"HTTP/1.0":                       {raw: "HTTP/1.0 200 OK\r\n" + end, wantStatus: 200},
