stream: Never keep the connection of an exchange that failed

Two more were left: after the last answer to another request that is skipped, and after an answer of unknown origin, if that had no body.

Change: Forward closes the connection of an exchange that fails, whatever was read, and readHead need not forget the body before it any more.

--- a/internal/endpoint/stream/kept_test.go
+++ b/internal/endpoint/stream/kept_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
 
 	"cuminbay/internal/domain/code"
 )
@@ -98,6 +99,10 @@
 		"empty answer to another request":  foreign + "0\r\n\r\n",
 		"answer to another request":        foreign + "1\r\n\r\na",
 		"empty answers to other requests":  strings.Repeat(foreign+"0\r\n\r\n", 2),
+		"too many empty answers to others": strings.Repeat(foreign+"0\r\n\r\n", maxForeignAnswers+1),
+		"too many answers to others":       strings.Repeat(foreign+"1\r\n\r\na", maxForeignAnswers+1),
+		"empty answer of unknown origin":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"answer of unknown origin":         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
 		"one without a status follows":     foreign + "0\r\n\r\nHTTP/1.1 000 X\r\n\r\n",
 		"one that is cut off follows it":   foreign + "0\r\n\r\nHTTP/1.1 200 OK\r\n",
 		"no answer":                        "",
@@ -111,6 +116,13 @@
 			request := newTestRequest(s.listen(c))
 			request.SilenceInterval = 20 * time.Millisecond
 			request.KeepWaiting = func(silence time.Duration) bool { return silence < 200*time.Millisecond }
+			matchRequest := request.MatchRequest
+			request.MatchRequest = func(h *fasthttp.ResponseHeader) Match {
+				if len(h.Peek("Request-Id")) == 0 {
+					return UnknownOrigin
+				}
+				return matchRequest(h)
+			}
 			p := newTestPool()
 			defer p.CloseIdleConnections()
 			_, err := p.Forward(context.Background(), request)
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -76,7 +76,6 @@
 	pool    *Pool
 	address string
 	conn    *conn
-	// body is nil until the head was read.
 	body    io.Reader
 	chunked bool
 	// bodyRead says that the body was read to its end.
@@ -98,7 +97,8 @@
 	c.keepWaiting, c.silenceInterval = request.KeepWaiting, request.SilenceInterval
 	r.stopCancelWatch = context.AfterFunc(ctx, c.abort)
 	if err := r.roundTrip(request); err != nil {
-		r.Close()
+		r.stopCancelWatch()
+		r.cancel()
 		return nil, p.exchangeError(ctx, request.Address, c, err)
 	}
 	return r, nil
@@ -159,7 +159,6 @@
 
 // readHead reads the head of the answer. The connection's buffer bounds its size.
 func (r *RawResponse) readHead(request *RawRequest) error {
-	r.body = nil
 	r.Header.Reset()
 	r.Header.SetNoDefaultContentType(true)
 	if err := http1.ReadResponseHead(r.conn.reader, &r.Header); err != nil {
@@ -188,7 +187,14 @@
 		return
 	}
 	if !bodyComplete {
-		r.conn.abort()
+		r.cancel()
+		return
 	}
 	r.pool.discardConn(r.address, r.conn)
 }
+
+// cancel closes the connection before the end of the answer, which cancels a run at the endpoint.
+func (r *RawResponse) cancel() {
+	r.conn.abort()
+	r.pool.discardConn(r.address, r.conn)
+}
