--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -33,6 +33,10 @@
 // to an address.
 var errConnectionLimit = errors.New("connection limit of the address reached")
 
+// readBufferBytes holds the head of an answer and several events that arrive
+// together.
+const readBufferBytes = 4096
+
 // conn is a connection whose reads and writes fail if they make no progress for
 // ioTimeout. Only Close may be called by a goroutine other than the one that
 // acquired the connection from the pool.
@@ -144,14 +148,6 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-func newReader(c *conn) *bufio.Reader {
-	return bufio.NewReaderSize(c, readBufferBytes)
-}
-
-// readBufferBytes holds the head of an answer and several events that arrive
-// together.
-const readBufferBytes = 4096
-
 // isReusable reports whether the connection is open and has no data to read.
 // Data that arrives on an idle connection belongs to no request.
 func (c *conn) isReusable() bool {
--- a/internal/endpoint/stream/kept_test.go
+++ b/internal/endpoint/stream/kept_test.go
@@ -103,11 +103,11 @@
 		"too many answers to others":       strings.Repeat(foreign+"1\r\n\r\na", maxForeignAnswers+1),
 		"empty answer of unknown origin":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"answer of unknown origin":         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
-		"one without a status follows":     foreign + "0\r\n\r\nHTTP/1.1 000 X\r\n\r\n",
-		"one that is cut off follows it":   foreign + "0\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"one with an invalid status after": foreign + "0\r\n\r\nHTTP/1.1 000 X\r\n\r\n",
+		"one that is cut off after it":     foreign + "0\r\n\r\nHTTP/1.1 200 OK\r\n",
 		"no answer":                        "",
 		"empty answer after interim ones":  "HTTP/1.1 103 X\r\n\r\n" + foreign + "0\r\n\r\n",
-		"an interim answer, which is none": "HTTP/1.1 103 X\r\n\r\n",
+		"interim answer only":              "HTTP/1.1 103 X\r\n\r\n",
 	}
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -151,7 +152,7 @@
 		return nil, &dialError{err}
 	}
 	c := &conn{Conn: netConn, clock: p.Clock, ioTimeout: p.StallTimeout, idleTimeout: defaultIdleTimeout}
-	c.reader = newReader(c)
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
--- a/internal/kernel/http1/head.go
+++ b/internal/kernel/http1/head.go
@@ -34,8 +34,10 @@
 	return h.Read(r)
 }
 
-// ReadResponse reads a response like fasthttp's ReadLimitBody, whose limit is in bytes, with the errors of
-// ReadResponseHead.
+// ReadResponse reads a response as fasthttp's ReadLimitBody does, with a body of at most bodyLimit bytes; zero
+// means no limit.
+//
+// The error is ErrMalformedHead for a head that must not be parsed.
 func ReadResponse(r *bufio.Reader, response *fasthttp.Response, bodyLimit int) error {
 	if err := skipInterim(r, &response.Header); err != nil {
 		return err
--- a/internal/peer/twirp/malformed_test.go
+++ b/internal/peer/twirp/malformed_test.go
@@ -12,7 +12,7 @@
 	"cuminbay/internal/standin/faultserver"
 )
 
-// TestMalformedStatus guards against an answer of another daemon that counts although its status is none.
+// TestMalformedStatus guards against an answer of another daemon that counts although its status is invalid.
 func TestMalformedStatus(t *testing.T) {
 	body, err := proto.Marshal(&Answer{Body: []byte("answer")})
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/proof/process/malformedhead_test.go
+++ b/internal/proof/process/malformedhead_test.go
@@ -13,8 +13,8 @@
 	"cuminbay/internal/standin/service"
 )
 
-// TestMalformedHead guards against callers that get an answer whose head is malformed, and against an error that says
-// of a call which such a service has run that it didn't run.
+// TestMalformedHead guards against callers that get an answer with a malformed head, and against an error that
+// says that a call was not run although a service has run it.
 func TestMalformedHead(t *testing.T) {
 	const (
 		ok   = "HTTP/1.1 200 OK\r\n"
