--- a/review/_rig3/lab.go
+++ b/review/_rig3/lab.go
@@ -51,6 +51,7 @@
 	dir     string
 	clock   clock.Clock
 	store   *standin.Store
+	pages   *pagingStore
 	plain   []*plainServer
 	engines map[string]*standin.Server
 	runs    *standin.RunLog
@@ -78,6 +79,7 @@
 	}
 	l := &lab{record: &record{file: file, start: time.Now()}, options: o, dir: dir, clock: clock.Real(), engines: make(map[string]*standin.Server), runs: standin.NewRunLog()}
 	l.store = standin.NewStore(l.clock)
+	l.pages = newPagingStore(l.store)
 	for i := range o.plainServers {
 		l.plain = append(l.plain, newPlainServer(l, fmt.Sprintf("p-%02d", i), zoneOf(i)))
 	}
@@ -113,6 +115,8 @@
 	for _, s := range l.engines {
 		s.Crash()
 	}
+	l.pages.close()
+	l.store.CloseClientConnections()
 	l.store.Close()
 	_ = l.file.Close()
 	_ = os.RemoveAll(l.dir)
@@ -161,7 +165,7 @@
 // newDaemon writes the settings that the template of the deploy file yields.
 func (l *lab) newDaemon(i int) (*daemon, error) {
 	host := loopback.NewHost()
-	d := &daemon{lab: l, name: fmt.Sprintf("front-%d", i), front: host.Address(), ready: host.Address(), metrics: host.Address(), peers: host.Address(), link: standin.NewProxy(l.clock, l.store.Address())}
+	d := &daemon{lab: l, name: fmt.Sprintf("front-%d", i), front: host.Address(), ready: host.Address(), metrics: host.Address(), peers: host.Address(), link: standin.NewProxy(l.clock, l.pages.Listener.Addr().String())}
 	relay := host.Address()
 	d.settings = filepath.Join(l.dir, d.name+".json")
 	raw, err := json.Marshal(map[string]any{
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -17,11 +17,11 @@
 type play func(recordPath string, trouble bool) (int, error)
 
 var plays = map[string]play{
-	"drain":     playDrain,
-	"framing":   playFraming,
-	"longid":    playLongID,
-	"poison":    playPoison,
-	"switching": playSwitching,
+	"blind":  playBlind,
+	"heads":  playHeads,
+	"longid": playLongID,
+	"poison": playPoison,
+	"repair": playRepair,
 }
 
 func init() {
--- a/review/_rig3/spoil.go
+++ b/review/_rig3/spoil.go
@@ -146,9 +146,8 @@
 	}
 }
 
-// playSpoiled sends requests on kept connections, and reports the answers that the function judges to
-// break the rule.
-func playSpoiled(recordPath string, trouble bool, spoil spoiler, judge func(path, id, body string, a answer, interim []int) string) (int, error) {
+// playHeads sends requests on kept connections, and counts the answers that break the rule.
+func playHeads(recordPath string, trouble bool) (int, error) {
 	l, err := newLab(recordPath, options{daemons: 3, memory: 284, files: 4100, plainServers: 3})
 	if err != nil {
 		return cantRun, err
@@ -159,7 +158,7 @@
 	}
 	spoiled := new(spoiledAnswers)
 	if trouble {
-		l.plain[0].setAct(spoilSome(spoil, spoiled))
+		l.plain[0].setAct(spoilSome(spoilHead(), spoiled))
 	}
 	var clients sync.WaitGroup
 	var sent, breaks atomic.Int64
@@ -173,7 +172,7 @@
 				body := fmt.Sprintf("chest %d", n)
 				a, interim := c.request(id, path, body)
 				sent.Add(1)
-				if reason := judge(path, id, body, a, interim); reason != "" {
+				if reason := judgeAnswer(path, id, body, a, interim); reason != "" {
 					breaks.Add(1)
 					l.line("BROKEN %s: %s", id, reason)
 				}
@@ -189,31 +188,26 @@
 	return held, nil
 }
 
-// playFraming has a server answer in chunks with the version HTTP/1.0 in its status line.
-func playFraming(recordPath string, trouble bool) (int, error) {
-	spoil := func(c net.Conn, id, stamp, body string) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, stamp, len(body), body)
-	}
-	return playSpoiled(recordPath, trouble, spoil, func(path, id, body string, a answer, _ []int) string {
-		if a.status != http.StatusOK || !a.complete {
-			return ""
-		}
-		if want := bodyOf(id, path, body); a.body != want {
-			return fmt.Sprintf("a complete answer 200 has %d bytes %q..., the server's body has %d bytes %q...", len(a.body), excerpt(a.body), len(want), excerpt(want))
+// spoilHead spoils the head of the answer, in turn in two ways: an answer in chunks gets the version HTTP/1.0
+// in its status line, and an answer with a length the status 101, which no request has asked for.
+func spoilHead() spoiler {
+	var count atomic.Int64
+	return func(c net.Conn, id, stamp, body string) {
+		if count.Add(1)%2 == 0 {
+			_, _ = fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, stamp, len(body), body)
+			return
 		}
-		return ""
-	})
-}
-
-// playSwitching has a server answer with the status 101, which no request has asked for.
-func playSwitching(recordPath string, trouble bool) (int, error) {
-	spoil := func(c net.Conn, id, stamp, body string) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", id, stamp, len(body), body)
 	}
-	return playSpoiled(recordPath, trouble, spoil, func(_, _, _ string, a answer, interim []int) string {
-		if len(interim) == 0 {
-			return ""
-		}
+}
+
+// judgeAnswer returns why the rule was broken by what a client got, empty if it wasn't.
+func judgeAnswer(path, id, body string, a answer, interim []int) string {
+	if len(interim) > 0 {
 		return fmt.Sprintf("got %v without a request to switch, and then %s", interim, a)
-	})
+	}
+	if want := bodyOf(id, path, body); a.status == http.StatusOK && a.complete && a.body != want {
+		return fmt.Sprintf("a complete answer 200 has %d bytes %q..., the server's body has %d bytes %q...", len(a.body), excerpt(a.body), len(want), excerpt(want))
+	}
+	return ""
 }
