stream: End an answer as broken off if the write took its reset

Seen: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the request was still being written. Callers got the part as a complete answer, plain and as a stream, from the server and through another daemon. Cause: a request of over 8 KiB is written while the answer is read. The kernel reports the error of a connection once, to the first call that notices it. If that was the write, the next read returns 0 bytes, which is io.EOF, and io.EOF is the end of a body without a length. The error of the write was dropped. Changed: at io.EOF of such a body, the write is ended by a deadline in the past, and its outcome is looked at. The kernel handles the calls one after the other, so a read can't return 0 without a FIN unless the write has already taken the error, and its outcome is then certain: no window is left. A reset after a FIN is EPIPE, so answers that end by a half-close are complete as before; the deadline doesn't wait for a server that reads nothing. Any other error of the write (reset, time-out, host unreachable) ends the answer with that reason: the attempt has an unknown outcome, counts as cut off, and its connection is closed. The write, which RawResponse had as a flag, is a type of its own.

--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -39,7 +39,7 @@
 
 // conn is a connection whose reads and writes fail if they make no progress for
 // ioTimeout. Only Close may be called by a goroutine other than the one that
-// acquired the connection from the pool.
+// acquired the connection from the pool. An upload writes in a goroutine of its own.
 type conn struct {
 	net.Conn
 	clock clock.Clock
@@ -133,12 +133,17 @@
 
 // Write writes with a new deadline.
 func (c *conn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(c.clock.Now().Add(c.ioTimeout)); err != nil {
+	if err := c.setWriteDeadline(); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
 }
 
+// setWriteDeadline sets the deadline of the next write.
+func (c *conn) setWriteDeadline() error {
+	return c.SetWriteDeadline(c.clock.Now().Add(c.ioTimeout))
+}
+
 // closedWhileIdle reports whether the exchange that ended with the error failed because the
 // endpoint closed the idle connection: no byte of the answer has arrived.
 func (c *conn) closedWhileIdle(err error) bool {
--- a/internal/endpoint/stream/raw.go
+++ b/internal/endpoint/stream/raw.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -77,12 +75,12 @@
 	address string
 	conn    *conn
 	body    io.Reader
-	chunked bool
+	framing framing
 	// bodyRead says that the body was read to its end.
 	bodyRead bool
-	// writing is true while the request is being written, and after a failed
-	// write.
-	writing         atomic.Bool
+	// upload is the write of a long request, nil if the request was written before
+	// the answer was read.
+	upload          *upload
 	stopCancelWatch func() bool
 }
 
@@ -114,22 +112,9 @@
 	return p.dialConn(ctx, request.Address)
 }
 
-// concurrentWriteBytes is the size above which a request is written while the
-// answer is read. An endpoint may answer before it has read the whole body.
-const concurrentWriteBytes = 8 << 10
-
 func (r *RawResponse) roundTrip(request *RawRequest) error {
-	if len(request.Data) <= concurrentWriteBytes {
-		if _, err := r.conn.Write(request.Data); err != nil {
-			return err
-		}
-	} else {
-		r.writing.Store(true)
-		go func() {
-			if _, err := r.conn.Write(request.Data); err == nil {
-				r.writing.Store(false)
-			}
-		}()
+	if err := r.write(request.Data); err != nil {
+		return err
 	}
 	for range maxForeignAnswers + 1 {
 		if err := r.readHead(request); err != nil {
@@ -145,6 +130,21 @@
 	return errForeignAnswers
 }
 
+// write writes a short request, and starts to write a long one.
+func (r *RawResponse) write(data []byte) (err error) {
+	if len(data) > concurrentWriteBytes {
+		r.upload, err = startUpload(r.conn, data)
+		return err
+	}
+	_, err = r.conn.Write(data)
+	return err
+}
+
+// isWritten reports whether the whole request has been written.
+func (r *RawResponse) isWritten() bool {
+	return r.upload == nil || r.upload.isComplete()
+}
+
 // isOwnAnswer reports whether the answer belongs to the request.
 func (r *RawResponse) isOwnAnswer(request *RawRequest) (bool, error) {
 	if request.MatchRequest == nil {
@@ -164,7 +164,7 @@
 	if err := http1.ReadResponseHead(r.conn.reader, &r.Header); err != nil {
 		return err
 	}
-	r.body, r.chunked = r.bodyReader(request)
+	r.body, r.framing = r.bodyReader(request)
 	return nil
 }
 
@@ -179,9 +179,9 @@
 // which cancels a run at the endpoint.
 func (r *RawResponse) Close() {
 	notCancelled := r.stopCancelWatch()
-	bodyComplete := r.bodyRead || r.body == http.NoBody
+	bodyComplete := r.bodyRead || r.framing == noBody
 	r.conn.keepWaiting = nil
-	if notCancelled && bodyComplete && !r.writing.Load() && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0 {
+	if notCancelled && bodyComplete && r.isWritten() && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0 {
 		r.conn.idleTimeout = parseKeepAlive(r.Header.Peek("Keep-Alive"))
 		r.pool.releaseConn(r.address, r.conn)
 		return
--- a/internal/endpoint/stream/rawbody.go
+++ b/internal/endpoint/stream/rawbody.go
@@ -18,24 +18,35 @@
 	return err
 }
 
-// bodyReader returns the reader of the body, and whether the body is chunked.
-func (r *RawResponse) bodyReader(request *RawRequest) (io.Reader, bool) {
-	const chunked = -1 // fasthttp's length of a chunked body
+// framing says how the end of a body shows.
+type framing int
+
+const (
+	noBody framing = iota
+	// knownLength is the framing by the field Content-Length.
+	knownLength
+	chunked
+	// untilClose says that the end of the connection is the end of the body.
+	untilClose
+)
+
+// bodyReader returns the reader of the body, and its framing.
+func (r *RawResponse) bodyReader(request *RawRequest) (io.Reader, framing) {
+	const chunkedLength = -1 // fasthttp's length of a chunked body
 	status := r.Header.StatusCode()
 	if request.ExpectNoBody || status == http.StatusNoContent || status == http.StatusNotModified {
-		return http.NoBody, false
+		return http.NoBody, noBody
 	}
 	switch length := r.Header.ContentLength(); {
 	case length == 0:
-		return http.NoBody, false
+		return http.NoBody, noBody
 	case length > 0:
-		return &lengthReader{reader: r.conn.reader, remaining: length}, false
-	case length == chunked:
-		return httputil.NewChunkedReader(r.conn.reader), true
+		return &lengthReader{reader: r.conn.reader, remaining: length}, knownLength
+	case length == chunkedLength:
+		return httputil.NewChunkedReader(r.conn.reader), chunked
 	default:
-		// The end of the connection is the end of the body.
 		r.Header.SetConnectionClose()
-		return r.conn.reader, false
+		return r.conn.reader, untilClose
 	}
 }
 
@@ -66,15 +77,26 @@
 	if !errors.Is(err, io.EOF) {
 		return n, r.conn.withDeadlineError(err)
 	}
-	if r.chunked && !r.bodyRead {
-		if trailerErr := r.skipTrailer(); trailerErr != nil {
-			return n, trailerErr
+	if !r.bodyRead {
+		if endErr := r.checkEnd(); endErr != nil {
+			return n, endErr
 		}
 	}
 	r.bodyRead = true
 	return n, io.EOF
 }
 
+// checkEnd returns an error if the answer is not complete although its body has ended.
+func (r *RawResponse) checkEnd() error {
+	switch {
+	case r.framing == chunked:
+		return r.skipTrailer()
+	case r.framing == untilClose && r.upload != nil:
+		return r.upload.resetError()
+	}
+	return nil
+}
+
 // skipTrailer reads the trailer fields after the last chunk.
 func (r *RawResponse) skipTrailer() error {
 	for remaining := maxTrailerBytes; remaining > 0; {
@@ -96,7 +118,7 @@
 // ContentLength returns the length that the header announces, or -1 if the
 // length is unknown.
 func (r *RawResponse) ContentLength() int {
-	if r.body == http.NoBody {
+	if r.framing == noBody {
 		return 0
 	}
 	return max(r.Header.ContentLength(), -1)
--- /dev/null
+++ b/internal/endpoint/stream/upload.go
@@ -0,0 +1,65 @@
+package stream
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+)
+
+// concurrentWriteBytes is the size above which a request is written while the
+// answer is read. An endpoint may answer before it has read the whole body.
+const concurrentWriteBytes = 8 << 10
+
+// upload is the write of a long request, which goes on while the answer is read.
+type upload struct {
+	conn *conn
+	// ended is closed when the write has ended, with err.
+	ended chan struct{}
+	err   error
+}
+
+// startUpload starts to write the request.
+func startUpload(c *conn, data []byte) (*upload, error) {
+	// The write doesn't set its deadline later, as it would replace that of resetError.
+	if err := c.setWriteDeadline(); err != nil {
+		return nil, err
+	}
+	u := &upload{conn: c, ended: make(chan struct{})}
+	go func() {
+		defer close(u.ended)
+		_, u.err = c.Conn.Write(data)
+	}()
+	return u, nil
+}
+
+// isComplete reports whether the whole request has been written.
+func (u *upload) isComplete() bool {
+	select {
+	case <-u.ended:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// resetError ends the write. It returns an error if the connection was reset without an end of the
+// endpoint's side before, or failed otherwise, and the write has noticed that.
+//
+// The kernel reports the failure of a connection once, to the first read or write that notices it.
+// If that was the write, reads return io.EOF afterwards, as they do when the endpoint has ended its
+// side. A reset after that end is EPIPE.
+func (u *upload) resetError() error {
+	if err := u.conn.SetWriteDeadline(longAgo); err != nil {
+		return err
+	}
+	<-u.ended
+	if u.err == nil || errors.Is(u.err, os.ErrDeadlineExceeded) || errors.Is(u.err, syscall.EPIPE) {
+		return nil
+	}
+	return fmt.Errorf("connection failed while the request was being written: %w", u.err)
+}
