twirp: Refuse answers of other daemons that end with the connection

Seen: TestTruncatedAnswer: a part of an answer, which is a valid message without its last fields, counted as the answer when the connection was reset while a question of 4 MB was being written. Cause: the one before, in net/http: the write of a request and the read of its response go on at once, and the one that notices a reset first takes the error. Changed: a response with neither a length nor chunks is refused, whatever ends it. Nothing is read by its end then, so that the order of the two doesn't matter.

--- a/internal/peer/twirp/client.go
+++ b/internal/peer/twirp/client.go
@@ -74,18 +74,25 @@
 	}
 }
 
-// limitedTransport limits the size of response bodies.
+// limitedTransport limits the size of response bodies. It refuses responses whose body ends with the
+// connection: while the request is being written, net/http can't tell a reset from that end.
 type limitedTransport struct {
 	next     http.RoundTripper
 	maxBytes int64
 }
 
+var errNoFraming = errors.New("response has neither a length nor chunks")
+
 // RoundTrip returns a response whose body returns an error after maxBytes.
 func (l *limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := l.next.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		_ = response.Body.Close()
+		return nil, errNoFraming
+	}
 	response.Body = &limitedBody{ReadCloser: response.Body, remainingBytes: l.maxBytes}
 	return response, nil
 }
--- a/internal/peer/twirp/malformed_test.go
+++ b/internal/peer/twirp/malformed_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"cuminbay/internal/kernel/clock"
 	"cuminbay/internal/standin/faultserver"
 )
 
@@ -42,3 +43,32 @@
 		})
 	}
 }
+
+// TestTruncatedAnswer guards against a part of another daemon's answer, which may be a valid message, that counts as
+// the answer since the connection was reset while the question was being written.
+func TestTruncatedAnswer(t *testing.T) {
+	const repetitions = 12
+	answer, err := proto.Marshal(&Answer{Body: []byte("answer")})
+	qt.Assert(t, err, qt.IsNil)
+	answers := map[string]string{
+		"no length":           "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n" + string(answer),
+		"nothing of the body": "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n",
+		"HTTP/1.0":            "HTTP/1.0 200 OK\r\nContent-Type: application/protobuf\r\n\r\n" + string(answer),
+		"truncated length":    "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Length: 99\r\n\r\n" + string(answer),
+		"truncated chunks":    "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nTransfer-Encoding: chunked\r\n\r\n",
+	}
+	for name, raw := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			server, err := faultserver.Early{Clock: clock.Real(), Answer: raw, End: faultserver.Reset}.Listen()
+			c.Assert(err, qt.IsNil)
+			defer server.Close()
+			for range repetitions {
+				clients := &clients{timeout: time.Second, maxBytes: 1 << 20}
+				got, err := clients.clientFor(server.Address()).Ask(context.Background(), &Question{Topic: "t", Body: make([]byte, 4<<20)})
+				c.Check(err, qt.IsNotNil, qt.Commentf("%v", got))
+			}
+		})
+	}
+}
