http1, service, httpserver: Guard other readers and aborts against resets

Changed: tests only. The clients of fasthttp (etcd, list of instances, command line), which http1 checks, and the client of plain services write a request before they read, and end with the error of the write. Aborted answers to callers with HTTP/1.0, which have no chunks, end with a reset, also while the caller still sends.

--- a/internal/caller/httpserver/server_test.go
+++ b/internal/caller/httpserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -193,15 +195,36 @@
 	}
 }
 
-// TestAbort guards against an aborted answer that looks complete.
+// TestAbort guards against an aborted answer that looks complete, as the connection ends without a reset.
 func TestAbort(t *testing.T) {
-	c := qt.New(t)
-	_, _, address := startServer(c, defaultLimits())
-	conn := dial(c, address, "GET /abort HTTP/1.1\r\nHost: h\r\n\r\n")
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	c.Assert(err, qt.IsNil)
-	_, err = io.ReadAll(response.Body)
-	c.Check(err, qt.IsNotNil)
+	const get10 = "GET /abort HTTP/1.0\r\nHost: h\r\n\r\n"
+	tests := map[string]struct {
+		raw string
+		// ahead is the number of bytes that the caller sends behind the request, halfCloses that it ends its side.
+		ahead      int
+		halfCloses bool
+	}{
+		"HTTP/1.1":                       {raw: "GET /abort HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"HTTP/1.0":                       {raw: get10},
+		"HTTP/1.0, bytes behind it":      {raw: get10, ahead: 100},
+		"HTTP/1.0, more than is read":    {raw: get10, ahead: 4 << 20},
+		"HTTP/1.0, caller ends its side": {raw: get10, halfCloses: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, _, address := startServer(c, defaultLimits())
+			conn := dial(c, address, test.raw)
+			_, writeErr := conn.Write(make([]byte, test.ahead))
+			if test.halfCloses {
+				_ = conn.(*net.TCPConn).CloseWrite()
+			}
+			_, readErr := io.Copy(io.Discard, conn)
+			// The kernel reports a reset once.
+			err := cmp.Or(writeErr, readErr)
+			c.Check(err, qt.ErrorIs, syscall.ECONNRESET)
+		})
+	}
 }
 
 // TestPanic guards against an unexpected error in one request that ends the process, and
--- a/internal/endpoint/service/service_test.go
+++ b/internal/endpoint/service/service_test.go
@@ -79,6 +79,32 @@
 	}
 }
 
+// TestReset guards against a truncated answer that counts as complete, since the service has reset the connection
+// before it had read the request.
+func TestReset(t *testing.T) {
+	lengths := map[string]int{"4 KB": 4 << 10, "100 KB": 100 << 10, "4 MB": 4 << 20}
+	const repetitions = 6
+	for name, answer := range faultserver.TruncatedResponses {
+		for lengthName, length := range lengths {
+			t.Run(name+", "+lengthName, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				server, err := faultserver.Early{Clock: clock.Real(), Answer: answer, End: faultserver.Reset}.Listen()
+				c.Assert(err, qt.IsNil)
+				defer server.Close()
+				e := &table.Endpoint{Address: server.Address()}
+				r := &work.Request{Method: "POST", Path: "/pay", Body: make([]byte, length)}
+				for range repetitions {
+					var got recordingSink
+					err := newTestClient().Send(context.Background(), e, r, work.PartialAnswer{}, &got)
+					c.Check(code.Of(err), qt.Equals, code.CutOff, qt.Commentf("%v", err))
+					c.Check(got.ended, qt.IsFalse)
+				}
+			})
+		}
+	}
+}
+
 // TestHeader guards against a field that the service didn't send.
 func TestHeader(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/kernel/http1/conn_test.go
+++ b/internal/kernel/http1/conn_test.go
@@ -11,6 +11,9 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
+
+	"cuminbay/internal/kernel/clock"
+	"cuminbay/internal/standin/faultserver"
 )
 
 // listenRaw starts a server that answers each request with the next of the bytes, and returns a checked client
@@ -110,3 +113,32 @@
 		}
 	}
 }
+
+// TestReset guards against a truncated response that counts as complete, since the server has reset the connection
+// before it had read the request.
+func TestReset(t *testing.T) {
+	lengths := map[string]int{"4 KB": 4 << 10, "100 KB": 100 << 10, "4 MB": 4 << 20}
+	const repetitions = 6
+	for name, response := range faultserver.TruncatedResponses {
+		for lengthName, length := range lengths {
+			t.Run(name+", "+lengthName, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				server, err := faultserver.Early{Clock: clock.Real(), Answer: response, End: faultserver.Reset}.Listen()
+				c.Assert(err, qt.IsNil)
+				defer server.Close()
+				for range repetitions {
+					client := &fasthttp.HostClient{Addr: server.Address(), MaxIdemponentCallAttempts: 1}
+					CheckResponses(client)
+					request, response := new(fasthttp.Request), new(fasthttp.Response)
+					request.SetRequestURI("http://" + server.Address() + "/")
+					request.Header.SetMethod(fasthttp.MethodPost)
+					request.SetBody(make([]byte, length))
+					err := client.DoTimeout(request, response, 5*time.Second)
+					c.Check(err, qt.IsNotNil, qt.Commentf("%q", response.Body()))
+					c.Check(err, qt.Not(qt.Equals), fasthttp.ErrTimeout)
+				}
+			})
+		}
+	}
+}
--- a/internal/standin/faultserver/early.go
+++ b/internal/standin/faultserver/early.go
@@ -33,6 +33,16 @@
 	Pause time.Duration
 }
 
+// TruncatedResponses are responses whose bodies are not complete if their connection is reset.
+var TruncatedResponses = map[string]string{
+	"no length":           "HTTP/1.1 200 OK\r\n\r\npart of",
+	"Connection: close":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of",
+	"HTTP/1.0":            "HTTP/1.0 200 OK\r\n\r\npart of",
+	"nothing of the body": "HTTP/1.1 200 OK\r\n\r\n",
+	"truncated length":    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart of",
+	"truncated chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\npart of\r\n",
+}
+
 // EarlyServer answers each request when it has read EarlyBytes of it, and then ends the connection.
 type EarlyServer struct {
 	Early
