stream: Close an idle connection to make room for a new one

Seen: TestResetUpload: an unsafe request was refused with 503 (`no-slot-after-wait`) or sent to a faulty server, although the sound one was idle: "cannot connect, cause: connection limit of the address reached". Cause: an unsafe request needs a new connection, which is kept afterwards. At the limit (64 to a server), the pool refused it even if all of them were idle, so that over 16 such requests a second to one server, for the 4 s of the idle time, made the daemon refuse the next ones. Changed: at the limit, the connection that has been idle for longest is closed and its slot taken. A probe does the same, and counts the address as reachable without a connection only if all are in use. Measured: TestNewConnectionAtLimit failed before, at the fifth request of a pool with a limit of 4, and passes now.

--- a/internal/endpoint/stream/pool.go
+++ b/internal/endpoint/stream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -118,12 +119,30 @@
 	return nil, conns.reserveSlot(p.MaxConnections)
 }
 
-// reserveSlot reserves a slot for a new connection. At the limit of connections it
-// returns errConnectionLimit.
+// reserveSlot reserves a slot for a new connection. At the limit of connections it closes the one that
+// has been idle for longest. If none is idle, it returns errConnectionLimit.
 func (p *Pool) reserveSlot(address string) error {
+	replaced, err := p.takeSlot(address)
+	if replaced != nil {
+		_ = replaced.Close()
+	}
+	return err
+}
+
+// takeSlot reserves a slot. At the limit it returns an idle connection, to be closed, whose slot it
+// takes.
+func (p *Pool) takeSlot(address string) (replaced *conn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.connsOf(address).reserveSlot(p.MaxConnections)
+	conns := p.connsOf(address)
+	err = conns.reserveSlot(p.MaxConnections)
+	if err == nil || len(conns.idle) == 0 {
+		return nil, err
+	}
+	replaced = conns.idle[0]
+	conns.idle = slices.Delete(conns.idle, 0, 1)
+	p.idleCount--
+	return replaced, nil
 }
 
 // connsOf returns the connections to the address. The caller must hold the
@@ -175,7 +194,7 @@
 // pool keeps that connection for a request.
 func (p *Pool) AcceptsConnection(ctx context.Context, address string) bool {
 	if p.reserveSlot(address) != nil {
-		// The maximum number of connections is open, so the address accepts
+		// The maximum number of connections is in use, so the address accepts
 		// connections.
 		return true
 	}
--- a/internal/endpoint/stream/raw_test.go
+++ b/internal/endpoint/stream/raw_test.go
@@ -334,6 +334,39 @@
 	}
 }
 
+// TestNewConnectionAtLimit guards against a request that gets no new connection, since idle connections take all that
+// the address may have.
+func TestNewConnectionAtLimit(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeServer{answer: "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nContent-Length: 0\r\n\r\n"}
+	p := newTestPool()
+	defer p.CloseIdleConnections()
+	request := newTestRequest(s.listen(c))
+	request.NewConnection = true
+	for range 2*p.MaxConnections + 1 {
+		r, err := p.Forward(context.Background(), request)
+		c.Assert(err, qt.IsNil)
+		r.Close()
+		p.mu.Lock()
+		conns := p.byAddress[request.Address]
+		c.Check(conns.openCount <= p.MaxConnections, qt.IsTrue)
+		c.Check(len(conns.idle), qt.Equals, conns.openCount)
+		c.Check(p.idleCount, qt.Equals, conns.openCount)
+		p.mu.Unlock()
+	}
+	held := make([]*RawResponse, p.MaxConnections)
+	for i := range held {
+		r, err := p.Forward(context.Background(), request)
+		c.Assert(err, qt.IsNil)
+		held[i] = r
+	}
+	_, err := p.Forward(context.Background(), request)
+	c.Check(err, qt.ErrorIs, errConnectionLimit)
+	for _, r := range held {
+		r.Close()
+	}
+}
+
 // TestKeepAlive guards against using a connection that the server is about to
 // close.
 func TestKeepAlive(t *testing.T) {
