clock: Keep the deadline that interrupts a read or write in one place

Cause: httpserver and stream had a variable of the same value each. Changed: clock.Past. No behaviour changes. Measured: the tests of both packages passed with the race detector.

--- a/internal/caller/httpserver/ahead.go
+++ b/internal/caller/httpserver/ahead.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cuminbay/internal/kernel/clock"
 )
 
 // Callers may send requests ahead. While a request is answered, the reader goes on reading into its
@@ -18,9 +20,6 @@
 // aheadCheckInterval is the time between two checks for the end of the connection while its buffer is full.
 const aheadCheckInterval = 100 * time.Millisecond
 
-// aLongTimeAgo is a read deadline that interrupts a read at once.
-var aLongTimeAgo = time.Unix(1, 0)
-
 // aheadRead coordinates a read ahead with the end of the answer, which interrupts it.
 type aheadRead struct {
 	mu sync.Mutex
@@ -57,7 +56,7 @@
 	defer a.mu.Unlock()
 	a.answered = true
 	if a.reading {
-		_ = c.SetReadDeadline(aLongTimeAgo)
+		_ = c.SetReadDeadline(clock.Past)
 	}
 }
 
--- a/internal/endpoint/stream/upload.go
+++ b/internal/endpoint/stream/upload.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"os"
 	"syscall"
-	"time"
+
+	"cuminbay/internal/kernel/clock"
 )
 
 // concurrentWriteBytes is the size above which a request is written while the
@@ -44,9 +45,6 @@
 	}
 }
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
-
 // resetError ends the write. It returns an error if the connection was reset without an end of the
 // endpoint's side before, or failed otherwise, and the write has noticed that.
 //
@@ -54,7 +52,7 @@
 // If that was the write, reads return io.EOF afterwards, as they do when the endpoint has ended its
 // side. A reset after that end is EPIPE.
 func (u *upload) resetError() error {
-	if err := u.conn.SetWriteDeadline(longAgo); err != nil {
+	if err := u.conn.SetWriteDeadline(clock.Past); err != nil {
 		return err
 	}
 	<-u.ended
--- a/internal/kernel/clock/clock.go
+++ b/internal/kernel/clock/clock.go
@@ -51,6 +51,9 @@
 	return c
 }
 
+// Past is a deadline that has passed. It interrupts a read or a write at once.
+var Past = time.Unix(1, 0)
+
 // Instant is a time that fits an atomic integer, in nanoseconds. It is near the time since
 // 1970, but follows the monotonic clock, so that differences and comparisons stay right
 // when the time of day is set. Zero stands for no time.
