--- a/internal/peer/gossip/golden_test.go
+++ b/internal/peer/gossip/golden_test.go
@@ -39,6 +39,7 @@
 	"354baa5": messageWithoutDemand,
 	"800f969": completeMessage,
 	"f6bb871": completeMessage,
+	"be0a036": completeMessage,
 }
 
 // messageWithoutDemand returns completeMessage without the fields of datagrams from number 22 on.
