faultserver, standin: Order the early servers for a reader

Cause: a read-through of the diff stumbled on a constant that nothing else uses, and on a table in the middle of a type. Changed: names and order only.

--- a/internal/standin/faultserver/early.go
+++ b/internal/standin/faultserver/early.go
@@ -33,17 +33,7 @@
 	Pause time.Duration
 }
 
-// TruncatedResponses are responses whose bodies are not complete if their connection is reset.
-var TruncatedResponses = map[string]string{
-	"no length":           "HTTP/1.1 200 OK\r\n\r\npart of",
-	"Connection: close":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of",
-	"HTTP/1.0":            "HTTP/1.0 200 OK\r\n\r\npart of",
-	"nothing of the body": "HTTP/1.1 200 OK\r\n\r\n",
-	"truncated length":    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart of",
-	"truncated chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\npart of\r\n",
-}
-
-// EarlyServer answers each request when it has read EarlyBytes of it, and then ends the connection.
+// EarlyServer answers each request when it has read the start of it, and then ends the connection.
 type EarlyServer struct {
 	Early
 	listener  net.Listener
@@ -53,8 +43,8 @@
 	closed    chan struct{}
 }
 
-// EarlyBytes is what an EarlyServer reads of a request.
-const EarlyBytes = 3 << 10
+// earlyBytes is the length of that start.
+const earlyBytes = 3 << 10
 
 // Listen starts a server. Close stops it.
 func (e Early) Listen() (*EarlyServer, error) {
@@ -91,7 +81,7 @@
 
 func (s *EarlyServer) serve(conn *net.TCPConn) {
 	defer conn.Close() //nolint:errcheck // the client has the answer or has left
-	if _, err := io.ReadFull(conn, make([]byte, EarlyBytes)); err != nil {
+	if _, err := io.ReadFull(conn, make([]byte, earlyBytes)); err != nil {
 		return
 	}
 	_, _ = io.WriteString(conn, s.Answer)
@@ -119,3 +109,13 @@
 		_ = conn.Close()
 	}
 }
+
+// TruncatedResponses are responses whose bodies are not complete if their connection is reset.
+var TruncatedResponses = map[string]string{
+	"no length":           "HTTP/1.1 200 OK\r\n\r\npart of",
+	"Connection: close":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of",
+	"HTTP/1.0":            "HTTP/1.0 200 OK\r\n\r\npart of",
+	"nothing of the body": "HTTP/1.1 200 OK\r\n\r\n",
+	"truncated length":    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart of",
+	"truncated chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\npart of\r\n",
+}
