--- a/internal/endpoint/stream/conn.go
+++ b/internal/endpoint/stream/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cuminbay/internal/domain/code"
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 )
 
@@ -125,10 +126,7 @@
 // go on sending a request over a link that is cut, and the endpoint would get it long after the
 // exchange has ended.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
+	budget.ResetConn(c.Conn)
 }
 
 // Write writes with a new deadline.
--- a/internal/standin/faultserver/early.go
+++ b/internal/standin/faultserver/early.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cuminbay/internal/kernel/budget"
 	"cuminbay/internal/kernel/clock"
 )
 
@@ -105,8 +106,7 @@
 		s.Clock.Sleep(s.Pause)
 	}
 	if s.End == Reset || s.End == HalfCloseReset {
-		_ = conn.SetLinger(0)
-		_ = conn.Close()
+		budget.ResetConn(conn)
 	}
 }
 
