stream: Say when the end of a body was checked in one place

Cause: Read looked at bodyRead around checkEnd, and the comment of resetError avoided the term FIN. Changed: checkEnd knows that the end was checked; the comment. No behaviour changes. Measured: the tests of stream and TestResetUpload passed.

--- a/internal/endpoint/stream/rawbody.go
+++ b/internal/endpoint/stream/rawbody.go
@@ -77,10 +77,8 @@
 	if !errors.Is(err, io.EOF) {
 		return n, r.conn.withDeadlineError(err)
 	}
-	if !r.bodyRead {
-		if endErr := r.checkEnd(); endErr != nil {
-			return n, endErr
-		}
+	if endErr := r.checkEnd(); endErr != nil {
+		return n, endErr
 	}
 	r.bodyRead = true
 	return n, io.EOF
@@ -89,6 +87,8 @@
 // checkEnd returns an error if the answer is not complete although its body has ended.
 func (r *RawResponse) checkEnd() error {
 	switch {
+	case r.bodyRead:
+		return nil
 	case r.framing == chunked:
 		return r.skipTrailer()
 	case r.framing == untilClose && r.upload != nil:
--- a/internal/endpoint/stream/upload.go
+++ b/internal/endpoint/stream/upload.go
@@ -45,12 +45,11 @@
 	}
 }
 
-// resetError ends the write. It returns an error if the connection was reset without an end of the
-// endpoint's side before, or failed otherwise, and the write has noticed that.
+// resetError ends the write. It returns the error with which the connection failed before the
+// endpoint's FIN, if the write has received that error.
 //
-// The kernel reports the failure of a connection once, to the first read or write that notices it.
-// If that was the write, reads return io.EOF afterwards, as they do when the endpoint has ended its
-// side. A reset after that end is EPIPE.
+// The kernel reports the failure of a connection once, to the first read or write after it. If that
+// was the write, reads return io.EOF afterwards, as they do after a FIN. A reset after a FIN is EPIPE.
 func (u *upload) resetError() error {
 	if err := u.conn.SetWriteDeadline(clock.Past); err != nil {
 		return err
