--- a/internal/endpoint/stream/reset_test.go
+++ b/internal/endpoint/stream/reset_test.go
@@ -53,10 +53,7 @@
 	if err != nil {
 		return "", err
 	}
-	defer r.Close()
-	wait()
-	body, err := io.ReadAll(r)
-	return string(body), err
+	return readAfter(r, wait)
 }
 
 var openUpload uploadReader = func(p *Pool, address string, length int, wait func()) (string, error) {
@@ -65,9 +62,20 @@
 	if err != nil {
 		return "", err
 	}
-	defer x.Close()
+	return readAfter(x, wait)
+}
+
+// openAnswer is an answer whose body may still be arriving.
+type openAnswer interface {
+	io.Reader
+	Close()
+}
+
+// readAfter reads the body of the answer when wait has returned.
+func readAfter(answer openAnswer, wait func()) (string, error) {
+	defer answer.Close()
 	wait()
-	body, err := io.ReadAll(x)
+	body, err := io.ReadAll(answer)
 	return string(body), err
 }
 
--- a/internal/standin/faultserver/early.go
+++ b/internal/standin/faultserver/early.go
@@ -37,11 +37,10 @@
 // EarlyServer answers each request when it has read the start of it, and then ends the connection.
 type EarlyServer struct {
 	Early
-	listener  net.Listener
-	endOnce   sync.Once
-	ended     chan struct{}
-	closeOnce sync.Once
-	closed    chan struct{}
+	listener net.Listener
+	endOnce  sync.Once
+	ended    chan struct{}
+	closed   chan struct{}
 }
 
 // earlyBytes is the length of that start.
@@ -64,9 +63,9 @@
 // Ended returns a channel that is closed when the server has ended its first connection.
 func (s *EarlyServer) Ended() <-chan struct{} { return s.ended }
 
-// Close stops the server and closes its connections.
+// Close stops the server and closes its connections. It must be called once.
 func (s *EarlyServer) Close() {
-	s.closeOnce.Do(func() { close(s.closed) })
+	close(s.closed)
 	_ = s.listener.Close()
 }
 
